--- /dev/null
+++ b/Makefile
@@ -0,0 +1,111 @@
+# Makefile -- builds fulmartack, checks it, runs the demo and the benches.
+
+CC = gcc
+CFLAGS = -O2 -g
+B = build
+PACKAGES = talloc tevent msgpack libmicrohttpd libcurl log4c glib-2.0 \
+  jansson libsodium
+
+DEPS_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
+DEPS_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null)
+ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -Werror -I. -Iinclude -pthread \
+  $(DEPS_CFLAGS) $(CFLAGS) $(SANITIZE)
+
+LIB_SRC := $(sort $(wildcard port/*.c core/*.c adapter/*.c))
+CTL_SRC := $(sort $(wildcard ctl/*.c))
+TEST_SRC := $(sort $(wildcard tests/test_*.c))
+BENCH_SRC := $(sort $(wildcard bench/bench_*.c))
+STANDIN_SRC := $(filter-out tests/standin/server.c,$(sort $(wildcard tests/standin/*.c)))
+C_FILES := $(sort $(wildcard include/*.h port/*.[ch] core/*.[ch] \
+  adapter/*.[ch] daemon/*.[ch] ctl/*.[ch] tests/*.[ch] tests/standin/*.[ch] \
+  bench/*.[ch] examples/*.[ch]))
+
+LIB = $(B)/libfulmartack.a
+LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
+TESTS = $(TEST_SRC:tests/%.c=$(B)/%)
+BENCHES = $(BENCH_SRC:bench/%.c=$(B)/%)
+STANDINS = $(STANDIN_SRC:tests/standin/%.c=$(B)/standin_%)
+PROGRAMS = $(B)/fulmartackd $(B)/fulmartackctl
+
+.PHONY: all deps demo check test lint format format-check bench clean \
+  update-expected sanitized
+.SECONDARY:
+
+all: $(LIB) $(PROGRAMS) $(STANDINS) $(TESTS) $(BENCHES)
+
+deps:
+	@pkg-config --exists $(PACKAGES) \
+	  && command -v clang-format clang-tidy cppcheck curl >/dev/null \
+	  || { apt-get update -qq && DEBIAN_FRONTEND=noninteractive \
+	       apt-get install -y -qq $$(cat packages.txt) >/dev/null; }
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) -MMD -MP -c $< -o $@
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(B)/fulmartackd: $(B)/daemon/fulmartackd.o $(LIB)
+	$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
+
+$(B)/fulmartackctl: $(CTL_SRC:%.c=$(B)/%.o) $(LIB)
+	$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
+
+$(B)/standin_%: $(B)/tests/standin/%.o $(B)/tests/standin/server.o
+	$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
+
+$(B)/test_%: $(B)/tests/test_%.o $(B)/tests/script.o $(B)/tests/cluster.o $(LIB)
+	$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
+
+$(B)/bench_%: $(B)/bench/bench_%.o $(LIB)
+	$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
+
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
+
+demo: deps
+	@$(MAKE) -s all
+	@tests/demo.sh $(B)
+
+# Everything that must hold before a commit, in the order of its cost.
+check: deps format-check
+	$(MAKE) -j8 all
+	$(MAKE) lint
+	$(MAKE) test
+	$(MAKE) sanitized
+	@tests/summary.sh
+
+test: all
+	@tests/run.sh $(B)
+
+# The same tests under ASan with UBSan, the threads under TSan.
+sanitized:
+	$(MAKE) -j8 B=build/asan CFLAGS="-O1 -g" \
+	  SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all" all
+	@tests/run.sh build/asan
+	$(MAKE) -j8 B=build/tsan CFLAGS="-O1 -g" SANITIZE="-fsanitize=thread" all
+	@tests/run.sh build/tsan
+
+update-expected: all
+	FTK_WRITE_EXPECTED=1 $(B)/test_scripts -q
+
+format:
+	clang-format -i $(C_FILES)
+
+format-check:
+	clang-format --dry-run --Werror $(C_FILES)
+
+lint:
+	cppcheck -q --enable=warning,portability,performance \
+	  --inline-suppr --suppress=missingInclude --error-exitcode=1 \
+	  -j 8 -I. -Iinclude port core adapter daemon ctl tests bench
+	printf '%s\n' $(LIB_SRC) $(CTL_SRC) daemon/fulmartackd.c \
+	  | xargs -P 8 -n 4 -I{} clang-tidy --quiet {} -- -std=gnu11 -D_GNU_SOURCE -I. \
+	    -Iinclude $(DEPS_CFLAGS) 2>/dev/null
+
+bench: all
+	@bench/run.sh $(B)
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/adapter/back.c
@@ -0,0 +1,250 @@
+/* back.c -- runs attempts on workers and reports their ends.
+
+   The ring holds struct action (START, ABORT), each a talloc tree of its
+   own.  An end that finds the decide ring full is kept and pushed again by a
+   timer: an answer is never dropped.  */
+
+#include "adapter/back.h"
+
+#include "adapter/http_client.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define RING_COUNT 16384
+/** Connections to one worker, as each runner offers.  */
+#define WORKER_CONNECTION_COUNT 64
+#define CONNECT_LIMIT_MS 1000
+#define RETRY_PUSH_US 2000
+/** Longer than any request, so that only the core decides on deadlines.  */
+#define ANSWER_GRACE_MS 50
+#define LINE_BYTES 160
+
+struct attempt
+{
+  struct back *back;
+  uint64_t attempt_id;
+  void *call; /**< Id of the HTTP call.  */
+  struct attempt *next;
+};
+
+/* An end that the decide ring had no room for.  */
+struct late_event
+{
+  struct event *event;
+  struct late_event *next;
+};
+
+struct back
+{
+  struct duty *duty;
+  struct http_client *http;
+  struct ring *decide;
+  struct attempt *attempts;
+  struct late_event *late;
+};
+
+static void push_event (struct back *b, struct event *e);
+
+static void
+on_push_again (struct tevent_context *loop, struct tevent_timer *te,
+               struct timeval at, void *state)
+{
+  struct back *b = state;
+  struct late_event *l = b->late;
+
+  (void)loop;
+  (void)te;
+  (void)at;
+  b->late = NULL;
+  while (l != NULL)
+    {
+      struct late_event *next = l->next;
+
+      push_event (b, l->event);
+      talloc_free (l);
+      l = next;
+    }
+}
+
+static void
+push_event (struct back *b, struct event *e)
+{
+  struct late_event *l;
+
+  if (ring_push (b->decide, e))
+    return;
+  l = talloc (b, struct late_event);
+  l->event = e;
+  l->next = b->late;
+  if (b->late == NULL)
+    tevent_add_timer (b->duty->loop, b,
+                      tevent_timeval_current_ofs (0, RETRY_PUSH_US),
+                      on_push_again, b);
+  b->late = l;
+}
+
+static void
+unlink_attempt (struct attempt *a)
+{
+  struct attempt **p = &a->back->attempts;
+
+  while (*p != a)
+    p = &(*p)->next;
+  *p = a->next;
+}
+
+static enum attempt_outcome
+outcome_of (const struct http_result *r)
+{
+  if (r->answered)
+    return r->status == 503 ? ATTEMPT_TURNED_AWAY : ATTEMPT_ANSWERED;
+  return r->sent ? ATTEMPT_NO_ANSWER : ATTEMPT_NOT_SENT;
+}
+
+static void
+on_done (void *state, const struct http_result *r)
+{
+  struct attempt *a = state;
+  struct event *e = talloc_zero (NULL, struct event);
+
+  e->kind = EVENT_ATTEMPT_DONE;
+  e->u.attempt.attempt_id = a->attempt_id;
+  e->u.attempt.outcome = outcome_of (r);
+  e->u.attempt.http_status = r->status;
+  e->u.attempt.elapsed_us = r->elapsed_us;
+  if (e->u.attempt.outcome == ATTEMPT_ANSWERED)
+    e->u.attempt.body = blob_ref (r->body);
+  push_event (a->back, e);
+  unlink_attempt (a);
+  talloc_free (a);
+}
+
+static void
+report_not_sent (struct back *b, uint64_t attempt_id)
+{
+  struct event *e = talloc_zero (NULL, struct event);
+
+  e->kind = EVENT_ATTEMPT_DONE;
+  e->u.attempt.attempt_id = attempt_id;
+  e->u.attempt.outcome = ATTEMPT_NOT_SENT;
+  push_event (b, e);
+}
+
+static void
+start (struct back *b, const struct action_start *s)
+{
+  struct attempt *a = talloc_zero (b, struct attempt);
+  char url[LINE_BYTES];
+  char task[LINE_BYTES];
+  char queue[LINE_BYTES];
+  char team[LINE_BYTES];
+  char lease[LINE_BYTES];
+  const char *const lines[] = { task, queue, team, lease, NULL };
+  struct http_call call = {
+    .method = "POST",
+    .url = url,
+    .lines = lines,
+    .body = s->body,
+    .timeout_ms = s->timeout_ms + ANSWER_GRACE_MS,
+    .connect_ms = CONNECT_LIMIT_MS,
+    .done = on_done,
+    .state = a,
+  };
+
+  snprintf (url, sizeof url, "http://%s/v1/run", s->address);
+  snprintf (task, sizeof task, "Task-Id: %" PRIu64, s->attempt_id);
+  snprintf (queue, sizeof queue, "Queue: %s", s->queue);
+  snprintf (team, sizeof team, "Team: %s", s->team);
+  snprintf (lease, sizeof lease, "Lease-Ms: %" PRIu32, s->timeout_ms);
+  a->back = b;
+  a->attempt_id = s->attempt_id;
+  a->next = b->attempts;
+  b->attempts = a;
+  a->call = http_client_start (b->http, &call);
+  if (a->call != NULL)
+    return;
+  unlink_attempt (a);
+  talloc_free (a);
+  report_not_sent (b, s->attempt_id);
+}
+
+static void
+abort_attempt (struct back *b, uint64_t attempt_id)
+{
+  struct attempt *a;
+
+  for (a = b->attempts; a != NULL; a = a->next)
+    if (a->attempt_id == attempt_id)
+      {
+        http_client_abort (b->http, a->call);
+        unlink_attempt (a);
+        talloc_free (a);
+        return;
+      }
+}
+
+static void
+on_action (void *state, void *item)
+{
+  struct back *b = state;
+  struct action *a = item;
+
+  switch (a->kind)
+    {
+    case ACTION_START:
+      start (b, &a->u.start);
+      blob_unref (a->u.start.body);
+      break;
+    case ACTION_ABORT:
+      abort_attempt (b, a->u.abort.attempt_id);
+      break;
+    default:
+      break;
+    }
+  talloc_free (a);
+}
+
+struct back *
+back_new (struct ring *decide)
+{
+  struct back *b = talloc_zero (NULL, struct back);
+
+  if (b == NULL)
+    return NULL;
+  b->decide = decide;
+  b->duty = duty_new ("back", RING_COUNT, on_action, b);
+  if (b->duty == NULL)
+    {
+      talloc_free (b);
+      return NULL;
+    }
+  b->http = http_client_new (b->duty->loop, b->duty->loop,
+                             WORKER_CONNECTION_COUNT);
+  return b;
+}
+
+struct duty *
+back_duty (struct back *b)
+{
+  return b->duty;
+}
+
+void
+back_free (struct back *b)
+{
+  struct action *a;
+
+  if (b == NULL)
+    return;
+  while (ring_pop (b->duty->inbound, (void **)&a, 1) > 0)
+    {
+      if (a->kind == ACTION_START)
+        blob_unref (a->u.start.body);
+      talloc_free (a);
+    }
+  talloc_free (b->http);
+  duty_free (b->duty);
+  talloc_free (b);
+}
--- /dev/null
+++ b/adapter/decide.c
@@ -0,0 +1,183 @@
+/* decide.c -- feeds events to the core and hands its actions on.  */
+
+#include "adapter/decide.h"
+
+#include "adapter/log_service.h"
+
+#include <sodium.h>
+
+#define RING_COUNT 16384
+/** Resolution of deadlines.  */
+#define TICK_MS 20
+
+struct decide
+{
+  struct duty *duty;
+  struct core *core;
+  struct actions actions;
+  struct decide_outputs outputs;
+};
+
+static void
+drop_event (struct event *e)
+{
+  if (e->kind == EVENT_REQUEST)
+    blob_unref (e->u.request.body);
+  if (e->kind == EVENT_ATTEMPT_DONE)
+    blob_unref (e->u.attempt.body);
+  talloc_free (e);
+}
+
+/* Copies A to RING; returns false when the ring is full.  */
+static bool
+send_action (struct ring *ring, const struct action *a)
+{
+  struct action *copy = talloc (NULL, struct action);
+
+  *copy = *a;
+  if (ring_push (ring, copy))
+    return true;
+  talloc_free (copy);
+  return false;
+}
+
+/* An attempt that the back ring has no room for has not been sent.  */
+static void
+return_attempt (struct decide *d, const struct action *a)
+{
+  struct event *e = talloc_zero (NULL, struct event);
+
+  blob_unref (a->u.start.body);
+  e->kind = EVENT_ATTEMPT_DONE;
+  e->u.attempt.attempt_id = a->u.start.attempt_id;
+  e->u.attempt.outcome = ATTEMPT_NOT_SENT;
+  if (!ring_push (d->duty->inbound, e))
+    talloc_free (e);
+}
+
+static void
+send_record (struct decide *d, struct record *r)
+{
+  struct log_item *x = talloc_zero (NULL, struct log_item);
+
+  x->record = talloc_steal (x, r);
+  if (!ring_push (d->outputs.log, x))
+    talloc_free (x);
+}
+
+static void
+hand_on (struct decide *d, const struct action *a)
+{
+  switch (a->kind)
+    {
+    case ACTION_ANSWER:
+      if (!send_action (d->outputs.front, a))
+        blob_unref (a->u.answer.body);
+      break;
+    case ACTION_STATUS:
+      if (!send_action (d->outputs.front, a))
+        talloc_free (a->u.status.status);
+      break;
+    case ACTION_START:
+      if (!send_action (d->outputs.back, a))
+        return_attempt (d, a);
+      break;
+    case ACTION_ABORT:
+      send_action (d->outputs.back, a);
+      break;
+    case ACTION_APPEND:
+      send_record (d, a->u.append);
+      break;
+    case ACTION_PEER:
+      send_action (d->outputs.peer, a);
+      break;
+    case ACTION_NOTE:
+      journal_note (d->outputs.journal, &a->u.note);
+      break;
+    case ACTION_EXIT:
+      send_action (d->outputs.front, a);
+      break;
+    }
+}
+
+static void
+step (struct decide *d, struct event *e)
+{
+  uint32_t i;
+
+  e->now_us = now_us ();
+  randombytes_buf (&e->random, sizeof e->random);
+  d->actions.item_count = 0;
+  core_step (d->core, e, &d->actions);
+  for (i = 0; i < d->actions.item_count; i++)
+    hand_on (d, &d->actions.items[i]);
+}
+
+static void
+on_event (void *state, void *item)
+{
+  struct decide *d = state;
+
+  step (d, item);
+  talloc_free (item);
+}
+
+static void
+on_tick (struct tevent_context *loop, struct tevent_timer *te,
+         struct timeval at, void *state)
+{
+  struct event e = { .kind = EVENT_TICK };
+
+  (void)te;
+  (void)at;
+  step (state, &e);
+  tevent_add_timer (loop, loop,
+                    tevent_timeval_current_ofs (0, TICK_MS * US_PER_MS),
+                    on_tick, state);
+}
+
+struct decide *
+decide_new (const struct core_settings *s)
+{
+  struct decide *d = talloc_zero (NULL, struct decide);
+
+  if (d == NULL)
+    return NULL;
+  d->duty = duty_new ("decide", RING_COUNT, on_event, d);
+  if (d->duty == NULL)
+    {
+      talloc_free (d);
+      return NULL;
+    }
+  d->core = core_new (d, s);
+  tevent_add_timer (d->duty->loop, d->duty->loop,
+                    tevent_timeval_current_ofs (0, TICK_MS * US_PER_MS),
+                    on_tick, d);
+  return d;
+}
+
+void
+decide_connect (struct decide *d, const struct decide_outputs *o)
+{
+  d->outputs = *o;
+}
+
+struct duty *
+decide_duty (struct decide *d)
+{
+  return d->duty;
+}
+
+void
+decide_free (struct decide *d)
+{
+  struct event *e;
+
+  if (d == NULL)
+    return;
+  while (ring_pop (d->duty->inbound, (void **)&e, 1) > 0)
+    drop_event (e);
+  talloc_free (d->actions.items);
+  duty_free (d->duty);
+  talloc_free (d);
+}
--- /dev/null
+++ b/adapter/decide.h
@@ -0,0 +1,33 @@
+/* decide.h -- the decide duty: the only owner of the core's state.  */
+
+#ifndef FTK_ADAPTER_DECIDE_H
+#define FTK_ADAPTER_DECIDE_H
+
+#include "adapter/duty.h"
+#include "adapter/journal.h"
+#include "core/core.h"
+
+struct decide;
+
+/** Rings that the actions of a step go to.  */
+struct decide_outputs
+{
+  struct ring *front;
+  struct ring *back;
+  struct ring *log;
+  struct ring *peer;
+  struct journal *journal;
+};
+
+/** Returns the decide duty of a core with settings S; or NULL.  */
+struct decide *decide_new (const struct core_settings *s);
+
+/** Sets where actions go; call before the start.  */
+void decide_connect (struct decide *d, const struct decide_outputs *o);
+
+/** Returns the duty, to start and join it.  Its ring takes struct event.  */
+struct duty *decide_duty (struct decide *d);
+
+void decide_free (struct decide *d);
+
+#endif
--- /dev/null
+++ b/adapter/entry.c
@@ -0,0 +1,238 @@
+/* entry.c -- puts the duties of one entry together (public interface).  */
+
+#include "fulmartack.h"
+
+#include "adapter/back.h"
+#include "adapter/config_json.h"
+#include "adapter/decide.h"
+#include "adapter/front.h"
+#include "adapter/journal.h"
+#include "adapter/log_service.h"
+#include "adapter/peer.h"
+#include "adapter/settings.h"
+
+#include <curl/curl.h>
+#include <poll.h>
+#include <sodium.h>
+
+/** Longest wait for the last appends and responses of a planned stop.  */
+#define FLUSH_LIMIT_MS 3000
+#define EXIT_RING_COUNT 8
+
+struct ftk_entry
+{
+  struct settings *settings;
+  struct journal *journal;
+  struct decide *decide;
+  struct back *back;
+  struct log_service *log;
+  struct peer *peer;
+  struct front *front;
+  struct ring *exits; /**< Front, then log, tell the main thread here.  */
+  char message[TEXT_BYTES];
+};
+
+const char *
+ftk_version (void)
+{
+  return FTK_VERSION;
+}
+
+const char *
+ftk_status_text (ftk_status s)
+{
+  switch (s)
+    {
+    case FTK_OK:
+      return "success";
+    case FTK_NO_MEMORY:
+      return "out of memory, threads or descriptors";
+    case FTK_BAD_SETTINGS:
+      return "settings refused";
+    case FTK_BAD_TABLES:
+      return "tables refused";
+    case FTK_CANNOT_LISTEN:
+      return "cannot listen";
+    }
+  return "unknown status";
+}
+
+ftk_status
+ftk_settings_check (const char *file, FILE *report)
+{
+  TALLOC_CTX *tmp = talloc_new (NULL);
+  struct findings *f;
+  struct settings *s = settings_read (tmp, file, &f);
+
+  findings_print (f, report);
+  talloc_free (tmp);
+  return s != NULL ? FTK_OK : FTK_BAD_SETTINGS;
+}
+
+ftk_status
+ftk_tables_check (const char *file, FILE *report)
+{
+  TALLOC_CTX *tmp = talloc_new (NULL);
+  struct findings *f;
+  struct config *c = config_from_file (tmp, file, &f);
+
+  findings_print (f, report);
+  talloc_free (tmp);
+  return c != NULL ? FTK_OK : FTK_BAD_TABLES;
+}
+
+static void
+core_settings_of (const struct settings *s, struct core_settings *c)
+{
+  text_copy (c->vm, NAME_BYTES, s->vm);
+  text_copy (c->zone, NAME_BYTES, s->zone);
+  text_copy (c->peer_address, ADDRESS_BYTES, s->peer_listen);
+  randombytes_buf (&c->boot_id, sizeof c->boot_id);
+  c->stop_limit_ms = s->stop_limit_ms;
+  c->fresh_limit_ms = s->fresh_limit_ms;
+  c->max_body_bytes = s->max_body_bytes;
+}
+
+/* Makes every duty; none runs yet.  */
+static ftk_status
+make_duties (ftk_entry *e)
+{
+  struct core_settings c = { 0 };
+  struct decide_outputs o;
+  struct ring *decide;
+
+  core_settings_of (e->settings, &c);
+  e->journal = journal_new (e->settings->vm);
+  e->decide = decide_new (&c);
+  if (e->journal == NULL || e->decide == NULL)
+    return FTK_NO_MEMORY;
+  decide = decide_duty (e->decide)->inbound;
+  e->back = back_new (decide);
+  e->log = log_service_new (e->settings->log, decide);
+  if (e->back == NULL || e->log == NULL)
+    return FTK_NO_MEMORY;
+  e->peer = peer_new (e->settings, decide, e->message);
+  if (e->peer == NULL)
+    return FTK_CANNOT_LISTEN;
+  e->front = front_new (e->settings, decide, e->journal, e->exits, e->message);
+  if (e->front == NULL)
+    return FTK_CANNOT_LISTEN;
+  o.front = front_duty (e->front)->inbound;
+  o.back = back_duty (e->back)->inbound;
+  o.log = log_service_duty (e->log)->inbound;
+  o.peer = peer_duty (e->peer)->inbound;
+  o.journal = e->journal;
+  decide_connect (e->decide, &o);
+  return FTK_OK;
+}
+
+static ftk_status
+start_duties (ftk_entry *e)
+{
+  log_service_follow (e->log);
+  if (duty_start (journal_duty (e->journal))
+      && duty_start (back_duty (e->back)) && duty_start (peer_duty (e->peer))
+      && duty_start (decide_duty (e->decide))
+      && duty_start (log_service_duty (e->log))
+      && duty_start (front_duty (e->front)))
+    return FTK_OK;
+  return FTK_NO_MEMORY;
+}
+
+ftk_status
+ftk_entry_open (const char *file, FILE *report, ftk_entry **entry)
+{
+  ftk_entry *e = talloc_zero (NULL, ftk_entry);
+  struct findings *f;
+  ftk_status s;
+
+  *entry = e;
+  if (e == NULL || sodium_init () < 0)
+    return FTK_NO_MEMORY;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  e->settings = settings_read (e, file, &f);
+  findings_print (f, report);
+  if (e->settings == NULL)
+    {
+      snprintf (e->message, TEXT_BYTES, "%u findings in the settings",
+                f->item_count);
+      return FTK_BAD_SETTINGS;
+    }
+  e->exits = ring_open (EXIT_RING_COUNT);
+  if (e->exits == NULL)
+    return FTK_NO_MEMORY;
+  s = make_duties (e);
+  if (s == FTK_OK)
+    s = start_duties (e);
+  return s;
+}
+
+void
+ftk_entry_stop (ftk_entry *e)
+{
+  struct event *x = talloc_zero (NULL, struct event);
+
+  x->kind = EVENT_STOP;
+  if (!ring_push (decide_duty (e->decide)->inbound, x))
+    talloc_free (x);
+}
+
+/* Sleeps until a duty has told its end, at most LIMIT_MS (-1: no limit).  */
+static void
+wait_exit (ftk_entry *e, int limit_ms)
+{
+  struct pollfd p = { .fd = ring_fd (e->exits), .events = POLLIN };
+  void *item;
+
+  while (ring_pop (e->exits, &item, 1) == 0)
+    if (poll (&p, 1, limit_ms) == 0)
+      return;
+}
+
+ftk_status
+ftk_entry_run (ftk_entry *e)
+{
+  struct log_item *x;
+
+  wait_exit (e, -1);
+  x = talloc_zero (NULL, struct log_item);
+  x->flushed = e->exits;
+  if (ring_push (log_service_duty (e->log)->inbound, x))
+    wait_exit (e, FLUSH_LIMIT_MS);
+  else
+    talloc_free (x);
+  return FTK_OK;
+}
+
+const char *
+ftk_entry_message (const ftk_entry *e)
+{
+  return e->message;
+}
+
+void
+ftk_entry_close (ftk_entry *e)
+{
+  if (e == NULL)
+    return;
+  if (e->front != NULL)
+    duty_join (front_duty (e->front));
+  if (e->back != NULL)
+    duty_join (back_duty (e->back));
+  if (e->log != NULL)
+    duty_join (log_service_duty (e->log));
+  if (e->peer != NULL)
+    duty_join (peer_duty (e->peer));
+  if (e->decide != NULL)
+    duty_join (decide_duty (e->decide));
+  if (e->journal != NULL)
+    duty_join (journal_duty (e->journal));
+  front_free (e->front);
+  back_free (e->back);
+  log_service_free (e->log);
+  peer_free (e->peer);
+  decide_free (e->decide);
+  journal_free (e->journal);
+  ring_close (e->exits);
+  talloc_free (e);
+}
--- /dev/null
+++ b/adapter/front.c
@@ -0,0 +1,591 @@
+/* front.c -- callers' and operators' HTTP by libmicrohttpd.
+
+   The daemon has no thread of its own: its epoll descriptor is watched by the
+   duty's loop.  A request that needs a decision is suspended until its answer
+   comes back through the ring, so a waiting caller costs memory only.  */
+
+#include "adapter/front.h"
+
+#include "adapter/address.h"
+#include "port/action.h"
+
+#include <glib.h>
+#include <microhttpd.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define RING_COUNT 32768
+#define IDLE_LIMIT_S 120
+#define FIRST_BODY_BYTES 4096
+#define PATH_QUEUES "/v1/queues/"
+#define BEARER "Bearer "
+
+/** What a path asks for (tag of a call).  */
+enum call_kind
+{
+  CALL_QUEUE,
+  CALL_HEALTH,
+  CALL_STATUS,
+  CALL_METRICS,
+  CALL_TIMELINE,
+  CALL_UNKNOWN
+};
+
+/* One HTTP request.  */
+struct call
+{
+  struct front *front;
+  struct MHD_Connection *connection;
+  uint64_t request_id;
+  enum call_kind kind;
+  char queue[NAME_BYTES];
+  struct blob *body;   /**< Room for the request's body.  */
+  uint32_t body_bytes; /**< Bytes of body filled.  */
+  bool too_large;
+  bool suspended;
+  struct action *answer; /**< Set when the decision is here.  */
+};
+
+struct front
+{
+  struct duty *duty;
+  struct MHD_Daemon *http;
+  struct tevent_timer *timer;
+  struct ring *decide;
+  struct journal *journal;
+  GHashTable *calls; /**< request_id to struct call, suspended ones.  */
+  uint64_t next_request_id;
+  uint32_t max_body_bytes;
+  uint32_t open_count; /**< Calls whose response is not yet sent.  */
+  bool closing;        /**< Ends when open_count reaches 0.  */
+  struct ring *closed; /**< Told once when everything is sent.  */
+};
+
+static void run_http (struct front *f);
+
+static void
+drop_action (struct action *a)
+{
+  if (a == NULL)
+    return;
+  if (a->kind == ACTION_ANSWER)
+    blob_unref (a->u.answer.body);
+  if (a->kind == ACTION_STATUS)
+    talloc_free (a->u.status.status);
+  talloc_free (a);
+}
+
+static void
+free_blob (void *state)
+{
+  blob_unref (state);
+}
+
+static enum MHD_Result
+respond_text (struct call *c, uint32_t status, const char *type, char *text)
+{
+  struct MHD_Response *r = MHD_create_response_from_buffer_with_free_callback (
+      strlen (text), text, free);
+  enum MHD_Result done;
+
+  MHD_add_response_header (r, "Content-Type", type);
+  done = MHD_queue_response (c->connection, status, r);
+  MHD_destroy_response (r);
+  return done;
+}
+
+static enum MHD_Result
+respond_json (struct call *c, uint32_t status, json_t *j)
+{
+  char *text = json_dumps (j, JSON_COMPACT);
+
+  json_decref (j);
+  return respond_text (c, status, "application/json", text);
+}
+
+/* Every refusal says whether the work was run.  */
+static enum MHD_Result
+respond_refusal (struct call *c, enum answer_code code,
+                 uint32_t retry_after_ms)
+{
+  const char *run = code == ANSWER_UNKNOWN ? "unknown" : "no";
+  json_t *j = json_pack ("{s:s, s:s, s:i}", "code", answer_code_name (code),
+                         "run", run, "retry_after_ms", (int)retry_after_ms);
+  char *text = json_dumps (j, JSON_COMPACT);
+  struct MHD_Response *r = MHD_create_response_from_buffer_with_free_callback (
+      strlen (text), text, free);
+  char seconds[16];
+  enum MHD_Result done;
+
+  json_decref (j);
+  MHD_add_response_header (r, "Content-Type", "application/json");
+  if (retry_after_ms > 0)
+    {
+      snprintf (seconds, sizeof seconds, "%u",
+                (unsigned)((retry_after_ms + MS_PER_S - 1) / MS_PER_S));
+      MHD_add_response_header (r, "Retry-After", seconds);
+    }
+  done = MHD_queue_response (c->connection, answer_code_http (code), r);
+  MHD_destroy_response (r);
+  return done;
+}
+
+static enum MHD_Result
+respond_worker (struct call *c, struct action_answer *a)
+{
+  struct blob *b = a->body;
+  struct MHD_Response *r
+      = MHD_create_response_from_buffer_with_free_callback_cls (
+          b->size_bytes, b->data, free_blob, b);
+  enum MHD_Result done;
+
+  a->body = NULL;
+  if (b->content_type[0] != '\0')
+    MHD_add_response_header (r, "Content-Type", b->content_type);
+  done = MHD_queue_response (c->connection, a->http_status, r);
+  MHD_destroy_response (r);
+  return done;
+}
+
+static json_t *
+status_to_json (const struct status *s)
+{
+  json_t *members = json_array ();
+  json_t *teams = json_array ();
+  uint32_t i;
+
+  for (i = 0; i < s->member_count; i++)
+    json_array_append_new (members,
+                           json_pack ("{s:s, s:I}", "vm", s->members[i].vm,
+                                      "incarnation",
+                                      (json_int_t)s->members[i].incarnation));
+  for (i = 0; i < s->team_count; i++)
+    json_array_append_new (
+        teams, json_pack ("{s:s, s:i, s:i}", "team", s->teams[i].name,
+                          "running", (int)s->teams[i].running_count,
+                          "high_water", (int)s->teams[i].high_water_count));
+  return json_pack ("{s:s, s:I, s:I, s:I, s:I, s:b, s:i, s:i, s:o, s:o}", "vm",
+                    s->vm, "incarnation", (json_int_t)s->incarnation,
+                    "config_version", (json_int_t)s->config_version,
+                    "next_offset", (json_int_t)s->next_offset, "log_age_ms",
+                    (json_int_t)s->log_age_ms, "serving", (int)s->serving,
+                    "waiting", (int)s->waiting_count, "running",
+                    (int)s->running_count, "members", members, "teams", teams);
+}
+
+static char *
+metrics_text (const struct front *f, const struct status *s)
+{
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+  uint32_t i;
+
+  for (i = 0; i < COUNTER_KIND_COUNT; i++)
+    fprintf (out,
+             "# TYPE fulmartack_%s_total counter\n"
+             "fulmartack_%s_total %llu\n",
+             counter_kind_name ((enum counter_kind)i),
+             counter_kind_name ((enum counter_kind)i),
+             (unsigned long long)s->counters[i]);
+  fprintf (out,
+           "# TYPE fulmartack_notes_dropped_total counter\n"
+           "fulmartack_notes_dropped_total %llu\n",
+           (unsigned long long)journal_dropped_count (f->journal));
+  fprintf (out, "# TYPE fulmartack_running gauge\nfulmartack_running %u\n",
+           s->running_count);
+  fprintf (out, "# TYPE fulmartack_waiting gauge\nfulmartack_waiting %u\n",
+           s->waiting_count);
+  fprintf (out, "# TYPE fulmartack_team_running gauge\n");
+  for (i = 0; i < s->team_count; i++)
+    fprintf (out, "fulmartack_team_running{team=\"%s\"} %u\n",
+             s->teams[i].name, s->teams[i].running_count);
+  fclose (out);
+  return text;
+}
+
+static enum MHD_Result
+respond_status (struct call *c, const struct status *s)
+{
+  switch (c->kind)
+    {
+    case CALL_HEALTH:
+      return respond_json (c, s->serving ? 200 : 503,
+                           json_pack ("{s:b}", "serving", (int)s->serving));
+    case CALL_METRICS:
+      return respond_text (c, 200, "text/plain; version=0.0.4",
+                           metrics_text (c->front, s));
+    default:
+      return respond_json (c, 200, status_to_json (s));
+    }
+}
+
+static enum MHD_Result
+respond_answer (struct call *c)
+{
+  struct action *a = c->answer;
+
+  if (a->kind == ACTION_STATUS)
+    return respond_status (c, a->u.status.status);
+  if (a->u.answer.code == ANSWER_WORKER && a->u.answer.body != NULL)
+    return respond_worker (c, &a->u.answer);
+  return respond_refusal (c, a->u.answer.code, a->u.answer.retry_after_ms);
+}
+
+static struct event *
+make_request (struct call *c)
+{
+  struct event *e = talloc_zero (NULL, struct event);
+  const char *key = MHD_lookup_connection_value (
+      c->connection, MHD_HEADER_KIND, "Authorization");
+  const char *idempotency = MHD_lookup_connection_value (
+      c->connection, MHD_HEADER_KIND, "Idempotency-Key");
+  const char *timeout = MHD_lookup_connection_value (
+      c->connection, MHD_HEADER_KIND, "Timeout-Ms");
+  struct event_request *r = &e->u.request;
+
+  e->kind = EVENT_REQUEST;
+  r->request_id = c->request_id;
+  text_copy (r->queue, NAME_BYTES, c->queue);
+  if (idempotency != NULL)
+    text_copy (r->idempotency_key, ID_BYTES, idempotency);
+  if (timeout != NULL)
+    r->timeout_ms = (uint32_t)strtoul (timeout, NULL, 10);
+  if (key != NULL && strncmp (key, BEARER, strlen (BEARER)) == 0)
+    {
+      key += strlen (BEARER);
+      crypto_generichash (r->key_digest, DIGEST_BYTES, (const uint8_t *)key,
+                          strlen (key), NULL, 0);
+      r->has_key = true;
+    }
+  if (c->body == NULL)
+    c->body = blob_new (0);
+  c->body->size_bytes = c->body_bytes;
+  r->body = c->body;
+  c->body = NULL;
+  return e;
+}
+
+static struct event *
+make_status (const struct call *c)
+{
+  struct event *e = talloc_zero (NULL, struct event);
+
+  e->kind = EVENT_STATUS;
+  e->u.status.request_id = c->request_id;
+  return e;
+}
+
+/* Hands the call to the decide duty and suspends it, or refuses it when the
+   ring is full.  */
+static enum MHD_Result
+ask (struct call *c, struct event *e)
+{
+  struct front *f = c->front;
+
+  if (!ring_push (f->decide, e))
+    {
+      if (e->kind == EVENT_REQUEST)
+        blob_unref (e->u.request.body);
+      talloc_free (e);
+      return respond_refusal (c, ANSWER_QUEUE_FULL, MS_PER_S);
+    }
+  g_hash_table_insert (f->calls, &c->request_id, c);
+  c->suspended = true;
+  MHD_suspend_connection (c->connection);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+dispatch_call (struct call *c)
+{
+  switch (c->kind)
+    {
+    case CALL_QUEUE:
+      if (c->too_large)
+        return respond_refusal (c, ANSWER_TOO_LARGE, 0);
+      return ask (c, make_request (c));
+    case CALL_HEALTH:
+    case CALL_STATUS:
+    case CALL_METRICS:
+      return ask (c, make_status (c));
+    case CALL_TIMELINE:
+      return respond_json (c, 200, journal_timeline (c->front->journal));
+    case CALL_UNKNOWN:
+      break;
+    }
+  return respond_refusal (c, ANSWER_NO_QUEUE, 0);
+}
+
+/* Appends to the body, whose room comes from Content-Length when there is
+   one.  */
+static void
+take_body (struct call *c, const char *data, size_t size)
+{
+  uint64_t need = (uint64_t)c->body_bytes + size;
+  struct blob *b = c->body;
+
+  if (c->too_large || need > c->front->max_body_bytes)
+    {
+      c->too_large = true;
+      return;
+    }
+  if (b == NULL || need > b->size_bytes)
+    {
+      const char *length = MHD_lookup_connection_value (
+          c->connection, MHD_HEADER_KIND, "Content-Length");
+      uint64_t room = length ? strtoull (length, NULL, 10) : 0;
+
+      if (room < need)
+        room = need * 2 > FIRST_BODY_BYTES ? need * 2 : FIRST_BODY_BYTES;
+      if (room > c->front->max_body_bytes)
+        room = c->front->max_body_bytes;
+      b = blob_new ((uint32_t)room);
+      if (c->body != NULL)
+        memcpy (b->data, c->body->data, c->body_bytes);
+      blob_unref (c->body);
+      c->body = b;
+    }
+  memcpy (b->data + c->body_bytes, data, size);
+  c->body_bytes = (uint32_t)need;
+}
+
+static enum call_kind
+parse_path (struct call *c, const char *url, const char *method)
+{
+  bool get = strcmp (method, "GET") == 0;
+
+  if (strncmp (url, PATH_QUEUES, strlen (PATH_QUEUES)) == 0
+      && strcmp (method, "POST") == 0
+      && text_copy (c->queue, NAME_BYTES, url + strlen (PATH_QUEUES)))
+    return CALL_QUEUE;
+  if (get && strcmp (url, "/healthz") == 0)
+    return CALL_HEALTH;
+  if (get && strcmp (url, "/v1/status") == 0)
+    return CALL_STATUS;
+  if (get && strcmp (url, "/metrics") == 0)
+    return CALL_METRICS;
+  if (get && strcmp (url, "/v1/timeline") == 0)
+    return CALL_TIMELINE;
+  return CALL_UNKNOWN;
+}
+
+static enum MHD_Result
+on_access (void *state, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *data,
+           size_t *size, void **call_state)
+{
+  struct front *f = state;
+  struct call *c = *call_state;
+
+  (void)version;
+  if (c == NULL)
+    {
+      c = talloc_zero (f, struct call);
+      c->front = f;
+      c->connection = connection;
+      c->request_id = ++f->next_request_id;
+      c->kind = parse_path (c, url, method);
+      *call_state = c;
+      f->open_count++;
+      return MHD_YES;
+    }
+  if (*size > 0)
+    {
+      take_body (c, data, *size);
+      *size = 0;
+      return MHD_YES;
+    }
+  if (c->answer != NULL)
+    return respond_answer (c);
+  return dispatch_call (c);
+}
+
+static void
+on_completed (void *state, struct MHD_Connection *connection,
+              void **call_state, enum MHD_RequestTerminationCode code)
+{
+  struct front *f = state;
+  struct call *c = *call_state;
+
+  (void)connection;
+  (void)code;
+  if (c == NULL)
+    return;
+  if (c->suspended)
+    g_hash_table_remove (f->calls, &c->request_id);
+  blob_unref (c->body);
+  drop_action (c->answer);
+  talloc_free (c);
+  *call_state = NULL;
+  f->open_count--;
+}
+
+/* Tells the main thread once that every response was sent.  */
+static void
+check_closed (struct front *f)
+{
+  if (!f->closing || f->open_count > 0 || f->closed == NULL)
+    return;
+  ring_push (f->closed, f);
+  f->closed = NULL;
+}
+
+static void
+start_closing (struct front *f)
+{
+  MHD_socket fd = MHD_quiesce_daemon (f->http);
+
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+  f->closing = true;
+}
+
+static void
+on_action (void *state, void *item)
+{
+  struct front *f = state;
+  struct action *a = item;
+  uint64_t id = a->kind == ACTION_STATUS ? a->u.status.request_id
+                                         : a->u.answer.request_id;
+  struct call *c = g_hash_table_lookup (f->calls, &id);
+
+  if (a->kind == ACTION_EXIT)
+    start_closing (f);
+  if (a->kind == ACTION_EXIT || c == NULL)
+    {
+      drop_action (a);
+      return;
+    }
+  g_hash_table_remove (f->calls, &id);
+  c->suspended = false;
+  c->answer = a;
+  MHD_resume_connection (c->connection);
+}
+
+static void
+on_batch (void *state)
+{
+  run_http (state);
+}
+
+static void
+on_http_timer (struct tevent_context *loop, struct tevent_timer *te,
+               struct timeval at, void *state)
+{
+  struct front *f = state;
+
+  (void)loop;
+  (void)te;
+  (void)at;
+  f->timer = NULL;
+  run_http (f);
+}
+
+static void
+on_http_ready (struct tevent_context *loop, struct tevent_fd *fde,
+               uint16_t flags, void *state)
+{
+  (void)loop;
+  (void)fde;
+  (void)flags;
+  run_http (state);
+}
+
+static void
+run_http (struct front *f)
+{
+  MHD_UNSIGNED_LONG_LONG ms;
+
+  MHD_run (f->http);
+  TALLOC_FREE (f->timer);
+  if (MHD_get_timeout (f->http, &ms) == MHD_YES)
+    f->timer = tevent_add_timer (
+        f->duty->loop, f->duty->loop,
+        tevent_timeval_current_ofs ((uint32_t)(ms / 1000),
+                                    (uint32_t)(ms % 1000) * 1000),
+        on_http_timer, f);
+  check_closed (f);
+}
+
+static bool
+open_http (struct front *f, const struct settings *s)
+{
+  const union MHD_DaemonInfo *info;
+  struct sockaddr_in a;
+
+  if (!address_parse (s->listen, &a))
+    return false;
+  f->http = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, f,
+      MHD_OPTION_SOCK_ADDR, &a, MHD_OPTION_NOTIFY_COMPLETED, on_completed, f,
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned)s->connection_count,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_LIMIT_S,
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u, MHD_OPTION_END);
+  if (f->http == NULL)
+    return false;
+  info = MHD_get_daemon_info (f->http, MHD_DAEMON_INFO_EPOLL_FD);
+  return info != NULL
+         && tevent_add_fd (f->duty->loop, f->duty->loop, info->epoll_fd,
+                           TEVENT_FD_READ, on_http_ready, f)
+                != NULL;
+}
+
+struct front *
+front_new (const struct settings *s, struct ring *decide,
+           struct journal *journal, struct ring *closed, char *text)
+{
+  struct front *f = talloc_zero (NULL, struct front);
+
+  f->closed = closed;
+  f->decide = decide;
+  f->journal = journal;
+  f->max_body_bytes = s->max_body_bytes;
+  f->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+  f->duty = duty_new ("front", RING_COUNT, on_action, f);
+  if (f->duty != NULL)
+    f->duty->on_batch = on_batch;
+  if (f->duty != NULL && open_http (f, s))
+    return f;
+  snprintf (text, TEXT_BYTES, "cannot listen on %s", s->listen);
+  front_free (f);
+  return NULL;
+}
+
+struct duty *
+front_duty (struct front *f)
+{
+  return f->duty;
+}
+
+static void
+resume_call (gpointer key, gpointer value, gpointer state)
+{
+  struct call *c = value;
+
+  (void)key;
+  (void)state;
+  c->suspended = false;
+  MHD_resume_connection (c->connection);
+}
+
+void
+front_free (struct front *f)
+{
+  struct action *a;
+
+  if (f == NULL)
+    return;
+  if (f->duty != NULL)
+    while (ring_pop (f->duty->inbound, (void **)&a, 1) > 0)
+      drop_action (a);
+  g_hash_table_foreach (f->calls, resume_call, NULL);
+  g_hash_table_remove_all (f->calls);
+  if (f->http != NULL)
+    MHD_stop_daemon (f->http);
+  g_hash_table_destroy (f->calls);
+  duty_free (f->duty);
+  talloc_free (f);
+}
--- /dev/null
+++ b/adapter/http_client.c
@@ -0,0 +1,355 @@
+/* http_client.c -- libcurl multi driven by tevent.  */
+
+#include "adapter/http_client.h"
+
+#include "port/types.h"
+
+#include <curl/curl.h>
+#include <string.h>
+
+/** Largest answer taken, in bytes.  */
+#define ANSWER_LIMIT_BYTES (64u << 20)
+
+struct http_client
+{
+  CURLM *multi;
+  struct tevent_context *loop;
+  struct tevent_timer *timer;
+  struct transfer *transfers; /**< Those in progress.  */
+};
+
+/* One call in progress; a child of the client.  */
+struct transfer
+{
+  struct transfer *next;
+  struct transfer **previous;
+  struct http_client *client;
+  CURL *easy;
+  struct curl_slist *headers;
+  struct blob *request;
+  struct blob *answer;
+  uint32_t answer_bytes; /**< Bytes of answer filled.  */
+  http_done_fn *done;
+  void *state;
+};
+
+/* A socket of libcurl's, watched by the loop.  */
+struct watch
+{
+  struct http_client *client;
+  struct tevent_fd *fde;
+  curl_socket_t fd;
+};
+
+static int
+transfer_free (struct transfer *t)
+{
+  *t->previous = t->next;
+  if (t->next != NULL)
+    t->next->previous = t->previous;
+  curl_multi_remove_handle (t->client->multi, t->easy);
+  curl_easy_cleanup (t->easy);
+  curl_slist_free_all (t->headers);
+  blob_unref (t->request);
+  blob_unref (t->answer);
+  return 0;
+}
+
+static void
+finish_transfer (struct transfer *t, CURLcode code)
+{
+  struct http_result r = { 0 };
+  long status = 0;
+  long request_bytes = 0;
+  curl_off_t elapsed_us = 0;
+  char *type = NULL;
+
+  curl_easy_getinfo (t->easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (t->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  curl_easy_getinfo (t->easy, CURLINFO_TOTAL_TIME_T, &elapsed_us);
+  curl_easy_getinfo (t->easy, CURLINFO_CONTENT_TYPE, &type);
+  r.answered = code == CURLE_OK;
+  r.sent = request_bytes > 0;
+  r.status = r.answered ? (uint32_t)status : 0;
+  r.elapsed_us = (uint32_t)elapsed_us;
+  if (r.answered)
+    {
+      if (t->answer == NULL)
+        t->answer = blob_new (0);
+      if (t->answer != NULL)
+        {
+          t->answer->size_bytes = t->answer_bytes;
+          if (type != NULL)
+            text_copy (t->answer->content_type, sizeof t->answer->content_type,
+                       type);
+        }
+      r.body = t->answer;
+    }
+  t->done (t->state, &r);
+  talloc_free (t);
+}
+
+static void
+reap (struct http_client *c)
+{
+  CURLMsg *m;
+  int left;
+
+  while ((m = curl_multi_info_read (c->multi, &left)) != NULL)
+    {
+      struct transfer *t = NULL;
+
+      if (m->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (m->easy_handle, CURLINFO_PRIVATE, (char **)&t);
+      finish_transfer (t, m->data.result);
+    }
+}
+
+static void
+on_socket_ready (struct tevent_context *loop, struct tevent_fd *fde,
+                 uint16_t flags, void *state)
+{
+  struct watch *w = state;
+  struct http_client *c = w->client;
+  curl_socket_t fd = w->fd;
+  int mask = 0;
+  int running;
+
+  (void)loop;
+  (void)fde;
+  if (flags & TEVENT_FD_READ)
+    mask |= CURL_CSELECT_IN;
+  if (flags & TEVENT_FD_WRITE)
+    mask |= CURL_CSELECT_OUT;
+  curl_multi_socket_action (c->multi, fd, mask, &running);
+  reap (c);
+}
+
+static void
+on_timer (struct tevent_context *loop, struct tevent_timer *te,
+          struct timeval at, void *state)
+{
+  struct http_client *c = state;
+  int running;
+
+  (void)loop;
+  (void)te;
+  (void)at;
+  c->timer = NULL;
+  curl_multi_socket_action (c->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  reap (c);
+}
+
+static int
+set_timer (CURLM *multi, long timeout_ms, void *state)
+{
+  struct http_client *c = state;
+
+  (void)multi;
+  TALLOC_FREE (c->timer);
+  if (timeout_ms >= 0)
+    c->timer = tevent_add_timer (
+        c->loop, c,
+        tevent_timeval_current_ofs ((uint32_t)(timeout_ms / 1000),
+                                    (uint32_t)(timeout_ms % 1000) * 1000),
+        on_timer, c);
+  return 0;
+}
+
+static int
+watch_socket (CURL *easy, curl_socket_t fd, int what, void *state,
+              void *socket_state)
+{
+  struct http_client *c = state;
+  struct watch *w = socket_state;
+  uint16_t flags = 0;
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      talloc_free (w);
+      curl_multi_assign (c->multi, fd, NULL);
+      return 0;
+    }
+  if (what & CURL_POLL_IN)
+    flags |= TEVENT_FD_READ;
+  if (what & CURL_POLL_OUT)
+    flags |= TEVENT_FD_WRITE;
+  if (w == NULL)
+    {
+      w = talloc_zero (c, struct watch);
+      w->client = c;
+      w->fd = fd;
+      w->fde = tevent_add_fd (c->loop, w, fd, flags, on_socket_ready, w);
+      curl_multi_assign (c->multi, fd, w);
+    }
+  else
+    tevent_fd_set_flags (w->fde, flags);
+  return 0;
+}
+
+static int
+client_free (struct http_client *c)
+{
+  while (c->transfers != NULL)
+    talloc_free (c->transfers);
+  curl_multi_cleanup (c->multi);
+  return 0;
+}
+
+struct http_client *
+http_client_new (TALLOC_CTX *mem, struct tevent_context *loop,
+                 uint32_t host_connection_count)
+{
+  struct http_client *c = talloc_zero (mem, struct http_client);
+
+  if (c == NULL)
+    return NULL;
+  c->loop = loop;
+  c->multi = curl_multi_init ();
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                     (long)host_connection_count);
+  curl_multi_setopt (c->multi, CURLMOPT_MAXCONNECTS, 1024L);
+  talloc_set_destructor (c, client_free);
+  return c;
+}
+
+static size_t
+take_answer (char *data, size_t size, size_t count, void *state)
+{
+  struct transfer *t = state;
+  size_t n = size * count;
+  size_t need = t->answer_bytes + n;
+  struct blob *b = t->answer;
+
+  if (need > ANSWER_LIMIT_BYTES)
+    return 0;
+  if (b == NULL || need > b->size_bytes)
+    {
+      curl_off_t length = -1;
+      size_t room = need * 2;
+
+      curl_easy_getinfo (t->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+      if (length >= (curl_off_t)need && length <= ANSWER_LIMIT_BYTES)
+        room = (size_t)length;
+      b = blob_new ((uint32_t)room);
+      if (b == NULL)
+        return 0;
+      if (t->answer != NULL)
+        memcpy (b->data, t->answer->data, t->answer_bytes);
+      blob_unref (t->answer);
+      t->answer = b;
+    }
+  memcpy (b->data + t->answer_bytes, data, n);
+  t->answer_bytes = (uint32_t)need;
+  return n;
+}
+
+static void
+set_request (struct transfer *t, const struct http_call *call)
+{
+  const char *const *line;
+
+  if (strcmp (call->method, "POST") == 0)
+    {
+      curl_easy_setopt (t->easy, CURLOPT_POST, 1L);
+      curl_easy_setopt (t->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)(t->request ? t->request->size_bytes : 0));
+      curl_easy_setopt (t->easy, CURLOPT_POSTFIELDS,
+                        t->request ? (char *)t->request->data : "");
+      /* No pause to ask whether a body is welcome.  */
+      t->headers = curl_slist_append (t->headers, "Expect:");
+    }
+  else if (strcmp (call->method, "GET") != 0)
+    curl_easy_setopt (t->easy, CURLOPT_CUSTOMREQUEST, call->method);
+  for (line = call->lines; line != NULL && *line != NULL; line++)
+    t->headers = curl_slist_append (t->headers, *line);
+  curl_easy_setopt (t->easy, CURLOPT_HTTPHEADER, t->headers);
+}
+
+void *
+http_client_start (struct http_client *c, const struct http_call *call)
+{
+  struct transfer *t = talloc_zero (c, struct transfer);
+
+  if (t == NULL)
+    return NULL;
+  t->easy = curl_easy_init ();
+  if (t->easy == NULL)
+    {
+      talloc_free (t);
+      return NULL;
+    }
+  t->client = c;
+  t->request = blob_ref (call->body);
+  t->done = call->done;
+  t->state = call->state;
+  t->next = c->transfers;
+  t->previous = &c->transfers;
+  if (t->next != NULL)
+    t->next->previous = &t->next;
+  c->transfers = t;
+  talloc_set_destructor (t, transfer_free);
+  curl_easy_setopt (t->easy, CURLOPT_URL, call->url);
+  curl_easy_setopt (t->easy, CURLOPT_PRIVATE, t);
+  curl_easy_setopt (t->easy, CURLOPT_WRITEFUNCTION, take_answer);
+  curl_easy_setopt (t->easy, CURLOPT_WRITEDATA, t);
+  curl_easy_setopt (t->easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (t->easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (t->easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+  curl_easy_setopt (t->easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)call->connect_ms);
+  if (call->fresh_connection)
+    curl_easy_setopt (t->easy, CURLOPT_FRESH_CONNECT, 1L);
+  set_request (t, call);
+  curl_multi_add_handle (c->multi, t->easy);
+  return t;
+}
+
+void
+http_client_abort (struct http_client *c, void *id)
+{
+  (void)c;
+  talloc_free (id);
+}
+
+struct waiter
+{
+  struct http_result result;
+  bool done;
+};
+
+static void
+on_waited (void *state, const struct http_result *r)
+{
+  struct waiter *w = state;
+
+  w->result = *r;
+  blob_ref (r->body);
+  w->done = true;
+}
+
+void
+http_client_wait (TALLOC_CTX *mem, const struct http_call *call,
+                  struct http_result *result)
+{
+  TALLOC_CTX *tmp = talloc_new (mem);
+  struct tevent_context *loop = tevent_context_init (tmp);
+  struct http_client *c = http_client_new (tmp, loop, 4);
+  struct http_call mine = *call;
+  struct waiter w = { 0 };
+
+  mine.done = on_waited;
+  mine.state = &w;
+  if (http_client_start (c, &mine) != NULL)
+    while (!w.done && tevent_loop_once (loop) == 0)
+      continue;
+  *result = w.result;
+  talloc_free (c);
+  talloc_free (tmp);
+}
--- /dev/null
+++ b/adapter/journal.c
@@ -0,0 +1,143 @@
+/* journal.c -- log lines by log4c and the notes kept for the time line.  */
+
+#include "adapter/journal.h"
+
+#include <log4c.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#define RING_COUNT 4096
+/** Notes kept for the time line.  */
+#define KEPT_COUNT 2048
+
+struct kept_note
+{
+  uint64_t at_ms;
+  struct action_note note;
+};
+
+struct journal
+{
+  struct duty *duty;
+  char vm[NAME_BYTES];
+  log4c_category_t *category;
+  _Atomic uint64_t dropped_count;
+  pthread_mutex_t lock; /**< Guards kept and kept_total.  */
+  struct kept_note kept[KEPT_COUNT];
+  uint64_t kept_total; /**< Notes ever kept.  */
+};
+
+static void
+on_note (void *state, void *item)
+{
+  struct journal *j = state;
+  struct kept_note *k = item;
+
+  pthread_mutex_lock (&j->lock);
+  j->kept[j->kept_total++ % KEPT_COUNT] = *k;
+  pthread_mutex_unlock (&j->lock);
+  log4c_category_log (j->category, LOG4C_PRIORITY_INFO,
+                      "at_ms=%llu vm=%s event=%s subject=%s value=%llu",
+                      (unsigned long long)k->at_ms, j->vm,
+                      note_kind_name (k->note.kind), k->note.subject,
+                      (unsigned long long)k->note.value);
+  talloc_free (k);
+}
+
+static void
+open_category (struct journal *j)
+{
+  log4c_appender_t *appender = log4c_appender_get ("stderr");
+  log4c_layout_t *layout = log4c_layout_get ("basic");
+
+  log4c_init ();
+  j->category = log4c_category_get ("fulmartack");
+  log4c_appender_set_layout (appender, layout);
+  log4c_category_set_appender (j->category, appender);
+  log4c_category_set_additivity (j->category, 0);
+  log4c_category_set_priority (j->category, LOG4C_PRIORITY_INFO);
+}
+
+struct journal *
+journal_new (const char *vm)
+{
+  struct journal *j = talloc_zero (NULL, struct journal);
+
+  if (j == NULL)
+    return NULL;
+  text_copy (j->vm, NAME_BYTES, vm);
+  pthread_mutex_init (&j->lock, NULL);
+  j->duty = duty_new ("journal", RING_COUNT, on_note, j);
+  if (j->duty == NULL)
+    {
+      talloc_free (j);
+      return NULL;
+    }
+  open_category (j);
+  return j;
+}
+
+struct duty *
+journal_duty (struct journal *j)
+{
+  return j->duty;
+}
+
+void
+journal_note (struct journal *j, const struct action_note *n)
+{
+  struct kept_note *k = talloc (NULL, struct kept_note);
+
+  k->at_ms = wall_ms ();
+  k->note = *n;
+  if (!ring_push (j->duty->inbound, k))
+    {
+      atomic_fetch_add (&j->dropped_count, 1);
+      talloc_free (k);
+    }
+}
+
+json_t *
+journal_timeline (struct journal *j)
+{
+  json_t *list = json_array ();
+  uint64_t i;
+
+  pthread_mutex_lock (&j->lock);
+  i = j->kept_total > KEPT_COUNT ? j->kept_total - KEPT_COUNT : 0;
+  for (; i < j->kept_total; i++)
+    {
+      const struct kept_note *k = &j->kept[i % KEPT_COUNT];
+
+      json_array_append_new (list,
+                             json_pack ("{s:I, s:s, s:s, s:s, s:I}", "at_ms",
+                                        (json_int_t)k->at_ms, "vm", j->vm,
+                                        "event", note_kind_name (k->note.kind),
+                                        "subject", k->note.subject, "value",
+                                        (json_int_t)k->note.value));
+    }
+  pthread_mutex_unlock (&j->lock);
+  return list;
+}
+
+uint64_t
+journal_dropped_count (const struct journal *j)
+{
+  return atomic_load (&j->dropped_count);
+}
+
+void
+journal_free (struct journal *j)
+{
+  struct kept_note *k;
+
+  if (j == NULL)
+    return;
+  while (ring_pop (j->duty->inbound, (void **)&k, 1) > 0)
+    talloc_free (k);
+  duty_free (j->duty);
+  pthread_mutex_destroy (&j->lock);
+  log4c_fini ();
+  talloc_free (j);
+}
--- /dev/null
+++ b/adapter/journal.h
@@ -0,0 +1,34 @@
+/* journal.h -- the journal duty: log lines and the time line of this entry.
+
+   Lines go to log4c for changes of state only.  The newest notes are kept in
+   memory for `fulmartackctl timeline`, which merges those of all entries.  */
+
+#ifndef FTK_ADAPTER_JOURNAL_H
+#define FTK_ADAPTER_JOURNAL_H
+
+#include "adapter/duty.h"
+#include "port/action.h"
+
+#include <jansson.h>
+
+struct journal;
+
+/** Returns a journal of entry VM, its thread not yet started; or NULL.  */
+struct journal *journal_new (const char *vm);
+
+/** Returns the duty, to start and join it.  */
+struct duty *journal_duty (struct journal *j);
+
+/** Hands a note to the journal; a full ring drops and counts it.  */
+void journal_note (struct journal *j, const struct action_note *n);
+
+/** Returns the notes kept, oldest first, as JSON (a new reference).  May be
+    called from any thread.  */
+json_t *journal_timeline (struct journal *j);
+
+/** Returns how many notes were dropped.  */
+uint64_t journal_dropped_count (const struct journal *j);
+
+void journal_free (struct journal *j);
+
+#endif
--- /dev/null
+++ b/adapter/log_service.c
@@ -0,0 +1,381 @@
+/* log_service.c -- follows the log by long poll and appends in batches.
+
+   An append whose answer was lost is sent again: readers apply each command
+   id once.  */
+
+#include "adapter/log_service.h"
+
+#include "adapter/http_client.h"
+#include "adapter/record_json.h"
+#include "port/event.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define RING_COUNT 4096
+#define READ_WAIT_MS 1000
+#define READ_LIMIT_MS 3000
+#define READ_MAX_COUNT 500
+#define APPEND_LIMIT_MS 3000
+#define APPEND_MAX_COUNT 100
+#define CONNECT_LIMIT_MS 1000
+#define BACKOFF_LOW_MS 50
+#define BACKOFF_HIGH_MS 1000
+#define RETRY_PUSH_US 2000
+#define URL_BYTES 160
+
+struct pending
+{
+  TAILQ_ENTRY (pending) link;
+  struct record *record;
+};
+
+struct late_event
+{
+  STAILQ_ENTRY (late_event) link;
+  struct event *event;
+};
+
+struct log_service
+{
+  struct duty *duty;
+  struct http_client *http;
+  struct ring *decide;
+  char address[ADDRESS_BYTES];
+  uint64_t next_offset; /**< First offset not yet handed over.  */
+  uint32_t read_backoff_ms;
+  uint32_t append_backoff_ms;
+  bool appending;       /**< A batch is out.  */
+  uint32_t batch_count; /**< Records in the batch that is out.  */
+  TAILQ_HEAD (, pending) pending;
+  STAILQ_HEAD (, late_event) late; /**< Events that await room.  */
+  struct ring *flushed;            /**< Told once when nothing is pending.  */
+};
+
+static void start_read (struct log_service *l);
+static void start_append (struct log_service *l);
+
+static void
+later (struct log_service *l, uint32_t ms, tevent_timer_handler_t fn)
+{
+  tevent_add_timer (l->duty->loop, l->duty->loop,
+                    tevent_timeval_current_ofs (ms / 1000, (ms % 1000) * 1000),
+                    fn, l);
+}
+
+/* Doubles *BACKOFF_MS and returns it with jitter.  */
+static uint32_t
+next_backoff (uint32_t *backoff_ms)
+{
+  uint32_t ms = *backoff_ms;
+
+  *backoff_ms = ms * 2 > BACKOFF_HIGH_MS ? BACKOFF_HIGH_MS : ms * 2;
+  return ms / 2 + randombytes_uniform (ms / 2 + 1);
+}
+
+static void
+on_read_again (struct tevent_context *loop, struct tevent_timer *te,
+               struct timeval at, void *state)
+{
+  (void)loop;
+  (void)te;
+  (void)at;
+  start_read (state);
+}
+
+static void
+on_append_again (struct tevent_context *loop, struct tevent_timer *te,
+                 struct timeval at, void *state)
+{
+  (void)loop;
+  (void)te;
+  (void)at;
+  start_append (state);
+}
+
+/* Hands over what waits; returns false while the decide ring is full.  */
+static bool
+flush_late (struct log_service *l)
+{
+  struct late_event *e;
+
+  while ((e = STAILQ_FIRST (&l->late)) != NULL)
+    {
+      if (!ring_push (l->decide, e->event))
+        return false;
+      STAILQ_REMOVE_HEAD (&l->late, link);
+      talloc_free (e);
+    }
+  return true;
+}
+
+static void
+on_flush (struct tevent_context *loop, struct tevent_timer *te,
+          struct timeval at, void *state)
+{
+  struct log_service *l = state;
+
+  (void)te;
+  (void)at;
+  if (flush_late (l))
+    start_read (l);
+  else
+    tevent_add_timer (loop, loop,
+                      tevent_timeval_current_ofs (0, RETRY_PUSH_US), on_flush,
+                      l);
+}
+
+static void
+hand_over (struct log_service *l, struct event *e)
+{
+  struct late_event *x = talloc (l, struct late_event);
+
+  x->event = e;
+  STAILQ_INSERT_TAIL (&l->late, x, link);
+}
+
+static void
+take_record (struct log_service *l, const json_t *envelope)
+{
+  json_int_t offset
+      = json_integer_value (json_object_get (envelope, "offset"));
+  struct event *e;
+
+  /* Offsets only go forward; a stale or repeated one is passed over.  */
+  if (offset < 0 || (uint64_t)offset < l->next_offset)
+    return;
+  e = talloc_zero (NULL, struct event);
+  e->kind = EVENT_RECORD;
+  e->u.record.offset = (uint64_t)offset;
+  e->u.record.at_ms
+      = (uint64_t)json_integer_value (json_object_get (envelope, "at_ms"));
+  e->u.record.record
+      = record_from_json (e, json_object_get (envelope, "data"));
+  l->next_offset = (uint64_t)offset + 1;
+  hand_over (l, e);
+}
+
+static void
+take_log_read (struct log_service *l, bool readable, uint64_t next_offset)
+{
+  struct event *e = talloc_zero (NULL, struct event);
+
+  e->kind = EVENT_LOG_READ;
+  e->u.log_read.readable = readable;
+  e->u.log_read.next_offset = next_offset;
+  hand_over (l, e);
+}
+
+static bool
+take_page (struct log_service *l, const struct blob *body)
+{
+  json_error_t error;
+  json_t *page
+      = json_loadb ((const char *)body->data, body->size_bytes, 0, &error);
+  const json_t *records = json_object_get (page, "records");
+  const json_t *next = json_object_get (page, "next");
+  bool whole = json_is_array (records) && json_is_integer (next);
+  json_t *envelope;
+  size_t i;
+
+  if (whole)
+    {
+      json_array_foreach (records, i, envelope) take_record (l, envelope);
+      take_log_read (l, true, (uint64_t)json_integer_value (next));
+    }
+  json_decref (page);
+  return whole;
+}
+
+static void
+on_read_done (void *state, const struct http_result *r)
+{
+  struct log_service *l = state;
+
+  if (r->answered && r->status == 200 && take_page (l, r->body))
+    {
+      l->read_backoff_ms = BACKOFF_LOW_MS;
+      if (flush_late (l))
+        start_read (l);
+      else
+        later (l, 1, on_flush);
+      return;
+    }
+  take_log_read (l, false, 0);
+  flush_late (l);
+  later (l, next_backoff (&l->read_backoff_ms), on_read_again);
+}
+
+static void
+start_read (struct log_service *l)
+{
+  char url[URL_BYTES];
+  struct http_call call = {
+    .method = "GET",
+    .url = url,
+    .timeout_ms = READ_LIMIT_MS,
+    .connect_ms = CONNECT_LIMIT_MS,
+    .done = on_read_done,
+    .state = l,
+  };
+
+  snprintf (url, sizeof url,
+            "http://%s/v1/read?from=%" PRIu64 "&wait_ms=%d&max=%d", l->address,
+            l->next_offset, READ_WAIT_MS, READ_MAX_COUNT);
+  if (http_client_start (l->http, &call) == NULL)
+    later (l, BACKOFF_HIGH_MS, on_read_again);
+}
+
+static void
+on_append_done (void *state, const struct http_result *r)
+{
+  struct log_service *l = state;
+
+  l->appending = false;
+  if (!r->answered || r->status != 200)
+    {
+      later (l, next_backoff (&l->append_backoff_ms), on_append_again);
+      return;
+    }
+  l->append_backoff_ms = BACKOFF_LOW_MS;
+  for (; l->batch_count > 0; l->batch_count--)
+    {
+      struct pending *p = TAILQ_FIRST (&l->pending);
+
+      TAILQ_REMOVE (&l->pending, p, link);
+      talloc_free (p);
+    }
+  start_append (l);
+}
+
+static struct blob *
+make_batch (struct log_service *l)
+{
+  json_t *list = json_array ();
+  struct pending *p;
+  struct blob *b;
+  char *text;
+
+  l->batch_count = 0;
+  TAILQ_FOREACH (p, &l->pending, link)
+  {
+    if (l->batch_count == APPEND_MAX_COUNT)
+      break;
+    json_array_append_new (list, record_to_json (p->record));
+    l->batch_count++;
+  }
+  text = json_dumps (list, JSON_COMPACT);
+  b = blob_copy (text, (uint32_t)strlen (text));
+  free (text);
+  json_decref (list);
+  return b;
+}
+
+static void
+check_flushed (struct log_service *l)
+{
+  if (l->flushed == NULL || l->appending || !TAILQ_EMPTY (&l->pending))
+    return;
+  ring_push (l->flushed, l);
+  l->flushed = NULL;
+}
+
+static void
+start_append (struct log_service *l)
+{
+  char url[URL_BYTES];
+  struct http_call call = {
+    .method = "POST",
+    .url = url,
+    .timeout_ms = APPEND_LIMIT_MS,
+    .connect_ms = CONNECT_LIMIT_MS,
+    .done = on_append_done,
+    .state = l,
+  };
+
+  check_flushed (l);
+  if (l->appending || TAILQ_EMPTY (&l->pending))
+    return;
+  snprintf (url, sizeof url, "http://%s/v1/append", l->address);
+  call.body = make_batch (l);
+  l->appending = http_client_start (l->http, &call) != NULL;
+  blob_unref (call.body);
+  if (!l->appending)
+    later (l, BACKOFF_HIGH_MS, on_append_again);
+}
+
+static void
+on_item (void *state, void *item)
+{
+  struct log_service *l = state;
+  struct log_item *x = item;
+  struct pending *p;
+
+  if (x->flushed != NULL)
+    {
+      l->flushed = x->flushed;
+      talloc_free (x);
+      start_append (l);
+      return;
+    }
+  p = talloc (l, struct pending);
+  p->record = talloc_steal (p, x->record);
+  talloc_free (x);
+  TAILQ_INSERT_TAIL (&l->pending, p, link);
+  start_append (l);
+}
+
+struct log_service *
+log_service_new (const char *address, struct ring *decide)
+{
+  struct log_service *l = talloc_zero (NULL, struct log_service);
+
+  if (l == NULL)
+    return NULL;
+  text_copy (l->address, ADDRESS_BYTES, address);
+  l->decide = decide;
+  l->read_backoff_ms = BACKOFF_LOW_MS;
+  l->append_backoff_ms = BACKOFF_LOW_MS;
+  TAILQ_INIT (&l->pending);
+  STAILQ_INIT (&l->late);
+  l->duty = duty_new ("log", RING_COUNT, on_item, l);
+  if (l->duty == NULL)
+    {
+      talloc_free (l);
+      return NULL;
+    }
+  l->http = http_client_new (l->duty->loop, l->duty->loop, 4);
+  return l;
+}
+
+struct duty *
+log_service_duty (struct log_service *l)
+{
+  return l->duty;
+}
+
+void
+log_service_follow (struct log_service *l)
+{
+  start_read (l);
+}
+
+void
+log_service_free (struct log_service *l)
+{
+  struct late_event *e;
+  struct log_item *x;
+
+  if (l == NULL)
+    return;
+  while (ring_pop (l->duty->inbound, (void **)&x, 1) > 0)
+    talloc_free (x);
+  STAILQ_FOREACH (e, &l->late, link)
+  talloc_free (e->event);
+  talloc_free (l->http);
+  duty_free (l->duty);
+  talloc_free (l);
+}
--- /dev/null
+++ b/adapter/settings.c
@@ -0,0 +1,76 @@
+/* settings.c -- reading and checking the settings file.  */
+
+#include "adapter/settings.h"
+
+#include "adapter/address.h"
+#include "adapter/json_field.h"
+
+#include <string.h>
+
+#define MAX_BODY_BYTES (8u << 20)
+#define BODY_LIMIT_BYTES (64u << 20)
+#define FRESH_LIMIT_MS 5000
+#define STOP_LIMIT_MS 30000
+#define CONNECTION_COUNT 12000
+#define SECRET_LOW_BYTES 16
+
+static void
+read_address (struct json_place *p, const char *key, bool required, char *dst)
+{
+  struct sockaddr_in a;
+
+  json_get_text (p, key, required, dst, ADDRESS_BYTES);
+  if (dst[0] != '\0' && !address_parse (dst, &a))
+    json_fault (p, key, "expected an IP number and a port, \"127.0.0.1:80\"");
+}
+
+static void
+read_fields (struct json_place *p, struct settings *s)
+{
+  static const char *const known[]
+      = { "vm",    "zone",           "listen",         "peer_listen",
+          "log",   "cluster_secret", "max_body_bytes", "fresh_limit_ms",
+          "fleet", "stop_limit_ms",  "connections",    NULL };
+
+  json_check_keys (p, known);
+  json_get_text (p, "vm", true, s->vm, NAME_BYTES);
+  json_get_text (p, "zone", false, s->zone, NAME_BYTES);
+  read_address (p, "listen", true, s->listen);
+  read_address (p, "peer_listen", true, s->peer_listen);
+  read_address (p, "log", true, s->log);
+  read_address (p, "fleet", false, s->fleet);
+  json_get_text (p, "cluster_secret", true, s->cluster_secret, TEXT_BYTES);
+  if (s->cluster_secret[0] != '\0'
+      && strlen (s->cluster_secret) < SECRET_LOW_BYTES)
+    json_fault (p, "cluster_secret", "is shorter than 16 characters");
+  s->max_body_bytes = (uint32_t)json_get_number (
+      p, "max_body_bytes", 1, BODY_LIMIT_BYTES, MAX_BODY_BYTES);
+  s->fresh_limit_ms = (uint32_t)json_get_number (p, "fresh_limit_ms", 100,
+                                                 60000, FRESH_LIMIT_MS);
+  s->stop_limit_ms = (uint32_t)json_get_number (p, "stop_limit_ms", 0, 3600000,
+                                                STOP_LIMIT_MS);
+  s->connection_count = (uint32_t)json_get_number (p, "connections", 1, 60000,
+                                                   CONNECTION_COUNT);
+}
+
+struct settings *
+settings_read (TALLOC_CTX *mem, const char *file, struct findings **f)
+{
+  struct settings *s = talloc_zero (mem, struct settings);
+  json_error_t error;
+  json_t *document = json_load_file (file, JSON_REJECT_DUPLICATES, &error);
+  struct json_place p;
+
+  *f = findings_new (mem, file, NULL);
+  if (document == NULL)
+    {
+      findings_add (*f, "", "%s", error.text);
+      (*f)->items[0].line = error.line > 0 ? (uint32_t)error.line : 0;
+    }
+  else if (json_place_open (&p, *f, document, ""))
+    read_fields (&p, s);
+  json_decref (document);
+  if ((*f)->item_count > 0)
+    TALLOC_FREE (s);
+  return s;
+}
--- /dev/null
+++ b/core/control.c
@@ -0,0 +1,235 @@
+/* control.c -- applying the log's records to the control state.  */
+
+#include "core/control.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+static int
+control_free (struct control *c)
+{
+  g_hash_table_destroy (c->applied_ids);
+  return 0;
+}
+
+struct control *
+control_new (TALLOC_CTX *mem)
+{
+  struct control *c = talloc_zero (mem, struct control);
+
+  if (c == NULL)
+    return NULL;
+  c->applied_ids
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  talloc_set_destructor (c, control_free);
+  return c;
+}
+
+static int
+compare_routes (const void *a, const void *b)
+{
+  const struct route_config *x = a;
+  const struct route_config *y = b;
+
+  return strcmp (x->queue, y->queue);
+}
+
+static enum verdict
+apply_config (struct control *c, uint64_t offset, struct record *r)
+{
+  struct config *f = r->u.config;
+
+  if (f->base_version != c->config_version)
+    return VERDICT_REJECTED;
+  talloc_free (c->config);
+  c->config = talloc_steal (c, f);
+  c->config_version = offset + 1;
+  qsort (f->routes, f->route_count, sizeof *f->routes, compare_routes);
+  return VERDICT_APPLIED;
+}
+
+/* Returns the position of DIGEST in the sorted keys, or of the first key
+   behind it.  The position itself tells nothing of a secret: it is computed
+   from a digest.  */
+static uint32_t
+key_position (const struct control *c, const uint8_t *digest)
+{
+  uint32_t low = 0;
+  uint32_t high = c->key_count;
+
+  while (low < high)
+    {
+      uint32_t middle = low + (high - low) / 2;
+
+      if (sodium_compare (c->keys[middle].digest, digest, DIGEST_BYTES) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+const struct key *
+control_find_key (const struct control *c, const uint8_t *digest)
+{
+  uint32_t i = key_position (c, digest);
+
+  if (i < c->key_count
+      && sodium_memcmp (c->keys[i].digest, digest, DIGEST_BYTES) == 0)
+    return &c->keys[i];
+  return NULL;
+}
+
+static enum verdict
+apply_key_grant (struct control *c, const struct record_key *k)
+{
+  uint32_t i = key_position (c, k->digest);
+  struct key *keys;
+
+  if (control_find_key (c, k->digest) != NULL)
+    return VERDICT_REJECTED;
+  keys = talloc_realloc (c, c->keys, struct key, c->key_count + 1);
+  if (keys == NULL)
+    out_of_memory ();
+  memmove (&keys[i + 1], &keys[i], (c->key_count - i) * sizeof *keys);
+  memcpy (keys[i].digest, k->digest, DIGEST_BYTES);
+  text_copy (keys[i].team, NAME_BYTES, k->team);
+  c->keys = keys;
+  c->key_count++;
+  return VERDICT_APPLIED;
+}
+
+static enum verdict
+apply_key_withdraw (struct control *c, const struct record_key *k)
+{
+  uint32_t i = key_position (c, k->digest);
+
+  if (control_find_key (c, k->digest) == NULL)
+    return VERDICT_REJECTED;
+  c->key_count--;
+  memmove (&c->keys[i], &c->keys[i + 1], (c->key_count - i) * sizeof *c->keys);
+  return VERDICT_APPLIED;
+}
+
+static void
+remove_member (struct control *c, uint32_t i)
+{
+  c->member_count--;
+  memmove (&c->members[i], &c->members[i + 1],
+           (c->member_count - i) * sizeof *c->members);
+}
+
+static enum verdict
+apply_join (struct control *c, uint64_t offset, const struct record_join *j)
+{
+  struct member *m;
+  uint32_t i;
+
+  /* A newer process on the same VM holds the listen port, so the older one
+     has ended.  */
+  for (i = 0; i < c->member_count; i++)
+    if (strcmp (c->members[i].vm, j->vm) == 0)
+      {
+        remove_member (c, i);
+        break;
+      }
+  m = talloc_realloc (c, c->members, struct member, c->member_count + 1);
+  if (m == NULL)
+    out_of_memory ();
+  c->members = m;
+  m = &m[c->member_count++];
+  memset (m, 0, sizeof *m);
+  text_copy (m->vm, NAME_BYTES, j->vm);
+  text_copy (m->zone, NAME_BYTES, j->zone);
+  text_copy (m->peer_address, ADDRESS_BYTES, j->peer_address);
+  m->incarnation = offset + 1;
+  return VERDICT_APPLIED;
+}
+
+static enum verdict
+apply_leave (struct control *c, const struct record_leave *l)
+{
+  uint32_t i;
+
+  for (i = 0; i < c->member_count; i++)
+    if (c->members[i].incarnation == l->incarnation)
+      {
+        remove_member (c, i);
+        return VERDICT_APPLIED;
+      }
+  return VERDICT_REJECTED;
+}
+
+enum verdict
+control_apply (struct control *c, uint64_t offset, struct record *r)
+{
+  enum verdict v = VERDICT_REJECTED;
+
+  if (offset < c->next_offset)
+    return VERDICT_REPEATED;
+  c->next_offset = offset + 1;
+  if (!g_hash_table_add (c->applied_ids, g_strdup (r->id)))
+    return VERDICT_REPEATED;
+  switch (r->kind)
+    {
+    case RECORD_CONFIG:
+      v = apply_config (c, offset, r);
+      break;
+    case RECORD_KEY_GRANT:
+      v = apply_key_grant (c, &r->u.key);
+      break;
+    case RECORD_KEY_WITHDRAW:
+      v = apply_key_withdraw (c, &r->u.key);
+      break;
+    case RECORD_JOIN:
+      v = apply_join (c, offset, &r->u.join);
+      break;
+    case RECORD_LEAVE:
+      v = apply_leave (c, &r->u.leave);
+      break;
+    }
+  return v;
+}
+
+void
+control_skip (struct control *c, uint64_t offset)
+{
+  if (offset >= c->next_offset)
+    c->next_offset = offset + 1;
+}
+
+const struct route_config *
+control_find_route (const struct control *c, const char *queue)
+{
+  struct route_config wanted;
+
+  if (c->config == NULL)
+    return NULL;
+  text_copy (wanted.queue, NAME_BYTES, queue);
+  return bsearch (&wanted, c->config->routes, c->config->route_count,
+                  sizeof wanted, compare_routes);
+}
+
+int32_t
+control_team_index (const struct control *c, const char *team)
+{
+  uint32_t i;
+
+  if (c->config != NULL)
+    for (i = 0; i < c->config->team_count; i++)
+      if (strcmp (c->config->teams[i].name, team) == 0)
+        return (int32_t)i;
+  return -1;
+}
+
+const struct member *
+control_find_member (const struct control *c, const char *vm)
+{
+  uint32_t i;
+
+  for (i = 0; i < c->member_count; i++)
+    if (strcmp (c->members[i].vm, vm) == 0)
+      return &c->members[i];
+  return NULL;
+}
--- /dev/null
+++ b/core/state.h
@@ -0,0 +1,129 @@
+/* state.h -- the state of one entry, shared by the core's own modules.  */
+
+#ifndef FTK_CORE_STATE_H
+#define FTK_CORE_STATE_H
+
+#include "core/control.h"
+#include "core/core.h"
+
+#include <sys/queue.h>
+
+/** Where a request stands (tag of its life).  */
+enum request_state
+{
+  REQUEST_WAITING, /**< In a pool's queue.  */
+  REQUEST_RUNNING  /**< An attempt is out.  */
+};
+
+/** One caller's request; everything it needs hangs below it (its arena).  */
+struct request
+{
+  TAILQ_ENTRY (request) link; /**< In its pool's queue while waiting.  */
+  uint64_t request_id;
+  uint64_t attempt_id; /**< 0 unless running.  */
+  uint64_t deadline_us;
+  enum request_state state;
+  char queue[NAME_BYTES];
+  char team[NAME_BYTES];
+  char vm[NAME_BYTES]; /**< Worker of the attempt.  */
+  bool idempotent;
+  bool sent; /**< A byte may have reached a worker.  */
+  uint32_t attempt_count;
+  struct blob *body;
+};
+
+TAILQ_HEAD (request_list, request);
+
+/** One pool's queue on this entry, matched by name over configurations.  */
+struct pool_state
+{
+  char name[NAME_BYTES];
+  struct request_list waiting;
+  uint32_t waiting_count;
+};
+
+/** One worker as this entry sees it.  */
+struct vm_state
+{
+  char name[NAME_BYTES];
+  uint32_t running_count;
+};
+
+/** One team on this entry.  */
+struct team_state
+{
+  char name[NAME_BYTES];
+  uint32_t running_count;
+  uint32_t high_water_count;
+};
+
+struct core
+{
+  struct core_settings settings;
+  struct control *control;
+  struct actions *out; /**< Output of the step in progress.  */
+  uint64_t now_us;     /**< Time of the step in progress.  */
+  uint64_t random;     /**< Random bits of the step in progress.  */
+
+  uint64_t incarnation;   /**< Offset of its join record, plus 1; 0: none.  */
+  char join_id[ID_BYTES]; /**< Id of the join record sent; empty: none.  */
+  bool log_readable;
+  bool caught_up;       /**< The log was once read to its end.  */
+  uint64_t log_read_us; /**< Last successful reading.  */
+  bool stopping;
+  uint64_t stop_deadline_us;
+  bool leave_sent;
+
+  uint64_t next_attempt_id;
+  uint64_t next_command;    /**< Counts this process's command ids.  */
+  GHashTable *requests;     /**< request_id to struct request.  */
+  GHashTable *attempts;     /**< attempt_id to struct request.  */
+  struct pool_state *pools; /**< Parallel to the tables' pools.  */
+  struct vm_state *vms;     /**< Parallel to the tables' vms.  */
+  struct team_state *teams; /**< Parallel to the tables' teams.  */
+  uint32_t running_count;
+  uint32_t waiting_count;
+  uint64_t counters[COUNTER_KIND_COUNT];
+};
+
+/* control plane, membership.c */
+
+/** Applies a record read from the log.  */
+void core_on_record (struct core *c, struct event_record *e);
+/** Notes the outcome of a reading of the log.  */
+void core_on_log_read (struct core *c, const struct event_log_read *e);
+/** Starts a planned stop.  */
+void core_on_stop (struct core *c);
+/** Ends the planned stop when nothing is left in flight.  */
+void core_check_stop (struct core *c);
+/** Returns true while this entry may take new work.  */
+bool core_is_fresh (const struct core *c);
+/** Adds a note for the time line.  */
+void core_note (struct core *c, enum note_kind kind, const char *subject,
+                uint64_t value);
+/** Writes a fresh command id to ID.  */
+void core_command_id (struct core *c, char *id);
+
+/* data plane, request.c */
+
+/** Takes, queues or refuses a caller's request.  */
+void core_on_request (struct core *c, struct event_request *e);
+/** Drops a caller's request.  */
+void core_on_cancel (struct core *c, const struct event_cancel *e);
+/** Takes the end of an attempt.  */
+void core_on_attempt (struct core *c, struct event_attempt *e);
+/** Refuses what waited past its deadline.  */
+void core_expire (struct core *c);
+/** Starts what may start now in every pool.  */
+void core_dispatch_all (struct core *c);
+/** Rebuilds the tables that run parallel to the configuration.  */
+void core_adopt_config (struct core *c);
+
+/* limits, limit.c */
+
+/** Returns how many requests of team INDEX may run on this entry.  */
+uint32_t core_team_limit (const struct core *c, uint32_t index);
+/** Returns how many slots of VM INDEX this entry may fill.  */
+uint32_t core_vm_limit (const struct core *c, uint32_t index);
+
+#endif
--- /dev/null
+++ b/ctl/call.c
@@ -0,0 +1,128 @@
+/* call.c -- HTTP calls and the log, for the commands of fulmartackctl.  */
+
+#include "ctl/ctl.h"
+
+#include "adapter/record_json.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CALL_LIMIT_MS 5000
+#define CONNECT_LIMIT_MS 1000
+#define APPEND_TRY_COUNT 5
+#define READ_MAX_COUNT 1000
+#define URL_BYTES 256
+
+json_t *
+ctl_call (const char *method, const char *address, const char *path,
+          const json_t *body, uint32_t *status)
+{
+  TALLOC_CTX *tmp = talloc_new (NULL);
+  char url[URL_BYTES];
+  struct http_call call = {
+    .method = method,
+    .url = url,
+    .timeout_ms = CALL_LIMIT_MS,
+    .connect_ms = CONNECT_LIMIT_MS,
+  };
+  struct http_result r;
+  json_t *answer = NULL;
+
+  snprintf (url, sizeof url, "http://%s%s", address, path);
+  if (body != NULL)
+    {
+      char *text = json_dumps (body, JSON_COMPACT);
+
+      call.body = blob_copy (text, (uint32_t)strlen (text));
+      free (text);
+    }
+  http_client_wait (tmp, &call, &r);
+  *status = r.status;
+  if (r.body != NULL)
+    answer = json_loadb ((const char *)r.body->data, r.body->size_bytes,
+                         JSON_DECODE_ANY, NULL);
+  blob_unref (r.body);
+  blob_unref (call.body);
+  talloc_free (tmp);
+  return answer;
+}
+
+static void
+apply_page (struct control *c, const json_t *page)
+{
+  json_t *envelope;
+  size_t i;
+
+  json_array_foreach (json_object_get (page, "records"), i, envelope)
+  {
+    uint64_t offset
+        = (uint64_t)json_integer_value (json_object_get (envelope, "offset"));
+    struct record *r
+        = record_from_json (NULL, json_object_get (envelope, "data"));
+
+    if (r == NULL)
+      control_skip (c, offset);
+    else
+      control_apply (c, offset, r);
+    talloc_free (r);
+  }
+}
+
+struct control *
+ctl_read_log (TALLOC_CTX *mem, const struct ctl *ctl)
+{
+  struct control *c = control_new (mem);
+  uint64_t end = 1;
+
+  while (c->next_offset < end)
+    {
+      char path[URL_BYTES];
+      uint32_t status;
+      json_t *page;
+
+      snprintf (path, sizeof path,
+                "/v1/read?from=%" PRIu64 "&wait_ms=0&max=%d", c->next_offset,
+                READ_MAX_COUNT);
+      page = ctl_call ("GET", ctl->log, path, NULL, &status);
+      if (page == NULL || status != 200)
+        {
+          fprintf (stderr, "fulmartackctl: log %s did not answer\n", ctl->log);
+          json_decref (page);
+          talloc_free (c);
+          return NULL;
+        }
+      end = (uint64_t)json_integer_value (json_object_get (page, "next"));
+      apply_page (c, page);
+      json_decref (page);
+    }
+  return c;
+}
+
+bool
+ctl_append (const struct ctl *c, const json_t *record)
+{
+  json_t *batch = json_pack ("[O]", record);
+  uint32_t status = 0;
+  int i;
+
+  /* The command id makes a repeat harmless.  */
+  for (i = 0; i < APPEND_TRY_COUNT && status != 200; i++)
+    json_decref (ctl_call ("POST", c->log, "/v1/append", batch, &status));
+  json_decref (batch);
+  if (status != 200)
+    fprintf (stderr, "fulmartackctl: log %s took no append\n", c->log);
+  return status == 200;
+}
+
+void
+ctl_command_id (char *id)
+{
+  uint8_t bytes[16];
+
+  randombytes_buf (bytes, sizeof bytes);
+  memcpy (id, "ctl-", 4);
+  sodium_bin2hex (id + 4, ID_BYTES - 4, bytes, sizeof bytes);
+}
--- /dev/null
+++ b/ctl/fulmartackctl.c
@@ -0,0 +1,98 @@
+/* fulmartackctl.c -- the operators' command line.  */
+
+#include "ctl/ctl.h"
+
+#include "fulmartack.h"
+
+#include <argp.h>
+#include <curl/curl.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DEFAULT_WAIT_MS 9000
+
+const char *argp_program_version = "fulmartackctl " FTK_VERSION;
+
+static const struct argp_option options[] = {
+  { "log", 'l', "IP:PORT", 0, "The platform's log", 0 },
+  { "entry", 'e', "IP:PORT", 0, "An entry; may be given again", 0 },
+  { "json", 'j', NULL, 0, "Print JSON", 0 },
+  { "wait-ms", 'w', "MS", 0, "How long config apply waits (9000)", 0 },
+  { 0 },
+};
+
+static error_t
+parse (int key, char *arg, struct argp_state *state)
+{
+  struct ctl *c = state->input;
+
+  switch (key)
+    {
+    case 'l':
+      c->log = arg;
+      return 0;
+    case 'e':
+      if (c->entry_count == ENTRY_LIMIT_COUNT)
+        argp_error (state, "too many entries");
+      c->entries[c->entry_count++] = arg;
+      return 0;
+    case 'j':
+      c->json = true;
+      return 0;
+    case 'w':
+      c->wait_ms = (uint32_t)strtoul (arg, NULL, 10);
+      return 0;
+    case ARGP_KEY_ARGS:
+      c->arguments = state->argv + state->next;
+      c->argument_count = state->argc - state->next;
+      return 0;
+    case ARGP_KEY_NO_ARGS:
+      argp_usage (state);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct
+{
+  const char *name;
+  int (*run) (struct ctl *c);
+} commands[] = {
+  { "config", ctl_config }, { "key", ctl_key },
+  { "status", ctl_status }, { "timeline", ctl_timeline },
+  { "submit", ctl_submit },
+};
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp argp = {
+    options,
+    parse,
+    "COMMAND [WORD...]",
+    "Operates fulmartack.\v"
+    "Commands:\n"
+    "  config check|diff|apply FILE, config show\n"
+    "  key grant TEAM FILE, key withdraw FILE\n"
+    "  status, timeline, submit QUEUE FILE\n"
+    "Exit codes: 0 done, 1 refused, 2 document refused, 3 no answer,\n"
+    "4 published but not told by every entry, 64 usage.",
+    NULL,
+    NULL,
+    NULL,
+  };
+  struct ctl c = { .log = "127.0.0.1:7001", .wait_ms = DEFAULT_WAIT_MS };
+  size_t i;
+
+  if (sodium_init () < 0)
+    return EXIT_UNREACHABLE;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  argp_parse (&argp, argc, argv, ARGP_IN_ORDER, NULL, &c);
+  for (i = 0; i < sizeof commands / sizeof commands[0]; i++)
+    if (strcmp (c.arguments[0], commands[i].name) == 0)
+      return commands[i].run (&c);
+  fprintf (stderr, "fulmartackctl: unknown command %s\n", c.arguments[0]);
+  return EXIT_USAGE_ERROR;
+}
--- /dev/null
+++ b/ctl/view.c
@@ -0,0 +1,195 @@
+/* view.c -- fulmartackctl status, timeline and submit.  */
+
+#include "ctl/ctl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define LINE_BYTES 512
+
+static void
+print_status (const char *address, const json_t *j)
+{
+  printf ("%s vm=%s serving=%s version=%lld offset=%lld log_age_ms=%lld "
+          "members=%zu waiting=%lld running=%lld\n",
+          address, json_string_value (json_object_get (j, "vm")),
+          json_is_true (json_object_get (j, "serving")) ? "yes" : "no",
+          json_integer_value (json_object_get (j, "config_version")),
+          json_integer_value (json_object_get (j, "next_offset")),
+          json_integer_value (json_object_get (j, "log_age_ms")),
+          json_array_size (json_object_get (j, "members")),
+          json_integer_value (json_object_get (j, "waiting")),
+          json_integer_value (json_object_get (j, "running")));
+}
+
+int
+ctl_status (struct ctl *c)
+{
+  json_t *all = json_array ();
+  int code = EXIT_DONE;
+  uint32_t i;
+
+  for (i = 0; i < c->entry_count; i++)
+    {
+      uint32_t status;
+      json_t *j = ctl_call ("GET", c->entries[i], "/v1/status", NULL, &status);
+
+      if (j == NULL)
+        {
+          fprintf (stderr, "fulmartackctl: %s did not answer\n",
+                   c->entries[i]);
+          code = EXIT_UNREACHABLE;
+          continue;
+        }
+      if (!c->json)
+        print_status (c->entries[i], j);
+      json_array_append_new (all, j);
+    }
+  if (c->json)
+    {
+      json_dumpf (all, stdout, JSON_INDENT (2));
+      putchar ('\n');
+    }
+  json_decref (all);
+  return code;
+}
+
+static int
+compare_time (const void *a, const void *b)
+{
+  json_int_t x
+      = json_integer_value (json_object_get (*(json_t *const *)a, "at_ms"));
+  json_int_t y
+      = json_integer_value (json_object_get (*(json_t *const *)b, "at_ms"));
+
+  return x < y ? -1 : x > y;
+}
+
+static void
+print_note (const json_t *j)
+{
+  json_int_t at_ms = json_integer_value (json_object_get (j, "at_ms"));
+  time_t s = (time_t)(at_ms / 1000);
+  struct tm t;
+
+  gmtime_r (&s, &t);
+  printf ("%02d:%02d:%02d.%03d %-12s %-18s %s %lld\n", t.tm_hour, t.tm_min,
+          t.tm_sec, (int)(at_ms % 1000),
+          json_string_value (json_object_get (j, "vm")),
+          json_string_value (json_object_get (j, "event")),
+          json_string_value (json_object_get (j, "subject")),
+          json_integer_value (json_object_get (j, "value")));
+}
+
+int
+ctl_timeline (struct ctl *c)
+{
+  json_t *all = json_array ();
+  json_t **sorted;
+  int code = EXIT_DONE;
+  size_t n;
+  uint32_t i;
+
+  for (i = 0; i < c->entry_count; i++)
+    {
+      uint32_t status;
+      json_t *j
+          = ctl_call ("GET", c->entries[i], "/v1/timeline", NULL, &status);
+
+      if (j == NULL)
+        code = EXIT_UNREACHABLE;
+      else
+        json_array_extend (all, j);
+      json_decref (j);
+    }
+  n = json_array_size (all);
+  sorted = calloc (n + 1, sizeof *sorted);
+  for (i = 0; i < n; i++)
+    sorted[i] = json_array_get (all, i);
+  qsort (sorted, n, sizeof *sorted, compare_time);
+  for (i = 0; i < n; i++)
+    if (c->json)
+      {
+        json_dumpf (sorted[i], stdout, JSON_COMPACT);
+        putchar ('\n');
+      }
+    else
+      print_note (sorted[i]);
+  free (sorted);
+  json_decref (all);
+  return code;
+}
+
+static struct blob *
+read_body (const char *file)
+{
+  FILE *f = strcmp (file, "-") == 0 ? stdin : fopen (file, "re");
+  char part[65536];
+  char *all = NULL;
+  size_t size = 0;
+  size_t n;
+  struct blob *b;
+
+  if (f == NULL)
+    return NULL;
+  while ((n = fread (part, 1, sizeof part, f)) > 0)
+    {
+      char *grown = realloc (all, size + n);
+
+      if (grown == NULL)
+        break;
+      all = grown;
+      memcpy (all + size, part, n);
+      size += n;
+    }
+  if (f != stdin)
+    fclose (f);
+  b = blob_copy (all, (uint32_t)size);
+  free (all);
+  return b;
+}
+
+int
+ctl_submit (struct ctl *c)
+{
+  char url[LINE_BYTES];
+  char key[LINE_BYTES];
+  const char *const lines[] = { key, NULL };
+  const char *secret = getenv ("FULMARTACK_KEY");
+  struct http_call call = {
+    .method = "POST",
+    .url = url,
+    .lines = lines,
+    .timeout_ms = 60000,
+    .connect_ms = 1000,
+  };
+  struct http_result r;
+
+  if (c->argument_count != 3 || c->entry_count == 0)
+    {
+      fprintf (stderr, "fulmartackctl: submit QUEUE FILE, with the key in "
+                       "FULMARTACK_KEY\n");
+      return EXIT_USAGE_ERROR;
+    }
+  snprintf (url, sizeof url, "http://%s/v1/queues/%s", c->entries[0],
+            c->arguments[1]);
+  snprintf (key, sizeof key, "Authorization: Bearer %s", secret ? secret : "");
+  call.body = read_body (c->arguments[2]);
+  if (call.body == NULL)
+    {
+      fprintf (stderr, "fulmartackctl: cannot read %s\n", c->arguments[2]);
+      return EXIT_BAD_DOCUMENT;
+    }
+  http_client_wait (NULL, &call, &r);
+  blob_unref (call.body);
+  if (!r.answered)
+    {
+      fprintf (stderr, "fulmartackctl: %s did not answer\n", c->entries[0]);
+      return EXIT_UNREACHABLE;
+    }
+  fwrite (r.body->data, 1, r.body->size_bytes, stdout);
+  blob_unref (r.body);
+  return r.status < 400 ? EXIT_DONE : EXIT_REFUSED;
+}
--- /dev/null
+++ b/daemon/fulmartackd.c
@@ -0,0 +1,99 @@
+/* fulmartackd.c -- the daemon of one entry VM.  */
+
+#include "fulmartack.h"
+
+#include <argp.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+
+const char *argp_program_version = "fulmartackd " FTK_VERSION;
+
+struct arguments
+{
+  const char *file;
+  int check; /**< Only check the settings.  */
+};
+
+static const struct argp_option options[]
+    = { { "check", 'c', NULL, 0, "Check the settings and exit", 0 }, { 0 } };
+
+static error_t
+parse (int key, char *arg, struct argp_state *state)
+{
+  struct arguments *a = state->input;
+
+  switch (key)
+    {
+    case 'c':
+      a->check = 1;
+      return 0;
+    case ARGP_KEY_ARG:
+      if (a->file != NULL)
+        argp_usage (state);
+      a->file = arg;
+      return 0;
+    case ARGP_KEY_END:
+      if (a->file == NULL)
+        argp_usage (state);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+/* Turns SIGTERM and SIGINT into a planned stop.  */
+static void *
+wait_signal (void *state)
+{
+  sigset_t set;
+  int number;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  sigwait (&set, &number);
+  ftk_entry_stop (state);
+  return NULL;
+}
+
+static void
+block_signals (void)
+{
+  sigset_t set;
+
+  signal (SIGPIPE, SIG_IGN);
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  pthread_sigmask (SIG_BLOCK, &set, NULL);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp argp
+      = { options, parse, "SETTINGS", "Runs one entry of fulmartack.",
+          NULL,    NULL,  NULL };
+  struct arguments a = { 0 };
+  ftk_entry *e = NULL;
+  ftk_status s;
+  pthread_t t;
+
+  argp_parse (&argp, argc, argv, 0, NULL, &a);
+  if (a.check)
+    return ftk_settings_check (a.file, stderr);
+  block_signals ();
+  s = ftk_entry_open (a.file, stderr, &e);
+  if (s == FTK_OK && pthread_create (&t, NULL, wait_signal, e) == 0)
+    {
+      s = ftk_entry_run (e);
+      pthread_cancel (t);
+      pthread_join (t, NULL);
+    }
+  else if (e != NULL)
+    fprintf (stderr, "fulmartackd: %s: %s\n", ftk_status_text (s),
+             ftk_entry_message (e));
+  ftk_entry_close (e);
+  return s;
+}
--- /dev/null
+++ b/port/action.h
@@ -0,0 +1,180 @@
+/* action.h -- everything the decisions can ask for (tagged union).  */
+
+#ifndef FTK_PORT_ACTION_H
+#define FTK_PORT_ACTION_H
+
+#include "port/event.h"
+
+enum action_kind
+{
+  ACTION_ANSWER, /**< Answer a caller; exactly once for each request.  */
+  ACTION_START,  /**< Start an attempt on a worker.  */
+  ACTION_ABORT,  /**< Give up waiting for an attempt.  */
+  ACTION_APPEND, /**< Append a record to the log.  */
+  ACTION_PEER,   /**< Send a message to a member.  */
+  ACTION_STATUS, /**< Show the state of this entry.  */
+  ACTION_NOTE,   /**< Put an event on the time line.  */
+  ACTION_EXIT    /**< Nothing is left to do; end the process.  */
+};
+
+/** Stable code of an answer, as shown to callers.  */
+enum answer_code
+{
+  ANSWER_WORKER,        /**< The worker's whole answer.  */
+  ANSWER_UNKNOWN,       /**< Sent; the outcome is not known.  */
+  ANSWER_NO_QUEUE,      /**< 404, not run.  */
+  ANSWER_NO_KEY,        /**< 401, not run.  */
+  ANSWER_WRONG_TEAM,    /**< 403, not run.  */
+  ANSWER_TOO_LARGE,     /**< 413, not run.  */
+  ANSWER_QUEUE_FULL,    /**< 429, not run.  */
+  ANSWER_EXPIRED,       /**< 504, not run.  */
+  ANSWER_NOT_READY,     /**< 503, not run: no configuration yet.  */
+  ANSWER_STALE,         /**< 503, not run: cut off from the log.  */
+  ANSWER_STOPPING,      /**< 503, not run: planned stop.  */
+  ANSWER_NO_WORKER,     /**< 503, not run: no worker could be reached.  */
+  ANSWER_CANNOT_FIT,    /**< 422, not run: no VM is large enough.  */
+  ANSWER_BAD_REQUEST,   /**< 400, not run.  */
+  ANSWER_NOT_SUPPORTED, /**< 501, not run.  */
+  ANSWER_CODE_COUNT
+};
+
+/** What happened, for the time line.  */
+enum note_kind
+{
+  NOTE_JOINED,          /**< This entry became a member.  */
+  NOTE_MEMBER_JOINED,   /**< Another entry became a member.  */
+  NOTE_MEMBER_LEFT,     /**< A member left.  */
+  NOTE_CONFIG_IN_FORCE, /**< A configuration came into force.  */
+  NOTE_CONFIG_REJECTED, /**< A configuration was refused.  */
+  NOTE_KEY_GRANTED,
+  NOTE_KEY_WITHDRAWN,
+  NOTE_LOG_LOST, /**< The log cannot be read.  */
+  NOTE_LOG_BACK,
+  NOTE_BAD_RECORD, /**< A record was malformed and skipped.  */
+  NOTE_STOPPING,   /**< Planned stop began.  */
+  NOTE_STOPPED,    /**< Everything in flight was answered.  */
+  NOTE_KIND_COUNT
+};
+
+struct action_answer
+{
+  uint64_t request_id;
+  enum answer_code code;
+  uint32_t http_status;    /**< The worker's; 0 for the code's own.  */
+  uint32_t retry_after_ms; /**< 0 if a repeat is of no use.  */
+  struct blob *body;       /**< One reference, or NULL.  */
+};
+
+struct action_start
+{
+  uint64_t attempt_id;
+  char vm[NAME_BYTES];
+  char address[ADDRESS_BYTES];
+  char queue[NAME_BYTES];
+  char team[NAME_BYTES];
+  uint32_t timeout_ms; /**< Time left to the caller's deadline.  */
+  struct blob *body;   /**< One reference.  */
+};
+
+struct action_abort
+{
+  uint64_t attempt_id;
+};
+
+struct action_note
+{
+  enum note_kind kind;
+  char subject[NAME_BYTES]; /**< VM, team or queue; may be empty.  */
+  uint64_t value;           /**< Offset or version; 0 if none.  */
+};
+
+/** State of this entry at one moment, for status and metrics.  */
+enum counter_kind
+{
+  COUNTER_REQUESTS,
+  COUNTER_ANSWERED,
+  COUNTER_REFUSED,
+  COUNTER_UNKNOWN,
+  COUNTER_ATTEMPTS,
+  COUNTER_RECORDS,
+  COUNTER_BAD_RECORDS,
+  COUNTER_REJECTED_RECORDS,
+  COUNTER_KIND_COUNT
+};
+
+struct status_member
+{
+  char vm[NAME_BYTES];
+  uint64_t incarnation;
+};
+
+struct status_team
+{
+  char name[NAME_BYTES];
+  uint32_t running_count;
+  uint32_t high_water_count; /**< Most running at once on this entry.  */
+};
+
+/** One talloc tree, owned by the receiver of the action.  */
+struct status
+{
+  char vm[NAME_BYTES];
+  uint64_t incarnation;    /**< 0 until joined.  */
+  uint64_t config_version; /**< 0 until a configuration is in force.  */
+  uint64_t next_offset;
+  uint64_t log_age_ms; /**< Since the last successful read.  */
+  bool serving;        /**< Takes new work.  */
+  uint32_t waiting_count;
+  uint32_t running_count;
+  uint64_t counters[COUNTER_KIND_COUNT];
+  struct status_member *members;
+  uint32_t member_count;
+  struct status_team *teams;
+  uint32_t team_count;
+};
+
+struct action_status
+{
+  uint64_t request_id;
+  struct status *status; /**< Owned by the receiver.  */
+};
+
+struct action
+{
+  enum action_kind kind;
+  union
+  {
+    struct action_answer answer;
+    struct action_start start;
+    struct action_abort abort;
+    struct record *append; /**< Owned by the receiver.  */
+    struct peer_message peer;
+    struct action_status status;
+    struct action_note note;
+  } u;
+};
+
+/** Output of one step; the array is reused from step to step.  */
+struct actions
+{
+  struct action *items;
+  uint32_t item_count;
+  uint32_t capacity_count;
+};
+
+/** Returns a zeroed action of KIND at the end of A.  */
+struct action *actions_add (struct actions *a, enum action_kind kind);
+
+/** Returns the stable name of C, such as "queue_full".  */
+const char *answer_code_name (enum answer_code c);
+
+/** Returns the HTTP status of C (0 for ANSWER_WORKER).  */
+uint32_t answer_code_http (enum answer_code c);
+
+/** Returns the stable name of K, such as "config_in_force".  */
+const char *note_kind_name (enum note_kind k);
+
+/** Returns the metric name of K, such as "requests".  */
+const char *counter_kind_name (enum counter_kind k);
+
+#endif
--- /dev/null
+++ b/port/event.h
@@ -0,0 +1,96 @@
+/* event.h -- everything the decisions can learn (tagged union).
+
+   Time and randomness come in the event, so a run is a trace of events.  Each
+   event is one talloc tree without a parent: the thread that pops it from a
+   ring owns it.  */
+
+#ifndef FTK_PORT_EVENT_H
+#define FTK_PORT_EVENT_H
+
+#include "port/blob.h"
+#include "port/peer_message.h"
+#include "port/record.h"
+
+enum event_kind
+{
+  EVENT_TICK,         /**< Time passed.  */
+  EVENT_REQUEST,      /**< A caller sent a request.  */
+  EVENT_CANCEL,       /**< A caller went away.  */
+  EVENT_ATTEMPT_DONE, /**< An attempt on a worker ended.  */
+  EVENT_LOG_READ,     /**< A read of the log ended.  */
+  EVENT_RECORD,       /**< A record was read from the log.  */
+  EVENT_PEER,         /**< A peer's message.  */
+  EVENT_STATUS,       /**< Someone asks for the state of this entry.  */
+  EVENT_STOP          /**< Planned stop of this entry.  */
+};
+
+/** How an attempt ended, as far as this entry can know.  */
+enum attempt_outcome
+{
+  ATTEMPT_ANSWERED,   /**< The worker's whole answer is here.  */
+  ATTEMPT_NOT_SENT,   /**< No byte can have reached the worker.  */
+  ATTEMPT_NO_ANSWER,  /**< Sent; no whole answer came.  */
+  ATTEMPT_TURNED_AWAY /**< The worker said that it did not run it.  */
+};
+
+struct event_request
+{
+  uint64_t request_id; /**< Unique in this process.  */
+  char queue[NAME_BYTES];
+  char idempotency_key[ID_BYTES]; /**< Empty if none.  */
+  uint8_t key_digest[DIGEST_BYTES];
+  bool has_key;
+  uint32_t timeout_ms; /**< The caller's wish; 0 for the route's.  */
+  struct blob *body;   /**< One reference, passed to the core.  */
+};
+
+struct event_cancel
+{
+  uint64_t request_id;
+};
+
+struct event_attempt
+{
+  uint64_t attempt_id;
+  enum attempt_outcome outcome;
+  uint32_t http_status; /**< 0 unless answered.  */
+  uint32_t elapsed_us;  /**< From start to end.  */
+  struct blob *body;    /**< One reference, or NULL.  */
+};
+
+struct event_log_read
+{
+  bool readable;        /**< The read succeeded.  */
+  uint64_t next_offset; /**< First offset past the log's end.  */
+};
+
+struct event_record
+{
+  uint64_t offset;
+  uint64_t at_ms;        /**< The log's own time of append.  */
+  struct record *record; /**< Child of the event; NULL if malformed.  */
+};
+
+struct event_status
+{
+  uint64_t request_id;
+};
+
+struct event
+{
+  uint64_t now_us; /**< CLOCK_BOOTTIME: runs on through a pause.  */
+  uint64_t random; /**< Fresh for each event.  */
+  enum event_kind kind;
+  union
+  {
+    struct event_request request;
+    struct event_cancel cancel;
+    struct event_attempt attempt;
+    struct event_log_read log_read;
+    struct event_record record;
+    struct peer_message peer;
+    struct event_status status;
+  } u;
+};
+
+#endif
--- /dev/null
+++ b/port/peer_message.h
@@ -0,0 +1,78 @@
+/* peer_message.h -- what members tell each other directly (tagged union).  */
+
+#ifndef FTK_PORT_PEER_MESSAGE_H
+#define FTK_PORT_PEER_MESSAGE_H
+
+#include "port/types.h"
+
+/** What a token counts (tag of a limit).  */
+enum limit_kind
+{
+  LIMIT_TEAM, /**< Requests of one team over the fleet.  */
+  LIMIT_VM    /**< Slots of one worker.  */
+};
+
+struct limit_ref
+{
+  enum limit_kind kind;
+  char name[NAME_BYTES]; /**< Team or VM.  */
+};
+
+enum peer_kind
+{
+  PEER_STATUS,   /**< Log offset reached and whether the log is read.  */
+  PEER_DEMAND,   /**< Waiting and running per pool and team.  */
+  PEER_TRANSFER, /**< Tokens given; resent until acknowledged.  */
+  PEER_ACK,      /**< Transfers received up to a sequence number.  */
+  PEER_ASK       /**< A request for tokens.  */
+};
+
+struct peer_status
+{
+  uint64_t next_offset; /**< First log offset not yet applied.  */
+  bool log_readable;    /**< The log was read within the last seconds.  */
+  bool stopping;        /**< Takes no new work.  */
+};
+
+struct peer_demand
+{
+  char pool[NAME_BYTES];
+  char team[NAME_BYTES];
+  uint32_t waiting_count;
+  uint32_t running_count;
+};
+
+struct peer_transfer
+{
+  uint64_t sequence; /**< Counts up from 1 on each link.  */
+  struct limit_ref limit;
+  uint32_t token_count;
+};
+
+struct peer_ack
+{
+  uint64_t sequence; /**< Every transfer up to this one was credited.  */
+};
+
+struct peer_ask
+{
+  struct limit_ref limit;
+  uint32_t token_count;
+};
+
+struct peer_message
+{
+  uint64_t from_incarnation; /**< Sender: offset of its join record, plus 1. */
+  uint64_t to_incarnation; /**< Receiver: offset of its join record, plus 1. */
+  enum peer_kind kind;
+  union
+  {
+    struct peer_status status;
+    struct peer_demand demand;
+    struct peer_transfer transfer;
+    struct peer_ack ack;
+    struct peer_ask ask;
+  } u;
+};
+
+#endif
--- /dev/null
+++ b/tests/standin/worker.c
@@ -0,0 +1,190 @@
+/* worker.c -- stand-in of workers: one process serves a range of ports.
+
+   It echoes each body after run_ms and keeps its own record: running per team
+   with high-water mark, runs per ticket, overfilled slots, cut requests.
+   Faults: down, slow_ms, run_ms, fail_all, lose_answers, slots.  A body that
+   starts with "ticket=NAME" is counted under that name; "run_ms=N" anywhere
+   in the first line sets its run time.  */
+
+#include "tests/standin/server.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DEFAULT_SLOT_COUNT 8
+#define LINE_BYTES 256
+
+struct team
+{
+  int64_t running;
+  int64_t high_water;
+  int64_t runs;
+};
+
+static GHashTable *teams;   /* name to struct team */
+static GHashTable *tickets; /* name to count */
+static int64_t port_running[65536];
+static int64_t run_count;
+static int64_t doubled_count;
+static int64_t overfilled_count;
+static int64_t cut_count;
+static int64_t turned_away_count;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+
+static void
+first_line (struct exchange *x, char *line)
+{
+  uint32_t n = 0;
+
+  while (n < x->body_bytes && n < LINE_BYTES - 1 && x->body[n] != '\n')
+    n++;
+  if (n > 0)
+    memcpy (line, x->body, n);
+  line[n] = '\0';
+}
+
+static void
+count_ticket (const char *line)
+{
+  char name[LINE_BYTES];
+  int64_t n;
+
+  if (sscanf (line, "ticket=%255[^ ;]", name) != 1)
+    return;
+  n = (int64_t)(intptr_t)g_hash_table_lookup (tickets, name) + 1;
+  if (n == 2)
+    doubled_count++;
+  g_hash_table_insert (tickets, g_strdup (name), (gpointer)(intptr_t)n);
+}
+
+/* Takes a slot and counts the start; returns 0 when all slots are full.  */
+static int
+start_run (struct exchange *x, const char *line, struct team **team)
+{
+  const char *name = header_get (x, "Team");
+  int64_t slots = fault_get ("slots");
+  struct team *t;
+
+  if (slots == 0)
+    slots = DEFAULT_SLOT_COUNT;
+  pthread_mutex_lock (&lock);
+  if (port_running[x->port] >= slots)
+    {
+      overfilled_count++;
+      turned_away_count++;
+      pthread_mutex_unlock (&lock);
+      return 0;
+    }
+  t = g_hash_table_lookup (teams, name);
+  if (t == NULL)
+    {
+      t = calloc (1, sizeof *t);
+      g_hash_table_insert (teams, g_strdup (name), t);
+    }
+  port_running[x->port]++;
+  run_count++;
+  t->runs++;
+  if (++t->running > t->high_water)
+    t->high_water = t->running;
+  count_ticket (line);
+  pthread_mutex_unlock (&lock);
+  *team = t;
+  return 1;
+}
+
+static void
+run (struct exchange *x)
+{
+  char line[LINE_BYTES];
+  const char *p;
+  struct team *t;
+  int64_t run_ms = fault_get ("run_ms");
+
+  first_line (x, line);
+  p = strstr (line, "run_ms=");
+  if (p != NULL)
+    run_ms = strtoll (p + strlen ("run_ms="), NULL, 10);
+  if (!start_run (x, line, &t))
+    {
+      answer_set (x, 503, "{\"run\":\"no\"}");
+      return;
+    }
+  sleep_ms (run_ms);
+  pthread_mutex_lock (&lock);
+  t->running--;
+  port_running[x->port]--;
+  pthread_mutex_unlock (&lock);
+  x->status = fault_get ("fail_all") ? 500 : 200;
+  x->answer = x->body;
+  x->answer_bytes = x->body_bytes;
+  x->body = NULL;
+}
+
+static void
+print_team (gpointer key, gpointer value, gpointer state)
+{
+  struct team *t = value;
+  GString *s = state;
+
+  g_string_append_printf (
+      s, "%s\"%s\":{\"running\":%lld,\"high_water\":%lld,\"runs\":%lld}",
+      s->str[s->len - 1] == '{' ? "" : ",", (char *)key, (long long)t->running,
+      (long long)t->high_water, (long long)t->runs);
+}
+
+static void
+report (struct exchange *x)
+{
+  GString *s = g_string_new ("{");
+
+  pthread_mutex_lock (&lock);
+  g_string_append_printf (
+      s,
+      "\"runs\":%lld,\"tickets\":%u,\"doubled\":%lld,\"overfilled\":%lld,"
+      "\"cut\":%lld,\"turned_away\":%lld,\"teams\":{",
+      (long long)run_count, g_hash_table_size (tickets),
+      (long long)doubled_count, (long long)overfilled_count,
+      (long long)cut_count, (long long)turned_away_count);
+  g_hash_table_foreach (teams, print_team, s);
+  pthread_mutex_unlock (&lock);
+  g_string_append (s, "}}");
+  answer_set (x, 200, "%s", s->str);
+  g_string_free (s, TRUE);
+}
+
+static void
+on_cut (struct exchange *x)
+{
+  if (x->url == NULL || strcmp (x->url, "/v1/run") != 0)
+    return;
+  pthread_mutex_lock (&lock);
+  cut_count++;
+  pthread_mutex_unlock (&lock);
+}
+
+static void
+handle (struct exchange *x)
+{
+  if (strcmp (x->url, "/v1/run") == 0)
+    run (x);
+  else if (strcmp (x->url, "/report") == 0)
+    report (x);
+  else
+    answer_set (x, 404, "{}");
+}
+
+int
+main (int argc, char **argv)
+{
+  uint16_t first = argc > 1 ? (uint16_t)atoi (argv[1]) : 7301;
+  uint16_t last = argc > 2 ? (uint16_t)atoi (argv[2]) : first;
+
+  teams = g_hash_table_new (g_str_hash, g_str_equal);
+  tickets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  standin_handler = handle;
+  standin_on_cut = on_cut;
+  return standin_serve (first, last);
+}
