--- a/Makefile
+++ b/Makefile
@@ -41,26 +41,26 @@
 
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(ALL_CFLAGS) -MMD -MP -c $< -o $@
+	@$(CC) $(ALL_CFLAGS) -MMD -MP -c $< -o $@
 
 $(LIB): $(LIB_OBJ)
 	@rm -f $@
-	ar rcs $@ $^
+	@ar rcs $@ $^
 
 $(B)/fulmartackd: $(B)/daemon/fulmartackd.o $(LIB)
-	$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
+	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
 
 $(B)/fulmartackctl: $(CTL_SRC:%.c=$(B)/%.o) $(LIB)
-	$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
+	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
 
 $(B)/standin_%: $(B)/tests/standin/%.o $(B)/tests/standin/server.o
-	$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
+	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
 
 $(B)/test_%: $(B)/tests/test_%.o $(B)/tests/script.o $(B)/tests/cluster.o $(LIB)
-	$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
+	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
 
 $(B)/bench_%: $(B)/bench/bench_%.o $(LIB)
-	$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
+	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
 
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 
@@ -91,17 +91,17 @@
 	FTK_WRITE_EXPECTED=1 $(B)/test_scripts -q
 
 format:
-	clang-format -i $(C_FILES)
+	@clang-format -i $(C_FILES)
 
 format-check:
-	clang-format --dry-run --Werror $(C_FILES)
+	@clang-format --dry-run --Werror $(C_FILES)
 
 lint:
-	cppcheck -q --enable=warning,portability,performance \
-	  --inline-suppr --suppress=missingInclude --error-exitcode=1 \
+	@cppcheck -q --enable=warning,portability,performance \
+	  --inline-suppr --library=gtk --library=cppcheck.cfg --suppress=missingInclude --error-exitcode=1 \
 	  -j 8 -I. -Iinclude port core adapter daemon ctl tests bench
-	printf '%s\n' $(LIB_SRC) $(CTL_SRC) daemon/fulmartackd.c \
-	  | xargs -P 8 -n 4 -I{} clang-tidy --quiet {} -- -std=gnu11 -D_GNU_SOURCE -I. \
+	@printf '%s\n' $(LIB_SRC) $(CTL_SRC) daemon/fulmartackd.c \
+	  | xargs -P 10 -I{} clang-tidy --quiet {} -- -std=gnu11 -D_GNU_SOURCE -I. \
 	    -Iinclude $(DEPS_CFLAGS) 2>/dev/null
 
 bench: all
--- a/adapter/log_service.c
+++ b/adapter/log_service.c
@@ -39,6 +39,9 @@
   struct event *event;
 };
 
+TAILQ_HEAD (pending_list, pending);
+STAILQ_HEAD (late_list, late_event);
+
 struct log_service
 {
   struct duty *duty;
@@ -50,9 +53,9 @@
   uint32_t append_backoff_ms;
   bool appending;       /**< A batch is out.  */
   uint32_t batch_count; /**< Records in the batch that is out.  */
-  TAILQ_HEAD (, pending) pending;
-  STAILQ_HEAD (, late_event) late; /**< Events that await room.  */
-  struct ring *flushed;            /**< Told once when nothing is pending.  */
+  struct pending_list pending;
+  struct late_list late; /**< Events that await room.  */
+  struct ring *flushed;  /**< Told once when nothing is pending.  */
 };
 
 static void start_read (struct log_service *l);
--- a/adapter/trace.c
+++ b/adapter/trace.c
@@ -35,7 +35,7 @@
 }
 
 #define NAME_INDEX(names, name)                                               \
-  name_index (names, (int)(sizeof names / sizeof names[0]), name)
+  name_index (names, (int)(sizeof (names) / sizeof (names)[0]), name)
 
 static struct blob *
 read_body (struct json_place *p)
--- a/core/control.c
+++ b/core/control.c
@@ -35,6 +35,12 @@
   return strcmp (x->queue, y->queue);
 }
 
+static int
+compare_queue (const void *queue, const void *route)
+{
+  return strcmp (queue, ((const struct route_config *)route)->queue);
+}
+
 static enum verdict
 apply_config (struct control *c, uint64_t offset, struct record *r)
 {
@@ -202,13 +208,10 @@
 const struct route_config *
 control_find_route (const struct control *c, const char *queue)
 {
-  struct route_config wanted;
-
   if (c->config == NULL)
     return NULL;
-  text_copy (wanted.queue, NAME_BYTES, queue);
-  return bsearch (&wanted, c->config->routes, c->config->route_count,
-                  sizeof wanted, compare_routes);
+  return bsearch (queue, c->config->routes, c->config->route_count,
+                  sizeof *c->config->routes, compare_queue);
 }
 
 int32_t
--- a/ctl/call.c
+++ b/ctl/call.c
@@ -122,7 +122,9 @@
 {
   uint8_t bytes[16];
 
+  char hex[2 * sizeof bytes + 1];
+
   randombytes_buf (bytes, sizeof bytes);
-  memcpy (id, "ctl-", 4);
-  sodium_bin2hex (id + 4, ID_BYTES - 4, bytes, sizeof bytes);
+  sodium_bin2hex (hex, sizeof hex, bytes, sizeof bytes);
+  snprintf (id, ID_BYTES, "ctl-%s", hex);
 }
--- a/ctl/view.c
+++ b/ctl/view.c
@@ -105,10 +105,10 @@
       json_decref (j);
     }
   n = json_array_size (all);
-  sorted = calloc (n + 1, sizeof *sorted);
+  sorted = calloc (n + 1, sizeof (json_t *));
   for (i = 0; i < n; i++)
     sorted[i] = json_array_get (all, i);
-  qsort (sorted, n, sizeof *sorted, compare_time);
+  qsort (sorted, n, sizeof (json_t *), compare_time);
   for (i = 0; i < n; i++)
     if (c->json)
       {
--- a/port/types.h
+++ b/port/types.h
@@ -29,6 +29,6 @@
 
 /** Ends the process: small fixed allocations do not fail on a healthy VM, and
     a member that cannot keep its state must not go on without it.  */
-_Noreturn void out_of_memory (void);
+void out_of_memory (void) __attribute__ ((noreturn));
 
 #endif
