Split dispatch, health, maintenance and peer input out of the request module

Cause: limits, delivery, membership and maintenance are to grow side by side; one file would hold them all. Each gets its own module with its hook in the step.

--- a/core/adopt.c
+++ b/core/adopt.c
@@ -9,17 +9,21 @@
 #include <string.h>
 
 static void
-count_running (struct core *c, const struct request *r)
+count_running (struct core *c, struct request *r)
 {
   const struct config *f = c->control->config;
   int32_t team = control_team_index (c->control, r->team);
   uint32_t i;
 
+  r->vm_index = -1;
   if (team >= 0)
     c->teams[team].running_count++;
   for (i = 0; i < f->vm_count; i++)
     if (strcmp (f->vms[i].name, r->vm) == 0)
-      c->vms[i].running_count++;
+      {
+        c->vms[i].running_count++;
+        r->vm_index = (int32_t)i;
+      }
 }
 
 static void
--- a/core/core.c
+++ b/core/core.c
@@ -93,6 +93,9 @@
     {
     case EVENT_TICK:
       core_expire (c);
+      core_membership_tick (c);
+      core_limit_tick (c);
+      core_maintenance_tick (c);
       break;
     case EVENT_REQUEST:
       core_on_request (c, &e->u.request);
@@ -110,6 +113,7 @@
       core_on_record (c, &e->u.record);
       break;
     case EVENT_PEER:
+      core_on_peer (c, &e->u.peer);
       break;
     case EVENT_STATUS:
       on_status (c, &e->u.status);
--- a/core/limit.c
+++ b/core/limit.c
@@ -29,3 +29,9 @@
 {
   return split (c, c->control->config->vms[index].slot_count);
 }
+
+void
+core_limit_tick (struct core *c)
+{
+  (void)c;
+}
--- a/core/membership.c
+++ b/core/membership.c
@@ -171,3 +171,9 @@
   core_note (c, NOTE_STOPPED, c->settings.vm, c->running_count);
   actions_add (c->out, ACTION_EXIT);
 }
+
+void
+core_membership_tick (struct core *c)
+{
+  (void)c;
+}
--- a/core/request.c
+++ b/core/request.c
@@ -37,55 +37,17 @@
   talloc_free (r);
 }
 
-static void
-enqueue (struct core *c, struct pool_state *p, struct request *r)
-{
-  r->state = REQUEST_WAITING;
-  TAILQ_INSERT_TAIL (&p->waiting, r, link);
-  p->waiting_count++;
-  c->waiting_count++;
-}
-
-static void
-dequeue (struct core *c, struct pool_state *p, struct request *r)
-{
-  TAILQ_REMOVE (&p->waiting, r, link);
-  p->waiting_count--;
-  c->waiting_count--;
-}
-
 static void
 refuse_waiting (struct core *c, struct pool_state *p, struct request *r,
                 enum answer_code code)
 {
-  dequeue (c, p, r);
+  core_dequeue (c, p, r);
   answer (c, r->request_id, r->sent ? ANSWER_UNKNOWN : code, RETRY_AFTER_MS);
   forget_request (c, r);
 }
 
-/* Returns the least loaded VM of the pool with a slot free for this entry, or
-   -1.  */
-static int32_t
-pick_vm (const struct core *c, uint32_t pool_index)
-{
-  const struct config *f = c->control->config;
-  int32_t best = -1;
-  uint32_t i;
-
-  for (i = 0; i < f->vm_count; i++)
-    {
-      if (f->vms[i].pool_index != pool_index
-          || c->vms[i].running_count >= core_vm_limit (c, i))
-        continue;
-      if (best < 0 || c->vms[i].running_count < c->vms[best].running_count)
-        best = (int32_t)i;
-    }
-  return best;
-}
-
-static void
-start_attempt (struct core *c, struct request *r, uint32_t vm_index,
-               int32_t team_index)
+void
+core_start_attempt (struct core *c, struct request *r, uint32_t vm_index)
 {
   const struct vm_config *v = &c->control->config->vms[vm_index];
   struct action *a = actions_add (c->out, ACTION_START);
@@ -93,18 +55,8 @@
   r->state = REQUEST_RUNNING;
   r->attempt_id = ++c->next_attempt_id;
   r->attempt_count++;
-  text_copy (r->vm, NAME_BYTES, v->name);
   g_hash_table_insert (c->attempts, &r->attempt_id, r);
-  c->running_count++;
-  c->vms[vm_index].running_count++;
-  if (team_index >= 0)
-    {
-      struct team_state *t = &c->teams[team_index];
-
-      t->running_count++;
-      if (t->running_count > t->high_water_count)
-        t->high_water_count = t->running_count;
-    }
+  core_acquire (c, r, vm_index);
   c->counters[COUNTER_ATTEMPTS]++;
   a->u.start.attempt_id = r->attempt_id;
   text_copy (a->u.start.vm, NAME_BYTES, v->name);
@@ -115,50 +67,6 @@
   a->u.start.body = blob_ref (r->body);
 }
 
-static bool
-team_may_start (const struct core *c, int32_t team_index)
-{
-  if (team_index < 0)
-    return true;
-  return c->teams[team_index].running_count
-         < core_team_limit (c, (uint32_t)team_index);
-}
-
-static void
-dispatch_pool (struct core *c, uint32_t pool_index)
-{
-  struct pool_state *p = &c->pools[pool_index];
-  struct request *r;
-  struct request *next;
-
-  for (r = TAILQ_FIRST (&p->waiting); r != NULL; r = next)
-    {
-      int32_t team = control_team_index (c->control, r->team);
-      int32_t vm;
-
-      next = TAILQ_NEXT (r, link);
-      if (!team_may_start (c, team))
-        continue;
-      vm = pick_vm (c, pool_index);
-      if (vm < 0)
-        return;
-      dequeue (c, p, r);
-      start_attempt (c, r, (uint32_t)vm, team);
-    }
-}
-
-void
-core_dispatch_all (struct core *c)
-{
-  uint32_t i;
-
-  if (c->control->config == NULL)
-    return;
-  for (i = 0; i < c->control->config->pool_count; i++)
-    if (c->pools[i].waiting_count > 0)
-      dispatch_pool (c, i);
-}
-
 /* Returns why a request may not be taken, or ANSWER_WORKER if it may.  */
 static enum answer_code
 admit (const struct core *c, const struct event_request *e,
@@ -221,8 +129,9 @@
       blob_unref (e->body);
       return;
     }
-  enqueue (c, &c->pools[route->pool_index], make_request (c, e, route, k));
-  dispatch_pool (c, route->pool_index);
+  core_enqueue (c, &c->pools[route->pool_index],
+                make_request (c, e, route, k));
+  core_dispatch_pool (c, route->pool_index);
 }
 
 void
@@ -236,27 +145,10 @@
   p = pool_of_queue (c, r->queue);
   if (p == NULL)
     return;
-  dequeue (c, p, r);
+  core_dequeue (c, p, r);
   forget_request (c, r);
 }
 
-static void
-release_attempt (struct core *c, struct request *r)
-{
-  const struct config *f = c->control->config;
-  int32_t team = control_team_index (c->control, r->team);
-  uint32_t i;
-
-  g_hash_table_remove (c->attempts, &r->attempt_id);
-  r->attempt_id = 0;
-  c->running_count--;
-  if (team >= 0 && c->teams[team].running_count > 0)
-    c->teams[team].running_count--;
-  for (i = 0; i < f->vm_count; i++)
-    if (strcmp (c->vms[i].name, r->vm) == 0 && c->vms[i].running_count > 0)
-      c->vms[i].running_count--;
-}
-
 static void
 answer_from_worker (struct core *c, struct request *r, struct event_attempt *e)
 {
@@ -280,7 +172,7 @@
   if (p != NULL && may_repeat && r->attempt_count < ATTEMPT_LIMIT_COUNT
       && c->now_us < r->deadline_us)
     {
-      enqueue (c, p, r);
+      core_enqueue (c, p, r);
       return;
     }
   answer (c, r->request_id, r->sent ? ANSWER_UNKNOWN : code, RETRY_AFTER_MS);
@@ -297,7 +189,9 @@
       blob_unref (e->body);
       return;
     }
-  release_attempt (c, r);
+  g_hash_table_remove (c->attempts, &r->attempt_id);
+  r->attempt_id = 0;
+  core_release (c, r);
   switch (e->outcome)
     {
     case ATTEMPT_ANSWERED:
--- a/core/state.h
+++ b/core/state.h
@@ -26,6 +26,7 @@
   char queue[NAME_BYTES];
   char team[NAME_BYTES];
   char vm[NAME_BYTES]; /**< Worker of the attempt.  */
+  int32_t vm_index;    /**< Its index in the tables; -1: none.  */
   bool idempotent;
   bool sent; /**< A byte may have reached a worker.  */
   uint32_t attempt_count;
@@ -104,6 +105,14 @@
 /** Writes a fresh command id to ID.  */
 void core_command_id (struct core *c, char *id);
 
+/** Does the membership's periodic work (join, freshness, peers' status).  */
+void core_membership_tick (struct core *c);
+
+/* peers, peer_input.c */
+
+/** Takes a peer's message.  */
+void core_on_peer (struct core *c, const struct peer_message *m);
+
 /* data plane, request.c */
 
 /** Takes, queues or refuses a caller's request.  */
@@ -114,8 +123,41 @@
 void core_on_attempt (struct core *c, struct event_attempt *e);
 /** Refuses what waited past its deadline.  */
 void core_expire (struct core *c);
+/** Sends R to the worker VM_INDEX.  */
+void core_start_attempt (struct core *c, struct request *r, uint32_t vm_index);
+
+/* worker health, health.c */
+
+/** Returns false while VM_INDEX is set aside for failing.  */
+bool core_vm_is_healthy (const struct core *c, uint32_t vm_index);
+/** Returns true if R should not go to VM_INDEX, for it failed there.  */
+bool core_request_avoids (const struct core *c, const struct request *r,
+                          uint32_t vm_index);
+
+/* maintenance, maintenance.c */
+
+/** Returns false while VM_INDEX is leaving or out.  */
+bool core_vm_takes_work (const struct core *c, uint32_t vm_index);
+/** Carries on waves, drains and moves.  */
+void core_maintenance_tick (struct core *c);
+
+/* dispatch.c */
+
+/** Puts R at its place in P's queue.  */
+void core_enqueue (struct core *c, struct pool_state *p, struct request *r);
+/** Takes R out of P's queue.  */
+void core_dequeue (struct core *c, struct pool_state *p, struct request *r);
+/** Starts what may start now in one pool.  */
+void core_dispatch_pool (struct core *c, uint32_t pool_index);
 /** Starts what may start now in every pool.  */
 void core_dispatch_all (struct core *c);
+/** Counts the start of R on VM_INDEX against its limits.  */
+void core_acquire (struct core *c, struct request *r, uint32_t vm_index);
+/** Gives back what core_acquire took.  */
+void core_release (struct core *c, struct request *r);
+
+/* adopt.c */
+
 /** Rebuilds the tables that run parallel to the configuration.  */
 void core_adopt_config (struct core *c);
 
@@ -125,5 +167,7 @@
 uint32_t core_team_limit (const struct core *c, uint32_t index);
 /** Returns how many slots of VM INDEX this entry may fill.  */
 uint32_t core_vm_limit (const struct core *c, uint32_t index);
+/** Exchanges demand and tokens with the peers.  */
+void core_limit_tick (struct core *c);
 
 #endif
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -3,13 +3,14 @@
 #include "tests/cluster.h"
 
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #define PORT_STEP 100
 #define PORT_LOW 20000
-#define PORT_RANGES 120
+#define PORT_RANGES 20
 #define CALL_LIMIT_MS 30000
 #define START_LIMIT_MS 10000
 #define POLL_US 20000
@@ -102,9 +103,12 @@
 cluster_start (guint entry_count, guint worker_count)
 {
   struct cluster *c = g_new0 (struct cluster, 1);
+  const gchar *low;
   guint i;
 
-  c->base = (guint16)(PORT_LOW + getpid () % PORT_RANGES * PORT_STEP);
+  low = g_getenv ("FTK_PORT_LOW");
+  c->base = (guint16)((low ? atoi (low) : PORT_LOW)
+                      + getpid () % PORT_RANGES * PORT_STEP);
   c->log_port = c->base;
   c->fleet_port = (guint16)(c->base + 1);
   c->worker_port = (guint16)(c->base + 50);
