--- a/adapter/decide.c
+++ b/adapter/decide.c
@@ -26,6 +26,10 @@
     blob_unref (e->u.request.body);
   if (e->kind == EVENT_ATTEMPT_DONE)
     blob_unref (e->u.attempt.body);
+  if (e->kind == EVENT_RECORD)
+    blob_unref (e->u.record.raw);
+  if (e->kind == EVENT_PEER && e->u.peer.kind == PEER_RECORD)
+    blob_unref (e->u.peer.u.record.raw);
   talloc_free (e);
 }
 
@@ -66,6 +70,25 @@
     talloc_free (x);
 }
 
+/* What a member must get is sent again until it is acknowledged.  */
+static void
+send_peer (struct decide *d, const struct action *a)
+{
+  if (!send_action (d->outputs.peer, a))
+    peer_message_drop ((struct peer_message *)&a->u.peer);
+}
+
+static void
+send_follow (struct decide *d, uint64_t offset)
+{
+  struct log_item *x = talloc_zero (NULL, struct log_item);
+
+  x->follow = true;
+  x->follow_offset = offset;
+  if (!ring_push (d->outputs.log, x))
+    talloc_free (x);
+}
+
 /* The newest list replaces one that still awaits room.  */
 static void
 send_members (struct decide *d, struct member_list *l)
@@ -101,7 +124,10 @@
       send_record (d, a->u.append);
       break;
     case ACTION_PEER:
-      send_action (d->outputs.peer, a);
+      send_peer (d, a);
+      break;
+    case ACTION_FOLLOW:
+      send_follow (d, a->u.follow_offset);
       break;
     case ACTION_MEMBERS:
       send_members (d, a->u.members);
--- a/adapter/log_service.c
+++ b/adapter/log_service.c
@@ -51,6 +51,9 @@
   uint64_t next_offset; /**< First offset not yet handed over.  */
   uint32_t read_backoff_ms;
   uint32_t append_backoff_ms;
+  bool reading;         /**< A read is out.  */
+  uint64_t asked_us;    /**< When the read that is out was started.  */
+  bool discard;         /**< It was started at an offset of no use now.  */
   bool appending;       /**< A batch is out.  */
   uint32_t batch_count; /**< Records in the batch that is out.  */
   struct pending_list pending;
@@ -157,18 +160,22 @@
       = (uint64_t)json_integer_value (json_object_get (envelope, "at_ms"));
   e->u.record.record
       = record_from_json (e, json_object_get (envelope, "data"));
+  e->u.record.raw = record_to_raw (json_object_get (envelope, "data"));
   l->next_offset = (uint64_t)offset + 1;
   hand_over (l, e);
 }
 
 static void
-take_log_read (struct log_service *l, bool readable, uint64_t next_offset)
+take_log_read (struct log_service *l, bool readable, uint64_t first_offset,
+               uint64_t next_offset)
 {
   struct event *e = talloc_zero (NULL, struct event);
 
   e->kind = EVENT_LOG_READ;
   e->u.log_read.readable = readable;
+  e->u.log_read.first_offset = first_offset;
   e->u.log_read.next_offset = next_offset;
+  e->u.log_read.asked_us = l->asked_us;
   hand_over (l, e);
 }
 
@@ -179,15 +186,18 @@
   json_t *page
       = json_loadb ((const char *)body->data, body->size_bytes, 0, &error);
   const json_t *records = json_object_get (page, "records");
+  const json_t *first = json_object_get (page, "first");
   const json_t *next = json_object_get (page, "next");
-  bool whole = json_is_array (records) && json_is_integer (next);
+  bool whole = json_is_array (records) && json_is_integer (first)
+               && json_is_integer (next);
   json_t *envelope;
   size_t i;
 
   if (whole)
     {
       json_array_foreach (records, i, envelope) take_record (l, envelope);
-      take_log_read (l, true, (uint64_t)json_integer_value (next));
+      take_log_read (l, true, (uint64_t)json_integer_value (first),
+                     (uint64_t)json_integer_value (next));
     }
   json_decref (page);
   return whole;
@@ -198,6 +208,13 @@
 {
   struct log_service *l = state;
 
+  l->reading = false;
+  if (l->discard)
+    {
+      l->discard = false;
+      start_read (l);
+      return;
+    }
   if (r->answered && r->status == 200 && take_page (l, r->body))
     {
       l->read_backoff_ms = BACKOFF_LOW_MS;
@@ -207,7 +224,7 @@
         later (l, 1, on_flush);
       return;
     }
-  take_log_read (l, false, 0);
+  take_log_read (l, false, 0, 0);
   flush_late (l);
   later (l, next_backoff (&l->read_backoff_ms), on_read_again);
 }
@@ -225,11 +242,15 @@
     .state = l,
   };
 
+  l->asked_us = now_us ();
+  l->reading = true;
   snprintf (url, sizeof url,
             "http://%s/v1/read?from=%" PRIu64 "&wait_ms=%d&max=%d", l->address,
             l->next_offset, READ_WAIT_MS, READ_MAX_COUNT);
-  if (http_client_start (l->http, &call) == NULL)
-    later (l, BACKOFF_HIGH_MS, on_read_again);
+  if (http_client_start (l->http, &call) != NULL)
+    return;
+  l->reading = false;
+  later (l, BACKOFF_HIGH_MS, on_read_again);
 }
 
 static void
@@ -317,6 +338,13 @@
   struct log_item *x = item;
   struct pending *p;
 
+  if (x->follow)
+    {
+      l->next_offset = x->follow_offset;
+      l->discard = l->reading;
+      talloc_free (x);
+      return;
+    }
   if (x->flushed != NULL)
     {
       l->flushed = x->flushed;
@@ -377,7 +405,11 @@
   while (ring_pop (l->duty->inbound, (void **)&x, 1) > 0)
     talloc_free (x);
   STAILQ_FOREACH (e, &l->late, link)
-  talloc_free (e->event);
+  {
+    if (e->event->kind == EVENT_RECORD)
+      blob_unref (e->event->u.record.raw);
+    talloc_free (e->event);
+  }
   talloc_free (l->http);
   duty_free (l->duty);
   talloc_free (l);
--- a/adapter/log_service.h
+++ b/adapter/log_service.h
@@ -12,7 +12,9 @@
 struct log_item
 {
   struct record *record; /**< Appended; a child of the item.  */
-  struct ring *flushed;  /**< Else: told once when nothing is pending.  */
+  bool follow;           /**< Else: read on from follow_offset.  */
+  uint64_t follow_offset;
+  struct ring *flushed; /**< Else: told once when nothing is pending.  */
 };
 
 /** Returns the log duty on ADDRESS, whose records go to DECIDE; or NULL.  */
--- a/adapter/peer.c
+++ b/adapter/peer.c
@@ -379,6 +379,8 @@
 {
   if (a->kind == ACTION_MEMBERS)
     talloc_free (a->u.members);
+  else
+    peer_message_drop (&a->u.peer);
   talloc_free (a);
 }
 
@@ -454,7 +456,11 @@
   if (p == NULL)
     return;
   STAILQ_FOREACH (e, &p->late, entry)
-  talloc_free (e->event);
+  {
+    if (e->event->kind == EVENT_PEER && e->event->u.peer.kind == PEER_RECORD)
+      blob_unref (e->event->u.peer.u.record.raw);
+    talloc_free (e->event);
+  }
   /* The links go before the loop that watches them.  */
   while ((a = LIST_FIRST (&p->accepted)) != NULL)
     {
--- a/adapter/peer_codec.c
+++ b/adapter/peer_codec.c
@@ -2,7 +2,10 @@
 
 #include "adapter/peer_codec.h"
 
+#include "adapter/record_json.h"
+
 #include <msgpack.h>
+#include <stdlib.h>
 #include <string.h>
 
 /** Kind, sender and receiver.  */
@@ -10,8 +13,8 @@
 
 /* Fields behind the head of each kind.  */
 static const uint32_t field_counts[] = {
-  [PEER_STATUS] = 3, [PEER_DEMAND] = 4, [PEER_TRANSFER] = 4,
-  [PEER_ACK] = 1,    [PEER_ASK] = 3,
+  [PEER_STATUS] = 6, [PEER_DEMAND] = 4, [PEER_TRANSFER] = 4,
+  [PEER_ACK] = 1,    [PEER_ASK] = 3,    [PEER_RECORD] = 2,
 };
 
 #define KIND_COUNT (sizeof field_counts / sizeof field_counts[0])
@@ -50,6 +53,21 @@
   pack_text (p, l->name);
 }
 
+static void
+pack_record (msgpack_packer *p, const struct peer_record *r)
+{
+  json_t *j = r->raw == NULL ? record_to_json (r->record) : NULL;
+  char *text = j ? json_dumps (j, JSON_COMPACT) : NULL;
+  const void *data = r->raw ? (const void *)r->raw->data : text;
+  size_t n = r->raw ? r->raw->size_bytes : strlen (text);
+
+  msgpack_pack_uint64 (p, r->offset);
+  msgpack_pack_bin (p, n);
+  msgpack_pack_bin_body (p, data, n);
+  free (text);
+  json_decref (j);
+}
+
 static void
 pack_fields (msgpack_packer *p, const struct peer_message *m)
 {
@@ -59,6 +77,9 @@
       msgpack_pack_uint64 (p, m->u.status.next_offset);
       pack_bool (p, m->u.status.log_readable);
       pack_bool (p, m->u.status.stopping);
+      msgpack_pack_uint32 (p, m->u.status.log_age_ms);
+      msgpack_pack_uint64 (p, m->u.status.sent_us);
+      msgpack_pack_uint64 (p, m->u.status.echo_us);
       break;
     case PEER_DEMAND:
       pack_text (p, m->u.demand.pool);
@@ -78,6 +99,9 @@
       pack_limit (p, &m->u.ask.limit);
       msgpack_pack_uint32 (p, m->u.ask.token_count);
       break;
+    case PEER_RECORD:
+      pack_record (p, &m->u.record);
+      break;
     }
 }
 
@@ -159,8 +183,32 @@
   take_text (c, l->name, NAME_BYTES);
 }
 
+/* Bytes that are no JSON fault the message; JSON that is no record is passed
+   on as such, for the log may hold it.  */
+static void
+take_record (struct cursor *c, struct event *e, struct peer_record *r)
+{
+  const msgpack_object *o;
+  json_error_t error;
+  json_t *j;
+
+  r->offset = take_number (c, INT64_MAX);
+  o = take (c, MSGPACK_OBJECT_BIN);
+  if (o == NULL)
+    return;
+  j = json_loadb (o->via.bin.ptr, o->via.bin.size, JSON_DECODE_ANY, &error);
+  if (j == NULL)
+    {
+      c->failed = true;
+      return;
+    }
+  r->record = record_from_json (e, j);
+  r->raw = blob_copy (o->via.bin.ptr, o->via.bin.size);
+  json_decref (j);
+}
+
 static void
-take_fields (struct cursor *c, struct peer_message *m)
+take_fields (struct cursor *c, struct event *e, struct peer_message *m)
 {
   switch (m->kind)
     {
@@ -168,6 +216,9 @@
       m->u.status.next_offset = take_number (c, INT64_MAX);
       m->u.status.log_readable = take_bool (c);
       m->u.status.stopping = take_bool (c);
+      m->u.status.log_age_ms = (uint32_t)take_number (c, UINT32_MAX);
+      m->u.status.sent_us = take_number (c, INT64_MAX);
+      m->u.status.echo_us = take_number (c, INT64_MAX);
       break;
     case PEER_DEMAND:
       take_text (c, m->u.demand.pool, NAME_BYTES);
@@ -187,12 +238,16 @@
       take_limit (c, &m->u.ask.limit);
       m->u.ask.token_count = (uint32_t)take_number (c, UINT32_MAX);
       break;
+    case PEER_RECORD:
+      take_record (c, e, &m->u.record);
+      break;
     }
 }
 
 static bool
-read_message (const msgpack_object *o, struct peer_message *m)
+read_message (const msgpack_object *o, struct event *e)
 {
+  struct peer_message *m = &e->u.peer;
   struct cursor c = { 0 };
 
   if (o->type != MSGPACK_OBJECT_ARRAY)
@@ -204,7 +259,7 @@
   m->to_incarnation = take_number (&c, INT64_MAX);
   if (c.failed || c.item_count != HEAD_COUNT + field_counts[m->kind])
     return false;
-  take_fields (&c, m);
+  take_fields (&c, e, m);
   return !c.failed;
 }
 
@@ -220,7 +275,7 @@
   msgpack_unpacked_init (&u);
   good = msgpack_unpack_next (&u, (const char *)data, size_bytes, &used)
              == MSGPACK_UNPACK_SUCCESS
-         && used == size_bytes && read_message (&u.data, &e->u.peer);
+         && used == size_bytes && read_message (&u.data, e);
   msgpack_unpacked_destroy (&u);
   if (good)
     return e;
--- a/adapter/peer_json.c
+++ b/adapter/peer_json.c
@@ -2,12 +2,14 @@
 
 #include "adapter/peer_json.h"
 
+#include "adapter/record_json.h"
+
 #include <string.h>
 
 static const char *const kind_names[] = {
   [PEER_STATUS] = "status",     [PEER_DEMAND] = "demand",
   [PEER_TRANSFER] = "transfer", [PEER_ACK] = "ack",
-  [PEER_ASK] = "ask",
+  [PEER_ASK] = "ask",           [PEER_RECORD] = "record",
 };
 
 #define KIND_COUNT (sizeof kind_names / sizeof kind_names[0])
@@ -31,7 +33,17 @@
 }
 
 static void
-read_fields (struct json_place *p, struct peer_message *m)
+read_record (struct json_place *p, TALLOC_CTX *mem, struct peer_record *r)
+{
+  const json_t *data = json_object_get (p->object, "data");
+
+  r->offset = json_get_number (p, "offset", 0, INT64_MAX, 0);
+  r->record = record_from_json (mem, data);
+  r->raw = record_to_raw (data);
+}
+
+static void
+read_fields (struct json_place *p, TALLOC_CTX *mem, struct peer_message *m)
 {
   switch (m->kind)
     {
@@ -39,6 +51,10 @@
       m->u.status.next_offset = json_get_number (p, "next", 0, INT64_MAX, 0);
       m->u.status.log_readable = json_get_bool (p, "readable", true);
       m->u.status.stopping = json_get_bool (p, "stopping", false);
+      m->u.status.log_age_ms
+          = (uint32_t)json_get_number (p, "log_age_ms", 0, UINT32_MAX, 0);
+      m->u.status.sent_us = json_get_number (p, "sent_us", 0, INT64_MAX, 0);
+      m->u.status.echo_us = json_get_number (p, "echo_us", 0, INT64_MAX, 0);
       break;
     case PEER_DEMAND:
       json_get_text (p, "pool", true, m->u.demand.pool, NAME_BYTES);
@@ -63,11 +79,15 @@
       m->u.ask.token_count
           = (uint32_t)json_get_number (p, "tokens", 0, UINT32_MAX, 0);
       break;
+    case PEER_RECORD:
+      read_record (p, mem, &m->u.record);
+      break;
     }
 }
 
 void
-peer_message_from_json (struct json_place *p, struct peer_message *m)
+peer_message_from_json (struct json_place *p, TALLOC_CTX *mem,
+                        struct peer_message *m)
 {
   char kind[NAME_BYTES];
   uint32_t i;
@@ -79,7 +99,7 @@
     if (strcmp (kind_names[i], kind) == 0)
       {
         m->kind = (enum peer_kind)i;
-        read_fields (p, m);
+        read_fields (p, mem, m);
         return;
       }
   json_fault (p, "kind", "is unknown");
@@ -104,6 +124,20 @@
   set_text (j, "name", l->name);
 }
 
+static void
+write_record (const struct peer_record *r, json_t *j)
+{
+  json_t *data;
+
+  if (r->raw != NULL)
+    data = json_loadb ((const char *)r->raw->data, r->raw->size_bytes,
+                       JSON_DECODE_ANY, NULL);
+  else
+    data = record_to_json (r->record);
+  set_number (j, "offset", r->offset);
+  json_object_set_new (j, "data", data);
+}
+
 void
 peer_message_to_json (const struct peer_message *m, json_t *j)
 {
@@ -117,6 +151,9 @@
       json_object_set_new (j, "readable",
                            json_boolean (m->u.status.log_readable));
       json_object_set_new (j, "stopping", json_boolean (m->u.status.stopping));
+      set_number (j, "log_age_ms", m->u.status.log_age_ms);
+      set_number (j, "sent_us", m->u.status.sent_us);
+      set_number (j, "echo_us", m->u.status.echo_us);
       break;
     case PEER_DEMAND:
       set_text (j, "pool", m->u.demand.pool);
@@ -136,5 +173,8 @@
       write_limit (&m->u.ask.limit, j);
       set_number (j, "tokens", m->u.ask.token_count);
       break;
+    case PEER_RECORD:
+      write_record (&m->u.record, j);
+      break;
     }
 }
--- a/adapter/peer_json.h
+++ b/adapter/peer_json.h
@@ -6,8 +6,10 @@
 #include "adapter/json_field.h"
 #include "port/peer_message.h"
 
-/** Reads M from the object of P; every fault is added to its findings.  */
-void peer_message_from_json (struct json_place *p, struct peer_message *m);
+/** Reads M from the object of P, its record as a child of MEM; every fault is
+    added to the findings of P.  */
+void peer_message_from_json (struct json_place *p, TALLOC_CTX *mem,
+                             struct peer_message *m);
 
 /** Adds the fields of M to the object J.  */
 void peer_message_to_json (const struct peer_message *m, json_t *j);
--- a/adapter/record_json.c
+++ b/adapter/record_json.c
@@ -2,10 +2,12 @@
 
 #include "adapter/record_json.h"
 
+#include "adapter/checkpoint_json.h"
 #include "adapter/config_json.h"
 #include "adapter/json_field.h"
 
 #include <sodium.h>
+#include <stdlib.h>
 #include <string.h>
 
 static const char *const kind_names[] = {
@@ -14,8 +16,13 @@
   [RECORD_KEY_WITHDRAW] = "key_withdraw",
   [RECORD_JOIN] = "join",
   [RECORD_LEAVE] = "leave",
+  [RECORD_GONE] = "gone",
+  [RECORD_CHECKPOINT] = "checkpoint",
 };
 
+/** Larger records are not passed on to members.  */
+#define RAW_LIMIT_BYTES (2u << 20)
+
 #define KIND_COUNT (sizeof kind_names / sizeof kind_names[0])
 
 static bool
@@ -69,10 +76,14 @@
                      ADDRESS_BYTES);
       break;
     case RECORD_LEAVE:
+    case RECORD_GONE:
       json_get_text (p, "vm", true, r->u.leave.vm, NAME_BYTES);
       r->u.leave.incarnation
           = json_get_number (p, "incarnation", 0, INT64_MAX, 0);
       break;
+    case RECORD_CHECKPOINT:
+      r->u.checkpoint = checkpoint_from_json (r, p);
+      break;
     }
 }
 
@@ -129,10 +140,26 @@
                            json_string (r->u.join.peer_address));
       break;
     case RECORD_LEAVE:
+    case RECORD_GONE:
       json_object_set_new (j, "vm", json_string (r->u.leave.vm));
       json_object_set_new (j, "incarnation",
                            json_integer ((json_int_t)r->u.leave.incarnation));
       break;
+    case RECORD_CHECKPOINT:
+      checkpoint_to_json (r->u.checkpoint, j);
+      break;
     }
   return j;
 }
+
+struct blob *
+record_to_raw (const json_t *data)
+{
+  char *text = json_dumps (data, JSON_COMPACT | JSON_ENCODE_ANY);
+  struct blob *b = NULL;
+
+  if (text != NULL && strlen (text) <= RAW_LIMIT_BYTES)
+    b = blob_copy (text, (uint32_t)strlen (text));
+  free (text);
+  return b;
+}
--- a/adapter/record_json.h
+++ b/adapter/record_json.h
@@ -3,6 +3,7 @@
 #ifndef FTK_ADAPTER_RECORD_JSON_H
 #define FTK_ADAPTER_RECORD_JSON_H
 
+#include "port/blob.h"
 #include "port/record.h"
 
 #include <jansson.h>
@@ -15,4 +16,8 @@
 /** Returns R as JSON (a new reference).  */
 json_t *record_to_json (const struct record *r);
 
+/** Returns the bytes of DATA, the record as the log has it, to be passed on;
+   or NULL if they are too many.  */
+struct blob *record_to_raw (const json_t *data);
+
 #endif
--- a/adapter/trace.c
+++ b/adapter/trace.c
@@ -105,6 +105,7 @@
   e->u.record.at_ms = json_get_number (p, "at_ms", 0, INT64_MAX, 0);
   e->u.record.record
       = record_from_json (e, json_object_get (p->object, "data"));
+  e->u.record.raw = record_to_raw (json_object_get (p->object, "data"));
 }
 
 static void
@@ -123,7 +124,11 @@
       break;
     case EVENT_LOG_READ:
       e->u.log_read.readable = json_get_bool (p, "readable", true);
+      e->u.log_read.first_offset
+          = json_get_number (p, "first", 0, INT64_MAX, 0);
       e->u.log_read.next_offset = json_get_number (p, "next", 0, INT64_MAX, 0);
+      e->u.log_read.asked_us
+          = json_get_number (p, "asked_us", 0, INT64_MAX, 0);
       break;
     case EVENT_RECORD:
       read_record (p, e);
@@ -136,7 +141,7 @@
                      ADDRESS_BYTES);
       break;
     case EVENT_PEER:
-      peer_message_from_json (p, &e->u.peer);
+      peer_message_from_json (p, e, &e->u.peer);
       break;
     case EVENT_TICK:
     case EVENT_STOP:
@@ -238,7 +243,9 @@
     case EVENT_LOG_READ:
       json_object_set_new (j, "readable",
                            json_boolean (e->u.log_read.readable));
+      set_number (j, "first", e->u.log_read.first_offset);
       set_number (j, "next", e->u.log_read.next_offset);
+      set_number (j, "asked_us", e->u.log_read.asked_us);
       break;
     case EVENT_RECORD:
       set_number (j, "offset", e->u.record.offset);
@@ -344,6 +351,9 @@
       return peer_action_to_json (&a->u.peer);
     case ACTION_MEMBERS:
       return members_to_json (a->u.members);
+    case ACTION_FOLLOW:
+      return json_pack ("{s:s, s:I}", "action", "follow", "offset",
+                        (json_int_t)a->u.follow_offset);
     case ACTION_STATUS:
       return status_to_json (&a->u.status);
     case ACTION_NOTE:
@@ -377,9 +387,12 @@
     case ACTION_MEMBERS:
       talloc_free (a->u.members);
       break;
-    case ACTION_ABORT:
     case ACTION_PEER:
+      peer_message_drop (&a->u.peer);
+      break;
+    case ACTION_ABORT:
     case ACTION_NOTE:
+    case ACTION_FOLLOW:
     case ACTION_EXIT:
       break;
     }
--- /dev/null
+++ b/core/checkpoint.c
@@ -0,0 +1,259 @@
+/* checkpoint.c -- the control state as one value: digest, copy, restore.
+
+   The digest covers every field of the state, one by one, so that padding and
+   what stands behind a name's end do not count.  A field added to the tables
+   or to the control state is to be added here.  */
+
+#include "core/control.h"
+
+#include <sodium.h>
+#include <string.h>
+
+static void
+hash_number (crypto_generichash_state *h, uint64_t n)
+{
+  uint8_t bytes[8];
+  uint32_t i;
+
+  for (i = 0; i < sizeof bytes; i++)
+    bytes[i] = (uint8_t)(n >> (8 * i));
+  crypto_generichash_update (h, bytes, sizeof bytes);
+}
+
+/* The end of the text goes in, so that two texts cannot run into each other.
+ */
+static void
+hash_text (crypto_generichash_state *h, const char *text)
+{
+  crypto_generichash_update (h, (const uint8_t *)text, strlen (text) + 1);
+}
+
+static void
+hash_team (crypto_generichash_state *h, const struct team_config *t)
+{
+  hash_text (h, t->name);
+  hash_number (h, t->share_weight);
+  hash_number (h, t->ceiling_count);
+}
+
+static void
+hash_pool (crypto_generichash_state *h, const struct pool_config *p)
+{
+  hash_text (h, p->name);
+  hash_number (h, p->spare);
+  hash_number (h, p->unavailable_count);
+  hash_number (h, p->domain_count);
+}
+
+static void
+hash_vm (crypto_generichash_state *h, const struct vm_config *v)
+{
+  hash_text (h, v->name);
+  hash_text (h, v->address);
+  hash_text (h, v->zone);
+  hash_text (h, v->rack);
+  hash_number (h, v->pool_index);
+  hash_number (h, v->slot_count);
+  hash_number (h, v->cpu_count);
+  hash_number (h, v->memory_mib);
+  hash_number (h, v->accelerator_count);
+}
+
+static void
+hash_route (crypto_generichash_state *h, const struct route_config *r)
+{
+  hash_text (h, r->queue);
+  hash_text (h, r->team);
+  hash_number (h, r->pool_index);
+  hash_number (h, r->route_class);
+  hash_number (h, r->idempotent);
+  hash_number (h, r->open_to_all);
+  hash_number (h, r->urgent);
+  hash_number (h, r->hold_log_outage);
+  hash_number (h, r->timeout_ms);
+  hash_number (h, r->queue_limit_count);
+  hash_number (h, r->cpu_count);
+  hash_number (h, r->memory_mib);
+  hash_number (h, r->accelerator_count);
+}
+
+static void
+hash_config (crypto_generichash_state *h, const struct config *f)
+{
+  uint32_t i;
+
+  hash_number (h, f != NULL);
+  if (f == NULL)
+    return;
+  hash_number (h, f->team_count);
+  for (i = 0; i < f->team_count; i++)
+    hash_team (h, &f->teams[i]);
+  hash_number (h, f->pool_count);
+  for (i = 0; i < f->pool_count; i++)
+    hash_pool (h, &f->pools[i]);
+  hash_number (h, f->vm_count);
+  for (i = 0; i < f->vm_count; i++)
+    hash_vm (h, &f->vms[i]);
+  hash_number (h, f->route_count);
+  for (i = 0; i < f->route_count; i++)
+    hash_route (h, &f->routes[i]);
+}
+
+static void
+hash_keys (crypto_generichash_state *h, const struct key *keys, uint32_t count)
+{
+  uint32_t i;
+
+  hash_number (h, count);
+  for (i = 0; i < count; i++)
+    {
+      crypto_generichash_update (h, keys[i].digest, DIGEST_BYTES);
+      hash_text (h, keys[i].team);
+    }
+}
+
+static void
+hash_members (crypto_generichash_state *h, const struct member *members,
+              uint32_t count)
+{
+  uint32_t i;
+
+  hash_number (h, count);
+  for (i = 0; i < count; i++)
+    {
+      hash_text (h, members[i].vm);
+      hash_text (h, members[i].zone);
+      hash_text (h, members[i].peer_address);
+      hash_number (h, members[i].incarnation);
+    }
+}
+
+static void
+hash_start (crypto_generichash_state *h, uint64_t changed_offset,
+            uint64_t config_version)
+{
+  crypto_generichash_init (h, NULL, 0, DIGEST_BYTES);
+  hash_number (h, changed_offset);
+  hash_number (h, config_version);
+}
+
+void
+control_digest (const struct control *c, uint8_t *digest)
+{
+  crypto_generichash_state h;
+  const GList *l;
+
+  hash_start (&h, c->changed_offset, c->config_version);
+  hash_config (&h, c->config);
+  hash_keys (&h, c->keys, c->key_count);
+  hash_members (&h, c->members, c->member_count);
+  hash_number (&h, g_queue_get_length (c->command_ids));
+  for (l = c->command_ids->head; l != NULL; l = l->next)
+    hash_text (&h, l->data);
+  crypto_generichash_final (&h, digest, DIGEST_BYTES);
+}
+
+static void
+checkpoint_digest (const struct checkpoint *k, uint8_t *digest)
+{
+  crypto_generichash_state h;
+  uint32_t i;
+
+  hash_start (&h, k->changed_offset, k->config_version);
+  hash_config (&h, k->config);
+  hash_keys (&h, k->keys, k->key_count);
+  hash_members (&h, k->members, k->member_count);
+  hash_number (&h, k->command_count);
+  for (i = 0; i < k->command_count; i++)
+    hash_text (&h, k->commands[i].text);
+  crypto_generichash_final (&h, digest, DIGEST_BYTES);
+}
+
+/* Copies COUNT rows; an empty table stays NULL.  */
+static void *
+copy_rows (TALLOC_CTX *mem, const void *rows, uint32_t count, size_t size)
+{
+  void *copy = count > 0 ? talloc_memdup (mem, rows, count * size) : NULL;
+
+  if (count > 0 && copy == NULL)
+    out_of_memory ();
+  return copy;
+}
+
+static struct config *
+copy_config (TALLOC_CTX *mem, const struct config *f)
+{
+  struct config *x = copy_rows (mem, f, 1, sizeof *f);
+
+  x->teams = copy_rows (x, f->teams, f->team_count, sizeof *f->teams);
+  x->pools = copy_rows (x, f->pools, f->pool_count, sizeof *f->pools);
+  x->vms = copy_rows (x, f->vms, f->vm_count, sizeof *f->vms);
+  x->routes = copy_rows (x, f->routes, f->route_count, sizeof *f->routes);
+  return x;
+}
+
+struct checkpoint *
+control_checkpoint (const struct control *c, TALLOC_CTX *mem)
+{
+  struct checkpoint *k = talloc_zero (mem, struct checkpoint);
+  const GList *l;
+  uint32_t i = 0;
+
+  if (k == NULL)
+    out_of_memory ();
+  k->next_offset = c->next_offset;
+  k->changed_offset = c->changed_offset;
+  k->config_version = c->config_version;
+  if (c->config != NULL)
+    k->config = copy_config (k, c->config);
+  k->key_count = c->key_count;
+  k->keys = copy_rows (k, c->keys, c->key_count, sizeof *c->keys);
+  k->member_count = c->member_count;
+  k->members = copy_rows (k, c->members, c->member_count, sizeof *c->members);
+  k->command_count = g_queue_get_length (c->command_ids);
+  k->commands = talloc_zero_array (k, struct command_id, k->command_count);
+  for (l = c->command_ids->head; l != NULL; l = l->next)
+    text_copy (k->commands[i++].text, ID_BYTES, l->data);
+  control_digest (c, k->digest);
+  return k;
+}
+
+bool
+control_restore (struct control *c, struct checkpoint *k)
+{
+  uint8_t digest[DIGEST_BYTES];
+  uint32_t i;
+
+  checkpoint_digest (k, digest);
+  if (memcmp (digest, k->digest, DIGEST_BYTES) != 0)
+    return false;
+  c->next_offset = k->next_offset;
+  c->changed_offset = k->changed_offset;
+  c->config_version = k->config_version;
+  talloc_free (c->config);
+  c->config = talloc_steal (c, k->config);
+  k->config = NULL;
+  talloc_free (c->keys);
+  c->keys = copy_rows (c, k->keys, k->key_count, sizeof *k->keys);
+  c->key_count = k->key_count;
+  talloc_free (c->members);
+  c->members = copy_rows (c, k->members, k->member_count, sizeof *k->members);
+  c->member_count = k->member_count;
+  g_queue_clear (c->command_ids);
+  g_hash_table_remove_all (c->applied_ids);
+  for (i = 0; i < k->command_count; i++)
+    control_remember (c, k->commands[i].text);
+  return true;
+}
+
+enum checkpoint_match
+control_compare (const struct control *c, const struct checkpoint *k)
+{
+  uint8_t digest[DIGEST_BYTES];
+
+  if (k->changed_offset != c->changed_offset)
+    return CHECKPOINT_OTHER;
+  control_digest (c, digest);
+  return memcmp (digest, k->digest, DIGEST_BYTES) == 0 ? CHECKPOINT_SAME
+                                                       : CHECKPOINT_DIFFERS;
+}
--- a/core/control.c
+++ b/core/control.c
@@ -10,6 +10,7 @@
 control_free (struct control *c)
 {
   g_hash_table_destroy (c->applied_ids);
+  g_queue_free (c->command_ids);
   return 0;
 }
 
@@ -22,6 +23,7 @@
     return NULL;
   c->applied_ids
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  c->command_ids = g_queue_new ();
   talloc_set_destructor (c, control_free);
   return c;
 }
@@ -153,18 +155,32 @@
   return VERDICT_APPLIED;
 }
 
+/* A member that is no longer one, or has another incarnation by now, cannot
+   leave or be lost: the record is of an older state.  */
 static enum verdict
 apply_leave (struct control *c, const struct record_leave *l)
 {
-  uint32_t i;
+  int32_t i = control_member_index (c, l->incarnation);
 
-  for (i = 0; i < c->member_count; i++)
-    if (c->members[i].incarnation == l->incarnation)
-      {
-        remove_member (c, i);
-        return VERDICT_APPLIED;
-      }
-  return VERDICT_REJECTED;
+  if (i < 0 || strcmp (c->members[i].vm, l->vm) != 0)
+    return VERDICT_REJECTED;
+  remove_member (c, (uint32_t)i);
+  return VERDICT_APPLIED;
+}
+
+bool
+control_remember (struct control *c, const char *id)
+{
+  gchar *copy;
+
+  if (g_hash_table_contains (c->applied_ids, id))
+    return false;
+  if (g_queue_get_length (c->command_ids) == COMMAND_LIMIT_COUNT)
+    g_hash_table_remove (c->applied_ids, g_queue_pop_head (c->command_ids));
+  copy = g_strdup (id);
+  g_hash_table_add (c->applied_ids, copy);
+  g_queue_push_tail (c->command_ids, copy);
+  return true;
 }
 
 enum verdict
@@ -175,8 +191,12 @@
   if (offset < c->next_offset)
     return VERDICT_REPEATED;
   c->next_offset = offset + 1;
-  if (!g_hash_table_add (c->applied_ids, g_strdup (r->id)))
+  /* A checkpoint tells of the state and is no part of it.  */
+  if (r->kind == RECORD_CHECKPOINT)
+    return VERDICT_APPLIED;
+  if (!control_remember (c, r->id))
     return VERDICT_REPEATED;
+  c->changed_offset = offset + 1;
   switch (r->kind)
     {
     case RECORD_CONFIG:
@@ -192,8 +212,11 @@
       v = apply_join (c, offset, &r->u.join);
       break;
     case RECORD_LEAVE:
+    case RECORD_GONE:
       v = apply_leave (c, &r->u.leave);
       break;
+    case RECORD_CHECKPOINT:
+      break;
     }
   return v;
 }
@@ -236,3 +259,14 @@
       return &c->members[i];
   return NULL;
 }
+
+int32_t
+control_member_index (const struct control *c, uint64_t incarnation)
+{
+  uint32_t i;
+
+  for (i = 0; i < c->member_count; i++)
+    if (c->members[i].incarnation == incarnation)
+      return (int32_t)i;
+  return -1;
+}
--- a/core/control.h
+++ b/core/control.h
@@ -13,23 +13,14 @@
 #include <glib.h>
 #include <talloc.h>
 
-struct key
-{
-  uint8_t digest[DIGEST_BYTES];
-  char team[NAME_BYTES];
-};
-
-struct member
-{
-  char vm[NAME_BYTES];
-  char zone[NAME_BYTES];
-  char peer_address[ADDRESS_BYTES];
-  uint64_t incarnation; /**< Offset of its join record, plus 1.  */
-};
+/** Command ids remembered; one that comes again later than this many other
+    commands is taken for a new one.  */
+#define COMMAND_LIMIT_COUNT 2048
 
 struct control
 {
   uint64_t next_offset;    /**< First offset not yet applied.  */
+  uint64_t changed_offset; /**< Offset + 1 of the last change; 0: none.  */
   uint64_t config_version; /**< Offset + 1 of the record in force; 0: none.  */
   struct config *config;   /**< Tables in force, or NULL.  */
   struct key *keys;        /**< Sorted by digest.  */
@@ -37,6 +28,7 @@
   struct member *members; /**< Sorted by incarnation.  */
   uint32_t member_count;
   GHashTable *applied_ids; /**< Command ids seen, so each counts once.  */
+  GQueue *command_ids;     /**< The same, oldest first.  */
 };
 
 /** What became of a record.  */
@@ -74,4 +66,35 @@
 const struct member *control_find_member (const struct control *c,
                                           const char *vm);
 
+/** Returns the place of INCARNATION in the members, or -1.  */
+int32_t control_member_index (const struct control *c, uint64_t incarnation);
+
+/* checkpoint.c */
+
+/** What a checkpoint says of the state of its reader.  */
+enum checkpoint_match
+{
+  CHECKPOINT_SAME,
+  CHECKPOINT_OTHER, /**< Of another moment; not comparable.  */
+  CHECKPOINT_DIFFERS
+};
+
+/** Writes the digest of the state to DIGEST (DIGEST_BYTES).  */
+void control_digest (const struct control *c, uint8_t *digest);
+
+/** Returns the state as a checkpoint, a child of MEM.  */
+struct checkpoint *control_checkpoint (const struct control *c,
+                                       TALLOC_CTX *mem);
+
+/** Replaces the state by K's, whose tables it takes over; returns false and
+    keeps the state if K does not match its own digest.  */
+bool control_restore (struct control *c, struct checkpoint *k);
+
+/** Compares the state with K.  */
+enum checkpoint_match control_compare (const struct control *c,
+                                       const struct checkpoint *k);
+
+/** Remembers a command's id; returns false if it is known.  */
+bool control_remember (struct control *c, const char *id);
+
 #endif
--- a/core/core.c
+++ b/core/core.c
@@ -13,6 +13,7 @@
   g_hash_table_iter_init (&it, c->requests);
   while (g_hash_table_iter_next (&it, NULL, &value))
     blob_unref (((struct request *)value)->body);
+  core_window_clear (&c->window);
   g_hash_table_destroy (c->requests);
   g_hash_table_destroy (c->attempts);
   return 0;
--- /dev/null
+++ b/core/freshness.c
@@ -0,0 +1,203 @@
+/* freshness.c -- what this entry may do while it is cut off.
+
+   It takes new work while, within the last fresh_limit_ms, it read the log to
+   its end, itself or by a member that passes records on; or it spoke with more
+   than half of the members and none of them can read the log either.  A time
+   heard from a peer counts from when this entry asked, not from when the
+   answer was taken: what waited in a socket through a pause is old.  */
+
+#include "core/state.h"
+
+#include <string.h>
+
+#define STATUS_PERIOD_US (250 * US_PER_MS)
+/** Longest time that a known record may be missing.  */
+#define BEHIND_LIMIT_US (1000 * US_PER_MS)
+
+static uint64_t
+limit_us (const struct core *c)
+{
+  return c->settings.fresh_limit_ms * US_PER_MS;
+}
+
+void
+core_adopt_members (struct core *c)
+{
+  struct peer_state *old = c->peers;
+  uint32_t old_count = c->peer_count;
+  uint32_t i;
+  uint32_t j;
+
+  c->peer_count = c->control->member_count;
+  c->peers = talloc_zero_array (c, struct peer_state, c->peer_count);
+  for (i = 0; i < c->peer_count; i++)
+    {
+      c->peers[i].incarnation = c->control->members[i].incarnation;
+      for (j = 0; j < old_count; j++)
+        if (old[j].incarnation == c->peers[i].incarnation)
+          c->peers[i] = old[j];
+    }
+  talloc_free (old);
+  core_send_members (c);
+}
+
+/* Remembers that records below OFFSET exist.  */
+void
+core_learn_offset (struct core *c, uint64_t offset)
+{
+  if (c->known_offset <= c->control->next_offset)
+    c->behind_us = c->now_us;
+  if (offset > c->known_offset)
+    c->known_offset = offset;
+}
+
+static bool
+is_behind (const struct core *c)
+{
+  return c->known_offset > c->control->next_offset
+         && c->now_us - c->behind_us > BEHIND_LIMIT_US;
+}
+
+/* Returns true if this entry itself reads the log.  */
+static bool
+reads_log (const struct core *c)
+{
+  return c->log_readable && c->caught_up
+         && c->now_us - c->log_read_us <= limit_us (c);
+}
+
+static bool
+was_heard (const struct core *c, const struct peer_state *p)
+{
+  return p->heard_us > 0 && c->now_us - p->heard_us <= limit_us (c);
+}
+
+/* Returns true if more than half of the members, this one among them, speak
+   with each other, none reads the log, and none is ahead.  */
+static bool
+is_with_majority (const struct core *c)
+{
+  uint32_t heard_count = 0;
+  uint32_t i;
+
+  if (c->log_readable)
+    return false;
+  for (i = 0; i < c->peer_count; i++)
+    {
+      const struct peer_state *p = &c->peers[i];
+
+      if (p->incarnation == c->incarnation)
+        heard_count++;
+      else if (was_heard (c, p))
+        {
+          if (p->log_readable || p->next_offset > c->control->next_offset)
+            return false;
+          heard_count++;
+        }
+    }
+  return 2 * heard_count > c->peer_count;
+}
+
+bool
+core_is_fresh (const struct core *c)
+{
+  if (!c->caught_up || c->gap || is_behind (c))
+    return false;
+  if (c->now_us - c->log_read_us <= limit_us (c))
+    return true;
+  if (c->relay_read_us > 0 && c->now_us - c->relay_read_us <= limit_us (c))
+    return true;
+  return is_with_majority (c);
+}
+
+struct peer_state *
+core_find_peer (struct core *c, uint64_t incarnation)
+{
+  uint32_t i;
+
+  for (i = 0; i < c->peer_count; i++)
+    if (c->peers[i].incarnation == incarnation)
+      return &c->peers[i];
+  return NULL;
+}
+
+/* What P read from the log this entry has read by it, if it is as far.  */
+static void
+take_relayed_reading (struct core *c, const struct peer_state *p,
+                      const struct peer_status *s)
+{
+  uint64_t age_us = s->log_age_ms * US_PER_MS;
+
+  if (!s->log_readable || p->heard_us <= age_us
+      || s->next_offset > c->control->next_offset)
+    return;
+  if (p->heard_us - age_us > c->relay_read_us)
+    c->relay_read_us = p->heard_us - age_us;
+}
+
+void
+core_on_peer_status (struct core *c, uint64_t from,
+                     const struct peer_status *s)
+{
+  struct peer_state *p = core_find_peer (c, from);
+
+  if (p == NULL || s->echo_us > c->now_us)
+    return;
+  p->lag_count = s->next_offset < c->control->next_offset
+                         && s->next_offset == p->next_offset
+                     ? p->lag_count + 1
+                     : 0;
+  p->next_offset = s->next_offset;
+  p->log_readable = s->log_readable;
+  p->sent_us = s->sent_us;
+  if (s->echo_us > p->heard_us)
+    p->heard_us = s->echo_us;
+  if (s->next_offset > c->control->next_offset)
+    core_learn_offset (c, s->next_offset);
+  take_relayed_reading (c, p, s);
+  core_relay (c, p);
+}
+
+static void
+send_status (struct core *c, const struct peer_state *p)
+{
+  struct action *a = actions_add (c->out, ACTION_PEER);
+  struct peer_status *s = &a->u.peer.u.status;
+  uint64_t age_ms = (c->now_us - c->log_read_us) / US_PER_MS;
+
+  a->u.peer.kind = PEER_STATUS;
+  a->u.peer.from_incarnation = c->incarnation;
+  a->u.peer.to_incarnation = p->incarnation;
+  s->next_offset = c->control->next_offset;
+  s->log_readable = reads_log (c);
+  s->stopping = c->stopping;
+  s->log_age_ms = age_ms > UINT32_MAX ? UINT32_MAX : (uint32_t)age_ms;
+  s->sent_us = c->now_us;
+  s->echo_us = p->sent_us;
+}
+
+static void
+note_change (struct core *c)
+{
+  bool fresh = core_is_fresh (c);
+
+  if (fresh == c->was_fresh)
+    return;
+  c->was_fresh = fresh;
+  core_note (c, fresh ? NOTE_FRESH : NOTE_STALE, c->settings.vm,
+             c->control->next_offset);
+}
+
+void
+core_freshness_tick (struct core *c)
+{
+  uint32_t i;
+
+  note_change (c);
+  if (c->incarnation == 0 || c->now_us - c->status_us < STATUS_PERIOD_US)
+    return;
+  c->status_us = c->now_us;
+  for (i = 0; i < c->peer_count; i++)
+    if (c->peers[i].incarnation != c->incarnation)
+      send_status (c, &c->peers[i]);
+}
--- a/core/membership.c
+++ b/core/membership.c
@@ -6,6 +6,11 @@
 #include <stdio.h>
 #include <string.h>
 
+/** Wait of a removed member before it joins again, and its jitter.  */
+#define REJOIN_DELAY_US US_PER_S
+/** Time between two proposals for the same lost member.  */
+#define GONE_PERIOD_US (10 * US_PER_S)
+
 void
 core_note (struct core *c, enum note_kind kind, const char *subject,
            uint64_t value)
@@ -79,12 +84,19 @@
   c->leave_sent = true;
 }
 
-bool
-core_is_fresh (const struct core *c)
+/* A page that was asked for before this entry was paused, or that a lagging
+   copy of the log gave, does not make it fresh.  */
+static void
+take_reading (struct core *c, const struct event_log_read *e)
 {
-  uint64_t limit_us = c->settings.fresh_limit_ms * US_PER_MS;
+  uint64_t asked_us = e->asked_us > 0 ? e->asked_us : c->now_us;
 
-  return c->caught_up && c->now_us - c->log_read_us <= limit_us;
+  if (c->control->next_offset != e->next_offset)
+    return;
+  c->caught_up = true;
+  if (asked_us > c->log_read_us)
+    c->log_read_us = asked_us;
+  core_append_checkpoint (c);
 }
 
 void
@@ -96,14 +108,47 @@
   c->log_readable = e->readable;
   if (!e->readable)
     return;
-  c->log_read_us = c->now_us;
-  if (c->control->next_offset < e->next_offset)
-    return;
-  c->caught_up = true;
-  if (c->join_id[0] == '\0' && !c->stopping)
+  c->first_offset = e->first_offset;
+  if (e->first_offset > c->control->next_offset)
+    core_on_gap (c, e->first_offset);
+  if (e->next_offset > c->control->next_offset)
+    core_learn_offset (c, e->next_offset);
+  take_reading (c, e);
+  if (c->caught_up && !c->gap && c->join_id[0] == '\0' && !c->stopping
+      && c->now_us >= c->rejoin_us)
     send_join (c);
 }
 
+void
+core_check_own_membership (struct core *c)
+{
+  if (c->incarnation == 0
+      || control_member_index (c->control, c->incarnation) >= 0)
+    return;
+  core_note (c, NOTE_REMOVED, c->settings.vm, c->incarnation);
+  c->incarnation = 0;
+  c->join_id[0] = '\0';
+  c->rejoin_us = c->now_us + REJOIN_DELAY_US + c->random % REJOIN_DELAY_US;
+  core_send_members (c);
+}
+
+void
+core_propose_gone (struct core *c, const char *vm)
+{
+  const struct member *m = control_find_member (c->control, vm);
+  struct record *r;
+
+  if (m == NULL
+      || (m->incarnation == c->gone_incarnation
+          && c->now_us - c->gone_us < GONE_PERIOD_US))
+    return;
+  c->gone_incarnation = m->incarnation;
+  c->gone_us = c->now_us;
+  r = append_record (c, RECORD_GONE);
+  text_copy (r->u.leave.vm, NAME_BYTES, vm);
+  r->u.leave.incarnation = m->incarnation;
+}
+
 static void
 note_join (struct core *c, const struct record *r, uint64_t offset)
 {
@@ -132,45 +177,60 @@
       break;
     case RECORD_JOIN:
       note_join (c, r, offset);
-      core_send_members (c);
+      core_adopt_members (c);
+      core_check_own_membership (c);
       break;
     case RECORD_LEAVE:
       core_note (c, NOTE_MEMBER_LEFT, r->u.leave.vm, offset);
-      core_send_members (c);
+      core_adopt_members (c);
+      core_check_own_membership (c);
+      break;
+    case RECORD_GONE:
+      core_note (c, NOTE_MEMBER_GONE, r->u.leave.vm, offset);
+      core_adopt_members (c);
+      core_check_own_membership (c);
+      break;
+    case RECORD_CHECKPOINT:
       break;
     }
 }
 
 void
-core_on_record (struct core *c, struct event_record *e)
+core_apply_record (struct core *c, uint64_t offset, struct record *r)
 {
   enum verdict v;
 
-  if (e->record == NULL)
+  if (r == NULL)
     {
-      control_skip (c->control, e->offset);
+      control_skip (c->control, offset);
       c->counters[COUNTER_BAD_RECORDS]++;
-      core_note (c, NOTE_BAD_RECORD, "", e->offset);
+      core_note (c, NOTE_BAD_RECORD, "", offset);
       return;
     }
-  v = control_apply (c->control, e->offset, e->record);
+  v = control_apply (c->control, offset, r);
   c->counters[COUNTER_RECORDS]++;
   switch (v)
     {
     case VERDICT_APPLIED:
-      note_applied (c, e->record, e->offset);
+      note_applied (c, r, offset);
       core_dispatch_all (c);
       break;
     case VERDICT_REPEATED:
       break;
     case VERDICT_REJECTED:
       c->counters[COUNTER_REJECTED_RECORDS]++;
-      if (e->record->kind == RECORD_CONFIG)
-        core_note (c, NOTE_CONFIG_REJECTED, "", e->offset);
+      if (r->kind == RECORD_CONFIG)
+        core_note (c, NOTE_CONFIG_REJECTED, "", offset);
       break;
     }
 }
 
+void
+core_on_record (struct core *c, struct event_record *e)
+{
+  core_take_record (c, e->offset, e->record, e->raw, true);
+}
+
 void
 core_on_stop (struct core *c)
 {
@@ -198,5 +258,5 @@
 void
 core_membership_tick (struct core *c)
 {
-  (void)c;
+  core_freshness_tick (c);
 }
--- a/core/peer_input.c
+++ b/core/peer_input.c
@@ -7,11 +7,20 @@
 void
 core_on_peer (struct core *c, struct peer_message *m)
 {
-  if (m->to_incarnation != c->incarnation)
-    return;
+  if (c->incarnation == 0 || m->to_incarnation != c->incarnation)
+    {
+      if (m->kind == PEER_RECORD)
+        blob_unref (m->u.record.raw);
+      return;
+    }
   switch (m->kind)
     {
     case PEER_STATUS:
+      core_on_peer_status (c, m->from_incarnation, &m->u.status);
+      break;
+    case PEER_RECORD:
+      core_on_peer_record (c, &m->u.record);
+      break;
     case PEER_DEMAND:
     case PEER_TRANSFER:
     case PEER_ACK:
--- /dev/null
+++ b/core/recovery.c
@@ -0,0 +1,237 @@
+/* recovery.c -- records passed on between members, gaps, checkpoints.
+
+   The newest records are kept as bytes for members that cannot read the log.
+   Records that the log no longer keeps are never guessed: the state is taken
+   whole from a checkpoint, of the log or of a member.  */
+
+#include "core/state.h"
+
+#include <string.h>
+
+/** Statuses in a row with the same old offset before records are sent.  */
+#define LAG_COUNT 2
+/** Most records sent for one status.  */
+#define RELAY_COUNT 32
+#define WINDOW_LIMIT_BYTES (4u << 20)
+#define CHECKPOINT_RELAY_US (2 * US_PER_S)
+/** A checkpoint is appended again after this time, by the first member; each
+    later one waits half as long again, in case that one is lost.  */
+#define CHECKPOINT_PERIOD_US (600 * US_PER_S)
+/** The same when the newest checkpoint is in the older half of the log.  */
+#define CHECKPOINT_URGENT_US (2 * US_PER_S)
+
+/* --- the window of newest records --- */
+
+static void
+drop_oldest (struct record_window *w)
+{
+  struct blob **b = &w->items[w->first_offset % WINDOW_COUNT];
+
+  w->bytes -= (*b)->size_bytes;
+  blob_unref (*b);
+  *b = NULL;
+  w->first_offset++;
+}
+
+void
+core_window_clear (struct record_window *w)
+{
+  while (w->first_offset < w->next_offset)
+    drop_oldest (w);
+}
+
+/* Keeps RAW, the bytes of the record at OFFSET; takes over its reference.  */
+static void
+window_add (struct record_window *w, uint64_t offset, struct blob *raw)
+{
+  if (raw == NULL || offset != w->next_offset)
+    core_window_clear (w);
+  if (raw == NULL)
+    return;
+  if (w->first_offset == w->next_offset)
+    w->first_offset = w->next_offset = offset;
+  if (w->next_offset - w->first_offset == WINDOW_COUNT)
+    drop_oldest (w);
+  w->items[offset % WINDOW_COUNT] = raw;
+  w->bytes += raw->size_bytes;
+  w->next_offset = offset + 1;
+  while (w->bytes > WINDOW_LIMIT_BYTES && w->first_offset < w->next_offset)
+    drop_oldest (w);
+}
+
+/* --- passing on --- */
+
+static struct action *
+add_record_message (struct core *c, const struct peer_state *p,
+                    uint64_t offset)
+{
+  struct action *a = actions_add (c->out, ACTION_PEER);
+
+  a->u.peer.kind = PEER_RECORD;
+  a->u.peer.from_incarnation = c->incarnation;
+  a->u.peer.to_incarnation = p->incarnation;
+  a->u.peer.u.record.offset = offset;
+  c->counters[COUNTER_RELAYED_RECORDS]++;
+  return a;
+}
+
+static struct record *
+make_checkpoint (struct core *c)
+{
+  struct record *r = talloc_zero (NULL, struct record);
+
+  r->kind = RECORD_CHECKPOINT;
+  core_command_id (c, r->id);
+  r->u.checkpoint = control_checkpoint (c->control, r);
+  return r;
+}
+
+static void
+relay_checkpoint (struct core *c, struct peer_state *p)
+{
+  struct action *a;
+
+  if (p->checkpoint_us > 0
+      && c->now_us - p->checkpoint_us < CHECKPOINT_RELAY_US)
+    return;
+  p->checkpoint_us = c->now_us;
+  a = add_record_message (c, p, c->control->next_offset);
+  a->u.peer.u.record.record = make_checkpoint (c);
+}
+
+void
+core_relay (struct core *c, struct peer_state *p)
+{
+  struct record_window *w = &c->window;
+  uint64_t i;
+
+  if (p->lag_count < LAG_COUNT || c->gap || !c->caught_up)
+    return;
+  if (p->next_offset < w->first_offset || p->next_offset >= w->next_offset)
+    {
+      relay_checkpoint (c, p);
+      return;
+    }
+  for (i = p->next_offset;
+       i < w->next_offset && i < p->next_offset + RELAY_COUNT; i++)
+    add_record_message (c, p, i)->u.peer.u.record.raw
+        = blob_ref (w->items[i % WINDOW_COUNT]);
+}
+
+/* --- gaps and checkpoints --- */
+
+static void
+restore (struct core *c, struct checkpoint *k, uint64_t offset)
+{
+  struct action *a;
+
+  if (!control_restore (c->control, k))
+    {
+      core_note (c, NOTE_BAD_CHECKPOINT, "", offset);
+      return;
+    }
+  c->gap = false;
+  c->following = true;
+  core_window_clear (&c->window);
+  if (c->control->config != NULL)
+    core_adopt_config (c);
+  core_adopt_members (c);
+  core_check_own_membership (c);
+  core_note (c, NOTE_RESTORED, "", c->control->next_offset);
+  a = actions_add (c->out, ACTION_FOLLOW);
+  a->u.follow_offset = c->control->next_offset;
+}
+
+void
+core_on_gap (struct core *c, uint64_t offset)
+{
+  c->following = false;
+  if (c->gap)
+    return;
+  c->gap = true;
+  core_note (c, NOTE_LOG_GAP, "", offset);
+}
+
+/* Takes a record from behind the next one: of use only as a checkpoint.  While
+   the log is read again from a checkpoint's offset, records of the older
+   reading may still come.  */
+static void
+take_ahead (struct core *c, uint64_t offset, struct record *r, bool from_log)
+{
+  if (c->following)
+    return;
+  if (from_log)
+    core_on_gap (c, c->control->next_offset);
+  if (r != NULL && r->kind == RECORD_CHECKPOINT
+      && r->u.checkpoint->next_offset > c->control->next_offset
+      && r->u.checkpoint->next_offset >= c->first_offset)
+    restore (c, r->u.checkpoint, offset);
+}
+
+static void
+check_state (struct core *c, const struct checkpoint *k, uint64_t offset)
+{
+  if (control_compare (c->control, k) == CHECKPOINT_DIFFERS)
+    {
+      c->counters[COUNTER_STATE_DIFFERENCES]++;
+      core_note (c, NOTE_STATE_DIFFERS, c->settings.vm, offset);
+    }
+  c->checkpoint_us = c->now_us;
+  c->checkpoint_offset = k->next_offset;
+}
+
+void
+core_take_record (struct core *c, uint64_t offset, struct record *r,
+                  struct blob *raw, bool from_log)
+{
+  if (offset != c->control->next_offset)
+    {
+      if (offset > c->control->next_offset)
+        take_ahead (c, offset, r, from_log);
+      blob_unref (raw);
+      return;
+    }
+  c->gap = false;
+  c->following = false;
+  window_add (&c->window, offset, raw);
+  core_apply_record (c, offset, r);
+  if (r != NULL && r->kind == RECORD_CHECKPOINT)
+    check_state (c, r->u.checkpoint, offset);
+}
+
+void
+core_on_peer_record (struct core *c, struct peer_record *r)
+{
+  core_take_record (c, r->offset, r->record, r->raw, false);
+}
+
+/* --- appending checkpoints --- */
+
+static bool
+is_checkpoint_due (const struct core *c, uint64_t rank)
+{
+  uint64_t age_us = c->now_us - c->checkpoint_us;
+  uint64_t next = c->control->next_offset;
+  uint64_t middle = c->first_offset + (next - c->first_offset) / 2;
+
+  if (age_us >= CHECKPOINT_PERIOD_US * (2 + rank) / 2)
+    return true;
+  return c->first_offset > 0 && c->checkpoint_offset < middle
+         && age_us >= CHECKPOINT_URGENT_US * (2 + rank) / 2;
+}
+
+void
+core_append_checkpoint (struct core *c)
+{
+  int32_t rank = control_member_index (c->control, c->incarnation);
+
+  if (c->incarnation == 0 || rank < 0 || c->stopping || c->gap)
+    return;
+  if (c->checkpoint_us == 0)
+    c->checkpoint_us = c->now_us;
+  if (!is_checkpoint_due (c, (uint64_t)rank))
+    return;
+  /* Also counts an append that is under way.  */
+  c->checkpoint_us = c->now_us;
+  actions_add (c->out, ACTION_APPEND)->u.append = make_checkpoint (c);
+}
--- a/core/state.h
+++ b/core/state.h
@@ -58,6 +58,30 @@
   uint32_t high_water_count;
 };
 
+/** Newest records kept for members that cannot read the log.  */
+#define WINDOW_COUNT 256
+
+/** Offsets first_offset to next_offset - 1, without a hole.  */
+struct record_window
+{
+  uint64_t first_offset;
+  uint64_t next_offset;
+  uint32_t bytes;
+  struct blob *items[WINDOW_COUNT]; /**< At offset % WINDOW_COUNT.  */
+};
+
+/** Another member as this entry hears it.  */
+struct peer_state
+{
+  uint64_t incarnation;
+  uint64_t sent_us;     /**< Its clock at its last status, for the echo.  */
+  uint64_t heard_us;    /**< Own clock; it has spoken since then.  */
+  uint64_t next_offset; /**< First offset that it has not applied.  */
+  bool log_readable;
+  uint32_t lag_count;     /**< Statuses in a row at one old offset.  */
+  uint64_t checkpoint_us; /**< When it was last sent a checkpoint.  */
+};
+
 struct core
 {
   struct core_settings settings;
@@ -69,8 +93,24 @@
   uint64_t incarnation;   /**< Offset of its join record, plus 1; 0: none.  */
   char join_id[ID_BYTES]; /**< Id of the join record sent; empty: none.  */
   bool log_readable;
-  bool caught_up;       /**< The log was once read to its end.  */
-  uint64_t log_read_us; /**< Last successful reading.  */
+  bool caught_up;         /**< The log was once read to its end.  */
+  uint64_t log_read_us;   /**< Own reading to the end; when it was asked.  */
+  uint64_t relay_read_us; /**< The same by a member that passes records on. */
+  uint64_t known_offset;  /**< Records below it exist.  */
+  uint64_t behind_us;     /**< Since when some of them are missing.  */
+  uint64_t first_offset;  /**< Oldest offset that the log keeps.  */
+  bool gap;               /**< Records that are needed are not kept.  */
+  bool following;         /**< The log is read again from a checkpoint.  */
+  bool was_fresh;         /**< As last noted.  */
+  uint64_t status_us;     /**< Last status to the members.  */
+  uint64_t rejoin_us;     /**< Not to join before this time.  */
+  uint64_t checkpoint_us; /**< Newest checkpoint read or appended.  */
+  uint64_t checkpoint_offset; /**< The offset that it tells of.  */
+  uint64_t gone_us;           /**< Last proposal of a lost member.  */
+  uint64_t gone_incarnation;  /**< That member.  */
+  struct peer_state *peers;   /**< Parallel to the members.  */
+  uint32_t peer_count;
+  struct record_window window;
   bool stopping;
   uint64_t stop_deadline_us;
   bool leave_sent;
@@ -99,17 +139,56 @@
 void core_on_stop (struct core *c);
 /** Ends the planned stop when nothing is left in flight.  */
 void core_check_stop (struct core *c);
-/** Returns true while this entry may take new work.  */
-bool core_is_fresh (const struct core *c);
 /** Adds a note for the time line.  */
 void core_note (struct core *c, enum note_kind kind, const char *subject,
                 uint64_t value);
 /** Writes a fresh command id to ID.  */
 void core_command_id (struct core *c, char *id);
 
+/** Applies the next record; R is NULL if it was malformed.  */
+void core_apply_record (struct core *c, uint64_t offset, struct record *r);
+/** Stops serving, to join again, if this entry is no longer a member.  */
+void core_check_own_membership (struct core *c);
+/** Appends that the member on VM is lost, once for each incarnation and 10 s.
+    Only on evidence: the fleet list has dropped the VM, read again over a
+    stated time.  */
+void core_propose_gone (struct core *c, const char *vm);
 /** Does the membership's periodic work (join, freshness, peers' status).  */
 void core_membership_tick (struct core *c);
 
+/* freshness.c */
+
+/** Returns true while this entry may take new work.  */
+bool core_is_fresh (const struct core *c);
+/** Matches what is known of the peers to the members, and tells the peer duty
+    whom to keep links to.  */
+void core_adopt_members (struct core *c);
+/** Remembers that records below OFFSET exist.  */
+void core_learn_offset (struct core *c, uint64_t offset);
+/** Returns what is known of the member INCARNATION, or NULL.  */
+struct peer_state *core_find_peer (struct core *c, uint64_t incarnation);
+/** Takes a member's status.  */
+void core_on_peer_status (struct core *c, uint64_t from,
+                          const struct peer_status *s);
+/** Tells the members the status of this entry; notes a change of freshness. */
+void core_freshness_tick (struct core *c);
+
+/* recovery.c */
+
+/** Takes the record at OFFSET, from the log or a member, with its bytes.  */
+void core_take_record (struct core *c, uint64_t offset, struct record *r,
+                       struct blob *raw, bool from_log);
+/** Takes a record that a member passed on.  */
+void core_on_peer_record (struct core *c, struct peer_record *r);
+/** Notes that the records from OFFSET on are not kept any more.  */
+void core_on_gap (struct core *c, uint64_t offset);
+/** Sends P records if it stays behind.  */
+void core_relay (struct core *c, struct peer_state *p);
+/** Appends a checkpoint if one is due.  */
+void core_append_checkpoint (struct core *c);
+/** Drops the records kept for members.  */
+void core_window_clear (struct record_window *w);
+
 /* peers, peer_input.c */
 
 /** Takes a peer's message.  */
--- a/port/action.c
+++ b/port/action.c
@@ -82,6 +82,14 @@
     [NOTE_STOPPING] = "stopping",
     [NOTE_STOPPED] = "stopped",
     [NOTE_PEER_REFUSED] = "peer_refused",
+    [NOTE_MEMBER_GONE] = "member_gone",
+    [NOTE_REMOVED] = "removed",
+    [NOTE_LOG_GAP] = "log_gap",
+    [NOTE_RESTORED] = "restored",
+    [NOTE_BAD_CHECKPOINT] = "bad_checkpoint",
+    [NOTE_STATE_DIFFERS] = "state_differs",
+    [NOTE_STALE] = "stale",
+    [NOTE_FRESH] = "fresh",
   };
 
   return names[k];
@@ -100,6 +108,8 @@
     [COUNTER_BAD_RECORDS] = "bad_records",
     [COUNTER_REJECTED_RECORDS] = "rejected_records",
     [COUNTER_BAD_PEER_FRAMES] = "bad_peer_frames",
+    [COUNTER_RELAYED_RECORDS] = "relayed_records",
+    [COUNTER_STATE_DIFFERENCES] = "state_differences",
   };
 
   return names[k];
--- a/port/action.h
+++ b/port/action.h
@@ -7,15 +7,16 @@
 
 enum action_kind
 {
-  ACTION_ANSWER, /**< Answer a caller; exactly once for each request.  */
-  ACTION_START,  /**< Start an attempt on a worker.  */
-  ACTION_ABORT,  /**< Give up waiting for an attempt.  */
-  ACTION_APPEND, /**< Append a record to the log.  */
-  ACTION_PEER,   /**< Send a message to a member.  */
-  ACTION_STATUS, /**< Show the state of this entry.  */
-  ACTION_NOTE,   /**< Put an event on the time line.  */
-  ACTION_EXIT,   /**< Nothing is left to do; end the process.  */
-  ACTION_MEMBERS /**< The members changed; keep links to these.  */
+  ACTION_ANSWER,  /**< Answer a caller; exactly once for each request.  */
+  ACTION_START,   /**< Start an attempt on a worker.  */
+  ACTION_ABORT,   /**< Give up waiting for an attempt.  */
+  ACTION_APPEND,  /**< Append a record to the log.  */
+  ACTION_PEER,    /**< Send a message to a member.  */
+  ACTION_STATUS,  /**< Show the state of this entry.  */
+  ACTION_NOTE,    /**< Put an event on the time line.  */
+  ACTION_EXIT,    /**< Nothing is left to do; end the process.  */
+  ACTION_MEMBERS, /**< The members changed; keep links to these.  */
+  ACTION_FOLLOW   /**< Read the log on from another offset.  */
 };
 
 /** Stable code of an answer, as shown to callers.  */
@@ -51,10 +52,18 @@
   NOTE_KEY_WITHDRAWN,
   NOTE_LOG_LOST, /**< The log cannot be read.  */
   NOTE_LOG_BACK,
-  NOTE_BAD_RECORD,   /**< A record was malformed and skipped.  */
-  NOTE_STOPPING,     /**< Planned stop began.  */
-  NOTE_STOPPED,      /**< Everything in flight was answered.  */
-  NOTE_PEER_REFUSED, /**< A stranger, or malformed frames.  */
+  NOTE_BAD_RECORD,     /**< A record was malformed and skipped.  */
+  NOTE_STOPPING,       /**< Planned stop began.  */
+  NOTE_STOPPED,        /**< Everything in flight was answered.  */
+  NOTE_PEER_REFUSED,   /**< A stranger, or malformed frames.  */
+  NOTE_MEMBER_GONE,    /**< A member was declared gone.  */
+  NOTE_REMOVED,        /**< This entry read its own removal.  */
+  NOTE_LOG_GAP,        /**< Records that this entry needs are not kept.  */
+  NOTE_RESTORED,       /**< The state came from a checkpoint.  */
+  NOTE_BAD_CHECKPOINT, /**< A checkpoint does not match its digest.  */
+  NOTE_STATE_DIFFERS,  /**< This entry's state is not the checkpoint's.  */
+  NOTE_STALE,          /**< This entry no longer takes new work.  */
+  NOTE_FRESH,          /**< It takes new work again.  */
   NOTE_KIND_COUNT
 };
 
@@ -101,7 +110,9 @@
   COUNTER_RECORDS,
   COUNTER_BAD_RECORDS,
   COUNTER_REJECTED_RECORDS,
-  COUNTER_BAD_PEER_FRAMES, /**< Refused hellos and frames of peers.  */
+  COUNTER_BAD_PEER_FRAMES,   /**< Refused hellos and frames of peers.  */
+  COUNTER_RELAYED_RECORDS,   /**< Records passed on to members.  */
+  COUNTER_STATE_DIFFERENCES, /**< Checkpoints that differ from this state.  */
   COUNTER_KIND_COUNT
 };
 
@@ -170,6 +181,7 @@
     struct action_status status;
     struct action_note note;
     struct member_list *members; /**< Owned by the receiver.  */
+    uint64_t follow_offset;
   } u;
 };
 
--- a/port/event.h
+++ b/port/event.h
@@ -61,8 +61,10 @@
 
 struct event_log_read
 {
-  bool readable;        /**< The read succeeded.  */
-  uint64_t next_offset; /**< First offset past the log's end.  */
+  bool readable;         /**< The read succeeded.  */
+  uint64_t next_offset;  /**< First offset past the log's end.  */
+  uint64_t first_offset; /**< Oldest offset that the log keeps.  */
+  uint64_t asked_us;     /**< When the read was asked for; 0: now.  */
 };
 
 struct event_record
@@ -70,6 +72,7 @@
   uint64_t offset;
   uint64_t at_ms;        /**< The log's own time of append.  */
   struct record *record; /**< Child of the event; NULL if malformed.  */
+  struct blob *raw;      /**< Its bytes, one reference; or NULL.  */
 };
 
 struct event_status
--- a/port/peer_message.h
+++ b/port/peer_message.h
@@ -3,7 +3,8 @@
 #ifndef FTK_PORT_PEER_MESSAGE_H
 #define FTK_PORT_PEER_MESSAGE_H
 
-#include "port/types.h"
+#include "port/blob.h"
+#include "port/record.h"
 
 /** What a token counts (tag of a limit).  */
 enum limit_kind
@@ -24,7 +25,8 @@
   PEER_DEMAND,   /**< Waiting and running per pool and team.  */
   PEER_TRANSFER, /**< Tokens given; resent until acknowledged.  */
   PEER_ACK,      /**< Transfers received up to a sequence number.  */
-  PEER_ASK       /**< A request for tokens.  */
+  PEER_ASK,      /**< A request for tokens.  */
+  PEER_RECORD    /**< A record that the receiver has not read.  */
 };
 
 struct peer_status
@@ -32,6 +34,9 @@
   uint64_t next_offset; /**< First log offset not yet applied.  */
   bool log_readable;    /**< The log was read within the last seconds.  */
   bool stopping;        /**< Takes no new work.  */
+  uint32_t log_age_ms;  /**< Since the sender read the log to its end.  */
+  uint64_t sent_us;     /**< The sender's clock.  */
+  uint64_t echo_us;     /**< sent_us of the receiver's last status; or 0.  */
 };
 
 struct peer_demand
@@ -60,6 +65,17 @@
   uint32_t token_count;
 };
 
+/** A record passed on: its bytes as the log had them, or (a checkpoint that
+   the sender made) the record itself.  */
+struct peer_record
+{
+  uint64_t offset;
+  struct blob *raw;      /**< One reference, or NULL.  */
+  struct record *record; /**< Sent: owned by the message, if raw is NULL.
+                              Received: child of the event; NULL: malformed.
+                            */
+};
+
 struct peer_message
 {
   uint64_t from_incarnation; /**< Sender: offset of its join record, plus 1. */
@@ -72,7 +88,11 @@
     struct peer_transfer transfer;
     struct peer_ack ack;
     struct peer_ask ask;
+    struct peer_record record;
   } u;
 };
 
+/** Drops what M holds.  */
+void peer_message_drop (struct peer_message *m);
+
 #endif
