--- a/core/checkpoint.c
+++ b/core/checkpoint.c
@@ -225,7 +225,8 @@
   uint32_t i;
 
   checkpoint_digest (k, digest);
-  if (memcmp (digest, k->digest, DIGEST_BYTES) != 0)
+  if (memcmp (digest, k->digest, DIGEST_BYTES) != 0
+      || k->changed_offset > k->next_offset)
     return false;
   c->next_offset = k->next_offset;
   c->changed_offset = k->changed_offset;
--- a/core/recovery.c
+++ b/core/recovery.c
@@ -225,7 +225,7 @@
 {
   int32_t rank = control_member_index (c->control, c->incarnation);
 
-  if (c->incarnation == 0 || rank < 0 || c->stopping || c->gap)
+  if (c->incarnation == 0 || rank < 0 || c->stopping || !core_is_fresh (c))
     return;
   if (c->checkpoint_us == 0)
     c->checkpoint_us = c->now_us;
--- /dev/null
+++ b/tests/test_mutation.c
@@ -0,0 +1,385 @@
+/* test_mutation.c -- malformed frames and records, with a printed seed.
+
+   FTK_SEED repeats a run.  A mutated frame must never be handed up; a mutated
+   message or record is refused or is a well-formed other one, and a mutated
+   checkpoint is never taken for another state.  */
+
+#include "adapter/peer_codec.h"
+#include "adapter/peer_link.h"
+#include "adapter/record_json.h"
+#include "core/control.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define TRIAL_COUNT 10000
+#define BUFFER_BYTES 65536
+
+static GRand *rng;
+
+/* Flips, cuts or adds bytes of the SIZE bytes at DATA (room for 8 more).  */
+static guint
+mutate (guint8 *data, guint size)
+{
+  guint n = (guint)g_rand_int_range (rng, 1, 4);
+
+  while (n-- > 0 && size > 0)
+    {
+      guint at = (guint)g_rand_int_range (rng, 0, (gint32)size);
+
+      switch (g_rand_int_range (rng, 0, 4))
+        {
+        case 0:
+          size = at;
+          break;
+        case 1:
+          memmove (data + at + 1, data + at, size - at);
+          size++;
+          break;
+        default:
+          data[at] ^= (guint8)g_rand_int_range (rng, 1, 256);
+          break;
+        }
+    }
+  return size;
+}
+
+/* --- frames of a link, changed on the way --- */
+
+struct wire
+{
+  struct tevent_context *loop;
+  int ends[2]; /**< The test's ends of both sockets.  */
+  guint handed_up_count;
+  gboolean ready;
+  gboolean ended;
+};
+
+static bool
+on_message (void *state, const uint8_t *data, uint32_t size_bytes)
+{
+  (void)data;
+  (void)size_bytes;
+  ((struct wire *)state)->handed_up_count++;
+  return true;
+}
+
+static void
+on_ready (void *state)
+{
+  ((struct wire *)state)->ready = TRUE;
+}
+
+static void
+on_ended (void *state, enum peer_link_end why)
+{
+  (void)why;
+  ((struct wire *)state)->ended = TRUE;
+}
+
+static void
+on_other_ended (void *state, enum peer_link_end why)
+{
+  (void)state;
+  (void)why;
+}
+
+static struct peer_link *
+make_link (struct wire *w, int i, const struct peer_link_handler *h)
+{
+  static const uint8_t secret[PEER_SECRET_BYTES] = { 1, 2, 3 };
+  int pair[2];
+
+  g_assert_cmpint (socketpair (AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair),
+                   ==, 0);
+  w->ends[i] = pair[1];
+  return peer_link_new (w->loop, w->loop, pair[0], (enum peer_link_side)i,
+                        secret, h);
+}
+
+/* Carries what is on the wire from end I to the other one.  */
+static void
+carry (const struct wire *w, int i)
+{
+  guint8 data[BUFFER_BYTES];
+  ssize_t n = read (w->ends[i], data, sizeof data);
+
+  if (n > 0)
+    g_assert_cmpint (write (w->ends[!i], data, (size_t)n), ==, n);
+}
+
+/* Each end has one event to handle.  */
+static void
+turn_both (const struct wire *w)
+{
+  tevent_loop_once (w->loop);
+  tevent_loop_once (w->loop);
+  carry (w, 0);
+  carry (w, 1);
+}
+
+/* Sends one message and gives the acceptor a changed frame; returns false if
+   the change left the frame whole.  */
+static gboolean
+try_frame (struct wire *w, struct peer_link *connector)
+{
+  guint8 frame[BUFFER_BYTES];
+  guint8 changed[BUFFER_BYTES];
+  guint8 message[64];
+  ssize_t n;
+  guint size;
+
+  randombytes_buf (message, sizeof message);
+  g_assert_true (peer_link_send (connector, message, sizeof message));
+  tevent_loop_once (w->loop);
+  n = read (w->ends[0], frame, sizeof frame);
+  g_assert_cmpint (n, >, (ssize_t)sizeof message);
+  memcpy (changed, frame, (size_t)n);
+  size = mutate (changed, (guint)n);
+  if (size == 0 || (size >= n && memcmp (changed, frame, (size_t)n) == 0))
+    return FALSE;
+  g_assert_cmpint (write (w->ends[1], changed, size), ==, size);
+  tevent_loop_once (w->loop);
+  return TRUE;
+}
+
+static gboolean
+run_frame_trial (void)
+{
+  struct wire w = { .loop = tevent_context_init (NULL) };
+  struct peer_link_handler sender
+      = { .message = on_message, .ended = on_other_ended, .state = &w };
+  struct peer_link_handler receiver = {
+    .ready = on_ready, .message = on_message, .ended = on_ended, .state = &w
+  };
+  struct peer_link *connector = make_link (&w, PEER_LINK_CONNECTOR, &sender);
+  gboolean tried;
+
+  make_link (&w, PEER_LINK_ACCEPTOR, &receiver);
+  turn_both (&w); /* hellos out */
+  turn_both (&w); /* hellos in */
+  turn_both (&w); /* proofs out */
+  tevent_loop_once (w.loop);
+  tevent_loop_once (w.loop);
+  g_assert_true (w.ready);
+  tried = try_frame (&w, connector);
+  g_assert_cmpuint (w.handed_up_count, ==, 0);
+  close (w.ends[0]);
+  close (w.ends[1]);
+  talloc_free (w.loop);
+  return tried;
+}
+
+static void
+test_frames (void)
+{
+  guint tried = 0;
+
+  while (tried < TRIAL_COUNT)
+    tried += run_frame_trial () ? 1 : 0;
+}
+
+/* --- messages behind the authentication --- */
+
+static void
+fill_message (struct peer_message *m, struct blob *raw)
+{
+  memset (m, 0, sizeof *m);
+  m->kind = (enum peer_kind)g_rand_int_range (rng, 0, PEER_RECORD + 1);
+  m->from_incarnation = 1;
+  m->to_incarnation = 2;
+  if (m->kind == PEER_TRANSFER)
+    text_copy (m->u.transfer.limit.name, NAME_BYTES, "w1");
+  if (m->kind == PEER_DEMAND)
+    text_copy (m->u.demand.pool, NAME_BYTES, "menders");
+  if (m->kind == PEER_RECORD)
+    m->u.record.raw = raw;
+}
+
+static void
+check_message (const struct peer_message *m)
+{
+  g_assert_cmpint (m->kind, <=, PEER_RECORD);
+  if (m->kind == PEER_TRANSFER)
+    {
+      g_assert_cmpint (m->u.transfer.limit.kind, <=, LIMIT_VM);
+      g_assert_nonnull (memchr (m->u.transfer.limit.name, '\0', NAME_BYTES));
+    }
+  if (m->kind == PEER_DEMAND)
+    g_assert_nonnull (memchr (m->u.demand.pool, '\0', NAME_BYTES));
+}
+
+static void
+test_messages (void)
+{
+  static const char text[]
+      = "{\"id\":\"a\",\"kind\":\"leave\",\"vm\":\"e\",\"incarnation\":1}";
+  struct blob *raw = blob_copy (text, sizeof text - 1);
+  guint i;
+
+  for (i = 0; i < TRIAL_COUNT; i++)
+    {
+      struct peer_message m;
+      guint8 *data;
+      guint8 *copy;
+      guint size;
+      struct event *e;
+
+      fill_message (&m, raw);
+      data = peer_encode (NULL, &m);
+      size = (guint)talloc_array_length (data);
+      data = talloc_realloc (NULL, data, uint8_t, size + 8);
+      size = mutate (data, size);
+      /* An exact copy shows a read past the end.  */
+      copy = g_memdup2 (data, size);
+      e = peer_decode (copy, size);
+      if (e != NULL)
+        {
+          check_message (&e->u.peer);
+          if (e->u.peer.kind == PEER_RECORD)
+            blob_unref (e->u.peer.u.record.raw);
+          talloc_free (e);
+        }
+      g_free (copy);
+      talloc_free (data);
+    }
+  blob_unref (raw);
+}
+
+/* --- records and checkpoints --- */
+
+static const char *const records[] = {
+  "{\"id\":\"c1\",\"kind\":\"config\",\"tables\":{\"base_version\":0,"
+  "\"teams\":[{\"name\":\"a\",\"share\":1,\"ceiling\":4}],\"pools\":[{"
+  "\"name\":\"p\",\"vms\":[{\"name\":\"w1\",\"address\":\"127.0.0.1:1\"}]}"
+  "],\"routes\":[{\"queue\":\"q\",\"pool\":\"p\"}]}}",
+  "{\"id\":\"g1\",\"kind\":\"key_grant\",\"team\":\"a\",\"digest\":"
+  "\"623e5d17329d20549d5ebe7a2e8688b98ed7db0b8fb983b2b22a644c218313cd\"}",
+  "{\"id\":\"j1\",\"kind\":\"join\",\"vm\":\"e1\",\"zone\":\"z\","
+  "\"peer_address\":\"127.0.0.1:2\"}",
+};
+
+static struct record *
+decode (const char *text, gsize size)
+{
+  json_t *j = json_loadb (text, size, JSON_DECODE_ANY, NULL);
+  struct record *r = record_from_json (NULL, j);
+
+  json_decref (j);
+  return r;
+}
+
+static struct control *
+make_control (void)
+{
+  struct control *c = control_new (NULL);
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (records); i++)
+    {
+      struct record *r = decode (records[i], strlen (records[i]));
+
+      g_assert_cmpint (control_apply (c, i, r), ==, VERDICT_APPLIED);
+      talloc_free (r);
+    }
+  return c;
+}
+
+static char *
+checkpoint_text (struct control *c)
+{
+  struct record *r = talloc_zero (NULL, struct record);
+  json_t *j;
+  char *text;
+
+  r->kind = RECORD_CHECKPOINT;
+  text_copy (r->id, ID_BYTES, "k1");
+  r->u.checkpoint = control_checkpoint (c, r);
+  j = record_to_json (r);
+  text = json_dumps (j, JSON_COMPACT);
+  json_decref (j);
+  talloc_free (r);
+  return text;
+}
+
+static void
+check_checkpoint (struct record *r, const guint8 *digest)
+{
+  struct control *c = control_new (NULL);
+  guint8 other[DIGEST_BYTES];
+
+  if (control_restore (c, r->u.checkpoint))
+    {
+      control_digest (c, other);
+      g_assert_cmpmem (other, DIGEST_BYTES, digest, DIGEST_BYTES);
+    }
+  else
+    {
+      g_assert_cmpuint (c->next_offset, ==, 0);
+      g_assert_cmpuint (c->key_count, ==, 0);
+    }
+  talloc_free (c);
+}
+
+static void
+run_record_trial (const char *text, const guint8 *digest)
+{
+  gsize size = strlen (text);
+  guint8 *data = g_malloc (size + 8);
+  struct record *r;
+
+  memcpy (data, text, size);
+  size = mutate (data, (guint)size);
+  r = decode ((const char *)data, size);
+  if (r != NULL && r->kind == RECORD_CHECKPOINT)
+    check_checkpoint (r, digest);
+  else if (r != NULL)
+    {
+      struct control *c = make_control ();
+
+      control_apply (c, 3, r);
+      talloc_free (c);
+    }
+  talloc_free (r);
+  g_free (data);
+}
+
+static void
+test_records (void)
+{
+  struct control *c = make_control ();
+  char *text = checkpoint_text (c);
+  guint8 digest[DIGEST_BYTES];
+  guint i;
+
+  control_digest (c, digest);
+  for (i = 0; i < TRIAL_COUNT; i++)
+    run_record_trial (i % 2 ? text : records[i / 2 % G_N_ELEMENTS (records)],
+                      digest);
+  free (text);
+  talloc_free (c);
+}
+
+int
+main (int argc, char **argv)
+{
+  const char *text = getenv ("FTK_SEED");
+  guint32 seed;
+
+  signal (SIGPIPE, SIG_IGN);
+  if (sodium_init () < 0)
+    return 1;
+  g_test_init (&argc, &argv, NULL);
+  seed = text ? (guint32)strtoul (text, NULL, 10) : randombytes_random ();
+  rng = g_rand_new_with_seed (seed);
+  g_test_message ("FTK_SEED=%u", seed);
+  g_test_add_func ("/mutation/frames", test_frames);
+  g_test_add_func ("/mutation/messages", test_messages);
+  g_test_add_func ("/mutation/records", test_records);
+  return g_test_run ();
+}
