--- a/core/membership.c
+++ b/core/membership.c
@@ -122,7 +122,7 @@
 void
 core_check_own_membership (struct core *c)
 {
-  if (c->incarnation == 0
+  if (c->incarnation == 0 || c->leave_sent
       || control_member_index (c->control, c->incarnation) >= 0)
     return;
   core_note (c, NOTE_REMOVED, c->settings.vm, c->incarnation);
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -73,7 +73,7 @@
       "\"peer_listen\":\"127.0.0.1:%u\",\"log\":\"127.0.0.1:%u\","
       "\"fleet\":\"127.0.0.1:%u\",\"cluster_secret\":\"test secret of 24 "
       "bytes\"}",
-      i, i % 3, cluster_entry_port (c, i), c->base + 30 + i, c->log_port,
+      i, i % 3, cluster_entry_port (c, i), c->base + 30 + i, c->log_port + i,
       c->fleet_port);
 
   g_file_set_contents (file, text, -1, NULL);
@@ -109,13 +109,14 @@
   low = g_getenv ("FTK_PORT_LOW");
   c->base = (guint16)((low ? atoi (low) : PORT_LOW)
                       + getpid () % PORT_RANGES * PORT_STEP);
-  c->log_port = c->base;
+  c->log_port = (guint16)(c->base + 2);
   c->fleet_port = (guint16)(c->base + 1);
   c->worker_port = (guint16)(c->base + 50);
   c->worker_count = worker_count;
   c->entry_count = entry_count;
   c->folder = g_dir_make_tmp ("fulmartack-XXXXXX", NULL);
-  c->log = spawn_standin (c, "standin_log", c->log_port, c->log_port);
+  c->log = spawn_standin (c, "standin_log", c->log_port,
+                          (guint16)(c->log_port + CLUSTER_ENTRY_LIMIT - 1));
   c->fleet = spawn_standin (c, "standin_fleet", c->fleet_port, c->fleet_port);
   c->worker = spawn_standin (c, "standin_worker", c->worker_port,
                              (guint16)(c->worker_port + worker_count - 1));
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -16,8 +16,8 @@
 
 struct cluster
 {
-  guint16 base; /**< First port of the range.  */
-  guint16 log_port;
+  guint16 base;     /**< First port of the range.  */
+  guint16 log_port; /**< First of one for each entry, all of one log.  */
   guint16 fleet_port;
   guint16 worker_port; /**< First of worker_count ports.  */
   guint worker_count;
--- a/tests/standin/log.c
+++ b/tests/standin/log.c
@@ -102,6 +102,8 @@
 {
   uint16_t port = argc > 1 ? (uint16_t)atoi (argv[1]) : 7001;
 
+  uint16_t last = argc > 2 ? (uint16_t)atoi (argv[2]) : port;
+
   standin_handler = handle;
-  return standin_serve (port, port);
+  return standin_serve (port, last);
 }
--- a/tests/standin/server.c
+++ b/tests/standin/server.c
@@ -155,7 +155,7 @@
       answer_set (x, 200, "{}");
       return finish (x);
     }
-  if (fault_get ("down"))
+  if (fault_get ("down") || fault_get ("down_port") == x->port)
     return MHD_NO;
   sleep_ms (fault_get ("slow_ms"));
   standin_handler (x);
--- a/tests/standin/server.h
+++ b/tests/standin/server.h
@@ -1,7 +1,8 @@
 /* server.h -- small HTTP server shared by the stand-ins of the platform.
 
    A thread for each connection, so a handler may sleep.  Faults are switched
-   on by POST /fault?NAME=NUMBER and read with fault_get.  */
+   on by POST /fault?NAME=NUMBER and read with fault_get.  All know "down", and
+   "down_port" for one of their ports.  */
 
 #ifndef TESTS_STANDIN_SERVER_H
 #define TESTS_STANDIN_SERVER_H
