--- a/adapter/decide.c
+++ b/adapter/decide.c
@@ -16,6 +16,7 @@
   struct core *core;
   struct actions actions;
   struct decide_outputs outputs;
+  struct member_list *members; /**< Awaits room in the peer ring, or NULL.  */
 };
 
 static void
@@ -25,6 +26,10 @@
     blob_unref (e->u.request.body);
   if (e->kind == EVENT_ATTEMPT_DONE)
     blob_unref (e->u.attempt.body);
+  if (e->kind == EVENT_RECORD)
+    blob_unref (e->u.record.raw);
+  if (e->kind == EVENT_PEER && e->u.peer.kind == PEER_RECORD)
+    blob_unref (e->u.peer.u.record.raw);
   talloc_free (e);
 }
 
@@ -65,6 +70,36 @@
     talloc_free (x);
 }
 
+/* What a member must get is sent again until it is acknowledged.  */
+static void
+send_peer (struct decide *d, const struct action *a)
+{
+  if (!send_action (d->outputs.peer, a))
+    peer_message_drop ((struct peer_message *)&a->u.peer);
+}
+
+static void
+send_follow (struct decide *d, uint64_t offset)
+{
+  struct log_item *x = talloc_zero (NULL, struct log_item);
+
+  x->follow = true;
+  x->follow_offset = offset;
+  if (!ring_push (d->outputs.log, x))
+    talloc_free (x);
+}
+
+/* The newest list replaces one that still awaits room.  */
+static void
+send_members (struct decide *d, struct member_list *l)
+{
+  struct action a = { .kind = ACTION_MEMBERS, .u.members = l };
+
+  if (d->members != l)
+    talloc_free (d->members);
+  d->members = send_action (d->outputs.peer, &a) ? NULL : l;
+}
+
 static void
 hand_on (struct decide *d, const struct action *a)
 {
@@ -89,7 +124,13 @@
       send_record (d, a->u.append);
       break;
     case ACTION_PEER:
-      send_action (d->outputs.peer, a);
+      send_peer (d, a);
+      break;
+    case ACTION_FOLLOW:
+      send_follow (d, a->u.follow_offset);
+      break;
+    case ACTION_MEMBERS:
+      send_members (d, a->u.members);
       break;
     case ACTION_NOTE:
       journal_note (d->outputs.journal, &a->u.note);
@@ -126,11 +167,14 @@
 on_tick (struct tevent_context *loop, struct tevent_timer *te,
          struct timeval at, void *state)
 {
+  struct decide *d = state;
   struct event e = { .kind = EVENT_TICK };
 
   (void)te;
   (void)at;
-  step (state, &e);
+  if (d->members != NULL)
+    send_members (d, d->members);
+  step (d, &e);
   tevent_add_timer (loop, loop,
                     tevent_timeval_current_ofs (0, TICK_MS * US_PER_MS),
                     on_tick, state);
@@ -178,6 +222,7 @@
   while (ring_pop (d->duty->inbound, (void **)&e, 1) > 0)
     drop_event (e);
   talloc_free (d->actions.items);
+  talloc_free (d->members);
   duty_free (d->duty);
   talloc_free (d);
 }
--- a/core/core.c
+++ b/core/core.c
@@ -13,6 +13,7 @@
   g_hash_table_iter_init (&it, c->requests);
   while (g_hash_table_iter_next (&it, NULL, &value))
     blob_unref (((struct request *)value)->body);
+  core_window_clear (&c->window);
   g_hash_table_destroy (c->requests);
   g_hash_table_destroy (c->attempts);
   return 0;
@@ -121,6 +122,9 @@
     case EVENT_STOP:
       core_on_stop (c);
       break;
+    case EVENT_PEER_FAULT:
+      core_on_peer_fault (c, &e->u.peer_fault);
+      break;
     }
   if (c->stopping)
     core_check_stop (c);
--- a/core/peer_input.c
+++ b/core/peer_input.c
@@ -2,14 +2,25 @@
 
 #include "core/state.h"
 
+#include <string.h>
+
 void
-core_on_peer (struct core *c, const struct peer_message *m)
+core_on_peer (struct core *c, struct peer_message *m)
 {
-  if (m->to_incarnation != c->incarnation)
-    return;
+  if (c->incarnation == 0 || m->to_incarnation != c->incarnation)
+    {
+      if (m->kind == PEER_RECORD)
+        blob_unref (m->u.record.raw);
+      return;
+    }
   switch (m->kind)
     {
     case PEER_STATUS:
+      core_on_peer_status (c, m->from_incarnation, &m->u.status);
+      break;
+    case PEER_RECORD:
+      core_on_peer_record (c, &m->u.record);
+      break;
     case PEER_DEMAND:
     case PEER_TRANSFER:
     case PEER_ACK:
@@ -17,3 +28,14 @@
       break;
     }
 }
+
+void
+core_on_peer_fault (struct core *c, const struct event_peer_fault *e)
+{
+  c->counters[COUNTER_BAD_PEER_FRAMES]++;
+  if (strcmp (c->refused_address, e->address) == 0)
+    return;
+  text_copy (c->refused_address, ADDRESS_BYTES, e->address);
+  core_note (c, NOTE_PEER_REFUSED, e->address,
+             c->counters[COUNTER_BAD_PEER_FRAMES]);
+}
--- a/port/event.h
+++ b/port/event.h
@@ -21,7 +21,8 @@
   EVENT_RECORD,       /**< A record was read from the log.  */
   EVENT_PEER,         /**< A peer's message.  */
   EVENT_STATUS,       /**< Someone asks for the state of this entry.  */
-  EVENT_STOP          /**< Planned stop of this entry.  */
+  EVENT_STOP,         /**< Planned stop of this entry.  */
+  EVENT_PEER_FAULT    /**< A peer link was refused.  */
 };
 
 /** How an attempt ended, as far as this entry can know.  */
@@ -60,8 +61,10 @@
 
 struct event_log_read
 {
-  bool readable;        /**< The read succeeded.  */
-  uint64_t next_offset; /**< First offset past the log's end.  */
+  bool readable;         /**< The read succeeded.  */
+  uint64_t next_offset;  /**< First offset past the log's end.  */
+  uint64_t first_offset; /**< Oldest offset that the log keeps.  */
+  uint64_t asked_us;     /**< When the read was asked for; 0: now.  */
 };
 
 struct event_record
@@ -69,6 +72,7 @@
   uint64_t offset;
   uint64_t at_ms;        /**< The log's own time of append.  */
   struct record *record; /**< Child of the event; NULL if malformed.  */
+  struct blob *raw;      /**< Its bytes, one reference; or NULL.  */
 };
 
 struct event_status
@@ -76,6 +80,11 @@
   uint64_t request_id;
 };
 
+struct event_peer_fault
+{
+  char address[ADDRESS_BYTES]; /**< The other end, without its port.  */
+};
+
 struct event
 {
   uint64_t now_us; /**< CLOCK_BOOTTIME: runs on through a pause.  */
@@ -90,6 +99,7 @@
     struct event_record record;
     struct peer_message peer;
     struct event_status status;
+    struct event_peer_fault peer_fault;
   } u;
 };
 
