--- /dev/null
+++ b/bench/bench_core.c
@@ -0,0 +1,209 @@
+/* bench_core.c -- events of core_step in a second on one thread.  */
+
+#include "adapter/record_json.h"
+#include "adapter/trace.h"
+#include "core/core.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define REQUEST_COUNT 500000
+#define OUT_COUNT 32
+#define TEXT_LIMIT 65536
+#define STEP_US 2
+
+static struct actions actions;
+static uint64_t clock_us = 1000000;
+
+static double
+now_s (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_MONOTONIC, &t);
+  return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
+}
+
+static void
+step (struct core *c, struct event *e)
+{
+  uint32_t i;
+
+  clock_us += STEP_US;
+  e->now_us = clock_us;
+  for (i = 0; i < actions.item_count; i++)
+    trace_action_drop (&actions.items[i]);
+  actions.item_count = 0;
+  core_step (c, e, &actions);
+}
+
+static void
+step_text (struct core *c, const char *text)
+{
+  char reason[TEXT_BYTES];
+  json_t *j = json_loads (text, 0, NULL);
+  struct event *e = j ? trace_event_from_json (j, reason) : NULL;
+
+  if (e == NULL)
+    {
+      fprintf (stderr, "bench_core: bad event: %s\n", text);
+      exit (1);
+    }
+  step (c, e);
+  talloc_free (e);
+  json_decref (j);
+}
+
+static void
+append_tables (char *text, uint32_t pool_count, uint32_t vm_count,
+               uint32_t team_count)
+{
+  char *p = text;
+  uint32_t i;
+  uint32_t k;
+
+  p += sprintf (p, "{\"event\":\"record\",\"offset\":1,\"data\":{\"id\":\"b\","
+                   "\"kind\":\"config\",\"tables\":{\"base_version\":0,"
+                   "\"teams\":[");
+  for (i = 0; i < team_count; i++)
+    p += sprintf (p, "%s{\"name\":\"t%u\",\"share\":1,\"ceiling\":100000}",
+                  i ? "," : "", i);
+  p += sprintf (p, "],\"pools\":[");
+  for (i = 0; i < pool_count; i++)
+    {
+      p += sprintf (p, "%s{\"name\":\"p%u\",\"vms\":[", i ? "," : "", i);
+      for (k = 0; k < vm_count; k++)
+        p += sprintf (p, "%s{\"name\":\"w%u-%u\",\"address\":\"127.0.0.1:1\"}",
+                      k ? "," : "", i, k);
+      p += sprintf (p, "]}");
+    }
+  p += sprintf (p, "],\"routes\":[");
+  for (i = 0; i < pool_count; i++)
+    p += sprintf (p, "%s{\"queue\":\"q%u\",\"pool\":\"p%u\"}", i ? "," : "", i,
+                  i);
+  sprintf (p, "]}}}");
+}
+
+/* Makes a lone entry that has joined and serves POOL_COUNT pools.  */
+static struct core *
+make_core (uint32_t pool_count, uint32_t vm_count, uint32_t team_count)
+{
+  struct core_settings s = { .vm = "entry-1",
+                             .boot_id = 1,
+                             .stop_limit_ms = 30000,
+                             .fresh_limit_ms = 1u << 30,
+                             .max_body_bytes = 8u << 20 };
+  struct core *c = core_new (NULL, &s);
+  char *text = malloc (TEXT_LIMIT);
+  uint8_t digest[DIGEST_BYTES];
+  char hex[2 * DIGEST_BYTES + 1];
+
+  step_text (c, "{\"event\":\"log_read\",\"next\":0}");
+  step_text (c, "{\"event\":\"record\",\"offset\":0,\"data\":{\"id\":"
+                "\"entry-1-0000000000000001-1\",\"kind\":\"join\","
+                "\"vm\":\"entry-1\"}}");
+  append_tables (text, pool_count, vm_count, team_count);
+  step_text (c, text);
+  crypto_generichash (digest, sizeof digest, (const uint8_t *)"k", 1, NULL, 0);
+  sodium_bin2hex (hex, sizeof hex, digest, sizeof digest);
+  snprintf (text, TEXT_LIMIT,
+            "{\"event\":\"record\",\"offset\":2,\"data\":{\"id\":\"k\","
+            "\"kind\":\"key_grant\",\"team\":\"t0\",\"digest\":\"%s\"}}",
+            hex);
+  step_text (c, text);
+  free (text);
+  return c;
+}
+
+static void
+send_request (struct core *c, struct event *e, uint64_t id, struct blob *body,
+              uint32_t pool_count)
+{
+  struct event_request *r = &e->u.request;
+
+  e->kind = EVENT_REQUEST;
+  r->request_id = id;
+  snprintf (r->queue, NAME_BYTES, "q%u", (unsigned)(id % pool_count));
+  r->body = blob_ref (body);
+  step (c, e);
+}
+
+static uint64_t
+started_attempt (void)
+{
+  uint32_t i;
+
+  for (i = 0; i < actions.item_count; i++)
+    if (actions.items[i].kind == ACTION_START)
+      return actions.items[i].u.start.attempt_id;
+  return 0;
+}
+
+static void
+end_attempt (struct core *c, uint64_t attempt_id, struct blob *body)
+{
+  struct event e = { .kind = EVENT_ATTEMPT_DONE };
+
+  e.u.attempt.attempt_id = attempt_id;
+  e.u.attempt.outcome = ATTEMPT_ANSWERED;
+  e.u.attempt.http_status = 200;
+  e.u.attempt.elapsed_us = 300;
+  e.u.attempt.body = blob_ref (body);
+  step (c, &e);
+}
+
+static void
+bench (uint32_t pool_count, uint32_t vm_count, uint32_t team_count)
+{
+  struct core *c = make_core (pool_count, vm_count, team_count);
+  struct blob *body = blob_copy ("strap", 5);
+  struct event request = { 0 };
+  uint64_t out[OUT_COUNT] = { 0 };
+  uint64_t event_count = 0;
+  uint64_t lost_count = 0;
+  double start_s;
+  double spent_s;
+  uint64_t id;
+
+  request.u.request.has_key = true;
+  crypto_generichash (request.u.request.key_digest, DIGEST_BYTES,
+                      (const uint8_t *)"k", 1, NULL, 0);
+  start_s = now_s ();
+  for (id = 1; id <= REQUEST_COUNT; id++)
+    {
+      uint64_t *slot = &out[id % OUT_COUNT];
+
+      if (*slot != 0)
+        {
+          end_attempt (c, *slot, body);
+          event_count++;
+        }
+      send_request (c, &request, id, body, pool_count);
+      event_count++;
+      *slot = started_attempt ();
+      lost_count += *slot == 0;
+    }
+  spent_s = now_s () - start_s;
+  printf ("{\"bench\":\"core\",\"pools\":%u,\"vms\":%u,\"teams\":%u,"
+          "\"events\":%llu,\"not_started\":%llu,\"events_per_s\":%.0f,"
+          "\"aim_events_per_s\":300000}\n",
+          pool_count, pool_count * vm_count, team_count,
+          (unsigned long long)event_count, (unsigned long long)lost_count,
+          (double)event_count / spent_s);
+  blob_unref (body);
+  talloc_free (c);
+}
+
+int
+main (void)
+{
+  if (sodium_init () < 0)
+    return 1;
+  bench (2, 4, 2);
+  bench (5, 10, 6);
+  bench (29, 21, 46);
+  return 0;
+}
