Findings with their line, sorted, from one reader of JSON files

Every finding printed line 0: jansson keeps no positions of values. A second parser with positions was ruled out, for two parsers may differ; instead json_line.c walks the accepted text along the finding's path, and json_document.c reads a file once for both tables and settings (this stood twice). A missing field has the line of its object. An address of a VM is now checked like those of the settings.

tests/test_findings.c runs 13 documents with 66 findings of more than twenty kinds against expected output.

--- a/Makefile
+++ b/Makefile
@@ -90,6 +90,7 @@
 
 update-expected: all
 	FTK_WRITE_EXPECTED=1 $(B)/test_scripts -q
+	FTK_WRITE_EXPECTED=1 $(B)/test_findings -q
 
 format:
 	@clang-format -i $(C_FILES)
--- a/adapter/config_json.c
+++ b/adapter/config_json.c
@@ -2,9 +2,9 @@
 
 #include "adapter/config_json.h"
 
+#include "adapter/json_document.h"
 #include "adapter/json_field.h"
 
-#include <errno.h>
 #include <string.h>
 
 #define TABLE_LIMIT_COUNT 65536
@@ -91,7 +91,7 @@
   memset (v, 0, sizeof *v);
   text_copy (v->name, NAME_BYTES, name);
   v->pool_index = pool_index;
-  json_get_text (p, "address", true, v->address, ADDRESS_BYTES);
+  json_get_address (p, "address", true, v->address);
   json_get_text (p, "zone", false, v->zone, NAME_BYTES);
   json_get_text (p, "rack", false, v->rack, NAME_BYTES);
   v->slot_count = (uint32_t)json_get_number (p, "slots", 1, COUNT_LIMIT,
@@ -314,18 +314,11 @@
 struct config *
 config_from_file (TALLOC_CTX *mem, const char *file, struct findings **f)
 {
-  json_error_t error;
-  json_t *document = json_load_file (file, JSON_REJECT_DUPLICATES, &error);
+  json_t *document = json_document_read (mem, file, f);
   struct config *c = NULL;
 
-  *f = findings_new (mem, file, NULL);
-  if (document == NULL)
-    {
-      findings_add (*f, "", "%s", error.text);
-      (*f)->items[0].line = error.line > 0 ? (uint32_t)error.line : 0;
-      return NULL;
-    }
-  c = config_from_json (mem, document, *f);
+  if (document != NULL)
+    c = config_from_json (mem, document, *f);
   json_decref (document);
   return c;
 }
--- a/adapter/finding.c
+++ b/adapter/finding.c
@@ -2,6 +2,8 @@
 
 #include "adapter/finding.h"
 
+#include "adapter/json_line.h"
+
 #include <stdarg.h>
 
 struct findings *
@@ -14,18 +16,48 @@
   return f;
 }
 
+/* Makes room for a finding at LINE behind those of the same line.  */
+static struct finding *
+insert (struct findings *f, uint32_t line)
+{
+  uint32_t i = f->item_count++;
+
+  f->items = talloc_realloc (f, f->items, struct finding, f->item_count);
+  for (; i > 0 && f->items[i - 1].line > line; i--)
+    f->items[i] = f->items[i - 1];
+  f->items[i].line = line;
+  return &f->items[i];
+}
+
+static void
+add (struct findings *f, uint32_t line, const char *path, const char *format,
+     va_list args)
+{
+  struct finding *x = insert (f, line);
+
+  text_copy (x->path, sizeof x->path, path);
+  vsnprintf (x->text, sizeof x->text, format, args);
+}
+
 void
 findings_add (struct findings *f, const char *path, const char *format, ...)
 {
-  struct finding *x;
+  uint32_t line = f->document ? json_line_of (f->document, path) : 0;
   va_list args;
 
-  f->items = talloc_realloc (f, f->items, struct finding, f->item_count + 1);
-  x = &f->items[f->item_count++];
-  x->line = 0;
-  text_copy (x->path, sizeof x->path, path);
   va_start (args, format);
-  vsnprintf (x->text, sizeof x->text, format, args);
+  add (f, line, path, format, args);
+  va_end (args);
+}
+
+void
+findings_add_at (struct findings *f, uint32_t line, const char *path,
+                 const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  add (f, line, path, format, args);
   va_end (args);
 }
 
--- a/adapter/json_field.c
+++ b/adapter/json_field.c
@@ -2,6 +2,8 @@
 
 #include "adapter/json_field.h"
 
+#include "adapter/address.h"
+
 #include <string.h>
 
 void
@@ -64,6 +66,17 @@
     json_fault (p, key, "is too long");
 }
 
+void
+json_get_address (struct json_place *p, const char *key, bool required,
+                  char *dst)
+{
+  struct sockaddr_in a;
+
+  json_get_text (p, key, required, dst, ADDRESS_BYTES);
+  if (dst[0] != '\0' && !address_parse (dst, &a))
+    json_fault (p, key, "expected an IP number and a port, \"127.0.0.1:80\"");
+}
+
 uint64_t
 json_get_number (struct json_place *p, const char *key, uint64_t low,
                  uint64_t high, uint64_t otherwise)
--- a/adapter/json_field.h
+++ b/adapter/json_field.h
@@ -27,6 +27,10 @@
 void json_get_text (struct json_place *p, const char *key, bool required,
                     char *dst, uint32_t size_bytes);
 
+/** Copies the address KEY, "IP:PORT", to DST (ADDRESS_BYTES).  */
+void json_get_address (struct json_place *p, const char *key, bool required,
+                       char *dst);
+
 /** Returns the whole number KEY within [LOW, HIGH], or OTHERWISE.  */
 uint64_t json_get_number (struct json_place *p, const char *key, uint64_t low,
                           uint64_t high, uint64_t otherwise);
--- /dev/null
+++ b/adapter/json_line.h
@@ -0,0 +1,14 @@
+/* json_line.h -- the line of a value in the text of a JSON document.  */
+
+#ifndef FTK_ADAPTER_JSON_LINE_H
+#define FTK_ADAPTER_JSON_LINE_H
+
+#include <stdint.h>
+
+/** Returns the line, from 1, of the value at PATH (such as
+    "pools[2].vms[0].slots") in TEXT, a valid JSON document.  The part of PATH
+    that the document lacks is passed over: a missing field has the line of
+    the object that should hold it.  */
+uint32_t json_line_of (const char *text, const char *path);
+
+#endif
--- a/adapter/settings.c
+++ b/adapter/settings.c
@@ -2,7 +2,7 @@
 
 #include "adapter/settings.h"
 
-#include "adapter/address.h"
+#include "adapter/json_document.h"
 #include "adapter/json_field.h"
 
 #include <string.h>
@@ -14,16 +14,6 @@
 #define CONNECTION_COUNT 12000
 #define SECRET_LOW_BYTES 16
 
-static void
-read_address (struct json_place *p, const char *key, bool required, char *dst)
-{
-  struct sockaddr_in a;
-
-  json_get_text (p, key, required, dst, ADDRESS_BYTES);
-  if (dst[0] != '\0' && !address_parse (dst, &a))
-    json_fault (p, key, "expected an IP number and a port, \"127.0.0.1:80\"");
-}
-
 static void
 read_fields (struct json_place *p, struct settings *s)
 {
@@ -35,10 +25,10 @@
   json_check_keys (p, known);
   json_get_text (p, "vm", true, s->vm, NAME_BYTES);
   json_get_text (p, "zone", false, s->zone, NAME_BYTES);
-  read_address (p, "listen", true, s->listen);
-  read_address (p, "peer_listen", true, s->peer_listen);
-  read_address (p, "log", true, s->log);
-  read_address (p, "fleet", false, s->fleet);
+  json_get_address (p, "listen", true, s->listen);
+  json_get_address (p, "peer_listen", true, s->peer_listen);
+  json_get_address (p, "log", true, s->log);
+  json_get_address (p, "fleet", false, s->fleet);
   json_get_text (p, "cluster_secret", true, s->cluster_secret, TEXT_BYTES);
   if (s->cluster_secret[0] != '\0'
       && strlen (s->cluster_secret) < SECRET_LOW_BYTES)
@@ -57,17 +47,10 @@
 settings_read (TALLOC_CTX *mem, const char *file, struct findings **f)
 {
   struct settings *s = talloc_zero (mem, struct settings);
-  json_error_t error;
-  json_t *document = json_load_file (file, JSON_REJECT_DUPLICATES, &error);
+  json_t *document = json_document_read (mem, file, f);
   struct json_place p;
 
-  *f = findings_new (mem, file, NULL);
-  if (document == NULL)
-    {
-      findings_add (*f, "", "%s", error.text);
-      (*f)->items[0].line = error.line > 0 ? (uint32_t)error.line : 0;
-    }
-  else if (json_place_open (&p, *f, document, ""))
+  if (document != NULL && json_place_open (&p, *f, document, ""))
     read_fields (&p, s);
   json_decref (document);
   if ((*f)->item_count > 0)
