--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 PROGRAMS = $(B)/fulmartackd $(B)/fulmartackctl
 
 .PHONY: all deps demo check test lint format format-check bench clean \
-  update-expected sanitized
+  update-expected record-traces sanitized
 .SECONDARY:
 
 all: $(LIB) $(PROGRAMS) $(STANDINS) $(TESTS) $(BENCHES)
@@ -92,6 +92,12 @@
 	FTK_WRITE_EXPECTED=1 $(B)/test_scripts -q
 	FTK_WRITE_EXPECTED=1 $(B)/test_findings -q
 
+# Records both users' small runs anew and states what they come to; needed
+# when the core's decisions change.
+record-traces: all
+	@tests/record.sh $(B) tests/traces
+	@FTK_WRITE_EXPECTED=1 $(B)/test_replay -q
+
 format:
 	@clang-format -i $(C_FILES)
 
--- a/adapter/decide.c
+++ b/adapter/decide.c
@@ -16,6 +16,7 @@
   struct core *core;
   struct actions actions;
   struct decide_outputs outputs;
+  struct recorder *recorder; /**< NULL unless the run is recorded.  */
 };
 
 static void
@@ -100,6 +101,16 @@
     }
 }
 
+static void
+record_actions (struct decide *d)
+{
+  uint32_t i;
+
+  for (i = 0; i < d->actions.item_count; i++)
+    recorder_action (d->recorder, &d->actions.items[i]);
+  recorder_end_step (d->recorder);
+}
+
 static void
 step (struct decide *d, struct event *e)
 {
@@ -107,8 +118,13 @@
 
   e->now_us = now_us ();
   randombytes_buf (&e->random, sizeof e->random);
+  e->random >>= 1; /* A trace holds it as a signed number.  */
+  if (d->recorder != NULL)
+    recorder_event (d->recorder, e);
   d->actions.item_count = 0;
   core_step (d->core, e, &d->actions);
+  if (d->recorder != NULL)
+    record_actions (d);
   for (i = 0; i < d->actions.item_count; i++)
     hand_on (d, &d->actions.items[i]);
 }
@@ -162,6 +178,12 @@
   d->outputs = *o;
 }
 
+void
+decide_record (struct decide *d, struct recorder *r)
+{
+  d->recorder = r;
+}
+
 struct duty *
 decide_duty (struct decide *d)
 {
--- a/adapter/decide.h
+++ b/adapter/decide.h
@@ -5,6 +5,7 @@
 
 #include "adapter/duty.h"
 #include "adapter/journal.h"
+#include "adapter/recorder.h"
 #include "core/core.h"
 
 struct decide;
@@ -25,6 +26,10 @@
 /** Sets where actions go; call before the start.  */
 void decide_connect (struct decide *d, const struct decide_outputs *o);
 
+/** Has every step recorded by R, which stays the caller's; call before the
+    start.  */
+void decide_record (struct decide *d, struct recorder *r);
+
 /** Returns the duty, to start and join it.  Its ring takes struct event.  */
 struct duty *decide_duty (struct decide *d);
 
--- a/adapter/entry.c
+++ b/adapter/entry.c
@@ -12,8 +12,10 @@
 #include "adapter/settings.h"
 
 #include <curl/curl.h>
+#include <errno.h>
 #include <poll.h>
 #include <sodium.h>
+#include <string.h>
 
 /** Longest wait for the last appends and responses of a planned stop.  */
 #define FLUSH_LIMIT_MS 3000
@@ -28,6 +30,7 @@
   struct log_service *log;
   struct peer *peer;
   struct front *front;
+  struct recorder *recorder; /**< NULL unless the run is recorded.  */
   struct ring *exits; /**< Front, then log, tell the main thread here.  */
   char message[TEXT_BYTES];
 };
@@ -53,6 +56,8 @@
       return "tables refused";
     case FTK_CANNOT_LISTEN:
       return "cannot listen";
+    case FTK_CANNOT_RECORD:
+      return "cannot record";
     }
   return "unknown status";
 }
@@ -93,9 +98,24 @@
   c->max_body_bytes = s->max_body_bytes;
 }
 
+static ftk_status
+make_recorder (ftk_entry *e, const char *trace, const struct core_settings *c)
+{
+  if (trace == NULL)
+    return FTK_OK;
+  e->recorder = recorder_open (trace, c);
+  if (e->recorder == NULL)
+    {
+      snprintf (e->message, TEXT_BYTES, "%.100s: %s", trace, strerror (errno));
+      return FTK_CANNOT_RECORD;
+    }
+  decide_record (e->decide, e->recorder);
+  return FTK_OK;
+}
+
 /* Makes every duty; none runs yet.  */
 static ftk_status
-make_duties (ftk_entry *e)
+make_duties (ftk_entry *e, const char *trace)
 {
   struct core_settings c = { 0 };
   struct decide_outputs o;
@@ -107,6 +127,8 @@
   if (e->journal == NULL || e->decide == NULL)
     return FTK_NO_MEMORY;
   decide = decide_duty (e->decide)->inbound;
+  if (make_recorder (e, trace, &c) != FTK_OK)
+    return FTK_CANNOT_RECORD;
   e->back = back_new (decide);
   e->log = log_service_new (e->settings->log, decide);
   if (e->back == NULL || e->log == NULL)
@@ -130,6 +152,8 @@
 start_duties (ftk_entry *e)
 {
   log_service_follow (e->log);
+  if (e->recorder != NULL && !duty_start (recorder_duty (e->recorder)))
+    return FTK_NO_MEMORY;
   if (duty_start (journal_duty (e->journal))
       && duty_start (back_duty (e->back)) && duty_start (peer_duty (e->peer))
       && duty_start (decide_duty (e->decide))
@@ -141,6 +165,13 @@
 
 ftk_status
 ftk_entry_open (const char *file, FILE *report, ftk_entry **entry)
+{
+  return ftk_entry_open_recorded (file, NULL, report, entry);
+}
+
+ftk_status
+ftk_entry_open_recorded (const char *file, const char *trace, FILE *report,
+                         ftk_entry **entry)
 {
   ftk_entry *e = talloc_zero (NULL, ftk_entry);
   struct findings *f;
@@ -161,7 +192,7 @@
   e->exits = ring_open (EXIT_RING_COUNT);
   if (e->exits == NULL)
     return FTK_NO_MEMORY;
-  s = make_duties (e);
+  s = make_duties (e, trace);
   if (s == FTK_OK)
     s = start_duties (e);
   return s;
@@ -227,12 +258,15 @@
     duty_join (decide_duty (e->decide));
   if (e->journal != NULL)
     duty_join (journal_duty (e->journal));
+  if (e->recorder != NULL)
+    duty_join (recorder_duty (e->recorder));
   front_free (e->front);
   back_free (e->back);
   log_service_free (e->log);
   peer_free (e->peer);
   decide_free (e->decide);
   journal_free (e->journal);
+  recorder_close (e->recorder);
   ring_close (e->exits);
   talloc_free (e);
 }
--- /dev/null
+++ b/adapter/replay.h
@@ -0,0 +1,38 @@
+/* replay.h -- runs a recorded trace through the core and compares.  */
+
+#ifndef FTK_ADAPTER_REPLAY_H
+#define FTK_ADAPTER_REPLAY_H
+
+#include "port/action.h"
+
+#include <stdio.h>
+
+/** How a replay ended.  */
+enum replay_end
+{
+  REPLAY_SAME,      /**< Every action was the same, byte for byte.  */
+  REPLAY_DIFFERENT, /**< The first difference was printed.  */
+  REPLAY_MALFORMED  /**< The file is no trace; the reason was printed.  */
+};
+
+/** What a recorded run came to.  */
+struct replay_outcome
+{
+  uint64_t event_count;
+  uint64_t action_count;
+  uint64_t request_count;
+  uint64_t start_count;
+  uint64_t answer_count[ANSWER_CODE_COUNT];
+  uint64_t twice_count;      /**< Answers beyond the first of a request.  */
+  uint64_t unanswered_count; /**< Requests without an answer.  */
+  uint64_t crossed_count;    /**< Answers to no known request.  */
+};
+
+/** Replays FILE; differences go to REPORT, counts to O.  */
+enum replay_end replay_file (const char *file, FILE *report,
+                             struct replay_outcome *o);
+
+/** Prints O as lines of "name value".  */
+void replay_print (const struct replay_outcome *o, FILE *to);
+
+#endif
--- a/bench/bench_core.c
+++ b/bench/bench_core.c
@@ -1,6 +1,6 @@
 /* bench_core.c -- events of core_step in a second on one thread.  */
 
-#include "adapter/record_json.h"
+#include "adapter/recording.h"
 #include "adapter/trace.h"
 #include "core/core.h"
 
@@ -14,6 +14,8 @@
 #define OUT_COUNT 32
 #define TEXT_LIMIT 65536
 #define STEP_US 2
+#define LINE_COUNT 100000
+#define BODY_BYTES 1000
 
 static struct actions actions;
 static uint64_t clock_us = 1000000;
@@ -197,6 +199,33 @@
   talloc_free (c);
 }
 
+/* Time that coding the lines of a step takes on the decide thread.  */
+static void
+bench_recording (void)
+{
+  struct event e = { .kind = EVENT_REQUEST, .now_us = 1847162608 };
+  struct action a = { .kind = ACTION_START };
+  struct blob *body = blob_new (BODY_BYTES);
+  double start_s = now_s ();
+  uint32_t i;
+
+  memset (body->data, 'x', BODY_BYTES);
+  text_copy (e.u.request.queue, NAME_BYTES, "tickets");
+  e.u.request.body = body;
+  e.u.request.has_key = true;
+  text_copy (a.u.start.vm, NAME_BYTES, "w1");
+  a.u.start.body = body;
+  for (i = 0; i < LINE_COUNT; i++)
+    {
+      free (recording_event_line (&e));
+      free (recording_action_line (&a));
+    }
+  printf ("{\"bench\":\"recording\",\"steps\":%d,\"body_bytes\":%d,"
+          "\"us_per_step\":%.2f}\n",
+          LINE_COUNT, BODY_BYTES, (now_s () - start_s) * 1e6 / LINE_COUNT);
+  blob_unref (body);
+}
+
 int
 main (void)
 {
@@ -205,5 +234,6 @@
   bench (2, 4, 2);
   bench (5, 10, 6);
   bench (29, 21, 46);
+  bench_recording ();
   return 0;
 }
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -51,5 +51,6 @@
 int ctl_status (struct ctl *c);
 int ctl_timeline (struct ctl *c);
 int ctl_submit (struct ctl *c);
+int ctl_replay (struct ctl *c);
 
 #endif
--- a/ctl/fulmartackctl.c
+++ b/ctl/fulmartackctl.c
@@ -62,7 +62,7 @@
 } commands[] = {
   { "config", ctl_config }, { "key", ctl_key },
   { "status", ctl_status }, { "timeline", ctl_timeline },
-  { "submit", ctl_submit },
+  { "submit", ctl_submit }, { "replay", ctl_replay },
 };
 
 int
@@ -76,7 +76,7 @@
     "Commands:\n"
     "  config check|diff|apply FILE, config show\n"
     "  key grant TEAM FILE, key withdraw FILE\n"
-    "  status, timeline, submit QUEUE FILE\n"
+    "  status, timeline, submit QUEUE FILE, replay FILE\n"
     "Exit codes: 0 done, 1 refused, 2 document refused, 3 no answer,\n"
     "4 published but not told by every entry, 64 usage.",
     NULL,
--- a/daemon/fulmartackd.c
+++ b/daemon/fulmartackd.c
@@ -12,11 +12,15 @@
 struct arguments
 {
   const char *file;
-  int check; /**< Only check the settings.  */
+  const char *trace; /**< File for the trace, or NULL.  */
+  int check;         /**< Only check the settings.  */
 };
 
 static const struct argp_option options[]
-    = { { "check", 'c', NULL, 0, "Check the settings and exit", 0 }, { 0 } };
+    = { { "check", 'c', NULL, 0, "Check the settings and exit", 0 },
+        { "record", 'r', "FILE", 0,
+          "Write every event and its actions to FILE", 0 },
+        { 0 } };
 
 static error_t
 parse (int key, char *arg, struct argp_state *state)
@@ -28,6 +32,9 @@
     case 'c':
       a->check = 1;
       return 0;
+    case 'r':
+      a->trace = arg;
+      return 0;
     case ARGP_KEY_ARG:
       if (a->file != NULL)
         argp_usage (state);
@@ -84,7 +91,7 @@
   if (a.check)
     return ftk_settings_check (a.file, stderr);
   block_signals ();
-  s = ftk_entry_open (a.file, stderr, &e);
+  s = ftk_entry_open_recorded (a.file, a.trace, stderr, &e);
   if (s == FTK_OK && pthread_create (&t, NULL, wait_signal, e) == 0)
     {
       s = ftk_entry_run (e);
--- a/include/fulmartack.h
+++ b/include/fulmartack.h
@@ -29,7 +29,8 @@
     FTK_NO_MEMORY = 1,    /**< Memory, threads or descriptors are out.  */
     FTK_BAD_SETTINGS = 2, /**< The settings were refused; see the findings.  */
     FTK_BAD_TABLES = 3,   /**< The tables were refused; see the findings.  */
-    FTK_CANNOT_LISTEN = 4 /**< An address is in use or not ours.  */
+    FTK_CANNOT_LISTEN = 4, /**< An address is in use or not ours.  */
+    FTK_CANNOT_RECORD = 5  /**< The file for the trace cannot be written.  */
   } ftk_status;
 
   /** One entry: a process between callers and workers.  */
@@ -55,6 +56,12 @@
      FTK_CANNOT_LISTEN.  */
   ftk_status ftk_entry_open (const char *file, FILE *report, ftk_entry **e);
 
+  /** As ftk_entry_open, but writes every event and the actions that it gave
+      to the file TRACE (NULL: none), for `fulmartackctl replay`. Errors: as
+      ftk_entry_open, and FTK_CANNOT_RECORD.  */
+  ftk_status ftk_entry_open_recorded (const char *file, const char *trace,
+                                      FILE *report, ftk_entry **e);
+
   /** Waits until the entry has stopped: after ftk_entry_stop no new work is
       taken, everything in flight is answered within the setting
       "stop_limit_ms" (milliseconds), and the entry leaves the members.  */
