--- a/Makefile
+++ b/Makefile
@@ -91,6 +91,7 @@
 update-expected: all
 	FTK_WRITE_EXPECTED=1 $(B)/test_scripts -q
 	FTK_WRITE_EXPECTED=1 $(B)/test_findings -q
+	FTK_WRITE_EXPECTED=1 $(B)/test_ctl -q
 
 # Records both users' small runs anew and states what they come to; needed
 # when the core's decisions change.
--- a/adapter/entry.c
+++ b/adapter/entry.c
@@ -92,6 +92,7 @@
   text_copy (c->vm, NAME_BYTES, s->vm);
   text_copy (c->zone, NAME_BYTES, s->zone);
   text_copy (c->peer_address, ADDRESS_BYTES, s->peer_listen);
+  text_copy (c->address, ADDRESS_BYTES, s->listen);
   randombytes_buf (&c->boot_id, sizeof c->boot_id);
   c->stop_limit_ms = s->stop_limit_ms;
   c->fresh_limit_ms = s->fresh_limit_ms;
--- a/adapter/front.c
+++ b/adapter/front.c
@@ -298,6 +298,16 @@
   return MHD_YES;
 }
 
+static json_t *
+make_timeline (struct call *c)
+{
+  const char *after = MHD_lookup_connection_value (
+      c->connection, MHD_GET_ARGUMENT_KIND, "after");
+
+  return journal_timeline (c->front->journal,
+                           after ? strtoull (after, NULL, 10) : 0);
+}
+
 static enum MHD_Result
 dispatch_call (struct call *c)
 {
@@ -312,7 +322,7 @@
     case CALL_METRICS:
       return ask (c, make_status (c));
     case CALL_TIMELINE:
-      return respond_json (c, 200, journal_timeline (c->front->journal));
+      return respond_json (c, 200, make_timeline (c));
     case CALL_UNKNOWN:
       break;
     }
--- a/adapter/journal.c
+++ b/adapter/journal.c
@@ -99,23 +99,25 @@
 }
 
 json_t *
-journal_timeline (struct journal *j)
+journal_timeline (struct journal *j, uint64_t after)
 {
   json_t *list = json_array ();
   uint64_t i;
 
   pthread_mutex_lock (&j->lock);
   i = j->kept_total > KEPT_COUNT ? j->kept_total - KEPT_COUNT : 0;
+  if (after <= j->kept_total && after > i)
+    i = after;
   for (; i < j->kept_total; i++)
     {
       const struct kept_note *k = &j->kept[i % KEPT_COUNT];
 
-      json_array_append_new (list,
-                             json_pack ("{s:I, s:s, s:s, s:s, s:I}", "at_ms",
-                                        (json_int_t)k->at_ms, "vm", j->vm,
-                                        "event", note_kind_name (k->note.kind),
-                                        "subject", k->note.subject, "value",
-                                        (json_int_t)k->note.value));
+      json_array_append_new (
+          list,
+          json_pack ("{s:I, s:I, s:s, s:s, s:s, s:I}", "number",
+                     (json_int_t)i + 1, "at_ms", (json_int_t)k->at_ms, "vm",
+                     j->vm, "event", note_kind_name (k->note.kind), "subject",
+                     k->note.subject, "value", (json_int_t)k->note.value));
     }
   pthread_mutex_unlock (&j->lock);
   return list;
--- a/adapter/journal.h
+++ b/adapter/journal.h
@@ -22,9 +22,10 @@
 /** Hands a note to the journal; a full ring drops and counts it.  */
 void journal_note (struct journal *j, const struct action_note *n);
 
-/** Returns the notes kept, oldest first, as JSON (a new reference).  May be
-    called from any thread.  */
-json_t *journal_timeline (struct journal *j);
+/** Returns the notes kept after number AFTER, oldest first, as JSON (a new
+    reference); all of them if AFTER was never reached, as after a restart.
+    May be called from any thread.  */
+json_t *journal_timeline (struct journal *j, uint64_t after);
 
 /** Returns how many notes were dropped.  */
 uint64_t journal_dropped_count (const struct journal *j);
--- a/adapter/record_json.c
+++ b/adapter/record_json.c
@@ -67,6 +67,7 @@
       json_get_text (p, "zone", false, r->u.join.zone, NAME_BYTES);
       json_get_text (p, "peer_address", false, r->u.join.peer_address,
                      ADDRESS_BYTES);
+      json_get_text (p, "address", false, r->u.join.address, ADDRESS_BYTES);
       break;
     case RECORD_LEAVE:
       json_get_text (p, "vm", true, r->u.leave.vm, NAME_BYTES);
@@ -127,6 +128,8 @@
       json_object_set_new (j, "zone", json_string (r->u.join.zone));
       json_object_set_new (j, "peer_address",
                            json_string (r->u.join.peer_address));
+      if (r->u.join.address[0] != '\0')
+        json_object_set_new (j, "address", json_string (r->u.join.address));
       break;
     case RECORD_LEAVE:
       json_object_set_new (j, "vm", json_string (r->u.leave.vm));
--- a/core/control.c
+++ b/core/control.c
@@ -149,6 +149,7 @@
   text_copy (m->vm, NAME_BYTES, j->vm);
   text_copy (m->zone, NAME_BYTES, j->zone);
   text_copy (m->peer_address, ADDRESS_BYTES, j->peer_address);
+  text_copy (m->address, ADDRESS_BYTES, j->address);
   m->incarnation = offset + 1;
   return VERDICT_APPLIED;
 }
--- a/core/control.h
+++ b/core/control.h
@@ -24,7 +24,8 @@
   char vm[NAME_BYTES];
   char zone[NAME_BYTES];
   char peer_address[ADDRESS_BYTES];
-  uint64_t incarnation; /**< Offset of its join record, plus 1.  */
+  char address[ADDRESS_BYTES]; /**< For operators; may be empty.  */
+  uint64_t incarnation;        /**< Offset of its join record, plus 1.  */
 };
 
 struct control
--- a/core/membership.c
+++ b/core/membership.c
@@ -45,6 +45,7 @@
   text_copy (r->u.join.vm, NAME_BYTES, c->settings.vm);
   text_copy (r->u.join.zone, NAME_BYTES, c->settings.zone);
   text_copy (r->u.join.peer_address, ADDRESS_BYTES, c->settings.peer_address);
+  text_copy (r->u.join.address, ADDRESS_BYTES, c->settings.address);
   text_copy (c->join_id, ID_BYTES, r->id);
 }
 
--- /dev/null
+++ b/ctl/apply.c
@@ -0,0 +1,207 @@
+/* apply.c -- fulmartackctl config apply.
+
+   The command id is the digest of the document with its base version, so a
+   repeat after a lost answer finds the first try instead of adding one.  */
+
+#include "ctl/ctl.h"
+
+#include "adapter/config_json.h"
+#include "adapter/duty.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define POLL_MS 50
+/** A member that is frozen holds up the others this long.  */
+#define ASK_LIMIT_MS 500
+#define ID_DIGEST_BYTES 16
+
+/* What one member has told of its version.  */
+struct report
+{
+  char vm[NAME_BYTES];
+  char address[ADDRESS_BYTES]; /**< May be empty.  */
+  uint64_t version;            /**< In force there; 0: not told.  */
+};
+
+/* The members that are to tell a version.  */
+struct roll_out
+{
+  struct report *items;
+  uint32_t item_count;
+  uint64_t version;
+};
+
+static void
+document_id (const struct config *tables, char *id)
+{
+  json_t *j = config_to_json (tables);
+  char *text = json_dumps (j, JSON_COMPACT | JSON_SORT_KEYS);
+  uint8_t digest[ID_DIGEST_BYTES];
+  char hex[2 * ID_DIGEST_BYTES + 1];
+
+  crypto_generichash (digest, sizeof digest, (const uint8_t *)text,
+                      strlen (text), NULL, 0);
+  sodium_bin2hex (hex, sizeof hex, digest, sizeof digest);
+  snprintf (id, ID_BYTES, "config-%s", hex);
+  free (text);
+  json_decref (j);
+}
+
+static struct roll_out *
+roll_out_new (TALLOC_CTX *mem, const struct control *s)
+{
+  struct roll_out *r = talloc_zero (mem, struct roll_out);
+  const struct member **members = ctl_sorted_members (mem, s);
+  uint32_t i;
+
+  r->version = s->config_version;
+  r->item_count = s->member_count;
+  r->items = talloc_zero_array (r, struct report, s->member_count);
+  for (i = 0; i < s->member_count; i++)
+    {
+      text_copy (r->items[i].vm, NAME_BYTES, members[i]->vm);
+      text_copy (r->items[i].address, ADDRESS_BYTES, members[i]->address);
+    }
+  return r;
+}
+
+/* Asks ADDRESS and notes the answer at the member whose VM it names.  */
+static void
+ask (struct roll_out *r, const char *address)
+{
+  uint32_t status;
+  json_t *j = ctl_call_within ("GET", address, "/v1/status", NULL, &status,
+                               ASK_LIMIT_MS);
+  const char *vm = json_string_value (json_object_get (j, "vm"));
+  uint32_t i;
+
+  for (i = 0; vm != NULL && i < r->item_count; i++)
+    if (strcmp (r->items[i].vm, vm) == 0)
+      r->items[i].version = (uint64_t)json_integer_value (
+          json_object_get (j, "config_version"));
+  json_decref (j);
+}
+
+/* Asks every member that has not told; returns how many are left.  */
+static uint32_t
+ask_members (struct roll_out *r, const struct ctl *c)
+{
+  uint32_t left = 0;
+  uint32_t i;
+
+  for (i = 0; i < r->item_count; i++)
+    if (r->items[i].version < r->version && r->items[i].address[0] != '\0')
+      ask (r, r->items[i].address);
+  for (i = 0; i < c->entry_count; i++)
+    ask (r, c->entries[i]);
+  for (i = 0; i < r->item_count; i++)
+    left += r->items[i].version < r->version;
+  return left;
+}
+
+static void
+print_json (const struct roll_out *r)
+{
+  json_t *list = json_array ();
+  uint32_t i;
+
+  for (i = 0; i < r->item_count; i++)
+    json_array_append_new (
+        list, json_pack ("{s:s, s:I, s:b}", "vm", r->items[i].vm, "version",
+                         (json_int_t)r->items[i].version, "in_force",
+                         (int)(r->items[i].version >= r->version)));
+  ctl_print_json (json_pack ("{s:I, s:o}", "version", (json_int_t)r->version,
+                             "members", list),
+                  JSON_INDENT (2));
+}
+
+static void
+print_missing (const struct roll_out *r)
+{
+  uint32_t i;
+
+  for (i = 0; i < r->item_count; i++)
+    if (r->items[i].version < r->version)
+      fprintf (stderr, "fulmartackctl: %s has not told version %llu\n",
+               r->items[i].vm, (unsigned long long)r->version);
+}
+
+/* Waits until every member has told the version in force.  */
+static int
+wait_in_force (TALLOC_CTX *mem, struct ctl *c, const struct control *s)
+{
+  const struct timespec nap = { 0, POLL_MS * 1000000L };
+  uint64_t until_us = now_us () + c->wait_ms * US_PER_MS;
+  struct roll_out *r = roll_out_new (mem, s);
+  uint32_t left = ask_members (r, c);
+
+  while (left > 0 && now_us () < until_us)
+    {
+      nanosleep (&nap, NULL);
+      left = ask_members (r, c);
+    }
+  print_missing (r);
+  if (c->json)
+    print_json (r);
+  else if (left == 0)
+    printf ("in force: version %llu on %u entries\n",
+            (unsigned long long)r->version, r->item_count);
+  return left == 0 ? EXIT_DONE : EXIT_NOT_IN_FORCE;
+}
+
+/* Tells what became of the command; S is the state after it.  */
+static int
+conclude (TALLOC_CTX *mem, struct ctl *c, const struct control *s,
+          const struct command_fate *f)
+{
+  if (!f->applied)
+    {
+      fprintf (stderr, "fulmartackctl: refused when applied at offset %llu\n",
+               (unsigned long long)f->offset);
+      return EXIT_REFUSED;
+    }
+  if (s->config_version != f->offset + 1)
+    {
+      fprintf (stderr,
+               "fulmartackctl: version %llu was in force and has been "
+               "replaced by %llu\n",
+               (unsigned long long)f->offset + 1,
+               (unsigned long long)s->config_version);
+      return EXIT_REFUSED;
+    }
+  return wait_in_force (mem, c, s);
+}
+
+int
+ctl_config_apply (TALLOC_CTX *mem, struct ctl *c)
+{
+  struct config *tables = ctl_read_tables (mem, c);
+  struct record *r = talloc_zero (mem, struct record);
+  struct command_fate f = { 0 };
+  struct control *s;
+
+  if (tables == NULL)
+    return EXIT_BAD_DOCUMENT;
+  document_id (tables, f.id);
+  s = ctl_read_fate (mem, c, &f);
+  if (s == NULL)
+    return EXIT_UNREACHABLE;
+  if (f.seen)
+    return conclude (mem, c, s, &f);
+  if (tables->base_version != s->config_version)
+    {
+      fprintf (stderr,
+               "fulmartackctl: made against version %llu, in force is %llu\n",
+               (unsigned long long)tables->base_version,
+               (unsigned long long)s->config_version);
+      return EXIT_REFUSED;
+    }
+  r->kind = RECORD_CONFIG;
+  r->u.config = tables;
+  s = ctl_publish (mem, c, r, &f);
+  return s ? conclude (mem, c, s, &f) : EXIT_UNREACHABLE;
+}
--- a/ctl/call.c
+++ b/ctl/call.c
@@ -19,13 +19,20 @@
 json_t *
 ctl_call (const char *method, const char *address, const char *path,
           const json_t *body, uint32_t *status)
+{
+  return ctl_call_within (method, address, path, body, status, CALL_LIMIT_MS);
+}
+
+json_t *
+ctl_call_within (const char *method, const char *address, const char *path,
+                 const json_t *body, uint32_t *status, uint32_t limit_ms)
 {
   TALLOC_CTX *tmp = talloc_new (NULL);
   char url[URL_BYTES];
   struct http_call call = {
     .method = method,
     .url = url,
-    .timeout_ms = CALL_LIMIT_MS,
+    .timeout_ms = limit_ms,
     .connect_ms = CONNECT_LIMIT_MS,
   };
   struct http_result r;
@@ -51,7 +58,21 @@
 }
 
 static void
-apply_page (struct control *c, const json_t *page)
+apply_record (struct control *c, uint64_t offset, struct record *r,
+              struct command_fate *f)
+{
+  enum verdict v = control_apply (c, offset, r);
+
+  /* The first record of an id decides; later ones are repeats.  */
+  if (f == NULL || f->seen || strcmp (r->id, f->id) != 0)
+    return;
+  f->seen = true;
+  f->applied = v == VERDICT_APPLIED;
+  f->offset = offset;
+}
+
+static void
+apply_page (struct control *c, const json_t *page, struct command_fate *f)
 {
   json_t *envelope;
   size_t i;
@@ -66,13 +87,13 @@
     if (r == NULL)
       control_skip (c, offset);
     else
-      control_apply (c, offset, r);
+      apply_record (c, offset, r, f);
     talloc_free (r);
   }
 }
 
 struct control *
-ctl_read_log (TALLOC_CTX *mem, const struct ctl *ctl)
+ctl_read_fate (TALLOC_CTX *mem, const struct ctl *ctl, struct command_fate *f)
 {
   struct control *c = control_new (mem);
   uint64_t end = 1;
@@ -95,12 +116,18 @@
           return NULL;
         }
       end = (uint64_t)json_integer_value (json_object_get (page, "next"));
-      apply_page (c, page);
+      apply_page (c, page, f);
       json_decref (page);
     }
   return c;
 }
 
+struct control *
+ctl_read_log (TALLOC_CTX *mem, const struct ctl *c)
+{
+  return ctl_read_fate (mem, c, NULL);
+}
+
 bool
 ctl_append (const struct ctl *c, const json_t *record)
 {
@@ -113,15 +140,66 @@
     json_decref (ctl_call ("POST", c->log, "/v1/append", batch, &status));
   json_decref (batch);
   if (status != 200)
-    fprintf (stderr, "fulmartackctl: log %s took no append\n", c->log);
+    fprintf (stderr, "fulmartackctl: log %s confirmed no append\n", c->log);
   return status == 200;
 }
 
+static int
+compare_vms (const void *a, const void *b)
+{
+  const struct member *const *x = a;
+  const struct member *const *y = b;
+
+  return strcmp ((*x)->vm, (*y)->vm);
+}
+
+const struct member **
+ctl_sorted_members (TALLOC_CTX *mem, const struct control *s)
+{
+  const struct member **list
+      = talloc_array (mem, const struct member *, s->member_count);
+  uint32_t i;
+
+  for (i = 0; i < s->member_count; i++)
+    list[i] = &s->members[i];
+  qsort (list, s->member_count, sizeof (const struct member *), compare_vms);
+  return list;
+}
+
+struct control *
+ctl_publish (TALLOC_CTX *mem, const struct ctl *c, struct record *r,
+             struct command_fate *f)
+{
+  struct control *after;
+  json_t *j;
+
+  text_copy (r->id, ID_BYTES, f->id);
+  j = record_to_json (r);
+  /* Even without an answer the append may have taken effect: only the log
+     tells.  */
+  ctl_append (c, j);
+  json_decref (j);
+  after = ctl_read_fate (mem, c, f);
+  if (after == NULL || f->seen)
+    return after;
+  fprintf (stderr, "fulmartackctl: the log does not hold the command\n");
+  talloc_free (after);
+  return NULL;
+}
+
+void
+ctl_print_json (json_t *j, size_t flags)
+{
+  json_dumpf (j, stdout, flags);
+  putchar ('\n');
+  fflush (stdout);
+  json_decref (j);
+}
+
 void
 ctl_command_id (char *id)
 {
   uint8_t bytes[16];
-
   char hex[2 * sizeof bytes + 1];
 
   randombytes_buf (bytes, sizeof bytes);
--- a/ctl/fulmartackctl.c
+++ b/ctl/fulmartackctl.c
@@ -17,6 +17,9 @@
 static const struct argp_option options[] = {
   { "log", 'l', "IP:PORT", 0, "The platform's log", 0 },
   { "entry", 'e', "IP:PORT", 0, "An entry; may be given again", 0 },
+  { "settings", 's', "FILE", 0, "Where log and entries are (FULMARTACKCTL)",
+    0 },
+  { "follow", 'f', NULL, 0, "timeline: go on with new events", 0 },
   { "json", 'j', NULL, 0, "Print JSON", 0 },
   { "wait-ms", 'w', "MS", 0, "How long config apply waits (9000)", 0 },
   { 0 },
@@ -30,12 +33,21 @@
   switch (key)
     {
     case 'l':
-      c->log = arg;
+      if (!text_copy (c->log, ADDRESS_BYTES, arg))
+        argp_error (state, "the address is too long");
+      return 0;
+    case 's':
+      if (!ctl_read_settings (c, arg))
+        exit (EXIT_BAD_DOCUMENT);
+      return 0;
+    case 'f':
+      c->follow = true;
       return 0;
     case 'e':
       if (c->entry_count == ENTRY_LIMIT_COUNT)
         argp_error (state, "too many entries");
-      c->entries[c->entry_count++] = arg;
+      if (!text_copy (c->entries[c->entry_count++], ADDRESS_BYTES, arg))
+        argp_error (state, "the address is too long");
       return 0;
     case 'j':
       c->json = true;
@@ -75,21 +87,25 @@
     "Operates fulmartack.\v"
     "Commands:\n"
     "  config check|diff|apply FILE, config show\n"
-    "  key grant TEAM FILE, key withdraw FILE\n"
+    "  key grant TEAM FILE, key withdraw FILE, key list\n"
     "  status, timeline, submit QUEUE FILE, replay FILE\n"
-    "Exit codes: 0 done, 1 refused, 2 document refused, 3 no answer,\n"
-    "4 published but not told by every entry, 64 usage.",
+    "Without --entry the members in the log are asked.\n"
+    "Exit codes: 0 done, 1 refused or different, 2 document refused,\n"
+    "3 no answer, 4 published but not told by every member, 64 usage.",
     NULL,
     NULL,
     NULL,
   };
   struct ctl c = { .log = "127.0.0.1:7001", .wait_ms = DEFAULT_WAIT_MS };
+  const char *settings = getenv ("FULMARTACKCTL");
   size_t i;
 
   if (sodium_init () < 0)
     return EXIT_UNREACHABLE;
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  argp_parse (&argp, argc, argv, ARGP_IN_ORDER, NULL, &c);
+  if (settings != NULL && !ctl_read_settings (&c, settings))
+    return EXIT_BAD_DOCUMENT;
+  argp_parse (&argp, argc, argv, 0, NULL, &c);
   for (i = 0; i < sizeof commands / sizeof commands[0]; i++)
     if (strcmp (c.arguments[0], commands[i].name) == 0)
       return commands[i].run (&c);
--- a/ctl/key.c
+++ b/ctl/key.c
@@ -1,4 +1,4 @@
-/* key.c -- fulmartackctl key grant|withdraw.  */
+/* key.c -- fulmartackctl key grant|withdraw|list.  */
 
 #include "ctl/ctl.h"
 
@@ -8,6 +8,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#define SHOWN_DIGEST_CHARACTERS 16
+
 /* Reads the key itself from a file, so that it stays out of process lists;
    "-" is standard input.  */
 static bool
@@ -23,39 +25,130 @@
   return got && key[0] != '\0';
 }
 
-int
-ctl_key (struct ctl *c)
+static bool
+digest_of_file (const char *file, uint8_t *digest)
 {
-  struct record r = { .kind = RECORD_KEY_GRANT };
   char key[TEXT_BYTES];
-  bool grant
-      = c->argument_count == 4 && strcmp (c->arguments[1], "grant") == 0;
-  bool withdraw
-      = c->argument_count == 3 && strcmp (c->arguments[1], "withdraw") == 0;
-  json_t *j;
-  bool done;
-
-  if (!grant && !withdraw)
+
+  if (!read_key (file, key, sizeof key))
     {
-      fprintf (stderr,
-               "fulmartackctl: key grant TEAM FILE | key withdraw FILE\n");
-      return EXIT_USAGE_ERROR;
+      fprintf (stderr, "fulmartackctl: no key in %s\n", file);
+      return false;
     }
-  if (!read_key (c->arguments[grant ? 3 : 2], key, sizeof key))
+  crypto_generichash (digest, DIGEST_BYTES, (const uint8_t *)key, strlen (key),
+                      NULL, 0);
+  return true;
+}
+
+static json_t *
+key_to_json (const struct key *k)
+{
+  char hex[2 * DIGEST_BYTES + 1];
+
+  sodium_bin2hex (hex, sizeof hex, k->digest, DIGEST_BYTES);
+  return json_pack ("{s:s, s:s}", "team", k->team, "digest", hex);
+}
+
+static int
+list_keys (TALLOC_CTX *mem, struct ctl *c)
+{
+  struct control *s = ctl_read_log (mem, c);
+  json_t *list;
+  json_t *key;
+  size_t i;
+
+  if (s == NULL)
+    return EXIT_UNREACHABLE;
+  list = json_array ();
+  for (i = 0; i < s->key_count; i++)
+    json_array_append_new (list, key_to_json (&s->keys[i]));
+  if (c->json)
     {
-      fprintf (stderr, "fulmartackctl: no key in %s\n",
-               c->arguments[grant ? 3 : 2]);
-      return EXIT_BAD_DOCUMENT;
+      ctl_print_json (list, JSON_INDENT (2));
+      return EXIT_DONE;
     }
-  if (withdraw)
-    r.kind = RECORD_KEY_WITHDRAW;
+  json_array_foreach (list, i, key)
+  {
+    printf ("%.*s %s\n", SHOWN_DIGEST_CHARACTERS,
+            json_string_value (json_object_get (key, "digest")),
+            json_string_value (json_object_get (key, "team")));
+  }
+  json_decref (list);
+  return EXIT_DONE;
+}
+
+/* Publishes R and prints the state of its key; returns the state after it. */
+static struct control *
+publish (TALLOC_CTX *mem, struct ctl *c, struct record *r,
+         struct command_fate *f)
+{
+  struct control *s;
+
+  ctl_command_id (f->id);
+  s = ctl_publish (mem, c, r, f);
+  if (s != NULL && c->json)
+    ctl_print_json (json_pack ("{s:b, s:I}", "applied", (int)f->applied,
+                               "offset", (json_int_t)f->offset),
+                    JSON_INDENT (2));
+  return s;
+}
+
+static int
+grant (TALLOC_CTX *mem, struct ctl *c)
+{
+  struct record *r = talloc_zero (mem, struct record);
+  struct command_fate f = { 0 };
+  struct control *s;
+  const struct key *k;
+
+  r->kind = RECORD_KEY_GRANT;
+  text_copy (r->u.key.team, NAME_BYTES, c->arguments[2]);
+  if (!digest_of_file (c->arguments[3], r->u.key.digest))
+    return EXIT_BAD_DOCUMENT;
+  s = publish (mem, c, r, &f);
+  if (s == NULL)
+    return EXIT_UNREACHABLE;
+  k = control_find_key (s, r->u.key.digest);
+  if (k != NULL && strcmp (k->team, c->arguments[2]) == 0)
+    return EXIT_DONE;
+  fprintf (stderr, "fulmartackctl: this key is granted to %s\n",
+           k ? k->team : "nobody, it was withdrawn");
+  return EXIT_REFUSED;
+}
+
+static int
+withdraw (TALLOC_CTX *mem, struct ctl *c)
+{
+  struct record *r = talloc_zero (mem, struct record);
+  struct command_fate f = { 0 };
+
+  r->kind = RECORD_KEY_WITHDRAW;
+  if (!digest_of_file (c->arguments[2], r->u.key.digest))
+    return EXIT_BAD_DOCUMENT;
+  if (publish (mem, c, r, &f) == NULL)
+    return EXIT_UNREACHABLE;
+  if (f.applied)
+    return EXIT_DONE;
+  fprintf (stderr, "fulmartackctl: no such key is granted\n");
+  return EXIT_REFUSED;
+}
+
+int
+ctl_key (struct ctl *c)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  const char *verb = c->argument_count > 1 ? c->arguments[1] : "";
+  int code = EXIT_USAGE_ERROR;
+
+  if (strcmp (verb, "grant") == 0 && c->argument_count == 4)
+    code = grant (mem, c);
+  else if (strcmp (verb, "withdraw") == 0 && c->argument_count == 3)
+    code = withdraw (mem, c);
+  else if (strcmp (verb, "list") == 0 && c->argument_count == 2)
+    code = list_keys (mem, c);
   else
-    text_copy (r.u.key.team, NAME_BYTES, c->arguments[2]);
-  crypto_generichash (r.u.key.digest, DIGEST_BYTES, (const uint8_t *)key,
-                      strlen (key), NULL, 0);
-  ctl_command_id (r.id);
-  j = record_to_json (&r);
-  done = ctl_append (c, j);
-  json_decref (j);
-  return done ? EXIT_DONE : EXIT_UNREACHABLE;
+    fprintf (stderr, "fulmartackctl: key grant TEAM FILE | key withdraw FILE "
+                     "| key list\n");
+  talloc_free (mem);
+  return code;
 }
--- a/ctl/view.c
+++ b/ctl/view.c
@@ -8,6 +8,7 @@
 #include <time.h>
 
 #define LINE_BYTES 512
+#define FOLLOW_MS 500
 
 static void
 print_status (const char *address, const json_t *j)
@@ -31,6 +32,8 @@
   int code = EXIT_DONE;
   uint32_t i;
 
+  if (!ctl_find_entries (c))
+    code = EXIT_UNREACHABLE;
   for (i = 0; i < c->entry_count; i++)
     {
       uint32_t status;
@@ -48,11 +51,9 @@
       json_array_append_new (all, j);
     }
   if (c->json)
-    {
-      json_dumpf (all, stdout, JSON_INDENT (2));
-      putchar ('\n');
-    }
-  json_decref (all);
+    ctl_print_json (all, JSON_INDENT (2));
+  else
+    json_decref (all);
   return code;
 }
 
@@ -83,45 +84,83 @@
           json_integer_value (json_object_get (j, "value")));
 }
 
-int
-ctl_timeline (struct ctl *c)
+/* Adds the notes that ENTRY got since *LAST to ALL.  */
+static bool
+read_notes (const char *entry, uint64_t *last, json_t *all)
 {
-  json_t *all = json_array ();
-  json_t **sorted;
-  int code = EXIT_DONE;
-  size_t n;
-  uint32_t i;
+  char path[LINE_BYTES];
+  uint32_t status;
+  json_t *notes;
+  json_t *note;
+  size_t i;
+
+  snprintf (path, sizeof path, "/v1/timeline?after=%llu",
+            (unsigned long long)*last);
+  notes = ctl_call ("GET", entry, path, NULL, &status);
+  if (notes == NULL)
+    return false;
+  json_array_foreach (notes, i, note)
+  {
+    *last = (uint64_t)json_integer_value (json_object_get (note, "number"));
+  }
+  json_array_extend (all, notes);
+  json_decref (notes);
+  return true;
+}
 
-  for (i = 0; i < c->entry_count; i++)
-    {
-      uint32_t status;
-      json_t *j
-          = ctl_call ("GET", c->entries[i], "/v1/timeline", NULL, &status);
+static void
+print_sorted (const struct ctl *c, json_t *all)
+{
+  size_t n = json_array_size (all);
+  json_t **sorted = calloc (n + 1, sizeof (json_t *));
+  size_t i;
 
-      if (j == NULL)
-        code = EXIT_UNREACHABLE;
-      else
-        json_array_extend (all, j);
-      json_decref (j);
-    }
-  n = json_array_size (all);
-  sorted = calloc (n + 1, sizeof (json_t *));
   for (i = 0; i < n; i++)
     sorted[i] = json_array_get (all, i);
   qsort (sorted, n, sizeof (json_t *), compare_time);
   for (i = 0; i < n; i++)
     if (c->json)
-      {
-        json_dumpf (sorted[i], stdout, JSON_COMPACT);
-        putchar ('\n');
-      }
+      ctl_print_json (json_incref (sorted[i]), JSON_COMPACT);
     else
       print_note (sorted[i]);
+  fflush (stdout);
   free (sorted);
+}
+
+/* Prints what every entry got since LAST, in the order of time.  */
+static int
+print_notes (struct ctl *c, uint64_t *last)
+{
+  json_t *all = json_array ();
+  int code = EXIT_DONE;
+  uint32_t i;
+
+  for (i = 0; i < c->entry_count; i++)
+    if (!read_notes (c->entries[i], &last[i], all))
+      code = EXIT_UNREACHABLE;
+  print_sorted (c, all);
   json_decref (all);
   return code;
 }
 
+int
+ctl_timeline (struct ctl *c)
+{
+  const struct timespec nap = { 0, FOLLOW_MS * 1000000L };
+  uint64_t last[ENTRY_LIMIT_COUNT] = { 0 };
+  int code;
+
+  if (!ctl_find_entries (c))
+    return EXIT_UNREACHABLE;
+  code = print_notes (c, last);
+  while (c->follow)
+    {
+      nanosleep (&nap, NULL);
+      print_notes (c, last);
+    }
+  return code;
+}
+
 static struct blob *
 read_body (const char *file)
 {
@@ -167,12 +206,17 @@
   };
   struct http_result r;
 
-  if (c->argument_count != 3 || c->entry_count == 0)
+  if (c->argument_count != 3)
     {
       fprintf (stderr, "fulmartackctl: submit QUEUE FILE, with the key in "
                        "FULMARTACK_KEY\n");
       return EXIT_USAGE_ERROR;
     }
+  if (!ctl_find_entries (c) || c->entry_count == 0)
+    {
+      fprintf (stderr, "fulmartackctl: no entry is known\n");
+      return EXIT_UNREACHABLE;
+    }
   snprintf (url, sizeof url, "http://%s/v1/queues/%s", c->entries[0],
             c->arguments[1]);
   snprintf (key, sizeof key, "Authorization: Bearer %s", secret ? secret : "");
--- a/port/record.h
+++ b/port/record.h
@@ -28,6 +28,7 @@
   char vm[NAME_BYTES];
   char zone[NAME_BYTES];
   char peer_address[ADDRESS_BYTES];
+  char address[ADDRESS_BYTES]; /**< For operators; may be empty.  */
 };
 
 struct record_leave
--- /dev/null
+++ b/tests/test_ctl.c
@@ -0,0 +1,265 @@
+/* test_ctl.c -- scripted runs of fulmartackctl with expected output.
+
+   Each tests/ctl/NAME.script runs on a log and two entries of its own:
+
+     $ WORDS             runs fulmartackctl; "@" stands for tests/ctl
+     fault log NAME N    switches a fault of the log
+     signal I STOP|CONT  freezes or thaws entry I
+     follow WORDS        starts fulmartackctl and goes on
+     until TEXT          waits until that one has printed TEXT, and ends it
+
+   NAME.expected holds the lines with what each printed and its exit code;
+   addresses and times are masked.  With FTK_WRITE_EXPECTED set the output is
+   written instead.  */
+
+#include "tests/cluster.h"
+
+#include <curl/curl.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <sodium.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#define FOLDER "tests/ctl"
+#define UNTIL_LIMIT_US (10 * G_USEC_PER_SEC)
+#define POLL_US 20000
+
+struct run
+{
+  struct cluster *cluster;
+  gchar *settings; /**< Settings file of fulmartackctl.  */
+  gchar *followed; /**< Output file of the one that follows.  */
+  GPid follower;
+  GString *out;
+};
+
+/* Replaces PATTERN in *TEXT.  */
+static void
+mask (gchar **text, const gchar *pattern, const gchar *by)
+{
+  GRegex *r = g_regex_new (pattern, G_REGEX_MULTILINE, 0, NULL);
+  gchar *masked = g_regex_replace_literal (r, *text, -1, 0, by, 0, NULL);
+
+  g_regex_unref (r);
+  g_free (*text);
+  *text = masked;
+}
+
+static void
+mask_address (struct run *r, gchar **text, guint16 port, const gchar *name)
+{
+  gchar *address = g_strdup_printf ("127\\.0\\.0\\.1:%u", port);
+
+  (void)r;
+  mask (text, address, name);
+  g_free (address);
+}
+
+static int
+compare_lines (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(gchar *const *)a, *(gchar *const *)b);
+}
+
+/* Events of two entries within a millisecond come in either order.  */
+static void
+sort_lines (gchar **text)
+{
+  gchar **lines = g_strsplit (*text, "\n", -1);
+  guint n = g_strv_length (lines);
+
+  qsort (lines, n > 0 ? n - 1 : 0, sizeof *lines, compare_lines);
+  g_free (*text);
+  *text = g_strjoinv ("\n", lines);
+  g_strfreev (lines);
+}
+
+static void
+print_masked (struct run *r, gchar *text)
+{
+  struct cluster *c = r->cluster;
+
+  mask_address (r, &text, c->log_port, "LOG");
+  mask_address (r, &text, cluster_entry_port (c, 0), "ENTRY-0");
+  mask_address (r, &text, cluster_entry_port (c, 1), "ENTRY-1");
+  mask (&text, "log_age_ms=\\d+", "log_age_ms=N");
+  if (g_regex_match_simple ("^\\d\\d:\\d\\d:\\d\\d\\.", text, 0, 0))
+    {
+      mask (&text, "^\\d\\d:\\d\\d:\\d\\d\\.\\d+", "TIME");
+      mask (&text, "\\d+$", "N");
+      sort_lines (&text);
+    }
+  g_string_append (r->out, text);
+  g_free (text);
+}
+
+/* Returns the arguments in WORDS behind those of every run.  */
+static gchar **
+make_arguments (struct run *r, const gchar *words)
+{
+  const gchar *folder = g_getenv ("FTK_BUILD");
+  GString *line = g_string_new (NULL);
+  gchar **argv;
+
+  g_string_printf (line, "%s/fulmartackctl --settings %s %s",
+                   folder ? folder : "build", r->settings, words);
+  g_string_replace (line, "@", FOLDER, 0);
+  argv = g_strsplit (line->str, " ", -1);
+  g_string_free (line, TRUE);
+  return argv;
+}
+
+static void
+run_ctl (struct run *r, const gchar *words)
+{
+  gchar **argv = make_arguments (r, words);
+  gchar *out = NULL;
+  gchar *errors = NULL;
+  gint status = 0;
+
+  g_assert_true (g_spawn_sync (NULL, argv, NULL, 0, NULL, NULL, &out, &errors,
+                               &status, NULL));
+  print_masked (r, out);
+  print_masked (r, errors);
+  g_string_append_printf (r->out, "exit %d\n",
+                          WIFEXITED (status) ? WEXITSTATUS (status) : 128);
+  g_strfreev (argv);
+}
+
+static void
+start_follower (struct run *r, const gchar *words)
+{
+  gchar **argv = make_arguments (r, words);
+  FILE *out;
+
+  r->followed = g_build_filename (r->cluster->folder, "followed", NULL);
+  out = fopen (r->followed, "we");
+  g_assert_nonnull (out);
+  g_assert_true (g_spawn_async_with_fds (
+      NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL, &r->follower,
+      -1, fileno (out), -1, NULL));
+  fclose (out);
+  g_strfreev (argv);
+}
+
+static void
+wait_followed (struct run *r, const gchar *text)
+{
+  gint64 until = g_get_monotonic_time () + UNTIL_LIMIT_US;
+  gboolean found = FALSE;
+
+  while (!found && g_get_monotonic_time () < until)
+    {
+      gchar *all = NULL;
+
+      g_usleep (POLL_US);
+      g_assert_true (g_file_get_contents (r->followed, &all, NULL, NULL));
+      found = strstr (all, text) != NULL;
+      g_free (all);
+    }
+  kill (r->follower, SIGTERM);
+  waitpid (r->follower, NULL, 0);
+  g_free (r->followed);
+  g_string_append_printf (r->out, "%s\n", found ? "printed" : "not printed");
+}
+
+static void
+run_line (struct run *r, const gchar *line)
+{
+  gchar **words = g_strsplit (line, " ", -1);
+
+  if (line[0] == '\0' || line[0] == '#')
+    goto done;
+  g_string_append_printf (r->out, "%s\n", line);
+  if (g_str_has_prefix (line, "$ "))
+    run_ctl (r, line + 2);
+  else if (g_str_has_prefix (line, "follow "))
+    start_follower (r, line + strlen ("follow "));
+  else if (g_str_has_prefix (line, "until "))
+    wait_followed (r, line + strlen ("until "));
+  else if (strcmp (words[0], "fault") == 0)
+    cluster_fault (r->cluster->log_port, words[2],
+                   g_ascii_strtoll (words[3], NULL, 10));
+  else if (strcmp (words[0], "signal") == 0)
+    cluster_signal_entry (r->cluster,
+                          (guint)g_ascii_strtoull (words[1], NULL, 10),
+                          strcmp (words[2], "STOP") == 0 ? SIGSTOP : SIGCONT);
+  else
+    g_error ("bad line: %s", line);
+done:
+  g_strfreev (words);
+}
+
+static GString *
+run_script (const gchar *file)
+{
+  struct run r = { .out = g_string_new (NULL) };
+  gchar *text = NULL;
+  gchar *settings;
+  gchar **lines;
+  guint i;
+
+  g_assert_true (g_file_get_contents (file, &text, NULL, NULL));
+  r.cluster = cluster_start (2, 1);
+  cluster_wait_version (r.cluster, 0);
+  r.settings = g_build_filename (r.cluster->folder, "ctl.json", NULL);
+  settings
+      = g_strdup_printf ("{\"log\":\"127.0.0.1:%u\"}", r.cluster->log_port);
+  g_file_set_contents (r.settings, settings, -1, NULL);
+  lines = g_strsplit (text, "\n", -1);
+  for (i = 0; lines[i] != NULL; i++)
+    run_line (&r, lines[i]);
+  cluster_stop (r.cluster);
+  g_strfreev (lines);
+  g_free (settings);
+  g_free (r.settings);
+  g_free (text);
+  return r.out;
+}
+
+static void
+check_script (gconstpointer data)
+{
+  const gchar *file = data;
+  GString *out = run_script (file);
+  gchar *stem = g_strndup (file, strlen (file) - strlen (".script"));
+  gchar *expected_file = g_strconcat (stem, ".expected", NULL);
+  gchar *expected = NULL;
+
+  if (g_getenv ("FTK_WRITE_EXPECTED") != NULL)
+    g_file_set_contents (expected_file, out->str, -1, NULL);
+  g_assert_true (g_file_get_contents (expected_file, &expected, NULL, NULL));
+  g_assert_cmpstr (out->str, ==, expected);
+  g_free (expected);
+  g_free (expected_file);
+  g_free (stem);
+  g_string_free (out, TRUE);
+}
+
+int
+main (int argc, char **argv)
+{
+  GDir *d;
+  const gchar *name;
+
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  if (sodium_init () < 0)
+    return 1;
+  g_test_init (&argc, &argv, NULL);
+  g_setenv ("FULMARTACK_KEY", "menders secret", TRUE);
+  d = g_dir_open (FOLDER, 0, NULL);
+  g_assert_nonnull (d);
+  while ((name = g_dir_read_name (d)) != NULL)
+    if (g_str_has_suffix (name, ".script"))
+      {
+        gchar *path = g_strconcat ("/ctl/", name, NULL);
+
+        g_test_add_data_func_full (path, g_build_filename (FOLDER, name, NULL),
+                                   check_script, g_free);
+        g_free (path);
+      }
+  g_dir_close (d);
+  return g_test_run ();
+}
