--- a/adapter/decide.c
+++ b/adapter/decide.c
@@ -94,6 +94,10 @@
     case ACTION_NOTE:
       journal_note (d->outputs.journal, &a->u.note);
       break;
+    case ACTION_FLEET:
+      if (d->outputs.fleet != NULL)
+        send_action (d->outputs.fleet, a);
+      break;
     case ACTION_EXIT:
       send_action (d->outputs.front, a);
       break;
--- a/adapter/decide.h
+++ b/adapter/decide.h
@@ -16,6 +16,7 @@
   struct ring *back;
   struct ring *log;
   struct ring *peer;
+  struct ring *fleet; /**< NULL: no fleet service is set.  */
   struct journal *journal;
 };
 
--- a/adapter/entry.c
+++ b/adapter/entry.c
@@ -5,6 +5,7 @@
 #include "adapter/back.h"
 #include "adapter/config_json.h"
 #include "adapter/decide.h"
+#include "adapter/fleet.h"
 #include "adapter/front.h"
 #include "adapter/journal.h"
 #include "adapter/log_service.h"
@@ -27,6 +28,7 @@
   struct back *back;
   struct log_service *log;
   struct peer *peer;
+  struct fleet *fleet; /**< NULL: no fleet service is set.  */
   struct front *front;
   struct ring *exits; /**< Front, then log, tell the main thread here.  */
   char message[TEXT_BYTES];
@@ -98,7 +100,7 @@
 make_duties (ftk_entry *e)
 {
   struct core_settings c = { 0 };
-  struct decide_outputs o;
+  struct decide_outputs o = { 0 };
   struct ring *decide;
 
   core_settings_of (e->settings, &c);
@@ -117,6 +119,13 @@
   e->front = front_new (e->settings, decide, e->journal, e->exits, e->message);
   if (e->front == NULL)
     return FTK_CANNOT_LISTEN;
+  if (e->settings->fleet[0] != '\0')
+    {
+      e->fleet = fleet_new (e->settings->fleet, decide);
+      if (e->fleet == NULL)
+        return FTK_NO_MEMORY;
+      o.fleet = fleet_duty (e->fleet)->inbound;
+    }
   o.front = front_duty (e->front)->inbound;
   o.back = back_duty (e->back)->inbound;
   o.log = log_service_duty (e->log)->inbound;
@@ -134,6 +143,7 @@
       && duty_start (back_duty (e->back)) && duty_start (peer_duty (e->peer))
       && duty_start (decide_duty (e->decide))
       && duty_start (log_service_duty (e->log))
+      && (e->fleet == NULL || duty_start (fleet_duty (e->fleet)))
       && duty_start (front_duty (e->front)))
     return FTK_OK;
   return FTK_NO_MEMORY;
@@ -221,6 +231,8 @@
     duty_join (back_duty (e->back));
   if (e->log != NULL)
     duty_join (log_service_duty (e->log));
+  if (e->fleet != NULL)
+    duty_join (fleet_duty (e->fleet));
   if (e->peer != NULL)
     duty_join (peer_duty (e->peer));
   if (e->decide != NULL)
@@ -230,6 +242,7 @@
   front_free (e->front);
   back_free (e->back);
   log_service_free (e->log);
+  fleet_free (e->fleet);
   peer_free (e->peer);
   decide_free (e->decide);
   journal_free (e->journal);
--- /dev/null
+++ b/adapter/fleet_page.h
@@ -0,0 +1,19 @@
+/* fleet_page.h -- coding of a page of the fleet list.  */
+
+#ifndef FTK_ADAPTER_FLEET_PAGE_H
+#define FTK_ADAPTER_FLEET_PAGE_H
+
+#include "adapter/json_field.h"
+#include "port/event.h"
+
+#include <talloc.h>
+
+/** Reads the page at P into F, whose VMs become a child of MEM; returns false
+    if it is malformed.  */
+bool fleet_page_read (struct json_place *p, TALLOC_CTX *mem,
+                      struct event_fleet *f);
+
+/** Returns F as JSON, a new reference.  */
+json_t *fleet_page_write (const struct event_fleet *f);
+
+#endif
--- a/adapter/record_json.c
+++ b/adapter/record_json.c
@@ -14,6 +14,17 @@
   [RECORD_KEY_WITHDRAW] = "key_withdraw",
   [RECORD_JOIN] = "join",
   [RECORD_LEAVE] = "leave",
+  [RECORD_WAVE_START] = "wave_start",
+  [RECORD_WAVE_PAUSE] = "wave_pause",
+  [RECORD_WAVE_RESUME] = "wave_resume",
+  [RECORD_WAVE_ABORT] = "wave_abort",
+  [RECORD_DRAIN] = "drain",
+  [RECORD_VM_DRAINED] = "vm_drained",
+  [RECORD_REBOOTED] = "rebooted",
+  [RECORD_RETURN] = "return",
+  [RECORD_VM_LOST] = "vm_lost",
+  [RECORD_VM_FOUND] = "vm_found",
+  [RECORD_MOVE] = "move",
 };
 
 #define KIND_COUNT (sizeof kind_names / sizeof kind_names[0])
@@ -47,6 +58,55 @@
     json_fault (p, "digest", "is no digest");
 }
 
+static void
+read_targets (struct json_place *p, struct record *r)
+{
+  const json_t *list = json_get_array (p, "targets", true);
+  struct record_wave *w = &r->u.wave;
+  const json_t *name;
+  size_t i;
+
+  w->targets = talloc_zero_size (r, (json_array_size (list) + 1) * NAME_BYTES);
+  json_array_foreach (list, i, name)
+  {
+    if (!json_is_string (name)
+        || !text_copy (w->targets[w->target_count++], NAME_BYTES,
+                       json_string_value (name)))
+      json_fault (p, "targets", "holds no name");
+  }
+}
+
+static void
+read_wave (struct json_place *p, struct record *r)
+{
+  struct record_wave *w = &r->u.wave;
+
+  json_get_text (p, "wave", true, w->wave, NAME_BYTES);
+  if (r->kind != RECORD_WAVE_START)
+    return;
+  read_targets (p, r);
+  w->parallel_count
+      = (uint32_t)json_get_number (p, "parallel", 0, INT32_MAX, 0);
+  w->deadline_ms = json_get_number (p, "deadline_ms", 0, INT64_MAX, 0);
+}
+
+static void
+read_vm (struct json_place *p, struct record_vm *v)
+{
+  json_get_text (p, "vm", true, v->vm, NAME_BYTES);
+  json_get_text (p, "wave", false, v->wave, NAME_BYTES);
+  v->drain_id = json_get_number (p, "drain_id", 0, INT64_MAX, 0);
+  v->incarnation = json_get_number (p, "incarnation", 0, INT64_MAX, 0);
+}
+
+static void
+read_move (struct json_place *p, struct record_move *m)
+{
+  json_get_text (p, "vm", true, m->vm, NAME_BYTES);
+  json_get_text (p, "from", true, m->from, NAME_BYTES);
+  json_get_text (p, "to", true, m->to, NAME_BYTES);
+}
+
 static void
 read_fields (struct json_place *p, struct record *r)
 {
@@ -73,6 +133,23 @@
       r->u.leave.incarnation
           = json_get_number (p, "incarnation", 0, INT64_MAX, 0);
       break;
+    case RECORD_WAVE_START:
+    case RECORD_WAVE_PAUSE:
+    case RECORD_WAVE_RESUME:
+    case RECORD_WAVE_ABORT:
+      read_wave (p, r);
+      break;
+    case RECORD_DRAIN:
+    case RECORD_VM_DRAINED:
+    case RECORD_REBOOTED:
+    case RECORD_RETURN:
+    case RECORD_VM_LOST:
+    case RECORD_VM_FOUND:
+      read_vm (p, &r->u.vm);
+      break;
+    case RECORD_MOVE:
+      read_move (p, &r->u.move);
+      break;
     }
 }
 
@@ -106,6 +183,55 @@
   json_object_set_new (j, "digest", json_string (hex));
 }
 
+static void
+set_name (json_t *j, const char *key, const char *text)
+{
+  if (text[0] != '\0')
+    json_object_set_new (j, key, json_string (text));
+}
+
+static void
+set_number (json_t *j, const char *key, uint64_t n)
+{
+  if (n != 0)
+    json_object_set_new (j, key, json_integer ((json_int_t)n));
+}
+
+static void
+write_wave (json_t *j, const struct record *r)
+{
+  const struct record_wave *w = &r->u.wave;
+  json_t *list;
+  uint32_t i;
+
+  set_name (j, "wave", w->wave);
+  if (r->kind != RECORD_WAVE_START)
+    return;
+  list = json_array ();
+  for (i = 0; i < w->target_count; i++)
+    json_array_append_new (list, json_string (w->targets[i]));
+  json_object_set_new (j, "targets", list);
+  set_number (j, "parallel", w->parallel_count);
+  set_number (j, "deadline_ms", w->deadline_ms);
+}
+
+static void
+write_vm (json_t *j, const struct record_vm *v)
+{
+  set_name (j, "vm", v->vm);
+  set_name (j, "wave", v->wave);
+  set_number (j, "drain_id", v->drain_id);
+  set_number (j, "incarnation", v->incarnation);
+}
+
+static void
+write_move (json_t *j, const struct record_move *m)
+{
+  set_name (j, "vm", m->vm);
+  set_name (j, "from", m->from);
+  set_name (j, "to", m->to);
+}
+
 json_t *
 record_to_json (const struct record *r)
 {
@@ -133,6 +259,23 @@
       json_object_set_new (j, "incarnation",
                            json_integer ((json_int_t)r->u.leave.incarnation));
       break;
+    case RECORD_WAVE_START:
+    case RECORD_WAVE_PAUSE:
+    case RECORD_WAVE_RESUME:
+    case RECORD_WAVE_ABORT:
+      write_wave (j, r);
+      break;
+    case RECORD_DRAIN:
+    case RECORD_VM_DRAINED:
+    case RECORD_REBOOTED:
+    case RECORD_RETURN:
+    case RECORD_VM_LOST:
+    case RECORD_VM_FOUND:
+      write_vm (j, &r->u.vm);
+      break;
+    case RECORD_MOVE:
+      write_move (j, &r->u.move);
+      break;
     }
   return j;
 }
--- a/adapter/trace.c
+++ b/adapter/trace.c
@@ -2,6 +2,7 @@
 
 #include "adapter/trace.h"
 
+#include "adapter/fleet_page.h"
 #include "adapter/json_field.h"
 #include "adapter/record_json.h"
 
@@ -9,11 +10,12 @@
 #include <string.h>
 
 static const char *const event_names[] = {
-  [EVENT_TICK] = "tick",         [EVENT_REQUEST] = "request",
-  [EVENT_CANCEL] = "cancel",     [EVENT_ATTEMPT_DONE] = "attempt_done",
-  [EVENT_LOG_READ] = "log_read", [EVENT_RECORD] = "record",
-  [EVENT_PEER] = "peer",         [EVENT_STATUS] = "status",
-  [EVENT_STOP] = "stop",
+  [EVENT_TICK] = "tick",           [EVENT_REQUEST] = "request",
+  [EVENT_CANCEL] = "cancel",       [EVENT_ATTEMPT_DONE] = "attempt_done",
+  [EVENT_LOG_READ] = "log_read",   [EVENT_RECORD] = "record",
+  [EVENT_PEER] = "peer",           [EVENT_STATUS] = "status",
+  [EVENT_STOP] = "stop",           [EVENT_FLEET] = "fleet",
+  [EVENT_OPERATION] = "operation",
 };
 
 static const char *const outcome_names[] = {
@@ -23,6 +25,13 @@
   [ATTEMPT_TURNED_AWAY] = "turned_away",
 };
 
+static const char *const operation_names[] = {
+  [OPERATION_UNKNOWN] = "unknown",
+  [OPERATION_RUNNING] = "running",
+  [OPERATION_DONE] = "done",
+  [OPERATION_REFUSED] = "refused",
+};
+
 static int
 name_index (const char *const *names, int count, const char *name)
 {
@@ -106,6 +115,22 @@
       = record_from_json (e, json_object_get (p->object, "data"));
 }
 
+static void
+read_operation (struct json_place *p, struct event_operation *o)
+{
+  char name[NAME_BYTES];
+  int i;
+
+  json_get_text (p, "operation", true, o->operation_id, ID_BYTES);
+  json_get_text (p, "vm", true, o->vm, NAME_BYTES);
+  json_get_text (p, "state", true, name, sizeof name);
+  i = NAME_INDEX (operation_names, name);
+  if (i < 0)
+    json_fault (p, "state", "is unknown");
+  else
+    o->state = (enum operation_state)i;
+}
+
 static void
 read_fields (struct json_place *p, struct event *e)
 {
@@ -130,6 +155,13 @@
     case EVENT_STATUS:
       e->u.status.request_id = json_get_number (p, "request", 0, INT64_MAX, 0);
       break;
+    case EVENT_FLEET:
+      if (!fleet_page_read (p, e, &e->u.fleet))
+        json_fault (p, "vms", "is no fleet list");
+      break;
+    case EVENT_OPERATION:
+      read_operation (p, &e->u.operation);
+      break;
     case EVENT_PEER:
     case EVENT_TICK:
     case EVENT_STOP:
@@ -242,6 +274,14 @@
     case EVENT_STATUS:
       set_number (j, "request", e->u.status.request_id);
       break;
+    case EVENT_FLEET:
+      json_object_update_new (j, fleet_page_write (&e->u.fleet));
+      break;
+    case EVENT_OPERATION:
+      set_text (j, "operation", e->u.operation.operation_id);
+      set_text (j, "vm", e->u.operation.vm);
+      set_text (j, "state", operation_names[e->u.operation.state]);
+      break;
     case EVENT_PEER:
     case EVENT_TICK:
     case EVENT_STOP:
@@ -315,6 +355,10 @@
                         note_kind_name (a->u.note.kind), "subject",
                         a->u.note.subject, "value",
                         (json_int_t)a->u.note.value);
+    case ACTION_FLEET:
+      return json_pack ("{s:s, s:s, s:s, s:s}", "action", "fleet", "operation",
+                        a->u.fleet.operation_id, "vm", a->u.fleet.vm, "verb",
+                        fleet_verb_name (a->u.fleet.verb));
     case ACTION_EXIT:
       break;
     }
@@ -342,6 +386,7 @@
     case ACTION_PEER:
     case ACTION_NOTE:
     case ACTION_EXIT:
+    case ACTION_FLEET:
       break;
     }
 }
--- a/core/control.c
+++ b/core/control.c
@@ -1,6 +1,7 @@
 /* control.c -- applying the log's records to the control state.  */
 
 #include "core/control.h"
+#include "core/vm_control.h"
 
 #include <sodium.h>
 #include <stdlib.h>
@@ -20,6 +21,7 @@
 
   if (c == NULL)
     return NULL;
+  c->vm_control = vm_control_new (c);
   c->applied_ids
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   talloc_set_destructor (c, control_free);
@@ -194,7 +196,23 @@
     case RECORD_LEAVE:
       v = apply_leave (c, &r->u.leave);
       break;
+    case RECORD_WAVE_START:
+    case RECORD_WAVE_PAUSE:
+    case RECORD_WAVE_RESUME:
+    case RECORD_WAVE_ABORT:
+    case RECORD_DRAIN:
+    case RECORD_VM_DRAINED:
+    case RECORD_REBOOTED:
+    case RECORD_RETURN:
+    case RECORD_VM_LOST:
+    case RECORD_VM_FOUND:
+    case RECORD_MOVE:
+      if (vm_control_apply (c, offset, r))
+        v = VERDICT_APPLIED;
+      break;
     }
+  if (v == VERDICT_APPLIED)
+    vm_control_settle (c);
   return v;
 }
 
--- a/core/control.h
+++ b/core/control.h
@@ -27,6 +27,8 @@
   uint64_t incarnation; /**< Offset of its join record, plus 1.  */
 };
 
+struct vm_control;
+
 struct control
 {
   uint64_t next_offset;    /**< First offset not yet applied.  */
@@ -36,6 +38,7 @@
   uint32_t key_count;
   struct member *members; /**< Sorted by incarnation.  */
   uint32_t member_count;
+  struct vm_control *vm_control; /**< VMs, drains, moves and waves.  */
   GHashTable *applied_ids; /**< Command ids seen, so each counts once.  */
 };
 
--- a/core/core.c
+++ b/core/core.c
@@ -27,6 +27,7 @@
     return NULL;
   c->settings = *s;
   c->control = control_new (c);
+  c->maintenance = maintenance_new (c);
   c->requests = g_hash_table_new (g_int64_hash, g_int64_equal);
   c->attempts = g_hash_table_new (g_int64_hash, g_int64_equal);
   talloc_set_destructor (c, core_free);
@@ -121,6 +122,12 @@
     case EVENT_STOP:
       core_on_stop (c);
       break;
+    case EVENT_FLEET:
+      core_on_fleet (c, &e->u.fleet);
+      break;
+    case EVENT_OPERATION:
+      core_on_operation (c, &e->u.operation);
+      break;
     }
   if (c->stopping)
     core_check_stop (c);
--- a/core/maintenance.c
+++ b/core/maintenance.c
@@ -1,17 +1,564 @@
-/* maintenance.c -- drains, waves and moves of VMs.  */
+/* maintenance.c -- carries on waves, drains and moves.
 
+   Every step is a record or a platform operation that may be repeated: a
+   drain is judged when it is applied, an operation has the id of its drain.
+   So the member that carries a wave needs no lease.  It is the first in
+   rendezvous order; the next one acts when a step that could be taken has not
+   been taken for TAKEOVER_US, and two that act at once do no harm.  */
+
+#include "core/rendezvous.h"
 #include "core/state.h"
+#include "core/wave_order.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/** How often the state is looked over.  */
+#define PERIOD_US (100 * US_PER_MS)
+/** Wait before a record that was not seen applied is sent again.  */
+#define APPEND_RETRY_US (1 * US_PER_S)
+/** Wait before an operation is read back.  */
+#define OPERATION_RETRY_US (500 * US_PER_MS)
+/** Wait before the next member in order takes a step.  */
+#define TAKEOVER_US (3 * US_PER_S)
+/** How long a VM must be away from the list before it counts as lost.  */
+#define LOSS_CONFIRM_US (2 * US_PER_S)
+/** The same when half of the VMs are away at once.  */
+#define DOUBT_CONFIRM_US (10 * US_PER_S)
+/** Longest maintenance of a VM before it counts as lost.  */
+#define RETURN_LIMIT_US (300 * US_PER_S)
+#define MEMBER_LIMIT 64
+#define WAVE_VIEW_COUNT 32
+
+/* What this entry knows of one VM besides the control state.  */
+struct vm_view
+{
+  bool listed;  /**< The fleet list has shown it.  */
+  bool in_page; /**< Named by the list being taken.  */
+  enum fleet_vm_state state;
+  uint64_t away_since_us; /**< First seen not live; 0: live.  */
+  uint64_t changed_ms;    /**< Log's time of the last step of its drain.  */
+  enum vm_phase phase;    /**< Phase at the last look.  */
+  bool lost;              /**< Lost at the last look.  */
+  uint64_t drain_id;      /**< Drain at the last look.  */
+  uint64_t since_us;      /**< When the phase was entered.  */
+  uint64_t appended_us;   /**< Last record sent for it.  */
+  uint64_t operated_us;   /**< Last operation sent for it.  */
+  enum fleet_verb verb;   /**< Operation to ask for next.  */
+};
+
+/* What this entry knows of one wave besides the control state.  */
+struct wave_view
+{
+  uint64_t start_id;
+  uint64_t touched_id;
+  uint64_t since_us;    /**< Since when a step could be taken.  */
+  uint64_t appended_us; /**< Last record sent for it; 0: none.  */
+  enum wave_state state;
+};
+
+struct maintenance
+{
+  GHashTable *views; /**< VM name to struct vm_view.  */
+  struct wave_view waves[WAVE_VIEW_COUNT];
+  uint64_t looked_us;
+  uint64_t fleet_ms; /**< Time of the newest fleet list.  */
+  uint64_t clock_ms; /**< The platform's clock at clock_us.  */
+  uint64_t clock_us;
+  uint32_t away_count; /**< VMs of the tables not live in the list.  */
+  bool doubt;          /**< Half of the VMs are away at once.  */
+};
+
+static int
+maintenance_free (struct maintenance *m)
+{
+  g_hash_table_destroy (m->views);
+  return 0;
+}
+
+struct maintenance *
+maintenance_new (TALLOC_CTX *mem)
+{
+  struct maintenance *m = talloc_zero (mem, struct maintenance);
+
+  if (m == NULL)
+    out_of_memory ();
+  m->views = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  talloc_set_destructor (m, maintenance_free);
+  return m;
+}
+
+static struct vm_view *
+view_of (const struct core *c, const char *vm)
+{
+  struct vm_view *v = g_hash_table_lookup (c->maintenance->views, vm);
+
+  if (v == NULL)
+    {
+      v = g_new0 (struct vm_view, 1);
+      g_hash_table_insert (c->maintenance->views, g_strdup (vm), v);
+    }
+  return v;
+}
+
+static bool
+is_away (const struct vm_view *v, const struct vm_entry *x)
+{
+  if (!v->listed)
+    return false;
+  if (x->phase == VM_SERVING)
+    return v->state != FLEET_VM_LIVE;
+  return v->state == FLEET_VM_GONE;
+}
 
 bool
 core_vm_takes_work (const struct core *c, uint32_t vm_index)
 {
-  (void)c;
-  (void)vm_index;
+  const struct vm_entry *x = &c->control->vm_control->vms[vm_index];
+  const struct maintenance *m = c->maintenance;
+
+  if (vm_control_is_out (c->control, vm_index))
+    return false;
+  if (m->away_count == 0 || m->doubt)
+    return true;
+  return view_of (c, x->name)->away_since_us == 0;
+}
+
+/* Returns this entry's place in the order of members for KEY.  */
+static uint32_t
+rank_for (const struct core *c, const char *key)
+{
+  uint64_t ids[MEMBER_LIMIT];
+  uint32_t n = 0;
+
+  for (; n < c->control->member_count && n < MEMBER_LIMIT; n++)
+    ids[n] = c->control->members[n].incarnation;
+  return rendezvous_rank (key, ids, n, c->incarnation);
+}
+
+/* Returns true when a step for KEY that could be taken SINCE_US is due here.
+ */
+static bool
+is_due (const struct core *c, const char *key, uint64_t since_us)
+{
+  return c->now_us - since_us >= rank_for (c, key) * TAKEOVER_US;
+}
+
+static bool
+may_append (const struct core *c, const struct vm_view *v)
+{
+  return v->appended_us == 0 || c->now_us - v->appended_us >= APPEND_RETRY_US;
+}
+
+static void
+append_vm (struct core *c, enum record_kind kind, const char *vm,
+           uint64_t drain_id)
+{
+  struct record *r = core_append_record (c, kind);
+
+  text_copy (r->u.vm.vm, NAME_BYTES, vm);
+  r->u.vm.drain_id = drain_id;
+  if (kind == RECORD_VM_DRAINED)
+    r->u.vm.incarnation = c->incarnation;
+  view_of (c, vm)->appended_us = c->now_us;
+}
+
+static void
+set_clock (struct maintenance *m, uint64_t now_us, uint64_t at_ms)
+{
+  if (at_ms <= m->clock_ms)
+    return;
+  m->clock_ms = at_ms;
+  m->clock_us = now_us;
+}
+
+/* Marks what a whole list no longer shows as gone.  */
+static void
+mark_dropped (struct maintenance *m)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, m->views);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct vm_view *v = value;
+
+      if (v->listed && !v->in_page)
+        v->state = FLEET_VM_GONE;
+      v->in_page = false;
+    }
+}
+
+static void
+count_away (struct core *c)
+{
+  struct maintenance *m = c->maintenance;
+  const struct vm_control *s = c->control->vm_control;
+  uint32_t listed = 0;
+  uint32_t i;
+
+  m->away_count = 0;
+  for (i = 0; i < s->vm_count; i++)
+    {
+      struct vm_view *v = view_of (c, s->vms[i].name);
+
+      listed += v->listed ? 1 : 0;
+      if (!is_away (v, &s->vms[i]) || v->changed_ms >= m->fleet_ms)
+        {
+          v->away_since_us = 0;
+          continue;
+        }
+      m->away_count++;
+      if (v->away_since_us == 0)
+        v->away_since_us = c->now_us;
+    }
+  m->doubt = m->away_count > 1 && m->away_count * 2 >= listed;
+}
+
+void
+core_on_fleet (struct core *c, const struct event_fleet *e)
+{
+  struct maintenance *m = c->maintenance;
+  uint32_t i;
+
+  /* An older list than the last one is no news, and an empty one no
+     evidence: this entry's own VM would be in it.  */
+  if (e->at_ms < m->fleet_ms || (e->whole && e->vm_count == 0))
+    return;
+  m->fleet_ms = e->at_ms;
+  set_clock (m, c->now_us, e->at_ms);
+  for (i = 0; i < e->vm_count; i++)
+    {
+      struct vm_view *v = view_of (c, e->vms[i].name);
+
+      v->listed = true;
+      v->in_page = true;
+      v->state = e->vms[i].state;
+    }
+  if (e->whole)
+    mark_dropped (m);
+  count_away (c);
+  core_dispatch_all (c);
+}
+
+static void
+judge_loss (struct core *c, const struct vm_entry *x, struct vm_view *v)
+{
+  uint64_t confirm_us
+      = c->maintenance->doubt ? DOUBT_CONFIRM_US : LOSS_CONFIRM_US;
+  bool away = v->away_since_us != 0;
+  bool overdue = (x->phase == VM_DRAINED || x->phase == VM_RETURNING)
+                 && x->wave[0] != '\0'
+                 && c->now_us - v->since_us >= RETURN_LIMIT_US;
+
+  if (!may_append (c, v))
+    return;
+  if (!x->lost && away && is_due (c, "fleet", v->away_since_us + confirm_us)
+      && c->now_us - v->away_since_us >= confirm_us)
+    append_vm (c, RECORD_VM_LOST, x->name, 0);
+  else if (!x->lost && overdue
+           && is_due (c, "fleet", v->since_us + RETURN_LIMIT_US))
+    append_vm (c, RECORD_VM_LOST, x->name, 0);
+  else if (x->lost && !away && !overdue && v->listed
+           && v->state == FLEET_VM_LIVE
+           && v->changed_ms < c->maintenance->fleet_ms
+           && rank_for (c, "fleet") == 0)
+    append_vm (c, RECORD_VM_FOUND, x->name, 0);
+}
+
+static void
+operation_id (const struct vm_entry *x, enum fleet_verb verb, char *id)
+{
+  snprintf (id, ID_BYTES, "%.32s-%llu-%s", x->name,
+            (unsigned long long)x->drain_id, fleet_verb_name (verb));
+}
+
+static void
+operate (struct core *c, const struct vm_entry *x, struct vm_view *v)
+{
+  struct action *a = actions_add (c->out, ACTION_FLEET);
+
+  operation_id (x, v->verb, a->u.fleet.operation_id);
+  text_copy (a->u.fleet.vm, NAME_BYTES, x->name);
+  a->u.fleet.verb = v->verb;
+  v->operated_us = c->now_us;
+}
+
+/* Reboots a drained VM of a wave and gives it back.  */
+static void
+carry_on_vm (struct core *c, const struct vm_entry *x, struct vm_view *v)
+{
+  if (x->wave[0] == '\0'
+      || (x->phase != VM_DRAINED && x->phase != VM_RETURNING))
+    return;
+  if (v->operated_us != 0 && c->now_us - v->operated_us < OPERATION_RETRY_US)
+    return;
+  if (is_due (c, x->wave, v->since_us))
+    operate (c, x, v);
+}
+
+void
+core_on_operation (struct core *c, const struct event_operation *e)
+{
+  int32_t i = vm_control_find (c->control, e->vm);
+  const struct vm_entry *x;
+  struct vm_view *v;
+  char id[ID_BYTES];
+
+  if (i < 0)
+    return;
+  x = &c->control->vm_control->vms[i];
+  v = view_of (c, x->name);
+  operation_id (x, v->verb, id);
+  if (x->phase == VM_SERVING || strcmp (id, e->operation_id) != 0)
+    return;
+  if (e->state == OPERATION_REFUSED)
+    core_note (c, NOTE_OPERATION_REFUSED, x->name, x->drain_id);
+  if (e->state != OPERATION_DONE)
+    return;
+  switch (v->verb)
+    {
+    case FLEET_DRAIN:
+      v->verb = FLEET_REBOOT;
+      operate (c, x, v);
+      break;
+    case FLEET_REBOOT:
+      if (x->phase == VM_DRAINED && may_append (c, v))
+        append_vm (c, RECORD_REBOOTED, x->name, x->drain_id);
+      break;
+    case FLEET_RETURN:
+      if (x->phase == VM_RETURNING && may_append (c, v))
+        append_vm (c, RECORD_RETURN, x->name, x->drain_id);
+      break;
+    }
+}
+
+/* Says that nothing of this entry runs on a draining VM.  */
+static void
+confirm_drained (struct core *c, uint32_t vm_index, struct vm_view *v)
+{
+  const struct vm_entry *x = &c->control->vm_control->vms[vm_index];
+  uint32_t i;
+
+  if (x->phase != VM_DRAINING || c->vms[vm_index].running_count > 0
+      || c->incarnation > x->drain_id || !may_append (c, v))
+    return;
+  for (i = 0; i < x->drained_by_count; i++)
+    if (x->drained_by[i] == c->incarnation)
+      return;
+  append_vm (c, RECORD_VM_DRAINED, x->name, x->drain_id);
+}
+
+static void
+note_phase (struct core *c, const struct vm_entry *x, const struct vm_view *v)
+{
+  switch (x->phase)
+    {
+    case VM_SERVING:
+      core_note (c, NOTE_VM_RETURNED, x->name, v->drain_id);
+      break;
+    case VM_DRAINING:
+      core_note (c, NOTE_VM_DRAINING, x->name, x->drain_id);
+      break;
+    case VM_DRAINED:
+      core_note (c, NOTE_VM_DRAINED, x->name, x->drain_id);
+      break;
+    case VM_RETURNING:
+      core_note (c, NOTE_VM_REBOOTED, x->name, x->drain_id);
+      break;
+    case VM_PHASE_COUNT:
+      break;
+    }
+}
+
+/* Notes what changed since the last look.  */
+static void
+follow_vm (struct core *c, const struct vm_entry *x, struct vm_view *v)
+{
+  if (v->lost != x->lost)
+    core_note (c, x->lost ? NOTE_VM_LOST : NOTE_VM_FOUND, x->name, 0);
+  v->lost = x->lost;
+  if (v->phase == x->phase && v->drain_id == x->drain_id)
+    return;
+  note_phase (c, x, v);
+  v->phase = x->phase;
+  v->drain_id = x->drain_id;
+  v->since_us = c->now_us;
+  v->appended_us = 0;
+  v->operated_us = 0;
+  v->verb = x->phase == VM_RETURNING ? FLEET_RETURN : FLEET_DRAIN;
+}
+
+static struct wave_view *
+view_of_wave (struct core *c, const struct wave *w)
+{
+  struct wave_view *free_view = &c->maintenance->waves[0];
+  uint32_t i;
+
+  for (i = 0; i < WAVE_VIEW_COUNT; i++)
+    {
+      struct wave_view *v = &c->maintenance->waves[i];
+
+      if (v->start_id == w->start_id)
+        return v;
+      if (v->start_id < free_view->start_id)
+        free_view = v;
+    }
+  memset (free_view, 0, sizeof *free_view);
+  free_view->start_id = w->start_id;
+  return free_view;
+}
+
+/* Pauses a wave that is past its deadline, so that an operator looks at it. */
+static bool
+check_deadline (struct core *c, const struct wave *w, struct wave_view *v)
+{
+  const struct maintenance *m = c->maintenance;
+  uint64_t clock_ms = m->clock_ms + (c->now_us - m->clock_us) / US_PER_MS;
+  struct record *r;
+
+  if (w->deadline_ms == 0 || w->state != WAVE_RUNNING
+      || clock_ms < w->deadline_ms)
+    return false;
+  if (is_due (c, w->name, v->since_us)
+      && (v->appended_us == 0
+          || c->now_us - v->appended_us >= APPEND_RETRY_US))
+    {
+      r = core_append_record (c, RECORD_WAVE_PAUSE);
+      text_copy (r->u.wave.wave, NAME_BYTES, w->name);
+      v->appended_us = c->now_us;
+    }
   return true;
 }
 
+static void
+propose_drain (struct core *c, const struct wave *w, struct wave_view *v)
+{
+  int32_t i = wave_next (c->control, w, WAVE_ORDER_DOMAIN);
+  struct record *r;
+
+  if (i < 0 || v->touched_id != w->touched_id)
+    {
+      v->touched_id = w->touched_id;
+      v->since_us = c->now_us;
+      v->appended_us = 0;
+    }
+  if (i < 0 || !is_due (c, w->name, v->since_us))
+    return;
+  if (v->appended_us != 0 && c->now_us - v->appended_us < APPEND_RETRY_US)
+    return;
+  r = core_append_record (c, RECORD_DRAIN);
+  text_copy (r->u.vm.vm, NAME_BYTES, c->control->vm_control->vms[i].name);
+  text_copy (r->u.vm.wave, NAME_BYTES, w->name);
+  v->appended_us = c->now_us;
+}
+
+static void
+note_wave (struct core *c, const struct wave *w, struct wave_view *v)
+{
+  if (w->state == v->state)
+    return;
+  if (w->state == WAVE_DONE)
+    core_note (c, NOTE_WAVE_DONE, w->name, w->done_count);
+  v->state = w->state;
+}
+
+static void
+look_over (struct core *c, bool acts)
+{
+  struct vm_control *s = c->control->vm_control;
+  uint32_t i;
+
+  for (i = 0; i < s->vm_count; i++)
+    {
+      struct vm_view *v = view_of (c, s->vms[i].name);
+
+      follow_vm (c, &s->vms[i], v);
+      if (!acts)
+        continue;
+      confirm_drained (c, i, v);
+      judge_loss (c, &s->vms[i], v);
+      carry_on_vm (c, &s->vms[i], v);
+    }
+  for (i = 0; i < s->wave_count; i++)
+    {
+      struct wave_view *v = view_of_wave (c, s->waves[i]);
+
+      note_wave (c, s->waves[i], v);
+      if (acts && !check_deadline (c, s->waves[i], v))
+        propose_drain (c, s->waves[i], v);
+    }
+}
+
 void
 core_maintenance_tick (struct core *c)
 {
-  (void)c;
+  bool acts = c->incarnation != 0 && c->log_readable && core_is_fresh (c);
+
+  if (c->control->config == NULL
+      || c->now_us - c->maintenance->looked_us < PERIOD_US)
+    return;
+  c->maintenance->looked_us = c->now_us;
+  count_away (c);
+  look_over (c, acts);
+}
+
+static void
+note_wave_record (struct core *c, const struct record *r, uint64_t offset)
+{
+  switch (r->kind)
+    {
+    case RECORD_WAVE_START:
+      core_note (c, NOTE_WAVE_STARTED, r->u.wave.wave, offset);
+      break;
+    case RECORD_WAVE_PAUSE:
+      core_note (c, NOTE_WAVE_PAUSED, r->u.wave.wave, offset);
+      break;
+    case RECORD_WAVE_RESUME:
+      core_note (c, NOTE_WAVE_RESUMED, r->u.wave.wave, offset);
+      break;
+    case RECORD_WAVE_ABORT:
+      core_note (c, NOTE_WAVE_ABORTED, r->u.wave.wave, offset);
+      break;
+    case RECORD_MOVE:
+      core_note (c, NOTE_VM_MOVED, r->u.move.vm, offset);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+core_maintenance_on_record (struct core *c, const struct record *r,
+                            enum verdict v, uint64_t offset, uint64_t at_ms)
+{
+  set_clock (c->maintenance, c->now_us, at_ms);
+  switch (r->kind)
+    {
+    case RECORD_DRAIN:
+    case RECORD_REBOOTED:
+    case RECORD_RETURN:
+    case RECORD_VM_LOST:
+    case RECORD_VM_FOUND:
+      if (v == VERDICT_APPLIED)
+        view_of (c, r->u.vm.vm)->changed_ms = at_ms;
+      if (v == VERDICT_REJECTED)
+        core_note (c, NOTE_COMMAND_REJECTED, r->u.vm.vm, offset);
+      break;
+    case RECORD_WAVE_START:
+    case RECORD_WAVE_PAUSE:
+    case RECORD_WAVE_RESUME:
+    case RECORD_WAVE_ABORT:
+    case RECORD_MOVE:
+      if (v == VERDICT_APPLIED)
+        note_wave_record (c, r, offset);
+      if (v == VERDICT_REJECTED)
+        core_note (c, NOTE_COMMAND_REJECTED,
+                   r->kind == RECORD_MOVE ? r->u.move.vm : r->u.wave.wave,
+                   offset);
+      break;
+    default:
+      break;
+    }
 }
--- a/core/membership.c
+++ b/core/membership.c
@@ -25,8 +25,8 @@
             (unsigned long long)++c->next_command);
 }
 
-static struct record *
-append_record (struct core *c, enum record_kind kind)
+struct record *
+core_append_record (struct core *c, enum record_kind kind)
 {
   struct action *a = actions_add (c->out, ACTION_APPEND);
   struct record *r = talloc_zero (NULL, struct record);
@@ -40,7 +40,7 @@
 static void
 send_join (struct core *c)
 {
-  struct record *r = append_record (c, RECORD_JOIN);
+  struct record *r = core_append_record (c, RECORD_JOIN);
 
   text_copy (r->u.join.vm, NAME_BYTES, c->settings.vm);
   text_copy (r->u.join.zone, NAME_BYTES, c->settings.zone);
@@ -51,7 +51,7 @@
 static void
 send_leave (struct core *c)
 {
-  struct record *r = append_record (c, RECORD_LEAVE);
+  struct record *r = core_append_record (c, RECORD_LEAVE);
 
   text_copy (r->u.leave.vm, NAME_BYTES, c->settings.vm);
   r->u.leave.incarnation = c->incarnation;
@@ -115,6 +115,8 @@
     case RECORD_LEAVE:
       core_note (c, NOTE_MEMBER_LEFT, r->u.leave.vm, offset);
       break;
+    default: /* Noted by maintenance.c.  */
+      break;
     }
 }
 
@@ -132,6 +134,7 @@
     }
   v = control_apply (c->control, e->offset, e->record);
   c->counters[COUNTER_RECORDS]++;
+  core_maintenance_on_record (c, e->record, v, e->offset, e->at_ms);
   switch (v)
     {
     case VERDICT_APPLIED:
--- a/core/state.h
+++ b/core/state.h
@@ -5,6 +5,7 @@
 
 #include "core/control.h"
 #include "core/core.h"
+#include "core/vm_control.h"
 
 #include <sys/queue.h>
 
@@ -75,6 +76,8 @@
   uint64_t stop_deadline_us;
   bool leave_sent;
 
+  struct maintenance *maintenance; /**< Private to maintenance.c.  */
+
   uint64_t next_attempt_id;
   uint64_t next_command;    /**< Counts this process's command ids.  */
   GHashTable *requests;     /**< request_id to struct request.  */
@@ -105,6 +108,9 @@
 /** Writes a fresh command id to ID.  */
 void core_command_id (struct core *c, char *id);
 
+/** Appends a zeroed record of KIND with a fresh id; the caller fills it.  */
+struct record *core_append_record (struct core *c, enum record_kind kind);
+
 /** Does the membership's periodic work (join, freshness, peers' status).  */
 void core_membership_tick (struct core *c);
 
@@ -138,6 +144,16 @@
 
 /** Returns false while VM_INDEX is leaving or out.  */
 bool core_vm_takes_work (const struct core *c, uint32_t vm_index);
+/** Returns the maintenance state of one entry as a child of MEM.  */
+struct maintenance *maintenance_new (TALLOC_CTX *mem);
+/** Takes note of R, applied or (by V) rejected, appended at AT_MS.  */
+void core_maintenance_on_record (struct core *c, const struct record *r,
+                                 enum verdict v, uint64_t offset,
+                                 uint64_t at_ms);
+/** Takes a reading of the fleet list.  */
+void core_on_fleet (struct core *c, const struct event_fleet *e);
+/** Takes what the platform says of an operation.  */
+void core_on_operation (struct core *c, const struct event_operation *e);
 /** Carries on waves, drains and moves.  */
 void core_maintenance_tick (struct core *c);
 
--- /dev/null
+++ b/core/wave_order.c
@@ -0,0 +1,182 @@
+/* wave_order.c -- which VM of a wave is drained next.
+
+   The order is greedy.  A pool with much left for its budget bounds the time
+   of the roll-out, so it goes first.  Within a pool a rack that is already
+   touched is finished before another is begun, because the pool's budget of
+   racks is free again only when the last VM of a rack is back.  */
+
+#include "core/wave_order.h"
+
+#include <string.h>
+
+/** Fixed-point scale of the weight of a pool.  */
+#define WEIGHT_SCALE 1000
+
+static bool
+is_pending (const struct control *c, const struct wave *w, uint32_t k,
+            int32_t *vm_index)
+{
+  if (w->vms[k].done)
+    return false;
+  *vm_index = vm_control_find (c, w->vms[k].name);
+  return *vm_index >= 0 && c->vm_control->vms[*vm_index].phase == VM_SERVING;
+}
+
+static bool
+same_rack (const struct control *c, uint32_t a, uint32_t b)
+{
+  const struct vm_config *x = &c->config->vms[a];
+  const struct vm_config *y = &c->config->vms[b];
+
+  return x->pool_index == y->pool_index && strcmp (x->rack, y->rack) == 0;
+}
+
+static bool
+rack_is_touched (const struct control *c, uint32_t vm_index)
+{
+  uint32_t i;
+
+  for (i = 0; i < c->config->vm_count; i++)
+    if (same_rack (c, i, vm_index) && vm_control_is_out (c, i))
+      return true;
+  return false;
+}
+
+/* Counts the VMs of W still to do in the pool of VM_INDEX, and in its rack. */
+static void
+count_pending (const struct control *c, const struct wave *w,
+               uint32_t vm_index, uint32_t *pool_count, uint32_t *rack_count)
+{
+  uint32_t k;
+  int32_t i;
+
+  *pool_count = 0;
+  *rack_count = 0;
+  for (k = 0; k < w->vm_count; k++)
+    {
+      if (!is_pending (c, w, k, &i))
+        continue;
+      if (c->config->vms[i].pool_index == c->config->vms[vm_index].pool_index)
+        ++*pool_count;
+      if (same_rack (c, (uint32_t)i, vm_index))
+        ++*rack_count;
+    }
+}
+
+static uint64_t
+score (const struct control *c, const struct wave *w, uint32_t vm_index)
+{
+  const struct config *f = c->config;
+  const struct pool_config *p = &f->pools[f->vms[vm_index].pool_index];
+  uint32_t pool_count;
+  uint32_t rack_count;
+  uint64_t weight;
+
+  count_pending (c, w, vm_index, &pool_count, &rack_count);
+  weight = (uint64_t)pool_count * WEIGHT_SCALE / p->unavailable_count;
+  return (weight << 24)
+         + ((uint64_t)(rack_is_touched (c, vm_index) ? 1 : 0) << 16)
+         + (rack_count < UINT16_MAX ? rack_count : UINT16_MAX);
+}
+
+/* With colouring, a rack waits until the batch of another one is back, and
+   takes no VM into a batch of which one is back already.  */
+static bool
+batch_allows (const struct control *c, const struct wave *w, uint32_t vm_index)
+{
+  uint32_t k;
+  bool touched = rack_is_touched (c, vm_index);
+
+  if (!touched)
+    return vm_control_wave_out (c, w->name) == 0;
+  for (k = 0; k < w->vm_count; k++)
+    {
+      int32_t i = vm_control_find (c, w->vms[k].name);
+
+      if (w->vms[k].done && i >= 0 && same_rack (c, (uint32_t)i, vm_index))
+        return false;
+    }
+  return true;
+}
+
+static bool
+order_allows (const struct control *c, const struct wave *w, uint32_t vm_index,
+              enum wave_order order)
+{
+  switch (order)
+    {
+    case WAVE_ORDER_DOMAIN:
+      break;
+    case WAVE_ORDER_COLOUR:
+      return batch_allows (c, w, vm_index);
+    case WAVE_ORDER_ONE_BY_ONE:
+      return vm_control_wave_out (c, w->name) == 0;
+    }
+  return true;
+}
+
+int32_t
+wave_next (const struct control *c, const struct wave *w,
+           enum wave_order order)
+{
+  int32_t best = -1;
+  uint64_t best_score = 0;
+  uint32_t k;
+  int32_t i;
+
+  if (w->state != WAVE_RUNNING || c->config == NULL)
+    return -1;
+  if (w->parallel_count > 0
+      && vm_control_wave_out (c, w->name) >= w->parallel_count)
+    return -1;
+  for (k = 0; k < w->vm_count; k++)
+    {
+      uint64_t s;
+
+      if (!is_pending (c, w, k, &i) || !vm_control_may_drain (c, (uint32_t)i)
+          || !order_allows (c, w, (uint32_t)i, order))
+        continue;
+      s = score (c, w, (uint32_t)i);
+      if (best >= 0 && s <= best_score)
+        continue;
+      best = i;
+      best_score = s;
+    }
+  return best;
+}
+
+static uint32_t
+ceiling_divide (uint32_t a, uint32_t b)
+{
+  return b == 0 ? UINT32_MAX : (a + b - 1) / b;
+}
+
+uint32_t
+wave_bound_rounds (const struct control *c, const struct wave *w)
+{
+  uint32_t longest = 0;
+  uint32_t p;
+  uint32_t k;
+
+  if (w->parallel_count > 0)
+    longest = ceiling_divide (w->vm_count - w->done_count, w->parallel_count);
+  for (p = 0; p < c->config->pool_count; p++)
+    {
+      uint32_t n = 0;
+      uint32_t rounds;
+
+      for (k = 0; k < w->vm_count; k++)
+        {
+          int32_t i = vm_control_find (c, w->vms[k].name);
+
+          if (i >= 0 && !w->vms[k].done && c->config->vms[i].pool_index == p)
+            n++;
+        }
+      if (n == 0)
+        continue;
+      rounds = ceiling_divide (n, c->config->pools[p].unavailable_count);
+      if (rounds > longest)
+        longest = rounds;
+    }
+  return longest;
+}
--- /dev/null
+++ b/core/wave_order.h
@@ -0,0 +1,27 @@
+/* wave_order.h -- which VM of a wave is drained next.  */
+
+#ifndef FTK_CORE_WAVE_ORDER_H
+#define FTK_CORE_WAVE_ORDER_H
+
+#include "core/control.h"
+#include "core/vm_control.h"
+
+/** Ways to choose; the product uses WAVE_ORDER_DOMAIN, the others are the
+    baselines of the bench.  */
+enum wave_order
+{
+  WAVE_ORDER_DOMAIN,    /**< Greedy: longest pool first, then started racks. */
+  WAVE_ORDER_COLOUR,    /**< Batches of one rack; waits for a whole batch.  */
+  WAVE_ORDER_ONE_BY_ONE /**< The next VM when the last one is back.  */
+};
+
+/** Returns the VM of W to drain next within the budgets, or -1 if none may be
+    drained now.  */
+int32_t wave_next (const struct control *c, const struct wave *w,
+                   enum wave_order order);
+
+/** Returns the least number of rounds, each as long as one drain with its
+    reboot, in which the budgets alone let W finish.  */
+uint32_t wave_bound_rounds (const struct control *c, const struct wave *w);
+
+#endif
--- a/port/action.c
+++ b/port/action.c
@@ -81,11 +81,40 @@
     [NOTE_BAD_RECORD] = "bad_record",
     [NOTE_STOPPING] = "stopping",
     [NOTE_STOPPED] = "stopped",
+    [NOTE_WAVE_STARTED] = "wave_started",
+    [NOTE_WAVE_PAUSED] = "wave_paused",
+    [NOTE_WAVE_RESUMED] = "wave_resumed",
+    [NOTE_WAVE_ABORTED] = "wave_aborted",
+    [NOTE_WAVE_DONE] = "wave_done",
+    [NOTE_VM_DRAINING] = "vm_draining",
+    [NOTE_VM_DRAINED] = "vm_drained",
+    [NOTE_VM_REBOOTED] = "vm_rebooted",
+    [NOTE_VM_RETURNED] = "vm_returned",
+    [NOTE_VM_LOST] = "vm_lost",
+    [NOTE_VM_FOUND] = "vm_found",
+    [NOTE_VM_MOVED] = "vm_moved",
+    [NOTE_COMMAND_REJECTED] = "command_rejected",
+    [NOTE_OPERATION_REFUSED] = "operation_refused",
   };
 
   return names[k];
 }
 
+const char *
+fleet_verb_name (enum fleet_verb v)
+{
+  switch (v)
+    {
+    case FLEET_DRAIN:
+      return "drain";
+    case FLEET_REBOOT:
+      return "reboot";
+    case FLEET_RETURN:
+      break;
+    }
+  return "return";
+}
+
 const char *
 counter_kind_name (enum counter_kind k)
 {
--- a/port/action.h
+++ b/port/action.h
@@ -14,7 +14,8 @@
   ACTION_PEER,   /**< Send a message to a member.  */
   ACTION_STATUS, /**< Show the state of this entry.  */
   ACTION_NOTE,   /**< Put an event on the time line.  */
-  ACTION_EXIT    /**< Nothing is left to do; end the process.  */
+  ACTION_EXIT,   /**< Nothing is left to do; end the process.  */
+  ACTION_FLEET   /**< Have the platform do an operation on a VM.  */
 };
 
 /** Stable code of an answer, as shown to callers.  */
@@ -53,6 +54,20 @@
   NOTE_BAD_RECORD, /**< A record was malformed and skipped.  */
   NOTE_STOPPING,   /**< Planned stop began.  */
   NOTE_STOPPED,    /**< Everything in flight was answered.  */
+  NOTE_WAVE_STARTED,
+  NOTE_WAVE_PAUSED,
+  NOTE_WAVE_RESUMED,
+  NOTE_WAVE_ABORTED,
+  NOTE_WAVE_DONE,
+  NOTE_VM_DRAINING, /**< A VM takes no new work.  */
+  NOTE_VM_DRAINED,  /**< Nothing of any member runs on a VM.  */
+  NOTE_VM_REBOOTED,
+  NOTE_VM_RETURNED,
+  NOTE_VM_LOST,
+  NOTE_VM_FOUND,
+  NOTE_VM_MOVED,          /**< A VM is in another pool.  */
+  NOTE_COMMAND_REJECTED,  /**< A drain, move or wave was refused.  */
+  NOTE_OPERATION_REFUSED, /**< The platform refused an operation.  */
   NOTE_KIND_COUNT
 };
 
@@ -81,6 +96,21 @@
   uint64_t attempt_id;
 };
 
+/** What the platform is to do with a VM.  */
+enum fleet_verb
+{
+  FLEET_DRAIN,
+  FLEET_REBOOT,
+  FLEET_RETURN
+};
+
+struct action_fleet
+{
+  char operation_id[ID_BYTES]; /**< The platform does it once for an id.  */
+  char vm[NAME_BYTES];
+  enum fleet_verb verb;
+};
+
 struct action_note
 {
   enum note_kind kind;
@@ -151,6 +181,7 @@
     struct peer_message peer;
     struct action_status status;
     struct action_note note;
+    struct action_fleet fleet;
   } u;
 };
 
@@ -174,6 +205,9 @@
 /** Returns the stable name of K, such as "config_in_force".  */
 const char *note_kind_name (enum note_kind k);
 
+/** Returns the platform's word for V, such as "drain".  */
+const char *fleet_verb_name (enum fleet_verb v);
+
 /** Returns the metric name of K, such as "requests".  */
 const char *counter_kind_name (enum counter_kind k);
 
--- a/port/event.h
+++ b/port/event.h
@@ -21,7 +21,9 @@
   EVENT_RECORD,       /**< A record was read from the log.  */
   EVENT_PEER,         /**< A peer's message.  */
   EVENT_STATUS,       /**< Someone asks for the state of this entry.  */
-  EVENT_STOP          /**< Planned stop of this entry.  */
+  EVENT_STOP,         /**< Planned stop of this entry.  */
+  EVENT_FLEET,        /**< A read of the fleet list ended.  */
+  EVENT_OPERATION     /**< What is known of a platform operation.  */
 };
 
 /** How an attempt ended, as far as this entry can know.  */
@@ -76,6 +78,45 @@
   uint64_t request_id;
 };
 
+/** State of a VM in the fleet list.  */
+enum fleet_vm_state
+{
+  FLEET_VM_LIVE,
+  FLEET_VM_DRAINING,
+  FLEET_VM_REBOOTING,
+  FLEET_VM_GONE
+};
+
+struct fleet_vm
+{
+  char name[NAME_BYTES];
+  enum fleet_vm_state state;
+};
+
+struct event_fleet
+{
+  bool whole;           /**< Every VM is listed; else only changed ones.  */
+  uint64_t at_ms;       /**< The fleet service's own time of the list.  */
+  struct fleet_vm *vms; /**< Child of the event.  */
+  uint32_t vm_count;
+};
+
+/** What the platform says of an operation.  */
+enum operation_state
+{
+  OPERATION_UNKNOWN, /**< No answer; read it back before asking again.  */
+  OPERATION_RUNNING,
+  OPERATION_DONE,
+  OPERATION_REFUSED /**< It was not and will not be done.  */
+};
+
+struct event_operation
+{
+  char operation_id[ID_BYTES];
+  char vm[NAME_BYTES];
+  enum operation_state state;
+};
+
 struct event
 {
   uint64_t now_us; /**< CLOCK_BOOTTIME: runs on through a pause.  */
@@ -90,6 +131,8 @@
     struct event_record record;
     struct peer_message peer;
     struct event_status status;
+    struct event_fleet fleet;
+    struct event_operation operation;
   } u;
 };
 
--- a/port/record.h
+++ b/port/record.h
@@ -14,7 +14,18 @@
   RECORD_KEY_GRANT,    /**< Lets a key act for a team.  */
   RECORD_KEY_WITHDRAW, /**< Ends a key.  */
   RECORD_JOIN,         /**< An entry became a member.  */
-  RECORD_LEAVE         /**< A member left in good order.  */
+  RECORD_LEAVE,        /**< A member left in good order.  */
+  RECORD_WAVE_START,   /**< Starts a maintenance wave.  */
+  RECORD_WAVE_PAUSE,   /**< Starts no further drains of a wave.  */
+  RECORD_WAVE_RESUME,  /**< Lets a paused wave go on.  */
+  RECORD_WAVE_ABORT,   /**< Ends a wave; VMs not yet drained serve on.  */
+  RECORD_DRAIN,        /**< Takes a VM out, within its pool's budget.  */
+  RECORD_VM_DRAINED,   /**< Nothing of one member runs on the VM.  */
+  RECORD_REBOOTED,     /**< The platform has rebooted the VM.  */
+  RECORD_RETURN,       /**< The VM serves again.  */
+  RECORD_VM_LOST,      /**< The fleet list has dropped the VM.  */
+  RECORD_VM_FOUND,     /**< The fleet list shows a lost VM live.  */
+  RECORD_MOVE          /**< Moves a VM to another pool.  */
 };
 
 struct record_key
@@ -36,6 +47,31 @@
   uint64_t incarnation; /**< Offset of the join record, plus 1.  */
 };
 
+struct record_wave
+{
+  char wave[NAME_BYTES];
+  char (*targets)[NAME_BYTES]; /**< Pools or VMs; only WAVE_START.  */
+  uint32_t target_count;
+  uint32_t parallel_count; /**< Most VMs out at once; 0: the budgets' own.  */
+  uint64_t deadline_ms;    /**< Wall clock since 1970; 0: none.  */
+};
+
+struct record_vm
+{
+  char vm[NAME_BYTES];
+  char wave[NAME_BYTES]; /**< DRAIN: its wave; empty: an operator's.  */
+  uint64_t drain_id;     /**< Offset of the drain, plus 1; RETURN: 0 for
+                              the drain in force.  */
+  uint64_t incarnation;  /**< VM_DRAINED: the member.  */
+};
+
+struct record_move
+{
+  char vm[NAME_BYTES];
+  char from[NAME_BYTES]; /**< Pool that the VM must be in.  */
+  char to[NAME_BYTES];   /**< Pool that it goes to.  */
+};
+
 struct record
 {
   char id[ID_BYTES]; /**< Chosen by the sender; applied once.  */
@@ -46,6 +82,9 @@
     struct record_key key;     /**< RECORD_KEY_GRANT, _WITHDRAW.  */
     struct record_join join;   /**< RECORD_JOIN.  */
     struct record_leave leave; /**< RECORD_LEAVE.  */
+    struct record_wave wave;   /**< RECORD_WAVE_*.  */
+    struct record_vm vm;       /**< RECORD_DRAIN to RECORD_VM_FOUND.  */
+    struct record_move move;   /**< RECORD_MOVE.  */
   } u;
 };
 
--- a/tests/standin/fleet.c
+++ b/tests/standin/fleet.c
@@ -1,16 +1,23 @@
 /* fleet.c -- stand-in of the fleet service: lists VMs, drains, reboots.
 
-   VMs are set by PUT /vms with the JSON list to show.  Faults: down, slow_ms,
-   lose_answers, reboot_ms, lag_ms (age of the list shown).  */
+   VMs are set by PUT /vms with a JSON list of names or of objects with name,
+   pool, rack and port of the worker there.  It keeps its own record, shown by
+   GET /report: the most VMs out at once for each pool and each pool's racks,
+   the reboots of each VM, and how many requests ran on a worker when it was
+   rebooted. Faults: down, slow_ms, lose_answers, reboot_ms, no_return (reboots
+   do not end), lag_ms (age of the list shown), list_empty.  */
 
 #include "tests/standin/server.h"
 
+#include <curl/curl.h>
+#include <glib.h>
 #include <jansson.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define VM_LIMIT 4096
+#define OPERATION_LIMIT 65536
 #define NAME_BYTES 64
 #define DEFAULT_REBOOT_MS 200
 
@@ -26,13 +33,32 @@
 struct vm
 {
   char name[NAME_BYTES];
+  char pool[NAME_BYTES];
+  char rack[NAME_BYTES];
   enum vm_state state;
+  enum vm_state shown; /**< State in the list as shown.  */
+  int64_t shown_version;
+  int64_t port;     /**< Of its worker; 0: none.  */
   int64_t until_ms; /**< End of a reboot.  */
-  int64_t boot_count;
+  int64_t reboot_count;
+};
+
+struct operation
+{
+  char id[NAME_BYTES * 2];
+  struct vm *vm;
+  int64_t reboot_number; /**< Done when that reboot is over; 0: at once.  */
 };
 
 static struct vm vms[VM_LIMIT];
 static int vm_count;
+static struct operation operations[OPERATION_LIMIT];
+static int operation_count;
+static int64_t repeat_count; /**< Operations asked for again by id.  */
+static int64_t cut_count;    /**< Requests running on a VM rebooted.  */
+static int64_t version = 1;
+static int64_t shown_ms;       /**< Time of the list as shown.  */
+static GHashTable *high_water; /**< Pool, and pool/rack count, to most out.  */
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 static const char *const state_names[]
@@ -49,19 +75,33 @@
   return NULL;
 }
 
+static void
+copy_text (char *dst, const json_t *text)
+{
+  if (json_is_string (text))
+    g_strlcpy (dst, json_string_value (text), NAME_BYTES);
+}
+
 static void
 put_vms (struct exchange *x)
 {
   json_t *list = json_loadb (x->body, x->body_bytes, 0, NULL);
-  json_t *name;
+  json_t *vm;
   size_t i;
 
   vm_count = 0;
-  json_array_foreach (list, i, name)
+  version++;
+  json_array_foreach (list, i, vm)
   {
-    memset (&vms[vm_count], 0, sizeof vms[0]);
-    strncpy (vms[vm_count].name, json_string_value (name), NAME_BYTES - 1);
-    vm_count++;
+    struct vm *v = &vms[vm_count++];
+
+    memset (v, 0, sizeof *v);
+    v->shown_version = version;
+    copy_text (v->name,
+               json_is_object (vm) ? json_object_get (vm, "name") : vm);
+    copy_text (v->pool, json_object_get (vm, "pool"));
+    copy_text (v->rack, json_object_get (vm, "rack"));
+    v->port = json_integer_value (json_object_get (vm, "port"));
   }
   json_decref (list);
   answer_set (x, 200, "{}");
@@ -70,29 +110,79 @@
 static void
 settle (struct vm *v)
 {
-  if (v->state == VM_REBOOTING && clock_ms () >= v->until_ms)
+  if (v->state == VM_REBOOTING && clock_ms () >= v->until_ms
+      && !fault_get ("no_return"))
+    v->state = VM_DRAINING;
+}
+
+static void
+raise_high_water (const char *kind, const char *pool, int64_t n)
+{
+  char *key = g_strconcat (kind, " ", pool, NULL);
+
+  if (n > (int64_t)(intptr_t)g_hash_table_lookup (high_water, key))
+    g_hash_table_insert (high_water, key, (gpointer)(intptr_t)n);
+  else
+    g_free (key);
+}
+
+/* Counts the VMs and the racks of POOL that are out now.  */
+static void
+count_out (const char *pool)
+{
+  GHashTable *racks = g_hash_table_new (g_str_hash, g_str_equal);
+  int64_t n = 0;
+  int i;
+
+  for (i = 0; i < vm_count; i++)
+    if (vms[i].state != VM_LIVE && strcmp (vms[i].pool, pool) == 0)
+      {
+        n++;
+        g_hash_table_add (racks, vms[i].rack);
+      }
+  raise_high_water ("out", pool, n);
+  raise_high_water ("racks", pool, g_hash_table_size (racks));
+  g_hash_table_destroy (racks);
+}
+
+/* Renews the list as shown when it is older than the lag.  */
+static void
+renew_list (void)
+{
+  int64_t now = clock_ms ();
+  int i;
+
+  if (now < shown_ms + fault_get ("lag_ms"))
+    return;
+  shown_ms = now;
+  for (i = 0; i < vm_count; i++)
     {
-      v->state = VM_LIVE;
-      v->boot_count++;
+      settle (&vms[i]);
+      if (vms[i].shown == vms[i].state)
+        continue;
+      vms[i].shown = vms[i].state;
+      vms[i].shown_version = ++version;
     }
 }
 
 static void
 list_vms (struct exchange *x)
 {
+  int64_t since = query_get (x, "since", 0);
   json_t *list = json_array ();
   json_t *page;
   int i;
 
-  for (i = 0; i < vm_count; i++)
-    {
-      settle (&vms[i]);
-      json_array_append_new (
-          list, json_pack ("{s:s, s:s, s:I}", "name", vms[i].name, "state",
-                           state_names[vms[i].state], "boots",
-                           (json_int_t)vms[i].boot_count));
-    }
-  page = json_pack ("{s:I, s:o}", "at_ms", (json_int_t)clock_ms (), "vms",
+  renew_list ();
+  if (since > version)
+    since = 0;
+  for (i = 0; i < vm_count && !fault_get ("list_empty"); i++)
+    if (vms[i].shown_version > since)
+      json_array_append_new (list,
+                             json_pack ("{s:s, s:s}", "name", vms[i].name,
+                                        "state", state_names[vms[i].shown]));
+  page = json_pack ("{s:I, s:I, s:b, s:o}", "at_ms", (json_int_t)shown_ms,
+                    "version", (json_int_t)version, "whole", since == 0, "vms",
                     list);
   x->answer = json_dumps (page, JSON_COMPACT);
   x->answer_bytes = (uint32_t)strlen (x->answer);
@@ -100,22 +190,64 @@
   json_decref (page);
 }
 
-/* POST /v1/vms/NAME/VERB  */
+static struct operation *
+find_operation (const char *id)
+{
+  int i;
+
+  for (i = 0; i < operation_count; i++)
+    if (strcmp (operations[i].id, id) == 0)
+      return &operations[i];
+  return NULL;
+}
+
 static void
-operate (struct exchange *x)
+answer_operation (struct exchange *x, const struct operation *o)
+{
+  int running;
+
+  settle (o->vm);
+  running = o->reboot_number > 0 && o->vm->reboot_count == o->reboot_number
+            && o->vm->state == VM_REBOOTING;
+  answer_set (x, 200, "{\"operation\":\"%s\",\"state\":\"%s\"}",
+              running ? "running" : "done", state_names[o->vm->state]);
+}
+
+static size_t
+take_number (char *data, size_t size, size_t count, void *state)
+{
+  char text[32] = { 0 };
+
+  memcpy (text, data, MIN (size * count, sizeof text - 1));
+  *(int64_t *)state = strtoll (text, NULL, 10);
+  return size * count;
+}
+
+/* Asks the worker of V how many requests run there.  */
+static int64_t
+ask_running (const struct vm *v)
+{
+  CURL *easy = curl_easy_init ();
+  int64_t n = 0;
+  char url[64];
+
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%d/running", (int)v->port);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_number);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, &n);
+  if (v->port > 0)
+    curl_easy_perform (easy);
+  curl_easy_cleanup (easy);
+  return n;
+}
+
+static void
+change_vm (struct vm *v, const char *verb)
 {
-  char name[NAME_BYTES];
-  char verb[NAME_BYTES];
   int64_t reboot_ms = fault_get ("reboot_ms");
-  struct vm *v = NULL;
 
-  if (sscanf (x->url, "/v1/vms/%63[^/]/%63s", name, verb) == 2)
-    v = find_vm (name);
-  if (v == NULL)
-    {
-      answer_set (x, 404, "{}");
-      return;
-    }
+  settle (v);
   if (strcmp (verb, "drain") == 0)
     v->state = VM_DRAINING;
   else if (strcmp (verb, "return") == 0)
@@ -124,10 +256,83 @@
     v->state = VM_GONE;
   else if (strcmp (verb, "reboot") == 0)
     {
+      cut_count += ask_running (v);
       v->state = VM_REBOOTING;
+      v->reboot_count++;
       v->until_ms = clock_ms () + (reboot_ms ? reboot_ms : DEFAULT_REBOOT_MS);
     }
-  answer_set (x, 200, "{\"state\":\"%s\"}", state_names[v->state]);
+  count_out (v->pool);
+}
+
+/* POST /v1/vms/NAME/VERB?id=ID; an id is done once.  */
+static void
+operate (struct exchange *x)
+{
+  const char *id = MHD_lookup_connection_value (x->connection,
+                                                MHD_GET_ARGUMENT_KIND, "id");
+  struct operation *o = id ? find_operation (id) : NULL;
+  struct operation once = { 0 };
+  char name[NAME_BYTES];
+  char verb[NAME_BYTES];
+  struct vm *v = NULL;
+
+  if (sscanf (x->url, "/v1/vms/%63[^/]/%63s", name, verb) == 2)
+    v = find_vm (name);
+  if (v == NULL)
+    {
+      answer_set (x, 409, "{}");
+      return;
+    }
+  if (o != NULL)
+    {
+      repeat_count++;
+      answer_operation (x, o);
+      return;
+    }
+  change_vm (v, verb);
+  o = id && operation_count < OPERATION_LIMIT ? &operations[operation_count++]
+                                              : &once;
+  g_strlcpy (o->id, id ? id : "", sizeof o->id);
+  o->vm = v;
+  o->reboot_number = strcmp (verb, "reboot") == 0 ? v->reboot_count : 0;
+  answer_operation (x, o);
+}
+
+static void
+read_back (struct exchange *x)
+{
+  const struct operation *o = find_operation (x->url + strlen ("/v1/ops/"));
+
+  if (o == NULL)
+    answer_set (x, 404, "{}");
+  else
+    answer_operation (x, o);
+}
+
+static void
+report (struct exchange *x)
+{
+  json_t *reboots = json_object ();
+  json_t *most = json_object ();
+  json_t *all;
+  GHashTableIter it;
+  gpointer key;
+  gpointer value;
+  int i;
+
+  for (i = 0; i < vm_count; i++)
+    json_object_set_new (reboots, vms[i].name,
+                         json_integer (vms[i].reboot_count));
+  g_hash_table_iter_init (&it, high_water);
+  while (g_hash_table_iter_next (&it, &key, &value))
+    json_object_set_new (most, key, json_integer ((intptr_t)value));
+  all = json_pack ("{s:o, s:o, s:I, s:I}", "reboots", reboots, "most", most,
+                   "repeats", (json_int_t)repeat_count, "cut",
+                   (json_int_t)cut_count);
+  x->answer = json_dumps (all, JSON_COMPACT | JSON_SORT_KEYS);
+  x->answer_bytes = (uint32_t)strlen (x->answer);
+  x->status = 200;
+  json_decref (all);
 }
 
 static void
@@ -138,6 +343,10 @@
     put_vms (x);
   else if (strcmp (x->url, "/v1/vms") == 0)
     list_vms (x);
+  else if (strcmp (x->url, "/report") == 0)
+    report (x);
+  else if (strncmp (x->url, "/v1/ops/", strlen ("/v1/ops/")) == 0)
+    read_back (x);
   else
     operate (x);
   pthread_mutex_unlock (&lock);
@@ -148,6 +357,8 @@
 {
   uint16_t port = argc > 1 ? (uint16_t)atoi (argv[1]) : 7002;
 
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  high_water = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   standin_handler = handle;
   return standin_serve (port, port);
 }
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -165,6 +165,15 @@
   pthread_mutex_unlock (&lock);
 }
 
+/* Says what runs on the worker of the port that was asked.  */
+static void
+running (struct exchange *x)
+{
+  pthread_mutex_lock (&lock);
+  answer_set (x, 200, "%lld", (long long)port_running[x->port]);
+  pthread_mutex_unlock (&lock);
+}
+
 static void
 handle (struct exchange *x)
 {
@@ -172,6 +181,8 @@
     run (x);
   else if (strcmp (x->url, "/report") == 0)
     report (x);
+  else if (strcmp (x->url, "/running") == 0)
+    running (x);
   else
     answer_set (x, 404, "{}");
 }
