--- a/core/vm_control.c
+++ b/core/vm_control.c
@@ -472,8 +472,8 @@
   return true;
 }
 
-bool
-vm_control_apply (struct control *c, uint64_t offset, const struct record *r)
+static bool
+apply_kind (struct control *c, uint64_t offset, const struct record *r)
 {
   switch (r->kind)
     {
@@ -501,6 +501,29 @@
     }
 }
 
+bool
+vm_control_apply (struct control *c, uint64_t offset, const struct record *r)
+{
+  struct vm_control *v = c->vm_control;
+
+  if (!apply_kind (c, offset, r))
+    return false;
+  text_copy (v->applied_ids[v->applied_next], ID_BYTES, r->id);
+  v->applied_next = (v->applied_next + 1) % APPLIED_ID_COUNT;
+  return true;
+}
+
+bool
+vm_control_was_applied (const struct control *c, const char *id)
+{
+  uint32_t i;
+
+  for (i = 0; i < APPLIED_ID_COUNT; i++)
+    if (strcmp (c->vm_control->applied_ids[i], id) == 0)
+      return true;
+  return false;
+}
+
 /* Takes over what was known of the VM at index I of the tables.  A table that
    names the VM's home or its present pool leaves it where it is; any other
    pool is the operators' own move.  */
--- a/core/vm_control.h
+++ b/core/vm_control.h
@@ -13,6 +13,9 @@
 
 #include <talloc.h>
 
+/** Applied commands whose ids are kept, for operators to look up.  */
+#define APPLIED_ID_COUNT 64
+
 struct control;
 
 /** Where a VM stands.  Only a serving VM that is not lost takes new work.  */
@@ -73,6 +76,8 @@
   uint32_t vm_count;
   struct wave **waves; /**< In order of their start.  */
   uint32_t wave_count;
+  char applied_ids[APPLIED_ID_COUNT][ID_BYTES]; /**< Newest, as a ring.  */
+  uint32_t applied_next;   /**< Slot of the ring to be filled next.  */
   uint64_t config_version; /**< Tables that vms is parallel to.  */
 };
 
@@ -84,6 +89,9 @@
 bool vm_control_apply (struct control *c, uint64_t offset,
                        const struct record *r);
 
+/** Returns true if the command ID is among the newest that were applied.  */
+bool vm_control_was_applied (const struct control *c, const char *id);
+
 /** Follows a change of the tables or the members: matches VMs by name, and
     ends the drains that no member holds up any more.  */
 void vm_control_settle (struct control *c);
--- a/core/wave_order.c
+++ b/core/wave_order.c
@@ -144,39 +144,3 @@
     }
   return best;
 }
-
-static uint32_t
-ceiling_divide (uint32_t a, uint32_t b)
-{
-  return b == 0 ? UINT32_MAX : (a + b - 1) / b;
-}
-
-uint32_t
-wave_bound_rounds (const struct control *c, const struct wave *w)
-{
-  uint32_t longest = 0;
-  uint32_t p;
-  uint32_t k;
-
-  if (w->parallel_count > 0)
-    longest = ceiling_divide (w->vm_count - w->done_count, w->parallel_count);
-  for (p = 0; p < c->config->pool_count; p++)
-    {
-      uint32_t n = 0;
-      uint32_t rounds;
-
-      for (k = 0; k < w->vm_count; k++)
-        {
-          int32_t i = vm_control_find (c, w->vms[k].name);
-
-          if (i >= 0 && !w->vms[k].done && c->config->vms[i].pool_index == p)
-            n++;
-        }
-      if (n == 0)
-        continue;
-      rounds = ceiling_divide (n, c->config->pools[p].unavailable_count);
-      if (rounds > longest)
-        longest = rounds;
-    }
-  return longest;
-}
--- a/core/wave_order.h
+++ b/core/wave_order.h
@@ -20,8 +20,4 @@
 int32_t wave_next (const struct control *c, const struct wave *w,
                    enum wave_order order);
 
-/** Returns the least number of rounds, each as long as one drain with its
-    reboot, in which the budgets alone let W finish.  */
-uint32_t wave_bound_rounds (const struct control *c, const struct wave *w);
-
 #endif
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -51,5 +51,8 @@
 int ctl_status (struct ctl *c);
 int ctl_timeline (struct ctl *c);
 int ctl_submit (struct ctl *c);
+int ctl_wave (struct ctl *c);
+int ctl_vm (struct ctl *c);
+int ctl_pool (struct ctl *c);
 
 #endif
--- a/ctl/fulmartackctl.c
+++ b/ctl/fulmartackctl.c
@@ -62,7 +62,8 @@
 } commands[] = {
   { "config", ctl_config }, { "key", ctl_key },
   { "status", ctl_status }, { "timeline", ctl_timeline },
-  { "submit", ctl_submit },
+  { "submit", ctl_submit }, { "wave", ctl_wave },
+  { "vm", ctl_vm },         { "pool", ctl_pool },
 };
 
 int
@@ -77,6 +78,9 @@
     "  config check|diff|apply FILE, config show\n"
     "  key grant TEAM FILE, key withdraw FILE\n"
     "  status, timeline, submit QUEUE FILE\n"
+    "  wave plan|start NAME POOL|VM... [parallel=N] [deadline_ms=MS]\n"
+    "  wave pause|resume|abort NAME, wave status\n"
+    "  vm drain|return VM, vm move VM FROM TO, pool status [POOL]\n"
     "Exit codes: 0 done, 1 refused, 2 document refused, 3 no answer,\n"
     "4 published but not told by every entry, 64 usage.",
     NULL,
