Spare pool: lends when unmet demand has cost as much as a move

Cause: spare VMs stayed idle whatever the demand.

Shown by maintenance_spare.script: no move for 1 slot short over 2.7 s, a move once 4 slots were short for 0.8 s more; taken back after 20 s of idleness.

--- a/core/core.c
+++ b/core/core.c
@@ -28,6 +28,7 @@
   c->settings = *s;
   c->control = control_new (c);
   c->maintenance = maintenance_new (c);
+  c->lending = lending_new (c);
   c->requests = g_hash_table_new (g_int64_hash, g_int64_equal);
   c->attempts = g_hash_table_new (g_int64_hash, g_int64_equal);
   talloc_set_destructor (c, core_free);
@@ -97,6 +98,7 @@
       core_membership_tick (c);
       core_limit_tick (c);
       core_maintenance_tick (c);
+      core_lending_tick (c);
       break;
     case EVENT_REQUEST:
       core_on_request (c, &e->u.request);
--- a/core/maintenance.c
+++ b/core/maintenance.c
@@ -124,9 +124,8 @@
   return view_of (c, x->name)->away_since_us == 0;
 }
 
-/* Returns this entry's place in the order of members for KEY.  */
-static uint32_t
-rank_for (const struct core *c, const char *key)
+uint32_t
+core_rank_for (const struct core *c, const char *key)
 {
   uint64_t ids[MEMBER_LIMIT];
   uint32_t n = 0;
@@ -141,7 +140,7 @@
 static bool
 is_due (const struct core *c, const char *key, uint64_t since_us)
 {
-  return c->now_us - since_us >= rank_for (c, key) * TAKEOVER_US;
+  return c->now_us - since_us >= core_rank_for (c, key) * TAKEOVER_US;
 }
 
 static bool
@@ -263,7 +262,7 @@
   else if (x->lost && !away && !overdue && v->listed
            && v->state == FLEET_VM_LIVE
            && v->changed_ms < c->maintenance->fleet_ms
-           && rank_for (c, "fleet") == 0)
+           && core_rank_for (c, "fleet") == 0)
     append_vm (c, RECORD_VM_FOUND, x->name, 0);
 }
 
--- /dev/null
+++ b/core/spare.c
@@ -0,0 +1,122 @@
+/* spare.c -- when to lend VMs of the spare pool, and when to take them back.
+ */
+
+#include "core/spare.h"
+
+static uint32_t
+unmet_slots (const struct spare_pool *p)
+{
+  return p->demand_count > p->slot_count ? p->demand_count - p->slot_count : 0;
+}
+
+/* Returns true if the pool could do with one VM less and still have room for
+   a quarter of that VM's slots.  */
+static bool
+can_spare (const struct spare_pool *p)
+{
+  return p->lent_count > 0
+         && p->demand_count + p->vm_slot_count + p->vm_slot_count / 4
+                <= p->slot_count;
+}
+
+static void
+count_pool (struct spare_pool *p, uint32_t elapsed_ms)
+{
+  uint32_t unmet = unmet_slots (p);
+
+  if (unmet > 0)
+    p->unmet += (uint64_t)unmet * elapsed_ms;
+  else
+    p->unmet = 0;
+  /* Idleness decays while the VM is of use, so that a pool with a peak every
+     few seconds keeps it.  */
+  if (can_spare (p))
+    p->idle += (uint64_t)p->vm_slot_count * elapsed_ms;
+  else
+    p->idle /= 2;
+}
+
+static bool
+lend_is_due (const struct spare_pool *p, enum spare_policy policy)
+{
+  switch (policy)
+    {
+    case SPARE_BY_COST:
+      return p->unmet >= SPARE_LEND_COST;
+    case SPARE_NONE:
+      return false;
+    case SPARE_EAGER:
+      break;
+    }
+  return unmet_slots (p) > 0;
+}
+
+static bool
+take_is_due (const struct spare_pool *p, enum spare_policy policy)
+{
+  switch (policy)
+    {
+    case SPARE_BY_COST:
+      return p->idle >= SPARE_TAKE_COST && can_spare (p);
+    case SPARE_NONE:
+      return false;
+    case SPARE_EAGER:
+      break;
+    }
+  return can_spare (p);
+}
+
+/* Returns the pool with most unmet demand among those due, or -1.  */
+static int32_t
+pick_lend (const struct spare_pool *pools, uint32_t pool_count,
+           enum spare_policy policy)
+{
+  int32_t best = -1;
+  uint32_t i;
+
+  for (i = 0; i < pool_count; i++)
+    if (lend_is_due (&pools[i], policy)
+        && (best < 0 || pools[i].unmet > pools[best].unmet))
+      best = (int32_t)i;
+  return best;
+}
+
+struct spare_move
+spare_plan (struct spare_pool *pools, uint32_t pool_count, uint32_t free_count,
+            uint32_t elapsed_ms, enum spare_policy policy)
+{
+  struct spare_move m = { .step = SPARE_STAY };
+  int32_t needy;
+  uint32_t i;
+
+  for (i = 0; i < pool_count; i++)
+    count_pool (&pools[i], elapsed_ms);
+  needy = pick_lend (pools, pool_count, policy);
+  if (needy >= 0 && free_count > 0)
+    {
+      m.step = SPARE_LEND;
+      m.pool_index = (uint32_t)needy;
+      return m;
+    }
+  for (i = 0; i < pool_count; i++)
+    {
+      /* A VM lent to one pool and idle there is of more use to a needy one,
+         so it comes back as soon as it can be spared.  */
+      bool wanted = needy >= 0 && (uint32_t)needy != i && policy != SPARE_NONE
+                    && can_spare (&pools[i]);
+
+      if (!wanted && !take_is_due (&pools[i], policy))
+        continue;
+      m.step = SPARE_TAKE;
+      m.pool_index = i;
+      return m;
+    }
+  return m;
+}
+
+void
+spare_moved (struct spare_pool *p)
+{
+  p->unmet = 0;
+  p->idle = 0;
+}
--- a/core/state.h
+++ b/core/state.h
@@ -77,6 +77,7 @@
   bool leave_sent;
 
   struct maintenance *maintenance; /**< Private to maintenance.c.  */
+  struct lending *lending;         /**< Private to lending.c.  */
 
   uint64_t next_attempt_id;
   uint64_t next_command;    /**< Counts this process's command ids.  */
@@ -144,6 +145,12 @@
 
 /** Returns false while VM_INDEX is leaving or out.  */
 bool core_vm_takes_work (const struct core *c, uint32_t vm_index);
+/** Returns this entry's place in the rendezvous order of members for KEY.  */
+uint32_t core_rank_for (const struct core *c, const char *key);
+/** Returns the state of the lending of spare VMs as a child of MEM.  */
+struct lending *lending_new (TALLOC_CTX *mem);
+/** Lends spare VMs and takes them back.  */
+void core_lending_tick (struct core *c);
 /** Returns the maintenance state of one entry as a child of MEM.  */
 struct maintenance *maintenance_new (TALLOC_CTX *mem);
 /** Takes note of R, applied or (by V) rejected, appended at AT_MS.  */
