--- a/adapter/entry.c
+++ b/adapter/entry.c
@@ -5,6 +5,7 @@
 #include "adapter/back.h"
 #include "adapter/config_json.h"
 #include "adapter/decide.h"
+#include "adapter/fleet.h"
 #include "adapter/front.h"
 #include "adapter/journal.h"
 #include "adapter/log_service.h"
@@ -29,6 +30,7 @@
   struct back *back;
   struct log_service *log;
   struct peer *peer;
+  struct fleet *fleet; /**< NULL: no fleet service is set.  */
   struct front *front;
   struct recorder *recorder; /**< NULL unless the run is recorded.  */
   struct ring *exits; /**< Front, then log, tell the main thread here.  */
@@ -119,7 +121,7 @@
 make_duties (ftk_entry *e, const char *trace)
 {
   struct core_settings c = { 0 };
-  struct decide_outputs o;
+  struct decide_outputs o = { 0 };
   struct ring *decide;
 
   core_settings_of (e->settings, &c);
@@ -140,6 +142,13 @@
   e->front = front_new (e->settings, decide, e->journal, e->exits, e->message);
   if (e->front == NULL)
     return FTK_CANNOT_LISTEN;
+  if (e->settings->fleet[0] != '\0')
+    {
+      e->fleet = fleet_new (e->settings->fleet, decide);
+      if (e->fleet == NULL)
+        return FTK_NO_MEMORY;
+      o.fleet = fleet_duty (e->fleet)->inbound;
+    }
   o.front = front_duty (e->front)->inbound;
   o.back = back_duty (e->back)->inbound;
   o.log = log_service_duty (e->log)->inbound;
@@ -159,6 +168,7 @@
       && duty_start (back_duty (e->back)) && duty_start (peer_duty (e->peer))
       && duty_start (decide_duty (e->decide))
       && duty_start (log_service_duty (e->log))
+      && (e->fleet == NULL || duty_start (fleet_duty (e->fleet)))
       && duty_start (front_duty (e->front)))
     return FTK_OK;
   return FTK_NO_MEMORY;
@@ -253,6 +263,8 @@
     duty_join (back_duty (e->back));
   if (e->log != NULL)
     duty_join (log_service_duty (e->log));
+  if (e->fleet != NULL)
+    duty_join (fleet_duty (e->fleet));
   if (e->peer != NULL)
     duty_join (peer_duty (e->peer));
   if (e->decide != NULL)
@@ -264,6 +276,7 @@
   front_free (e->front);
   back_free (e->back);
   log_service_free (e->log);
+  fleet_free (e->fleet);
   peer_free (e->peer);
   decide_free (e->decide);
   journal_free (e->journal);
--- a/adapter/trace.c
+++ b/adapter/trace.c
@@ -2,6 +2,7 @@
 
 #include "adapter/trace.h"
 
+#include "adapter/fleet_page.h"
 #include "adapter/json_field.h"
 #include "adapter/peer_json.h"
 #include "adapter/record_json.h"
@@ -15,6 +16,7 @@
   [EVENT_LOG_READ] = "log_read", [EVENT_RECORD] = "record",
   [EVENT_PEER] = "peer",         [EVENT_STATUS] = "status",
   [EVENT_STOP] = "stop",         [EVENT_PEER_FAULT] = "peer_fault",
+  [EVENT_FLEET] = "fleet",       [EVENT_OPERATION] = "operation",
 };
 
 static const char *const outcome_names[] = {
@@ -24,6 +26,13 @@
   [ATTEMPT_TURNED_AWAY] = "turned_away",
 };
 
+static const char *const operation_names[] = {
+  [OPERATION_UNKNOWN] = "unknown",
+  [OPERATION_RUNNING] = "running",
+  [OPERATION_DONE] = "done",
+  [OPERATION_REFUSED] = "refused",
+};
+
 static int
 name_index (const char *const *names, int count, const char *name)
 {
@@ -108,6 +117,22 @@
   e->u.record.raw = record_to_raw (json_object_get (p->object, "data"));
 }
 
+static void
+read_operation (struct json_place *p, struct event_operation *o)
+{
+  char name[NAME_BYTES];
+  int i;
+
+  json_get_text (p, "operation", true, o->operation_id, ID_BYTES);
+  json_get_text (p, "vm", true, o->vm, NAME_BYTES);
+  json_get_text (p, "state", true, name, sizeof name);
+  i = NAME_INDEX (operation_names, name);
+  if (i < 0)
+    json_fault (p, "state", "is unknown");
+  else
+    o->state = (enum operation_state)i;
+}
+
 static void
 read_fields (struct json_place *p, struct event *e)
 {
@@ -140,6 +165,13 @@
       json_get_text (p, "address", false, e->u.peer_fault.address,
                      ADDRESS_BYTES);
       break;
+    case EVENT_FLEET:
+      if (!fleet_page_read (p, e, &e->u.fleet))
+        json_fault (p, "vms", "is no fleet list");
+      break;
+    case EVENT_OPERATION:
+      read_operation (p, &e->u.operation);
+      break;
     case EVENT_PEER:
       peer_message_from_json (p, e, &e->u.peer);
       break;
@@ -259,6 +291,14 @@
     case EVENT_PEER_FAULT:
       set_text (j, "address", e->u.peer_fault.address);
       break;
+    case EVENT_FLEET:
+      json_object_update_new (j, fleet_page_write (&e->u.fleet));
+      break;
+    case EVENT_OPERATION:
+      set_text (j, "operation", e->u.operation.operation_id);
+      set_text (j, "vm", e->u.operation.vm);
+      set_text (j, "state", operation_names[e->u.operation.state]);
+      break;
     case EVENT_PEER:
       peer_message_to_json (&e->u.peer, j);
       break;
@@ -361,6 +401,10 @@
                         note_kind_name (a->u.note.kind), "subject",
                         a->u.note.subject, "value",
                         (json_int_t)a->u.note.value);
+    case ACTION_FLEET:
+      return json_pack ("{s:s, s:s, s:s, s:s}", "action", "fleet", "operation",
+                        a->u.fleet.operation_id, "vm", a->u.fleet.vm, "verb",
+                        fleet_verb_name (a->u.fleet.verb));
     case ACTION_EXIT:
       break;
     }
@@ -394,6 +438,7 @@
     case ACTION_NOTE:
     case ACTION_FOLLOW:
     case ACTION_EXIT:
+    case ACTION_FLEET:
       break;
     }
 }
--- a/core/control.h
+++ b/core/control.h
@@ -17,8 +17,11 @@
     commands is taken for a new one.  */
 #define COMMAND_LIMIT_COUNT 2048
 
+struct vm_control;
+
 struct control
 {
+  uint64_t log_ms;         /**< Newest time of append read from the log.  */
   uint64_t next_offset;    /**< First offset not yet applied.  */
   uint64_t changed_offset; /**< Offset + 1 of the last change; 0: none.  */
   uint64_t config_version; /**< Offset + 1 of the record in force; 0: none.  */
@@ -27,6 +30,7 @@
   uint32_t key_count;
   struct member *members; /**< Sorted by incarnation.  */
   uint32_t member_count;
+  struct vm_control *vm_control; /**< VMs, drains, moves and waves.  */
   GHashTable *applied_ids; /**< Command ids seen, so each counts once.  */
   GQueue *command_ids;     /**< The same, oldest first.  */
 };
--- a/core/membership.c
+++ b/core/membership.c
@@ -51,8 +51,8 @@
   a->u.members = l;
 }
 
-static struct record *
-append_record (struct core *c, enum record_kind kind)
+struct record *
+core_append_record (struct core *c, enum record_kind kind)
 {
   struct action *a = actions_add (c->out, ACTION_APPEND);
   struct record *r = talloc_zero (NULL, struct record);
@@ -66,7 +66,7 @@
 static void
 send_join (struct core *c)
 {
-  struct record *r = append_record (c, RECORD_JOIN);
+  struct record *r = core_append_record (c, RECORD_JOIN);
 
   text_copy (r->u.join.vm, NAME_BYTES, c->settings.vm);
   text_copy (r->u.join.zone, NAME_BYTES, c->settings.zone);
@@ -78,7 +78,7 @@
 static void
 send_leave (struct core *c)
 {
-  struct record *r = append_record (c, RECORD_LEAVE);
+  struct record *r = core_append_record (c, RECORD_LEAVE);
 
   text_copy (r->u.leave.vm, NAME_BYTES, c->settings.vm);
   r->u.leave.incarnation = c->incarnation;
@@ -145,7 +145,7 @@
     return;
   c->gone_incarnation = m->incarnation;
   c->gone_us = c->now_us;
-  r = append_record (c, RECORD_GONE);
+  r = core_append_record (c, RECORD_GONE);
   text_copy (r->u.leave.vm, NAME_BYTES, vm);
   r->u.leave.incarnation = m->incarnation;
 }
@@ -193,6 +193,8 @@
       break;
     case RECORD_CHECKPOINT:
       break;
+    default: /* Noted by maintenance.c.  */
+      break;
     }
 }
 
@@ -210,6 +212,7 @@
     }
   v = control_apply (c->control, offset, r);
   c->counters[COUNTER_RECORDS]++;
+  core_maintenance_on_record (c, r, v, offset, c->control->log_ms);
   switch (v)
     {
     case VERDICT_APPLIED:
--- a/core/state.h
+++ b/core/state.h
@@ -5,6 +5,7 @@
 
 #include "core/control.h"
 #include "core/core.h"
+#include "core/vm_control.h"
 
 #include <sys/queue.h>
 
@@ -116,6 +117,8 @@
   bool leave_sent;
 
   char refused_address[ADDRESS_BYTES]; /**< Last one told of.  */
+  struct maintenance *maintenance;     /**< Private to maintenance.c.  */
+  struct lending *lending;             /**< Private to lending.c.  */
 
   uint64_t next_attempt_id;
   uint64_t next_command;    /**< Counts this process's command ids.  */
@@ -153,6 +156,9 @@
     Only on evidence: the fleet list has dropped the VM, read again over a
     stated time.  */
 void core_propose_gone (struct core *c, const char *vm);
+/** Appends a zeroed record of KIND with a fresh id; the caller fills it.  */
+struct record *core_append_record (struct core *c, enum record_kind kind);
+
 /** Does the membership's periodic work (join, freshness, peers' status).  */
 void core_membership_tick (struct core *c);
 
@@ -223,6 +229,22 @@
 
 /** Returns false while VM_INDEX is leaving or out.  */
 bool core_vm_takes_work (const struct core *c, uint32_t vm_index);
+/** Returns this entry's place in the rendezvous order of members for KEY.  */
+uint32_t core_rank_for (const struct core *c, const char *key);
+/** Returns the state of the lending of spare VMs as a child of MEM.  */
+struct lending *lending_new (TALLOC_CTX *mem);
+/** Lends spare VMs and takes them back.  */
+void core_lending_tick (struct core *c);
+/** Returns the maintenance state of one entry as a child of MEM.  */
+struct maintenance *maintenance_new (TALLOC_CTX *mem);
+/** Takes note of R, applied or (by V) rejected, appended at AT_MS.  */
+void core_maintenance_on_record (struct core *c, const struct record *r,
+                                 enum verdict v, uint64_t offset,
+                                 uint64_t at_ms);
+/** Takes a reading of the fleet list.  */
+void core_on_fleet (struct core *c, const struct event_fleet *e);
+/** Takes what the platform says of an operation.  */
+void core_on_operation (struct core *c, const struct event_operation *e);
 /** Carries on waves, drains and moves.  */
 void core_maintenance_tick (struct core *c);
 
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -97,5 +97,8 @@
 int ctl_timeline (struct ctl *c);
 int ctl_submit (struct ctl *c);
 int ctl_replay (struct ctl *c);
+int ctl_wave (struct ctl *c);
+int ctl_vm (struct ctl *c);
+int ctl_pool (struct ctl *c);
 
 #endif
--- a/ctl/fulmartackctl.c
+++ b/ctl/fulmartackctl.c
@@ -75,6 +75,8 @@
   { "config", ctl_config }, { "key", ctl_key },
   { "status", ctl_status }, { "timeline", ctl_timeline },
   { "submit", ctl_submit }, { "replay", ctl_replay },
+  { "wave", ctl_wave },     { "vm", ctl_vm },
+  { "pool", ctl_pool },
 };
 
 int
@@ -89,6 +91,9 @@
     "  config check|diff|apply FILE, config show\n"
     "  key grant TEAM FILE, key withdraw FILE, key list\n"
     "  status, timeline, submit QUEUE FILE, replay FILE\n"
+    "  wave plan|start NAME POOL|VM... [parallel=N] [deadline_ms=MS]\n"
+    "  wave pause|resume|abort NAME, wave status\n"
+    "  vm drain|return VM, vm move VM FROM TO, pool status [POOL]\n"
     "Without --entry the members in the log are asked.\n"
     "Exit codes: 0 done, 1 refused or different, 2 document refused,\n"
     "3 no answer, 4 published but not told by every member, 64 usage.",
