Appends keep their place while the log ring is full; a page of no use is left

Cause: decide dropped a record when the log ring was full, and an entry restored from a checkpoint waited for the long poll that was out (up to 1 s).

Change: decide holds appends in order and pushes them again at the next tick; the log duty aborts the read that is out and reads from the new offset.

--- a/adapter/decide.c
+++ b/adapter/decide.c
@@ -10,12 +10,15 @@
 /** Resolution of deadlines.  */
 #define TICK_MS 20
 
+STAILQ_HEAD (log_item_list, log_item);
+
 struct decide
 {
   struct duty *duty;
   struct core *core;
   struct actions actions;
   struct decide_outputs outputs;
+  struct log_item_list log_items; /**< Await room in the log ring.  */
   struct member_list *members; /**< Awaits room in the peer ring, or NULL.  */
   struct recorder *recorder;   /**< NULL unless the run is recorded.  */
 };
@@ -61,14 +64,37 @@
     talloc_free (e);
 }
 
+/* Appends keep their order, so a new one goes behind those that wait.  */
+static void
+send_log_item (struct decide *d, struct log_item *x)
+{
+  if (STAILQ_EMPTY (&d->log_items) && ring_push (d->outputs.log, x))
+    return;
+  STAILQ_INSERT_TAIL (&d->log_items, x, link);
+}
+
+static void
+flush_log_items (struct decide *d)
+{
+  struct log_item *x;
+
+  while ((x = STAILQ_FIRST (&d->log_items)) != NULL)
+    {
+      STAILQ_REMOVE_HEAD (&d->log_items, link);
+      if (ring_push (d->outputs.log, x))
+        continue;
+      STAILQ_INSERT_HEAD (&d->log_items, x, link);
+      return;
+    }
+}
+
 static void
 send_record (struct decide *d, struct record *r)
 {
   struct log_item *x = talloc_zero (NULL, struct log_item);
 
   x->record = talloc_steal (x, r);
-  if (!ring_push (d->outputs.log, x))
-    talloc_free (x);
+  send_log_item (d, x);
 }
 
 /* What a member must get is sent again until it is acknowledged.  */
@@ -86,8 +112,7 @@
 
   x->follow = true;
   x->follow_offset = offset;
-  if (!ring_push (d->outputs.log, x))
-    talloc_free (x);
+  send_log_item (d, x);
 }
 
 /* The newest list replaces one that still awaits room.  */
@@ -188,6 +213,7 @@
 
   (void)te;
   (void)at;
+  flush_log_items (d);
   if (d->members != NULL)
     send_members (d, d->members);
   step (d, &e);
@@ -203,6 +229,7 @@
 
   if (d == NULL)
     return NULL;
+  STAILQ_INIT (&d->log_items);
   d->duty = duty_new ("decide", RING_COUNT, on_event, d);
   if (d->duty == NULL)
     {
@@ -237,6 +264,7 @@
 void
 decide_free (struct decide *d)
 {
+  struct log_item *x;
   struct event *e;
 
   if (d == NULL)
@@ -245,6 +273,11 @@
     drop_event (e);
   talloc_free (d->actions.items);
   talloc_free (d->members);
+  while ((x = STAILQ_FIRST (&d->log_items)) != NULL)
+    {
+      STAILQ_REMOVE_HEAD (&d->log_items, link);
+      talloc_free (x);
+    }
   duty_free (d->duty);
   talloc_free (d);
 }
--- a/adapter/log_service.c
+++ b/adapter/log_service.c
@@ -51,9 +51,8 @@
   uint64_t next_offset; /**< First offset not yet handed over.  */
   uint32_t read_backoff_ms;
   uint32_t append_backoff_ms;
-  bool reading;         /**< A read is out.  */
+  void *read_id;        /**< The read that is out, or NULL.  */
   uint64_t asked_us;    /**< When the read that is out was started.  */
-  bool discard;         /**< It was started at an offset of no use now.  */
   bool appending;       /**< A batch is out.  */
   uint32_t batch_count; /**< Records in the batch that is out.  */
   struct pending_list pending;
@@ -208,13 +207,7 @@
 {
   struct log_service *l = state;
 
-  l->reading = false;
-  if (l->discard)
-    {
-      l->discard = false;
-      start_read (l);
-      return;
-    }
+  l->read_id = NULL;
   if (r->answered && r->status == 200 && take_page (l, r->body))
     {
       l->read_backoff_ms = BACKOFF_LOW_MS;
@@ -243,14 +236,12 @@
   };
 
   l->asked_us = now_us ();
-  l->reading = true;
   snprintf (url, sizeof url,
             "http://%s/v1/read?from=%" PRIu64 "&wait_ms=%d&max=%d", l->address,
             l->next_offset, READ_WAIT_MS, READ_MAX_COUNT);
-  if (http_client_start (l->http, &call) != NULL)
-    return;
-  l->reading = false;
-  later (l, BACKOFF_HIGH_MS, on_read_again);
+  l->read_id = http_client_start (l->http, &call);
+  if (l->read_id == NULL)
+    later (l, BACKOFF_HIGH_MS, on_read_again);
 }
 
 static void
@@ -331,6 +322,18 @@
     later (l, BACKOFF_HIGH_MS, on_append_again);
 }
 
+/* Leaves a read that is out at an offset of no use now.  */
+static void
+follow_from (struct log_service *l, uint64_t offset)
+{
+  l->next_offset = offset;
+  if (l->read_id == NULL)
+    return;
+  http_client_abort (l->http, l->read_id);
+  l->read_id = NULL;
+  start_read (l);
+}
+
 static void
 on_item (void *state, void *item)
 {
@@ -340,8 +343,7 @@
 
   if (x->follow)
     {
-      l->next_offset = x->follow_offset;
-      l->discard = l->reading;
+      follow_from (l, x->follow_offset);
       talloc_free (x);
       return;
     }
--- a/adapter/log_service.h
+++ b/adapter/log_service.h
@@ -6,13 +6,16 @@
 #include "adapter/duty.h"
 #include "port/record.h"
 
+#include <sys/queue.h>
+
 struct log_service;
 
 /** What the duty's ring takes; a talloc tree of its own.  */
 struct log_item
 {
-  struct record *record; /**< Appended; a child of the item.  */
-  bool follow;           /**< Else: read on from follow_offset.  */
+  STAILQ_ENTRY (log_item) link; /**< The sender's, while it holds the item.  */
+  struct record *record;        /**< Appended; a child of the item.  */
+  bool follow;                  /**< Else: read on from follow_offset.  */
   uint64_t follow_offset;
   struct ring *flushed; /**< Else: told once when nothing is pending.  */
 };
--- a/port/peer_message.h
+++ b/port/peer_message.h
@@ -4,7 +4,9 @@
 #define FTK_PORT_PEER_MESSAGE_H
 
 #include "port/blob.h"
-#include "port/record.h"
+#include "port/types.h"
+
+struct record;
 
 /** What a token counts (tag of a limit).  */
 enum limit_kind
