--- a/core/recovery.c
+++ b/core/recovery.c
@@ -137,6 +137,9 @@
     core_adopt_config (c);
   core_adopt_members (c);
   core_check_own_membership (c);
+  /* A join whose record stood in the gap is never read: join again.  */
+  if (c->incarnation == 0)
+    c->join_id[0] = '\0';
   core_note (c, NOTE_RESTORED, "", c->control->next_offset);
   a = actions_add (c->out, ACTION_FOLLOW);
   a->u.follow_offset = c->control->next_offset;
