Peer codec: refuse containers inside a message before the library allocates

Cause: the mutation run under ASan asked for 128 GB: msgpack-c allocates for the count in an array header before it looks at the items, so one authenticated but malformed frame could end the process.

Ruled out: a limit on the frame alone; 5 bytes are enough.

Change: the header is read by hand (at most 15 items), each item is unpacked on its own, and one that opens a container is refused unread. test_peer waits through a wake-up of a ring that was drained in between, which made full_ring fail now and then under ASan; it waits no longer than before.

--- a/adapter/peer_codec.c
+++ b/adapter/peer_codec.c
@@ -10,6 +10,9 @@
 
 /** Kind, sender and receiver.  */
 #define HEAD_COUNT 3
+/** Header of an array of up to 15 items; its low bits are the count.  */
+#define FIXARRAY 0x90
+#define ITEM_LIMIT_COUNT 15
 
 /* Fields behind the head of each kind.  */
 static const uint32_t field_counts[] = {
@@ -22,7 +25,7 @@
 /* Reads the fields of an array one after the other; the first fault stays. */
 struct cursor
 {
-  const msgpack_object *items;
+  const msgpack_unpacked *items;
   uint32_t item_count;
   uint32_t next;
   bool failed;
@@ -130,12 +133,13 @@
 {
   const msgpack_object *o;
 
-  if (c->failed || c->next == c->item_count || c->items[c->next].type != type)
+  if (c->failed || c->next == c->item_count
+      || c->items[c->next].data.type != type)
     {
       c->failed = true;
       return NULL;
     }
-  o = &c->items[c->next++];
+  o = &c->items[c->next++].data;
   return o;
 }
 
@@ -164,7 +168,8 @@
 {
   const msgpack_object *o = take (c, MSGPACK_OBJECT_STR);
 
-  if (o == NULL)
+  /* An empty text has no bytes to point to.  */
+  if (o == NULL || o->via.str.size == 0)
     return;
   if (o->via.str.size >= size_bytes
       || memchr (o->via.str.ptr, '\0', o->via.str.size) != NULL)
@@ -244,41 +249,69 @@
     }
 }
 
+/* The library allocates for the count in a container's header before it looks
+   at what is there, so a container inside a message is refused unread.  */
+static bool
+is_container (uint8_t first)
+{
+  return (first >= 0x80 && first <= 0x9f) || (first >= 0xdc && first <= 0xdf);
+}
+
+/* Reads COUNT objects behind the array's header; returns false unless they end
+   with the bytes.  */
 static bool
-read_message (const msgpack_object *o, struct event *e)
+unpack_items (const uint8_t *data, uint32_t size_bytes, msgpack_unpacked *u,
+              uint32_t count)
+{
+  size_t at = 1;
+  uint32_t i;
+
+  for (i = 0; i < count; i++)
+    if (at >= size_bytes || is_container (data[at])
+        || msgpack_unpack_next (&u[i], (const char *)data, size_bytes, &at)
+               != MSGPACK_UNPACK_SUCCESS)
+      return false;
+  return at == size_bytes;
+}
+
+static bool
+read_message (struct cursor *c, struct event *e)
 {
   struct peer_message *m = &e->u.peer;
-  struct cursor c = { 0 };
 
-  if (o->type != MSGPACK_OBJECT_ARRAY)
-    return false;
-  c.items = o->via.array.ptr;
-  c.item_count = o->via.array.size;
-  m->kind = (enum peer_kind)take_number (&c, KIND_COUNT - 1);
-  m->from_incarnation = take_number (&c, INT64_MAX);
-  m->to_incarnation = take_number (&c, INT64_MAX);
-  if (c.failed || c.item_count != HEAD_COUNT + field_counts[m->kind])
+  m->kind = (enum peer_kind)take_number (c, KIND_COUNT - 1);
+  m->from_incarnation = take_number (c, INT64_MAX);
+  m->to_incarnation = take_number (c, INT64_MAX);
+  if (c->failed || c->item_count != HEAD_COUNT + field_counts[m->kind])
     return false;
-  take_fields (&c, e, m);
-  return !c.failed;
+  take_fields (c, e, m);
+  return !c->failed;
 }
 
 struct event *
 peer_decode (const uint8_t *data, uint32_t size_bytes)
 {
-  struct event *e = talloc_zero (NULL, struct event);
-  msgpack_unpacked u;
-  size_t used = 0;
+  msgpack_unpacked items[ITEM_LIMIT_COUNT];
+  struct cursor c = { .items = items };
+  struct event *e;
+  uint32_t i;
   bool good;
 
+  if (size_bytes == 0 || (data[0] & 0xf0) != FIXARRAY)
+    return NULL;
+  c.item_count = data[0] & 0x0f;
+  e = talloc_zero (NULL, struct event);
   e->kind = EVENT_PEER;
-  msgpack_unpacked_init (&u);
-  good = msgpack_unpack_next (&u, (const char *)data, size_bytes, &used)
-             == MSGPACK_UNPACK_SUCCESS
-         && used == size_bytes && read_message (&u.data, e);
-  msgpack_unpacked_destroy (&u);
+  for (i = 0; i < ITEM_LIMIT_COUNT; i++)
+    msgpack_unpacked_init (&items[i]);
+  good = unpack_items (data, size_bytes, items, c.item_count)
+         && read_message (&c, e);
+  for (i = 0; i < ITEM_LIMIT_COUNT; i++)
+    msgpack_unpacked_destroy (&items[i]);
   if (good)
     return e;
+  if (e->u.peer.kind == PEER_RECORD)
+    blob_unref (e->u.peer.u.record.raw);
   talloc_free (e);
   return NULL;
 }
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -104,15 +104,23 @@
   push (a, &x);
 }
 
-/* Returns the next event of N, or NULL after LIMIT_MS.  */
+/* Returns the next event of N, or NULL after LIMIT_MS.  The ring's descriptor
+   may also be readable when its last element has been taken.  */
 static struct event *
 next_event (struct node *n, int limit_ms)
 {
+  gint64 until = g_get_monotonic_time () + limit_ms * G_GINT64_CONSTANT (1000);
   struct pollfd p = { .fd = ring_fd (n->decide), .events = POLLIN };
   struct event *e = NULL;
+  gint64 left;
 
-  if (ring_pop (n->decide, (void **)&e, 1) == 0 && poll (&p, 1, limit_ms) > 0)
-    ring_pop (n->decide, (void **)&e, 1);
+  while (ring_pop (n->decide, (void **)&e, 1) == 0)
+    {
+      left = (until - g_get_monotonic_time ()) / 1000;
+      if (left <= 0)
+        return NULL;
+      poll (&p, 1, (int)left);
+    }
   return e;
 }
 
