Checkpoint keeps the rows of VMs in their order

Cause: the tables list VMs by pool; once a VM has moved, a state restored from a checkpoint would have its rows in another order and another digest, and a checkpoint would be refused.

Shown: test_checkpoint (state through its coding, a moved VM, repeated ids, the bound on ids); without vm_order /checkpoint/round fails.

--- a/adapter/checkpoint_json.c
+++ b/adapter/checkpoint_json.c
@@ -78,6 +78,47 @@
   }
 }
 
+static uint32_t
+find_vm (const struct config *f, const char *name)
+{
+  uint32_t i;
+
+  for (i = 0; i < f->vm_count; i++)
+    if (strcmp (f->vms[i].name, name) == 0)
+      break;
+  return i;
+}
+
+/* The tables list VMs by pool; the state keeps the order of the operators'
+   edit, from which a VM may since have moved to another pool.  */
+static void
+order_vms (struct config *f, struct json_place *p, const json_t *names)
+{
+  json_t *name;
+  size_t n;
+
+  if (json_array_size (names) != f->vm_count)
+    {
+      json_fault (p, "vm_order", "does not name each VM");
+      return;
+    }
+  json_array_foreach (names, n, name)
+  {
+    const char *text = json_string_value (name);
+    uint32_t at = text ? find_vm (f, text) : f->vm_count;
+    struct vm_config v;
+
+    if (at < n || at == f->vm_count)
+      {
+        json_fault (p, "vm_order", "does not name each VM");
+        return;
+      }
+    v = f->vms[at];
+    f->vms[at] = f->vms[n];
+    f->vms[n] = v;
+  }
+}
+
 struct checkpoint *
 checkpoint_from_json (TALLOC_CTX *mem, struct json_place *p)
 {
@@ -93,6 +134,8 @@
   read_digest (p, "state_digest", k->digest);
   if (tables != NULL)
     k->config = config_from_json (k, tables, p->findings);
+  if (k->config != NULL)
+    order_vms (k->config, p, json_object_get (p->object, "vm_order"));
   k->key_count = (uint32_t)json_array_size (keys);
   k->member_count = (uint32_t)json_array_size (members);
   k->command_count = (uint32_t)json_array_size (commands);
@@ -146,6 +189,17 @@
   return list;
 }
 
+static json_t *
+vm_order_to_json (const struct config *f)
+{
+  json_t *list = json_array ();
+  uint32_t i;
+
+  for (i = 0; i < f->vm_count; i++)
+    json_array_append_new (list, json_string (f->vms[i].name));
+  return list;
+}
+
 void
 checkpoint_to_json (const struct checkpoint *k, json_t *j)
 {
@@ -161,7 +215,10 @@
                        json_integer ((json_int_t)k->config_version));
   json_object_set_new (j, "state_digest", digest_to_json (k->digest));
   if (k->config != NULL)
-    json_object_set_new (j, "tables", config_to_json (k->config));
+    {
+      json_object_set_new (j, "tables", config_to_json (k->config));
+      json_object_set_new (j, "vm_order", vm_order_to_json (k->config));
+    }
   json_object_set_new (j, "keys", keys_to_json (k));
   json_object_set_new (j, "members", members_to_json (k));
   json_object_set_new (j, "commands", commands);
