Checkpoint holds VMs, drains, moves and waves; records carry the log's time

Cause: a state restored from a checkpoint lost every drain and wave and gave moved VMs back, and its digest did not cover them; the log's time of a record was not handed to the control state, neither from the log nor from a member.

Shown: test_checkpoint, a round after each of a move, a wave, a drain, a half drained VM, a drained move and a loss.

--- a/adapter/checkpoint_json.c
+++ b/adapter/checkpoint_json.c
@@ -3,6 +3,7 @@
 #include "adapter/checkpoint_json.h"
 
 #include "adapter/config_json.h"
+#include "adapter/vm_control_json.h"
 
 #include <sodium.h>
 #include <stdio.h>
@@ -136,6 +137,8 @@
     k->config = config_from_json (k, tables, p->findings);
   if (k->config != NULL)
     order_vms (k->config, p, json_object_get (p->object, "vm_order"));
+  k->log_ms = json_get_number (p, "log_ms", 0, INT64_MAX, 0);
+  k->vm_control = vm_control_from_json (k, p, k->config);
   k->key_count = (uint32_t)json_array_size (keys);
   k->member_count = (uint32_t)json_array_size (members);
   k->command_count = (uint32_t)json_array_size (commands);
@@ -219,6 +222,8 @@
       json_object_set_new (j, "tables", config_to_json (k->config));
       json_object_set_new (j, "vm_order", vm_order_to_json (k->config));
     }
+  json_object_set_new (j, "log_ms", json_integer ((json_int_t)k->log_ms));
+  vm_control_to_json (k->vm_control, k->config, j);
   json_object_set_new (j, "keys", keys_to_json (k));
   json_object_set_new (j, "members", members_to_json (k));
   json_object_set_new (j, "commands", commands);
--- a/adapter/peer_codec.c
+++ b/adapter/peer_codec.c
@@ -17,7 +17,7 @@
 /* Fields behind the head of each kind.  */
 static const uint32_t field_counts[] = {
   [PEER_STATUS] = 6, [PEER_DEMAND] = 4, [PEER_TRANSFER] = 4,
-  [PEER_ACK] = 1,    [PEER_ASK] = 3,    [PEER_RECORD] = 2,
+  [PEER_ACK] = 1,    [PEER_ASK] = 3,    [PEER_RECORD] = 3,
 };
 
 #define KIND_COUNT (sizeof field_counts / sizeof field_counts[0])
@@ -65,6 +65,7 @@
   size_t n = r->raw ? r->raw->size_bytes : strlen (text);
 
   msgpack_pack_uint64 (p, r->offset);
+  msgpack_pack_uint64 (p, r->at_ms);
   msgpack_pack_bin (p, n);
   msgpack_pack_bin_body (p, data, n);
   free (text);
@@ -198,6 +199,7 @@
   json_t *j;
 
   r->offset = take_number (c, INT64_MAX);
+  r->at_ms = take_number (c, INT64_MAX);
   o = take (c, MSGPACK_OBJECT_BIN);
   if (o == NULL)
     return;
--- a/adapter/peer_json.c
+++ b/adapter/peer_json.c
@@ -38,6 +38,7 @@
   const json_t *data = json_object_get (p->object, "data");
 
   r->offset = json_get_number (p, "offset", 0, INT64_MAX, 0);
+  r->at_ms = json_get_number (p, "at_ms", 0, INT64_MAX, 0);
   r->record = record_from_json (mem, data);
   r->raw = record_to_raw (data);
 }
@@ -135,6 +136,7 @@
   else
     data = record_to_json (r->record);
   set_number (j, "offset", r->offset);
+  set_number (j, "at_ms", r->at_ms);
   json_object_set_new (j, "data", data);
 }
 
--- a/core/checkpoint.c
+++ b/core/checkpoint.c
@@ -5,76 +5,59 @@
    or to the control state is to be added here.  */
 
 #include "core/control.h"
+#include "core/digest.h"
+#include "core/vm_control.h"
 
 #include <sodium.h>
 #include <string.h>
 
-static void
-hash_number (crypto_generichash_state *h, uint64_t n)
-{
-  uint8_t bytes[8];
-  uint32_t i;
-
-  for (i = 0; i < sizeof bytes; i++)
-    bytes[i] = (uint8_t)(n >> (8 * i));
-  crypto_generichash_update (h, bytes, sizeof bytes);
-}
-
-/* The end of the text goes in, so that two texts cannot run into each other.
- */
-static void
-hash_text (crypto_generichash_state *h, const char *text)
-{
-  crypto_generichash_update (h, (const uint8_t *)text, strlen (text) + 1);
-}
-
 static void
 hash_team (crypto_generichash_state *h, const struct team_config *t)
 {
-  hash_text (h, t->name);
-  hash_number (h, t->share_weight);
-  hash_number (h, t->ceiling_count);
+  digest_text (h, t->name);
+  digest_number (h, t->share_weight);
+  digest_number (h, t->ceiling_count);
 }
 
 static void
 hash_pool (crypto_generichash_state *h, const struct pool_config *p)
 {
-  hash_text (h, p->name);
-  hash_number (h, p->spare);
-  hash_number (h, p->unavailable_count);
-  hash_number (h, p->domain_count);
+  digest_text (h, p->name);
+  digest_number (h, p->spare);
+  digest_number (h, p->unavailable_count);
+  digest_number (h, p->domain_count);
 }
 
 static void
 hash_vm (crypto_generichash_state *h, const struct vm_config *v)
 {
-  hash_text (h, v->name);
-  hash_text (h, v->address);
-  hash_text (h, v->zone);
-  hash_text (h, v->rack);
-  hash_number (h, v->pool_index);
-  hash_number (h, v->slot_count);
-  hash_number (h, v->cpu_count);
-  hash_number (h, v->memory_mib);
-  hash_number (h, v->accelerator_count);
+  digest_text (h, v->name);
+  digest_text (h, v->address);
+  digest_text (h, v->zone);
+  digest_text (h, v->rack);
+  digest_number (h, v->pool_index);
+  digest_number (h, v->slot_count);
+  digest_number (h, v->cpu_count);
+  digest_number (h, v->memory_mib);
+  digest_number (h, v->accelerator_count);
 }
 
 static void
 hash_route (crypto_generichash_state *h, const struct route_config *r)
 {
-  hash_text (h, r->queue);
-  hash_text (h, r->team);
-  hash_number (h, r->pool_index);
-  hash_number (h, r->route_class);
-  hash_number (h, r->idempotent);
-  hash_number (h, r->open_to_all);
-  hash_number (h, r->urgent);
-  hash_number (h, r->hold_log_outage);
-  hash_number (h, r->timeout_ms);
-  hash_number (h, r->queue_limit_count);
-  hash_number (h, r->cpu_count);
-  hash_number (h, r->memory_mib);
-  hash_number (h, r->accelerator_count);
+  digest_text (h, r->queue);
+  digest_text (h, r->team);
+  digest_number (h, r->pool_index);
+  digest_number (h, r->route_class);
+  digest_number (h, r->idempotent);
+  digest_number (h, r->open_to_all);
+  digest_number (h, r->urgent);
+  digest_number (h, r->hold_log_outage);
+  digest_number (h, r->timeout_ms);
+  digest_number (h, r->queue_limit_count);
+  digest_number (h, r->cpu_count);
+  digest_number (h, r->memory_mib);
+  digest_number (h, r->accelerator_count);
 }
 
 static void
@@ -82,19 +65,19 @@
 {
   uint32_t i;
 
-  hash_number (h, f != NULL);
+  digest_number (h, f != NULL);
   if (f == NULL)
     return;
-  hash_number (h, f->team_count);
+  digest_number (h, f->team_count);
   for (i = 0; i < f->team_count; i++)
     hash_team (h, &f->teams[i]);
-  hash_number (h, f->pool_count);
+  digest_number (h, f->pool_count);
   for (i = 0; i < f->pool_count; i++)
     hash_pool (h, &f->pools[i]);
-  hash_number (h, f->vm_count);
+  digest_number (h, f->vm_count);
   for (i = 0; i < f->vm_count; i++)
     hash_vm (h, &f->vms[i]);
-  hash_number (h, f->route_count);
+  digest_number (h, f->route_count);
   for (i = 0; i < f->route_count; i++)
     hash_route (h, &f->routes[i]);
 }
@@ -104,11 +87,11 @@
 {
   uint32_t i;
 
-  hash_number (h, count);
+  digest_number (h, count);
   for (i = 0; i < count; i++)
     {
       crypto_generichash_update (h, keys[i].digest, DIGEST_BYTES);
-      hash_text (h, keys[i].team);
+      digest_text (h, keys[i].team);
     }
 }
 
@@ -118,24 +101,33 @@
 {
   uint32_t i;
 
-  hash_number (h, count);
+  digest_number (h, count);
   for (i = 0; i < count; i++)
     {
-      hash_text (h, members[i].vm);
-      hash_text (h, members[i].zone);
-      hash_text (h, members[i].peer_address);
-      hash_text (h, members[i].address);
-      hash_number (h, members[i].incarnation);
+      digest_text (h, members[i].vm);
+      digest_text (h, members[i].zone);
+      digest_text (h, members[i].peer_address);
+      digest_text (h, members[i].address);
+      digest_number (h, members[i].incarnation);
     }
 }
 
+static void
+hash_vm_control (crypto_generichash_state *h, const struct vm_control *v)
+{
+  uint8_t digest[DIGEST_BYTES];
+
+  vm_control_digest (v, digest);
+  crypto_generichash_update (h, digest, sizeof digest);
+}
+
 static void
 hash_start (crypto_generichash_state *h, uint64_t changed_offset,
             uint64_t config_version)
 {
   crypto_generichash_init (h, NULL, 0, DIGEST_BYTES);
-  hash_number (h, changed_offset);
-  hash_number (h, config_version);
+  digest_number (h, changed_offset);
+  digest_number (h, config_version);
 }
 
 void
@@ -148,9 +140,10 @@
   hash_config (&h, c->config);
   hash_keys (&h, c->keys, c->key_count);
   hash_members (&h, c->members, c->member_count);
-  hash_number (&h, g_queue_get_length (c->command_ids));
+  hash_vm_control (&h, c->vm_control);
+  digest_number (&h, g_queue_get_length (c->command_ids));
   for (l = c->command_ids->head; l != NULL; l = l->next)
-    hash_text (&h, l->data);
+    digest_text (&h, l->data);
   crypto_generichash_final (&h, digest, DIGEST_BYTES);
 }
 
@@ -164,9 +157,10 @@
   hash_config (&h, k->config);
   hash_keys (&h, k->keys, k->key_count);
   hash_members (&h, k->members, k->member_count);
-  hash_number (&h, k->command_count);
+  hash_vm_control (&h, k->vm_control);
+  digest_number (&h, k->command_count);
   for (i = 0; i < k->command_count; i++)
-    hash_text (&h, k->commands[i].text);
+    digest_text (&h, k->commands[i].text);
   crypto_generichash_final (&h, digest, DIGEST_BYTES);
 }
 
@@ -211,6 +205,8 @@
   k->keys = copy_rows (k, c->keys, c->key_count, sizeof *c->keys);
   k->member_count = c->member_count;
   k->members = copy_rows (k, c->members, c->member_count, sizeof *c->members);
+  k->log_ms = c->log_ms;
+  k->vm_control = vm_control_copy (k, c->vm_control);
   k->command_count = g_queue_get_length (c->command_ids);
   k->commands = talloc_zero_array (k, struct command_id, k->command_count);
   for (l = c->command_ids->head; l != NULL; l = l->next)
@@ -241,6 +237,9 @@
   talloc_free (c->members);
   c->members = copy_rows (c, k->members, k->member_count, sizeof *k->members);
   c->member_count = k->member_count;
+  c->log_ms = k->log_ms;
+  talloc_free (c->vm_control);
+  c->vm_control = vm_control_copy (c, k->vm_control);
   g_queue_clear (c->command_ids);
   g_hash_table_remove_all (c->applied_ids);
   for (i = 0; i < k->command_count; i++)
--- a/core/membership.c
+++ b/core/membership.c
@@ -232,7 +232,11 @@
 void
 core_on_record (struct core *c, struct event_record *e)
 {
-  core_take_record (c, e->offset, e->record, e->raw, true);
+  struct peer_record r = {
+    .offset = e->offset, .at_ms = e->at_ms, .raw = e->raw, .record = e->record
+  };
+
+  core_take_record (c, &r, true);
 }
 
 void
--- a/core/peer_input.c
+++ b/core/peer_input.c
@@ -19,7 +19,7 @@
       core_on_peer_status (c, m->from_incarnation, &m->u.status);
       break;
     case PEER_RECORD:
-      core_on_peer_record (c, &m->u.record);
+      core_take_record (c, &m->u.record, false);
       break;
     case PEER_DEMAND:
     case PEER_TRANSFER:
--- a/core/recovery.c
+++ b/core/recovery.c
@@ -25,11 +25,11 @@
 static void
 drop_oldest (struct record_window *w)
 {
-  struct blob **b = &w->items[w->first_offset % WINDOW_COUNT];
+  struct peer_record *r = &w->items[w->first_offset % WINDOW_COUNT];
 
-  w->bytes -= (*b)->size_bytes;
-  blob_unref (*b);
-  *b = NULL;
+  w->bytes -= r->raw->size_bytes;
+  blob_unref (r->raw);
+  r->raw = NULL;
   w->first_offset++;
 }
 
@@ -40,39 +40,39 @@
     drop_oldest (w);
 }
 
-/* Keeps RAW, the bytes of the record at OFFSET; takes over its reference.  */
+/* Keeps the bytes of R; takes over their reference.  */
 static void
-window_add (struct record_window *w, uint64_t offset, struct blob *raw)
+window_add (struct record_window *w, const struct peer_record *r)
 {
-  if (raw == NULL || offset != w->next_offset)
+  if (r->raw == NULL || r->offset != w->next_offset)
     core_window_clear (w);
-  if (raw == NULL)
+  if (r->raw == NULL)
     return;
   if (w->first_offset == w->next_offset)
-    w->first_offset = w->next_offset = offset;
+    w->first_offset = w->next_offset = r->offset;
   if (w->next_offset - w->first_offset == WINDOW_COUNT)
     drop_oldest (w);
-  w->items[offset % WINDOW_COUNT] = raw;
-  w->bytes += raw->size_bytes;
-  w->next_offset = offset + 1;
+  w->items[r->offset % WINDOW_COUNT] = *r;
+  w->items[r->offset % WINDOW_COUNT].record = NULL;
+  w->bytes += r->raw->size_bytes;
+  w->next_offset = r->offset + 1;
   while (w->bytes > WINDOW_LIMIT_BYTES && w->first_offset < w->next_offset)
     drop_oldest (w);
 }
 
 /* --- passing on --- */
 
-static struct action *
-add_record_message (struct core *c, const struct peer_state *p,
-                    uint64_t offset)
+static void
+send_record (struct core *c, const struct peer_state *p,
+             const struct peer_record *r)
 {
   struct action *a = actions_add (c->out, ACTION_PEER);
 
   a->u.peer.kind = PEER_RECORD;
   a->u.peer.from_incarnation = c->incarnation;
   a->u.peer.to_incarnation = p->incarnation;
-  a->u.peer.u.record.offset = offset;
+  a->u.peer.u.record = *r;
   c->counters[COUNTER_RELAYED_RECORDS]++;
-  return a;
 }
 
 static struct record *
@@ -89,14 +89,15 @@
 static void
 relay_checkpoint (struct core *c, struct peer_state *p)
 {
-  struct action *a;
+  struct peer_record r
+      = { .offset = c->control->next_offset, .at_ms = c->control->log_ms };
 
   if (p->checkpoint_us > 0
       && c->now_us - p->checkpoint_us < CHECKPOINT_RELAY_US)
     return;
   p->checkpoint_us = c->now_us;
-  a = add_record_message (c, p, c->control->next_offset);
-  a->u.peer.u.record.record = make_checkpoint (c);
+  r.record = make_checkpoint (c);
+  send_record (c, p, &r);
 }
 
 void
@@ -114,8 +115,10 @@
     }
   for (i = p->next_offset;
        i < w->next_offset && i < p->next_offset + RELAY_COUNT; i++)
-    add_record_message (c, p, i)->u.peer.u.record.raw
-        = blob_ref (w->items[i % WINDOW_COUNT]);
+    {
+      blob_ref (w->items[i % WINDOW_COUNT].raw);
+      send_record (c, p, &w->items[i % WINDOW_COUNT]);
+    }
 }
 
 /* --- gaps and checkpoints --- */
@@ -184,28 +187,23 @@
 }
 
 void
-core_take_record (struct core *c, uint64_t offset, struct record *r,
-                  struct blob *raw, bool from_log)
+core_take_record (struct core *c, const struct peer_record *r, bool from_log)
 {
-  if (offset != c->control->next_offset)
+  if (r->offset != c->control->next_offset)
     {
-      if (offset > c->control->next_offset)
-        take_ahead (c, offset, r, from_log);
-      blob_unref (raw);
+      if (r->offset > c->control->next_offset)
+        take_ahead (c, r->offset, r->record, from_log);
+      blob_unref (r->raw);
       return;
     }
   c->gap = false;
   c->following = false;
-  window_add (&c->window, offset, raw);
-  core_apply_record (c, offset, r);
-  if (r != NULL && r->kind == RECORD_CHECKPOINT)
-    check_state (c, r->u.checkpoint, offset);
-}
-
-void
-core_on_peer_record (struct core *c, struct peer_record *r)
-{
-  core_take_record (c, r->offset, r->record, r->raw, false);
+  window_add (&c->window, r);
+  if (r->at_ms > c->control->log_ms)
+    c->control->log_ms = r->at_ms;
+  core_apply_record (c, r->offset, r->record);
+  if (r->record != NULL && r->record->kind == RECORD_CHECKPOINT)
+    check_state (c, r->record->u.checkpoint, r->offset);
 }
 
 /* --- appending checkpoints --- */
--- a/core/state.h
+++ b/core/state.h
@@ -68,7 +68,7 @@
   uint64_t first_offset;
   uint64_t next_offset;
   uint32_t bytes;
-  struct blob *items[WINDOW_COUNT]; /**< At offset % WINDOW_COUNT.  */
+  struct peer_record items[WINDOW_COUNT]; /**< At offset % WINDOW_COUNT.  */
 };
 
 /** Another member as this entry hears it.  */
@@ -181,11 +181,9 @@
 
 /* recovery.c */
 
-/** Takes the record at OFFSET, from the log or a member, with its bytes.  */
-void core_take_record (struct core *c, uint64_t offset, struct record *r,
-                       struct blob *raw, bool from_log);
-/** Takes a record that a member passed on.  */
-void core_on_peer_record (struct core *c, struct peer_record *r);
+/** Takes the record R with its bytes, from the log or from a member.  */
+void core_take_record (struct core *c, const struct peer_record *r,
+                       bool from_log);
 /** Notes that the records from OFFSET on are not kept any more.  */
 void core_on_gap (struct core *c, uint64_t offset);
 /** Sends P records if it stays behind.  */
--- /dev/null
+++ b/core/vm_checkpoint.c
@@ -0,0 +1,103 @@
+/* vm_checkpoint.c -- the state of VMs and waves in a checkpoint.  */
+
+#include "core/vm_control.h"
+
+#include "core/digest.h"
+
+#include <string.h>
+
+static void
+hash_vm (crypto_generichash_state *h, const struct vm_entry *v)
+{
+  uint32_t i;
+
+  digest_text (h, v->name);
+  digest_text (h, v->home);
+  digest_text (h, v->pool);
+  digest_number (h, v->phase);
+  digest_number (h, v->lost);
+  digest_number (h, v->drain_id);
+  digest_text (h, v->wave);
+  digest_text (h, v->move_to);
+  digest_number (h, v->drained_by_count);
+  for (i = 0; i < v->drained_by_count; i++)
+    digest_number (h, v->drained_by[i]);
+}
+
+static void
+hash_wave (crypto_generichash_state *h, const struct wave *w)
+{
+  uint32_t i;
+
+  digest_text (h, w->name);
+  digest_number (h, w->state);
+  digest_number (h, w->parallel_count);
+  digest_number (h, w->deadline_ms);
+  digest_number (h, w->start_id);
+  digest_number (h, w->touched_id);
+  digest_number (h, w->vm_count);
+  digest_number (h, w->done_count);
+  for (i = 0; i < w->vm_count; i++)
+    {
+      digest_text (h, w->vms[i].name);
+      digest_number (h, w->vms[i].done);
+    }
+}
+
+void
+vm_control_digest (const struct vm_control *v, uint8_t *digest)
+{
+  crypto_generichash_state h;
+  uint32_t i;
+
+  crypto_generichash_init (&h, NULL, 0, DIGEST_BYTES);
+  digest_number (&h, v->vm_count);
+  for (i = 0; i < v->vm_count; i++)
+    hash_vm (&h, &v->vms[i]);
+  digest_number (&h, v->wave_count);
+  for (i = 0; i < v->wave_count; i++)
+    hash_wave (&h, v->waves[i]);
+  digest_number (&h, v->applied_next);
+  for (i = 0; i < APPLIED_ID_COUNT; i++)
+    digest_text (&h, v->applied_ids[i]);
+  digest_number (&h, v->config_version);
+  crypto_generichash_final (&h, digest, DIGEST_BYTES);
+}
+
+static void *
+copy_rows (TALLOC_CTX *mem, const void *rows, size_t size_bytes)
+{
+  void *copy = size_bytes > 0 ? talloc_memdup (mem, rows, size_bytes) : NULL;
+
+  if (size_bytes > 0 && copy == NULL)
+    out_of_memory ();
+  return copy;
+}
+
+static struct wave *
+copy_wave (TALLOC_CTX *mem, const struct wave *w)
+{
+  struct wave *x = copy_rows (mem, w, sizeof *w);
+
+  x->vms = copy_rows (x, w->vms, w->vm_count * sizeof *w->vms);
+  return x;
+}
+
+struct vm_control *
+vm_control_copy (TALLOC_CTX *mem, const struct vm_control *v)
+{
+  struct vm_control *x = copy_rows (mem, v, sizeof *v);
+  uint32_t i;
+
+  x->vms = copy_rows (x, v->vms, v->vm_count * sizeof *v->vms);
+  for (i = 0; i < v->vm_count; i++)
+    x->vms[i].drained_by
+        = copy_rows (x, v->vms[i].drained_by,
+                     v->vms[i].drained_by_count * sizeof (uint64_t));
+  x->waves = talloc_array (x, struct wave *, v->wave_count + 1);
+  if (x->waves == NULL)
+    out_of_memory ();
+  for (i = 0; i < v->wave_count; i++)
+    x->waves[i] = copy_wave (x, v->waves[i]);
+  return x;
+}
--- a/core/vm_control.h
+++ b/core/vm_control.h
@@ -117,4 +117,13 @@
 /** Returns the stable name of S, such as "paused".  */
 const char *wave_state_name (enum wave_state s);
 
+/* vm_checkpoint.c */
+
+/** Returns a copy of V as a child of MEM.  */
+struct vm_control *vm_control_copy (TALLOC_CTX *mem,
+                                    const struct vm_control *v);
+
+/** Writes the digest of V to DIGEST (DIGEST_BYTES).  */
+void vm_control_digest (const struct vm_control *v, uint8_t *digest);
+
 #endif
--- a/port/peer_message.h
+++ b/port/peer_message.h
@@ -72,6 +72,7 @@
 struct peer_record
 {
   uint64_t offset;
+  uint64_t at_ms;        /**< The log's own time of append.  */
   struct blob *raw;      /**< One reference, or NULL.  */
   struct record *record; /**< Sent: owned by the message, if raw is NULL.
                               Received: child of the event; NULL: malformed.
--- a/port/record.h
+++ b/port/record.h
@@ -67,6 +67,8 @@
   uint64_t incarnation;        /**< Offset of its join record, plus 1.  */
 };
 
+struct vm_control;
+
 struct command_id
 {
   char text[ID_BYTES];
@@ -85,7 +87,9 @@
   uint32_t key_count;
   uint32_t member_count;
   uint32_t command_count;
-  uint8_t digest[DIGEST_BYTES]; /**< Of all but next_offset.  */
+  struct vm_control *vm_control; /**< VMs, drains, moves and waves.  */
+  uint64_t log_ms; /**< Latest log time of a record below next_offset.  */
+  uint8_t digest[DIGEST_BYTES]; /**< Of all but next_offset and log_ms.  */
 };
 
 struct record_wave
--- a/tests/test_checkpoint.c
+++ b/tests/test_checkpoint.c
@@ -3,6 +3,7 @@
 
 #include "adapter/record_json.h"
 #include "core/control.h"
+#include "core/vm_control.h"
 
 #include <glib.h>
 #include <sodium.h>
@@ -27,21 +28,46 @@
   "{\"id\":\"l2\",\"kind\":\"leave\",\"vm\":\"e2\",\"incarnation\":4}",
 };
 
-static struct control *
-make_control (void)
+/* Behind the records above: w3 moves to p at once, w1 is half drained in a
+   wave, w2 is drained for a move, and w3 is lost.  */
+static const char *const vm_records[] = {
+  "{\"id\":\"j3\",\"kind\":\"join\",\"vm\":\"e3\"}",
+  "{\"id\":\"m1\",\"kind\":\"move\",\"vm\":\"w3\",\"from\":\"s\",\"to\":"
+  "\"p\"}",
+  "{\"id\":\"v1\",\"kind\":\"wave_start\",\"wave\":\"w\",\"targets\":["
+  "\"p\"]}",
+  "{\"id\":\"d3\",\"kind\":\"drain\",\"vm\":\"w1\",\"wave\":\"w\"}",
+  "{\"id\":\"d4\",\"kind\":\"vm_drained\",\"vm\":\"w1\",\"incarnation\":3,"
+  "\"drain_id\":9}",
+  "{\"id\":\"m2\",\"kind\":\"move\",\"vm\":\"w2\",\"from\":\"p\",\"to\":"
+  "\"s\"}",
+  "{\"id\":\"v2\",\"kind\":\"vm_lost\",\"vm\":\"w3\"}",
+};
+
+static void
+apply_texts (struct control *c, const char *const *texts, guint count)
 {
-  struct control *c = control_new (NULL);
   guint i;
 
-  for (i = 0; i < G_N_ELEMENTS (records); i++)
+  for (i = 0; i < count; i++)
     {
-      json_t *j = json_loads (records[i], 0, NULL);
+      json_t *j = json_loads (texts[i], 0, NULL);
       struct record *r = record_from_json (NULL, j);
 
-      g_assert_cmpint (control_apply (c, i, r), ==, VERDICT_APPLIED);
+      g_assert_nonnull (r);
+      g_assert_cmpint (control_apply (c, c->next_offset, r), ==,
+                       VERDICT_APPLIED);
       talloc_free (r);
       json_decref (j);
     }
+}
+
+static struct control *
+make_control (void)
+{
+  struct control *c = control_new (NULL);
+
+  apply_texts (c, records, G_N_ELEMENTS (records));
   return c;
 }
 
@@ -88,11 +114,19 @@
   struct control *empty = control_new (NULL);
   struct control *c = make_control ();
 
+  guint i;
+
   check_round (empty);
   check_round (c);
-  /* A VM moves to another pool and keeps its row.  */
-  c->config->vms[0].pool_index = 1;
-  check_round (c);
+  /* A VM that moves to another pool keeps its row.  */
+  for (i = 0; i < G_N_ELEMENTS (vm_records); i++)
+    {
+      apply_texts (c, &vm_records[i], 1);
+      check_round (c);
+    }
+  g_assert_cmpuint (c->config->vms[2].pool_index, ==, 0);
+  g_assert_cmpuint (c->vm_control->vms[0].drained_by_count, ==, 1);
+  g_assert_true (c->vm_control->vms[2].lost);
   talloc_free (c);
   talloc_free (empty);
 }
