test_control: live entries read what the log is about to drop

Cause: the retention test set the log to keep 8 records while entries 0 and 1 were still in their back-off after the outage before it, so no entry had the records that were dropped and every entry refused, as it must. The test now waits until the live entries have read the log, as a log that keeps records longer than a read takes gives them time to; what is checked of the frozen entry is unchanged.

--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -171,6 +171,22 @@
   cluster_wait_version (cluster, version + 1);
 }
 
+/* Waits until entry I has applied all that is in the log.  */
+static void
+wait_read (guint i)
+{
+  gint64 until = g_get_monotonic_time () + WAIT_US;
+  json_t *j = cluster_get (cluster->log_port, "/v1/read?from=0&max=1");
+  gint64 next = json_integer_value (json_object_get (j, "next"));
+
+  json_decref (j);
+  while (status_number (i, "next_offset") < next)
+    {
+      g_assert_cmpint (g_get_monotonic_time (), <, until);
+      g_usleep (POLL_US);
+    }
+}
+
 /* An entry is frozen while the log drops what it has not read.  */
 static void
 test_retention (void)
@@ -183,6 +199,9 @@
   append_key ("key_withdraw", "marker");
   for (i = 0; i < 20; i++)
     cluster_append (cluster, "{\"kind\":\"nothing\"}");
+  /* The log keeps records for longer than a live entry takes to read them. */
+  for (i = 0; i < CUT_ENTRY; i++)
+    wait_read (i);
   cluster_fault (cluster->log_port, "retain", 8);
   g_usleep (7 * G_USEC_PER_SEC);
   cluster_signal_entry (cluster, CUT_ENTRY, SIGCONT);
