--- a/core/spare.c
+++ b/core/spare.c
@@ -36,13 +36,21 @@
     p->idle /= 2;
 }
 
+/* Each VM lent already makes one more worth less: what waits may be the
+   rest of a peak that those lent will serve.  */
+static uint64_t
+lend_cost (const struct spare_pool *p)
+{
+  return (uint64_t)SPARE_LEND_COST * (1 + p->lent_count);
+}
+
 static bool
 lend_is_due (const struct spare_pool *p, enum spare_policy policy)
 {
   switch (policy)
     {
     case SPARE_BY_COST:
-      return p->unmet >= SPARE_LEND_COST;
+      return p->unmet >= lend_cost (p);
     case SPARE_NONE:
       return false;
     case SPARE_EAGER:
@@ -100,10 +108,12 @@
     }
   for (i = 0; i < pool_count; i++)
     {
-      /* A VM lent to one pool and idle there is of more use to a needy one,
-         so it comes back as soon as it can be spared.  */
-      bool wanted = needy >= 0 && (uint32_t)needy != i && policy != SPARE_NONE
-                    && can_spare (&pools[i]);
+      /* A VM that is idle where it was lent is of more use to a needy pool,
+         but the one that lends it will want it back: it is taken only for a
+         need that lasts.  */
+      bool wanted = needy >= 0 && (uint32_t)needy != i && can_spare (&pools[i])
+                    && (policy == SPARE_EAGER
+                        || pools[needy].unmet >= SPARE_SHIFT_COST);
 
       if (!wanted && !take_is_due (&pools[i], policy))
         continue;
--- a/core/spare.h
+++ b/core/spare.h
@@ -13,11 +13,16 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Cost of lending a VM, in slots times milliseconds of unmet demand.  */
-#define SPARE_LEND_COST 4000
+/** Cost of lending a first VM, in slots times milliseconds of unmet demand;
+   each one lent already adds as much.  */
+#define SPARE_LEND_COST 2000
 /** Cost of taking one back, in slots times milliseconds of idleness.  */
 #define SPARE_TAKE_COST 160000
 
+/** Cost of shifting one from a pool that does not use it now to another, in
+    slots times milliseconds of unmet demand.  */
+#define SPARE_SHIFT_COST 1000000
+
 /** Ways to plan; the product uses SPARE_BY_COST, the others are the baselines
     of the bench.  */
 enum spare_policy
--- a/core/wave_order.c
+++ b/core/wave_order.c
@@ -79,24 +79,38 @@
          + (rack_count < UINT16_MAX ? rack_count : UINT16_MAX);
 }
 
-/* With colouring, a rack waits until the batch of another one is back, and
-   takes no VM into a batch of which one is back already.  */
+static uint32_t
+pool_out_count (const struct control *c, uint32_t pool_index)
+{
+  uint32_t n = 0;
+  uint32_t i;
+
+  for (i = 0; i < c->config->vm_count; i++)
+    if (c->config->vms[i].pool_index == pool_index && vm_control_is_out (c, i))
+      n++;
+  return n;
+}
+
+/* With colouring, a pool's next batch starts when the last one is back: a
+   batch is as many VMs of one rack as the budget lets out.  */
 static bool
 batch_allows (const struct control *c, const struct wave *w, uint32_t vm_index)
 {
+  uint32_t pool_index = c->config->vms[vm_index].pool_index;
+  uint32_t done_count = 0;
   uint32_t k;
-  bool touched = rack_is_touched (c, vm_index);
 
-  if (!touched)
-    return vm_control_wave_out (c, w->name) == 0;
+  if (pool_out_count (c, pool_index) == 0)
+    return true;
   for (k = 0; k < w->vm_count; k++)
     {
       int32_t i = vm_control_find (c, w->vms[k].name);
 
       if (w->vms[k].done && i >= 0 && same_rack (c, (uint32_t)i, vm_index))
-        return false;
+        done_count++;
     }
-  return true;
+  return rack_is_touched (c, vm_index)
+         && done_count % c->config->pools[pool_index].unavailable_count == 0;
 }
 
 static bool
--- a/core/wave_plan.c
+++ b/core/wave_plan.c
@@ -2,59 +2,156 @@
 
 #include "core/wave_plan.h"
 
+#include <stdlib.h>
 #include <string.h>
 
-/* Returns the least time in which the budget of pool P lets W finish.  */
+/* Steps of some VMs that share a budget.  */
+struct steps
+{
+  uint32_t *ms;
+  uint32_t count;
+};
+
+static int
+compare_steps (const void *a, const void *b)
+{
+  uint32_t x = *(const uint32_t *)a;
+  uint32_t y = *(const uint32_t *)b;
+
+  return x < y ? -1 : x > y;
+}
+
+/* Returns the least time for S with BUDGET of them at once: no less than the
+   longest, than the sum over the budget, and than as many of the shortest as
+   must follow each other in some place.  */
 static uint64_t
-pool_bound_ms (const struct control *c, const struct wave *w, uint32_t p,
-               const uint32_t *step_ms)
+least_ms (struct steps *s, uint32_t budget)
 {
-  uint32_t budget = c->config->pools[p].unavailable_count;
   uint64_t sum_ms = 0;
-  uint64_t longest_ms = 0;
+  uint64_t row_ms = 0;
+  uint64_t least;
+  uint32_t row_count;
+  uint32_t i;
+
+  if (s->count == 0)
+    return 0;
+  if (budget == 0)
+    budget = 1;
+  qsort (s->ms, s->count, sizeof *s->ms, compare_steps);
+  row_count = (s->count + budget - 1) / budget;
+  for (i = 0; i < s->count; i++)
+    {
+      sum_ms += s->ms[i];
+      if (i < row_count)
+        row_ms += s->ms[i];
+    }
+  least = s->ms[s->count - 1];
+  sum_ms = (sum_ms + budget - 1) / budget;
+  if (sum_ms > least)
+    least = sum_ms;
+  return row_ms > least ? row_ms : least;
+}
+
+/* Collects the steps of W still to do in pool P; of the rack of VM_INDEX
+   alone unless that is -1.  */
+static void
+collect (const struct control *c, const struct wave *w, uint32_t p,
+         int32_t vm_index, const uint32_t *step_ms, struct steps *s)
+{
+  const struct vm_config *vms = c->config->vms;
   uint32_t k;
 
+  s->count = 0;
   for (k = 0; k < w->vm_count; k++)
     {
       int32_t i = vm_control_find (c, w->vms[k].name);
 
-      if (i < 0 || w->vms[k].done || c->config->vms[i].pool_index != p)
+      if (i >= 0 && !w->vms[k].done && vms[i].pool_index == p
+          && (vm_index < 0 || strcmp (vms[i].rack, vms[vm_index].rack) == 0))
+        s->ms[s->count++] = step_ms[i];
+    }
+}
+
+/* Returns true if VM_INDEX is the first of its pool and rack.  */
+static bool
+is_first_of_rack (const struct control *c, uint32_t vm_index)
+{
+  const struct vm_config *vms = c->config->vms;
+  uint32_t i;
+
+  for (i = 0; i < vm_index; i++)
+    if (vms[i].pool_index == vms[vm_index].pool_index
+        && strcmp (vms[i].rack, vms[vm_index].rack) == 0)
+      return false;
+  return true;
+}
+
+/* Returns the least time in which pool P's budget of racks lets W finish.  */
+static uint64_t
+rack_bound_ms (const struct control *c, const struct wave *w, uint32_t p,
+               const uint32_t *step_ms, struct steps *s)
+{
+  const struct pool_config *pool = &c->config->pools[p];
+  uint64_t sum_ms = 0;
+  uint32_t i;
+
+  for (i = 0; i < c->config->vm_count; i++)
+    {
+      if (c->config->vms[i].pool_index != p || !is_first_of_rack (c, i))
         continue;
-      sum_ms += step_ms[i];
-      if (step_ms[i] > longest_ms)
-        longest_ms = step_ms[i];
+      collect (c, w, p, (int32_t)i, step_ms, s);
+      sum_ms += least_ms (s, pool->unavailable_count);
     }
-  if (budget > 0)
-    sum_ms = (sum_ms + budget - 1) / budget;
-  return sum_ms > longest_ms ? sum_ms : longest_ms;
+  return sum_ms / pool->domain_count;
 }
 
-static void
-set_bound (const struct control *c, const struct wave *w,
-           const uint32_t *step_ms, struct wave_plan *plan)
+/* Returns the least time that the parallelism of W lets it finish in.  */
+static uint64_t
+parallel_bound_ms (const struct control *c, const struct wave *w,
+                   const uint32_t *step_ms)
 {
   uint64_t sum_ms = 0;
-  uint32_t p;
   uint32_t k;
 
+  if (w->parallel_count == 0)
+    return 0;
+  for (k = 0; k < w->vm_count; k++)
+    {
+      int32_t i = vm_control_find (c, w->vms[k].name);
+
+      if (i >= 0 && !w->vms[k].done)
+        sum_ms += step_ms[i];
+    }
+  return sum_ms / w->parallel_count;
+}
+
+static void
+set_bounds (const struct control *c, const struct wave *w,
+            const uint32_t *step_ms, struct wave_plan *plan)
+{
+  struct steps s = { .ms = talloc_array (NULL, uint32_t, w->vm_count + 1) };
+  uint64_t parallel_ms = parallel_bound_ms (c, w, step_ms);
+  uint32_t p;
+
   for (p = 0; p < c->config->pool_count; p++)
     {
-      uint64_t ms = pool_bound_ms (c, w, p, step_ms);
+      uint64_t racks_ms = rack_bound_ms (c, w, p, step_ms, &s);
+      uint64_t ms;
 
+      collect (c, w, p, -1, step_ms, &s);
+      ms = least_ms (&s, c->config->pools[p].unavailable_count);
+      if (racks_ms > plan->rack_bound_ms)
+        plan->rack_bound_ms = racks_ms;
       if (ms <= plan->bound_ms)
         continue;
       plan->bound_ms = ms;
       plan->longest_pool = p;
     }
-  for (k = 0; k < w->vm_count && w->parallel_count > 0; k++)
-    {
-      int32_t i = vm_control_find (c, w->vms[k].name);
-
-      if (i >= 0 && !w->vms[k].done)
-        sum_ms += step_ms[i];
-    }
-  if (w->parallel_count > 0 && sum_ms / w->parallel_count > plan->bound_ms)
-    plan->bound_ms = sum_ms / w->parallel_count;
+  if (parallel_ms > plan->bound_ms)
+    plan->bound_ms = parallel_ms;
+  if (plan->bound_ms > plan->rack_bound_ms)
+    plan->rack_bound_ms = plan->bound_ms;
+  talloc_free (s.ms);
 }
 
 static void
@@ -109,7 +206,7 @@
   int32_t i;
 
   memset (plan, 0, sizeof *plan);
-  set_bound (c, w, step_ms, plan);
+  set_bounds (c, w, step_ms, plan);
   for (;;)
     {
       while ((i = wave_next (c, w, order)) >= 0)
--- a/ctl/wave.c
+++ b/ctl/wave.c
@@ -72,13 +72,13 @@
 
   printf ("the budgets alone allow %llu s; pool %s sets it with %u out at "
           "once\n",
-          (unsigned long long)p->bound_ms / MS_PER_S, pool->name,
+          (unsigned long long)(p->bound_ms / MS_PER_S), pool->name,
           pool->unavailable_count);
   if (parallel_count > 0 && p->most_count == parallel_count)
     printf ("parallel=%u holds it back\n", parallel_count);
-  if (p->finish_ms > p->bound_ms)
-    printf ("racks: pool %s lets %u rack(s) be touched at once\n", pool->name,
-            pool->domain_count);
+  if (p->rack_bound_ms > p->bound_ms)
+    printf ("with the budgets of racks %llu s\n",
+            (unsigned long long)(p->rack_bound_ms / MS_PER_S));
 }
 
 static int
