Members whose VM the fleet list has dropped are declared gone; log's time kept

Change: core_on_record keeps the newest log time; maintenance proposes the gone record of a member's VM two seconds after the list dropped it (ten if half of the members are away).

--- a/core/maintenance.c
+++ b/core/maintenance.c
@@ -215,6 +215,56 @@
   m->doubt = m->away_count > 1 && m->away_count * 2 >= listed;
 }
 
+/* Follows the members' own VMs: a member is gone when its VM is.  */
+static void
+follow_members (struct core *c)
+{
+  uint32_t i;
+
+  for (i = 0; i < c->control->member_count; i++)
+    {
+      struct vm_view *v = view_of (c, c->control->members[i].vm);
+
+      if (!v->listed || v->state != FLEET_VM_GONE)
+        v->away_since_us = 0;
+      else if (v->away_since_us == 0)
+        v->away_since_us = c->now_us;
+    }
+}
+
+static uint32_t
+away_member_count (struct core *c)
+{
+  uint32_t n = 0;
+  uint32_t i;
+
+  for (i = 0; i < c->control->member_count; i++)
+    if (view_of (c, c->control->members[i].vm)->away_since_us != 0)
+      n++;
+  return n;
+}
+
+/* Declares members whose VMs the fleet list has dropped.  */
+static void
+judge_members (struct core *c)
+{
+  uint32_t away_count = away_member_count (c);
+  bool doubt = away_count > 1 && away_count * 2 >= c->control->member_count;
+  uint64_t confirm_us = doubt ? DOUBT_CONFIRM_US : LOSS_CONFIRM_US;
+  uint32_t i;
+
+  for (i = 0; i < c->control->member_count; i++)
+    {
+      const struct member *m = &c->control->members[i];
+      uint64_t since_us = view_of (c, m->vm)->away_since_us;
+
+      if (since_us != 0 && m->incarnation != c->incarnation
+          && c->now_us - since_us >= confirm_us
+          && is_due (c, "fleet", since_us + confirm_us))
+        core_propose_gone (c, m->vm);
+    }
+}
+
 void
 core_on_fleet (struct core *c, const struct event_fleet *e)
 {
@@ -238,6 +288,7 @@
   if (e->whole)
     mark_dropped (m);
   count_away (c);
+  follow_members (c);
   core_dispatch_all (c);
 }
 
@@ -500,6 +551,8 @@
     return;
   c->maintenance->looked_us = c->now_us;
   count_away (c);
+  if (acts)
+    judge_members (c);
   look_over (c, acts);
 }
 
--- a/core/membership.c
+++ b/core/membership.c
@@ -232,6 +232,8 @@
 void
 core_on_record (struct core *c, struct event_record *e)
 {
+  if (e->at_ms > c->control->log_ms)
+    c->control->log_ms = e->at_ms;
   core_take_record (c, e->offset, e->record, e->raw, true);
 }
 
