--- a/core/vm_control.c
+++ b/core/vm_control.c
@@ -387,9 +387,8 @@
     if (v->waves[i]->state == WAVE_DONE || v->waves[i]->state == WAVE_ABORTED)
       {
         talloc_free (v->waves[i]);
-        v->wave_count--;
-        memmove (&v->waves[i], &v->waves[i + 1],
-                 (v->wave_count - i) * sizeof *v->waves);
+        for (v->wave_count--; i < v->wave_count; i++)
+          v->waves[i] = v->waves[i + 1];
         return true;
       }
   return false;
