Checkpoints carry drains, moves, waves and losses

Cause: an entry that took its state from a checkpoint knew no VM's phase; its table of VMs was shorter than the tables in force (read past its end), and its waves differed from those of its peers.

Change: the state of VMs is a type of port/, copied, digested and coded with the rest; VMs that are at home and serving are left out of the JSON.

Shown by test_checkpoint: round trip with a moved, a drained and a lost VM and a wave. The test that moves a row by hand also sets the pool's name, which the state now holds.

--- a/adapter/checkpoint_json.c
+++ b/adapter/checkpoint_json.c
@@ -3,6 +3,7 @@
 #include "adapter/checkpoint_json.h"
 
 #include "adapter/config_json.h"
+#include "adapter/vm_state_json.h"
 
 #include <sodium.h>
 #include <stdio.h>
@@ -136,6 +137,7 @@
     k->config = config_from_json (k, tables, p->findings);
   if (k->config != NULL)
     order_vms (k->config, p, json_object_get (p->object, "vm_order"));
+  k->vm_control = vm_state_read (k, k->config, k->config_version, p);
   k->key_count = (uint32_t)json_array_size (keys);
   k->member_count = (uint32_t)json_array_size (members);
   k->command_count = (uint32_t)json_array_size (commands);
@@ -219,6 +221,7 @@
       json_object_set_new (j, "tables", config_to_json (k->config));
       json_object_set_new (j, "vm_order", vm_order_to_json (k->config));
     }
+  vm_state_write (j, k->vm_control);
   json_object_set_new (j, "keys", keys_to_json (k));
   json_object_set_new (j, "members", members_to_json (k));
   json_object_set_new (j, "commands", commands);
--- a/core/checkpoint.c
+++ b/core/checkpoint.c
@@ -5,6 +5,7 @@
    or to the control state is to be added here.  */
 
 #include "core/control.h"
+#include "core/vm_control.h"
 
 #include <sodium.h>
 #include <string.h>
@@ -129,6 +130,57 @@
     }
 }
 
+static void
+hash_entry (crypto_generichash_state *h, const struct vm_entry *v)
+{
+  uint32_t i;
+
+  hash_text (h, v->name);
+  hash_text (h, v->home);
+  hash_text (h, v->pool);
+  hash_number (h, v->phase);
+  hash_number (h, v->lost);
+  hash_number (h, v->drain_id);
+  hash_text (h, v->wave);
+  hash_text (h, v->move_to);
+  hash_number (h, v->drained_by_count);
+  for (i = 0; i < v->drained_by_count; i++)
+    hash_number (h, v->drained_by[i]);
+}
+
+static void
+hash_wave (crypto_generichash_state *h, const struct wave *w)
+{
+  uint32_t i;
+
+  hash_text (h, w->name);
+  hash_number (h, w->state);
+  hash_number (h, w->parallel_count);
+  hash_number (h, w->deadline_ms);
+  hash_number (h, w->start_id);
+  hash_number (h, w->touched_id);
+  hash_number (h, w->vm_count);
+  for (i = 0; i < w->vm_count; i++)
+    {
+      hash_text (h, w->vms[i].name);
+      hash_number (h, w->vms[i].done);
+    }
+}
+
+/* The ids of applied commands are a help to operators, not state.  */
+static void
+hash_vm_control (crypto_generichash_state *h, const struct vm_control *v)
+{
+  uint32_t i;
+
+  hash_number (h, v->vm_count);
+  for (i = 0; i < v->vm_count; i++)
+    hash_entry (h, &v->vms[i]);
+  hash_number (h, v->wave_count);
+  for (i = 0; i < v->wave_count; i++)
+    hash_wave (h, v->waves[i]);
+}
+
 static void
 hash_start (crypto_generichash_state *h, uint64_t changed_offset,
             uint64_t config_version)
@@ -148,6 +200,7 @@
   hash_config (&h, c->config);
   hash_keys (&h, c->keys, c->key_count);
   hash_members (&h, c->members, c->member_count);
+  hash_vm_control (&h, c->vm_control);
   hash_number (&h, g_queue_get_length (c->command_ids));
   for (l = c->command_ids->head; l != NULL; l = l->next)
     hash_text (&h, l->data);
@@ -164,6 +217,7 @@
   hash_config (&h, k->config);
   hash_keys (&h, k->keys, k->key_count);
   hash_members (&h, k->members, k->member_count);
+  hash_vm_control (&h, k->vm_control);
   hash_number (&h, k->command_count);
   for (i = 0; i < k->command_count; i++)
     hash_text (&h, k->commands[i].text);
@@ -211,6 +265,7 @@
   k->keys = copy_rows (k, c->keys, c->key_count, sizeof *c->keys);
   k->member_count = c->member_count;
   k->members = copy_rows (k, c->members, c->member_count, sizeof *c->members);
+  k->vm_control = vm_control_copy (k, c->vm_control);
   k->command_count = g_queue_get_length (c->command_ids);
   k->commands = talloc_zero_array (k, struct command_id, k->command_count);
   for (l = c->command_ids->head; l != NULL; l = l->next)
@@ -241,6 +296,8 @@
   talloc_free (c->members);
   c->members = copy_rows (c, k->members, k->member_count, sizeof *k->members);
   c->member_count = k->member_count;
+  talloc_free (c->vm_control);
+  c->vm_control = vm_control_copy (c, k->vm_control);
   g_queue_clear (c->command_ids);
   g_hash_table_remove_all (c->applied_ids);
   for (i = 0; i < k->command_count; i++)
--- a/core/vm_control.c
+++ b/core/vm_control.c
@@ -9,42 +9,6 @@
 /** Finished waves kept for the operators to look at.  */
 #define WAVE_LIMIT_COUNT 32
 
-struct vm_control *
-vm_control_new (TALLOC_CTX *mem)
-{
-  struct vm_control *v = talloc_zero (mem, struct vm_control);
-
-  if (v == NULL)
-    out_of_memory ();
-  return v;
-}
-
-const char *
-vm_phase_name (enum vm_phase p)
-{
-  static const char *const names[VM_PHASE_COUNT] = {
-    [VM_SERVING] = "serving",
-    [VM_DRAINING] = "draining",
-    [VM_DRAINED] = "maintenance",
-    [VM_RETURNING] = "returning",
-  };
-
-  return names[p];
-}
-
-const char *
-wave_state_name (enum wave_state s)
-{
-  static const char *const names[WAVE_STATE_COUNT] = {
-    [WAVE_RUNNING] = "running",
-    [WAVE_PAUSED] = "paused",
-    [WAVE_ABORTED] = "aborted",
-    [WAVE_DONE] = "done",
-  };
-
-  return names[s];
-}
-
 int32_t
 vm_control_find (const struct control *c, const char *vm)
 {
--- a/port/record.h
+++ b/port/record.h
@@ -7,6 +7,7 @@
 #define FTK_PORT_RECORD_H
 
 #include "port/config.h"
+#include "port/vm_state.h"
 
 enum record_kind
 {
@@ -81,7 +82,8 @@
   struct config *config;   /**< Tables in force, or NULL.  */
   struct key *keys;        /**< Sorted by digest.  */
   struct member *members;  /**< Sorted by incarnation.  */
-  struct command_id *commands; /**< Ids applied last, oldest first.  */
+  struct vm_control *vm_control; /**< Drains, moves and waves.  */
+  struct command_id *commands;   /**< Ids applied last, oldest first.  */
   uint32_t key_count;
   uint32_t member_count;
   uint32_t command_count;
--- a/tests/test_checkpoint.c
+++ b/tests/test_checkpoint.c
@@ -3,6 +3,7 @@
 
 #include "adapter/record_json.h"
 #include "core/control.h"
+#include "core/vm_control.h"
 
 #include <glib.h>
 #include <sodium.h>
@@ -24,6 +25,14 @@
   "{\"id\":\"j1\",\"kind\":\"join\",\"vm\":\"e1\",\"zone\":\"z\","
   "\"peer_address\":\"127.0.0.1:2\"}",
   "{\"id\":\"j2\",\"kind\":\"join\",\"vm\":\"e2\"}",
+  "{\"id\":\"m1\",\"kind\":\"move\",\"vm\":\"w3\",\"from\":\"s\","
+  "\"to\":\"p\"}",
+  "{\"id\":\"v1\",\"kind\":\"wave_start\",\"wave\":\"k\",\"targets\":"
+  "[\"p\"],\"parallel\":2,\"deadline_ms\":9}",
+  "{\"id\":\"d1\",\"kind\":\"drain\",\"vm\":\"w1\",\"wave\":\"k\"}",
+  "{\"id\":\"a1\",\"kind\":\"vm_drained\",\"vm\":\"w1\",\"drain_id\":7,"
+  "\"incarnation\":3}",
+  "{\"id\":\"o1\",\"kind\":\"vm_lost\",\"vm\":\"w2\"}",
   "{\"id\":\"l2\",\"kind\":\"leave\",\"vm\":\"e2\",\"incarnation\":4}",
 };
 
@@ -92,6 +101,7 @@
   check_round (c);
   /* A VM moves to another pool and keeps its row.  */
   c->config->vms[0].pool_index = 1;
+  text_copy (c->vm_control->vms[0].pool, NAME_BYTES, "s");
   check_round (c);
   talloc_free (c);
   talloc_free (empty);
