Retry budget, blame for failures, first answers by key, truthful not run

Cause: libcurl repeats a request on a reused connection that died before an answer byte, any 503 of a worker was taken as not run, a request past its deadline answered only when its attempt ended, retries were a count for each request, and every worker was held to be fit.

Change: a transfer counts the times that libcurl begins to send (callback before the first byte), so it is sent once and `sent` is exact; work that is not idempotent goes on a connection of its own. Not run is 503 with the header Run: no. Task ids are unique over the fleet and an answer that names another one is no answer.

Ruled out: a read callback without rewind, for it still repeats an empty body; CURLINFO_REQUEST_SIZE, for it tells nothing after a failed connect.

--- a/adapter/back.c
+++ b/adapter/back.c
@@ -17,8 +17,10 @@
 #define WORKER_CONNECTION_COUNT 64
 #define CONNECT_LIMIT_MS 1000
 #define RETRY_PUSH_US 2000
-/** Longer than any request, so that only the core decides on deadlines.  */
-#define ANSWER_GRACE_MS 50
+/** An attempt is given up this long after its lease.  The worker counts the
+    lease from the arrival, which connecting may delay by CONNECT_LIMIT_MS; so
+    the lease has lapsed there when the attempt's end gives the slot back.  */
+#define LEASE_MARGIN_MS (CONNECT_LIMIT_MS + 500)
 #define LINE_BYTES 160
 
 struct attempt
@@ -95,12 +97,17 @@
   *p = a->next;
 }
 
+/* A 503 alone says nothing of the run: only `Run: no` does.  */
 static enum attempt_outcome
 outcome_of (const struct http_result *r)
 {
-  if (r->answered)
-    return r->status == 503 ? ATTEMPT_TURNED_AWAY : ATTEMPT_ANSWERED;
-  return r->sent ? ATTEMPT_NO_ANSWER : ATTEMPT_NOT_SENT;
+  if (!r->answered)
+    return r->sent ? ATTEMPT_NO_ANSWER : ATTEMPT_NOT_SENT;
+  if (r->crossed)
+    return ATTEMPT_NO_ANSWER;
+  if (r->status == 503 && r->not_run)
+    return ATTEMPT_TURNED_AWAY;
+  return ATTEMPT_ANSWERED;
 }
 
 static void
@@ -147,14 +154,17 @@
     .url = url,
     .lines = lines,
     .body = s->body,
-    .timeout_ms = s->timeout_ms + ANSWER_GRACE_MS,
+    .timeout_ms = s->timeout_ms + LEASE_MARGIN_MS,
     .connect_ms = CONNECT_LIMIT_MS,
+    .task_id = s->task_id,
+    .send_once = true,
+    .fresh_connection = !s->idempotent,
     .done = on_done,
     .state = a,
   };
 
   snprintf (url, sizeof url, "http://%s/v1/run", s->address);
-  snprintf (task, sizeof task, "Task-Id: %" PRIu64, s->attempt_id);
+  snprintf (task, sizeof task, "Task-Id: %s", s->task_id);
   snprintf (queue, sizeof queue, "Queue: %s", s->queue);
   snprintf (team, sizeof team, "Team: %s", s->team);
   snprintf (lease, sizeof lease, "Lease-Ms: %" PRIu32, s->timeout_ms);
--- a/adapter/front.c
+++ b/adapter/front.c
@@ -110,9 +110,9 @@
 respond_refusal (struct call *c, enum answer_code code,
                  uint32_t retry_after_ms)
 {
-  const char *run = code == ANSWER_UNKNOWN ? "unknown" : "no";
   json_t *j = json_pack ("{s:s, s:s, s:i}", "code", answer_code_name (code),
-                         "run", run, "retry_after_ms", (int)retry_after_ms);
+                         "run", answer_code_run (code), "retry_after_ms",
+                         (int)retry_after_ms);
   char *text = json_dumps (j, JSON_COMPACT);
   struct MHD_Response *r = MHD_create_response_from_buffer_with_free_callback (
       strlen (text), text, free);
--- a/adapter/http_client.c
+++ b/adapter/http_client.c
@@ -29,6 +29,9 @@
   struct blob *request;
   struct blob *answer;
   uint32_t answer_bytes; /**< Bytes of answer filled.  */
+  uint32_t send_count;   /**< Times that libcurl began to send.  */
+  bool send_once;
+  char task_id[ID_BYTES]; /**< Empty if the answer need not name it.  */
   http_done_fn *done;
   void *state;
 };
@@ -55,21 +58,61 @@
   return 0;
 }
 
+/* Called when a connection stands, before the first byte is sent on it.
+   libcurl sends a request again by itself when a connection that was used
+   before dies without an answer; the callee may have run it by then.  */
+static int
+before_send (void *state, char *remote, char *local, int remote_port,
+             int local_port)
+{
+  struct transfer *t = state;
+
+  (void)remote;
+  (void)local;
+  (void)remote_port;
+  (void)local_port;
+  if (t->send_once && t->send_count > 0)
+    return CURL_PREREQFUNC_ABORT;
+  t->send_count++;
+  return CURL_PREREQFUNC_OK;
+}
+
+/* Returns the answer's header NAME, or NULL.  */
+static const char *
+answer_header (const struct transfer *t, const char *name)
+{
+  struct curl_header *h;
+
+  if (curl_easy_header (t->easy, name, 0, CURLH_HEADER, -1, &h) != CURLHE_OK)
+    return NULL;
+  return h->value;
+}
+
+static void
+read_headers (const struct transfer *t, struct http_result *r)
+{
+  const char *run = answer_header (t, "Run");
+  const char *task = answer_header (t, "Task-Id");
+
+  r->not_run = run != NULL && strcmp (run, "no") == 0;
+  r->crossed = t->task_id[0] != '\0' && task != NULL
+               && strcmp (task, t->task_id) != 0;
+}
+
 static void
 finish_transfer (struct transfer *t, CURLcode code)
 {
   struct http_result r = { 0 };
   long status = 0;
-  long request_bytes = 0;
   curl_off_t elapsed_us = 0;
   char *type = NULL;
 
   curl_easy_getinfo (t->easy, CURLINFO_RESPONSE_CODE, &status);
-  curl_easy_getinfo (t->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   curl_easy_getinfo (t->easy, CURLINFO_TOTAL_TIME_T, &elapsed_us);
   curl_easy_getinfo (t->easy, CURLINFO_CONTENT_TYPE, &type);
   r.answered = code == CURLE_OK;
-  r.sent = request_bytes > 0;
+  r.sent = t->send_count > 0;
+  read_headers (t, &r);
   r.status = r.answered ? (uint32_t)status : 0;
   r.elapsed_us = (uint32_t)elapsed_us;
   if (r.answered)
@@ -289,6 +332,9 @@
   t->request = blob_ref (call->body);
   t->done = call->done;
   t->state = call->state;
+  t->send_once = call->send_once;
+  if (call->task_id != NULL)
+    text_copy (t->task_id, sizeof t->task_id, call->task_id);
   t->next = c->transfers;
   t->previous = &c->transfers;
   if (t->next != NULL)
@@ -304,6 +350,8 @@
   curl_easy_setopt (t->easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
   curl_easy_setopt (t->easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)call->connect_ms);
+  curl_easy_setopt (t->easy, CURLOPT_PREREQFUNCTION, before_send);
+  curl_easy_setopt (t->easy, CURLOPT_PREREQDATA, t);
   if (call->fresh_connection)
     curl_easy_setopt (t->easy, CURLOPT_FRESH_CONNECT, 1L);
   set_request (t, call);
--- a/adapter/http_client.h
+++ b/adapter/http_client.h
@@ -16,6 +16,8 @@
 {
   bool answered;       /**< The whole answer is here.  */
   bool sent;           /**< A byte of the request may have been delivered.  */
+  bool not_run;        /**< The answer has the header `Run: no`.  */
+  bool crossed;        /**< The answer names another Task-Id than the call.  */
   uint32_t status;     /**< HTTP status, 0 unless answered.  */
   uint32_t elapsed_us; /**< From start to end.  */
   struct blob *body;   /**< The callee's unless it takes a reference.  */
@@ -31,8 +33,10 @@
   struct blob *body;        /**< Read during the call; or NULL.  */
   uint32_t timeout_ms;      /**< For the whole call.  */
   uint32_t connect_ms;      /**< For the connection alone.  */
-  bool fresh_connection;    /**< Never on a connection used before, which
-                               libcurl would silently repeat.  */
+  const char *task_id;      /**< An answer to another one is none; or NULL.  */
+  bool send_once;           /**< Never let libcurl repeat the request.  */
+  bool fresh_connection;    /**< Never on a connection used before, which the
+                               callee may be closing.  */
   http_done_fn *done;       /**< Called once, from the loop.  */
   void *state;              /**< Passed to done.  */
 };
--- a/core/adopt.c
+++ b/core/adopt.c
@@ -63,7 +63,6 @@
     {
       const struct route_config *route
           = control_find_route (c->control, r->queue);
-      struct action *a;
 
       TAILQ_REMOVE (all, r, link);
       if (route != NULL)
@@ -73,12 +72,36 @@
           c->waiting_count++;
           continue;
         }
-      a = actions_add (c->out, ACTION_ANSWER);
-      a->u.answer.request_id = r->request_id;
-      a->u.answer.code = r->sent ? ANSWER_UNKNOWN : ANSWER_NO_QUEUE;
-      g_hash_table_remove (c->requests, &r->request_id);
-      blob_unref (r->body);
-      talloc_free (r);
+      core_refuse (c, r, ANSWER_NO_QUEUE);
+    }
+}
+
+/* Workers keep their health and pools their retry budget.  What queues did on
+   workers is learnt anew: its table runs parallel to both.  */
+static void
+keep_health (struct core *c, const struct vm_state *old, uint32_t old_count)
+{
+  uint32_t i;
+  uint32_t k;
+
+  for (i = 0; i < c->control->config->vm_count; i++)
+    for (k = 0; k < old_count; k++)
+      if (strcmp (c->vms[i].name, old[k].name) == 0)
+        c->vms[i].health = old[k].health;
+}
+
+static void
+keep_budgets (struct core *c, const struct pool_state *old, uint32_t old_count)
+{
+  uint32_t i;
+  uint32_t k;
+
+  for (i = 0; i < c->control->config->pool_count; i++)
+    {
+      retry_open (&c->pools[i].retry, c->now_us);
+      for (k = 0; k < old_count; k++)
+        if (strcmp (c->pools[i].name, old[k].name) == 0)
+          c->pools[i].retry = old[k].retry;
     }
 }
 
@@ -87,6 +110,8 @@
 {
   const struct config *f = c->control->config;
   struct team_state *old_teams = c->teams;
+  struct vm_state *old_vms = c->vms;
+  struct pool_state *old_pools = c->pools;
   uint32_t old_team_count
       = old_teams ? (uint32_t)talloc_array_length (old_teams) : 0;
   struct request_list waiting;
@@ -95,8 +120,7 @@
   uint32_t i;
 
   collect_waiting (c, &waiting);
-  talloc_free (c->pools);
-  talloc_free (c->vms);
+  talloc_free (c->last_outcomes);
   c->pools = talloc_zero_array (c, struct pool_state, f->pool_count);
   c->vms = talloc_zero_array (c, struct vm_state, f->vm_count);
   c->teams = talloc_zero_array (c, struct team_state, f->team_count);
@@ -109,8 +133,16 @@
     text_copy (c->vms[i].name, NAME_BYTES, f->vms[i].name);
   for (i = 0; i < f->team_count; i++)
     text_copy (c->teams[i].name, NAME_BYTES, f->teams[i].name);
+  c->last_outcomes = talloc_zero_array (
+      c, uint8_t, (size_t)f->route_count * f->vm_count + 1);
   keep_high_water (c, old_teams, old_team_count);
+  keep_health (c, old_vms,
+               old_vms ? (uint32_t)talloc_array_length (old_vms) : 0);
+  keep_budgets (c, old_pools,
+                old_pools ? (uint32_t)talloc_array_length (old_pools) : 0);
   talloc_free (old_teams);
+  talloc_free (old_vms);
+  talloc_free (old_pools);
   g_hash_table_iter_init (&it, c->attempts);
   while (g_hash_table_iter_next (&it, NULL, &value))
     count_running (c, value);
--- a/core/core.c
+++ b/core/core.c
@@ -16,6 +16,7 @@
   core_window_clear (&c->window);
   g_hash_table_destroy (c->requests);
   g_hash_table_destroy (c->attempts);
+  core_keyed_close (c);
   return 0;
 }
 
@@ -32,6 +33,9 @@
   c->lending = lending_new (c);
   c->requests = g_hash_table_new (g_int64_hash, g_int64_equal);
   c->attempts = g_hash_table_new (g_int64_hash, g_int64_equal);
+  c->next_deadline_us = UINT64_MAX;
+  TAILQ_INIT (&c->backing_off);
+  core_keyed_open (c);
   talloc_set_destructor (c, core_free);
   return c;
 }
@@ -96,6 +100,9 @@
     {
     case EVENT_TICK:
       core_expire (c);
+      core_backoff_tick (c);
+      core_health_tick (c);
+      core_keyed_tick (c);
       core_membership_tick (c);
       core_limit_tick (c);
       core_maintenance_tick (c);
--- a/core/membership.c
+++ b/core/membership.c
@@ -252,10 +252,11 @@
 void
 core_check_stop (struct core *c)
 {
-  bool drained = c->running_count == 0 && c->waiting_count == 0;
+  bool drained = c->running_count == 0 && g_hash_table_size (c->requests) == 0;
 
   if (c->leave_sent || (!drained && c->now_us < c->stop_deadline_us))
     return;
+  core_answer_rest (c);
   if (c->incarnation != 0)
     send_leave (c);
   c->leave_sent = true;
--- a/core/request.c
+++ b/core/request.c
@@ -2,27 +2,14 @@
 
 #include "core/state.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /** When a refused caller should come back.  */
 #define RETRY_AFTER_MS 1000
-/** Most attempts of one request.  */
-#define ATTEMPT_LIMIT_COUNT 3
 
-static void
-answer (struct core *c, uint64_t request_id, enum answer_code code,
-        uint32_t retry_after_ms)
-{
-  struct action *a = actions_add (c->out, ACTION_ANSWER);
-
-  a->u.answer.request_id = request_id;
-  a->u.answer.code = code;
-  a->u.answer.retry_after_ms = retry_after_ms;
-  c->counters[code == ANSWER_UNKNOWN ? COUNTER_UNKNOWN : COUNTER_REFUSED]++;
-}
-
-static struct pool_state *
-pool_of_queue (struct core *c, const char *queue)
+struct pool_state *
+core_pool_of_queue (struct core *c, const char *queue)
 {
   const struct route_config *r = control_find_route (c->control, queue);
 
@@ -30,41 +17,74 @@
 }
 
 static void
-forget_request (struct core *c, struct request *r)
+count_answer (struct core *c, enum answer_code code)
 {
+  if (code == ANSWER_WORKER)
+    c->counters[COUNTER_ANSWERED]++;
+  else if (strcmp (answer_code_run (code), "unknown") == 0)
+    c->counters[COUNTER_UNKNOWN]++;
+  else
+    c->counters[COUNTER_REFUSED]++;
+}
+
+void
+core_answer (struct core *c, struct request *r, const struct action_answer *a)
+{
+  struct action *x = actions_add (c->out, ACTION_ANSWER);
+
+  x->u.answer = *a;
+  x->u.answer.request_id = r->request_id;
+  count_answer (c, a->code);
+  if (r->note != NULL)
+    core_keyed_end (c, r->note, a);
+  r->note = NULL;
   g_hash_table_remove (c->requests, &r->request_id);
   blob_unref (r->body);
-  talloc_free (r);
+  r->body = NULL;
+  if (r->attempt_id == 0)
+    talloc_free (r);
+  else
+    r->state = REQUEST_LATE;
 }
 
+void
+core_refuse (struct core *c, struct request *r, enum answer_code code)
+{
+  struct action_answer a = { .code = r->sent ? ANSWER_UNKNOWN : code,
+                             .retry_after_ms = RETRY_AFTER_MS };
+
+  core_answer (c, r, &a);
+}
+
+/* Takes R out of where it waits.  */
 static void
-refuse_waiting (struct core *c, struct pool_state *p, struct request *r,
-                enum answer_code code)
+leave_queue (struct core *c, struct request *r)
 {
-  core_dequeue (c, p, r);
-  answer (c, r->request_id, r->sent ? ANSWER_UNKNOWN : code, RETRY_AFTER_MS);
-  forget_request (c, r);
+  switch (r->state)
+    {
+    case REQUEST_WAITING:
+      core_dequeue (c, core_pool_of_queue (c, r->queue), r);
+      break;
+    case REQUEST_BACKING_OFF:
+      TAILQ_REMOVE (&c->backing_off, r, link);
+      break;
+    case REQUEST_RUNNING:
+    case REQUEST_LATE:
+      break;
+    }
 }
 
-void
-core_start_attempt (struct core *c, struct request *r, uint32_t vm_index)
+/* Answers R truthfully before its attempt has ended or begun.  */
+static void
+give_up (struct core *c, struct request *r, enum answer_code code)
 {
-  const struct vm_config *v = &c->control->config->vms[vm_index];
-  struct action *a = actions_add (c->out, ACTION_START);
-
-  r->state = REQUEST_RUNNING;
-  r->attempt_id = ++c->next_attempt_id;
-  r->attempt_count++;
-  g_hash_table_insert (c->attempts, &r->attempt_id, r);
-  core_acquire (c, r, vm_index);
-  c->counters[COUNTER_ATTEMPTS]++;
-  a->u.start.attempt_id = r->attempt_id;
-  text_copy (a->u.start.vm, NAME_BYTES, v->name);
-  text_copy (a->u.start.address, ADDRESS_BYTES, v->address);
-  text_copy (a->u.start.queue, NAME_BYTES, r->queue);
-  text_copy (a->u.start.team, NAME_BYTES, r->team);
-  a->u.start.timeout_ms = (uint32_t)((r->deadline_us - c->now_us) / US_PER_MS);
-  a->u.start.body = blob_ref (r->body);
+  struct action_answer late = { .code = ANSWER_LATE };
+
+  leave_queue (c, r);
+  if (r->state == REQUEST_RUNNING)
+    core_answer (c, r, &late);
+  else
+    core_refuse (c, r, code);
 }
 
 /* Returns why a request may not be taken, or ANSWER_WORKER if it may.  */
@@ -95,7 +115,7 @@
 
 static struct request *
 make_request (struct core *c, const struct event_request *e,
-              const struct route_config *route, const struct key *k)
+              const struct route_config *route, const char *team)
 {
   struct request *r = talloc_zero (c, struct request);
   uint32_t timeout_ms = route->timeout_ms;
@@ -105,13 +125,28 @@
   r->request_id = e->request_id;
   r->deadline_us = c->now_us + timeout_ms * US_PER_MS;
   text_copy (r->queue, NAME_BYTES, route->queue);
-  text_copy (r->team, NAME_BYTES, k != NULL ? k->team : route->team);
+  text_copy (r->team, NAME_BYTES, team);
   r->idempotent = route->idempotent;
   r->body = e->body;
   g_hash_table_insert (c->requests, &r->request_id, r);
+  if (r->deadline_us < c->next_deadline_us)
+    c->next_deadline_us = r->deadline_us;
   return r;
 }
 
+static void
+refuse_event (struct core *c, struct event_request *e, enum answer_code code)
+{
+  struct action *a = actions_add (c->out, ACTION_ANSWER);
+  bool again = answer_code_http (code) == 503 || code == ANSWER_QUEUE_FULL;
+
+  a->u.answer.request_id = e->request_id;
+  a->u.answer.code = code;
+  a->u.answer.retry_after_ms = again ? RETRY_AFTER_MS : 0;
+  count_answer (c, code);
+  blob_unref (e->body);
+}
+
 void
 core_on_request (struct core *c, struct event_request *e)
 {
@@ -119,18 +154,25 @@
   const struct key *k
       = e->has_key ? control_find_key (c->control, e->key_digest) : NULL;
   enum answer_code code = admit (c, e, route, k);
+  struct keyed_note *note = NULL;
+  struct request *r;
+  const char *team;
 
   c->counters[COUNTER_REQUESTS]++;
   if (code != ANSWER_WORKER)
     {
-      bool again = answer_code_http (code) == 503 || code == ANSWER_QUEUE_FULL;
-
-      answer (c, e->request_id, code, again ? RETRY_AFTER_MS : 0);
+      refuse_event (c, e, code);
+      return;
+    }
+  team = k != NULL ? k->team : route->team;
+  if (!core_keyed_begin (c, e, team, &note))
+    {
       blob_unref (e->body);
       return;
     }
-  core_enqueue (c, &c->pools[route->pool_index],
-                make_request (c, e, route, k));
+  r = make_request (c, e, route, team);
+  r->note = note;
+  core_enqueue (c, &c->pools[route->pool_index], r);
   core_dispatch_pool (c, route->pool_index);
 }
 
@@ -138,95 +180,69 @@
 core_on_cancel (struct core *c, const struct event_cancel *e)
 {
   struct request *r = g_hash_table_lookup (c->requests, &e->request_id);
-  struct pool_state *p;
 
-  if (r == NULL || r->state != REQUEST_WAITING)
+  if (r == NULL || r->state == REQUEST_RUNNING)
     return;
-  p = pool_of_queue (c, r->queue);
-  if (p == NULL)
+  if (r->note != NULL && core_keyed_is_awaited (r->note))
     return;
-  core_dequeue (c, p, r);
-  forget_request (c, r);
+  give_up (c, r, ANSWER_CANCELLED);
 }
 
-static void
-answer_from_worker (struct core *c, struct request *r, struct event_attempt *e)
+static int
+compare_requests (const void *a, const void *b)
 {
-  struct action *a = actions_add (c->out, ACTION_ANSWER);
+  uint64_t x = (*(struct request *const *)a)->request_id;
+  uint64_t y = (*(struct request *const *)b)->request_id;
 
-  a->u.answer.request_id = r->request_id;
-  a->u.answer.code = ANSWER_WORKER;
-  a->u.answer.http_status = e->http_status;
-  a->u.answer.body = e->body;
-  c->counters[COUNTER_ANSWERED]++;
-  forget_request (c, r);
+  return x < y ? -1 : x > y;
 }
 
-/* Sends a request that failed to another worker, or answers truthfully.  */
-static void
-retry_or_answer (struct core *c, struct request *r, enum answer_code code)
+/* Returns the unanswered requests in the order of their arrival.  */
+static struct request **
+list_requests (struct core *c, uint32_t *count)
 {
-  struct pool_state *p = pool_of_queue (c, r->queue);
-  bool may_repeat = !r->sent || r->idempotent;
-
-  if (p != NULL && may_repeat && r->attempt_count < ATTEMPT_LIMIT_COUNT
-      && c->now_us < r->deadline_us)
-    {
-      core_enqueue (c, p, r);
-      return;
-    }
-  answer (c, r->request_id, r->sent ? ANSWER_UNKNOWN : code, RETRY_AFTER_MS);
-  forget_request (c, r);
+  struct request **list = talloc_array (c, struct request *,
+                                        g_hash_table_size (c->requests) + 1);
+  GHashTableIter it;
+  gpointer value;
+
+  *count = 0;
+  g_hash_table_iter_init (&it, c->requests);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    list[(*count)++] = value;
+  qsort (list, *count, sizeof (struct request *), compare_requests);
+  return list;
 }
 
 void
-core_on_attempt (struct core *c, struct event_attempt *e)
+core_expire (struct core *c)
 {
-  struct request *r = g_hash_table_lookup (c->attempts, &e->attempt_id);
+  struct request **list;
+  uint32_t n;
+  uint32_t i;
 
-  if (r == NULL)
-    {
-      blob_unref (e->body);
-      return;
-    }
-  g_hash_table_remove (c->attempts, &r->attempt_id);
-  r->attempt_id = 0;
-  core_release (c, r);
-  switch (e->outcome)
+  if (c->now_us < c->next_deadline_us)
+    return;
+  c->next_deadline_us = UINT64_MAX;
+  list = list_requests (c, &n);
+  for (i = 0; i < n; i++)
     {
-    case ATTEMPT_ANSWERED:
-      answer_from_worker (c, r, e);
-      break;
-    case ATTEMPT_NO_ANSWER:
-      r->sent = true;
-      retry_or_answer (c, r, ANSWER_UNKNOWN);
-      break;
-    case ATTEMPT_NOT_SENT:
-    case ATTEMPT_TURNED_AWAY:
-      retry_or_answer (c, r, ANSWER_NO_WORKER);
-      break;
+      if (list[i]->deadline_us <= c->now_us)
+        give_up (c, list[i], ANSWER_EXPIRED);
+      else if (list[i]->deadline_us < c->next_deadline_us)
+        c->next_deadline_us = list[i]->deadline_us;
     }
-  core_dispatch_all (c);
+  talloc_free (list);
 }
 
 void
-core_expire (struct core *c)
+core_answer_rest (struct core *c)
 {
+  uint32_t n;
+  struct request **list = list_requests (c, &n);
   uint32_t i;
 
-  if (c->control->config == NULL)
-    return;
-  for (i = 0; i < c->control->config->pool_count; i++)
-    {
-      struct pool_state *p = &c->pools[i];
-      struct request *r;
-      struct request *next;
-
-      for (r = TAILQ_FIRST (&p->waiting); r != NULL; r = next)
-        {
-          next = TAILQ_NEXT (r, link);
-          if (r->deadline_us <= c->now_us)
-            refuse_waiting (c, p, r, ANSWER_EXPIRED);
-        }
-    }
+  for (i = 0; i < n; i++)
+    give_up (c, list[i], ANSWER_STOPPING);
+  talloc_free (list);
 }
--- a/core/state.h
+++ b/core/state.h
@@ -6,20 +6,37 @@
 #include "core/control.h"
 #include "core/core.h"
 #include "core/vm_control.h"
+#include "core/retry.h"
 
 #include <sys/queue.h>
 
+/** Most attempts of one request.  */
+#define ATTEMPT_LIMIT_COUNT 3
+
 /** Where a request stands (tag of its life).  */
 enum request_state
 {
-  REQUEST_WAITING, /**< In a pool's queue.  */
-  REQUEST_RUNNING  /**< An attempt is out.  */
+  REQUEST_WAITING,     /**< In a pool's queue.  */
+  REQUEST_RUNNING,     /**< An attempt is out.  */
+  REQUEST_BACKING_OFF, /**< Waits in core.backing_off for its next attempt.  */
+  REQUEST_LATE         /**< Answered; its attempt still holds its slot.  */
+};
+
+/** What a worker last did with a queue's work (index: route, VM).  */
+enum queue_outcome
+{
+  OUTCOME_NONE,
+  OUTCOME_SUCCESS,
+  OUTCOME_FAILURE
 };
 
+struct keyed;
+struct keyed_note;
+
 /** One caller's request; everything it needs hangs below it (its arena).  */
 struct request
 {
-  TAILQ_ENTRY (request) link; /**< In its pool's queue while waiting.  */
+  TAILQ_ENTRY (request) link; /**< In its pool's queue or backing_off.  */
   uint64_t request_id;
   uint64_t attempt_id; /**< 0 unless running.  */
   uint64_t deadline_us;
@@ -31,7 +48,12 @@
   bool idempotent;
   bool sent; /**< A byte may have reached a worker.  */
   uint32_t attempt_count;
-  struct blob *body;
+  uint64_t not_before_us; /**< End of its back-off.  */
+  char failed_vms[ATTEMPT_LIMIT_COUNT][NAME_BYTES];
+  uint32_t failed_count;
+  uint64_t avoid_until_us; /**< Kept from failed_vms until then.  */
+  struct keyed_note *note; /**< Of its Idempotency-Key, or NULL.  */
+  struct blob *body;       /**< NULL once answered.  */
 };
 
 TAILQ_HEAD (request_list, request);
@@ -42,6 +64,16 @@
   char name[NAME_BYTES];
   struct request_list waiting;
   uint32_t waiting_count;
+  struct retry_budget retry;
+};
+
+/** How a worker does its work, see health.c.  All 0: nothing against it.  */
+struct vm_health
+{
+  uint32_t failed_count;    /**< In a row, put down to the worker.  */
+  uint32_t aside_count;     /**< Times set aside since it was fit.  */
+  uint32_t allowance_count; /**< Most requests at once; 0: all its slots.  */
+  uint64_t aside_until_us;  /**< Takes nothing before.  */
 };
 
 /** One worker as this entry sees it.  */
@@ -49,6 +81,7 @@
 {
   char name[NAME_BYTES];
   uint32_t running_count;
+  struct vm_health health;
 };
 
 /** One team on this entry.  */
@@ -121,9 +154,14 @@
   struct lending *lending;             /**< Private to lending.c.  */
 
   uint64_t next_attempt_id;
-  uint64_t next_command;    /**< Counts this process's command ids.  */
-  GHashTable *requests;     /**< request_id to struct request.  */
-  GHashTable *attempts;     /**< attempt_id to struct request.  */
+  uint64_t next_command; /**< Counts this process's command ids.  */
+  GHashTable *requests;  /**< request_id to struct request, unanswered.  */
+  GHashTable *attempts;  /**< attempt_id to struct request.  */
+  struct keyed *keyed;   /**< First answers by Idempotency-Key.  */
+  struct request_list backing_off;
+  uint64_t next_deadline_us; /**< No unanswered request has an earlier one.  */
+  uint64_t wake_us; /**< When a worker may be fit again; 0: not awaited.  */
+  uint8_t *last_outcomes;   /**< enum queue_outcome, route by VM.  */
   struct pool_state *pools; /**< Parallel to the tables' pools.  */
   struct vm_state *vms;     /**< Parallel to the tables' vms.  */
   struct team_state *teams; /**< Parallel to the tables' teams.  */
@@ -206,23 +244,65 @@
 
 /** Takes, queues or refuses a caller's request.  */
 void core_on_request (struct core *c, struct event_request *e);
-/** Drops a caller's request.  */
+/** Frees the place of a request whose caller went away.  */
 void core_on_cancel (struct core *c, const struct event_cancel *e);
-/** Takes the end of an attempt.  */
-void core_on_attempt (struct core *c, struct event_attempt *e);
-/** Refuses what waited past its deadline.  */
+/** Answers what is past its deadline.  */
 void core_expire (struct core *c);
+/** Answers all that is left, at the end of a planned stop.  */
+void core_answer_rest (struct core *c);
+/** Answers R once with A and forgets it, or keeps it as REQUEST_LATE while an
+    attempt is out.  Takes over the body of A.  */
+void core_answer (struct core *c, struct request *r,
+                  const struct action_answer *a);
+/** Answers R with CODE, or as unknown if it was sent.  R is in no queue.  */
+void core_refuse (struct core *c, struct request *r, enum answer_code code);
+/** Returns the pool state of QUEUE, or NULL.  */
+struct pool_state *core_pool_of_queue (struct core *c, const char *queue);
+
+/* attempts on workers, attempt.c */
+
 /** Sends R to the worker VM_INDEX.  */
 void core_start_attempt (struct core *c, struct request *r, uint32_t vm_index);
+/** Takes the end of an attempt.  */
+void core_on_attempt (struct core *c, struct event_attempt *e);
+/** Queues again what has backed off long enough.  */
+void core_backoff_tick (struct core *c);
 
 /* worker health, health.c */
 
+/** Counts a success of R's attempt on its worker.  */
+void core_health_success (struct core *c, const struct request *r);
+/** Puts the failure OUTCOME of R's attempt down to its job or its worker.  */
+void core_health_failure (struct core *c, struct request *r,
+                          enum attempt_outcome outcome);
+/** Dispatches when a worker may be fit again.  */
+void core_health_tick (struct core *c);
+
 /** Returns false while VM_INDEX is set aside for failing.  */
 bool core_vm_is_healthy (const struct core *c, uint32_t vm_index);
 /** Returns true if R should not go to VM_INDEX, for it failed there.  */
 bool core_request_avoids (const struct core *c, const struct request *r,
                           uint32_t vm_index);
 
+/* idempotency keys, keyed.c */
+
+/** Opens the empty table of notes.  */
+void core_keyed_open (struct core *c);
+/** Frees every note.  */
+void core_keyed_close (struct core *c);
+/** Forgets notes that are too old.  */
+void core_keyed_tick (struct core *c);
+/** Looks E's key up for TEAM.  Returns false if E is answered or will be with
+    the first request of its key; true if E is to be run, with its new note in
+    NOTE or NULL when it has no key.  */
+bool core_keyed_begin (struct core *c, const struct event_request *e,
+                       const char *team, struct keyed_note **note);
+/** Keeps A as the first answer of NOTE and gives it to the repeats.  */
+void core_keyed_end (struct core *c, struct keyed_note *note,
+                     const struct action_answer *a);
+/** Returns true if a repeat waits for NOTE's answer.  */
+bool core_keyed_is_awaited (const struct keyed_note *note);
+
 /* maintenance, maintenance.c */
 
 /** Returns false while VM_INDEX is leaving or out.  */
--- a/port/action.c
+++ b/port/action.c
@@ -51,6 +51,8 @@
   [ANSWER_CANNOT_FIT] = { "cannot_fit", 422 },
   [ANSWER_BAD_REQUEST] = { "bad_request", 400 },
   [ANSWER_NOT_SUPPORTED] = { "not_supported", 501 },
+  [ANSWER_LATE] = { "late", 504 },
+  [ANSWER_CANCELLED] = { "cancelled", 499 },
 };
 
 const char *
@@ -59,6 +61,21 @@
   return answer_meanings[c].name;
 }
 
+const char *
+answer_code_run (enum answer_code c)
+{
+  switch (c)
+    {
+    case ANSWER_WORKER:
+      return "yes";
+    case ANSWER_UNKNOWN:
+    case ANSWER_LATE:
+      return "unknown";
+    default:
+      return "no";
+    }
+}
+
 uint32_t
 answer_code_http (enum answer_code c)
 {
@@ -104,6 +121,8 @@
     [NOTE_VM_MOVED] = "vm_moved",
     [NOTE_COMMAND_REJECTED] = "command_rejected",
     [NOTE_OPERATION_REFUSED] = "operation_refused",
+    [NOTE_SET_ASIDE] = "set_aside",
+    [NOTE_LET_BACK] = "let_back",
   };
 
   return names[k];
@@ -139,6 +158,11 @@
     [COUNTER_BAD_PEER_FRAMES] = "bad_peer_frames",
     [COUNTER_RELAYED_RECORDS] = "relayed_records",
     [COUNTER_STATE_DIFFERENCES] = "state_differences",
+    [COUNTER_RETRIES] = "retries",
+    [COUNTER_RETRY_DENIED] = "retry_denied",
+    [COUNTER_SET_ASIDE] = "set_aside",
+    [COUNTER_LATE_ENDS] = "late_ends",
+    [COUNTER_REPEATS] = "repeats",
   };
 
   return names[k];
--- a/port/action.h
+++ b/port/action.h
@@ -38,6 +38,8 @@
   ANSWER_CANNOT_FIT,    /**< 422, not run: no VM is large enough.  */
   ANSWER_BAD_REQUEST,   /**< 400, not run.  */
   ANSWER_NOT_SUPPORTED, /**< 501, not run.  */
+  ANSWER_LATE,          /**< 504: sent; no answer by the deadline.  */
+  ANSWER_CANCELLED,     /**< 499, not run: the caller went away.  */
   ANSWER_CODE_COUNT
 };
 
@@ -79,6 +81,8 @@
   NOTE_VM_MOVED,          /**< A VM is in another pool.  */
   NOTE_COMMAND_REJECTED,  /**< A drain, move or wave was refused.  */
   NOTE_OPERATION_REFUSED, /**< The platform refused an operation.  */
+  NOTE_SET_ASIDE,  /**< A worker is set aside for failing.  */
+  NOTE_LET_BACK,   /**< A worker takes its whole load again.  */
   NOTE_KIND_COUNT
 };
 
@@ -98,8 +102,10 @@
   char address[ADDRESS_BYTES];
   char queue[NAME_BYTES];
   char team[NAME_BYTES];
-  uint32_t timeout_ms; /**< Time left to the caller's deadline.  */
-  struct blob *body;   /**< One reference.  */
+  char task_id[ID_BYTES]; /**< Of this attempt, unique over the fleet.  */
+  bool idempotent;        /**< May be run more than once.  */
+  uint32_t timeout_ms;    /**< Time left to the caller's deadline.  */
+  struct blob *body;      /**< One reference.  */
 };
 
 struct action_abort
@@ -143,6 +149,11 @@
   COUNTER_BAD_PEER_FRAMES,   /**< Refused hellos and frames of peers.  */
   COUNTER_RELAYED_RECORDS,   /**< Records passed on to members.  */
   COUNTER_STATE_DIFFERENCES, /**< Checkpoints that differ from this state.  */
+  COUNTER_RETRIES,      /**< Attempts after the first of a request.  */
+  COUNTER_RETRY_DENIED, /**< Retries that the budget did not allow.  */
+  COUNTER_SET_ASIDE,    /**< Workers set aside for failing.  */
+  COUNTER_LATE_ENDS,    /**< Attempts that ended after their answer.  */
+  COUNTER_REPEATS,      /**< Repeats by Idempotency-Key.  */
   COUNTER_KIND_COUNT
 };
 
@@ -230,6 +241,9 @@
 /** Returns the stable name of C, such as "queue_full".  */
 const char *answer_code_name (enum answer_code c);
 
+/** Returns whether the work was run: "yes", "no" or "unknown".  */
+const char *answer_code_run (enum answer_code c);
+
 /** Returns the HTTP status of C (0 for ANSWER_WORKER).  */
 uint32_t answer_code_http (enum answer_code c);
 
--- a/tests/standin/server.c
+++ b/tests/standin/server.c
@@ -106,6 +106,38 @@
   return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
 }
 
+/* Gives the first half of the answer and then an error.  */
+static ssize_t
+read_half (void *state, uint64_t position, char *buffer, size_t size)
+{
+  struct exchange *x = state;
+  size_t n = x->answer_bytes / 2;
+
+  if (position >= n)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  n -= position;
+  n = n < size ? n : size;
+  memcpy (buffer, x->answer + position, n);
+  return (ssize_t)n;
+}
+
+static struct MHD_Response *
+make_response (struct exchange *x)
+{
+  struct MHD_Response *r;
+
+  if (x->cut_half)
+    return MHD_create_response_from_callback (x->answer_bytes, 4096, read_half,
+                                              x, NULL);
+  r = MHD_create_response_from_buffer (x->answer_bytes, x->answer,
+                                       MHD_RESPMEM_MUST_FREE);
+  if (x->not_run)
+    MHD_add_response_header (r, "Run", "no");
+  if (x->task_id != NULL)
+    MHD_add_response_header (r, "Task-Id", x->task_id);
+  return r;
+}
+
 static enum MHD_Result
 finish (struct exchange *x)
 {
@@ -114,8 +146,7 @@
 
   if (x->cut)
     return MHD_NO;
-  r = MHD_create_response_from_buffer (x->answer_bytes, x->answer,
-                                       MHD_RESPMEM_MUST_FREE);
+  r = make_response (x);
   done = MHD_queue_response (x->connection, x->status, r);
   MHD_destroy_response (r);
   return done;
@@ -177,6 +208,8 @@
   if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && standin_on_cut != NULL
       && !x->cut)
     standin_on_cut (x);
+  if (x->cut_half)
+    free (x->answer);
   free (x->body);
   free (x);
   *call_state = NULL;
--- a/tests/standin/server.h
+++ b/tests/standin/server.h
@@ -21,8 +21,11 @@
   uint32_t status; /**< Set by the handler.  */
   char *answer;    /**< Set by the handler, from malloc; NULL: empty.  */
   uint32_t answer_bytes;
-  int cut;    /**< Close the connection in place of an answer.  */
-  void *mark; /**< The handler's own, for on_cut.  */
+  int cut;             /**< Close the connection in place of an answer.  */
+  int cut_half;        /**< Close it in the midst of the answer.  */
+  int not_run;         /**< Answer with `Run: no`.  */
+  const char *task_id; /**< Answer with this `Task-Id`, or NULL.  */
+  void *mark;          /**< The handler's own, for on_cut.  */
 };
 
 typedef void handler_fn (struct exchange *x);
