--- a/adapter/front.c
+++ b/adapter/front.c
@@ -14,11 +14,13 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
 #include <unistd.h>
 
 #define RING_COUNT 32768
 #define IDLE_LIMIT_S 120
 #define FIRST_BODY_BYTES 4096
+#define GONE_BATCH_COUNT 64
 #define PATH_QUEUES "/v1/queues/"
 #define BEARER "Bearer "
 
@@ -56,6 +58,7 @@
   struct ring *decide;
   struct journal *journal;
   GHashTable *calls; /**< request_id to struct call, suspended ones.  */
+  int gone_fd; /**< epoll set of suspended connections, see watch_gone.  */
   uint64_t next_request_id;
   uint32_t max_body_bytes;
   uint32_t open_count; /**< Calls whose response is not yet sent.  */
@@ -278,6 +281,64 @@
   return e;
 }
 
+static int
+call_fd (const struct call *c)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      c->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+  return info == NULL ? -1 : info->connect_fd;
+}
+
+/* libmicrohttpd does not look at a suspended connection, so a caller that
+   goes away would keep its place.  Edge triggered: one event is enough.  */
+static void
+watch_gone (struct call *c)
+{
+  struct epoll_event e
+      = { .events = EPOLLRDHUP | EPOLLET, .data.u64 = c->request_id };
+
+  epoll_ctl (c->front->gone_fd, EPOLL_CTL_ADD, call_fd (c), &e);
+}
+
+static void
+unwatch_gone (struct call *c)
+{
+  epoll_ctl (c->front->gone_fd, EPOLL_CTL_DEL, call_fd (c), NULL);
+}
+
+static void
+cancel (struct front *f, uint64_t request_id)
+{
+  struct call *c = g_hash_table_lookup (f->calls, &request_id);
+  struct event *e;
+
+  if (c == NULL || c->kind != CALL_QUEUE)
+    return;
+  e = talloc_zero (NULL, struct event);
+  e->kind = EVENT_CANCEL;
+  e->u.cancel.request_id = request_id;
+  /* With no room the request is answered as if its caller were there.  */
+  if (!ring_push (f->decide, e))
+    talloc_free (e);
+}
+
+static void
+on_gone (struct tevent_context *loop, struct tevent_fd *fde, uint16_t flags,
+         void *state)
+{
+  struct front *f = state;
+  struct epoll_event events[GONE_BATCH_COUNT];
+  int n = epoll_wait (f->gone_fd, events, GONE_BATCH_COUNT, 0);
+  int i;
+
+  (void)loop;
+  (void)fde;
+  (void)flags;
+  for (i = 0; i < n; i++)
+    cancel (f, events[i].data.u64);
+}
+
 /* Hands the call to the decide duty and suspends it, or refuses it when the
    ring is full.  */
 static enum MHD_Result
@@ -294,6 +355,7 @@
     }
   g_hash_table_insert (f->calls, &c->request_id, c);
   c->suspended = true;
+  watch_gone (c);
   MHD_suspend_connection (c->connection);
   return MHD_YES;
 }
@@ -471,6 +533,7 @@
     }
   g_hash_table_remove (f->calls, &id);
   c->suspended = false;
+  unwatch_gone (c);
   c->answer = a;
   MHD_resume_connection (c->connection);
 }
@@ -536,6 +599,8 @@
       MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u, MHD_OPTION_END);
   if (f->http == NULL)
     return false;
+  tevent_add_fd (f->duty->loop, f->duty->loop, f->gone_fd, TEVENT_FD_READ,
+                 on_gone, f);
   info = MHD_get_daemon_info (f->http, MHD_DAEMON_INFO_EPOLL_FD);
   return info != NULL
          && tevent_add_fd (f->duty->loop, f->duty->loop, info->epoll_fd,
@@ -554,6 +619,7 @@
   f->journal = journal;
   f->max_body_bytes = s->max_body_bytes;
   f->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+  f->gone_fd = epoll_create1 (EPOLL_CLOEXEC);
   f->duty = duty_new ("front", RING_COUNT, on_action, f);
   if (f->duty != NULL)
     f->duty->on_batch = on_batch;
@@ -578,6 +644,7 @@
   (void)key;
   (void)state;
   c->suspended = false;
+  unwatch_gone (c);
   MHD_resume_connection (c->connection);
 }
 
@@ -597,5 +664,6 @@
     MHD_stop_daemon (f->http);
   g_hash_table_destroy (f->calls);
   duty_free (f->duty);
+  close (f->gone_fd);
   talloc_free (f);
 }
--- a/core/attempt.c
+++ b/core/attempt.c
@@ -63,9 +63,9 @@
 {
   if (c->control->config == NULL)
     return;
-  if (has_failed (e))
+  if (has_failed (e) || e->outcome == ATTEMPT_TURNED_AWAY)
     core_health_failure (c, r, e->outcome);
-  else if (e->outcome == ATTEMPT_ANSWERED)
+  else
     core_health_success (c, r);
 }
 
--- a/core/health.c
+++ b/core/health.c
@@ -211,6 +211,11 @@
 
   if (r->vm_index < 0)
     return;
+  if (outcome == ATTEMPT_TURNED_AWAY)
+    {
+      note_failed_vm (c, r);
+      return;
+    }
   h = &c->vms[r->vm_index].health;
   last = last_outcome (c, r->queue, (uint32_t)r->vm_index);
   if (!is_job_fault (c, r, outcome))
--- a/core/request.c
+++ b/core/request.c
@@ -50,9 +50,11 @@
 void
 core_refuse (struct core *c, struct request *r, enum answer_code code)
 {
-  struct action_answer a = { .code = r->sent ? ANSWER_UNKNOWN : code,
-                             .retry_after_ms = RETRY_AFTER_MS };
+  struct action_answer a = { .code = r->sent ? ANSWER_UNKNOWN : code };
 
+  /* No hint to come back when a repeat might run it twice.  */
+  if (strcmp (answer_code_run (a.code), "no") == 0)
+    a.retry_after_ms = RETRY_AFTER_MS;
   core_answer (c, r, &a);
 }
 
--- a/core/state.h
+++ b/core/state.h
@@ -272,7 +272,8 @@
 
 /** Counts a success of R's attempt on its worker.  */
 void core_health_success (struct core *c, const struct request *r);
-/** Puts the failure OUTCOME of R's attempt down to its job or its worker.  */
+/** Puts the failure OUTCOME of R's attempt down to its job or its worker; a
+    worker that only had no room is kept from R for a while.  */
 void core_health_failure (struct core *c, struct request *r,
                           enum attempt_outcome outcome);
 /** Dispatches when a worker may be fit again.  */
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -2,17 +2,23 @@
 
    It echoes each body after run_ms and keeps its own record: running per team
    with high-water mark, runs per ticket, overfilled slots, cut requests.
-   Faults: down, slow_ms, run_ms, fail_all, lose_answers, slots.  A body that
-   starts with "ticket=NAME" is counted under that name; "run_ms=N" anywhere
-   in the first line sets its run time.  */
+   Faults: down, slow_ms, run_ms, fail_all, lose_answers, slots; fail_ports=N
+   (the first N ports fail all), reset (RST in place of the answer), cut_half,
+   cross (the answer names another task), plain_503, turn_away.  A body that
+   starts with "ticket=NAME" is counted under that name, see GET /ticket?name=
+   NAME; in the first line "run_ms=N" sets its run time and "fail=1" makes it
+   fail on every worker.  A run ends when its lease lapses or its caller's
+   connection closes, as the contract says.  */
 
 #include "tests/standin/server.h"
 
 #include <glib.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define DEFAULT_SLOT_COUNT 8
 #define LINE_BYTES 256
@@ -32,6 +38,9 @@
 static int64_t overfilled_count;
 static int64_t cut_count;
 static int64_t turned_away_count;
+static int64_t lapsed_count;  /* runs ended by their lease */
+static int64_t stopped_count; /* runs whose caller went away */
+static uint16_t first_port;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 static void
@@ -95,6 +104,70 @@
   return 1;
 }
 
+static int
+connection_fd (struct exchange *x)
+{
+  return MHD_get_connection_info (x->connection,
+                                  MHD_CONNECTION_INFO_CONNECTION_FD)
+      ->connect_fd;
+}
+
+/* Lets RUN_MS pass; returns 0 if the run was ended before.  */
+static int
+wait_run (struct exchange *x, int64_t run_ms)
+{
+  struct pollfd p = { .fd = connection_fd (x), .events = POLLRDHUP };
+  int64_t lease_ms = strtoll (header_get (x, "Lease-Ms"), NULL, 10);
+  int lapses = lease_ms > 0 && run_ms > lease_ms;
+
+  if (run_ms <= 0)
+    return 1;
+  if (poll (&p, 1, (int)(lapses ? lease_ms : run_ms)) > 0)
+    {
+      pthread_mutex_lock (&lock);
+      stopped_count++;
+      pthread_mutex_unlock (&lock);
+      return 0;
+    }
+  if (lapses)
+    {
+      pthread_mutex_lock (&lock);
+      lapsed_count++;
+      pthread_mutex_unlock (&lock);
+    }
+  return !lapses;
+}
+
+static void
+turn_away (struct exchange *x)
+{
+  x->not_run = 1;
+  answer_set (x, 503, "{\"run\":\"no\"}");
+}
+
+static void
+set_result (struct exchange *x, const char *line)
+{
+  int fails = fault_get ("fail_all") || strstr (line, "fail=1") != NULL
+              || x->port < first_port + fault_get ("fail_ports");
+
+  x->status = fails ? 500 : 200;
+  if (fault_get ("plain_503"))
+    x->status = 503;
+  x->answer = x->body;
+  x->answer_bytes = x->body_bytes;
+  x->body = NULL;
+  x->task_id = fault_get ("cross") ? "another" : header_get (x, "Task-Id");
+  x->cut_half = fault_get ("cut_half") != 0;
+  if (fault_get ("reset"))
+    {
+      struct linger l = { .l_onoff = 1, .l_linger = 0 };
+
+      setsockopt (connection_fd (x), SOL_SOCKET, SO_LINGER, &l, sizeof l);
+      x->cut = 1;
+    }
+}
+
 static void
 run (struct exchange *x)
 {
@@ -107,20 +180,34 @@
   p = strstr (line, "run_ms=");
   if (p != NULL)
     run_ms = strtoll (p + strlen ("run_ms="), NULL, 10);
-  if (!start_run (x, line, &t))
+  if (fault_get ("turn_away") || !start_run (x, line, &t))
     {
-      answer_set (x, 503, "{\"run\":\"no\"}");
+      turn_away (x);
       return;
     }
-  sleep_ms (run_ms);
+  if (!wait_run (x, run_ms))
+    x->cut = 1;
   pthread_mutex_lock (&lock);
   t->running--;
   port_running[x->port]--;
   pthread_mutex_unlock (&lock);
-  x->status = fault_get ("fail_all") ? 500 : 200;
-  x->answer = x->body;
-  x->answer_bytes = x->body_bytes;
-  x->body = NULL;
+  if (!x->cut)
+    set_result (x, line);
+}
+
+/* How often the ticket in the query was run.  */
+static void
+show_ticket (struct exchange *x)
+{
+  const char *name = MHD_lookup_connection_value (
+      x->connection, MHD_GET_ARGUMENT_KIND, "name");
+  int64_t n = 0;
+
+  pthread_mutex_lock (&lock);
+  if (name != NULL)
+    n = (int64_t)(intptr_t)g_hash_table_lookup (tickets, name);
+  pthread_mutex_unlock (&lock);
+  answer_set (x, 200, "{\"runs\":%lld}", (long long)n);
 }
 
 static void
@@ -144,10 +231,12 @@
   g_string_append_printf (
       s,
       "\"runs\":%lld,\"tickets\":%u,\"doubled\":%lld,\"overfilled\":%lld,"
-      "\"cut\":%lld,\"turned_away\":%lld,\"teams\":{",
+      "\"cut\":%lld,\"turned_away\":%lld,\"lapsed\":%lld,\"stopped\":%lld,"
+      "\"teams\":{",
       (long long)run_count, g_hash_table_size (tickets),
       (long long)doubled_count, (long long)overfilled_count,
-      (long long)cut_count, (long long)turned_away_count);
+      (long long)cut_count, (long long)turned_away_count,
+      (long long)lapsed_count, (long long)stopped_count);
   g_hash_table_foreach (teams, print_team, s);
   pthread_mutex_unlock (&lock);
   g_string_append (s, "}}");
@@ -183,6 +272,8 @@
     report (x);
   else if (strcmp (x->url, "/running") == 0)
     running (x);
+  else if (strcmp (x->url, "/ticket") == 0)
+    show_ticket (x);
   else
     answer_set (x, 404, "{}");
 }
@@ -193,6 +284,7 @@
   uint16_t first = argc > 1 ? (uint16_t)atoi (argv[1]) : 7301;
   uint16_t last = argc > 2 ? (uint16_t)atoi (argv[2]) : first;
 
+  first_port = first;
   teams = g_hash_table_new (g_str_hash, g_str_equal);
   tickets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   standin_handler = handle;
