Process test: at most one run of each request, answers true by the workers' record

Change: tests/test_delivery.c sends 20,000 keyed requests (4,000 under the sanitizers) that are not idempotent through 3 entries while workers reset, cut, cross and turn away, entries and workers freeze, workers are killed and the log loses its answers, alone and in pairs. Each answer is held against the stand-in workers' record file, which outlives a kill. Processes of a test that aborts end with it.

--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -5,6 +5,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -32,6 +33,8 @@
 
   if (pid == 0)
     {
+      /* A test that aborts must leave no process behind.  */
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
       if (freopen (log, "a", stderr) == NULL)
         _exit (126);
       execl (path, path, first, second, NULL);
@@ -149,6 +152,22 @@
   return 0;
 }
 
+void
+cluster_signal_worker (struct cluster *c, int signal)
+{
+  kill (c->worker, signal);
+  if (signal == SIGKILL)
+    wait_end (&c->worker);
+}
+
+void
+cluster_start_worker (struct cluster *c)
+{
+  c->worker = spawn_standin (c, "standin_worker", c->worker_port,
+                             (guint16)(c->worker_port + c->worker_count - 1));
+  wait_answer (c->worker_port, "/report");
+}
+
 void
 cluster_call (const gchar *method, guint16 port, const gchar *path,
               const gchar *key, struct blob *body, struct http_result *r)
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -40,6 +40,12 @@
     Returns its exit status.  */
 int cluster_signal_entry (struct cluster *c, guint i, int signal);
 
+/** Sends SIGNAL to the process of the workers; SIGKILL waits for its end.  */
+void cluster_signal_worker (struct cluster *c, int signal);
+
+/** Starts the workers again, after they ended.  */
+void cluster_start_worker (struct cluster *c);
+
 /** Appends the record in TEXT (JSON) to the log.  */
 void cluster_append (struct cluster *c, const gchar *text);
 
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -41,6 +41,7 @@
 static int64_t lapsed_count;  /* runs ended by their lease */
 static int64_t stopped_count; /* runs whose caller went away */
 static uint16_t first_port;
+static FILE *record; /* a line for each run of a ticket, outlives a kill */
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 static void
@@ -67,6 +68,11 @@
   if (n == 2)
     doubled_count++;
   g_hash_table_insert (tickets, g_strdup (name), (gpointer)(intptr_t)n);
+  if (record != NULL)
+    {
+      fprintf (record, "%s\n", name);
+      fflush (record);
+    }
 }
 
 /* Takes a slot and counts the start; returns 0 when all slots are full.  */
@@ -158,6 +164,11 @@
   x->answer_bytes = x->body_bytes;
   x->body = NULL;
   x->task_id = fault_get ("cross") ? "another" : header_get (x, "Task-Id");
+  if (fault_get ("cross"))
+    {
+      free (x->answer);
+      answer_set (x, 200, "another caller's answer");
+    }
   x->cut_half = fault_get ("cut_half") != 0;
   if (fault_get ("reset"))
     {
@@ -285,6 +296,8 @@
   uint16_t last = argc > 2 ? (uint16_t)atoi (argv[2]) : first;
 
   first_port = first;
+  if (getenv ("FTK_RUN_RECORD") != NULL)
+    record = fopen (getenv ("FTK_RUN_RECORD"), "a");
   teams = g_hash_table_new (g_str_hash, g_str_equal);
   tickets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   standin_handler = handle;
--- /dev/null
+++ b/tests/test_delivery.c
@@ -0,0 +1,269 @@
+/* test_delivery.c -- whole processes under faults: at most one run of each
+   keyed request, and every answer true by the workers' own record.  */
+
+#include "tests/cluster.h"
+
+#include <curl/curl.h>
+#include <pthread.h>
+#include <signal.h>
+#include <sodium.h>
+#include <string.h>
+#include <unistd.h>
+
+#if defined __SANITIZE_ADDRESS__ || defined __SANITIZE_THREAD__
+#define TICKET_COUNT 4000
+#else
+#define TICKET_COUNT 20000
+#endif
+#define CALLER_COUNT 24
+#define REPEAT_LIMIT 400
+#define REPEAT_US 25000
+#define CALL_MS 8000
+
+/* What a caller was told of its ticket.  */
+enum told
+{
+  TOLD_NOTHING, /* The connection broke each time.  */
+  TOLD_RUN,
+  TOLD_NOT_RUN,
+  TOLD_UNKNOWN,
+  TOLD_COUNT
+};
+
+static struct cluster *cluster;
+static gchar *record_file;
+static guint8 told[TICKET_COUNT];
+static const gchar *last_answers[TICKET_COUNT]; /* Where not the echo.  */
+static gint next_ticket;
+static gint pace_us;
+
+static size_t
+take_text (char *data, size_t size, size_t count, void *state)
+{
+  g_string_append_len (state, data, (gssize)(size * count));
+  return size * count;
+}
+
+/* Returns what the answer to TEXT says, or TOLD_NOTHING without a whole
+   answer.  */
+static enum told
+read_answer (CURL *easy, CURLcode code, const GString *answer,
+             const gchar *text)
+{
+  long status = 0;
+
+  if (code != CURLE_OK)
+    return TOLD_NOTHING;
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
+  /* A worker's answer is the echo, whatever its status.  */
+  if (strcmp (answer->str, text) == 0)
+    return TOLD_RUN;
+  g_assert_cmpint (status, !=, 200);
+  if (strstr (answer->str, "\"run\":\"no\"") != NULL)
+    return TOLD_NOT_RUN;
+  g_assert_nonnull (strstr (answer->str, "\"run\":\"unknown\""));
+  return TOLD_UNKNOWN;
+}
+
+static enum told
+post_once (CURL *easy, guint16 port, const gchar *queue, const gchar *key,
+           const gchar *text)
+{
+  gchar *url
+      = g_strdup_printf ("http://127.0.0.1:%u/v1/queues/%s", port, queue);
+  gchar *line = g_strdup_printf ("Idempotency-Key: %s", key);
+  struct curl_slist *lines
+      = curl_slist_append (NULL, "Authorization: Bearer kandy-key");
+  GString *answer = g_string_new (NULL);
+  enum told t;
+
+  lines = curl_slist_append (lines, line);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDS, text);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, lines);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_text);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, answer);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)CALL_MS);
+  t = read_answer (easy, curl_easy_perform (easy), answer, text);
+  if (t != TOLD_RUN)
+    last_answers[g_ascii_strtoull (key + 1, NULL, 10)]
+        = g_intern_string (answer->str);
+  g_string_free (answer, TRUE);
+  curl_slist_free_all (lines);
+  g_free (line);
+  g_free (url);
+  return t;
+}
+
+/* Sends ticket I until some entry gives a whole answer.  */
+static enum told
+send_ticket (CURL *easy, gint i)
+{
+  gchar *key = g_strdup_printf ("t%d", i);
+  gchar *text = g_strdup_printf ("ticket=%s run_ms=2", key);
+  enum told t = TOLD_NOTHING;
+  guint k;
+
+  for (k = 0; k < REPEAT_LIMIT && t == TOLD_NOTHING; k++)
+    {
+      if (k > 0)
+        g_usleep (REPEAT_US);
+      t = post_once (
+          easy, cluster_entry_port (cluster, (guint)i % cluster->entry_count),
+          "bills", key, text);
+    }
+  g_free (text);
+  g_free (key);
+  return t;
+}
+
+static void *
+call (void *state)
+{
+  CURL *easy = curl_easy_init ();
+  gint i;
+
+  (void)state;
+  while ((i = g_atomic_int_add (&next_ticket, 1)) < TICKET_COUNT)
+    {
+      told[i] = (guint8)send_ticket (easy, i);
+      g_usleep ((gulong)g_atomic_int_get (&pace_us));
+    }
+  curl_easy_cleanup (easy);
+  return NULL;
+}
+
+static void
+fault_for (guint16 port, const gchar *name, gulong ms)
+{
+  cluster_fault (port, name, 1);
+  g_usleep (ms * 1000);
+  cluster_fault (port, name, 0);
+}
+
+static void
+freeze (pid_t pid, gulong ms)
+{
+  kill (pid, SIGSTOP);
+  g_usleep (ms * 1000);
+  kill (pid, SIGCONT);
+}
+
+static void
+kill_workers (gulong ms)
+{
+  cluster_signal_worker (cluster, SIGKILL);
+  g_usleep (ms * 1000);
+  cluster_start_worker (cluster);
+}
+
+/* Every fault alone and then some in pairs.  */
+static void
+make_faults (void)
+{
+  fault_for (cluster->worker_port, "reset", 200);
+  fault_for (cluster->worker_port, "cut_half", 200);
+  fault_for (cluster->worker_port, "cross", 200);
+  fault_for (cluster->worker_port, "turn_away", 200);
+  fault_for (cluster->worker_port, "plain_503", 200);
+  fault_for (cluster->log_port, "lose_answers", 200);
+  freeze (cluster->entries[0], 300);
+  freeze (cluster->worker, 300);
+  kill_workers (200);
+  cluster_fault (cluster->log_port, "lose_answers", 1);
+  freeze (cluster->entries[1], 300);
+  cluster_fault (cluster->log_port, "lose_answers", 0);
+  cluster_fault (cluster->worker_port, "reset", 1);
+  freeze (cluster->entries[2], 300);
+  cluster_fault (cluster->worker_port, "reset", 0);
+  freeze (cluster->worker, 200);
+  kill_workers (200);
+}
+
+/* Returns how often each ticket was run, by the workers' record.  */
+static guint8 *
+count_runs (void)
+{
+  guint8 *runs = g_new0 (guint8, TICKET_COUNT);
+  gchar *text = NULL;
+  gchar **lines;
+  guint i;
+
+  g_assert_true (g_file_get_contents (record_file, &text, NULL, NULL));
+  lines = g_strsplit (text, "\n", -1);
+  for (i = 0; lines[i] != NULL; i++)
+    if (lines[i][0] == 't')
+      runs[g_ascii_strtoull (lines[i] + 1, NULL, 10)]++;
+  g_strfreev (lines);
+  g_free (text);
+  return runs;
+}
+
+static void
+check_told (void)
+{
+  static const gchar *const names[TOLD_COUNT]
+      = { "nothing", "run", "not run", "unknown" };
+  guint8 *runs = count_runs ();
+  guint counts[TOLD_COUNT] = { 0 };
+  guint doubled = 0;
+  guint i;
+
+  for (i = 0; i < TICKET_COUNT; i++)
+    {
+      counts[told[i]]++;
+      doubled += runs[i] > 1 ? 1 : 0;
+      if ((told[i] == TOLD_RUN && runs[i] != 1)
+          || (told[i] == TOLD_NOT_RUN && runs[i] != 0))
+        g_error ("ticket %u: told %s, runs %u, %s", i, names[told[i]], runs[i],
+                 last_answers[i]);
+    }
+  for (i = 0; i < TOLD_COUNT; i++)
+    g_test_message ("%s: %u", names[i], counts[i]);
+  g_assert_cmpuint (doubled, ==, 0);
+  g_assert_cmpuint (counts[TOLD_NOTHING], ==, 0);
+  g_assert_cmpuint (counts[TOLD_RUN], >, TICKET_COUNT / 2);
+  g_free (runs);
+}
+
+static void
+test_at_most_once (void)
+{
+  pthread_t t[CALLER_COUNT];
+  guint i;
+
+  g_atomic_int_set (&pace_us, 2000);
+  for (i = 0; i < CALLER_COUNT; i++)
+    pthread_create (&t[i], NULL, call, NULL);
+  make_faults ();
+  g_test_message ("faults done at ticket %d", g_atomic_int_get (&next_ticket));
+  g_atomic_int_set (&pace_us, 0);
+  for (i = 0; i < CALLER_COUNT; i++)
+    pthread_join (t[i], NULL);
+  check_told ();
+}
+
+int
+main (int argc, char **argv)
+{
+  int code;
+
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  if (sodium_init () < 0)
+    return 1;
+  g_test_init (&argc, &argv, NULL);
+  record_file = g_strdup_printf ("%s/fulmartack-runs-%d", g_get_tmp_dir (),
+                                 (int)getpid ());
+  g_setenv ("FTK_RUN_RECORD", record_file, TRUE);
+  cluster = cluster_start (3, 8);
+  cluster_publish (cluster, 60);
+  cluster_wait_version (cluster, 1);
+  g_test_add_func ("/delivery/at_most_once", test_at_most_once);
+  code = g_test_run ();
+  cluster_stop (cluster);
+  unlink (record_file);
+  g_free (record_file);
+  return code;
+}
