--- a/adapter/trace.c
+++ b/adapter/trace.c
@@ -333,8 +333,6 @@
                          "queue", s->queue, "team", s->team, "timeout_ms",
                          (int)s->timeout_ms);
 
-  if (s->idempotent)
-    json_object_set_new (j, "idempotent", json_true ());
   set_number (j, "body_bytes", s->body ? s->body->size_bytes : 0);
   return j;
 }
