Keys are kept by two members: a repeat at any entry gets the first answer

Cause: the notes of Idempotency-Keys were an entry's own, so a repeat at another entry, or after a kill -9, ran the work again.

Weighed: sending the request to the key's home moves every body over the peer links and makes the home a second hop; here the entry that got the request asks the holders (claim, granted) and runs it itself, then tells them the end. Granting by any two of three holders was dropped: with one of them restarted empty and another frozen it runs twice.

Claims go to the home first, then to the copy; both keep the note before the request is sent. Answers over 16 KiB are unknown to a repeat at another entry.

Price: while a lost entry is not yet replaced or declared gone, keys it holds wait and end as unknown.

--- a/adapter/decide.c
+++ b/adapter/decide.c
@@ -32,8 +32,8 @@
     blob_unref (e->u.attempt.body);
   if (e->kind == EVENT_RECORD)
     blob_unref (e->u.record.raw);
-  if (e->kind == EVENT_PEER && e->u.peer.kind == PEER_RECORD)
-    blob_unref (e->u.peer.u.record.raw);
+  if (e->kind == EVENT_PEER)
+    peer_message_drop_blobs (&e->u.peer);
   talloc_free (e);
 }
 
--- a/adapter/peer_codec.c
+++ b/adapter/peer_codec.c
@@ -16,8 +16,9 @@
 
 /* Fields behind the head of each kind.  */
 static const uint32_t field_counts[] = {
-  [PEER_STATUS] = 6, [PEER_DEMAND] = 4, [PEER_TRANSFER] = 4,
-  [PEER_ACK] = 1,    [PEER_ASK] = 3,    [PEER_RECORD] = 3,
+  [PEER_STATUS] = 6, [PEER_DEMAND] = 4,  [PEER_TRANSFER] = 4,
+  [PEER_ACK] = 1,    [PEER_ASK] = 3,     [PEER_RECORD] = 3,
+  [PEER_CLAIM] = 8,  [PEER_CLAIMED] = 8, [PEER_NOTE] = 8,
 };
 
 #define KIND_COUNT (sizeof field_counts / sizeof field_counts[0])
@@ -72,6 +73,23 @@
   json_decref (j);
 }
 
+static void
+pack_key (msgpack_packer *p, const struct peer_key *k)
+{
+  size_t n = k->body ? k->body->size_bytes : 0;
+
+  msgpack_pack_bin (p, DIGEST_BYTES);
+  msgpack_pack_bin_body (p, k->digest, DIGEST_BYTES);
+  msgpack_pack_uint64 (p, k->owner_incarnation);
+  msgpack_pack_uint64 (p, k->claim_id);
+  msgpack_pack_uint32 (p, (uint32_t)k->state);
+  msgpack_pack_uint32 (p, k->code);
+  msgpack_pack_uint32 (p, k->http_status);
+  pack_text (p, k->body ? k->body->content_type : "");
+  msgpack_pack_bin (p, n);
+  msgpack_pack_bin_body (p, k->body ? (void *)k->body->data : "", n);
+}
+
 static void
 pack_fields (msgpack_packer *p, const struct peer_message *m)
 {
@@ -106,6 +124,11 @@
     case PEER_RECORD:
       pack_record (p, &m->u.record);
       break;
+    case PEER_CLAIM:
+    case PEER_CLAIMED:
+    case PEER_NOTE:
+      pack_key (p, &m->u.key);
+      break;
     }
 }
 
@@ -214,6 +237,32 @@
   json_decref (j);
 }
 
+static void
+take_key (struct cursor *c, struct peer_key *k)
+{
+  char type[sizeof k->body->content_type];
+  const msgpack_object *o = take (c, MSGPACK_OBJECT_BIN);
+
+  if (o == NULL || o->via.bin.size != DIGEST_BYTES)
+    {
+      c->failed = true;
+      return;
+    }
+  memcpy (k->digest, o->via.bin.ptr, DIGEST_BYTES);
+  k->owner_incarnation = take_number (c, INT64_MAX);
+  k->claim_id = take_number (c, INT64_MAX);
+  k->state = (enum key_state)take_number (c, KEY_IN_DOUBT);
+  k->code = (uint32_t)take_number (c, UINT32_MAX);
+  k->http_status = (uint32_t)take_number (c, UINT32_MAX);
+  type[0] = '\0';
+  take_text (c, type, sizeof type);
+  o = take (c, MSGPACK_OBJECT_BIN);
+  if (o == NULL)
+    return;
+  k->body = blob_copy (o->via.bin.ptr, o->via.bin.size);
+  text_copy (k->body->content_type, sizeof type, type);
+}
+
 static void
 take_fields (struct cursor *c, struct event *e, struct peer_message *m)
 {
@@ -248,6 +297,11 @@
     case PEER_RECORD:
       take_record (c, e, &m->u.record);
       break;
+    case PEER_CLAIM:
+    case PEER_CLAIMED:
+    case PEER_NOTE:
+      take_key (c, &m->u.key);
+      break;
     }
 }
 
@@ -312,8 +366,7 @@
     msgpack_unpacked_destroy (&items[i]);
   if (good)
     return e;
-  if (e->u.peer.kind == PEER_RECORD)
-    blob_unref (e->u.peer.u.record.raw);
+  peer_message_drop_blobs (&e->u.peer);
   talloc_free (e);
   return NULL;
 }
--- a/adapter/peer_json.c
+++ b/adapter/peer_json.c
@@ -4,14 +4,25 @@
 
 #include "adapter/record_json.h"
 
+#include <sodium.h>
 #include <string.h>
 
 static const char *const kind_names[] = {
   [PEER_STATUS] = "status",     [PEER_DEMAND] = "demand",
   [PEER_TRANSFER] = "transfer", [PEER_ACK] = "ack",
   [PEER_ASK] = "ask",           [PEER_RECORD] = "record",
+  [PEER_CLAIM] = "claim",       [PEER_CLAIMED] = "claimed",
+  [PEER_NOTE] = "note",
 };
 
+static const char *const state_names[] = {
+  [KEY_GRANTED] = "granted",   [KEY_OPEN] = "open",
+  [KEY_ENDED] = "ended",       [KEY_NOT_RUN] = "not_run",
+  [KEY_IN_DOUBT] = "in_doubt",
+};
+
+#define STATE_COUNT (sizeof state_names / sizeof state_names[0])
+
 #define KIND_COUNT (sizeof kind_names / sizeof kind_names[0])
 
 static const char *const limit_names[] = {
@@ -43,6 +54,28 @@
   r->raw = record_to_raw (data);
 }
 
+static void
+read_key (struct json_place *p, struct peer_key *k)
+{
+  const char *body = json_string_value (json_object_get (p->object, "body"));
+  char text[2 * DIGEST_BYTES + 1];
+  uint32_t i;
+
+  json_get_text (p, "digest", true, text, sizeof text);
+  sodium_hex2bin (k->digest, DIGEST_BYTES, text, strlen (text), NULL, NULL,
+                  NULL);
+  k->owner_incarnation = json_get_number (p, "owner", 0, INT64_MAX, 0);
+  k->claim_id = json_get_number (p, "claim", 0, INT64_MAX, 0);
+  k->code = (uint32_t)json_get_number (p, "code", 0, UINT32_MAX, 0);
+  k->http_status = (uint32_t)json_get_number (p, "status", 0, 999, 0);
+  json_get_text (p, "state", true, text, sizeof text);
+  for (i = 0; i < STATE_COUNT; i++)
+    if (strcmp (state_names[i], text) == 0)
+      k->state = (enum key_state)i;
+  if (body != NULL)
+    k->body = blob_copy (body, (uint32_t)strlen (body));
+}
+
 static void
 read_fields (struct json_place *p, TALLOC_CTX *mem, struct peer_message *m)
 {
@@ -83,6 +116,11 @@
     case PEER_RECORD:
       read_record (p, mem, &m->u.record);
       break;
+    case PEER_CLAIM:
+    case PEER_CLAIMED:
+    case PEER_NOTE:
+      read_key (p, &m->u.key);
+      break;
     }
 }
 
@@ -125,6 +163,23 @@
   set_text (j, "name", l->name);
 }
 
+static void
+write_key (const struct peer_key *k, json_t *j)
+{
+  char hex[2 * DIGEST_BYTES + 1];
+
+  sodium_bin2hex (hex, sizeof hex, k->digest, DIGEST_BYTES);
+  set_text (j, "digest", hex);
+  set_number (j, "owner", k->owner_incarnation);
+  set_number (j, "claim", k->claim_id);
+  set_text (j, "state", state_names[k->state]);
+  if (k->state != KEY_ENDED)
+    return;
+  set_number (j, "code", k->code);
+  set_number (j, "status", k->http_status);
+  set_number (j, "body_bytes", k->body ? k->body->size_bytes : 0);
+}
+
 static void
 write_record (const struct peer_record *r, json_t *j)
 {
@@ -178,5 +233,10 @@
     case PEER_RECORD:
       write_record (&m->u.record, j);
       break;
+    case PEER_CLAIM:
+    case PEER_CLAIMED:
+    case PEER_NOTE:
+      write_key (&m->u.key, j);
+      break;
     }
 }
--- a/core/keyed.c
+++ b/core/keyed.c
@@ -1,55 +1,90 @@
-/* keyed.c -- first answers kept by Idempotency-Key on this entry.
+/* keyed.c -- first answers kept by Idempotency-Key.
 
-   A note stands from the moment a keyed request is taken.  While it is open,
-   repeats wait for the same answer.  When the first request ended as not run
-   the note goes, so a repeat may run; any other end is kept for KEEP_US.  A
-   note that had to give up its body for memory is answered as unknown, like
-   one that ended so: it is never run again.  */
+   A key is run by the entry that first got it from a caller, its owner, after
+   every holder (see home.c) has granted it, the home first.  A holder keeps a
+   note before it grants, so it is there before the request is sent.  Another
+   entry that gets the key asks the holders too, learns that it is open, and
+   asks again until it has the first answer.
+
+   When the first request ended as not run the notes go, so a repeat may run;
+   any other end is kept for KEEP_US.  A note that had to give up its body for
+   memory, or whose owner is gone, is answered as unknown: it is never run
+   again.  Without an answer of every holder nothing is run.  */
 
 #include "core/state.h"
 
+#include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 
 /** How long an ended note is kept.  */
 #define KEEP_US (600 * US_PER_S)
 /** Most notes; a new key is refused, not run, while all are young.  */
-#define NOTE_LIMIT_COUNT 65536
+#define NOTE_LIMIT_COUNT 32768
 /** Most bytes of answers kept.  */
 #define BODY_LIMIT_BYTES (4u << 20)
+/** Largest answer that other holders get a copy of.  */
+#define COPY_LIMIT_BYTES 16384
 /** Most repeats that wait for one answer.  */
 #define REPEAT_LIMIT_COUNT 16
 #define NOTE_NAME_BYTES (2 * NAME_BYTES + ID_BYTES)
 #define RETRY_AFTER_MS 1000
+/** Time after which a claim without an answer is sent again.  */
+#define CLAIM_AGAIN_US (200 * US_PER_MS)
+/** Notes handed over in one tick.  */
+#define SYNC_COUNT 400
 
-/** One key.  Invariant: it is in the list of ended notes, in the order of
-    their ends, or its request is unanswered.  */
+/** One key.  */
 struct keyed_note
 {
-  TAILQ_ENTRY (keyed_note) link;
+  TAILQ_ENTRY (keyed_note) link; /**< In all, in the order of arrival.  */
+  uint8_t digest[DIGEST_BYTES];
+  uint64_t owner_incarnation;
+  uint64_t claim_id;
   bool ended;
   struct action_answer answer; /**< Once ended; holds its body.  */
-  uint64_t ended_us;
+  uint64_t changed_us;
+  struct request *request; /**< This entry's own, unanswered; or NULL.  */
+  uint64_t asked_us;       /**< When the last claim was sent.  */
+  uint64_t granted[HOLDER_LIMIT_COUNT]; /**< Holders that granted it.  */
+  uint32_t granted_count;
   uint64_t *repeats; /**< request_id of the callers that wait.  */
   uint32_t repeat_count;
-  char name[]; /**< Team, queue and key.  */
 };
 
 TAILQ_HEAD (note_list, keyed_note);
 
 struct keyed
 {
-  GHashTable *by_name;    /**< keyed_note.name to struct keyed_note.  */
-  struct note_list ended; /**< Oldest first.  */
-  uint64_t body_bytes;    /**< Of the answers kept.  */
+  GHashTable *by_digest;
+  struct note_list all;
+  struct keyed_note *sync; /**< Next to be handed over, or NULL.  */
+  uint64_t body_bytes;     /**< Of the answers kept.  */
+  uint64_t next_claim_id;
+  uint64_t asked_us; /**< When waiting claims were last gone through.  */
 };
 
+static guint
+hash_digest (gconstpointer key)
+{
+  guint h;
+
+  memcpy (&h, key, sizeof h);
+  return h;
+}
+
+static gboolean
+equal_digest (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, DIGEST_BYTES) == 0;
+}
+
 void
 core_keyed_open (struct core *c)
 {
   c->keyed = talloc_zero (c, struct keyed);
-  c->keyed->by_name = g_hash_table_new (g_str_hash, g_str_equal);
-  TAILQ_INIT (&c->keyed->ended);
+  c->keyed->by_digest = g_hash_table_new (hash_digest, equal_digest);
+  TAILQ_INIT (&c->keyed->all);
 }
 
 void
@@ -57,9 +92,9 @@
 {
   struct keyed_note *n;
 
-  TAILQ_FOREACH (n, &c->keyed->ended, link)
+  TAILQ_FOREACH (n, &c->keyed->all, link)
   blob_unref (n->answer.body);
-  g_hash_table_destroy (c->keyed->by_name);
+  g_hash_table_destroy (c->keyed->by_digest);
 }
 
 static void
@@ -75,21 +110,25 @@
 static void
 forget_note (struct keyed *k, struct keyed_note *n)
 {
-  if (n->ended)
-    TAILQ_REMOVE (&k->ended, n, link);
+  if (k->sync == n)
+    k->sync = TAILQ_NEXT (n, link);
+  TAILQ_REMOVE (&k->all, n, link);
   drop_body (k, n);
-  g_hash_table_remove (k->by_name, n->name);
+  g_hash_table_remove (k->by_digest, n->digest);
   talloc_free (n);
 }
 
-void
-core_keyed_tick (struct core *c)
+static struct keyed_note *
+make_note (struct core *c, const uint8_t *digest)
 {
-  struct keyed_note *n;
+  struct keyed *k = c->keyed;
+  struct keyed_note *n = talloc_zero (k, struct keyed_note);
 
-  while ((n = TAILQ_FIRST (&c->keyed->ended)) != NULL
-         && c->now_us - n->ended_us > KEEP_US)
-    forget_note (c->keyed, n);
+  memcpy (n->digest, digest, DIGEST_BYTES);
+  n->changed_us = c->now_us;
+  TAILQ_INSERT_TAIL (&k->all, n, link);
+  g_hash_table_insert (k->by_digest, n->digest, n);
+  return n;
 }
 
 static void
@@ -131,16 +170,23 @@
   n->repeats[n->repeat_count++] = request_id;
 }
 
-static struct keyed_note *
-make_note (struct keyed *k, const char *name)
+static void
+digest_of (const struct event_request *e, const char *team, uint8_t *digest)
 {
-  size_t size = strlen (name) + 1;
-  struct keyed_note *n
-      = talloc_zero_size (k, sizeof (struct keyed_note) + size);
+  char name[NOTE_NAME_BYTES];
 
-  memcpy (n->name, name, size);
-  g_hash_table_insert (k->by_name, n->name, n);
-  return n;
+  snprintf (name, sizeof name, "%s\n%s\n%s", team, e->queue,
+            e->idempotency_key);
+  crypto_generichash (digest, DIGEST_BYTES, (const uint8_t *)name,
+                      strlen (name), NULL, 0);
+}
+
+/* Returns true if the note stands for a request of this entry: only then is
+   there an end that answers the repeats.  */
+static bool
+is_mine (const struct keyed_note *n)
+{
+  return n->request != NULL;
 }
 
 bool
@@ -148,26 +194,31 @@
                   const char *team, struct keyed_note **note)
 {
   struct keyed *k = c->keyed;
-  char name[NOTE_NAME_BYTES];
+  uint8_t digest[DIGEST_BYTES];
   struct keyed_note *n;
 
   *note = NULL;
   if (e->idempotency_key[0] == '\0')
     return true;
-  snprintf (name, sizeof name, "%s\n%s\n%s", team, e->queue,
-            e->idempotency_key);
-  n = g_hash_table_lookup (k->by_name, name);
-  if (n != NULL)
+  digest_of (e, team, digest);
+  n = g_hash_table_lookup (k->by_digest, digest);
+  if (n != NULL && (n->ended || is_mine (n)))
     {
       add_repeat (c, n, e->request_id);
       return false;
     }
-  if (g_hash_table_size (k->by_name) >= NOTE_LIMIT_COUNT)
+  if (n == NULL && g_hash_table_size (k->by_digest) >= NOTE_LIMIT_COUNT)
     {
-      refuse_repeat (c, e->request_id, ANSWER_QUEUE_FULL);
+      refuse_repeat (c, e->request_id, ANSWER_UNKNOWN);
       return false;
     }
-  *note = make_note (k, name);
+  if (n == NULL)
+    {
+      n = make_note (c, digest);
+      n->owner_incarnation = c->incarnation;
+      n->claim_id = ++k->next_claim_id;
+    }
+  *note = n;
   return true;
 }
 
@@ -177,6 +228,106 @@
   return note->repeat_count > 0;
 }
 
+static struct peer_key *
+send_key (struct core *c, enum peer_kind kind, uint64_t to,
+          const struct keyed_note *n, enum key_state state)
+{
+  struct action *a = actions_add (c->out, ACTION_PEER);
+  struct peer_key *k = &a->u.peer.u.key;
+
+  a->u.peer.kind = kind;
+  a->u.peer.from_incarnation = c->incarnation;
+  a->u.peer.to_incarnation = to;
+  memcpy (k->digest, n->digest, DIGEST_BYTES);
+  k->owner_incarnation = n->owner_incarnation;
+  k->claim_id = n->claim_id;
+  k->state = state;
+  if (state != KEY_ENDED)
+    return k;
+  k->code = n->answer.code;
+  k->http_status = n->answer.http_status;
+  if (n->answer.body == NULL)
+    return k;
+  if (n->answer.body->size_bytes <= COPY_LIMIT_BYTES)
+    k->body = blob_ref (n->answer.body);
+  else
+    k->code = ANSWER_UNKNOWN;
+  return k;
+}
+
+static bool
+has_granted (const struct keyed_note *n, uint64_t incarnation)
+{
+  uint32_t i;
+
+  for (i = 0; i < n->granted_count; i++)
+    if (n->granted[i] == incarnation)
+      return true;
+  return false;
+}
+
+/* Asks the next holder.  Returns true if all have granted the key.  */
+static bool
+ask_next (struct core *c, struct keyed_note *n, struct holders *h)
+{
+  uint32_t i;
+
+  core_home_find (c, n->digest, h);
+  if (h->item_count == 0)
+    return false;
+  for (i = 0; i < h->item_count; i++)
+    {
+      bool own = h->items[i] == c->incarnation;
+
+      if (own && n->owner_incarnation != c->incarnation)
+        return false;
+      if (own || has_granted (n, h->items[i]))
+        continue;
+      n->asked_us = c->now_us;
+      send_key (c, PEER_CLAIM, h->items[i], n, KEY_OPEN);
+      return false;
+    }
+  return true;
+}
+
+bool
+core_keyed_claim (struct core *c, struct request *r)
+{
+  struct keyed_note *n = r->note;
+  struct holders h;
+
+  n->request = r;
+  r->state = REQUEST_CLAIMING;
+  if (core_home_tick (c))
+    core_keyed_sync (c);
+  return ask_next (c, n, &h) && !h.in_doubt;
+}
+
+/* Goes on with the claim of N's request, or ends it.  */
+static void
+go_on (struct core *c, struct keyed_note *n)
+{
+  struct request *r = n->request;
+  struct pool_state *p = core_pool_of_queue (c, r->queue);
+  struct holders h;
+  bool granted = ask_next (c, n, &h);
+
+  if (h.in_doubt)
+    {
+      core_refuse (c, r, ANSWER_UNKNOWN);
+      return;
+    }
+  if (!granted)
+    return;
+  if (p == NULL)
+    {
+      core_refuse (c, r, ANSWER_NO_QUEUE);
+      return;
+    }
+  core_enqueue (c, p, r);
+  core_dispatch_all (c);
+}
+
 static void
 keep_answer (struct core *c, struct keyed_note *n,
              const struct action_answer *a)
@@ -185,30 +336,320 @@
   struct keyed_note *old;
 
   n->ended = true;
-  n->ended_us = c->now_us;
+  n->changed_us = c->now_us;
   n->answer = *a;
   if (blob_ref (a->body) != NULL)
     k->body_bytes += a->body->size_bytes;
-  TAILQ_INSERT_TAIL (&k->ended, n, link);
   /* An ended note without its body costs little; the key stays known.  */
-  for (old = TAILQ_FIRST (&k->ended);
+  for (old = TAILQ_FIRST (&k->all);
        old != NULL && k->body_bytes > BODY_LIMIT_BYTES;
        old = TAILQ_NEXT (old, link))
     drop_body (k, old);
 }
 
+static void
+tell_holders (struct core *c, const struct keyed_note *n, enum key_state state)
+{
+  uint32_t i;
+
+  if (n->owner_incarnation != c->incarnation)
+    return;
+  for (i = 0; i < n->granted_count; i++)
+    send_key (c, PEER_NOTE, n->granted[i], n, state);
+}
+
+/* True if the key's owner, this entry, has never sent it.  */
+static bool
+is_unrun (const struct core *c, const struct keyed_note *n,
+          const struct action_answer *a, enum request_state state)
+{
+  return n->owner_incarnation == c->incarnation
+         && (state == REQUEST_CLAIMING
+             || strcmp (answer_code_run (a->code), "no") == 0);
+}
+
 void
 core_keyed_end (struct core *c, struct keyed_note *n,
                 const struct action_answer *a)
 {
+  enum request_state state = n->request->state;
   uint32_t i;
 
   for (i = 0; i < n->repeat_count; i++)
     answer_repeat (c, n->repeats[i], a);
   TALLOC_FREE (n->repeats);
   n->repeat_count = 0;
-  if (strcmp (answer_code_run (a->code), "no") == 0)
+  n->request = NULL;
+  if (is_unrun (c, n, a, state))
+    {
+      tell_holders (c, n, KEY_NOT_RUN);
+      forget_note (c->keyed, n);
+      return;
+    }
+  if (n->ended || n->owner_incarnation != c->incarnation)
+    return;
+  keep_answer (c, n, a);
+  tell_holders (c, n, KEY_ENDED);
+}
+
+/* Gives the first answer, learnt from elsewhere, to this entry's callers.  */
+static void
+settle (struct core *c, struct keyed_note *n)
+{
+  struct action_answer a = n->answer;
+
+  if (n->request == NULL)
+    return;
+  blob_ref (a.body);
+  core_answer (c, n->request, &a);
+}
+
+static void
+learn_answer (struct core *c, struct keyed_note *n, const struct peer_key *k)
+{
+  struct action_answer a = { .code = ANSWER_UNKNOWN };
+
+  if (n->ended)
+    return;
+  if (k->code < ANSWER_CODE_COUNT)
+    a.code = (enum answer_code)k->code;
+  a.http_status = k->http_status;
+  a.body = a.code == ANSWER_WORKER ? k->body : NULL;
+  n->owner_incarnation = k->owner_incarnation;
+  n->claim_id = k->claim_id;
+  keep_answer (c, n, &a);
+  settle (c, n);
+}
+
+/* True if this entry's own claim must give way: the home has not granted it,
+   so the other claimant, who asks the home first, has its grant.  */
+static bool
+gives_way (struct core *c, const struct keyed_note *n)
+{
+  struct holders h;
+
+  if (n->request == NULL || n->request->state != REQUEST_CLAIMING
+      || n->owner_incarnation != c->incarnation)
+    return false;
+  core_home_find (c, n->digest, &h);
+  return h.item_count > 0 && h.items[0] != c->incarnation
+         && !has_granted (n, h.items[0]);
+}
+
+static enum key_state
+judge_claim (struct core *c, struct keyed_note **note,
+             const struct peer_message *m)
+{
+  const struct peer_key *k = &m->u.key;
+  struct keyed_note *n = *note;
+  struct holders h;
+
+  if (n != NULL && n->ended)
+    return KEY_ENDED;
+  if (n == NULL)
+    {
+      core_home_find (c, k->digest, &h);
+      if (h.in_doubt)
+        return KEY_IN_DOUBT;
+      n = *note = make_note (c, k->digest);
+    }
+  else if (n->owner_incarnation != m->from_incarnation && !gives_way (c, n))
+    return KEY_OPEN;
+  n->owner_incarnation = m->from_incarnation;
+  n->claim_id = k->claim_id;
+  return KEY_GRANTED;
+}
+
+static void
+on_claim (struct core *c, struct keyed_note *n, const struct peer_message *m)
+{
+  enum key_state state = judge_claim (c, &n, m);
+  struct keyed_note nothing = { 0 };
+  struct peer_key *reply;
+
+  if (n == NULL)
+    {
+      memcpy (nothing.digest, m->u.key.digest, DIGEST_BYTES);
+      n = &nothing;
+    }
+  reply = send_key (c, PEER_CLAIMED, m->from_incarnation, n, state);
+  if (state != KEY_ENDED)
+    reply->claim_id = m->u.key.claim_id;
+}
+
+static void
+on_claimed (struct core *c, struct keyed_note *n, const struct peer_message *m)
+{
+  const struct peer_key *k = &m->u.key;
+
+  if (n == NULL || n->request == NULL || n->request->state != REQUEST_CLAIMING)
+    return;
+  switch (k->state)
+    {
+    case KEY_ENDED:
+      learn_answer (c, n, k);
+      break;
+    case KEY_IN_DOUBT:
+      core_refuse (c, n->request, ANSWER_UNKNOWN);
+      break;
+    case KEY_GRANTED:
+      if (k->claim_id != n->claim_id || n->granted_count >= HOLDER_LIMIT_COUNT
+          || n->owner_incarnation != c->incarnation)
+        break;
+      if (!has_granted (n, m->from_incarnation))
+        n->granted[n->granted_count++] = m->from_incarnation;
+      go_on (c, n);
+      break;
+    case KEY_OPEN:
+    case KEY_NOT_RUN:
+      /* Asked again by the tick.  */
+      break;
+    }
+}
+
+static void
+on_note (struct core *c, struct keyed_note *n, const struct peer_message *m)
+{
+  const struct peer_key *k = &m->u.key;
+
+  if (k->state == KEY_NOT_RUN)
+    {
+      if (n == NULL || n->ended || n->owner_incarnation != m->from_incarnation
+          || n->claim_id != k->claim_id)
+        return;
+      if (n->request == NULL)
+        {
+          forget_note (c->keyed, n);
+          return;
+        }
+      /* This entry's own request takes the key over.  */
+      n->owner_incarnation = c->incarnation;
+      n->claim_id = ++c->keyed->next_claim_id;
+      n->granted_count = 0;
+      return;
+    }
+  if (n == NULL)
+    {
+      n = make_note (c, k->digest);
+      n->owner_incarnation = k->owner_incarnation;
+      n->claim_id = k->claim_id;
+    }
+  if (k->state == KEY_ENDED)
+    learn_answer (c, n, k);
+}
+
+void
+core_keyed_on_peer (struct core *c, const struct peer_message *m)
+{
+  struct keyed_note *n
+      = g_hash_table_lookup (c->keyed->by_digest, m->u.key.digest);
+
+  switch (m->kind)
+    {
+    case PEER_CLAIM:
+      on_claim (c, n, m);
+      break;
+    case PEER_CLAIMED:
+      on_claimed (c, n, m);
+      break;
+    case PEER_NOTE:
+      on_note (c, n, m);
+      break;
+    default:
+      break;
+    }
+}
+
+/* The owner is gone: nobody will tell the end.  */
+static void
+close_orphan (struct core *c, struct keyed_note *n)
+{
+  struct action_answer unknown = { .code = ANSWER_UNKNOWN };
+
+  if (n->ended || core_home_is_member (c, n->owner_incarnation))
+    return;
+  keep_answer (c, n, &unknown);
+  settle (c, n);
+}
+
+static void
+hand_over (struct core *c, struct keyed_note *n)
+{
+  struct holders h;
+  uint32_t i;
+
+  core_home_find (c, n->digest, &h);
+  for (i = 0; i < h.item_count; i++)
+    if (h.items[i] != c->incarnation && !has_granted (n, h.items[i]))
+      send_key (c, PEER_NOTE, h.items[i], n, n->ended ? KEY_ENDED : KEY_OPEN);
+}
+
+void
+core_keyed_sync (struct core *c)
+{
+  c->keyed->sync = TAILQ_FIRST (&c->keyed->all);
+}
+
+bool
+core_keyed_is_syncing (const struct core *c)
+{
+  return c->keyed->sync != NULL;
+}
+
+static void
+sync_some (struct core *c)
+{
+  struct keyed *k = c->keyed;
+  uint32_t i;
+
+  for (i = 0; i < SYNC_COUNT && k->sync != NULL; i++)
+    {
+      struct keyed_note *n = k->sync;
+
+      k->sync = TAILQ_NEXT (n, link);
+      close_orphan (c, n);
+      hand_over (c, n);
+    }
+}
+
+/* Asks again for claims that have waited long enough.  */
+static void
+ask_again (struct core *c)
+{
+  struct keyed *k = c->keyed;
+  GHashTableIter it;
+  gpointer value;
+  GPtrArray *due;
+  guint i;
+
+  if (c->now_us - k->asked_us < CLAIM_AGAIN_US)
+    return;
+  k->asked_us = c->now_us;
+  due = g_ptr_array_new ();
+  g_hash_table_iter_init (&it, c->requests);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct request *r = value;
+
+      if (r->state == REQUEST_CLAIMING
+          && c->now_us - r->note->asked_us >= CLAIM_AGAIN_US)
+        g_ptr_array_add (due, r->note);
+    }
+  for (i = 0; i < due->len; i++)
+    go_on (c, g_ptr_array_index (due, i));
+  g_ptr_array_free (due, TRUE);
+}
+
+void
+core_keyed_tick (struct core *c)
+{
+  struct keyed_note *n;
+
+  while ((n = TAILQ_FIRST (&c->keyed->all)) != NULL && n->request == NULL
+         && c->now_us - n->changed_us > KEEP_US)
     forget_note (c->keyed, n);
-  else
-    keep_answer (c, n, a);
+  if (core_home_tick (c))
+    core_keyed_sync (c);
+  sync_some (c);
+  ask_again (c);
 }
--- a/core/membership.c
+++ b/core/membership.c
@@ -183,6 +183,7 @@
       break;
     case RECORD_LEAVE:
       core_note (c, NOTE_MEMBER_LEFT, r->u.leave.vm, offset);
+      core_home_left (c, r->u.leave.incarnation);
       core_adopt_members (c);
       core_check_own_membership (c);
       break;
@@ -252,7 +253,8 @@
 void
 core_check_stop (struct core *c)
 {
-  bool drained = c->running_count == 0 && g_hash_table_size (c->requests) == 0;
+  bool drained = c->running_count == 0 && g_hash_table_size (c->requests) == 0
+                 && !core_keyed_is_syncing (c);
 
   if (c->leave_sent || (!drained && c->now_us < c->stop_deadline_us))
     return;
--- a/core/peer_input.c
+++ b/core/peer_input.c
@@ -9,8 +9,7 @@
 {
   if (c->incarnation == 0 || m->to_incarnation != c->incarnation)
     {
-      if (m->kind == PEER_RECORD)
-        blob_unref (m->u.record.raw);
+      peer_message_drop_blobs (m);
       return;
     }
   switch (m->kind)
@@ -21,6 +20,12 @@
     case PEER_RECORD:
       core_take_record (c, &m->u.record, false);
       break;
+    case PEER_CLAIM:
+    case PEER_CLAIMED:
+    case PEER_NOTE:
+      core_keyed_on_peer (c, m);
+      peer_message_drop_blobs (m);
+      break;
     case PEER_DEMAND:
     case PEER_TRANSFER:
     case PEER_ACK:
--- a/core/request.c
+++ b/core/request.c
@@ -70,6 +70,7 @@
     case REQUEST_BACKING_OFF:
       TAILQ_REMOVE (&c->backing_off, r, link);
       break;
+    case REQUEST_CLAIMING:
     case REQUEST_RUNNING:
     case REQUEST_LATE:
       break;
@@ -86,7 +87,8 @@
   if (r->state == REQUEST_RUNNING)
     core_answer (c, r, &late);
   else
-    core_refuse (c, r, code);
+    /* Another entry may have run the key that this one asks for.  */
+    core_refuse (c, r, r->state == REQUEST_CLAIMING ? ANSWER_UNKNOWN : code);
 }
 
 /* Returns why a request may not be taken, or ANSWER_WORKER if it may.  */
@@ -174,6 +176,8 @@
     }
   r = make_request (c, e, route, team);
   r->note = note;
+  if (note != NULL && !core_keyed_claim (c, r))
+    return;
   core_enqueue (c, &c->pools[route->pool_index], r);
   core_dispatch_pool (c, route->pool_index);
 }
--- a/core/state.h
+++ b/core/state.h
@@ -16,6 +16,7 @@
 /** Where a request stands (tag of its life).  */
 enum request_state
 {
+  REQUEST_CLAIMING,    /**< Its key is not yet granted by all holders.  */
   REQUEST_WAITING,     /**< In a pool's queue.  */
   REQUEST_RUNNING,     /**< An attempt is out.  */
   REQUEST_BACKING_OFF, /**< Waits in core.backing_off for its next attempt.  */
@@ -30,9 +31,21 @@
   OUTCOME_FAILURE
 };
 
+struct home;
 struct keyed;
 struct keyed_note;
 
+/** Most holders of a key.  */
+#define HOLDER_LIMIT_COUNT 8
+
+/** Who keeps a key, highest rank first.  */
+struct holders
+{
+  uint64_t items[HOLDER_LIMIT_COUNT]; /**< Incarnations.  */
+  uint32_t item_count;
+  bool in_doubt; /**< Notes of it may be lost.  */
+};
+
 /** One caller's request; everything it needs hangs below it (its arena).  */
 struct request
 {
@@ -157,6 +170,7 @@
   uint64_t next_command; /**< Counts this process's command ids.  */
   GHashTable *requests;  /**< request_id to struct request, unanswered.  */
   GHashTable *attempts;  /**< attempt_id to struct request.  */
+  struct home *home;     /**< Who keeps keys.  */
   struct keyed *keyed;   /**< First answers by Idempotency-Key.  */
   struct request_list backing_off;
   uint64_t next_deadline_us; /**< No unanswered request has an earlier one.  */
@@ -285,6 +299,20 @@
 bool core_request_avoids (const struct core *c, const struct request *r,
                           uint32_t vm_index);
 
+/* homes of keys, home.c */
+
+/** Opens the empty list of members.  */
+void core_home_open (struct core *c);
+/** Takes over the members; returns true if they changed.  */
+bool core_home_tick (struct core *c);
+/** Notes that a member left in good order.  */
+void core_home_left (struct core *c, uint64_t incarnation);
+/** Returns true if INCARNATION is a member.  */
+bool core_home_is_member (struct core *c, uint64_t incarnation);
+/** Writes to OUT who keeps the key of DIGEST.  */
+void core_home_find (struct core *c, const uint8_t *digest,
+                     struct holders *out);
+
 /* idempotency keys, keyed.c */
 
 /** Opens the empty table of notes.  */
@@ -298,6 +326,15 @@
     NOTE or NULL when it has no key.  */
 bool core_keyed_begin (struct core *c, const struct event_request *e,
                        const char *team, struct keyed_note **note);
+/** Asks the holders of R's key.  Returns true if all have granted it;
+    otherwise R is REQUEST_CLAIMING.  */
+bool core_keyed_claim (struct core *c, struct request *r);
+/** Takes a PEER_CLAIM, PEER_CLAIMED or PEER_NOTE.  */
+void core_keyed_on_peer (struct core *c, const struct peer_message *m);
+/** Starts handing all notes to their holders.  */
+void core_keyed_sync (struct core *c);
+/** Returns true while notes are being handed over.  */
+bool core_keyed_is_syncing (const struct core *c);
 /** Keeps A as the first answer of NOTE and gives it to the repeats.  */
 void core_keyed_end (struct core *c, struct keyed_note *note,
                      const struct action_answer *a);
--- a/port/action.h
+++ b/port/action.h
@@ -81,8 +81,8 @@
   NOTE_VM_MOVED,          /**< A VM is in another pool.  */
   NOTE_COMMAND_REJECTED,  /**< A drain, move or wave was refused.  */
   NOTE_OPERATION_REFUSED, /**< The platform refused an operation.  */
-  NOTE_SET_ASIDE,  /**< A worker is set aside for failing.  */
-  NOTE_LET_BACK,   /**< A worker takes its whole load again.  */
+  NOTE_SET_ASIDE,         /**< A worker is set aside for failing.  */
+  NOTE_LET_BACK,          /**< A worker takes its whole load again.  */
   NOTE_KIND_COUNT
 };
 
@@ -149,11 +149,11 @@
   COUNTER_BAD_PEER_FRAMES,   /**< Refused hellos and frames of peers.  */
   COUNTER_RELAYED_RECORDS,   /**< Records passed on to members.  */
   COUNTER_STATE_DIFFERENCES, /**< Checkpoints that differ from this state.  */
-  COUNTER_RETRIES,      /**< Attempts after the first of a request.  */
-  COUNTER_RETRY_DENIED, /**< Retries that the budget did not allow.  */
-  COUNTER_SET_ASIDE,    /**< Workers set aside for failing.  */
-  COUNTER_LATE_ENDS,    /**< Attempts that ended after their answer.  */
-  COUNTER_REPEATS,      /**< Repeats by Idempotency-Key.  */
+  COUNTER_RETRIES,           /**< Attempts after the first of a request.  */
+  COUNTER_RETRY_DENIED,      /**< Retries that the budget did not allow.  */
+  COUNTER_SET_ASIDE,         /**< Workers set aside for failing.  */
+  COUNTER_LATE_ENDS,         /**< Attempts that ended after their answer.  */
+  COUNTER_REPEATS,           /**< Repeats by Idempotency-Key.  */
   COUNTER_KIND_COUNT
 };
 
--- a/port/peer_message.c
+++ b/port/peer_message.c
@@ -4,13 +4,36 @@
 
 #include <talloc.h>
 
+void
+peer_message_drop_blobs (struct peer_message *m)
+{
+  switch (m->kind)
+    {
+    case PEER_RECORD:
+      blob_unref (m->u.record.raw);
+      m->u.record.raw = NULL;
+      break;
+    case PEER_CLAIM:
+    case PEER_CLAIMED:
+    case PEER_NOTE:
+      blob_unref (m->u.key.body);
+      m->u.key.body = NULL;
+      break;
+    case PEER_STATUS:
+    case PEER_DEMAND:
+    case PEER_TRANSFER:
+    case PEER_ACK:
+    case PEER_ASK:
+      break;
+    }
+}
+
 void
 peer_message_drop (struct peer_message *m)
 {
+  peer_message_drop_blobs (m);
   if (m->kind != PEER_RECORD)
     return;
-  blob_unref (m->u.record.raw);
   talloc_free (m->u.record.record);
-  m->u.record.raw = NULL;
   m->u.record.record = NULL;
 }
--- a/port/peer_message.h
+++ b/port/peer_message.h
@@ -28,7 +28,10 @@
   PEER_TRANSFER, /**< Tokens given; resent until acknowledged.  */
   PEER_ACK,      /**< Transfers received up to a sequence number.  */
   PEER_ASK,      /**< A request for tokens.  */
-  PEER_RECORD    /**< A record that the receiver has not read.  */
+  PEER_RECORD,   /**< A record that the receiver has not read.  */
+  PEER_CLAIM,    /**< Asks a holder of an idempotency key to let it be run.  */
+  PEER_CLAIMED,  /**< The answer to a claim.  */
+  PEER_NOTE      /**< What a holder must know of a key.  */
 };
 
 struct peer_status
@@ -79,6 +82,28 @@
                             */
 };
 
+/** What is known of an idempotency key.  */
+enum key_state
+{
+  KEY_GRANTED, /**< The claimant may run it.  */
+  KEY_OPEN,    /**< Its owner runs it.  */
+  KEY_ENDED,   /**< It has its first answer.  */
+  KEY_NOT_RUN, /**< Its owner gave it up unrun; it may be forgotten.  */
+  KEY_IN_DOUBT /**< Those who knew are lost; it may not be run.  */
+};
+
+/** PEER_CLAIM, PEER_CLAIMED and PEER_NOTE.  */
+struct peer_key
+{
+  uint8_t digest[DIGEST_BYTES]; /**< Of team, queue and key.  */
+  uint64_t owner_incarnation;   /**< Who runs it.  */
+  uint64_t claim_id;            /**< Counts the owner's claims.  */
+  enum key_state state;
+  uint32_t code;        /**< enum answer_code, once ended.  */
+  uint32_t http_status; /**< The worker's; 0 if none.  */
+  struct blob *body;    /**< One reference, or NULL.  */
+};
+
 struct peer_message
 {
   uint64_t from_incarnation; /**< Sender: offset of its join record, plus 1. */
@@ -92,9 +117,13 @@
     struct peer_ack ack;
     struct peer_ask ask;
     struct peer_record record;
+    struct peer_key key;
   } u;
 };
 
+/** Drops the blobs of M, a received message: the rest is the event's.  */
+void peer_message_drop_blobs (struct peer_message *m);
+
 /** Drops what M holds.  */
 void peer_message_drop (struct peer_message *m);
 
--- a/tests/test_delivery.c
+++ b/tests/test_delivery.c
@@ -19,6 +19,7 @@
 #define REPEAT_LIMIT 400
 #define REPEAT_US 25000
 #define CALL_MS 8000
+#define LOSSES_APART_US 2500000
 
 /* What a caller was told of its ticket.  */
 enum told
@@ -96,6 +97,12 @@
   return t;
 }
 
+static guint16
+entry_port (guint i)
+{
+  return cluster_entry_port (cluster, i % cluster->entry_count);
+}
+
 /* Sends ticket I until some entry gives a whole answer.  */
 static enum told
 send_ticket (CURL *easy, gint i)
@@ -109,9 +116,7 @@
     {
       if (k > 0)
         g_usleep (REPEAT_US);
-      t = post_once (
-          easy, cluster_entry_port (cluster, (guint)i % cluster->entry_count),
-          "bills", key, text);
+      t = post_once (easy, entry_port ((guint)i + k), "bills", key, text);
     }
   g_free (text);
   g_free (key);
@@ -158,10 +163,19 @@
   cluster_start_worker (cluster);
 }
 
+static void
+kill_entry (guint i, gulong ms)
+{
+  cluster_signal_entry (cluster, i, SIGKILL);
+  g_usleep (ms * 1000);
+  cluster_start_entry (cluster, i);
+}
+
 /* Every fault alone and then some in pairs.  */
 static void
 make_faults (void)
 {
+  kill_entry (0, 200);
   fault_for (cluster->worker_port, "reset", 200);
   fault_for (cluster->worker_port, "cut_half", 200);
   fault_for (cluster->worker_port, "cross", 200);
@@ -179,6 +193,12 @@
   cluster_fault (cluster->worker_port, "reset", 0);
   freeze (cluster->worker, 200);
   kill_workers (200);
+  /* Notes of the first entry killed are back at two holders by now.  */
+  g_usleep (LOSSES_APART_US);
+  cluster_fault (cluster->worker_port, "reset", 1);
+  kill_entry (1, 100);
+  cluster_fault (cluster->worker_port, "reset", 0);
+  freeze (cluster->entries[2], 300);
 }
 
 /* Returns how often each ticket was run, by the workers' record.  */
