Limits without a coordinator: token ledger, shares, fair queues

Change: core/issue, ledger, limit, exchange, transfer, share, pool_queue, deadline, estimate; RECORD_SETTLE; the issue is part of checkpoints; requests that no VM fits are refused; retry_after from measured run times.

--- a/core/attempt.c
+++ b/core/attempt.c
@@ -167,6 +167,8 @@
   r->attempt_id = 0;
   count_health (c, r, e);
   core_release (c, r);
+  if (e->outcome == ATTEMPT_ANSWERED)
+    core_measure_run (c, r, e->elapsed_us);
   if (r->state == REQUEST_LATE)
     on_late_end (c, r, e);
   else
--- a/core/core.c
+++ b/core/core.c
@@ -37,6 +37,8 @@
   TAILQ_INIT (&c->backing_off);
   core_home_open (c);
   core_keyed_open (c);
+  c->limits = limit_state_new (c);
+  deadline_init (&c->deadlines);
   talloc_set_destructor (c, core_free);
   return c;
 }
@@ -143,6 +145,7 @@
       core_on_operation (c, &e->u.operation);
       break;
     }
+  core_limit_flush (c);
   if (c->stopping)
     core_check_stop (c);
 }
--- a/core/health.c
+++ b/core/health.c
@@ -269,6 +269,7 @@
           && (c->wake_us == 0 || h->aside_until_us < c->wake_us))
         c->wake_us = h->aside_until_us;
     }
+  core_mark_all (c);
   core_dispatch_all (c);
   /* What still waits may be kept from a worker for a while.  */
   if (c->waiting_count > 0
--- a/core/request.c
+++ b/core/request.c
@@ -112,7 +112,9 @@
     return ANSWER_TOO_LARGE;
   if (r->route_class == ROUTE_JOB)
     return ANSWER_NOT_SUPPORTED;
-  if (c->pools[r->pool_index].waiting_count >= r->queue_limit_count)
+  if (!core_route_fits (c, r))
+    return ANSWER_CANNOT_FIT;
+  if (c->pools[r->pool_index].queue.waiting_count >= r->queue_limit_count)
     return ANSWER_QUEUE_FULL;
   return ANSWER_WORKER;
 }
@@ -147,6 +149,9 @@
   a->u.answer.request_id = e->request_id;
   a->u.answer.code = code;
   a->u.answer.retry_after_ms = again ? RETRY_AFTER_MS : 0;
+  if (code == ANSWER_QUEUE_FULL)
+    a->u.answer.retry_after_ms
+        = core_retry_after_ms (c, control_find_route (c->control, e->queue));
   count_answer (c, code);
   blob_unref (e->body);
 }
@@ -194,6 +199,12 @@
   give_up (c, r, ANSWER_CANCELLED);
 }
 
+void
+core_expire_request (struct core *c, struct request *r)
+{
+  give_up (c, r, ANSWER_EXPIRED);
+}
+
 static int
 compare_requests (const void *a, const void *b)
 {
--- a/core/state.h
+++ b/core/state.h
@@ -7,6 +7,8 @@
 #include "core/core.h"
 #include "core/vm_control.h"
 #include "core/retry.h"
+#include "core/deadline.h"
+#include "core/limit.h"
 
 #include <sys/queue.h>
 
@@ -50,6 +52,12 @@
 struct request
 {
   TAILQ_ENTRY (request) link; /**< In its pool's queue or backing_off.  */
+  TAILQ_ENTRY (request) deadline_link; /**< In the wheel while waiting.  */
+  uint64_t deadline_turn;              /**< Its slot in the wheel.  */
+  uint64_t arrival;                    /**< Order of arrival on this entry.  */
+  uint32_t team_index; /**< In the tables; team_count: no team.  */
+  int32_t route_index; /**< In the tables; -1: route is gone.  */
+  bool urgent;         /**< Goes before others of its team.  */
   uint64_t request_id;
   uint64_t attempt_id; /**< 0 unless running.  */
   uint64_t deadline_us;
@@ -69,14 +77,18 @@
   struct blob *body;       /**< NULL once answered.  */
 };
 
-TAILQ_HEAD (request_list, request);
-
 /** One pool's queue on this entry, matched by name over configurations.  */
 struct pool_state
 {
   char name[NAME_BYTES];
-  struct request_list waiting;
-  uint32_t waiting_count;
+  struct pool_queue queue;
+  uint32_t *team_running_count; /**< By team; the last: no team.  */
+  uint64_t *team_pass; /**< Run time started, for its weight, by team.  */
+  uint64_t pass_now;   /**< Pass of the team that started last.  */
+  uint32_t running_count;
+  uint32_t *vms; /**< Indices of its VMs.  */
+  uint32_t vm_count;
+  bool dirty; /**< Something may be able to start.  */
   struct retry_budget retry;
 };
 
@@ -95,6 +107,7 @@
   char name[NAME_BYTES];
   uint32_t running_count;
   struct vm_health health;
+  int32_t limit; /**< Index of its limit in the ledger.  */
 };
 
 /** One team on this entry.  */
@@ -103,6 +116,15 @@
   char name[NAME_BYTES];
   uint32_t running_count;
   uint32_t high_water_count;
+  int32_t limit; /**< Index of its limit in the ledger.  */
+};
+
+/** One queue on this entry, parallel to the tables' routes.  */
+struct route_state
+{
+  char queue[NAME_BYTES];
+  bool fits;        /**< Some VM is large enough for its requests.  */
+  uint32_t mean_us; /**< Measured run time, smoothed; 0: none yet.  */
 };
 
 /** Newest records kept for members that cannot read the log.  */
@@ -175,10 +197,14 @@
   struct request_list backing_off;
   uint64_t next_deadline_us; /**< No unanswered request has an earlier one.  */
   uint64_t wake_us; /**< When a worker may be fit again; 0: not awaited.  */
-  uint8_t *last_outcomes;   /**< enum queue_outcome, route by VM.  */
-  struct pool_state *pools; /**< Parallel to the tables' pools.  */
-  struct vm_state *vms;     /**< Parallel to the tables' vms.  */
-  struct team_state *teams; /**< Parallel to the tables' teams.  */
+  uint8_t *last_outcomes;          /**< enum queue_outcome, route by VM.  */
+  struct pool_state *pools;        /**< Parallel to the tables' pools.  */
+  struct vm_state *vms;            /**< Parallel to the tables' vms.  */
+  struct team_state *teams;        /**< Parallel to the tables' teams.  */
+  struct route_state *routes;      /**< Parallel to the tables' routes.  */
+  struct deadline_wheel deadlines; /**< Every waiting request.  */
+  struct limit_state *limits;      /**< Tokens and demand.  */
+  uint64_t next_arrival;
   uint32_t running_count;
   uint32_t waiting_count;
   uint64_t counters[COUNTER_KIND_COUNT];
@@ -275,6 +301,8 @@
 
 /* attempts on workers, attempt.c */
 
+/** Refuses R, which waited past its deadline.  */
+void core_expire_request (struct core *c, struct request *r);
 /** Sends R to the worker VM_INDEX.  */
 void core_start_attempt (struct core *c, struct request *r, uint32_t vm_index);
 /** Takes the end of an attempt.  */
@@ -384,13 +412,23 @@
 /** Rebuilds the tables that run parallel to the configuration.  */
 void core_adopt_config (struct core *c);
 
-/* limits, limit.c */
-
-/** Returns how many requests of team INDEX may run on this entry.  */
-uint32_t core_team_limit (const struct core *c, uint32_t index);
-/** Returns how many slots of VM INDEX this entry may fill.  */
-uint32_t core_vm_limit (const struct core *c, uint32_t index);
-/** Exchanges demand and tokens with the peers.  */
-void core_limit_tick (struct core *c);
+/** Finds the team and the route of R in the tables in force.  */
+void core_bind_request (struct core *c, struct request *r);
+/** Lets every pool with something waiting be looked at.  */
+void core_mark_all (struct core *c);
+
+/* measured run times, estimate.c */
+
+/** Learns from the end of an attempt of R, which took ELAPSED_US.  */
+void core_measure_run (struct core *c, const struct request *r,
+                       uint32_t elapsed_us);
+/** Returns when a caller of ROUTE, whose queue is full, should come back.  */
+uint32_t core_retry_after_ms (const struct core *c,
+                              const struct route_config *route);
+/** Returns false if no VM could ever run a request of ROUTE.  */
+bool core_route_fits (const struct core *c, const struct route_config *route);
+/** Returns true if VM has room for one request of ROUTE when idle.  */
+bool core_vm_fits (const struct vm_config *vm,
+                   const struct route_config *route);
 
 #endif
--- a/port/action.c
+++ b/port/action.c
@@ -123,6 +123,7 @@
     [NOTE_OPERATION_REFUSED] = "operation_refused",
     [NOTE_SET_ASIDE] = "set_aside",
     [NOTE_LET_BACK] = "let_back",
+    [NOTE_SETTLED] = "settled",
   };
 
   return names[k];
--- a/port/action.h
+++ b/port/action.h
@@ -83,6 +83,7 @@
   NOTE_OPERATION_REFUSED, /**< The platform refused an operation.  */
   NOTE_SET_ASIDE,         /**< A worker is set aside for failing.  */
   NOTE_LET_BACK,          /**< A worker takes its whole load again.  */
+  NOTE_SETTLED,           /**< A member closed its link with a gone one.  */
   NOTE_KIND_COUNT
 };
 
--- a/port/record.h
+++ b/port/record.h
@@ -7,6 +7,7 @@
 #define FTK_PORT_RECORD_H
 
 #include "port/config.h"
+#include "port/peer_message.h"
 
 enum record_kind
 {
@@ -27,7 +28,8 @@
   RECORD_RETURN,       /**< The VM serves again.  */
   RECORD_VM_LOST,      /**< The fleet list has dropped the VM.  */
   RECORD_VM_FOUND,     /**< The fleet list shows a lost VM live.  */
-  RECORD_MOVE          /**< Moves a VM to another pool.  */
+  RECORD_MOVE,         /**< Moves a VM to another pool.  */
+  RECORD_SETTLE        /**< A member closed its link with a gone one.  */
 };
 
 struct record_key
@@ -74,6 +76,36 @@
   char text[ID_BYTES];
 };
 
+/** A member's column; its tokens are one row per limit.  */
+struct issue_member
+{
+  uint64_t incarnation;
+  bool gone;            /**< Its process has ended.  */
+  uint64_t gone_offset; /**< Offset of the record that said so.  */
+  uint64_t lapse_ms;    /**< Log time when its last task lease has lapsed.  */
+  int64_t *tokens;      /**< By limit; negative: owed after a lowering.  */
+  uint64_t *settled;    /**< Live members that folded their link with it.  */
+  uint32_t settled_count;
+};
+
+struct issue_limit
+{
+  struct limit_ref ref;
+  int64_t total_count;    /**< The configured limit; 0 once removed.  */
+  int64_t unissued_count; /**< Kept while there is no live member.  */
+};
+
+/** What is issued, as one value.  */
+struct issue_table
+{
+  struct issue_limit *limits;
+  uint32_t limit_count;
+  struct issue_member *members; /**< Live and unsettled, by incarnation.  */
+  uint32_t member_count;
+  uint32_t longest_timeout_ms; /**< Of any route so far: the lease bound.  */
+  uint32_t reissue_count;      /**< Groups of gone members done with.  */
+};
+
 /** The control state that every record below next_offset has led to.  */
 struct checkpoint
 {
@@ -84,6 +116,7 @@
   struct key *keys;        /**< Sorted by digest.  */
   struct member *members;  /**< Sorted by incarnation.  */
   struct command_id *commands; /**< Ids applied last, oldest first.  */
+  struct issue_table issue;    /**< Tokens issued.  */
   uint32_t key_count;
   uint32_t member_count;
   uint32_t command_count;
@@ -117,6 +150,20 @@
   char to[NAME_BYTES];   /**< Pool that it goes to.  */
 };
 
+struct settle_item
+{
+  struct limit_ref limit;
+  int64_t token_count; /**< Received less given over the link.  */
+};
+
+struct record_settle
+{
+  uint64_t incarnation;      /**< The member that settles.  */
+  uint64_t gone_incarnation; /**< The member that is gone.  */
+  struct settle_item *items; /**< Amounts that are not 0.  */
+  uint32_t item_count;
+};
+
 struct record
 {
   char id[ID_BYTES]; /**< Chosen by the sender; applied once.  */
@@ -131,6 +178,7 @@
     struct record_wave wave;       /**< RECORD_WAVE_*.  */
     struct record_vm vm;           /**< RECORD_DRAIN to RECORD_VM_FOUND.  */
     struct record_move move;       /**< RECORD_MOVE.  */
+    struct record_settle settle;   /**< RECORD_SETTLE.  */
   } u;
 };
 
