Log stand-in: answer an append with the offset read under the lock

Cause: under TSan test_maintenance ended the stand-in by a data race of two appends on next_offset; the wave then waited for a log that was gone.

--- a/tests/standin/log.c
+++ b/tests/standin/log.c
@@ -22,6 +22,7 @@
 {
   json_t *list = json_loadb (x->body, x->body_bytes, 0, NULL);
   int64_t first;
+  int64_t next;
   json_t *data;
   size_t i;
 
@@ -42,11 +43,12 @@
                      "at_ms", (json_int_t)clock_ms (), "data", data);
     next_offset++;
   }
+  next = next_offset;
   pthread_cond_broadcast (&grown);
   pthread_mutex_unlock (&lock);
   json_decref (list);
   answer_set (x, 200, "{\"first\":%lld,\"next\":%lld}", (long long)first,
-              (long long)next_offset);
+              (long long)next);
 }
 
 static int64_t
