--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,16 @@
 CC = gcc
 CFLAGS = -O2 -g
 B = build
+PREFIX = /usr/local
+DESTDIR =
+VERSION := $(shell sed -n 's/^\#define FTK_VERSION "\(.*\)"/\1/p' include/fulmartack.h)
+SO_VERSION = 0
 PACKAGES = talloc tevent msgpack libmicrohttpd libcurl log4c glib-2.0 \
   jansson libsodium
 
 DEPS_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 DEPS_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null)
-ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -Werror -I. -Iinclude -pthread \
+ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -Werror -fPIC -I. -Iinclude -pthread \
   $(DEPS_CFLAGS) $(CFLAGS) $(SANITIZE)
 
 LIB_SRC := $(sort $(wildcard port/*.c core/*.c adapter/*.c))
@@ -22,6 +26,8 @@
   bench/*.[ch] examples/*.[ch]))
 
 LIB = $(B)/libfulmartack.a
+SO_NAME = libfulmartack.so.$(SO_VERSION)
+SO = $(B)/libfulmartack.so.$(VERSION)
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(B)/%)
 BENCHES = $(BENCH_SRC:bench/%.c=$(B)/%)
@@ -29,10 +35,10 @@
 PROGRAMS = $(B)/fulmartackd $(B)/fulmartackctl
 
 .PHONY: all deps demo check test lint format format-check bench clean \
-  update-expected record-traces sanitized
+  install check-install update-expected record-traces sanitized
 .SECONDARY:
 
-all: $(LIB) $(PROGRAMS) $(STANDINS) $(TESTS) $(BENCHES)
+all: $(LIB) $(SO) $(PROGRAMS) $(STANDINS) $(TESTS) $(BENCHES)
 
 deps:
 	@pkg-config --exists $(PACKAGES) \
@@ -40,7 +46,7 @@
 	  || { apt-get update -qq && DEBIAN_FRONTEND=noninteractive \
 	       apt-get install -y -qq $$(cat packages.txt) >/dev/null; }
 
-$(B)/%.o: %.c
+$(B)/%.o: %.c Makefile
 	@mkdir -p $(@D)
 	@$(CC) $(ALL_CFLAGS) -MMD -MP -c $< -o $@
 
@@ -48,6 +54,11 @@
 	@rm -f $@
 	@ar rcs $@ $^
 
+# Only the public functions are visible.
+$(SO): $(LIB_OBJ) contrib/libfulmartack.map
+	@$(CC) $(ALL_CFLAGS) -shared -Wl,-soname,$(SO_NAME) \
+	  -Wl,--version-script=contrib/libfulmartack.map $(LIB_OBJ) -o $@ $(DEPS_LIBS)
+
 $(B)/fulmartackd: $(B)/daemon/fulmartackd.o $(LIB)
 	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
 
@@ -74,9 +85,33 @@
 	$(MAKE) -j8 all
 	$(MAKE) lint
 	$(MAKE) test
+	$(MAKE) check-install
 	$(MAKE) sanitized
 	@tests/summary.sh
 
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/include \
+	  $(DESTDIR)$(PREFIX)/lib/pkgconfig $(DESTDIR)$(PREFIX)/lib/systemd/system \
+	  $(DESTDIR)$(PREFIX)/share/man/man1 $(DESTDIR)$(PREFIX)/share/man/man8 \
+	  $(DESTDIR)$(PREFIX)/share/doc/fulmartack/examples
+	install -m 755 $(PROGRAMS) $(DESTDIR)$(PREFIX)/bin
+	install -m 644 include/fulmartack.h $(DESTDIR)$(PREFIX)/include
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
+	install -m 755 $(SO) $(DESTDIR)$(PREFIX)/lib
+	ln -sf $(notdir $(SO)) $(DESTDIR)$(PREFIX)/lib/$(SO_NAME)
+	ln -sf $(SO_NAME) $(DESTDIR)$(PREFIX)/lib/libfulmartack.so
+	sed 's|@PREFIX@|$(PREFIX)|; s|@VERSION@|$(VERSION)|; s|@PACKAGES@|$(PACKAGES)|' \
+	  contrib/fulmartack.pc.in > $(DESTDIR)$(PREFIX)/lib/pkgconfig/fulmartack.pc
+	sed 's|/usr/local|$(PREFIX)|' contrib/fulmartackd.service \
+	  > $(DESTDIR)$(PREFIX)/lib/systemd/system/fulmartackd.service
+	install -m 644 man/fulmartackctl.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 man/fulmartackd.8 $(DESTDIR)$(PREFIX)/share/man/man8
+	install -m 644 examples/* $(DESTDIR)$(PREFIX)/share/doc/fulmartack/examples
+
+# Installs to a folder of the build and has the example compile against it.
+check-install: all
+	@tests/install.sh $(B)
+
 test: all
 	@tests/run.sh $(B)
 
