fulmartackctl enters a log at its checkpoint; expected output compared once

After the control plane came in, a log may have dropped its first records; fulmartackctl applied what was left to an empty state. It now reads the whole log and enters at the first checkpoint of use, and says so when there is none. Tables that are in force already are only waited for, also when the command's record was dropped.

Comparing with an .expected file stood in three tests; tests/expected.c has it once and prints the first line that differs instead of both texts.

--- a/ctl/apply.c
+++ b/ctl/apply.c
@@ -1,7 +1,8 @@
 /* apply.c -- fulmartackctl config apply.
 
    The command id is the digest of the document with its base version, so a
-   repeat after a lost answer finds the first try instead of adding one.  */
+   repeat after a lost answer finds the first try instead of adding one.
+   Tables that are in force already are only waited for.  */
 
 #include "ctl/ctl.h"
 
@@ -176,6 +177,16 @@
   return wait_in_force (mem, c, s);
 }
 
+static bool
+same_tables (const struct config *a, const struct config *b)
+{
+  json_t *changes = ctl_compare_tables (a, b);
+  bool same = json_array_size (changes) == 0;
+
+  json_decref (changes);
+  return same;
+}
+
 int
 ctl_config_apply (TALLOC_CTX *mem, struct ctl *c)
 {
@@ -192,6 +203,8 @@
     return EXIT_UNREACHABLE;
   if (f.seen)
     return conclude (mem, c, s, &f);
+  if (s->config != NULL && same_tables (s->config, tables))
+    return wait_in_force (mem, c, s);
   if (tables->base_version != s->config_version)
     {
       fprintf (stderr,
--- a/ctl/call.c
+++ b/ctl/call.c
@@ -13,7 +13,6 @@
 #define CALL_LIMIT_MS 5000
 #define CONNECT_LIMIT_MS 1000
 #define APPEND_TRY_COUNT 5
-#define READ_MAX_COUNT 1000
 #define URL_BYTES 256
 
 json_t *
@@ -57,77 +56,6 @@
   return answer;
 }
 
-static void
-apply_record (struct control *c, uint64_t offset, struct record *r,
-              struct command_fate *f)
-{
-  enum verdict v = control_apply (c, offset, r);
-
-  /* The first record of an id decides; later ones are repeats.  */
-  if (f == NULL || f->seen || strcmp (r->id, f->id) != 0)
-    return;
-  f->seen = true;
-  f->applied = v == VERDICT_APPLIED;
-  f->offset = offset;
-}
-
-static void
-apply_page (struct control *c, const json_t *page, struct command_fate *f)
-{
-  json_t *envelope;
-  size_t i;
-
-  json_array_foreach (json_object_get (page, "records"), i, envelope)
-  {
-    uint64_t offset
-        = (uint64_t)json_integer_value (json_object_get (envelope, "offset"));
-    struct record *r
-        = record_from_json (NULL, json_object_get (envelope, "data"));
-
-    if (r == NULL)
-      control_skip (c, offset);
-    else
-      apply_record (c, offset, r, f);
-    talloc_free (r);
-  }
-}
-
-struct control *
-ctl_read_fate (TALLOC_CTX *mem, const struct ctl *ctl, struct command_fate *f)
-{
-  struct control *c = control_new (mem);
-  uint64_t end = 1;
-
-  while (c->next_offset < end)
-    {
-      char path[URL_BYTES];
-      uint32_t status;
-      json_t *page;
-
-      snprintf (path, sizeof path,
-                "/v1/read?from=%" PRIu64 "&wait_ms=0&max=%d", c->next_offset,
-                READ_MAX_COUNT);
-      page = ctl_call ("GET", ctl->log, path, NULL, &status);
-      if (page == NULL || status != 200)
-        {
-          fprintf (stderr, "fulmartackctl: log %s did not answer\n", ctl->log);
-          json_decref (page);
-          talloc_free (c);
-          return NULL;
-        }
-      end = (uint64_t)json_integer_value (json_object_get (page, "next"));
-      apply_page (c, page, f);
-      json_decref (page);
-    }
-  return c;
-}
-
-struct control *
-ctl_read_log (TALLOC_CTX *mem, const struct ctl *c)
-{
-  return ctl_read_fate (mem, c, NULL);
-}
-
 bool
 ctl_append (const struct ctl *c, const json_t *record)
 {
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -92,6 +92,10 @@
 int ctl_config (struct ctl *c);
 int ctl_config_apply (TALLOC_CTX *mem, struct ctl *c);
 int ctl_config_diff (TALLOC_CTX *mem, struct ctl *c);
+
+/** Returns the changes from the tables A (NULL: none) to B as JSON.  */
+json_t *ctl_compare_tables (const struct config *a, const struct config *b);
+
 int ctl_key (struct ctl *c);
 int ctl_status (struct ctl *c);
 int ctl_timeline (struct ctl *c);
--- a/ctl/diff.c
+++ b/ctl/diff.c
@@ -151,6 +151,21 @@
   putchar ('\n');
 }
 
+json_t *
+ctl_compare_tables (const struct config *a, const struct config *b)
+{
+  json_t *changes = json_array ();
+  json_t *x = flat_tables (a);
+  json_t *y = flat_tables (b);
+  size_t i;
+
+  for (i = 0; i < sizeof tables / sizeof tables[0]; i++)
+    compare_table (&tables[i], x, y, changes);
+  json_decref (x);
+  json_decref (y);
+  return changes;
+}
+
 int
 ctl_config_diff (TALLOC_CTX *mem, struct ctl *c)
 {
@@ -158,8 +173,6 @@
   struct control *s;
   json_t *changes;
   json_t *change;
-  json_t *a;
-  json_t *b;
   size_t count;
   size_t i;
 
@@ -168,13 +181,7 @@
   s = ctl_read_log (mem, c);
   if (s == NULL)
     return EXIT_UNREACHABLE;
-  changes = json_array ();
-  a = flat_tables (s->config);
-  b = flat_tables (wanted);
-  for (i = 0; i < sizeof tables / sizeof tables[0]; i++)
-    compare_table (&tables[i], a, b, changes);
-  json_decref (a);
-  json_decref (b);
+  changes = ctl_compare_tables (s->config, wanted);
   count = json_array_size (changes);
   if (!c->json)
     json_array_foreach (changes, i, change) print_change (change);
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -5,6 +5,7 @@
      $ WORDS             runs fulmartackctl; "@" stands for tests/ctl
      fault log NAME N    switches a fault of the log
      signal I STOP|CONT  freezes or thaws entry I
+     checkpoint          waits until the log holds a checkpoint
      follow WORDS        starts fulmartackctl and goes on
      until TEXT          waits until that one has printed TEXT, and ends it
 
@@ -13,6 +14,7 @@
    written instead.  */
 
 #include "tests/cluster.h"
+#include "tests/expected.h"
 
 #include <curl/curl.h>
 #include <glib/gstdio.h>
@@ -164,6 +166,26 @@
   g_string_append_printf (r->out, "%s\n", found ? "printed" : "not printed");
 }
 
+/* An entry appends a checkpoint when the log has dropped records.  */
+static void
+wait_checkpoint (struct run *r)
+{
+  gint64 until = g_get_monotonic_time () + UNTIL_LIMIT_US;
+  gboolean found = FALSE;
+
+  while (!found && g_get_monotonic_time () < until)
+    {
+      json_t *page = cluster_get (r->cluster->log_port, "/v1/read?from=0");
+      gchar *text = json_dumps (page, JSON_COMPACT);
+
+      found = strstr (text, "\"kind\":\"checkpoint\"") != NULL;
+      free (text);
+      json_decref (page);
+      g_usleep (POLL_US);
+    }
+  g_string_append_printf (r->out, "%s\n", found ? "held" : "not held");
+}
+
 static void
 run_line (struct run *r, const gchar *line)
 {
@@ -176,6 +198,8 @@
     run_ctl (r, line + 2);
   else if (g_str_has_prefix (line, "follow "))
     start_follower (r, line + strlen ("follow "));
+  else if (strcmp (line, "checkpoint") == 0)
+    wait_checkpoint (r);
   else if (g_str_has_prefix (line, "until "))
     wait_followed (r, line + strlen ("until "));
   else if (strcmp (words[0], "fault") == 0)
@@ -223,43 +247,20 @@
 {
   const gchar *file = data;
   GString *out = run_script (file);
-  gchar *stem = g_strndup (file, strlen (file) - strlen (".script"));
-  gchar *expected_file = g_strconcat (stem, ".expected", NULL);
-  gchar *expected = NULL;
-
-  if (g_getenv ("FTK_WRITE_EXPECTED") != NULL)
-    g_file_set_contents (expected_file, out->str, -1, NULL);
-  g_assert_true (g_file_get_contents (expected_file, &expected, NULL, NULL));
-  g_assert_cmpstr (out->str, ==, expected);
-  g_free (expected);
-  g_free (expected_file);
-  g_free (stem);
+
+  expected_check (file, ".script", out->str);
   g_string_free (out, TRUE);
 }
 
 int
 main (int argc, char **argv)
 {
-  GDir *d;
-  const gchar *name;
-
   signal (SIGPIPE, SIG_IGN);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   if (sodium_init () < 0)
     return 1;
   g_test_init (&argc, &argv, NULL);
   g_setenv ("FULMARTACK_KEY", "menders secret", TRUE);
-  d = g_dir_open (FOLDER, 0, NULL);
-  g_assert_nonnull (d);
-  while ((name = g_dir_read_name (d)) != NULL)
-    if (g_str_has_suffix (name, ".script"))
-      {
-        gchar *path = g_strconcat ("/ctl/", name, NULL);
-
-        g_test_add_data_func_full (path, g_build_filename (FOLDER, name, NULL),
-                                   check_script, g_free);
-        g_free (path);
-      }
-  g_dir_close (d);
+  expected_add_folder ("/ctl", FOLDER, ".script", check_script);
   return g_test_run ();
 }
--- a/tests/test_findings.c
+++ b/tests/test_findings.c
@@ -6,7 +6,8 @@
 
 #include "fulmartack.h"
 
-#include <glib.h>
+#include "tests/expected.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -36,38 +37,15 @@
 {
   const gchar *file = data;
   gchar *report = check_file (file);
-  gchar *stem = g_strndup (file, strlen (file) - strlen (".json"));
-  gchar *expected_file = g_strconcat (stem, ".expected", NULL);
-  gchar *expected = NULL;
 
-  if (g_getenv ("FTK_WRITE_EXPECTED") != NULL)
-    g_file_set_contents (expected_file, report, -1, NULL);
-  g_assert_true (g_file_get_contents (expected_file, &expected, NULL, NULL));
-  g_assert_cmpstr (report, ==, expected);
-  g_free (expected);
-  g_free (expected_file);
-  g_free (stem);
+  expected_check (file, ".json", report);
   g_free (report);
 }
 
 int
 main (int argc, char **argv)
 {
-  GDir *d;
-  const gchar *name;
-
   g_test_init (&argc, &argv, NULL);
-  d = g_dir_open (FOLDER, 0, NULL);
-  g_assert_nonnull (d);
-  while ((name = g_dir_read_name (d)) != NULL)
-    if (g_str_has_suffix (name, ".json"))
-      {
-        gchar *path = g_strconcat ("/findings/", name, NULL);
-
-        g_test_add_data_func_full (path, g_build_filename (FOLDER, name, NULL),
-                                   check_document, g_free);
-        g_free (path);
-      }
-  g_dir_close (d);
+  expected_add_folder ("/findings", FOLDER, ".json", check_document);
   return g_test_run ();
 }
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -5,8 +5,8 @@
    instead.  */
 
 #include "adapter/replay.h"
+#include "tests/expected.h"
 
-#include <glib.h>
 #include <glib/gstdio.h>
 #include <sodium.h>
 #include <stdlib.h>
@@ -39,20 +39,11 @@
   const gchar *file = data;
   enum replay_end end;
   gchar *text = replay_text (file, &end);
-  gchar *stem = g_strndup (file, strlen (file) - strlen (".trace"));
-  gchar *expected_file = g_strconcat (stem, ".expected", NULL);
-  gchar *expected = NULL;
 
   if (end != REPLAY_SAME)
     g_test_message ("%s", text);
   g_assert_cmpint (end, ==, REPLAY_SAME);
-  if (g_getenv ("FTK_WRITE_EXPECTED") != NULL)
-    g_file_set_contents (expected_file, text, -1, NULL);
-  g_assert_true (g_file_get_contents (expected_file, &expected, NULL, NULL));
-  g_assert_cmpstr (text, ==, expected);
-  g_free (expected);
-  g_free (expected_file);
-  g_free (stem);
+  expected_check (file, ".trace", text);
   g_free (text);
 }
 
@@ -98,24 +89,10 @@
 int
 main (int argc, char **argv)
 {
-  GDir *d;
-  const gchar *name;
-
   if (sodium_init () < 0)
     return 1;
   g_test_init (&argc, &argv, NULL);
-  d = g_dir_open (FOLDER, 0, NULL);
-  g_assert_nonnull (d);
-  while ((name = g_dir_read_name (d)) != NULL)
-    if (g_str_has_suffix (name, ".trace"))
-      {
-        gchar *path = g_strconcat ("/replay/", name, NULL);
-
-        g_test_add_data_func_full (path, g_build_filename (FOLDER, name, NULL),
-                                   check_trace, g_free);
-        g_free (path);
-      }
-  g_dir_close (d);
+  expected_add_folder ("/replay", FOLDER, ".trace", check_trace);
   g_test_add_func ("/replay/differences", test_differences);
   return g_test_run ();
 }
