--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 STANDINS = $(STANDIN_SRC:tests/standin/%.c=$(B)/standin_%)
 PROGRAMS = $(B)/fulmartackd $(B)/fulmartackctl
 
-.PHONY: all deps demo check test lint format format-check bench clean \
+.PHONY: proof all deps demo check test lint format format-check bench clean \
   install check-install update-expected record-traces sanitized
 .SECONDARY:
 
@@ -148,6 +148,10 @@
 	  | xargs -P 10 -I{} clang-tidy --quiet {} -- -std=gnu11 -D_GNU_SOURCE -I. \
 	    -Iinclude $(DEPS_CFLAGS) 2>/dev/null
 
+# Every point of the brief with the test that causes it (tests/proof.list).
+proof: all
+	@tests/proof.sh $(B)
+
 bench: all
 	@bench/run.sh $(B)
 
