--- a/adapter/peer_json.c
+++ b/adapter/peer_json.c
@@ -91,8 +91,8 @@
       m->u.status.echo_us = json_get_number (p, "echo_us", 0, INT64_MAX, 0);
       break;
     case PEER_DEMAND:
-      json_get_text (p, "pool", true, m->u.demand.pool, NAME_BYTES);
-      json_get_text (p, "team", true, m->u.demand.team, NAME_BYTES);
+      json_get_text (p, "pool", false, m->u.demand.pool, NAME_BYTES);
+      json_get_text (p, "team", false, m->u.demand.team, NAME_BYTES);
       m->u.demand.waiting_count
           = (uint32_t)json_get_number (p, "waiting", 0, UINT32_MAX, 0);
       m->u.demand.running_count
