Pool lists follow moves of VMs

Cause: maintenance_move and maintenance_spare showed starts missing after a move, for the lists of VMs by pool were made with the tables only. Change: lists and counts are made anew after each applied record.

--- a/core/adopt.c
+++ b/core/adopt.c
@@ -137,6 +137,50 @@
     }
 }
 
+/* Counts what runs in each pool anew.  */
+static void
+count_pools (struct core *c)
+{
+  const struct config *f = c->control->config;
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, c->attempts);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct request *r = value;
+      struct pool_state *p;
+
+      if (r->vm_index < 0)
+        continue;
+      p = &c->pools[f->vms[r->vm_index].pool_index];
+      p->running_count++;
+      p->team_running_count[r->team_index]++;
+    }
+}
+
+void
+core_adopt_moves (struct core *c)
+{
+  const struct config *f = c->control->config;
+  uint32_t i;
+
+  for (i = 0; i < f->pool_count; i++)
+    {
+      c->pools[i].vm_count = 0;
+      c->pools[i].running_count = 0;
+      memset (c->pools[i].team_running_count, 0,
+              (f->team_count + 1) * sizeof (uint32_t));
+    }
+  for (i = 0; i < f->vm_count; i++)
+    {
+      struct pool_state *p = &c->pools[f->vms[i].pool_index];
+
+      p->vms[p->vm_count++] = i;
+    }
+  count_pools (c);
+}
+
 /* A spare VM may be lent to the pool.  */
 static bool
 route_fits (const struct config *f, const struct route_config *r)
--- a/core/membership.c
+++ b/core/membership.c
@@ -221,6 +221,9 @@
     {
     case VERDICT_APPLIED:
       note_applied (c, r, offset);
+      /* A move ends with whichever record was the last it waited for.  */
+      if (c->control->config != NULL)
+        core_adopt_moves (c);
       core_limit_sync (c);
       core_dispatch_all (c);
       break;
--- a/core/state.h
+++ b/core/state.h
@@ -409,6 +409,8 @@
 
 /* adopt.c */
 
+/** Takes over which VM is in which pool, after a move.  */
+void core_adopt_moves (struct core *c);
 /** Rebuilds the tables that run parallel to the configuration.  */
 void core_adopt_config (struct core *c);
 
