A member that left idle gives its tokens back at once; leases lapse by the tables in force

Cause: after one entry was replaced in good order, or all at once, its tokens came back only after the longest timeout that any route ever had (30 s in test_control, which failed: no work for longer than its 10 s).

--- a/adapter/issue_json.c
+++ b/adapter/issue_json.c
@@ -61,6 +61,8 @@
   t->members = talloc_zero_array (mem, struct issue_member, t->member_count);
   t->longest_timeout_ms = (uint32_t)json_integer_value (
       json_object_get (j, "longest_timeout_ms"));
+  t->lapse_floor_ms
+      = (uint64_t)json_integer_value (json_object_get (j, "lapse_floor_ms"));
   t->reissue_count
       = (uint32_t)json_integer_value (json_object_get (j, "reissues"));
   for (i = 0; i < t->limit_count; i++)
@@ -107,8 +109,9 @@
   for (i = 0; i < t->member_count; i++)
     json_array_append_new (members,
                            member_to_json (&t->members[i], t->limit_count));
-  return json_pack ("{s:o, s:o, s:I, s:I}", "limits", limits, "members",
+  return json_pack ("{s:o, s:o, s:I, s:I, s:I}", "limits", limits, "members",
                     members, "longest_timeout_ms",
-                    (json_int_t)t->longest_timeout_ms, "reissues",
+                    (json_int_t)t->longest_timeout_ms, "lapse_floor_ms",
+                    (json_int_t)t->lapse_floor_ms, "reissues",
                     (json_int_t)t->reissue_count);
 }
--- a/adapter/record_json.c
+++ b/adapter/record_json.c
@@ -186,6 +186,7 @@
       json_get_text (p, "vm", true, r->u.leave.vm, NAME_BYTES);
       r->u.leave.incarnation
           = json_get_number (p, "incarnation", 0, INT64_MAX, 0);
+      r->u.leave.idle = json_get_bool (p, "idle", false);
       break;
     case RECORD_CHECKPOINT:
       r->u.checkpoint = checkpoint_from_json (r, p);
@@ -321,6 +322,8 @@
       json_object_set_new (j, "vm", json_string (r->u.leave.vm));
       json_object_set_new (j, "incarnation",
                            json_integer ((json_int_t)r->u.leave.incarnation));
+      if (r->u.leave.idle)
+        json_object_set_new (j, "idle", json_true ());
       break;
     case RECORD_CHECKPOINT:
       checkpoint_to_json (r->u.checkpoint, j);
--- a/core/control.c
+++ b/core/control.c
@@ -57,7 +57,7 @@
   c->config = talloc_steal (c, f);
   c->config_version = offset + 1;
   qsort (f->routes, f->route_count, sizeof *f->routes, compare_routes);
-  issue_on_config (c->issue, f);
+  issue_on_config (c->issue, f, c->log_ms);
   return VERDICT_APPLIED;
 }
 
@@ -143,7 +143,8 @@
   for (i = 0; i < c->member_count; i++)
     if (strcmp (c->members[i].vm, j->vm) == 0)
       {
-        issue_on_gone (c->issue, c->members[i].incarnation, offset, c->log_ms);
+        issue_on_gone (c->issue, c->members[i].incarnation, offset, c->log_ms,
+                       false);
         remove_member (c, i);
         break;
       }
@@ -171,7 +172,7 @@
 
   if (i < 0 || strcmp (c->members[i].vm, l->vm) != 0)
     return VERDICT_REJECTED;
-  issue_on_gone (c->issue, l->incarnation, offset, c->log_ms);
+  issue_on_gone (c->issue, l->incarnation, offset, c->log_ms, l->idle);
   remove_member (c, (uint32_t)i);
   return VERDICT_APPLIED;
 }
--- a/core/issue.c
+++ b/core/issue.c
@@ -174,12 +174,16 @@
 }
 
 void
-issue_on_config (struct issue *s, const struct config *f)
+issue_on_config (struct issue *s, const struct config *f, uint64_t at_ms)
 {
   uint32_t known = s->table.limit_count;
   bool *named;
   uint32_t i;
 
+  /* What started under the older tables may run until its own timeout.  */
+  if (at_ms + s->table.longest_timeout_ms > s->table.lapse_floor_ms)
+    s->table.lapse_floor_ms = at_ms + s->table.longest_timeout_ms;
+  s->table.longest_timeout_ms = 0;
   for (i = 0; i < f->route_count; i++)
     if (f->routes[i].timeout_ms > s->table.longest_timeout_ms)
       s->table.longest_timeout_ms = f->routes[i].timeout_ms;
@@ -301,7 +305,7 @@
 
 void
 issue_on_gone (struct issue *s, uint64_t incarnation, uint64_t offset,
-               uint64_t at_ms)
+               uint64_t at_ms, bool idle)
 {
   struct issue_member *m = find_member (s, incarnation);
 
@@ -309,7 +313,12 @@
     return;
   m->gone = true;
   m->gone_offset = offset;
-  m->lapse_ms = at_ms + s->table.longest_timeout_ms;
+  m->lapse_ms = at_ms;
+  if (idle)
+    return;
+  m->lapse_ms += s->table.longest_timeout_ms;
+  if (m->lapse_ms < s->table.lapse_floor_ms)
+    m->lapse_ms = s->table.lapse_floor_ms;
 }
 
 static bool
@@ -415,6 +424,7 @@
   for (i = 0; i < t->member_count; i++)
     hash_member (&h, &t->members[i], t->limit_count);
   hash_number (&h, t->longest_timeout_ms);
+  hash_number (&h, t->lapse_floor_ms);
   hash_number (&h, t->reissue_count);
   crypto_generichash_final (&h, digest, DIGEST_BYTES);
 }
--- a/core/issue.h
+++ b/core/issue.h
@@ -62,15 +62,16 @@
 
 /** Takes new limits: a raise is spread over the live members, and so is a
     lowering, which may leave them in debt.  */
-void issue_on_config (struct issue *s, const struct config *f);
+void issue_on_config (struct issue *s, const struct config *f, uint64_t at_ms);
 
 /** Adds a member: the first of an empty fleet gets what is unissued, later
     ones nothing.  */
 void issue_on_join (struct issue *s, uint64_t incarnation, uint64_t at_ms);
 
-/** Marks a member as gone; its tokens wait for settlement.  */
+/** Marks a member as gone; its tokens wait for settlement, which is due at
+    once if it left IDLE, else when every lease it may have held has lapsed. */
 void issue_on_gone (struct issue *s, uint64_t incarnation, uint64_t offset,
-                    uint64_t at_ms);
+                    uint64_t at_ms, bool idle);
 
 /** Folds one member's link with a gone one.  Returns false if it is not due,
     was done before, or names no such link.  */
--- a/core/limit.c
+++ b/core/limit.c
@@ -195,9 +195,10 @@
   if (s->gone == NULL)
     out_of_memory ();
   s->gone[s->gone_count].incarnation = g->incarnation;
-  s->gone[s->gone_count].send_us
-      = c->now_us + c->control->issue->table.longest_timeout_ms * US_PER_MS
-        + SETTLE_MARGIN_US;
+  s->gone[s->gone_count].send_us = c->now_us + SETTLE_MARGIN_US;
+  if (g->lapse_ms > c->control->log_ms)
+    s->gone[s->gone_count].send_us
+        += (g->lapse_ms - c->control->log_ms) * US_PER_MS;
   s->gone_count++;
 }
 
--- a/core/membership.c
+++ b/core/membership.c
@@ -82,6 +82,7 @@
 
   text_copy (r->u.leave.vm, NAME_BYTES, c->settings.vm);
   r->u.leave.incarnation = c->incarnation;
+  r->u.leave.idle = c->running_count == 0;
   c->leave_sent = true;
 }
 
--- a/port/record.h
+++ b/port/record.h
@@ -51,6 +51,7 @@
 {
   char vm[NAME_BYTES];
   uint64_t incarnation; /**< Offset of the join record, plus 1.  */
+  bool idle;            /**< LEAVE: nothing that it started still runs.  */
 };
 
 /** A key in force.  */
@@ -102,7 +103,8 @@
   uint32_t limit_count;
   struct issue_member *members; /**< Live and unsettled, by incarnation.  */
   uint32_t member_count;
-  uint32_t longest_timeout_ms; /**< Of any route so far: the lease bound.  */
+  uint32_t longest_timeout_ms; /**< Of any route in force.  */
+  uint64_t lapse_floor_ms;     /**< Leases under older tables lapse by then. */
   uint32_t reissue_count;      /**< Groups of gone members done with.  */
 };
 
