--- a/core/core.c
+++ b/core/core.c
@@ -33,7 +33,6 @@
   c->lending = lending_new (c);
   c->requests = g_hash_table_new (g_int64_hash, g_int64_equal);
   c->attempts = g_hash_table_new (g_int64_hash, g_int64_equal);
-  c->next_deadline_us = UINT64_MAX;
   TAILQ_INIT (&c->backing_off);
   core_home_open (c);
   core_keyed_open (c);
--- a/core/deadline.c
+++ b/core/deadline.c
@@ -65,10 +65,12 @@
     return r;
   if (turn - w->next_turn > DEADLINE_SLOT_COUNT && turn > w->next_turn)
     w->next_turn = turn - DEADLINE_SLOT_COUNT;
-  /* The slot of NOW_US itself is looked at once it has passed.  */
-  while (w->next_turn < turn)
+  /* The slot of NOW_US itself is looked at now and again at the next tick.  */
+  while (w->next_turn <= turn)
     {
       w->cursor = TAILQ_FIRST (slot_at (w, w->next_turn));
+      if (w->next_turn == turn)
+        return scan_slot (w, now_us);
       w->next_turn++;
       r = scan_slot (w, now_us);
       if (r != NULL)
--- a/core/deadline.h
+++ b/core/deadline.h
@@ -1,4 +1,4 @@
-/* deadline.h -- waiting requests by deadline: a timing wheel.
+/* deadline.h -- unanswered requests by deadline: a timing wheel.
 
    Adding and removing take constant time, and a tick looks only at the slots
    whose time has come.  A deadline beyond one turn of the wheel is passed
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -61,7 +61,6 @@
       && p->team_running_count[r->team_index] == 0)
     catch_up (p, r->team_index);
   pool_queue_add (&p->queue, r);
-  deadline_add (&c->deadlines, r);
   p->dirty = true;
   c->waiting_count++;
 }
@@ -70,7 +69,6 @@
 core_dequeue (struct core *c, struct pool_state *p, struct request *r)
 {
   pool_queue_remove (&p->queue, r);
-  deadline_remove (&c->deadlines, r);
   c->waiting_count--;
 }
 
--- a/core/request.c
+++ b/core/request.c
@@ -39,6 +39,7 @@
     core_keyed_end (c, r->note, a);
   r->note = NULL;
   g_hash_table_remove (c->requests, &r->request_id);
+  deadline_remove (&c->deadlines, r);
   blob_unref (r->body);
   r->body = NULL;
   if (r->attempt_id == 0)
@@ -135,8 +136,7 @@
   r->idempotent = route->idempotent;
   r->body = e->body;
   g_hash_table_insert (c->requests, &r->request_id, r);
-  if (r->deadline_us < c->next_deadline_us)
-    c->next_deadline_us = r->deadline_us;
+  deadline_add (&c->deadlines, r);
   return r;
 }
 
@@ -234,22 +234,10 @@
 void
 core_expire (struct core *c)
 {
-  struct request **list;
-  uint32_t n;
-  uint32_t i;
+  struct request *r;
 
-  if (c->now_us < c->next_deadline_us)
-    return;
-  c->next_deadline_us = UINT64_MAX;
-  list = list_requests (c, &n);
-  for (i = 0; i < n; i++)
-    {
-      if (list[i]->deadline_us <= c->now_us)
-        give_up (c, list[i], ANSWER_EXPIRED);
-      else if (list[i]->deadline_us < c->next_deadline_us)
-        c->next_deadline_us = list[i]->deadline_us;
-    }
-  talloc_free (list);
+  while ((r = deadline_next (&c->deadlines, c->now_us)) != NULL)
+    give_up (c, r, ANSWER_EXPIRED);
 }
 
 void
--- a/core/state.h
+++ b/core/state.h
@@ -52,7 +52,7 @@
 struct request
 {
   TAILQ_ENTRY (request) link; /**< In its pool's queue or backing_off.  */
-  TAILQ_ENTRY (request) deadline_link; /**< In the wheel while waiting.  */
+  TAILQ_ENTRY (request) deadline_link; /**< In the wheel until answered.  */
   uint64_t deadline_turn;              /**< Its slot in the wheel.  */
   uint64_t arrival;                    /**< Order of arrival on this entry.  */
   uint32_t team_index; /**< In the tables; team_count: no team.  */
@@ -195,14 +195,13 @@
   struct home *home;     /**< Who keeps keys.  */
   struct keyed *keyed;   /**< First answers by Idempotency-Key.  */
   struct request_list backing_off;
-  uint64_t next_deadline_us; /**< No unanswered request has an earlier one.  */
   uint64_t wake_us; /**< When a worker may be fit again; 0: not awaited.  */
   uint8_t *last_outcomes;          /**< enum queue_outcome, route by VM.  */
   struct pool_state *pools;        /**< Parallel to the tables' pools.  */
   struct vm_state *vms;            /**< Parallel to the tables' vms.  */
   struct team_state *teams;        /**< Parallel to the tables' teams.  */
   struct route_state *routes;      /**< Parallel to the tables' routes.  */
-  struct deadline_wheel deadlines; /**< Every waiting request.  */
+  struct deadline_wheel deadlines; /**< Every unanswered request.  */
   struct limit_state *limits;      /**< Tokens and demand.  */
   uint64_t next_arrival;
   uint32_t running_count;
