--- a/adapter/record_json.c
+++ b/adapter/record_json.c
@@ -29,6 +29,7 @@
   [RECORD_VM_LOST] = "vm_lost",
   [RECORD_VM_FOUND] = "vm_found",
   [RECORD_MOVE] = "move",
+  [RECORD_SETTLE] = "settle",
 };
 
 /** Larger records are not passed on to members.  */
@@ -65,6 +66,50 @@
     json_fault (p, "digest", "is no digest");
 }
 
+/* Reads ["team" or "vm", name, count].  */
+static bool
+read_settle_item (const json_t *j, struct settle_item *x)
+{
+  const char *kind = json_string_value (json_array_get (j, 0));
+  const char *name = json_string_value (json_array_get (j, 1));
+
+  if (kind == NULL || name == NULL)
+    return false;
+  x->limit.kind = strcmp (kind, "team") == 0 ? LIMIT_TEAM : LIMIT_VM;
+  x->token_count = json_integer_value (json_array_get (j, 2));
+  return text_copy (x->limit.name, NAME_BYTES, name);
+}
+
+static void
+read_settle (struct json_place *p, TALLOC_CTX *mem, struct record_settle *s)
+{
+  const json_t *items = json_get_array (p, "items", false);
+  size_t i;
+
+  s->incarnation = json_get_number (p, "incarnation", 0, INT64_MAX, 0);
+  s->gone_incarnation = json_get_number (p, "gone", 0, INT64_MAX, 0);
+  s->item_count = (uint32_t)json_array_size (items);
+  s->items = talloc_zero_array (mem, struct settle_item, s->item_count);
+  for (i = 0; i < s->item_count; i++)
+    if (!read_settle_item (json_array_get (items, i), &s->items[i]))
+      json_fault (p, "items", "holds an amount without a limit");
+}
+
+static json_t *
+settle_items_to_json (const struct record_settle *s)
+{
+  json_t *j = json_array ();
+  uint32_t i;
+
+  for (i = 0; i < s->item_count; i++)
+    json_array_append_new (
+        j, json_pack ("[s, s, I]",
+                      s->items[i].limit.kind == LIMIT_TEAM ? "team" : "vm",
+                      s->items[i].limit.name,
+                      (json_int_t)s->items[i].token_count));
+  return j;
+}
+
 static void
 read_targets (struct json_place *p, struct record *r)
 {
@@ -162,6 +207,9 @@
     case RECORD_MOVE:
       read_move (p, &r->u.move);
       break;
+    case RECORD_SETTLE:
+      read_settle (p, r, &r->u.settle);
+      break;
     }
 }
 
@@ -294,6 +342,13 @@
     case RECORD_MOVE:
       write_move (j, &r->u.move);
       break;
+    case RECORD_SETTLE:
+      json_object_set_new (j, "incarnation",
+                           json_integer ((json_int_t)r->u.settle.incarnation));
+      json_object_set_new (
+          j, "gone", json_integer ((json_int_t)r->u.settle.gone_incarnation));
+      json_object_set_new (j, "items", settle_items_to_json (&r->u.settle));
+      break;
     }
   return j;
 }
--- a/core/adopt.c
+++ b/core/adopt.c
@@ -12,16 +12,20 @@
 count_running (struct core *c, struct request *r)
 {
   const struct config *f = c->control->config;
-  int32_t team = control_team_index (c->control, r->team);
   uint32_t i;
 
   r->vm_index = -1;
-  if (team >= 0)
-    c->teams[team].running_count++;
+  core_bind_request (c, r);
+  if (r->team_index < f->team_count)
+    c->teams[r->team_index].running_count++;
   for (i = 0; i < f->vm_count; i++)
     if (strcmp (f->vms[i].name, r->vm) == 0)
       {
+        struct pool_state *p = &c->pools[f->vms[i].pool_index];
+
         c->vms[i].running_count++;
+        p->running_count++;
+        p->team_running_count[r->team_index]++;
         r->vm_index = (int32_t)i;
       }
 }
@@ -45,13 +49,17 @@
 static void
 collect_waiting (struct core *c, struct request_list *all)
 {
-  uint32_t i;
   uint32_t n = c->pools ? (uint32_t)talloc_array_length (c->pools) : 0;
+  struct request *r;
+  uint32_t i;
 
   TAILQ_INIT (all);
   for (i = 0; i < n; i++)
-    TAILQ_CONCAT (all, &c->pools[i].waiting, link);
-  c->waiting_count = 0;
+    while ((r = pool_queue_any (&c->pools[i].queue)) != NULL)
+      {
+        core_dequeue (c, &c->pools[i], r);
+        TAILQ_INSERT_TAIL (all, r, link);
+      }
 }
 
 static void
@@ -68,9 +76,7 @@
       TAILQ_REMOVE (all, r, link);
       if (route != NULL)
         {
-          TAILQ_INSERT_TAIL (&c->pools[route->pool_index].waiting, r, link);
-          c->pools[route->pool_index].waiting_count++;
-          c->waiting_count++;
+          core_enqueue (c, &c->pools[route->pool_index], r);
           continue;
         }
       a = actions_add (c->out, ACTION_ANSWER);
@@ -82,13 +88,88 @@
     }
 }
 
+static void
+make_pools (struct core *c, const struct config *f)
+{
+  uint32_t i;
+
+  c->pools = talloc_zero_array (c, struct pool_state, f->pool_count);
+  for (i = 0; i < f->pool_count; i++)
+    {
+      struct pool_state *p = &c->pools[i];
+
+      text_copy (p->name, NAME_BYTES, f->pools[i].name);
+      pool_queue_init (&p->queue, c->pools, f->team_count + 1);
+      p->team_running_count
+          = talloc_zero_array (c->pools, uint32_t, f->team_count + 1);
+      p->vms = talloc_array (c->pools, uint32_t, f->vm_count + 1);
+      p->dirty = true;
+    }
+  for (i = 0; i < f->vm_count; i++)
+    {
+      struct pool_state *p = &c->pools[f->vms[i].pool_index];
+
+      p->vms[p->vm_count++] = i;
+    }
+}
+
+/* A spare VM may be lent to the pool.  */
+static bool
+route_fits (const struct config *f, const struct route_config *r)
+{
+  uint32_t i;
+
+  for (i = 0; i < f->vm_count; i++)
+    if ((f->vms[i].pool_index == r->pool_index
+         || f->pools[f->vms[i].pool_index].spare)
+        && core_vm_fits (&f->vms[i], r))
+      return true;
+  return false;
+}
+
+/* Makes the queues' states and keeps the run times measured so far.  */
+static void
+make_routes (struct core *c, const struct config *f)
+{
+  struct route_state *old = c->routes;
+  uint32_t old_count = old ? (uint32_t)talloc_array_length (old) : 0;
+  uint32_t i;
+
+  c->routes = talloc_zero_array (c, struct route_state, f->route_count);
+  for (i = 0; i < f->route_count; i++)
+    {
+      text_copy (c->routes[i].queue, NAME_BYTES, f->routes[i].queue);
+      c->routes[i].fits = route_fits (f, &f->routes[i]);
+    }
+  for (i = 0; i < old_count; i++)
+    {
+      const struct route_config *r
+          = control_find_route (c->control, old[i].queue);
+
+      if (r != NULL)
+        c->routes[r - f->routes].mean_us = old[i].mean_us;
+    }
+  talloc_free (old);
+}
+
+static void
+make_teams (struct core *c, const struct config *f)
+{
+  struct team_state *old = c->teams;
+  uint32_t old_count = old ? (uint32_t)talloc_array_length (old) : 0;
+  uint32_t i;
+
+  c->teams = talloc_zero_array (c, struct team_state, f->team_count);
+  for (i = 0; i < f->team_count; i++)
+    text_copy (c->teams[i].name, NAME_BYTES, f->teams[i].name);
+  keep_high_water (c, old, old_count);
+  talloc_free (old);
+}
+
 void
 core_adopt_config (struct core *c)
 {
   const struct config *f = c->control->config;
-  struct team_state *old_teams = c->teams;
-  uint32_t old_team_count
-      = old_teams ? (uint32_t)talloc_array_length (old_teams) : 0;
   struct request_list waiting;
   GHashTableIter it;
   gpointer value;
@@ -97,20 +178,13 @@
   collect_waiting (c, &waiting);
   talloc_free (c->pools);
   talloc_free (c->vms);
-  c->pools = talloc_zero_array (c, struct pool_state, f->pool_count);
+  make_pools (c, f);
+  make_teams (c, f);
+  make_routes (c, f);
   c->vms = talloc_zero_array (c, struct vm_state, f->vm_count);
-  c->teams = talloc_zero_array (c, struct team_state, f->team_count);
-  for (i = 0; i < f->pool_count; i++)
-    {
-      text_copy (c->pools[i].name, NAME_BYTES, f->pools[i].name);
-      TAILQ_INIT (&c->pools[i].waiting);
-    }
   for (i = 0; i < f->vm_count; i++)
     text_copy (c->vms[i].name, NAME_BYTES, f->vms[i].name);
-  for (i = 0; i < f->team_count; i++)
-    text_copy (c->teams[i].name, NAME_BYTES, f->teams[i].name);
-  keep_high_water (c, old_teams, old_team_count);
-  talloc_free (old_teams);
+  core_limit_adopt (c);
   g_hash_table_iter_init (&it, c->attempts);
   while (g_hash_table_iter_next (&it, NULL, &value))
     count_running (c, value);
--- a/core/control.c
+++ b/core/control.c
@@ -26,6 +26,7 @@
   c->applied_ids
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->command_ids = g_queue_new ();
+  c->issue = issue_new (c);
   talloc_set_destructor (c, control_free);
   return c;
 }
@@ -56,6 +57,7 @@
   c->config = talloc_steal (c, f);
   c->config_version = offset + 1;
   qsort (f->routes, f->route_count, sizeof *f->routes, compare_routes);
+  issue_on_config (c->issue, f);
   return VERDICT_APPLIED;
 }
 
@@ -141,9 +143,11 @@
   for (i = 0; i < c->member_count; i++)
     if (strcmp (c->members[i].vm, j->vm) == 0)
       {
+        issue_on_gone (c->issue, c->members[i].incarnation, offset, c->log_ms);
         remove_member (c, i);
         break;
       }
+  issue_on_join (c->issue, offset + 1, c->log_ms);
   m = talloc_realloc (c, c->members, struct member, c->member_count + 1);
   if (m == NULL)
     out_of_memory ();
@@ -161,12 +165,13 @@
 /* A member that is no longer one, or has another incarnation by now, cannot
    leave or be lost: the record is of an older state.  */
 static enum verdict
-apply_leave (struct control *c, const struct record_leave *l)
+apply_leave (struct control *c, uint64_t offset, const struct record_leave *l)
 {
   int32_t i = control_member_index (c, l->incarnation);
 
   if (i < 0 || strcmp (c->members[i].vm, l->vm) != 0)
     return VERDICT_REJECTED;
+  issue_on_gone (c->issue, l->incarnation, offset, c->log_ms);
   remove_member (c, (uint32_t)i);
   return VERDICT_APPLIED;
 }
@@ -216,7 +221,11 @@
       break;
     case RECORD_LEAVE:
     case RECORD_GONE:
-      v = apply_leave (c, &r->u.leave);
+      v = apply_leave (c, offset, &r->u.leave);
+      break;
+    case RECORD_SETTLE:
+      if (issue_on_settle (c->issue, &r->u.settle, c->log_ms))
+        v = VERDICT_APPLIED;
       break;
     case RECORD_WAVE_START:
     case RECORD_WAVE_PAUSE:
--- a/core/core.c
+++ b/core/core.c
@@ -32,6 +32,8 @@
   c->lending = lending_new (c);
   c->requests = g_hash_table_new (g_int64_hash, g_int64_equal);
   c->attempts = g_hash_table_new (g_int64_hash, g_int64_equal);
+  c->limits = limit_state_new (c);
+  deadline_init (&c->deadlines);
   talloc_set_destructor (c, core_free);
   return c;
 }
@@ -135,6 +137,7 @@
       core_on_operation (c, &e->u.operation);
       break;
     }
+  core_limit_flush (c);
   if (c->stopping)
     core_check_stop (c);
 }
--- a/core/core.h
+++ b/core/core.h
@@ -13,6 +13,14 @@
 
 struct core;
 
+/** How the fleet's limits are divided among the entries (tag).  */
+enum limit_policy
+{
+  LIMIT_LEDGER,       /**< Tokens follow demand and shares.  */
+  LIMIT_STATIC_SPLIT, /**< Baseline: an equal part for each member.  */
+  LIMIT_FIRST_COME    /**< Baseline: tokens and order by arrival alone.  */
+};
+
 /** What an entry knows of itself, from its settings.  */
 struct core_settings
 {
@@ -24,6 +32,7 @@
   uint32_t stop_limit_ms;  /**< Longest planned stop.  */
   uint32_t fresh_limit_ms; /**< Oldest reading of the log to act on.  */
   uint32_t max_body_bytes; /**< Largest body of a request.  */
+  enum limit_policy limit_policy;
 };
 
 /** Returns a core as a child of MEM, or NULL when memory is out.  */
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -1,82 +1,192 @@
-/* dispatch.c -- which waiting request starts next, and on which worker.  */
+/* dispatch.c -- which waiting request starts next, and on which worker.
+
+   Among the teams that wait for a pool the one goes first that runs least
+   there for its weight.  A pool is looked at only after something changed
+   that may let a request of it start.  */
 
 #include "core/state.h"
 
 #include <string.h>
 
+void
+core_bind_request (struct core *c, struct request *r)
+{
+  const struct config *f = c->control->config;
+  const struct route_config *route = control_find_route (c->control, r->queue);
+  int32_t team = control_team_index (c->control, r->team);
+
+  r->team_index = team < 0 ? f->team_count : (uint32_t)team;
+  r->route_index = route == NULL ? -1 : (int32_t)(route - f->routes);
+  r->urgent = route != NULL && route->urgent;
+}
+
+void
+core_mark_all (struct core *c)
+{
+  uint32_t i;
+
+  if (c->control->config == NULL || c->pools == NULL)
+    return;
+  for (i = 0; i < c->control->config->pool_count; i++)
+    c->pools[i].dirty = true;
+}
+
 void
 core_enqueue (struct core *c, struct pool_state *p, struct request *r)
 {
   r->state = REQUEST_WAITING;
-  TAILQ_INSERT_TAIL (&p->waiting, r, link);
-  p->waiting_count++;
+  if (r->arrival == 0)
+    r->arrival = ++c->next_arrival;
+  core_bind_request (c, r);
+  pool_queue_add (&p->queue, r);
+  deadline_add (&c->deadlines, r);
+  p->dirty = true;
   c->waiting_count++;
 }
 
 void
 core_dequeue (struct core *c, struct pool_state *p, struct request *r)
 {
-  TAILQ_REMOVE (&p->waiting, r, link);
-  p->waiting_count--;
+  pool_queue_remove (&p->queue, r);
+  deadline_remove (&c->deadlines, r);
   c->waiting_count--;
 }
 
 /* Returns the least loaded VM of the pool with a slot free for this entry, or
    -1.  */
 static int32_t
-pick_vm (const struct core *c, const struct request *r, uint32_t pool_index)
+pick_vm (const struct core *c, const struct request *r,
+         const struct pool_state *p)
 {
   const struct config *f = c->control->config;
   int32_t best = -1;
   uint32_t i;
 
-  for (i = 0; i < f->vm_count; i++)
+  for (i = 0; i < p->vm_count; i++)
     {
-      if (f->vms[i].pool_index != pool_index || !core_vm_takes_work (c, i)
-          || !core_vm_is_healthy (c, i) || core_request_avoids (c, r, i)
-          || c->vms[i].running_count >= core_vm_limit (c, i))
+      uint32_t vm = p->vms[i];
+      uint32_t running = c->vms[vm].running_count;
+
+      if (running >= core_vm_limit (c, vm)
+          || (best >= 0 && running >= c->vms[best].running_count))
         continue;
-      if (best < 0 || c->vms[i].running_count < c->vms[best].running_count)
-        best = (int32_t)i;
+      if (core_vm_takes_work (c, vm) && core_vm_is_healthy (c, vm)
+          && !core_request_avoids (c, r, vm)
+          && core_vm_fits (&f->vms[vm], &f->routes[r->route_index]))
+        best = (int32_t)vm;
     }
   return best;
 }
 
 static bool
-team_may_start (const struct core *c, int32_t team_index)
+team_may_start (const struct core *c, uint32_t team)
 {
-  if (team_index < 0)
+  if (team == c->control->config->team_count)
     return true;
-  return c->teams[team_index].running_count
-         < core_team_limit (c, (uint32_t)team_index);
+  return c->teams[team].running_count < core_team_limit (c, team);
+}
+
+static uint32_t
+weight_of (const struct core *c, uint32_t team)
+{
+  const struct config *f = c->control->config;
+
+  if (team == f->team_count || f->teams[team].share_weight == 0)
+    return 1;
+  return f->teams[team].share_weight;
+}
+
+/* Returns true if TEAM goes before BEST in the pool.  */
+static bool
+goes_before (const struct core *c, const struct pool_state *p, uint32_t team,
+             uint32_t best)
+{
+  uint64_t x;
+  uint64_t y;
+
+  if (c->settings.limit_policy == LIMIT_FIRST_COME)
+    return pool_queue_head (&p->queue, team)->arrival
+           < pool_queue_head (&p->queue, best)->arrival;
+  x = (p->team_running_count[team] + UINT64_C (1)) * weight_of (c, best);
+  y = (p->team_running_count[best] + UINT64_C (1)) * weight_of (c, team);
+  return x < y;
+}
+
+/* Returns the request that goes next, or NULL.  BLOCKED marks teams that
+   cannot start for now.  */
+static struct request *
+pick_request (struct core *c, struct pool_state *p, const bool *blocked)
+{
+  int32_t best = -1;
+  uint32_t t;
+
+  for (t = 0; t < p->queue.team_count; t++)
+    {
+      if (p->queue.teams[t].waiting_count == 0 || blocked[t])
+        continue;
+      if (!team_may_start (c, t))
+        {
+          core_limit_short (c, t, p->queue.teams[t].waiting_count);
+          continue;
+        }
+      if (best < 0 || goes_before (c, p, t, (uint32_t)best))
+        best = (int32_t)t;
+    }
+  return best < 0 ? NULL : pool_queue_head (&p->queue, (uint32_t)best);
 }
 
 void
 core_acquire (struct core *c, struct request *r, uint32_t vm_index)
 {
-  int32_t team = control_team_index (c->control, r->team);
+  struct pool_state *p
+      = &c->pools[c->control->config->vms[vm_index].pool_index];
+  struct team_state *t;
 
   r->vm_index = (int32_t)vm_index;
   text_copy (r->vm, NAME_BYTES, c->vms[vm_index].name);
   c->vms[vm_index].running_count++;
+  p->running_count++;
+  p->team_running_count[r->team_index]++;
   c->running_count++;
-  if (team < 0)
+  if (r->team_index == c->control->config->team_count)
     return;
-  c->teams[team].running_count++;
-  if (c->teams[team].running_count > c->teams[team].high_water_count)
-    c->teams[team].high_water_count = c->teams[team].running_count;
+  t = &c->teams[r->team_index];
+  t->running_count++;
+  if (t->running_count > t->high_water_count)
+    t->high_water_count = t->running_count;
+}
+
+/* A team at its limit may go on in any pool.  */
+static void
+mark_team (struct core *c, uint32_t team)
+{
+  uint32_t i;
+
+  for (i = 0; i < c->control->config->pool_count; i++)
+    if (c->pools[i].queue.waiting_count > 0
+        && c->pools[i].queue.teams[team].waiting_count > 0)
+      c->pools[i].dirty = true;
 }
 
 void
 core_release (struct core *c, struct request *r)
 {
-  int32_t team = control_team_index (c->control, r->team);
-
   c->running_count--;
-  if (team >= 0)
-    c->teams[team].running_count--;
+  if (r->team_index < c->control->config->team_count)
+    {
+      c->teams[r->team_index].running_count--;
+      mark_team (c, r->team_index);
+    }
   if (r->vm_index >= 0)
-    c->vms[r->vm_index].running_count--;
+    {
+      struct pool_state *p
+          = &c->pools[c->control->config->vms[r->vm_index].pool_index];
+
+      c->vms[r->vm_index].running_count--;
+      p->running_count--;
+      p->team_running_count[r->team_index]--;
+      p->dirty = true;
+    }
   r->vm_index = -1;
 }
 
@@ -84,20 +194,34 @@
 core_dispatch_pool (struct core *c, uint32_t pool_index)
 {
   struct pool_state *p = &c->pools[pool_index];
+  bool blocked[p->queue.team_count + 1];
   struct request *r;
-  struct request *next;
 
-  for (r = TAILQ_FIRST (&p->waiting); r != NULL; r = next)
+  p->dirty = false;
+  /* After a pause the limits known here may be old ones.  */
+  if (!core_is_fresh (c))
+    return;
+  memset (blocked, 0, sizeof blocked);
+  while (p->queue.waiting_count > 0
+         && (r = pick_request (c, p, blocked)) != NULL)
     {
-      int32_t team = control_team_index (c->control, r->team);
-      int32_t vm;
-
-      next = TAILQ_NEXT (r, link);
-      if (!team_may_start (c, team))
-        continue;
-      vm = pick_vm (c, r, pool_index);
+      int32_t vm = -1;
+
+      if (r->deadline_us <= c->now_us)
+        {
+          core_expire_request (c, r);
+          continue;
+        }
+      if (p->running_count < core_pool_limit (c, pool_index))
+        vm = pick_vm (c, r, p);
       if (vm < 0)
-        return;
+        {
+          core_limit_short (c, c->control->config->team_count + pool_index,
+                            p->queue.teams[r->team_index].waiting_count);
+          blocked[r->team_index] = true;
+          continue;
+        }
+      pool_queue_started (&p->queue, r);
       core_dequeue (c, p, r);
       core_start_attempt (c, r, (uint32_t)vm);
     }
@@ -111,6 +235,6 @@
   if (c->control->config == NULL)
     return;
   for (i = 0; i < c->control->config->pool_count; i++)
-    if (c->pools[i].waiting_count > 0)
+    if (c->pools[i].dirty && c->pools[i].queue.waiting_count > 0)
       core_dispatch_pool (c, i);
 }
--- /dev/null
+++ b/core/exchange.c
@@ -0,0 +1,369 @@
+/* exchange.c -- demand and holdings told to and by the peers.
+
+   A member tells only what changed enough to matter, a few times a second.
+   Since a message may be lost, a part of the rest is told again each time,
+   so that all of it is fresh within REFRESH_PART_COUNT periods.  */
+
+#include "core/limit.h"
+
+#include "core/state.h"
+
+#include <string.h>
+
+#define EXCHANGE_PERIOD_US (100 * US_PER_MS)
+#define REFRESH_PART_COUNT 64
+/** A peer that is silent for so long is left out of the target.  */
+#define VIEW_LIMIT_US (1 * US_PER_S)
+/** Longest silence of this entry towards its peers.  */
+#define KEEPALIVE_US (300 * US_PER_MS)
+
+struct peer_view *
+core_view_find (const struct core *c, uint64_t incarnation)
+{
+  const struct limit_state *s = c->limits;
+  uint32_t i;
+
+  for (i = 0; i < s->view_count; i++)
+    if (s->views[i]->incarnation == incarnation)
+      return s->views[i];
+  return NULL;
+}
+
+bool
+core_view_is_fresh (const struct core *c, const struct peer_view *v)
+{
+  return v->heard_us != 0 && c->now_us - v->heard_us <= VIEW_LIMIT_US;
+}
+
+static void
+add_view (struct limit_state *s, uint64_t incarnation)
+{
+  struct peer_view *v = talloc_zero (s, struct peer_view);
+
+  v->incarnation = incarnation;
+  v->demand_count
+      = talloc_zero_array (v, uint32_t, s->pool_count * s->column_count + 1);
+  v->holding = talloc_zero_array (v, struct peer_holding, s->group_count + 1);
+  s->views
+      = talloc_realloc (s, s->views, struct peer_view *, s->view_count + 1);
+  if (s->views == NULL)
+    out_of_memory ();
+  s->views[s->view_count++] = v;
+}
+
+static bool
+is_live (const struct core *c, uint64_t incarnation)
+{
+  const struct issue_member *m
+      = issue_member_find (c->control->issue, incarnation);
+
+  return m != NULL && !m->gone;
+}
+
+/* Forgets what was told, so that all of it is told again.  */
+static void
+tell_all_again (struct limit_state *s)
+{
+  uint32_t cells = s->pool_count * s->column_count;
+
+  if (s->sent_demand_count != NULL)
+    memset (s->sent_demand_count, 0, cells * sizeof *s->sent_demand_count);
+  if (s->sent_holding != NULL)
+    memset (s->sent_holding, 0, s->group_count * sizeof *s->sent_holding);
+  s->next_exchange_us = 0;
+}
+
+void
+core_views_sync (struct core *c)
+{
+  struct limit_state *s = c->limits;
+  const struct issue *t = c->control->issue;
+  uint32_t i;
+
+  for (i = s->view_count; i-- > 0;)
+    if (!is_live (c, s->views[i]->incarnation))
+      {
+        talloc_free (s->views[i]);
+        s->views[i] = s->views[--s->view_count];
+      }
+  for (i = 0; i < t->member_count; i++)
+    {
+      uint64_t n = t->members[i].incarnation;
+
+      if (t->members[i].gone || n == c->incarnation
+          || core_view_find (c, n) != NULL)
+        continue;
+      add_view (s, n);
+      tell_all_again (s);
+    }
+}
+
+static int32_t
+name_index (char (*names)[NAME_BYTES], uint32_t count, const char *name)
+{
+  uint32_t i;
+
+  for (i = 0; i < count; i++)
+    if (strcmp (names[i], name) == 0)
+      return (int32_t)i;
+  return -1;
+}
+
+static void
+take_holding (const struct limit_state *s, struct peer_view *v,
+              const struct peer_demand *d)
+{
+  int32_t g = d->pool[0] == '\0'
+                  ? name_index (s->team_names, s->team_count, d->team)
+                  : name_index (s->pool_names, s->pool_count, d->pool);
+
+  if (g < 0)
+    return;
+  if (d->pool[0] != '\0')
+    g += (int32_t)s->team_count;
+  v->holding[g].hold_count = (int32_t)d->running_count;
+  v->holding[g].idle_count = d->waiting_count;
+}
+
+void
+core_on_demand (struct core *c, const struct peer_message *m)
+{
+  const struct limit_state *s = c->limits;
+  const struct peer_demand *d = &m->u.demand;
+  struct peer_view *v = core_view_find (c, m->from_incarnation);
+  int32_t pool;
+  int32_t team;
+
+  if (v == NULL)
+    return;
+  if (d->pool[0] == '\0' || d->team[0] == '\0')
+    {
+      take_holding (s, v, d);
+      return;
+    }
+  pool = name_index (s->pool_names, s->pool_count, d->pool);
+  team = name_index (s->team_names, s->column_count, d->team);
+  if (pool >= 0 && team >= 0)
+    v->demand_count[(uint32_t)pool * s->column_count + (uint32_t)team]
+        = d->waiting_count + d->running_count;
+}
+
+struct peer_holding
+core_own_holding (const struct core *c, uint32_t group)
+{
+  const struct limit_state *s = c->limits;
+  struct peer_holding h = { 0, 0 };
+  const struct pool_state *p;
+  uint32_t i;
+
+  if (group < s->team_count)
+    {
+      int64_t hold = core_holding (c, c->teams[group].limit);
+
+      h.hold_count = (int32_t)hold;
+      if (hold > c->teams[group].running_count)
+        h.idle_count = (uint32_t)hold - c->teams[group].running_count;
+      return h;
+    }
+  p = &c->pools[group - s->team_count];
+  for (i = 0; i < p->vm_count; i++)
+    {
+      const struct vm_state *v = &c->vms[p->vms[i]];
+      int64_t hold = core_holding (c, v->limit);
+
+      if (!core_vm_takes_work (c, p->vms[i])
+          || !core_vm_is_healthy (c, p->vms[i]))
+        continue;
+      h.hold_count += (int32_t)hold;
+      if (hold > v->running_count)
+        h.idle_count += (uint32_t)hold - v->running_count;
+    }
+  return h;
+}
+
+static uint32_t
+pool_capacity (const struct core *c, uint32_t pool)
+{
+  const struct pool_state *p = &c->pools[pool];
+  uint32_t sum = 0;
+  uint32_t i;
+
+  for (i = 0; i < p->vm_count; i++)
+    if (core_vm_takes_work (c, p->vms[i]) && core_vm_is_healthy (c, p->vms[i]))
+      sum += c->control->config->vms[p->vms[i]].slot_count;
+  return sum;
+}
+
+/* Demand beyond what a limit allows changes no target; without it a long
+   queue would be told again and again.  */
+static uint32_t
+own_demand (const struct core *c, uint32_t pool, uint32_t column,
+            uint32_t capacity)
+{
+  const struct pool_state *p = &c->pools[pool];
+  uint32_t n
+      = p->queue.teams[column].waiting_count + p->team_running_count[column];
+
+  if (n > capacity)
+    n = capacity;
+  if (column < c->limits->team_count
+      && n > c->control->config->teams[column].ceiling_count)
+    n = c->control->config->teams[column].ceiling_count;
+  return n;
+}
+
+static void
+tell (struct core *c, const char *pool, const char *team, uint32_t waiting,
+      uint32_t running)
+{
+  struct limit_state *s = c->limits;
+  uint32_t i;
+
+  for (i = 0; i < s->view_count; i++)
+    {
+      struct peer_message *m
+          = core_message (c, s->views[i]->incarnation, PEER_DEMAND);
+
+      text_copy (m->u.demand.pool, NAME_BYTES, pool);
+      text_copy (m->u.demand.team, NAME_BYTES, team);
+      m->u.demand.waiting_count = waiting;
+      m->u.demand.running_count = running;
+    }
+  s->last_sent_us = c->now_us;
+}
+
+static bool
+differs_enough (uint32_t told, uint32_t now)
+{
+  uint32_t change = told > now ? told - now : now - told;
+
+  if (change == 0)
+    return false;
+  return told == 0 || now == 0 || change * 16 > told;
+}
+
+/* Returns true if entry I of what is told is due to be told again anyway.  */
+static bool
+is_refreshed (const struct limit_state *s, uint32_t i)
+{
+  return i % REFRESH_PART_COUNT == s->refresh_cursor;
+}
+
+static void
+tell_cell (struct core *c, uint32_t pool, uint32_t column, uint32_t capacity)
+{
+  struct limit_state *s = c->limits;
+  uint32_t i = pool * s->column_count + column;
+  uint32_t n = own_demand (c, pool, column, capacity);
+  uint32_t told = s->sent_demand_count[i];
+
+  if (!differs_enough (told, n) && !(is_refreshed (s, i) && told + n > 0))
+    return;
+  s->sent_demand_count[i] = n;
+  tell (c, s->pool_names[pool], s->team_names[column], n, 0);
+}
+
+static uint32_t
+magnitude (uint32_t n)
+{
+  uint32_t bits = 0;
+
+  for (; n > 0; n >>= 2)
+    bits++;
+  return bits;
+}
+
+static void
+tell_group (struct core *c, uint32_t group)
+{
+  struct limit_state *s = c->limits;
+  struct peer_holding h = core_own_holding (c, group);
+  struct peer_holding *told = &s->sent_holding[group];
+  bool same = h.hold_count == told->hold_count
+              && magnitude (h.idle_count) == magnitude (told->idle_count);
+
+  if (same && !is_refreshed (s, group))
+    return;
+  *told = h;
+  if (group < s->team_count)
+    tell (c, "", s->team_names[group], h.idle_count, (uint32_t)h.hold_count);
+  else
+    tell (c, s->pool_names[group - s->team_count], "", h.idle_count,
+          (uint32_t)h.hold_count);
+}
+
+static void
+copy_demand (struct core *c, uint32_t *demand, const uint32_t *capacity)
+{
+  const struct limit_state *s = c->limits;
+  uint32_t cells = s->pool_count * s->column_count;
+  uint32_t i;
+  uint32_t k;
+
+  for (i = 0; i < s->pool_count; i++)
+    for (k = 0; k < s->column_count; k++)
+      demand[i * s->column_count + k] = own_demand (c, i, k, capacity[i]);
+  for (i = 0; i < s->view_count; i++)
+    if (core_view_is_fresh (c, s->views[i]))
+      memcpy (demand + (i + 1) * cells, s->views[i]->demand_count,
+              cells * sizeof *demand);
+}
+
+/* Row 0 of the target is this member, row I + 1 is view I.  */
+static void
+compute_target (struct core *c)
+{
+  struct limit_state *s = c->limits;
+  const struct config *f = c->control->config;
+  uint32_t members = s->view_count + 1;
+  TALLOC_CTX *mem = talloc_new (s);
+  uint32_t *weight = talloc_array (mem, uint32_t, s->column_count);
+  uint32_t *ceiling = talloc_array (mem, uint32_t, s->column_count);
+  uint32_t *capacity = talloc_array (mem, uint32_t, s->pool_count + 1);
+  uint32_t *demand = talloc_zero_array (
+      mem, uint32_t, members * s->pool_count * s->column_count + 1);
+  struct share_problem p = { s->pool_count, s->column_count, members, capacity,
+                             ceiling,       weight,          demand };
+  uint32_t i;
+
+  for (i = 0; i < s->team_count; i++)
+    {
+      weight[i] = f->teams[i].share_weight > 0 ? f->teams[i].share_weight : 1;
+      ceiling[i] = f->teams[i].ceiling_count;
+    }
+  weight[s->team_count] = 1;
+  ceiling[s->team_count] = UINT32_MAX;
+  for (i = 0; i < s->pool_count; i++)
+    capacity[i] = pool_capacity (c, i);
+  copy_demand (c, demand, capacity);
+  talloc_free (s->target);
+  s->target = share_compute (s, &p);
+  talloc_free (mem);
+}
+
+void
+core_exchange (struct core *c)
+{
+  struct limit_state *s = c->limits;
+  uint32_t i;
+  uint32_t k;
+
+  s->next_exchange_us = c->now_us + EXCHANGE_PERIOD_US;
+  for (i = 0; i < s->pool_count; i++)
+    {
+      uint32_t capacity = pool_capacity (c, i);
+
+      for (k = 0; k < s->column_count; k++)
+        tell_cell (c, i, k, capacity);
+    }
+  for (i = 0; i < s->group_count; i++)
+    tell_group (c, i);
+  s->refresh_cursor = (s->refresh_cursor + 1) % REFRESH_PART_COUNT;
+  if (s->team_count > 0 && c->now_us - s->last_sent_us >= KEEPALIVE_US)
+    tell (c, "", s->team_names[0], s->sent_holding[0].idle_count,
+          (uint32_t)s->sent_holding[0].hold_count);
+  if (c->settings.limit_policy == LIMIT_FIRST_COME)
+    return;
+  compute_target (c);
+  core_plan_pushes (c);
+}
--- /dev/null
+++ b/core/issue.c
@@ -0,0 +1,365 @@
+/* issue.c -- how many tokens of each limit are issued to each member.  */
+
+#include "core/issue.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define KEY_BYTES (NAME_BYTES + 2)
+
+static int
+issue_free (struct issue *s)
+{
+  g_hash_table_destroy (s->index);
+  return 0;
+}
+
+struct issue *
+issue_new (TALLOC_CTX *mem)
+{
+  struct issue *s = talloc_zero (mem, struct issue);
+
+  if (s == NULL)
+    out_of_memory ();
+  s->index = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  talloc_set_destructor (s, issue_free);
+  return s;
+}
+
+static void
+limit_key (char *key, enum limit_kind kind, const char *name)
+{
+  snprintf (key, KEY_BYTES, "%c%s", kind == LIMIT_TEAM ? 't' : 'v', name);
+}
+
+int32_t
+issue_find_name (const struct issue *s, enum limit_kind kind, const char *name)
+{
+  char key[KEY_BYTES];
+
+  limit_key (key, kind, name);
+  return GPOINTER_TO_INT (g_hash_table_lookup (s->index, key)) - 1;
+}
+
+int32_t
+issue_find (const struct issue *s, const struct limit_ref *ref)
+{
+  return issue_find_name (s, ref->kind, ref->name);
+}
+
+static struct issue_member *
+find_member (const struct issue *s, uint64_t incarnation)
+{
+  uint32_t i;
+
+  for (i = 0; i < s->member_count; i++)
+    if (s->members[i].incarnation == incarnation)
+      return &s->members[i];
+  return NULL;
+}
+
+const struct issue_member *
+issue_member_find (const struct issue *s, uint64_t incarnation)
+{
+  return find_member (s, incarnation);
+}
+
+bool
+issue_has_settled (const struct issue_member *g, uint64_t incarnation)
+{
+  uint32_t i;
+
+  for (i = 0; i < g->settled_count; i++)
+    if (g->settled[i] == incarnation)
+      return true;
+  return false;
+}
+
+bool
+issue_must_settle (const struct issue *s, const struct issue_member *g,
+                   uint64_t incarnation)
+{
+  const struct issue_member *m = find_member (s, incarnation);
+
+  /* Who joined after the gone one ended cannot have a link with it.  */
+  return m != NULL && !m->gone && incarnation <= g->gone_offset
+         && !issue_has_settled (g, incarnation);
+}
+
+static uint32_t
+live_count (const struct issue *s)
+{
+  uint32_t n = 0;
+  uint32_t i;
+
+  for (i = 0; i < s->member_count; i++)
+    n += !s->members[i].gone;
+  return n;
+}
+
+/* Spreads AMOUNT, of either sign, over the live members.  The odd tokens
+   start at a place that differs from limit to limit.  */
+static void
+spread (struct issue *s, uint32_t limit, int64_t amount)
+{
+  int64_t n = live_count (s);
+  int64_t sign = amount < 0 ? -1 : 1;
+  int64_t size = amount * sign;
+  int64_t rank = 0;
+  uint32_t i;
+
+  if (n == 0)
+    {
+      s->limits[limit].unissued_count += amount;
+      return;
+    }
+  for (i = 0; i < s->member_count; i++)
+    {
+      int64_t place = (rank + limit) % n;
+
+      if (s->members[i].gone)
+        continue;
+      s->members[i].tokens[limit]
+          += sign * (size / n + (place < size % n ? 1 : 0));
+      rank++;
+    }
+}
+
+static uint32_t
+add_limit (struct issue *s, enum limit_kind kind, const char *name)
+{
+  char key[KEY_BYTES];
+  uint32_t n = s->limit_count;
+  uint32_t i;
+
+  s->limits = talloc_realloc (s, s->limits, struct issue_limit, n + 1);
+  if (s->limits == NULL)
+    out_of_memory ();
+  memset (&s->limits[n], 0, sizeof s->limits[n]);
+  s->limits[n].ref.kind = kind;
+  text_copy (s->limits[n].ref.name, NAME_BYTES, name);
+  for (i = 0; i < s->member_count; i++)
+    {
+      int64_t *t = talloc_realloc (s, s->members[i].tokens, int64_t, n + 1);
+
+      if (t == NULL)
+        out_of_memory ();
+      t[n] = 0;
+      s->members[i].tokens = t;
+    }
+  limit_key (key, kind, name);
+  g_hash_table_insert (s->index, g_strdup (key), GINT_TO_POINTER (n + 1));
+  return s->limit_count++;
+}
+
+static void
+set_total (struct issue *s, uint32_t limit, int64_t total)
+{
+  int64_t change = total - s->limits[limit].total_count;
+
+  s->limits[limit].total_count = total;
+  if (change != 0)
+    spread (s, limit, change);
+}
+
+static uint32_t
+limit_of (struct issue *s, enum limit_kind kind, const char *name)
+{
+  int32_t i = issue_find_name (s, kind, name);
+
+  return i < 0 ? add_limit (s, kind, name) : (uint32_t)i;
+}
+
+void
+issue_on_config (struct issue *s, const struct config *f)
+{
+  uint32_t known = s->limit_count;
+  bool *named;
+  uint32_t i;
+
+  for (i = 0; i < f->route_count; i++)
+    if (f->routes[i].timeout_ms > s->longest_timeout_ms)
+      s->longest_timeout_ms = f->routes[i].timeout_ms;
+  for (i = 0; i < f->team_count; i++)
+    limit_of (s, LIMIT_TEAM, f->teams[i].name);
+  for (i = 0; i < f->vm_count; i++)
+    limit_of (s, LIMIT_VM, f->vms[i].name);
+  named = talloc_zero_array (s, bool, s->limit_count + 1);
+  for (i = 0; i < f->team_count; i++)
+    {
+      uint32_t k = limit_of (s, LIMIT_TEAM, f->teams[i].name);
+
+      named[k] = true;
+      set_total (s, k, f->teams[i].ceiling_count);
+    }
+  for (i = 0; i < f->vm_count; i++)
+    {
+      uint32_t k = limit_of (s, LIMIT_VM, f->vms[i].name);
+
+      named[k] = true;
+      set_total (s, k, f->vms[i].slot_count);
+    }
+  for (i = 0; i < known; i++)
+    if (!named[i])
+      set_total (s, i, 0);
+  talloc_free (named);
+}
+
+static bool
+group_is_settled (const struct issue *s, uint64_t at_ms)
+{
+  uint32_t i;
+  uint32_t k;
+
+  for (i = 0; i < s->member_count; i++)
+    {
+      const struct issue_member *g = &s->members[i];
+
+      if (!g->gone)
+        continue;
+      if (at_ms < g->lapse_ms)
+        return false;
+      for (k = 0; k < s->member_count; k++)
+        if (issue_must_settle (s, g, s->members[k].incarnation))
+          return false;
+    }
+  return true;
+}
+
+static void
+drop_member (struct issue *s, uint32_t i)
+{
+  talloc_free (s->members[i].tokens);
+  talloc_free (s->members[i].settled);
+  s->member_count--;
+  memmove (&s->members[i], &s->members[i + 1],
+           (s->member_count - i) * sizeof *s->members);
+}
+
+/* Issues the remainder of all gone members again.  Several are one group:
+   the links between them cancel in the sum.  */
+static void
+reissue_group (struct issue *s, uint64_t at_ms)
+{
+  uint32_t i;
+  uint32_t k;
+
+  if (live_count (s) == s->member_count || !group_is_settled (s, at_ms))
+    return;
+  for (k = 0; k < s->limit_count; k++)
+    {
+      int64_t rest = 0;
+
+      for (i = 0; i < s->member_count; i++)
+        if (s->members[i].gone)
+          rest += s->members[i].tokens[k];
+      if (rest != 0)
+        spread (s, k, rest);
+    }
+  for (i = s->member_count; i-- > 0;)
+    if (s->members[i].gone)
+      drop_member (s, i);
+  s->reissue_count++;
+}
+
+static void
+issue_the_unissued (struct issue *s)
+{
+  uint32_t i;
+
+  for (i = 0; i < s->limit_count; i++)
+    {
+      int64_t n = s->limits[i].unissued_count;
+
+      s->limits[i].unissued_count = 0;
+      if (n != 0)
+        spread (s, i, n);
+    }
+}
+
+void
+issue_on_join (struct issue *s, uint64_t incarnation, uint64_t at_ms)
+{
+  struct issue_member *m;
+  bool first = live_count (s) == 0;
+
+  s->members = talloc_realloc (s, s->members, struct issue_member,
+                               s->member_count + 1);
+  if (s->members == NULL)
+    out_of_memory ();
+  m = &s->members[s->member_count++];
+  memset (m, 0, sizeof *m);
+  m->incarnation = incarnation;
+  m->tokens = talloc_zero_array (s, int64_t, s->limit_count);
+  if (first)
+    issue_the_unissued (s);
+  reissue_group (s, at_ms);
+}
+
+void
+issue_on_gone (struct issue *s, uint64_t incarnation, uint64_t offset,
+               uint64_t at_ms)
+{
+  struct issue_member *m = find_member (s, incarnation);
+
+  if (m == NULL || m->gone)
+    return;
+  m->gone = true;
+  m->gone_offset = offset;
+  m->lapse_ms = at_ms + s->longest_timeout_ms;
+}
+
+static bool
+settle_is_valid (const struct issue *s, const struct record_settle *r)
+{
+  uint32_t i;
+
+  for (i = 0; i < r->item_count; i++)
+    if (issue_find (s, &r->items[i].limit) < 0)
+      return false;
+  return true;
+}
+
+bool
+issue_on_settle (struct issue *s, const struct record_settle *r,
+                 uint64_t at_ms)
+{
+  struct issue_member *g = find_member (s, r->gone_incarnation);
+  struct issue_member *m = find_member (s, r->incarnation);
+  uint32_t i;
+
+  if (g == NULL || m == NULL || !g->gone || m->gone || at_ms < g->lapse_ms
+      || issue_has_settled (g, r->incarnation) || !settle_is_valid (s, r))
+    return false;
+  for (i = 0; i < r->item_count; i++)
+    {
+      int32_t k = issue_find (s, &r->items[i].limit);
+
+      m->tokens[k] += r->items[i].token_count;
+      g->tokens[k] -= r->items[i].token_count;
+    }
+  g->settled = talloc_realloc (s, g->settled, uint64_t, g->settled_count + 1);
+  if (g->settled == NULL)
+    out_of_memory ();
+  g->settled[g->settled_count++] = r->incarnation;
+  reissue_group (s, at_ms);
+  return true;
+}
+
+bool
+issue_audit (const struct issue *s)
+{
+  uint32_t i;
+  uint32_t k;
+
+  for (k = 0; k < s->limit_count; k++)
+    {
+      int64_t sum = s->limits[k].unissued_count;
+
+      for (i = 0; i < s->member_count; i++)
+        sum += s->members[i].tokens[k];
+      if (sum != s->limits[k].total_count)
+        return false;
+    }
+  return true;
+}
--- a/core/lending.c
+++ b/core/lending.c
@@ -85,7 +85,7 @@
       l->pools[i].slot_count = 0;
       l->pools[i].vm_slot_count = 0;
       l->pools[i].lent_count = 0;
-      l->pools[i].demand_count = c->pools[i].waiting_count;
+      l->pools[i].demand_count = c->pools[i].queue.waiting_count;
     }
   for (i = 0; i < f->vm_count; i++)
     {
--- a/core/limit.c
+++ b/core/limit.c
@@ -1,11 +1,31 @@
-/* limit.c -- how much of each limit this entry may use.
+/* limit.c -- how much of each limit this entry may use.  */
 
-   The static split: each member has an equal part of every limit, and the
-   first members in join order have the remainder.  It is the baseline that
-   the token ledger is measured against.  */
+#include "core/limit.h"
 
 #include "core/state.h"
 
+#include <string.h>
+
+/** Least time between two asks for the same group.  */
+#define ASK_PERIOD_US (10 * US_PER_MS)
+/** Added to the lapse of task leases before a settlement is sent.  */
+#define SETTLE_MARGIN_US (100 * US_PER_MS)
+/** When an unanswered settlement is sent again.  */
+#define SETTLE_RETRY_US (2 * US_PER_S)
+
+struct limit_state *
+limit_state_new (TALLOC_CTX *mem)
+{
+  struct limit_state *s = talloc_zero (mem, struct limit_state);
+
+  if (s == NULL)
+    out_of_memory ();
+  s->ledger = ledger_new (s);
+  return s;
+}
+
+/* The baseline: each member has an equal part, and the first members in join
+   order have the remainder.  */
 static uint32_t
 split (const struct core *c, uint32_t total)
 {
@@ -18,20 +38,352 @@
   return 0;
 }
 
+int64_t
+core_holding (const struct core *c, int32_t limit)
+{
+  const struct limit_state *s = c->limits;
+
+  if (limit < 0 || s->issued == NULL
+      || (uint32_t)limit >= s->ledger->limit_count)
+    return 0;
+  return s->issued[limit] + s->ledger->net[limit];
+}
+
+static uint32_t
+usable (int64_t holding, uint32_t reserved)
+{
+  return holding > reserved ? (uint32_t)(holding - reserved) : 0;
+}
+
 uint32_t
 core_team_limit (const struct core *c, uint32_t index)
 {
-  return split (c, c->control->config->teams[index].ceiling_count);
+  if (c->settings.limit_policy == LIMIT_STATIC_SPLIT)
+    return split (c, c->control->config->teams[index].ceiling_count);
+  return usable (core_holding (c, c->teams[index].limit),
+                 c->limits->reserved_count[index]);
 }
 
 uint32_t
 core_vm_limit (const struct core *c, uint32_t index)
 {
-  return split (c, c->control->config->vms[index].slot_count);
+  if (c->settings.limit_policy == LIMIT_STATIC_SPLIT)
+    return split (c, c->control->config->vms[index].slot_count);
+  return usable (core_holding (c, c->vms[index].limit), 0);
+}
+
+uint32_t
+core_pool_limit (const struct core *c, uint32_t index)
+{
+  const struct limit_state *s = c->limits;
+  uint32_t reserved = s->reserved_count[s->team_count + index];
+
+  if (c->settings.limit_policy == LIMIT_STATIC_SPLIT || reserved == 0)
+    return UINT32_MAX;
+  return usable (core_own_holding (c, s->team_count + index).hold_count,
+                 reserved);
+}
+
+static void
+find_limits (struct core *c)
+{
+  const struct issue *s = c->control->issue;
+  const struct config *f = c->control->config;
+  uint32_t i;
+
+  for (i = 0; i < f->team_count; i++)
+    c->teams[i].limit = issue_find_name (s, LIMIT_TEAM, f->teams[i].name);
+  for (i = 0; i < f->vm_count; i++)
+    c->vms[i].limit = issue_find_name (s, LIMIT_VM, f->vms[i].name);
+}
+
+/* Copies the names, for the tables that they come from are replaced.  */
+static void
+copy_names (struct limit_state *s, const struct config *f)
+{
+  uint32_t i;
+
+  talloc_free (s->team_names);
+  talloc_free (s->pool_names);
+  s->team_names = talloc_zero_size (s, (size_t)s->column_count * NAME_BYTES);
+  s->pool_names
+      = talloc_zero_size (s, (size_t)(s->pool_count + 1) * NAME_BYTES);
+  for (i = 0; i < f->team_count; i++)
+    text_copy (s->team_names[i], NAME_BYTES, f->teams[i].name);
+  text_copy (s->team_names[f->team_count], NAME_BYTES, DEMAND_NO_TEAM);
+  for (i = 0; i < f->pool_count; i++)
+    text_copy (s->pool_names[i], NAME_BYTES, f->pools[i].name);
+}
+
+static void
+drop_views (struct limit_state *s)
+{
+  uint32_t i;
+
+  for (i = 0; i < s->view_count; i++)
+    talloc_free (s->views[i]);
+  s->view_count = 0;
+}
+
+void
+core_limit_adopt (struct core *c)
+{
+  struct limit_state *s = c->limits;
+  const struct config *f = c->control->config;
+  uint32_t cells;
+
+  find_limits (c);
+  s->team_count = f->team_count;
+  s->pool_count = f->pool_count;
+  s->group_count = f->team_count + f->pool_count;
+  s->column_count = f->team_count + 1;
+  cells = s->pool_count * s->column_count;
+  copy_names (s, f);
+  drop_views (s);
+  talloc_free (s->sent_demand_count);
+  talloc_free (s->sent_holding);
+  talloc_free (s->reserved_count);
+  talloc_free (s->short_count);
+  talloc_free (s->asked_us);
+  TALLOC_FREE (s->target);
+  TALLOC_FREE (s->pushes);
+  s->push_count = 0;
+  s->sent_demand_count = talloc_zero_array (s, uint32_t, cells + 1);
+  s->sent_holding
+      = talloc_zero_array (s, struct peer_holding, s->group_count + 1);
+  s->reserved_count = talloc_zero_array (s, uint32_t, s->group_count + 1);
+  s->short_count = talloc_zero_array (s, uint32_t, s->group_count + 1);
+  s->asked_us = talloc_zero_array (s, uint64_t, s->group_count + 1);
+  s->refresh_cursor = 0;
+}
+
+static struct gone_link *
+gone_find (struct limit_state *s, uint64_t incarnation)
+{
+  uint32_t i;
+
+  for (i = 0; i < s->gone_count; i++)
+    if (s->gone[i].incarnation == incarnation)
+      return &s->gone[i];
+  return NULL;
+}
+
+/* Closes the link with a gone member and plans the settlement.  */
+static void
+note_gone (struct core *c, const struct issue_member *g)
+{
+  struct limit_state *s = c->limits;
+  struct ledger_link *k = ledger_link_find (s->ledger, g->incarnation);
+
+  if (k != NULL)
+    k->closed = true;
+  if (gone_find (s, g->incarnation) != NULL)
+    return;
+  s->gone = talloc_realloc (s, s->gone, struct gone_link, s->gone_count + 1);
+  if (s->gone == NULL)
+    out_of_memory ();
+  s->gone[s->gone_count].incarnation = g->incarnation;
+  s->gone[s->gone_count].send_us
+      = c->now_us + c->control->issue->longest_timeout_ms * US_PER_MS
+        + SETTLE_MARGIN_US;
+  s->gone_count++;
+}
+
+/* Folds the links whose net amount has become part of what is issued.  */
+static void
+fold_links (struct core *c)
+{
+  struct ledger *l = c->limits->ledger;
+  uint32_t i;
+
+  for (i = l->link_count; i-- > 0;)
+    {
+      const struct issue_member *g
+          = issue_member_find (c->control->issue, l->links[i]->peer);
+
+      if (g == NULL || (g->gone && issue_has_settled (g, c->incarnation)))
+        ledger_fold (l, l->links[i]);
+    }
+}
+
+static void
+forget_gone (struct core *c)
+{
+  struct limit_state *s = c->limits;
+  uint32_t i;
+
+  for (i = s->gone_count; i-- > 0;)
+    if (issue_member_find (c->control->issue, s->gone[i].incarnation) == NULL)
+      s->gone[i] = s->gone[--s->gone_count];
+}
+
+void
+core_limit_sync (struct core *c)
+{
+  struct limit_state *s = c->limits;
+  const struct issue *t = c->control->issue;
+  const struct issue_member *own = issue_member_find (t, c->incarnation);
+  uint32_t i;
+
+  /* A member that joined again shares no link with anyone yet.  */
+  if (s->incarnation != c->incarnation)
+    {
+      talloc_free (s->ledger);
+      s->ledger = ledger_new (s);
+      s->incarnation = c->incarnation;
+    }
+  ledger_grow (s->ledger, t->limit_count);
+  s->issued = own != NULL && !own->gone ? own->tokens : NULL;
+  for (i = 0; i < t->member_count; i++)
+    if (t->members[i].gone)
+      note_gone (c, &t->members[i]);
+  fold_links (c);
+  forget_gone (c);
+  core_views_sync (c);
+  core_mark_all (c);
+}
+
+static void
+fill_settlement (struct core *c, struct record *r, const struct ledger_link *k)
+{
+  const struct issue *t = c->control->issue;
+  uint32_t i;
+
+  if (k == NULL)
+    return;
+  r->u.settle.items
+      = talloc_zero_array (r, struct settle_item, t->limit_count);
+  for (i = 0; i < t->limit_count; i++)
+    if (k->net[i] != 0)
+      {
+        struct settle_item *x = &r->u.settle.items[r->u.settle.item_count++];
+
+        x->limit = t->limits[i].ref;
+        x->token_count = k->net[i];
+      }
+}
+
+static void
+send_settlement (struct core *c, uint64_t gone)
+{
+  struct action *a = actions_add (c->out, ACTION_APPEND);
+  struct record *r = talloc_zero (NULL, struct record);
+
+  r->kind = RECORD_SETTLE;
+  core_command_id (c, r->id);
+  r->u.settle.incarnation = c->incarnation;
+  r->u.settle.gone_incarnation = gone;
+  fill_settlement (c, r, ledger_link_find (c->limits->ledger, gone));
+  a->u.append = r;
+}
+
+/* Returns true if this member is to settle with G: it may share a link, or
+   nobody may and it is the first of the live ones.  */
+static bool
+settles (const struct core *c, const struct issue_member *g)
+{
+  const struct issue *t = c->control->issue;
+  uint32_t i;
+
+  if (issue_must_settle (t, g, c->incarnation))
+    return true;
+  if (issue_has_settled (g, c->incarnation))
+    return false;
+  for (i = 0; i < t->member_count; i++)
+    if (issue_must_settle (t, g, t->members[i].incarnation))
+      return false;
+  for (i = 0; i < t->member_count; i++)
+    if (!t->members[i].gone)
+      return t->members[i].incarnation == c->incarnation;
+  return false;
+}
+
+static void
+settle_gone (struct core *c)
+{
+  struct limit_state *s = c->limits;
+  uint32_t i;
+
+  if (s->issued == NULL || !c->log_readable)
+    return;
+  for (i = 0; i < s->gone_count; i++)
+    {
+      const struct issue_member *g
+          = issue_member_find (c->control->issue, s->gone[i].incarnation);
+
+      if (g == NULL || c->now_us < s->gone[i].send_us || !settles (c, g))
+        continue;
+      s->gone[i].send_us = c->now_us + SETTLE_RETRY_US;
+      send_settlement (c, g->incarnation);
+    }
+}
+
+/* A member that runs more than it holds, or owes tokens, asks for them.  */
+static void
+ask_for_debts (struct core *c)
+{
+  const struct limit_state *s = c->limits;
+  uint32_t i;
+
+  for (i = 0; i < s->team_count; i++)
+    {
+      int64_t hold = core_holding (c, c->teams[i].limit);
+      int64_t missing = c->teams[i].running_count - hold;
+
+      if (missing > 0)
+        core_limit_short (c, i, (uint32_t)missing);
+    }
 }
 
 void
 core_limit_tick (struct core *c)
 {
-  (void)c;
+  struct limit_state *s = c->limits;
+
+  if (c->control->config == NULL || s->issued == NULL
+      || c->settings.limit_policy == LIMIT_STATIC_SPLIT)
+    return;
+  settle_gone (c);
+  core_resend (c);
+  if (c->stopping)
+    {
+      core_give_all (c);
+      return;
+    }
+  if (c->now_us >= s->next_exchange_us)
+    core_exchange (c);
+  core_run_pushes (c);
+  ask_for_debts (c);
+  core_mark_all (c);
+  core_dispatch_all (c);
+}
+
+void
+core_limit_short (struct core *c, uint32_t group, uint32_t count)
+{
+  struct limit_state *s = c->limits;
+
+  if (s->short_count[group] < count)
+    s->short_count[group] = count;
+  s->any_short = true;
+}
+
+void
+core_limit_flush (struct core *c)
+{
+  struct limit_state *s = c->limits;
+  uint32_t i;
+
+  if (!s->any_short || c->settings.limit_policy == LIMIT_STATIC_SPLIT)
+    return;
+  s->any_short = false;
+  for (i = 0; i < s->group_count; i++)
+    {
+      if (s->short_count[i] > 0 && c->now_us >= s->asked_us[i] + ASK_PERIOD_US)
+        {
+          s->asked_us[i] = c->now_us;
+          core_ask (c, i, s->short_count[i]);
+        }
+      s->short_count[i] = 0;
+    }
 }
--- a/core/membership.c
+++ b/core/membership.c
@@ -191,6 +191,9 @@
       core_adopt_members (c);
       core_check_own_membership (c);
       break;
+    case RECORD_SETTLE:
+      core_note (c, NOTE_SETTLED, "", r->u.settle.gone_incarnation);
+      break;
     case RECORD_CHECKPOINT:
       break;
     default: /* Noted by maintenance.c.  */
@@ -217,6 +220,7 @@
     {
     case VERDICT_APPLIED:
       note_applied (c, r, offset);
+      core_limit_sync (c);
       core_dispatch_all (c);
       break;
     case VERDICT_REPEATED:
@@ -232,6 +236,8 @@
 void
 core_on_record (struct core *c, struct event_record *e)
 {
+  if (e->at_ms > c->control->log_ms)
+    c->control->log_ms = e->at_ms;
   core_take_record (c, e->offset, e->record, e->raw, true);
 }
 
--- a/core/peer_input.c
+++ b/core/peer_input.c
@@ -3,6 +3,46 @@
 #include "core/state.h"
 
 #include <string.h>
+/* Returns true if M comes from a live member.  What comes from one that is
+   gone, or not known here yet, counts for nothing; a transfer from the latter
+   is sent again.  */
+static bool
+is_from_member (const struct core *c, const struct peer_message *m)
+{
+  const struct issue_member *from
+      = issue_member_find (c->control->issue, m->from_incarnation);
+
+  return from != NULL && !from->gone;
+}
+
+static void
+on_limit_message (struct core *c, const struct peer_message *m)
+{
+  struct peer_view *v = core_view_find (c, m->from_incarnation);
+
+  if (!is_from_member (c, m))
+    return;
+  if (v != NULL)
+    v->heard_us = c->now_us;
+  switch (m->kind)
+    {
+    case PEER_DEMAND:
+      core_on_demand (c, m);
+      break;
+    case PEER_TRANSFER:
+      core_on_transfer (c, m);
+      break;
+    case PEER_ACK:
+      core_on_ack (c, m);
+      break;
+    case PEER_ASK:
+      core_on_ask (c, m);
+      break;
+    case PEER_STATUS:
+    case PEER_RECORD:
+      break;
+    }
+}
 
 void
 core_on_peer (struct core *c, struct peer_message *m)
@@ -25,6 +65,7 @@
     case PEER_TRANSFER:
     case PEER_ACK:
     case PEER_ASK:
+      on_limit_message (c, m);
       break;
     }
 }
--- a/core/request.c
+++ b/core/request.c
@@ -46,6 +46,12 @@
   forget_request (c, r);
 }
 
+void
+core_expire_request (struct core *c, struct request *r)
+{
+  refuse_waiting (c, pool_of_queue (c, r->queue), r, ANSWER_EXPIRED);
+}
+
 void
 core_start_attempt (struct core *c, struct request *r, uint32_t vm_index)
 {
@@ -88,7 +94,9 @@
     return ANSWER_TOO_LARGE;
   if (r->route_class == ROUTE_JOB)
     return ANSWER_NOT_SUPPORTED;
-  if (c->pools[r->pool_index].waiting_count >= r->queue_limit_count)
+  if (!core_route_fits (c, r))
+    return ANSWER_CANNOT_FIT;
+  if (c->pools[r->pool_index].queue.waiting_count >= r->queue_limit_count)
     return ANSWER_QUEUE_FULL;
   return ANSWER_WORKER;
 }
@@ -125,7 +133,10 @@
     {
       bool again = answer_code_http (code) == 503 || code == ANSWER_QUEUE_FULL;
 
-      answer (c, e->request_id, code, again ? RETRY_AFTER_MS : 0);
+      answer (c, e->request_id, code,
+              code == ANSWER_QUEUE_FULL ? core_retry_after_ms (c, route)
+              : again                   ? RETRY_AFTER_MS
+                                        : 0);
       blob_unref (e->body);
       return;
     }
@@ -192,6 +203,8 @@
   g_hash_table_remove (c->attempts, &r->attempt_id);
   r->attempt_id = 0;
   core_release (c, r);
+  if (e->outcome == ATTEMPT_ANSWERED)
+    core_measure_run (c, r, e->elapsed_us);
   switch (e->outcome)
     {
     case ATTEMPT_ANSWERED:
@@ -212,21 +225,8 @@
 void
 core_expire (struct core *c)
 {
-  uint32_t i;
+  struct request *r;
 
-  if (c->control->config == NULL)
-    return;
-  for (i = 0; i < c->control->config->pool_count; i++)
-    {
-      struct pool_state *p = &c->pools[i];
-      struct request *r;
-      struct request *next;
-
-      for (r = TAILQ_FIRST (&p->waiting); r != NULL; r = next)
-        {
-          next = TAILQ_NEXT (r, link);
-          if (r->deadline_us <= c->now_us)
-            refuse_waiting (c, p, r, ANSWER_EXPIRED);
-        }
-    }
+  while ((r = deadline_next (&c->deadlines, c->now_us)) != NULL)
+    core_expire_request (c, r);
 }
--- a/core/state.h
+++ b/core/state.h
@@ -6,6 +6,8 @@
 #include "core/control.h"
 #include "core/core.h"
 #include "core/vm_control.h"
+#include "core/deadline.h"
+#include "core/limit.h"
 
 #include <sys/queue.h>
 
@@ -20,6 +22,12 @@
 struct request
 {
   TAILQ_ENTRY (request) link; /**< In its pool's queue while waiting.  */
+  TAILQ_ENTRY (request) deadline_link; /**< In the wheel while waiting.  */
+  uint64_t deadline_turn;              /**< Its slot in the wheel.  */
+  uint64_t arrival;                    /**< Order of arrival on this entry.  */
+  uint32_t team_index; /**< In the tables; team_count: no team.  */
+  int32_t route_index; /**< In the tables; -1: route is gone.  */
+  bool urgent;         /**< Goes before others of its team.  */
   uint64_t request_id;
   uint64_t attempt_id; /**< 0 unless running.  */
   uint64_t deadline_us;
@@ -34,14 +42,16 @@
   struct blob *body;
 };
 
-TAILQ_HEAD (request_list, request);
-
 /** One pool's queue on this entry, matched by name over configurations.  */
 struct pool_state
 {
   char name[NAME_BYTES];
-  struct request_list waiting;
-  uint32_t waiting_count;
+  struct pool_queue queue;
+  uint32_t *team_running_count; /**< By team; the last: no team.  */
+  uint32_t running_count;
+  uint32_t *vms; /**< Indices of its VMs.  */
+  uint32_t vm_count;
+  bool dirty; /**< Something may be able to start.  */
 };
 
 /** One worker as this entry sees it.  */
@@ -49,6 +59,7 @@
 {
   char name[NAME_BYTES];
   uint32_t running_count;
+  int32_t limit; /**< Index of its limit in the ledger.  */
 };
 
 /** One team on this entry.  */
@@ -57,6 +68,15 @@
   char name[NAME_BYTES];
   uint32_t running_count;
   uint32_t high_water_count;
+  int32_t limit; /**< Index of its limit in the ledger.  */
+};
+
+/** One queue on this entry, parallel to the tables' routes.  */
+struct route_state
+{
+  char queue[NAME_BYTES];
+  bool fits;        /**< Some VM is large enough for its requests.  */
+  uint32_t mean_us; /**< Measured run time, smoothed; 0: none yet.  */
 };
 
 /** Newest records kept for members that cannot read the log.  */
@@ -121,12 +141,16 @@
   struct lending *lending;             /**< Private to lending.c.  */
 
   uint64_t next_attempt_id;
-  uint64_t next_command;    /**< Counts this process's command ids.  */
-  GHashTable *requests;     /**< request_id to struct request.  */
-  GHashTable *attempts;     /**< attempt_id to struct request.  */
-  struct pool_state *pools; /**< Parallel to the tables' pools.  */
-  struct vm_state *vms;     /**< Parallel to the tables' vms.  */
-  struct team_state *teams; /**< Parallel to the tables' teams.  */
+  uint64_t next_command;           /**< Counts this process's command ids.  */
+  GHashTable *requests;            /**< request_id to struct request.  */
+  GHashTable *attempts;            /**< attempt_id to struct request.  */
+  struct pool_state *pools;        /**< Parallel to the tables' pools.  */
+  struct vm_state *vms;            /**< Parallel to the tables' vms.  */
+  struct team_state *teams;        /**< Parallel to the tables' teams.  */
+  struct route_state *routes;      /**< Parallel to the tables' routes.  */
+  struct deadline_wheel deadlines; /**< Every waiting request.  */
+  struct limit_state *limits;      /**< Tokens and demand.  */
+  uint64_t next_arrival;
   uint32_t running_count;
   uint32_t waiting_count;
   uint64_t counters[COUNTER_KIND_COUNT];
@@ -214,6 +238,8 @@
 void core_on_attempt (struct core *c, struct event_attempt *e);
 /** Refuses what waited past its deadline.  */
 void core_expire (struct core *c);
+/** Refuses R, which waited past its deadline.  */
+void core_expire_request (struct core *c, struct request *r);
 /** Sends R to the worker VM_INDEX.  */
 void core_start_attempt (struct core *c, struct request *r, uint32_t vm_index);
 
@@ -268,13 +294,23 @@
 /** Rebuilds the tables that run parallel to the configuration.  */
 void core_adopt_config (struct core *c);
 
-/* limits, limit.c */
-
-/** Returns how many requests of team INDEX may run on this entry.  */
-uint32_t core_team_limit (const struct core *c, uint32_t index);
-/** Returns how many slots of VM INDEX this entry may fill.  */
-uint32_t core_vm_limit (const struct core *c, uint32_t index);
-/** Exchanges demand and tokens with the peers.  */
-void core_limit_tick (struct core *c);
+/** Finds the team and the route of R in the tables in force.  */
+void core_bind_request (struct core *c, struct request *r);
+/** Lets every pool with something waiting be looked at.  */
+void core_mark_all (struct core *c);
+
+/* measured run times, estimate.c */
+
+/** Learns from the end of an attempt of R, which took ELAPSED_US.  */
+void core_measure_run (struct core *c, const struct request *r,
+                       uint32_t elapsed_us);
+/** Returns when a caller of ROUTE, whose queue is full, should come back.  */
+uint32_t core_retry_after_ms (const struct core *c,
+                              const struct route_config *route);
+/** Returns false if no VM could ever run a request of ROUTE.  */
+bool core_route_fits (const struct core *c, const struct route_config *route);
+/** Returns true if VM has room for one request of ROUTE when idle.  */
+bool core_vm_fits (const struct vm_config *vm,
+                   const struct route_config *route);
 
 #endif
--- /dev/null
+++ b/core/transfer.c
@@ -0,0 +1,451 @@
+/* transfer.c -- giving, asking and pushing tokens towards the target.
+
+   Only idle tokens are given.  While a group's demand exceeds its limit, what
+   a member holds above its target is planned for those below theirs; the plan
+   reserves it, so that it is given when it comes idle and not used again.
+   Otherwise tokens stay where they are and move only when asked for, so that
+   steady demand moves none.  */
+
+#include "core/limit.h"
+
+#include "core/state.h"
+
+#include <string.h>
+
+#define RESEND_US (200 * US_PER_MS)
+/** Most transfers sent again over a link at a time.  */
+#define RESEND_LIMIT_COUNT 64
+
+struct peer_message *
+core_message (struct core *c, uint64_t peer, enum peer_kind kind)
+{
+  struct action *a = actions_add (c->out, ACTION_PEER);
+
+  a->u.peer.from_incarnation = c->incarnation;
+  a->u.peer.to_incarnation = peer;
+  a->u.peer.kind = kind;
+  return &a->u.peer;
+}
+
+static void
+send_transfer (struct core *c, uint64_t peer, uint64_t sequence,
+               uint32_t limit, uint32_t count)
+{
+  struct peer_message *m = core_message (c, peer, PEER_TRANSFER);
+
+  m->u.transfer.sequence = sequence;
+  m->u.transfer.limit = c->control->issue->limits[limit].ref;
+  m->u.transfer.token_count = count;
+}
+
+static void
+give (struct core *c, uint64_t peer, int32_t limit, uint32_t count)
+{
+  struct ledger *l = c->limits->ledger;
+  struct ledger_link *k = ledger_link_get (l, peer);
+  uint64_t sequence;
+
+  if (count == 0 || limit < 0 || k->closed)
+    return;
+  if (k->unacked_count == 0)
+    k->resend_us = c->now_us + RESEND_US;
+  sequence = ledger_give (l, k, (uint32_t)limit, count);
+  send_transfer (c, peer, sequence, (uint32_t)limit, count);
+}
+
+static uint32_t
+vm_idle (const struct core *c, uint32_t vm)
+{
+  int64_t hold = core_holding (c, c->vms[vm].limit);
+
+  if (hold <= c->vms[vm].running_count)
+    return 0;
+  return (uint32_t)hold - c->vms[vm].running_count;
+}
+
+/* Gives COUNT slots of a pool, each from the VM with the most idle ones.  */
+static void
+give_slots (struct core *c, uint64_t peer, const struct pool_state *p,
+            uint32_t count)
+{
+  uint32_t *parts = talloc_zero_array (c, uint32_t, p->vm_count + 1);
+  uint32_t i;
+
+  for (; count > 0; count--)
+    {
+      uint32_t best = 0;
+      uint32_t most = 0;
+
+      for (i = 0; i < p->vm_count; i++)
+        {
+          uint32_t idle = vm_idle (c, p->vms[i]) - parts[i];
+
+          if (idle > most && core_vm_takes_work (c, p->vms[i])
+              && core_vm_is_healthy (c, p->vms[i]))
+            {
+              most = idle;
+              best = i;
+            }
+        }
+      if (most == 0)
+        break;
+      parts[best]++;
+    }
+  for (i = 0; i < p->vm_count; i++)
+    give (c, peer, c->vms[p->vms[i]].limit, parts[i]);
+  talloc_free (parts);
+}
+
+/* Gives COUNT idle tokens of GROUP and expects the peer to hold them.  */
+static void
+give_group (struct core *c, uint64_t peer, uint32_t group, uint32_t count)
+{
+  struct limit_state *s = c->limits;
+  struct peer_view *v = core_view_find (c, peer);
+
+  if (count == 0)
+    return;
+  if (v != NULL)
+    v->holding[group].hold_count += (int32_t)count;
+  if (group < s->team_count)
+    give (c, peer, c->teams[group].limit, count);
+  else
+    give_slots (c, peer, &c->pools[group - s->team_count], count);
+}
+
+static bool
+is_contended (const struct limit_state *s, uint32_t group)
+{
+  if (s->target == NULL)
+    return false;
+  return group < s->team_count
+             ? s->target->team_contended[group]
+             : s->target->pool_contended[group - s->team_count];
+}
+
+static uint32_t
+target_of (const struct limit_state *s, uint32_t row, uint32_t group)
+{
+  if (group < s->team_count)
+    return s->target->team_count[row * s->column_count + group];
+  return s->target->pool_count[row * s->pool_count + group - s->team_count];
+}
+
+static void
+add_push (struct limit_state *s, uint32_t group, uint64_t peer, uint32_t count)
+{
+  struct push *p;
+
+  s->pushes = talloc_realloc (s, s->pushes, struct push, s->push_count + 1);
+  if (s->pushes == NULL)
+    out_of_memory ();
+  p = &s->pushes[s->push_count++];
+  p->group = group;
+  p->peer = peer;
+  p->token_count = count;
+  s->reserved_count[group] += count;
+}
+
+static int64_t
+above_target (const struct core *c, uint32_t view, uint32_t group)
+{
+  const struct limit_state *s = c->limits;
+  const struct peer_view *v = s->views[view];
+
+  if (!core_view_is_fresh (c, v))
+    return 0;
+  return (int64_t)v->holding[group].hold_count
+         - target_of (s, view + 1, group);
+}
+
+/* Returns how much of the need of all is met by members that come before
+   this one, in order of incarnation: all members plan alike.  */
+static int64_t
+need_met_by_others (const struct core *c, uint32_t group)
+{
+  const struct limit_state *s = c->limits;
+  int64_t sum = 0;
+  uint32_t i;
+
+  for (i = 0; i < s->view_count; i++)
+    if (s->views[i]->incarnation < c->incarnation
+        && above_target (c, i, group) > 0)
+      sum += above_target (c, i, group);
+  return sum;
+}
+
+/* Returns the view with the lowest incarnation above AFTER, or -1.  */
+static int32_t
+next_view (const struct limit_state *s, uint64_t after)
+{
+  int32_t best = -1;
+  uint32_t i;
+
+  for (i = 0; i < s->view_count; i++)
+    if (s->views[i]->incarnation > after
+        && (best < 0
+            || s->views[i]->incarnation < s->views[best]->incarnation))
+      best = (int32_t)i;
+  return best;
+}
+
+static void
+plan_group (struct core *c, uint32_t group)
+{
+  struct limit_state *s = c->limits;
+  int64_t excess = core_own_holding (c, group).hold_count
+                   - (int64_t)target_of (s, 0, group);
+  int64_t skip;
+  int32_t i;
+
+  if (excess <= 0)
+    return;
+  skip = need_met_by_others (c, group);
+  for (i = next_view (s, 0); i >= 0 && excess > 0;
+       i = next_view (s, s->views[i]->incarnation))
+    {
+      int64_t need = -above_target (c, (uint32_t)i, group);
+
+      if (need <= 0)
+        continue;
+      if (skip >= need)
+        {
+          skip -= need;
+          continue;
+        }
+      need -= skip;
+      skip = 0;
+      if (need > excess)
+        need = excess;
+      add_push (s, group, s->views[i]->incarnation, (uint32_t)need);
+      excess -= need;
+    }
+}
+
+void
+core_plan_pushes (struct core *c)
+{
+  struct limit_state *s = c->limits;
+  uint32_t i;
+
+  s->push_count = 0;
+  memset (s->reserved_count, 0, s->group_count * sizeof *s->reserved_count);
+  for (i = 0; i < s->group_count; i++)
+    if (is_contended (s, i))
+      plan_group (c, i);
+}
+
+void
+core_run_pushes (struct core *c)
+{
+  struct limit_state *s = c->limits;
+  uint32_t i;
+
+  for (i = 0; i < s->push_count; i++)
+    {
+      struct push *p = &s->pushes[i];
+      uint32_t idle;
+
+      if (p->token_count == 0)
+        continue;
+      idle = core_own_holding (c, p->group).idle_count;
+      if (idle > p->token_count)
+        idle = p->token_count;
+      p->token_count -= idle;
+      s->reserved_count[p->group] -= idle;
+      give_group (c, p->peer, p->group, idle);
+    }
+}
+
+/* Returns the group that an ask or a transfer of REF belongs to, or -1.  */
+static int32_t
+group_of (const struct core *c, const struct limit_ref *ref)
+{
+  const struct config *f = c->control->config;
+  uint32_t i;
+
+  if (f == NULL)
+    return -1;
+  if (ref->kind == LIMIT_TEAM)
+    return control_team_index (c->control, ref->name);
+  for (i = 0; i < f->vm_count; i++)
+    if (strcmp (f->vms[i].name, ref->name) == 0)
+      return (int32_t)(f->team_count + f->vms[i].pool_index);
+  return -1;
+}
+
+void
+core_on_ask (struct core *c, const struct peer_message *m)
+{
+  struct limit_state *s = c->limits;
+  int32_t group = group_of (c, &m->u.ask.limit);
+  struct peer_view *v = core_view_find (c, m->from_incarnation);
+  struct peer_holding own;
+  uint32_t spare;
+  uint32_t count = m->u.ask.token_count;
+
+  if (group < 0 || v == NULL)
+    return;
+  own = core_own_holding (c, (uint32_t)group);
+  spare = own.idle_count > s->reserved_count[group]
+              ? own.idle_count - s->reserved_count[group]
+              : 0;
+  /* A little more than was asked for, so that the next ask is rarer.  */
+  if (!is_contended (s, (uint32_t)group) && spare > count)
+    count += (spare - count) / 2;
+  if (count > spare)
+    count = spare;
+  give_group (c, v->incarnation, (uint32_t)group, count);
+  /* One that has none, or owes some, gets the next that comes idle: rounded
+     targets may leave it out for good.  */
+  if (count == 0 && own.hold_count > 0 && v->holding[group].hold_count <= 0
+      && s->reserved_count[group] == 0)
+    add_push (s, (uint32_t)group, v->incarnation,
+              1 + (uint32_t)-v->holding[group].hold_count);
+}
+
+/* Returns the fresh view with the most idle tokens of GROUP; if none has any,
+   the one that holds most.  */
+static struct peer_view *
+pick_giver (const struct core *c, uint32_t group)
+{
+  const struct limit_state *s = c->limits;
+  struct peer_view *best = NULL;
+  uint32_t i;
+
+  for (i = 0; i < s->view_count; i++)
+    {
+      struct peer_view *v = s->views[i];
+      const struct peer_holding *h = &v->holding[group];
+
+      if (!core_view_is_fresh (c, v))
+        continue;
+      if (best == NULL || h->idle_count > best->holding[group].idle_count
+          || (h->idle_count == best->holding[group].idle_count
+              && h->hold_count > best->holding[group].hold_count))
+        best = v;
+    }
+  return best;
+}
+
+static void
+send_ask (struct core *c, uint64_t peer, uint32_t group, uint32_t count)
+{
+  const struct config *f = c->control->config;
+  struct limit_state *s = c->limits;
+  struct peer_message *m = core_message (c, peer, PEER_ASK);
+
+  m->u.ask.token_count = count;
+  m->u.ask.limit.kind = group < s->team_count ? LIMIT_TEAM : LIMIT_VM;
+  if (group < s->team_count)
+    text_copy (m->u.ask.limit.name, NAME_BYTES, f->teams[group].name);
+  else
+    text_copy (m->u.ask.limit.name, NAME_BYTES,
+               f->vms[c->pools[group - s->team_count].vms[0]].name);
+}
+
+void
+core_ask (struct core *c, uint32_t group, uint32_t count)
+{
+  struct limit_state *s = c->limits;
+  struct peer_view *v = pick_giver (c, group);
+  uint32_t i;
+
+  if (group >= s->team_count && c->pools[group - s->team_count].vm_count == 0)
+    return;
+  if (v == NULL)
+    {
+      /* Nothing is known of the peers yet: ask all of them.  */
+      for (i = 0; i < s->view_count; i++)
+        send_ask (c, s->views[i]->incarnation, group, count);
+      return;
+    }
+  if (v->holding[group].idle_count == 0
+      && core_own_holding (c, group).hold_count > 0)
+    return;
+  send_ask (c, v->incarnation, group, count);
+  v->holding[group].idle_count -= count < v->holding[group].idle_count
+                                      ? count
+                                      : v->holding[group].idle_count;
+}
+
+void
+core_give_all (struct core *c)
+{
+  struct limit_state *s = c->limits;
+  uint32_t place = 0;
+  uint32_t i;
+  uint32_t k;
+
+  for (i = 0; i < s->group_count && s->view_count > 0; i++)
+    {
+      for (k = 0; k < s->view_count; k++, place++)
+        if (core_view_is_fresh (c, s->views[place % s->view_count]))
+          break;
+      if (k < s->view_count)
+        give_group (c, s->views[place % s->view_count]->incarnation, i,
+                    core_own_holding (c, i).idle_count);
+      place++;
+    }
+}
+
+void
+core_on_transfer (struct core *c, const struct peer_message *m)
+{
+  const struct peer_transfer *t = &m->u.transfer;
+  struct ledger *l = c->limits->ledger;
+  int32_t limit = issue_find (c->control->issue, &t->limit);
+
+  /* A limit that is not known here yet will be, once the log is read.  */
+  if (limit < 0)
+    return;
+  if (!ledger_credit (l, ledger_link_get (l, m->from_incarnation), t->sequence,
+                      (uint32_t)limit, t->token_count))
+    return;
+  core_mark_all (c);
+  core_dispatch_all (c);
+}
+
+void
+core_on_ack (struct core *c, const struct peer_message *m)
+{
+  struct ledger_link *k
+      = ledger_link_find (c->limits->ledger, m->from_incarnation);
+
+  if (k != NULL)
+    ledger_acknowledge (k, m->u.ack.sequence);
+}
+
+static void
+resend_link (struct core *c, struct ledger_link *k)
+{
+  uint32_t i;
+
+  k->resend_us = c->now_us + RESEND_US;
+  for (i = 0; i < k->unacked_count && i < RESEND_LIMIT_COUNT; i++)
+    send_transfer (c, k->peer, k->unacked[i].sequence, k->unacked[i].limit,
+                   k->unacked[i].token_count);
+}
+
+void
+core_resend (struct core *c)
+{
+  struct ledger *l = c->limits->ledger;
+  uint32_t i;
+
+  for (i = 0; i < l->link_count; i++)
+    {
+      struct ledger_link *k = l->links[i];
+
+      if (k->closed)
+        continue;
+      if (k->ack_due)
+        {
+          k->ack_due = false;
+          core_message (c, k->peer, PEER_ACK)->u.ack.sequence
+              = k->received_sequence;
+        }
+      if (k->unacked_count > 0 && c->now_us >= k->resend_us)
+        resend_link (c, k);
+    }
+}
--- a/port/action.c
+++ b/port/action.c
@@ -104,6 +104,7 @@
     [NOTE_VM_MOVED] = "vm_moved",
     [NOTE_COMMAND_REJECTED] = "command_rejected",
     [NOTE_OPERATION_REFUSED] = "operation_refused",
+    [NOTE_SETTLED] = "settled",
   };
 
   return names[k];
--- a/port/action.h
+++ b/port/action.h
@@ -79,6 +79,7 @@
   NOTE_VM_MOVED,          /**< A VM is in another pool.  */
   NOTE_COMMAND_REJECTED,  /**< A drain, move or wave was refused.  */
   NOTE_OPERATION_REFUSED, /**< The platform refused an operation.  */
+  NOTE_SETTLED,           /**< A member closed its link with a gone one.  */
   NOTE_KIND_COUNT
 };
 
--- a/port/peer_message.h
+++ b/port/peer_message.h
@@ -41,6 +41,13 @@
   uint64_t echo_us;     /**< sent_us of the receiver's last status; or 0.  */
 };
 
+/** Names no team, where PEER_DEMAND tells of requests without one.  */
+#define DEMAND_NO_TEAM "*"
+
+/** Waiting and running of TEAM in POOL.  With an empty pool: the tokens that
+    the sender holds of the team; with an empty team: the slots that it holds
+    in the pool; then running_count is the holding (two's complement, negative
+    in debt) and waiting_count what is idle of it.  */
 struct peer_demand
 {
   char pool[NAME_BYTES];
@@ -61,6 +68,7 @@
   uint64_t sequence; /**< Every transfer up to this one was credited.  */
 };
 
+/** For LIMIT_VM any VM in the pool of the named one will do.  */
 struct peer_ask
 {
   struct limit_ref limit;
--- a/port/record.h
+++ b/port/record.h
@@ -7,6 +7,7 @@
 #define FTK_PORT_RECORD_H
 
 #include "port/config.h"
+#include "port/peer_message.h"
 
 enum record_kind
 {
@@ -27,7 +28,8 @@
   RECORD_RETURN,       /**< The VM serves again.  */
   RECORD_VM_LOST,      /**< The fleet list has dropped the VM.  */
   RECORD_VM_FOUND,     /**< The fleet list shows a lost VM live.  */
-  RECORD_MOVE          /**< Moves a VM to another pool.  */
+  RECORD_MOVE,         /**< Moves a VM to another pool.  */
+  RECORD_SETTLE        /**< A member closed its link with a gone one.  */
 };
 
 struct record_key
@@ -113,6 +115,20 @@
   char to[NAME_BYTES];   /**< Pool that it goes to.  */
 };
 
+struct settle_item
+{
+  struct limit_ref limit;
+  int64_t token_count; /**< Received less given over the link.  */
+};
+
+struct record_settle
+{
+  uint64_t incarnation;      /**< The member that settles.  */
+  uint64_t gone_incarnation; /**< The member that is gone.  */
+  struct settle_item *items; /**< Amounts that are not 0.  */
+  uint32_t item_count;
+};
+
 struct record
 {
   char id[ID_BYTES]; /**< Chosen by the sender; applied once.  */
@@ -127,6 +143,7 @@
     struct record_wave wave;       /**< RECORD_WAVE_*.  */
     struct record_vm vm;           /**< RECORD_DRAIN to RECORD_VM_FOUND.  */
     struct record_move move;       /**< RECORD_MOVE.  */
+    struct record_settle settle;   /**< RECORD_SETTLE.  */
   } u;
 };
 
