--- /dev/null
+++ b/tests/test_ledger.c
@@ -0,0 +1,266 @@
+/* test_ledger.c -- the limits hold under faults, over many seeds.
+
+   8 entries, 2 teams, 2 pools; messages delayed, lost, doubled and crossed;
+   entries paused, killed, replaced; ceilings raised and, in odd seeds,
+   lowered.  FTK_SEED runs one seed, FTK_SEEDS another number of them.  */
+
+#include "tests/sim.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#define SEED_COUNT 200
+#define FAULT_PERIOD_US (100 * US_PER_MS)
+#define FAULT_SPAN_US (6 * US_PER_S)
+/** From a lowering until it must hold: the longest pause, the collection of
+    the debt and what ran before.  */
+#define LOWER_SPAN_US (6 * US_PER_S)
+
+struct check
+{
+  uint64_t seed;
+  uint32_t old_ceiling[SIM_TEAM_LIMIT];
+  uint64_t lowered_us[SIM_TEAM_LIMIT];
+  uint32_t high_water[SIM_TEAM_LIMIT];
+  uint64_t incarnation[SIM_ENTRY_COUNT];
+  uint64_t resume_us[SIM_ENTRY_COUNT];
+  uint64_t restart_us[SIM_ENTRY_COUNT];
+  bool replaced[SIM_ENTRY_COUNT];
+};
+
+static void
+check_start (struct sim *s, uint32_t team, uint32_t vm)
+{
+  struct check *k = s->state;
+  uint32_t allowed = s->ceiling[team];
+
+  if (k->lowered_us[team] > 0
+      && s->now_us < k->lowered_us[team] + LOWER_SPAN_US)
+    allowed = MAX (allowed, k->old_ceiling[team]);
+  if (s->team_running[team] > allowed || s->vm_running[vm] > s->slot_count)
+    g_error ("seed %" G_GUINT64_FORMAT " at %" G_GUINT64_FORMAT
+             " us: team %u runs %u of %u, VM %u runs %u of %u",
+             k->seed, s->now_us, team, s->team_running[team], allowed, vm,
+             s->vm_running[vm], s->slot_count);
+  k->high_water[team] = MAX (k->high_water[team], s->team_running[team]);
+}
+
+static void
+check_audit (struct sim *s)
+{
+  struct check *k = s->state;
+
+  if (!sim_audit (s))
+    g_error ("seed %" G_GUINT64_FORMAT " at %" G_GUINT64_FORMAT
+             " us: tokens do not add up",
+             k->seed, s->now_us);
+}
+
+static void
+change_ceiling (struct sim *s)
+{
+  struct check *k = s->state;
+  uint32_t team = sim_random (s, s->team_count);
+  uint32_t old = s->ceiling[team];
+  uint32_t ceiling = old + 1 + sim_random (s, 4);
+
+  if (k->seed % 2 == 1 && old > 6 && sim_random (s, 2) == 0)
+    {
+      ceiling = old - 1 - sim_random (s, 5);
+      k->old_ceiling[team] = s->now_us < k->lowered_us[team] + LOWER_SPAN_US
+                                 ? MAX (old, k->old_ceiling[team])
+                                 : old;
+      k->lowered_us[team] = s->now_us;
+    }
+  s->ceiling[team] = MIN (ceiling, 24);
+  sim_publish (s);
+}
+
+static void
+kill_entry (struct sim *s, uint32_t i)
+{
+  struct check *k = s->state;
+
+  if (!s->entries[i].alive)
+    return;
+  k->incarnation[i] = s->entries[i].core->incarnation;
+  k->replaced[i] = sim_random (s, 2) == 0;
+  sim_kill (s, i);
+  k->restart_us[i]
+      = s->now_us + 100000 + sim_random (s, 2 * (uint32_t)US_PER_S);
+}
+
+static void
+bring_back (struct sim *s, bool all)
+{
+  struct check *k = s->state;
+  uint32_t i;
+
+  for (i = 0; i < SIM_ENTRY_COUNT; i++)
+    {
+      if (s->entries[i].paused && (all || s->now_us >= k->resume_us[i]))
+        sim_resume (s, i);
+      if (s->entries[i].alive || (!all && s->now_us < k->restart_us[i]))
+        continue;
+      if (!k->replaced[i] && k->incarnation[i] != 0)
+        sim_declare_gone (s, i, k->incarnation[i]);
+      sim_start (s, i);
+    }
+}
+
+static void
+make_fault (struct sim *s)
+{
+  struct check *k = s->state;
+  uint32_t i = sim_random (s, SIM_ENTRY_COUNT);
+
+  switch (sim_random (s, 8))
+    {
+    case 0:
+      kill_entry (s, i);
+      break;
+    case 1:
+      if (s->entries[i].alive)
+        {
+          sim_pause (s, i);
+          k->resume_us[i] = s->now_us + sim_random (s, 3 * (uint32_t)US_PER_S);
+        }
+      break;
+    case 2:
+      change_ceiling (s);
+      break;
+    default:
+      sim_load (s, i, sim_random (s, s->pool_count),
+                sim_random (s, s->team_count), sim_random (s, 12));
+      break;
+    }
+}
+
+static void
+clear_load (struct sim *s)
+{
+  uint32_t i;
+  uint32_t q;
+
+  for (i = 0; i < SIM_ENTRY_COUNT; i++)
+    for (q = 0; q < s->pool_count * s->team_count; q++)
+      sim_load (s, i, q / s->team_count, q % s->team_count, 0);
+}
+
+/* Prints what each entry holds.  */
+static void
+print_holdings (const struct sim *s)
+{
+  uint32_t i;
+  uint32_t k;
+
+  for (i = 0; i < SIM_ENTRY_COUNT; i++)
+    {
+      const struct core *c = s->entries[i].core;
+      GString *line = g_string_new (NULL);
+
+      for (k = 0; k < c->limits->ledger->limit_count; k++)
+        g_string_append_printf (line, " %d",
+                                (int)core_holding (c, (int32_t)k));
+      g_test_message ("entry %u member %u gone %u holds%s", i,
+                      (unsigned)c->incarnation, c->limits->gone_count,
+                      line->str);
+      g_string_free (line, TRUE);
+    }
+}
+
+/* After quiet, one entry can use every token of each team.  */
+static void
+check_usable (struct sim *s)
+{
+  struct check *k = s->state;
+  uint32_t t;
+
+  clear_load (s);
+  bring_back (s, true);
+  s->drop_percent = 0;
+  sim_run (s, s->now_us + LOWER_SPAN_US + 4 * US_PER_S);
+  memset (k->lowered_us, 0, sizeof k->lowered_us);
+  for (t = 0; t < s->team_count; t++)
+    {
+      uint32_t i = sim_random (s, SIM_ENTRY_COUNT);
+
+      k->high_water[t] = 0;
+      sim_load (s, i, 0, t, 32);
+      sim_load (s, i, 1, t, 32);
+      sim_run (s, s->now_us + 2 * US_PER_S);
+      if (k->high_water[t] != s->ceiling[t])
+        {
+          print_holdings (s);
+          g_error ("seed %" G_GUINT64_FORMAT
+                   ": after quiet team %u reaches %u of %u",
+                   k->seed, t, k->high_water[t], s->ceiling[t]);
+        }
+      clear_load (s);
+      sim_run (s, s->now_us + US_PER_S);
+    }
+}
+
+static void
+run_seed (uint64_t seed)
+{
+  struct check k = { .seed = seed };
+  struct sim s;
+  uint64_t end_us;
+
+  sim_init (&s, seed);
+  s.state = &k;
+  s.on_start = check_start;
+  s.pool_count = 2;
+  s.team_count = 2;
+  s.vm_count = 4;
+  s.slot_count = 4;
+  s.ceiling[0] = 10;
+  s.ceiling[1] = 14;
+  s.weight[0] = 1;
+  s.weight[1] = 2;
+  s.run_high_us = 400000;
+  s.drop_percent = 5;
+  s.double_percent = 5;
+  s.delay_high_us = 30000;
+  sim_open (&s);
+  end_us = s.now_us + FAULT_SPAN_US;
+  while (s.now_us < end_us)
+    {
+      make_fault (&s);
+      bring_back (&s, false);
+      sim_run (&s, s.now_us + FAULT_PERIOD_US);
+      check_audit (&s);
+    }
+  check_usable (&s);
+  check_audit (&s);
+  sim_close (&s);
+}
+
+static void
+test_seeds (void)
+{
+  const gchar *one = g_getenv ("FTK_SEED");
+  const gchar *many = g_getenv ("FTK_SEEDS");
+  guint64 count = many ? g_ascii_strtoull (many, NULL, 10) : SEED_COUNT;
+  guint64 i;
+
+  if (one != NULL)
+    {
+      run_seed (g_ascii_strtoull (one, NULL, 10));
+      return;
+    }
+  for (i = 1; i <= count; i++)
+    run_seed (i);
+  g_test_message ("seeds 1 to %" G_GUINT64_FORMAT, count);
+}
+
+int
+main (int argc, char **argv)
+{
+  if (sodium_init () < 0)
+    return 1;
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/ledger/seeds", test_seeds);
+  return g_test_run ();
+}
