--- a/core/ledger.c
+++ b/core/ledger.c
@@ -98,6 +98,16 @@
   return k->sent_sequence;
 }
 
+bool
+ledger_is_credited (const struct ledger_link *k, uint64_t sequence)
+{
+  uint64_t place = sequence - k->received_sequence - 1;
+
+  if (sequence <= k->received_sequence)
+    return true;
+  return place < LEDGER_WINDOW_COUNT && (k->ahead_bits >> place & 1) != 0;
+}
+
 bool
 ledger_credit (struct ledger *l, struct ledger_link *k, uint64_t sequence,
                uint32_t limit, uint32_t count)
@@ -105,9 +115,15 @@
   if (k->closed)
     return false;
   k->ack_due = true;
-  if (sequence != k->received_sequence + 1)
+  if (ledger_is_credited (k, sequence)
+      || sequence > k->received_sequence + LEDGER_WINDOW_COUNT)
     return false;
-  k->received_sequence = sequence;
+  k->ahead_bits |= UINT64_C (1) << (sequence - k->received_sequence - 1);
+  while ((k->ahead_bits & 1) != 0)
+    {
+      k->ahead_bits >>= 1;
+      k->received_sequence++;
+    }
   k->net[limit] += count;
   l->net[limit] += count;
   return true;
--- a/core/ledger.h
+++ b/core/ledger.h
@@ -6,10 +6,10 @@
 
    where issued is deterministic (core/issue.h) and the rest is this member's
    own.  A transfer is debited before its message leaves; the receiver credits
-   each sequence number of a link once and in order; the giver resends until
-   it is acknowledged.  So a lost message loses capacity for a while, never
-   the limit.  A link to a gone member is closed: nothing is credited over it
-   any more, and its net amount is settled through the log.  */
+   each sequence number of a link once, in any order within a window; the giver
+   resends until it is acknowledged.  So a lost message loses capacity for a
+   while, never the limit.  A link to a gone member is closed: nothing is
+   credited over it any more, and its net amount is settled through the log. */
 
 #ifndef FTK_CORE_LEDGER_H
 #define FTK_CORE_LEDGER_H
@@ -18,6 +18,9 @@
 
 #include <talloc.h>
 
+/** Transfers over a link that may come in any order.  */
+#define LEDGER_WINDOW_COUNT 64
+
 /** A transfer that was not acknowledged yet.  */
 struct ledger_transfer
 {
@@ -32,7 +35,8 @@
   bool closed;   /**< The other member is gone.  */
   bool ack_due;
   uint64_t sent_sequence;          /**< Last one given.  */
-  uint64_t received_sequence;      /**< Last one credited.  */
+  uint64_t received_sequence;      /**< All up to it are credited.  */
+  uint64_t ahead_bits;             /**< Credited ones beyond it.  */
   struct ledger_transfer *unacked; /**< In order of sequence.  */
   uint32_t unacked_count;
   uint32_t unacked_capacity;
@@ -66,8 +70,12 @@
 uint64_t ledger_give (struct ledger *l, struct ledger_link *k, uint32_t limit,
                       uint32_t count);
 
-/** Credits a transfer received over K if it is the next in order; else only
-    marks an acknowledgement as due.  Returns true if it was credited.  */
+/** Returns true if the transfer SEQUENCE of K's peer was credited.  */
+bool ledger_is_credited (const struct ledger_link *k, uint64_t sequence);
+
+/** Credits a transfer received over K unless it was credited before or is too
+    far ahead; marks an acknowledgement as due.  Returns true if it was
+    credited.  */
 bool ledger_credit (struct ledger *l, struct ledger_link *k, uint64_t sequence,
                     uint32_t limit, uint32_t count);
 
--- a/core/transfer.c
+++ b/core/transfer.c
@@ -103,10 +103,10 @@
   struct limit_state *s = c->limits;
   struct peer_view *v = core_view_find (c, peer);
 
-  if (count == 0)
+  /* What is given to a member that is gone by now would be lost.  */
+  if (count == 0 || v == NULL)
     return;
-  if (v != NULL)
-    v->holding[group].hold_count += (int32_t)count;
+  v->holding[group].hold_count += (int32_t)count;
   if (group < s->team_count)
     give (c, peer, c->teams[group].limit, count);
   else
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -162,6 +162,17 @@
       for (k = 0; k < c->limits->ledger->limit_count; k++)
         g_string_append_printf (line, " %d",
                                 (int)core_holding (c, (int32_t)k));
+      for (k = 0; k < c->limits->ledger->link_count; k++)
+        {
+          const struct ledger_link *l = c->limits->ledger->links[k];
+
+          g_string_append_printf (
+              line,
+              "; link %u sent %u unacked %u received %u closed %d due %d",
+              (unsigned)l->peer, (unsigned)l->sent_sequence, l->unacked_count,
+              (unsigned)l->received_sequence, l->closed,
+              (int)(l->resend_us - s->now_us));
+        }
       g_test_message ("entry %u member %u gone %u holds%s", i,
                       (unsigned)c->incarnation, c->limits->gone_count,
                       line->str);
