--- a/adapter/checkpoint_json.c
+++ b/adapter/checkpoint_json.c
@@ -3,6 +3,7 @@
 #include "adapter/checkpoint_json.h"
 
 #include "adapter/config_json.h"
+#include "adapter/issue_json.h"
 
 #include <sodium.h>
 #include <stdio.h>
@@ -145,6 +146,7 @@
   read_rows (k, p, "keys", keys, read_key);
   read_rows (k, p, "members", members, read_member);
   read_commands (k, p, commands);
+  issue_from_json (k, p, json_object_get (p->object, "issue"), &k->issue);
   return k;
 }
 
@@ -222,4 +224,5 @@
   json_object_set_new (j, "keys", keys_to_json (k));
   json_object_set_new (j, "members", members_to_json (k));
   json_object_set_new (j, "commands", commands);
+  json_object_set_new (j, "issue", issue_to_json (&k->issue));
 }
--- /dev/null
+++ b/adapter/issue_json.c
@@ -0,0 +1,114 @@
+/* issue_json.c -- coding of the tokens issued to members.
+
+   A limit is [kind, name, total, unissued]; a member's tokens stand in the
+   order of the limits.  */
+
+#include "adapter/issue_json.h"
+
+#include <string.h>
+
+static bool
+read_limit (const json_t *j, struct issue_limit *l)
+{
+  const char *kind = json_string_value (json_array_get (j, 0));
+  const char *name = json_string_value (json_array_get (j, 1));
+
+  if (kind == NULL || name == NULL)
+    return false;
+  l->ref.kind = strcmp (kind, "team") == 0 ? LIMIT_TEAM : LIMIT_VM;
+  l->total_count = json_integer_value (json_array_get (j, 2));
+  l->unissued_count = json_integer_value (json_array_get (j, 3));
+  return text_copy (l->ref.name, NAME_BYTES, name);
+}
+
+static bool
+read_member (TALLOC_CTX *mem, const json_t *j, uint32_t limit_count,
+             struct issue_member *m)
+{
+  const json_t *tokens = json_object_get (j, "tokens");
+  const json_t *settled = json_object_get (j, "settled");
+  uint32_t i;
+
+  if (json_array_size (tokens) != limit_count)
+    return false;
+  m->incarnation
+      = (uint64_t)json_integer_value (json_object_get (j, "incarnation"));
+  m->gone = json_is_true (json_object_get (j, "gone"));
+  m->gone_offset
+      = (uint64_t)json_integer_value (json_object_get (j, "gone_offset"));
+  m->lapse_ms = (uint64_t)json_integer_value (json_object_get (j, "lapse_ms"));
+  m->tokens = talloc_zero_array (mem, int64_t, limit_count);
+  for (i = 0; i < limit_count; i++)
+    m->tokens[i] = json_integer_value (json_array_get (tokens, i));
+  m->settled_count = (uint32_t)json_array_size (settled);
+  m->settled = talloc_zero_array (mem, uint64_t, m->settled_count);
+  for (i = 0; i < m->settled_count; i++)
+    m->settled[i] = (uint64_t)json_integer_value (json_array_get (settled, i));
+  return true;
+}
+
+void
+issue_from_json (TALLOC_CTX *mem, struct json_place *p, const json_t *j,
+                 struct issue_table *t)
+{
+  const json_t *limits = json_object_get (j, "limits");
+  const json_t *members = json_object_get (j, "members");
+  uint32_t i;
+
+  t->limit_count = (uint32_t)json_array_size (limits);
+  t->member_count = (uint32_t)json_array_size (members);
+  t->limits = talloc_zero_array (mem, struct issue_limit, t->limit_count);
+  t->members = talloc_zero_array (mem, struct issue_member, t->member_count);
+  t->longest_timeout_ms = (uint32_t)json_integer_value (
+      json_object_get (j, "longest_timeout_ms"));
+  t->reissue_count
+      = (uint32_t)json_integer_value (json_object_get (j, "reissues"));
+  for (i = 0; i < t->limit_count; i++)
+    if (!read_limit (json_array_get (limits, i), &t->limits[i]))
+      json_fault (p, "issue", "holds what is no limit");
+  for (i = 0; i < t->member_count; i++)
+    if (!read_member (mem, json_array_get (members, i), t->limit_count,
+                      &t->members[i]))
+      json_fault (p, "issue", "holds a member without its tokens");
+}
+
+static json_t *
+member_to_json (const struct issue_member *m, uint32_t limit_count)
+{
+  json_t *tokens = json_array ();
+  json_t *settled = json_array ();
+  uint32_t i;
+
+  for (i = 0; i < limit_count; i++)
+    json_array_append_new (tokens, json_integer (m->tokens[i]));
+  for (i = 0; i < m->settled_count; i++)
+    json_array_append_new (settled, json_integer ((json_int_t)m->settled[i]));
+  return json_pack ("{s:I, s:b, s:I, s:I, s:o, s:o}", "incarnation",
+                    (json_int_t)m->incarnation, "gone", (int)m->gone,
+                    "gone_offset", (json_int_t)m->gone_offset, "lapse_ms",
+                    (json_int_t)m->lapse_ms, "settled", settled, "tokens",
+                    tokens);
+}
+
+json_t *
+issue_to_json (const struct issue_table *t)
+{
+  json_t *limits = json_array ();
+  json_t *members = json_array ();
+  uint32_t i;
+
+  for (i = 0; i < t->limit_count; i++)
+    json_array_append_new (
+        limits,
+        json_pack ("[s, s, I, I]",
+                   t->limits[i].ref.kind == LIMIT_TEAM ? "team" : "vm",
+                   t->limits[i].ref.name, (json_int_t)t->limits[i].total_count,
+                   (json_int_t)t->limits[i].unissued_count));
+  for (i = 0; i < t->member_count; i++)
+    json_array_append_new (members,
+                           member_to_json (&t->members[i], t->limit_count));
+  return json_pack ("{s:o, s:o, s:I, s:I}", "limits", limits, "members",
+                    members, "longest_timeout_ms",
+                    (json_int_t)t->longest_timeout_ms, "reissues",
+                    (json_int_t)t->reissue_count);
+}
--- a/core/checkpoint.c
+++ b/core/checkpoint.c
@@ -142,6 +142,7 @@
 control_digest (const struct control *c, uint8_t *digest)
 {
   crypto_generichash_state h;
+  uint8_t issue[DIGEST_BYTES];
   const GList *l;
 
   hash_start (&h, c->changed_offset, c->config_version);
@@ -151,6 +152,8 @@
   hash_number (&h, g_queue_get_length (c->command_ids));
   for (l = c->command_ids->head; l != NULL; l = l->next)
     hash_text (&h, l->data);
+  issue_digest (c->issue, issue);
+  crypto_generichash_update (&h, issue, DIGEST_BYTES);
   crypto_generichash_final (&h, digest, DIGEST_BYTES);
 }
 
@@ -158,6 +161,7 @@
 checkpoint_digest (const struct checkpoint *k, uint8_t *digest)
 {
   crypto_generichash_state h;
+  uint8_t issue[DIGEST_BYTES];
   uint32_t i;
 
   hash_start (&h, k->changed_offset, k->config_version);
@@ -167,6 +171,8 @@
   hash_number (&h, k->command_count);
   for (i = 0; i < k->command_count; i++)
     hash_text (&h, k->commands[i].text);
+  issue_table_digest (&k->issue, issue);
+  crypto_generichash_update (&h, issue, DIGEST_BYTES);
   crypto_generichash_final (&h, digest, DIGEST_BYTES);
 }
 
@@ -215,6 +221,7 @@
   k->commands = talloc_zero_array (k, struct command_id, k->command_count);
   for (l = c->command_ids->head; l != NULL; l = l->next)
     text_copy (k->commands[i++].text, ID_BYTES, l->data);
+  issue_copy (c->issue, k, &k->issue);
   control_digest (c, k->digest);
   return k;
 }
@@ -241,6 +248,7 @@
   talloc_free (c->members);
   c->members = copy_rows (c, k->members, k->member_count, sizeof *k->members);
   c->member_count = k->member_count;
+  issue_restore (c->issue, &k->issue);
   g_queue_clear (c->command_ids);
   g_hash_table_remove_all (c->applied_ids);
   for (i = 0; i < k->command_count; i++)
--- a/core/exchange.c
+++ b/core/exchange.c
@@ -86,11 +86,11 @@
         talloc_free (s->views[i]);
         s->views[i] = s->views[--s->view_count];
       }
-  for (i = 0; i < t->member_count; i++)
+  for (i = 0; i < t->table.member_count; i++)
     {
-      uint64_t n = t->members[i].incarnation;
+      uint64_t n = t->table.members[i].incarnation;
 
-      if (t->members[i].gone || n == c->incarnation
+      if (t->table.members[i].gone || n == c->incarnation
           || core_view_find (c, n) != NULL)
         continue;
       add_view (s, n);
--- a/core/issue.c
+++ b/core/issue.c
@@ -2,6 +2,7 @@
 
 #include "core/issue.h"
 
+#include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -52,9 +53,9 @@
 {
   uint32_t i;
 
-  for (i = 0; i < s->member_count; i++)
-    if (s->members[i].incarnation == incarnation)
-      return &s->members[i];
+  for (i = 0; i < s->table.member_count; i++)
+    if (s->table.members[i].incarnation == incarnation)
+      return &s->table.members[i];
   return NULL;
 }
 
@@ -92,8 +93,8 @@
   uint32_t n = 0;
   uint32_t i;
 
-  for (i = 0; i < s->member_count; i++)
-    n += !s->members[i].gone;
+  for (i = 0; i < s->table.member_count; i++)
+    n += !s->table.members[i].gone;
   return n;
 }
 
@@ -110,16 +111,16 @@
 
   if (n == 0)
     {
-      s->limits[limit].unissued_count += amount;
+      s->table.limits[limit].unissued_count += amount;
       return;
     }
-  for (i = 0; i < s->member_count; i++)
+  for (i = 0; i < s->table.member_count; i++)
     {
       int64_t place = (rank + limit) % n;
 
-      if (s->members[i].gone)
+      if (s->table.members[i].gone)
         continue;
-      s->members[i].tokens[limit]
+      s->table.members[i].tokens[limit]
           += sign * (size / n + (place < size % n ? 1 : 0));
       rank++;
     }
@@ -129,35 +130,37 @@
 add_limit (struct issue *s, enum limit_kind kind, const char *name)
 {
   char key[KEY_BYTES];
-  uint32_t n = s->limit_count;
+  uint32_t n = s->table.limit_count;
   uint32_t i;
 
-  s->limits = talloc_realloc (s, s->limits, struct issue_limit, n + 1);
-  if (s->limits == NULL)
+  s->table.limits
+      = talloc_realloc (s, s->table.limits, struct issue_limit, n + 1);
+  if (s->table.limits == NULL)
     out_of_memory ();
-  memset (&s->limits[n], 0, sizeof s->limits[n]);
-  s->limits[n].ref.kind = kind;
-  text_copy (s->limits[n].ref.name, NAME_BYTES, name);
-  for (i = 0; i < s->member_count; i++)
+  memset (&s->table.limits[n], 0, sizeof s->table.limits[n]);
+  s->table.limits[n].ref.kind = kind;
+  text_copy (s->table.limits[n].ref.name, NAME_BYTES, name);
+  for (i = 0; i < s->table.member_count; i++)
     {
-      int64_t *t = talloc_realloc (s, s->members[i].tokens, int64_t, n + 1);
+      int64_t *t
+          = talloc_realloc (s, s->table.members[i].tokens, int64_t, n + 1);
 
       if (t == NULL)
         out_of_memory ();
       t[n] = 0;
-      s->members[i].tokens = t;
+      s->table.members[i].tokens = t;
     }
   limit_key (key, kind, name);
   g_hash_table_insert (s->index, g_strdup (key), GINT_TO_POINTER (n + 1));
-  return s->limit_count++;
+  return s->table.limit_count++;
 }
 
 static void
 set_total (struct issue *s, uint32_t limit, int64_t total)
 {
-  int64_t change = total - s->limits[limit].total_count;
+  int64_t change = total - s->table.limits[limit].total_count;
 
-  s->limits[limit].total_count = total;
+  s->table.limits[limit].total_count = total;
   if (change != 0)
     spread (s, limit, change);
 }
@@ -173,18 +176,18 @@
 void
 issue_on_config (struct issue *s, const struct config *f)
 {
-  uint32_t known = s->limit_count;
+  uint32_t known = s->table.limit_count;
   bool *named;
   uint32_t i;
 
   for (i = 0; i < f->route_count; i++)
-    if (f->routes[i].timeout_ms > s->longest_timeout_ms)
-      s->longest_timeout_ms = f->routes[i].timeout_ms;
+    if (f->routes[i].timeout_ms > s->table.longest_timeout_ms)
+      s->table.longest_timeout_ms = f->routes[i].timeout_ms;
   for (i = 0; i < f->team_count; i++)
     limit_of (s, LIMIT_TEAM, f->teams[i].name);
   for (i = 0; i < f->vm_count; i++)
     limit_of (s, LIMIT_VM, f->vms[i].name);
-  named = talloc_zero_array (s, bool, s->limit_count + 1);
+  named = talloc_zero_array (s, bool, s->table.limit_count + 1);
   for (i = 0; i < f->team_count; i++)
     {
       uint32_t k = limit_of (s, LIMIT_TEAM, f->teams[i].name);
@@ -211,16 +214,16 @@
   uint32_t i;
   uint32_t k;
 
-  for (i = 0; i < s->member_count; i++)
+  for (i = 0; i < s->table.member_count; i++)
     {
-      const struct issue_member *g = &s->members[i];
+      const struct issue_member *g = &s->table.members[i];
 
       if (!g->gone)
         continue;
       if (at_ms < g->lapse_ms)
         return false;
-      for (k = 0; k < s->member_count; k++)
-        if (issue_must_settle (s, g, s->members[k].incarnation))
+      for (k = 0; k < s->table.member_count; k++)
+        if (issue_must_settle (s, g, s->table.members[k].incarnation))
           return false;
     }
   return true;
@@ -229,11 +232,11 @@
 static void
 drop_member (struct issue *s, uint32_t i)
 {
-  talloc_free (s->members[i].tokens);
-  talloc_free (s->members[i].settled);
-  s->member_count--;
-  memmove (&s->members[i], &s->members[i + 1],
-           (s->member_count - i) * sizeof *s->members);
+  talloc_free (s->table.members[i].tokens);
+  talloc_free (s->table.members[i].settled);
+  s->table.member_count--;
+  memmove (&s->table.members[i], &s->table.members[i + 1],
+           (s->table.member_count - i) * sizeof *s->table.members);
 }
 
 /* Issues the remainder of all gone members again.  Several are one group:
@@ -244,22 +247,22 @@
   uint32_t i;
   uint32_t k;
 
-  if (live_count (s) == s->member_count || !group_is_settled (s, at_ms))
+  if (live_count (s) == s->table.member_count || !group_is_settled (s, at_ms))
     return;
-  for (k = 0; k < s->limit_count; k++)
+  for (k = 0; k < s->table.limit_count; k++)
     {
       int64_t rest = 0;
 
-      for (i = 0; i < s->member_count; i++)
-        if (s->members[i].gone)
-          rest += s->members[i].tokens[k];
+      for (i = 0; i < s->table.member_count; i++)
+        if (s->table.members[i].gone)
+          rest += s->table.members[i].tokens[k];
       if (rest != 0)
         spread (s, k, rest);
     }
-  for (i = s->member_count; i-- > 0;)
-    if (s->members[i].gone)
+  for (i = s->table.member_count; i-- > 0;)
+    if (s->table.members[i].gone)
       drop_member (s, i);
-  s->reissue_count++;
+  s->table.reissue_count++;
 }
 
 static void
@@ -267,11 +270,11 @@
 {
   uint32_t i;
 
-  for (i = 0; i < s->limit_count; i++)
+  for (i = 0; i < s->table.limit_count; i++)
     {
-      int64_t n = s->limits[i].unissued_count;
+      int64_t n = s->table.limits[i].unissued_count;
 
-      s->limits[i].unissued_count = 0;
+      s->table.limits[i].unissued_count = 0;
       if (n != 0)
         spread (s, i, n);
     }
@@ -283,14 +286,14 @@
   struct issue_member *m;
   bool first = live_count (s) == 0;
 
-  s->members = talloc_realloc (s, s->members, struct issue_member,
-                               s->member_count + 1);
-  if (s->members == NULL)
+  s->table.members = talloc_realloc (s, s->table.members, struct issue_member,
+                                     s->table.member_count + 1);
+  if (s->table.members == NULL)
     out_of_memory ();
-  m = &s->members[s->member_count++];
+  m = &s->table.members[s->table.member_count++];
   memset (m, 0, sizeof *m);
   m->incarnation = incarnation;
-  m->tokens = talloc_zero_array (s, int64_t, s->limit_count);
+  m->tokens = talloc_zero_array (s, int64_t, s->table.limit_count);
   if (first)
     issue_the_unissued (s);
   reissue_group (s, at_ms);
@@ -306,7 +309,7 @@
     return;
   m->gone = true;
   m->gone_offset = offset;
-  m->lapse_ms = at_ms + s->longest_timeout_ms;
+  m->lapse_ms = at_ms + s->table.longest_timeout_ms;
 }
 
 static bool
@@ -352,14 +355,139 @@
   uint32_t i;
   uint32_t k;
 
-  for (k = 0; k < s->limit_count; k++)
+  for (k = 0; k < s->table.limit_count; k++)
     {
-      int64_t sum = s->limits[k].unissued_count;
+      int64_t sum = s->table.limits[k].unissued_count;
 
-      for (i = 0; i < s->member_count; i++)
-        sum += s->members[i].tokens[k];
-      if (sum != s->limits[k].total_count)
+      for (i = 0; i < s->table.member_count; i++)
+        sum += s->table.members[i].tokens[k];
+      if (sum != s->table.limits[k].total_count)
         return false;
     }
   return true;
 }
+
+static void
+hash_number (crypto_generichash_state *h, uint64_t n)
+{
+  uint8_t bytes[8];
+  uint32_t i;
+
+  for (i = 0; i < sizeof bytes; i++)
+    bytes[i] = (uint8_t)(n >> (8 * i));
+  crypto_generichash_update (h, bytes, sizeof bytes);
+}
+
+static void
+hash_member (crypto_generichash_state *h, const struct issue_member *m,
+             uint32_t limit_count)
+{
+  uint32_t i;
+
+  hash_number (h, m->incarnation);
+  hash_number (h, m->gone);
+  hash_number (h, m->gone_offset);
+  hash_number (h, m->lapse_ms);
+  hash_number (h, m->settled_count);
+  for (i = 0; i < m->settled_count; i++)
+    hash_number (h, m->settled[i]);
+  for (i = 0; i < limit_count; i++)
+    hash_number (h, (uint64_t)m->tokens[i]);
+}
+
+void
+issue_table_digest (const struct issue_table *t, uint8_t *digest)
+{
+  crypto_generichash_state h;
+  uint32_t i;
+
+  crypto_generichash_init (&h, NULL, 0, DIGEST_BYTES);
+  hash_number (&h, t->limit_count);
+  for (i = 0; i < t->limit_count; i++)
+    {
+      hash_number (&h, t->limits[i].ref.kind);
+      crypto_generichash_update (&h, (const uint8_t *)t->limits[i].ref.name,
+                                 strlen (t->limits[i].ref.name) + 1);
+      hash_number (&h, (uint64_t)t->limits[i].total_count);
+      hash_number (&h, (uint64_t)t->limits[i].unissued_count);
+    }
+  hash_number (&h, t->member_count);
+  for (i = 0; i < t->member_count; i++)
+    hash_member (&h, &t->members[i], t->limit_count);
+  hash_number (&h, t->longest_timeout_ms);
+  hash_number (&h, t->reissue_count);
+  crypto_generichash_final (&h, digest, DIGEST_BYTES);
+}
+
+void
+issue_digest (const struct issue *s, uint8_t *digest)
+{
+  issue_table_digest (&s->table, digest);
+}
+
+static void *
+copy_rows (TALLOC_CTX *mem, const void *rows, uint32_t count, size_t size)
+{
+  void *copy = count > 0 ? talloc_memdup (mem, rows, count * size) : NULL;
+
+  if (count > 0 && copy == NULL)
+    out_of_memory ();
+  return copy;
+}
+
+static void
+copy_table (const struct issue_table *from, TALLOC_CTX *mem,
+            struct issue_table *t)
+{
+  uint32_t i;
+
+  *t = *from;
+  t->limits = copy_rows (mem, from->limits, t->limit_count, sizeof *t->limits);
+  t->members
+      = copy_rows (mem, from->members, t->member_count, sizeof *t->members);
+  for (i = 0; i < t->member_count; i++)
+    {
+      struct issue_member *m = &t->members[i];
+
+      m->tokens
+          = copy_rows (mem, m->tokens, t->limit_count, sizeof *m->tokens);
+      m->settled
+          = copy_rows (mem, m->settled, m->settled_count, sizeof *m->settled);
+    }
+}
+
+void
+issue_copy (const struct issue *s, TALLOC_CTX *mem, struct issue_table *t)
+{
+  copy_table (&s->table, mem, t);
+}
+
+static void
+free_rows (struct issue_table *t)
+{
+  uint32_t i;
+
+  for (i = 0; i < t->member_count; i++)
+    {
+      talloc_free (t->members[i].tokens);
+      talloc_free (t->members[i].settled);
+    }
+  talloc_free (t->members);
+  talloc_free (t->limits);
+}
+
+void
+issue_restore (struct issue *s, const struct issue_table *t)
+{
+  char key[KEY_BYTES];
+  uint32_t i;
+
+  free_rows (&s->table);
+  copy_table (t, s, &s->table);
+  g_hash_table_remove_all (s->index);
+  for (i = 0; i < t->limit_count; i++)
+    {
+      limit_key (key, t->limits[i].ref.kind, t->limits[i].ref.name);
+      g_hash_table_insert (s->index, g_strdup (key), GINT_TO_POINTER (i + 1));
+    }
+}
--- a/core/issue.h
+++ b/core/issue.h
@@ -19,40 +19,29 @@
 #include <glib.h>
 #include <talloc.h>
 
-/** A member's column; its tokens are one row per limit.  */
-struct issue_member
-{
-  uint64_t incarnation;
-  bool gone;            /**< Its process has ended.  */
-  uint64_t gone_offset; /**< Offset of the record that said so.  */
-  uint64_t lapse_ms;    /**< Log time when its last task lease has lapsed.  */
-  int64_t *tokens;      /**< By limit; negative: owed after a lowering.  */
-  uint64_t *settled;    /**< Live members that folded their link with it.  */
-  uint32_t settled_count;
-};
-
-struct issue_limit
-{
-  struct limit_ref ref;
-  int64_t total_count;    /**< The configured limit; 0 once removed.  */
-  int64_t unissued_count; /**< Kept while there is no live member.  */
-};
-
 struct issue
 {
-  /** Grows only: an index stays valid for the life of the process.  */
-  struct issue_limit *limits;
-  uint32_t limit_count;
-  struct issue_member *members; /**< Live and unsettled, by incarnation.  */
-  uint32_t member_count;
-  GHashTable *index;           /**< Limit's key to index + 1.  */
-  uint32_t longest_timeout_ms; /**< Of any route so far: the lease bound.  */
-  uint32_t reissue_count;      /**< Groups of gone members done with.  */
+  /** Its limits only grow: an index stays valid for the process's life.  */
+  struct issue_table table;
+  GHashTable *index; /**< Limit's key to index + 1.  */
 };
 
 /** Returns an empty table as a child of MEM.  */
 struct issue *issue_new (TALLOC_CTX *mem);
 
+/** Writes a digest of all of S.  */
+void issue_digest (const struct issue *s, uint8_t *digest);
+
+/** Copies S to T, whose rows become children of MEM.  */
+void issue_copy (const struct issue *s, TALLOC_CTX *mem,
+                 struct issue_table *t);
+
+/** Replaces the content of S by T's.  */
+void issue_restore (struct issue *s, const struct issue_table *t);
+
+/** Writes the digest that T has once restored.  */
+void issue_table_digest (const struct issue_table *t, uint8_t *digest);
+
 /** Returns the index of REF, or -1.  */
 int32_t issue_find (const struct issue *s, const struct limit_ref *ref);
 
--- a/core/limit.c
+++ b/core/limit.c
@@ -184,7 +184,7 @@
     out_of_memory ();
   s->gone[s->gone_count].incarnation = g->incarnation;
   s->gone[s->gone_count].send_us
-      = c->now_us + c->control->issue->longest_timeout_ms * US_PER_MS
+      = c->now_us + c->control->issue->table.longest_timeout_ms * US_PER_MS
         + SETTLE_MARGIN_US;
   s->gone_count++;
 }
@@ -232,11 +232,11 @@
       s->ledger = ledger_new (s);
       s->incarnation = c->incarnation;
     }
-  ledger_grow (s->ledger, t->limit_count);
+  ledger_grow (s->ledger, t->table.limit_count);
   s->issued = own != NULL && !own->gone ? own->tokens : NULL;
-  for (i = 0; i < t->member_count; i++)
-    if (t->members[i].gone)
-      note_gone (c, &t->members[i]);
+  for (i = 0; i < t->table.member_count; i++)
+    if (t->table.members[i].gone)
+      note_gone (c, &t->table.members[i]);
   fold_links (c);
   forget_gone (c);
   core_views_sync (c);
@@ -252,13 +252,13 @@
   if (k == NULL)
     return;
   r->u.settle.items
-      = talloc_zero_array (r, struct settle_item, t->limit_count);
-  for (i = 0; i < t->limit_count; i++)
+      = talloc_zero_array (r, struct settle_item, t->table.limit_count);
+  for (i = 0; i < t->table.limit_count; i++)
     if (k->net[i] != 0)
       {
         struct settle_item *x = &r->u.settle.items[r->u.settle.item_count++];
 
-        x->limit = t->limits[i].ref;
+        x->limit = t->table.limits[i].ref;
         x->token_count = k->net[i];
       }
 }
@@ -289,12 +289,12 @@
     return true;
   if (issue_has_settled (g, c->incarnation))
     return false;
-  for (i = 0; i < t->member_count; i++)
-    if (issue_must_settle (t, g, t->members[i].incarnation))
+  for (i = 0; i < t->table.member_count; i++)
+    if (issue_must_settle (t, g, t->table.members[i].incarnation))
       return false;
-  for (i = 0; i < t->member_count; i++)
-    if (!t->members[i].gone)
-      return t->members[i].incarnation == c->incarnation;
+  for (i = 0; i < t->table.member_count; i++)
+    if (!t->table.members[i].gone)
+      return t->table.members[i].incarnation == c->incarnation;
   return false;
 }
 
--- a/core/recovery.c
+++ b/core/recovery.c
@@ -136,6 +136,7 @@
   if (c->control->config != NULL)
     core_adopt_config (c);
   core_adopt_members (c);
+  core_limit_sync (c);
   core_check_own_membership (c);
   /* A join whose record stood in the gap is never read: join again.  */
   if (c->incarnation == 0)
--- a/core/transfer.c
+++ b/core/transfer.c
@@ -34,7 +34,7 @@
   struct peer_message *m = core_message (c, peer, PEER_TRANSFER);
 
   m->u.transfer.sequence = sequence;
-  m->u.transfer.limit = c->control->issue->limits[limit].ref;
+  m->u.transfer.limit = c->control->issue->table.limits[limit].ref;
   m->u.transfer.token_count = count;
 }
 
--- a/port/record.h
+++ b/port/record.h
@@ -74,6 +74,36 @@
   char text[ID_BYTES];
 };
 
+/** A member's column; its tokens are one row per limit.  */
+struct issue_member
+{
+  uint64_t incarnation;
+  bool gone;            /**< Its process has ended.  */
+  uint64_t gone_offset; /**< Offset of the record that said so.  */
+  uint64_t lapse_ms;    /**< Log time when its last task lease has lapsed.  */
+  int64_t *tokens;      /**< By limit; negative: owed after a lowering.  */
+  uint64_t *settled;    /**< Live members that folded their link with it.  */
+  uint32_t settled_count;
+};
+
+struct issue_limit
+{
+  struct limit_ref ref;
+  int64_t total_count;    /**< The configured limit; 0 once removed.  */
+  int64_t unissued_count; /**< Kept while there is no live member.  */
+};
+
+/** What is issued, as one value.  */
+struct issue_table
+{
+  struct issue_limit *limits;
+  uint32_t limit_count;
+  struct issue_member *members; /**< Live and unsettled, by incarnation.  */
+  uint32_t member_count;
+  uint32_t longest_timeout_ms; /**< Of any route so far: the lease bound.  */
+  uint32_t reissue_count;      /**< Groups of gone members done with.  */
+};
+
 /** The control state that every record below next_offset has led to.  */
 struct checkpoint
 {
@@ -84,6 +114,7 @@
   struct key *keys;        /**< Sorted by digest.  */
   struct member *members;  /**< Sorted by incarnation.  */
   struct command_id *commands; /**< Ids applied last, oldest first.  */
+  struct issue_table issue;    /**< Tokens issued.  */
   uint32_t key_count;
   uint32_t member_count;
   uint32_t command_count;
