--- /dev/null
+++ b/bench/bench_limits.c
@@ -0,0 +1,199 @@
+/* bench_limits.c -- how near each team comes to its share, in virtual time.
+
+   8 cores in one process; 2 pools of 10 VMs with 8 slots, 3 teams with weights
+   1, 2 and 5; tasks of 20 to 60 ms.  One JSON line for each scenario and
+   policy.  The distance is that of a team's mean running over 200 ms from its
+   share of the capacity, in percent of the share, from 2 s after a change.  */
+
+#include "tests/sim.h"
+
+#include <math.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <time.h>
+
+#define WINDOW_US (200 * US_PER_MS)
+#define SAMPLE_US (5 * US_PER_MS)
+#define SETTLE_US (2 * US_PER_S)
+#define CLIENT_COUNT 200
+
+enum load
+{
+  LOAD_ONE,    /**< All at one entry.  */
+  LOAD_ALL,    /**< At all entries.  */
+  LOAD_TURNS,  /**< At another entry every 5 s.  */
+  LOAD_PAUSED, /**< At all entries, one of them paused.  */
+  LOAD_LIGHT   /**< A twentieth of the capacity, at all entries.  */
+};
+
+static const char *const load_names[]
+    = { "one_entry", "all_entries", "in_turns", "one_paused", "light" };
+static const char *const policy_names[]
+    = { "ledger", "static_split", "first_come" };
+
+struct figures
+{
+  double distance_sum;
+  double distance_max;
+  double used_sum;
+  uint32_t window_count;
+};
+
+static double
+team_share (const struct sim *s, uint32_t t)
+{
+  double weights = 0;
+  uint32_t i;
+
+  for (i = 0; i < s->team_count; i++)
+    weights += s->weight[i];
+  return s->pool_count * s->vm_count * s->slot_count * s->weight[t] / weights;
+}
+
+/* Loads entry I with teams in unequal number: the first asks for most.  */
+static void
+load_entry (struct sim *s, uint32_t i, uint32_t count)
+{
+  uint32_t p;
+  uint32_t t;
+
+  for (p = 0; p < s->pool_count; p++)
+    for (t = 0; t < s->team_count; t++)
+      sim_load (s, i, p, t, t == 0 ? 2 * count : count);
+}
+
+static void
+set_load (struct sim *s, enum load load, uint32_t turn)
+{
+  uint32_t i;
+
+  for (i = 0; i < SIM_ENTRY_COUNT; i++)
+    switch (load)
+      {
+      case LOAD_ONE:
+        load_entry (s, i, i == 0 ? CLIENT_COUNT : 0);
+        break;
+      case LOAD_ALL:
+      case LOAD_PAUSED:
+        load_entry (s, i, CLIENT_COUNT / SIM_ENTRY_COUNT);
+        break;
+      case LOAD_TURNS:
+        load_entry (s, i, i == turn % SIM_ENTRY_COUNT ? CLIENT_COUNT : 2);
+        break;
+      case LOAD_LIGHT:
+        load_entry (s, i, i % 2);
+        break;
+      }
+}
+
+static void
+measure_window (struct sim *s, struct figures *f)
+{
+  double sums[SIM_TEAM_LIMIT] = { 0 };
+  double capacity = s->pool_count * s->vm_count * s->slot_count;
+  double used = 0;
+  uint32_t n = (uint32_t)(WINDOW_US / SAMPLE_US);
+  uint32_t i;
+  uint32_t t;
+
+  for (i = 0; i < n; i++)
+    {
+      sim_run (s, s->now_us + SAMPLE_US);
+      for (t = 0; t < s->team_count; t++)
+        sums[t] += s->team_running[t];
+    }
+  for (t = 0; t < s->team_count; t++)
+    {
+      double share = team_share (s, t);
+      double distance = fabs (sums[t] / n - share) / share * 100;
+
+      f->distance_sum += distance / s->team_count;
+      f->distance_max = MAX (f->distance_max, distance);
+      used += sums[t] / n;
+    }
+  f->used_sum += used / capacity * 100;
+  f->window_count++;
+}
+
+static void
+measure (struct sim *s, enum load load, struct figures *f)
+{
+  uint32_t turn;
+
+  for (turn = 0; turn < 3; turn++)
+    {
+      uint64_t end_us;
+
+      set_load (s, load, turn);
+      sim_run (s, s->now_us + SETTLE_US);
+      for (end_us = s->now_us + 3 * US_PER_S; s->now_us < end_us;)
+        measure_window (s, f);
+    }
+}
+
+static void
+run (enum load load, enum limit_policy policy)
+{
+  struct figures f = { 0 };
+  struct sim s;
+  uint64_t messages;
+  uint64_t transfers;
+  uint64_t steps;
+  uint64_t from_us;
+  clock_t from;
+  double seconds;
+  double cpu;
+
+  sim_init (&s, 7);
+  s.policy = policy;
+  s.pool_count = 2;
+  s.team_count = 3;
+  s.vm_count = 10;
+  s.slot_count = 8;
+  s.weight[0] = 1;
+  s.weight[1] = 2;
+  s.weight[2] = 5;
+  s.ceiling[0] = s.ceiling[1] = s.ceiling[2] = 150;
+  sim_open (&s);
+  if (load == LOAD_PAUSED)
+    {
+      sim_run (&s, s.now_us + US_PER_S);
+      set_load (&s, load, 0);
+      sim_run (&s, s.now_us + 2 * US_PER_S);
+      sim_pause (&s, 3);
+    }
+  messages = s.message_count;
+  transfers = s.transfer_count;
+  steps = s.step_count;
+  from_us = s.now_us;
+  from = clock ();
+  measure (&s, load, &f);
+  seconds = (double)(s.now_us - from_us) / 1e6;
+  cpu = (double)(clock () - from) / CLOCKS_PER_SEC;
+  printf ("{\"bench\":\"limits\",\"load\":\"%s\",\"policy\":\"%s\","
+          "\"distance_mean_percent\":%.1f,\"distance_max_percent\":%.1f,"
+          "\"used_percent\":%.1f,\"messages_per_s_per_entry\":%.0f,"
+          "\"transfers_per_s\":%.1f,\"steps_per_cpu_s\":%.0f}\n",
+          load_names[load], policy_names[policy],
+          f.distance_sum / f.window_count, f.distance_max,
+          f.used_sum / f.window_count,
+          (double)(s.message_count - messages) / seconds / SIM_ENTRY_COUNT,
+          (double)(s.transfer_count - transfers) / seconds,
+          (double)(s.step_count - steps) / cpu);
+  fflush (stdout);
+  sim_close (&s);
+}
+
+int
+main (void)
+{
+  enum load load;
+  enum limit_policy policy;
+
+  if (sodium_init () < 0)
+    return 1;
+  for (load = LOAD_ONE; load <= LOAD_LIGHT; load++)
+    for (policy = LIMIT_LEDGER; policy <= LIMIT_FIRST_COME; policy++)
+      run (load, policy);
+  return 0;
+}
