--- a/core/adopt.c
+++ b/core/adopt.c
@@ -102,6 +102,7 @@
       pool_queue_init (&p->queue, c->pools, f->team_count + 1);
       p->team_running_count
           = talloc_zero_array (c->pools, uint32_t, f->team_count + 1);
+      p->team_pass = talloc_zero_array (c->pools, uint64_t, f->team_count + 1);
       p->vms = talloc_array (c->pools, uint32_t, f->vm_count + 1);
       p->dirty = true;
     }
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -1,13 +1,22 @@
 /* dispatch.c -- which waiting request starts next, and on which worker.
 
-   Among the teams that wait for a pool the one goes first that runs least
-   there for its weight.  A pool is looked at only after something changed
+   Among the teams that wait for a pool the one goes first that was given the
+   least run time there for its weight (stride scheduling, by measured run
+   times): over a few requests each has its share, also where the share is no
+   whole number of slots.  A pool is looked at only after something changed
    that may let a request of it start.  */
 
 #include "core/state.h"
 
 #include <string.h>
 
+/** Steps of a weight of 1.  */
+#define WEIGHT_SCALE 256
+/** Steps of a pass for 1 us of run time at a weight of one step.  */
+#define PASS_SCALE 65536
+/** Run time of a queue of which nothing was measured.  */
+#define DEFAULT_RUN_US (50 * US_PER_MS)
+
 void
 core_bind_request (struct core *c, struct request *r)
 {
@@ -31,6 +40,14 @@
     c->pools[i].dirty = true;
 }
 
+/* A team that could not use its turns does not save them up.  */
+static void
+catch_up (struct pool_state *p, uint32_t team)
+{
+  if (p->team_pass[team] < p->pass_now)
+    p->team_pass[team] = p->pass_now;
+}
+
 void
 core_enqueue (struct core *c, struct pool_state *p, struct request *r)
 {
@@ -38,6 +55,9 @@
   if (r->arrival == 0)
     r->arrival = ++c->next_arrival;
   core_bind_request (c, r);
+  if (p->queue.teams[r->team_index].waiting_count == 0
+      && p->team_running_count[r->team_index] == 0)
+    catch_up (p, r->team_index);
   pool_queue_add (&p->queue, r);
   deadline_add (&c->deadlines, r);
   p->dirty = true;
@@ -86,14 +106,35 @@
   return c->teams[team].running_count < core_team_limit (c, team);
 }
 
-static uint32_t
-weight_of (const struct core *c, uint32_t team)
+/* Returns the weight of TEAM in the pool: its part of the target here, or
+   its share while there is no target.  */
+static uint64_t
+weight_of (const struct core *c, uint32_t pool, uint32_t team)
 {
   const struct config *f = c->control->config;
+  const struct share_target *t = c->limits->target;
+  double part = t != NULL ? t->own_cell[pool * (f->team_count + 1) + team] : 0;
 
+  if (part * WEIGHT_SCALE >= 1)
+    return (uint64_t)(part * WEIGHT_SCALE);
   if (team == f->team_count || f->teams[team].share_weight == 0)
-    return 1;
-  return f->teams[team].share_weight;
+    return WEIGHT_SCALE;
+  return WEIGHT_SCALE * (uint64_t)f->teams[team].share_weight;
+}
+
+/* Charges the team of R for the run time that it is about to use.  */
+static void
+charge (struct core *c, uint32_t pool, const struct request *r)
+{
+  struct pool_state *p = &c->pools[pool];
+  uint64_t run_us = c->routes[r->route_index].mean_us;
+
+  if (run_us == 0)
+    run_us = DEFAULT_RUN_US;
+  if (p->pass_now < p->team_pass[r->team_index])
+    p->pass_now = p->team_pass[r->team_index];
+  p->team_pass[r->team_index]
+      += run_us * PASS_SCALE / weight_of (c, pool, r->team_index);
 }
 
 /* Returns true if TEAM goes before BEST in the pool.  */
@@ -101,15 +142,10 @@
 goes_before (const struct core *c, const struct pool_state *p, uint32_t team,
              uint32_t best)
 {
-  uint64_t x;
-  uint64_t y;
-
   if (c->settings.limit_policy == LIMIT_FIRST_COME)
     return pool_queue_head (&p->queue, team)->arrival
            < pool_queue_head (&p->queue, best)->arrival;
-  x = (p->team_running_count[team] + UINT64_C (1)) * weight_of (c, best);
-  y = (p->team_running_count[best] + UINT64_C (1)) * weight_of (c, team);
-  return x < y;
+  return p->team_pass[team] < p->team_pass[best];
 }
 
 /* Returns the request that goes next, or NULL.  BLOCKED marks teams that
@@ -127,6 +163,7 @@
       if (!team_may_start (c, t))
         {
           core_limit_short (c, t, p->queue.teams[t].waiting_count);
+          catch_up (p, t);
           continue;
         }
       if (best < 0 || goes_before (c, p, t, (uint32_t)best))
@@ -222,6 +259,7 @@
           continue;
         }
       pool_queue_started (&p->queue, r);
+      charge (c, pool_index, r);
       core_dequeue (c, p, r);
       core_start_attempt (c, r, (uint32_t)vm);
     }
--- a/core/share.c
+++ b/core/share.c
@@ -127,7 +127,7 @@
 /* Adds each member's part of the cell (POOL, TEAM), by its demand.  */
 static void
 split_cell (const struct share_problem *p, uint32_t pool, uint32_t team,
-            double allocated, double total, double *pool_part,
+            double allocated, double total, double *own, double *pool_part,
             double *team_part)
 {
   uint32_t m;
@@ -138,6 +138,8 @@
 
       pool_part[pool * p->member_count + m] += part;
       team_part[team * p->member_count + m] += part;
+      if (m == 0)
+        own[pool * p->team_count + team] = part;
     }
 }
 
@@ -156,7 +158,8 @@
     for (t = 0; t < p->team_count; t++)
       if (total[i * p->team_count + t] > 0)
         split_cell (p, i, t, s->cell[i * p->team_count + t],
-                    total[i * p->team_count + t], pool_part, team_part);
+                    total[i * p->team_count + t], s->own_cell, pool_part,
+                    team_part);
   for (i = 0; i < p->pool_count; i++)
     round_column (&pool_part[i * p->member_count], p->member_count,
                   &s->pool_count[i], p->pool_count);
@@ -199,8 +202,8 @@
       double sum = 0;
 
       for (i = 0; i < p->pool_count; i++)
-        sum += total[i * p->team_count + t];
-      s->team_contended[t] = sum > p->ceiling_count[t];
+        sum += s->cell[i * p->team_count + t];
+      s->team_contended[t] = sum > p->ceiling_count[t] - 0.5;
     }
 }
 
@@ -216,6 +219,7 @@
     out_of_memory ();
   total = talloc_zero_array (s, double, cells + 1);
   cap = talloc_zero_array (s, double, cells + 1);
+  s->own_cell = talloc_zero_array (s, double, cells + 1);
   s->cell = talloc_zero_array (s, double, cells + 1);
   s->team_count
       = talloc_zero_array (s, uint32_t, p->member_count * p->team_count + 1);
@@ -225,8 +229,8 @@
   s->pool_contended = talloc_zero_array (s, bool, p->pool_count + 1);
   sum_demand (p, total);
   sum_demand (p, cap);
-  find_contended (p, total, s);
   allocate (p, cap, s->cell);
+  find_contended (p, total, s);
   split_over_members (p, total, s);
   talloc_free (total);
   talloc_free (cap);
--- a/core/share.h
+++ b/core/share.h
@@ -28,8 +28,9 @@
 {
   uint32_t *team_count; /**< Tokens, by member and team.  */
   uint32_t *pool_count; /**< Slots, by member and pool.  */
-  bool *team_contended; /**< The demand is above the ceiling.  */
+  bool *team_contended; /**< The target is at the ceiling.  */
   bool *pool_contended; /**< The demand is above the slots.  */
+  double *own_cell;     /**< Member 0's part of cell, by pool and team.  */
   double *cell;         /**< Allocated over the fleet, by pool and team.  */
 };
 
--- a/core/state.h
+++ b/core/state.h
@@ -48,6 +48,8 @@
   char name[NAME_BYTES];
   struct pool_queue queue;
   uint32_t *team_running_count; /**< By team; the last: no team.  */
+  uint64_t *team_pass; /**< Run time started, for its weight, by team.  */
+  uint64_t pass_now;   /**< Pass of the team that started last.  */
   uint32_t running_count;
   uint32_t *vms; /**< Indices of its VMs.  */
   uint32_t vm_count;
--- a/core/transfer.c
+++ b/core/transfer.c
@@ -12,6 +12,10 @@
 
 #include <string.h>
 
+/** Part of its target that a member may hold on top of it.  */
+#define DEAD_BAND_PART 8
+/** One in so many asks goes out though no peer is known to have any idle.  */
+#define BLIND_ASK_PART 16
 #define RESEND_US (200 * US_PER_MS)
 /** Most transfers sent again over a link at a time.  */
 #define RESEND_LIMIT_COUNT 64
@@ -193,12 +197,13 @@
 plan_group (struct core *c, uint32_t group)
 {
   struct limit_state *s = c->limits;
-  int64_t excess = core_own_holding (c, group).hold_count
-                   - (int64_t)target_of (s, 0, group);
+  int64_t target = target_of (s, 0, group);
+  int64_t excess = core_own_holding (c, group).hold_count - target;
   int64_t skip;
   int32_t i;
 
-  if (excess <= 0)
+  /* A target that wavers by a token moves none.  */
+  if (excess <= (target > 0 ? 1 + target / DEAD_BAND_PART : 0))
     return;
   skip = need_met_by_others (c, group);
   for (i = next_view (s, 0); i >= 0 && excess > 0;
@@ -362,7 +367,14 @@
     }
   if (v->holding[group].idle_count == 0
       && core_own_holding (c, group).hold_count > 0)
-    return;
+    {
+      if (c->random % BLIND_ASK_PART == 0)
+        send_ask (
+            c,
+            s->views[c->random / BLIND_ASK_PART % s->view_count]->incarnation,
+            group, count);
+      return;
+    }
   send_ask (c, v->incarnation, group, count);
   v->holding[group].idle_count -= count < v->holding[group].idle_count
                                       ? count
