--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -14,6 +14,8 @@
 #define WEIGHT_SCALE 256
 /** Steps of a pass for 1 us of run time at a weight of one step.  */
 #define PASS_SCALE 65536
+/** Part of what runs that is asked for at a time.  */
+#define ASK_PART 4
 /** Run time of a queue of which nothing was measured.  */
 #define DEFAULT_RUN_US (50 * US_PER_MS)
 
@@ -148,6 +150,17 @@
   return p->team_pass[team] < p->team_pass[best];
 }
 
+/* Returns how many tokens to ask for: what waits, but no more than a part of
+   what runs, so that asks do not empty a peer that will need its own.  */
+static uint32_t
+wanted (const struct pool_state *p, uint32_t team, uint32_t running)
+{
+  uint32_t most = 1 + running / ASK_PART;
+  uint32_t waiting = p->queue.teams[team].waiting_count;
+
+  return waiting < most ? waiting : most;
+}
+
 /* Returns the request that goes next, or NULL.  BLOCKED marks teams that
    cannot start for now.  */
 static struct request *
@@ -162,7 +175,7 @@
         continue;
       if (!team_may_start (c, t))
         {
-          core_limit_short (c, t, p->queue.teams[t].waiting_count);
+          core_limit_short (c, t, wanted (p, t, c->teams[t].running_count));
           catch_up (p, t);
           continue;
         }
@@ -254,7 +267,7 @@
       if (vm < 0)
         {
           core_limit_short (c, c->control->config->team_count + pool_index,
-                            p->queue.teams[r->team_index].waiting_count);
+                            wanted (p, r->team_index, p->running_count));
           blocked[r->team_index] = true;
           continue;
         }
--- a/core/exchange.c
+++ b/core/exchange.c
@@ -12,6 +12,8 @@
 
 #define EXCHANGE_PERIOD_US (100 * US_PER_MS)
 #define REFRESH_PART_COUNT 64
+/** How often the end of a demand is told again, for it may be lost.  */
+#define ZERO_REPEAT_COUNT 3
 /** A peer that is silent for so long is left out of the target.  */
 #define VIEW_LIMIT_US (1 * US_PER_S)
 /** Longest silence of this entry towards its peers.  */
@@ -257,8 +259,13 @@
   uint32_t n = own_demand (c, pool, column, capacity);
   uint32_t told = s->sent_demand_count[i];
 
-  if (!differs_enough (told, n) && !(is_refreshed (s, i) && told + n > 0))
+  if (!differs_enough (told, n)
+      && !(is_refreshed (s, i) && (n > 0 || s->zero_repeat_count[i] > 0)))
     return;
+  if (n > 0)
+    s->zero_repeat_count[i] = ZERO_REPEAT_COUNT;
+  else if (told == 0)
+    s->zero_repeat_count[i]--;
   s->sent_demand_count[i] = n;
   tell (c, s->pool_names[pool], s->team_names[column], n, 0);
 }
--- a/core/limit.c
+++ b/core/limit.c
@@ -141,6 +141,7 @@
   copy_names (s, f);
   drop_views (s);
   talloc_free (s->sent_demand_count);
+  talloc_free (s->zero_repeat_count);
   talloc_free (s->sent_holding);
   talloc_free (s->reserved_count);
   talloc_free (s->short_count);
@@ -149,6 +150,7 @@
   TALLOC_FREE (s->pushes);
   s->push_count = 0;
   s->sent_demand_count = talloc_zero_array (s, uint32_t, cells + 1);
+  s->zero_repeat_count = talloc_zero_array (s, uint8_t, cells + 1);
   s->sent_holding
       = talloc_zero_array (s, struct peer_holding, s->group_count + 1);
   s->reserved_count = talloc_zero_array (s, uint32_t, s->group_count + 1);
--- a/core/limit.h
+++ b/core/limit.h
@@ -62,6 +62,7 @@
   char (*team_names)[NAME_BYTES];    /**< By column.  */
   char (*pool_names)[NAME_BYTES];    /**< By pool.  */
   uint32_t *sent_demand_count;       /**< By pool and column.  */
+  uint8_t *zero_repeat_count;        /**< Times to tell a zero again.  */
   struct peer_holding *sent_holding; /**< By group.  */
   uint32_t refresh_cursor;           /**< Next of them to send anyway.  */
   uint64_t next_exchange_us;
--- a/core/transfer.c
+++ b/core/transfer.c
@@ -279,6 +279,12 @@
   return -1;
 }
 
+static uint32_t
+above (int64_t hold, uint32_t target)
+{
+  return hold > target ? (uint32_t)(hold - target) : 0;
+}
+
 void
 core_on_ask (struct core *c, const struct peer_message *m)
 {
@@ -295,9 +301,11 @@
   spare = own.idle_count > s->reserved_count[group]
               ? own.idle_count - s->reserved_count[group]
               : 0;
-  /* A little more than was asked for, so that the next ask is rarer.  */
-  if (!is_contended (s, (uint32_t)group) && spare > count)
-    count += (spare - count) / 2;
+  if (is_contended (s, (uint32_t)group))
+    spare = MIN (spare,
+                 above (own.hold_count, target_of (s, 0, (uint32_t)group)));
+  else
+    spare = (spare + 1) / 2;
   if (count > spare)
     count = spare;
   give_group (c, v->incarnation, (uint32_t)group, count);
@@ -365,6 +373,11 @@
         send_ask (c, s->views[i]->incarnation, group, count);
       return;
     }
+  /* What the target leaves to others is not asked for.  */
+  if (is_contended (s, group)
+      && core_own_holding (c, group).hold_count
+             >= MAX (1, (int64_t)target_of (s, 0, group)))
+    return;
   if (v->holding[group].idle_count == 0
       && core_own_holding (c, group).hold_count > 0)
     {
