--- a/core/limit.h
+++ b/core/limit.h
@@ -28,6 +28,7 @@
 {
   uint64_t incarnation;
   uint64_t heard_us;            /**< Its last message of any kind.  */
+  uint64_t asked_us;            /**< When it was last asked.  */
   uint32_t *demand_count;       /**< By pool and team.  */
   struct peer_holding *holding; /**< By group.  */
 };
--- a/core/transfer.c
+++ b/core/transfer.c
@@ -16,6 +16,8 @@
 #define DEAD_BAND_PART 8
 /** One in so many asks goes out though no peer is known to have any idle.  */
 #define BLIND_ASK_PART 16
+/** Time in which a peer is not asked again.  */
+#define ASKED_US (20 * US_PER_MS)
 #define RESEND_US (200 * US_PER_MS)
 /** Most transfers sent again over a link at a time.  */
 #define RESEND_LIMIT_COUNT 64
@@ -331,7 +333,7 @@
       struct peer_view *v = s->views[i];
       const struct peer_holding *h = &v->holding[group];
 
-      if (!core_view_is_fresh (c, v))
+      if (!core_view_is_fresh (c, v) || c->now_us < v->asked_us + ASKED_US)
         continue;
       if (best == NULL || h->idle_count > best->holding[group].idle_count
           || (h->idle_count == best->holding[group].idle_count
@@ -368,9 +370,10 @@
     return;
   if (v == NULL)
     {
-      /* Nothing is known of the peers yet: ask all of them.  */
+      /* Nothing is known of the peers yet, or all were asked just now.  */
       for (i = 0; i < s->view_count; i++)
-        send_ask (c, s->views[i]->incarnation, group, count);
+        if (s->views[i]->heard_us == 0)
+          send_ask (c, s->views[i]->incarnation, group, count);
       return;
     }
   /* What the target leaves to others is not asked for.  */
@@ -389,9 +392,7 @@
       return;
     }
   send_ask (c, v->incarnation, group, count);
-  v->holding[group].idle_count -= count < v->holding[group].idle_count
-                                      ? count
-                                      : v->holding[group].idle_count;
+  v->asked_us = c->now_us;
 }
 
 void
