--- a/core/limit.c
+++ b/core/limit.c
@@ -125,6 +125,17 @@
   s->view_count = 0;
 }
 
+/* A peer may take what was told before this adoption after its own, so the
+   ends of demands are still to be told.  */
+static void
+keep_zero_repeats (struct limit_state *s, uint32_t cells)
+{
+  if (talloc_array_length (s->zero_repeat_count) == cells + 1)
+    return;
+  talloc_free (s->zero_repeat_count);
+  s->zero_repeat_count = talloc_zero_array (s, uint8_t, cells + 1);
+}
+
 void
 core_limit_adopt (struct core *c)
 {
@@ -141,7 +152,6 @@
   copy_names (s, f);
   drop_views (s);
   talloc_free (s->sent_demand_count);
-  talloc_free (s->zero_repeat_count);
   talloc_free (s->sent_holding);
   talloc_free (s->reserved_count);
   talloc_free (s->short_count);
@@ -150,7 +160,7 @@
   TALLOC_FREE (s->pushes);
   s->push_count = 0;
   s->sent_demand_count = talloc_zero_array (s, uint32_t, cells + 1);
-  s->zero_repeat_count = talloc_zero_array (s, uint8_t, cells + 1);
+  keep_zero_repeats (s, cells);
   s->sent_holding
       = talloc_zero_array (s, struct peer_holding, s->group_count + 1);
   s->reserved_count = talloc_zero_array (s, uint32_t, s->group_count + 1);
