A stopping entry keeps its tokens until what waits there has run

Change: the tokens are given away when nothing waits any more; until then the entry asks and starts as before.

--- a/core/limit.c
+++ b/core/limit.c
@@ -358,7 +358,8 @@
     return;
   settle_gone (c);
   core_resend (c);
-  if (c->stopping)
+  /* What still waits here is to be run before the stop ends.  */
+  if (c->stopping && c->waiting_count == 0)
     {
       core_give_all (c);
       return;
--- a/port/ring.c
+++ b/port/ring.c
@@ -13,7 +13,7 @@
   uint32_t capacity_count;
   uint32_t head;       /**< Index of the oldest element.  */
   uint32_t item_count; /**< Elements waiting.  */
-  int event_fd;        /**< Readable while item_count may be above 0.  */
+  int32_t event_fd;    /**< Readable while item_count may be above 0.  */
   void *items[];
 };
 
--- a/tests/standin/server.c
+++ b/tests/standin/server.c
@@ -13,6 +13,8 @@
 #include <time.h>
 
 #define FAULT_COUNT 32
+/** How often a frozen exchange looks whether it may go on.  */
+#define FREEZE_STEP_MS 20
 
 handler_fn *standin_handler;
 handler_fn *standin_on_cut;
@@ -189,6 +191,8 @@
     }
   if (fault_get ("down") || fault_get ("down_port") == x->port)
     return MHD_NO;
+  while (fault_get ("freeze"))
+    sleep_ms (FREEZE_STEP_MS);
   sleep_ms (fault_get ("slow_ms"));
   standin_handler (x);
   if (fault_get ("lose_answers") && strcmp (method, "POST") == 0)
