test_limits: callers without an event loop

It forks to start the killed entry again while 72 callers run; tevent locks every context of the process at a fork, and TSan's deadlock detector ends the program at 64 locks (its own CHECK, sanitizer_deadlock_detector.h). Ruled out: a race or a fault of the daemons (the trace is in the test's own process). Change: the callers use libcurl's easy handles; their number, the load, the checks and the bounds are as before.

--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -20,6 +20,7 @@
 #define KILLED_ENTRY 2
 #define ROUTE_TIMEOUT_S 4
 #define FROZEN_S 20
+#define CALL_LIMIT_MS 30000
 
 static const gchar *const teams[TEAM_COUNT]
     = { "menders", "villages", "coordinators" };
@@ -68,13 +69,47 @@
   g_free (text);
 }
 
-/* One caller: sends a request at a time, each to the next entry.  */
+static size_t
+drop_body (char *data, size_t size, size_t count, void *state)
+{
+  (void)data;
+  (void)state;
+  return size * count;
+}
+
+/* Sends one request for TEAM to ENTRY; returns the status, 0 without one.  */
+static long
+post (CURL *easy, guint entry, const gchar *team)
+{
+  gchar *url = g_strdup_printf ("http://127.0.0.1:%u/v1/queues/q",
+                                cluster_entry_port (cluster, entry));
+  gchar *key = g_strdup_printf ("Authorization: Bearer %s", team);
+  struct curl_slist *lines = curl_slist_append (NULL, key);
+  long status = 0;
+
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, lines);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDS, "run_ms=100");
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, drop_body);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)CALL_LIMIT_MS);
+  if (curl_easy_perform (easy) == CURLE_OK)
+    curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_slist_free_all (lines);
+  g_free (key);
+  g_free (url);
+  return status;
+}
+
+/* One caller: sends a request at a time, each to the next entry.  It has no
+   event loop: this process forks while callers run, and the loops' library
+   locks every loop of the process at a fork, more than TSan can follow.  */
 static void *
 call (void *state)
 {
   guint n = GPOINTER_TO_UINT (state);
-  struct blob *b = blob_copy ("run_ms=100", strlen ("run_ms=100"));
-  struct http_result r;
+  const gchar *team = teams[n % TEAM_COUNT];
+  CURL *easy = curl_easy_init ();
 
   while (!atomic_load (&ending))
     {
@@ -82,16 +117,12 @@
 
       if (entry == FROZEN_ENTRY || entry == KILLED_ENTRY)
         continue;
-      cluster_call ("POST", cluster_entry_port (cluster, entry),
-                    "/v1/queues/q",
-                    teams[GPOINTER_TO_UINT (state) % TEAM_COUNT], b, &r);
-      if (r.status == 200)
+      if (post (easy, entry, team) == 200)
         atomic_fetch_add (&answered_count, 1);
       else
         g_usleep (20000);
-      blob_unref (r.body);
     }
-  blob_unref (b);
+  curl_easy_cleanup (easy);
   return NULL;
 }
 
