One outbox for events that a full ring must not lose; a planned stop is never lost

Cause: back, log and peer each had their own list of events that found the decide ring full. The one in back turned their order round and leaked them at the end; two places had none: an attempt that could not be handed to the back duty was forgotten when the ring was full (its slot and its team's count stayed taken), and a SIGTERM was dropped with it. Change: adapter/outbox keeps events in order for all four; event_drop frees an event of any kind; a planned stop is a flag that the decide duty takes at its next tick. core/issue.c hashes with core/digest.c as the rest of the state, and tests that start processes share cluster_init.

--- a/adapter/back.c
+++ b/adapter/back.c
@@ -7,6 +7,7 @@
 #include "adapter/back.h"
 
 #include "adapter/http_client.h"
+#include "adapter/outbox.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -16,7 +17,6 @@
 /** Connections to one worker, as each runner offers.  */
 #define WORKER_CONNECTION_COUNT 64
 #define CONNECT_LIMIT_MS 1000
-#define RETRY_PUSH_US 2000
 /** An attempt is given up this long after its lease.  The worker counts the
     lease from the arrival, which connecting may delay by CONNECT_LIMIT_MS; so
     the lease has lapsed there when the attempt's end gives the slot back.  */
@@ -31,62 +31,14 @@
   struct attempt *next;
 };
 
-/* An end that the decide ring had no room for.  */
-struct late_event
-{
-  struct event *event;
-  struct late_event *next;
-};
-
 struct back
 {
   struct duty *duty;
   struct http_client *http;
-  struct ring *decide;
+  struct outbox *decide; /**< Ends of attempts: never dropped.  */
   struct attempt *attempts;
-  struct late_event *late;
 };
 
-static void push_event (struct back *b, struct event *e);
-
-static void
-on_push_again (struct tevent_context *loop, struct tevent_timer *te,
-               struct timeval at, void *state)
-{
-  struct back *b = state;
-  struct late_event *l = b->late;
-
-  (void)loop;
-  (void)te;
-  (void)at;
-  b->late = NULL;
-  while (l != NULL)
-    {
-      struct late_event *next = l->next;
-
-      push_event (b, l->event);
-      talloc_free (l);
-      l = next;
-    }
-}
-
-static void
-push_event (struct back *b, struct event *e)
-{
-  struct late_event *l;
-
-  if (ring_push (b->decide, e))
-    return;
-  l = talloc (b, struct late_event);
-  l->event = e;
-  l->next = b->late;
-  if (b->late == NULL)
-    tevent_add_timer (b->duty->loop, b,
-                      tevent_timeval_current_ofs (0, RETRY_PUSH_US),
-                      on_push_again, b);
-  b->late = l;
-}
-
 static void
 unlink_attempt (struct attempt *a)
 {
@@ -123,7 +75,7 @@
   e->u.attempt.elapsed_us = r->elapsed_us;
   if (e->u.attempt.outcome == ATTEMPT_ANSWERED)
     e->u.attempt.body = blob_ref (r->body);
-  push_event (a->back, e);
+  outbox_push (a->back->decide, e);
   unlink_attempt (a);
   talloc_free (a);
 }
@@ -136,7 +88,7 @@
   e->kind = EVENT_ATTEMPT_DONE;
   e->u.attempt.attempt_id = attempt_id;
   e->u.attempt.outcome = ATTEMPT_NOT_SENT;
-  push_event (b, e);
+  outbox_push (b->decide, e);
 }
 
 static void
@@ -223,7 +175,6 @@
 
   if (b == NULL)
     return NULL;
-  b->decide = decide;
   b->duty = duty_new ("back", RING_COUNT, on_action, b);
   if (b->duty == NULL)
     {
@@ -232,6 +183,7 @@
     }
   b->http = http_client_new (b->duty->loop, b->duty->loop,
                              WORKER_CONNECTION_COUNT);
+  b->decide = outbox_new (b, b->duty->loop, decide, NULL, NULL);
   return b;
 }
 
@@ -255,6 +207,7 @@
       talloc_free (a);
     }
   talloc_free (b->http);
+  talloc_free (b->decide);
   duty_free (b->duty);
   talloc_free (b);
 }
--- a/adapter/decide.c
+++ b/adapter/decide.c
@@ -3,8 +3,10 @@
 #include "adapter/decide.h"
 
 #include "adapter/log_service.h"
+#include "adapter/outbox.h"
 
 #include <sodium.h>
+#include <stdatomic.h>
 
 #define RING_COUNT 16384
 /** Resolution of deadlines.  */
@@ -20,23 +22,11 @@
   struct decide_outputs outputs;
   struct log_item_list log_items; /**< Await room in the log ring.  */
   struct member_list *members; /**< Awaits room in the peer ring, or NULL.  */
+  struct outbox *returned;     /**< Attempts that could not be handed on.  */
+  atomic_bool stop_asked;      /**< By another thread; taken at a tick.  */
   struct recorder *recorder;   /**< NULL unless the run is recorded.  */
 };
 
-static void
-drop_event (struct event *e)
-{
-  if (e->kind == EVENT_REQUEST)
-    blob_unref (e->u.request.body);
-  if (e->kind == EVENT_ATTEMPT_DONE)
-    blob_unref (e->u.attempt.body);
-  if (e->kind == EVENT_RECORD)
-    blob_unref (e->u.record.raw);
-  if (e->kind == EVENT_PEER)
-    peer_message_drop_blobs (&e->u.peer);
-  talloc_free (e);
-}
-
 /* Copies A to RING; returns false when the ring is full.  */
 static bool
 send_action (struct ring *ring, const struct action *a)
@@ -60,8 +50,7 @@
   e->kind = EVENT_ATTEMPT_DONE;
   e->u.attempt.attempt_id = a->u.start.attempt_id;
   e->u.attempt.outcome = ATTEMPT_NOT_SENT;
-  if (!ring_push (d->duty->inbound, e))
-    talloc_free (e);
+  outbox_push (d->returned, e);
 }
 
 /* Appends keep their order, so a new one goes behind those that wait.  */
@@ -214,9 +203,12 @@
 {
   struct decide *d = state;
   struct event e = { .kind = EVENT_TICK };
+  struct event stop = { .kind = EVENT_STOP };
 
   (void)te;
   (void)at;
+  if (atomic_exchange (&d->stop_asked, false))
+    step (d, &stop);
   flush_log_items (d);
   if (d->members != NULL)
     send_members (d, d->members);
@@ -241,6 +233,7 @@
       return NULL;
     }
   d->core = core_new (d, s);
+  d->returned = outbox_new (d, d->duty->loop, d->duty->inbound, NULL, NULL);
   tevent_add_timer (d->duty->loop, d->duty->loop,
                     tevent_timeval_current_ofs (0, TICK_MS * US_PER_MS),
                     on_tick, d);
@@ -259,6 +252,12 @@
   d->recorder = r;
 }
 
+void
+decide_stop (struct decide *d)
+{
+  atomic_store (&d->stop_asked, true);
+}
+
 struct duty *
 decide_duty (struct decide *d)
 {
@@ -274,7 +273,7 @@
   if (d == NULL)
     return;
   while (ring_pop (d->duty->inbound, (void **)&e, 1) > 0)
-    drop_event (e);
+    event_drop (e);
   talloc_free (d->actions.items);
   talloc_free (d->members);
   while ((x = STAILQ_FIRST (&d->log_items)) != NULL)
@@ -282,6 +281,7 @@
       STAILQ_REMOVE_HEAD (&d->log_items, link);
       talloc_free (x);
     }
+  talloc_free (d->returned);
   duty_free (d->duty);
   talloc_free (d);
 }
--- a/adapter/decide.h
+++ b/adapter/decide.h
@@ -31,6 +31,10 @@
     start.  */
 void decide_record (struct decide *d, struct recorder *r);
 
+/** Starts a planned stop at the next tick, however full the ring is.  May be
+    called from any thread.  */
+void decide_stop (struct decide *d);
+
 /** Returns the duty, to start and join it.  Its ring takes struct event.  */
 struct duty *decide_duty (struct decide *d);
 
--- a/adapter/entry.c
+++ b/adapter/entry.c
@@ -212,11 +212,7 @@
 void
 ftk_entry_stop (ftk_entry *e)
 {
-  struct event *x = talloc_zero (NULL, struct event);
-
-  x->kind = EVENT_STOP;
-  if (!ring_push (decide_duty (e->decide)->inbound, x))
-    talloc_free (x);
+  decide_stop (e->decide);
 }
 
 /* Sleeps until a duty has told its end, at most LIMIT_MS (-1: no limit).  */
--- a/adapter/log_service.c
+++ b/adapter/log_service.c
@@ -6,6 +6,7 @@
 #include "adapter/log_service.h"
 
 #include "adapter/http_client.h"
+#include "adapter/outbox.h"
 #include "adapter/record_json.h"
 #include "port/event.h"
 
@@ -24,7 +25,6 @@
 #define CONNECT_LIMIT_MS 1000
 #define BACKOFF_LOW_MS 50
 #define BACKOFF_HIGH_MS 1000
-#define RETRY_PUSH_US 2000
 #define URL_BYTES 160
 
 struct pending
@@ -33,20 +33,13 @@
   struct record *record;
 };
 
-struct late_event
-{
-  STAILQ_ENTRY (late_event) link;
-  struct event *event;
-};
-
 TAILQ_HEAD (pending_list, pending);
-STAILQ_HEAD (late_list, late_event);
 
 struct log_service
 {
   struct duty *duty;
   struct http_client *http;
-  struct ring *decide;
+  struct outbox *decide;
   char address[ADDRESS_BYTES];
   uint64_t next_offset; /**< First offset not yet handed over.  */
   uint32_t read_backoff_ms;
@@ -56,8 +49,8 @@
   bool appending;       /**< A batch is out.  */
   uint32_t batch_count; /**< Records in the batch that is out.  */
   struct pending_list pending;
-  struct late_list late; /**< Events that await room.  */
-  struct ring *flushed;  /**< Told once when nothing is pending.  */
+  bool awaits_room;     /**< Reads on when the outbox is empty.  */
+  struct ring *flushed; /**< Told once when nothing is pending.  */
 };
 
 static void start_read (struct log_service *l);
@@ -92,54 +85,24 @@
 }
 
 static void
-on_append_again (struct tevent_context *loop, struct tevent_timer *te,
-                 struct timeval at, void *state)
-{
-  (void)loop;
-  (void)te;
-  (void)at;
-  start_append (state);
-}
-
-/* Hands over what waits; returns false while the decide ring is full.  */
-static bool
-flush_late (struct log_service *l)
+on_room (void *state)
 {
-  struct late_event *e;
+  struct log_service *l = state;
 
-  while ((e = STAILQ_FIRST (&l->late)) != NULL)
-    {
-      if (!ring_push (l->decide, e->event))
-        return false;
-      STAILQ_REMOVE_HEAD (&l->late, link);
-      talloc_free (e);
-    }
-  return true;
+  if (!l->awaits_room)
+    return;
+  l->awaits_room = false;
+  start_read (l);
 }
 
 static void
-on_flush (struct tevent_context *loop, struct tevent_timer *te,
-          struct timeval at, void *state)
+on_append_again (struct tevent_context *loop, struct tevent_timer *te,
+                 struct timeval at, void *state)
 {
-  struct log_service *l = state;
-
+  (void)loop;
   (void)te;
   (void)at;
-  if (flush_late (l))
-    start_read (l);
-  else
-    tevent_add_timer (loop, loop,
-                      tevent_timeval_current_ofs (0, RETRY_PUSH_US), on_flush,
-                      l);
-}
-
-static void
-hand_over (struct log_service *l, struct event *e)
-{
-  struct late_event *x = talloc (l, struct late_event);
-
-  x->event = e;
-  STAILQ_INSERT_TAIL (&l->late, x, link);
+  start_append (state);
 }
 
 static void
@@ -161,7 +124,7 @@
       = record_from_json (e, json_object_get (envelope, "data"));
   e->u.record.raw = record_to_raw (json_object_get (envelope, "data"));
   l->next_offset = (uint64_t)offset + 1;
-  hand_over (l, e);
+  outbox_push (l->decide, e);
 }
 
 static void
@@ -175,7 +138,7 @@
   e->u.log_read.first_offset = first_offset;
   e->u.log_read.next_offset = next_offset;
   e->u.log_read.asked_us = l->asked_us;
-  hand_over (l, e);
+  outbox_push (l->decide, e);
 }
 
 static bool
@@ -211,14 +174,12 @@
   if (r->answered && r->status == 200 && take_page (l, r->body))
     {
       l->read_backoff_ms = BACKOFF_LOW_MS;
-      if (flush_late (l))
+      l->awaits_room = !outbox_is_empty (l->decide);
+      if (!l->awaits_room)
         start_read (l);
-      else
-        later (l, 1, on_flush);
       return;
     }
   take_log_read (l, false, 0, 0);
-  flush_late (l);
   later (l, next_backoff (&l->read_backoff_ms), on_read_again);
 }
 
@@ -369,11 +330,9 @@
   if (l == NULL)
     return NULL;
   text_copy (l->address, ADDRESS_BYTES, address);
-  l->decide = decide;
   l->read_backoff_ms = BACKOFF_LOW_MS;
   l->append_backoff_ms = BACKOFF_LOW_MS;
   TAILQ_INIT (&l->pending);
-  STAILQ_INIT (&l->late);
   l->duty = duty_new ("log", RING_COUNT, on_item, l);
   if (l->duty == NULL)
     {
@@ -381,6 +340,7 @@
       return NULL;
     }
   l->http = http_client_new (l->duty->loop, l->duty->loop, 4);
+  l->decide = outbox_new (l, l->duty->loop, decide, on_room, l);
   return l;
 }
 
@@ -399,20 +359,14 @@
 void
 log_service_free (struct log_service *l)
 {
-  struct late_event *e;
   struct log_item *x;
 
   if (l == NULL)
     return;
   while (ring_pop (l->duty->inbound, (void **)&x, 1) > 0)
     talloc_free (x);
-  STAILQ_FOREACH (e, &l->late, link)
-  {
-    if (e->event->kind == EVENT_RECORD)
-      blob_unref (e->event->u.record.raw);
-    talloc_free (e->event);
-  }
   talloc_free (l->http);
+  talloc_free (l->decide);
   duty_free (l->duty);
   talloc_free (l);
 }
--- a/adapter/peer.c
+++ b/adapter/peer.c
@@ -10,6 +10,7 @@
 #include "adapter/peer.h"
 
 #include "adapter/address.h"
+#include "adapter/outbox.h"
 #include "adapter/peer_codec.h"
 #include "adapter/peer_link.h"
 #include "port/action.h"
@@ -28,7 +29,6 @@
 #define ACCEPT_LIMIT_COUNT 64
 #define BACKOFF_LOW_MS 50
 #define BACKOFF_HIGH_MS 1000
-#define RETRY_PUSH_US 2000
 /** Unacknowledged bytes break a connection after this time.  */
 #define SEND_LIMIT_MS 3000
 
@@ -52,26 +52,18 @@
   char address[ADDRESS_BYTES]; /**< Its IP number.  */
 };
 
-struct late_event
-{
-  STAILQ_ENTRY (late_event) entry;
-  struct event *event;
-};
-
 LIST_HEAD (remote_list, remote);
 LIST_HEAD (accepted_list, accepted);
-STAILQ_HEAD (late_list, late_event);
 
 struct peer
 {
   struct duty *duty;
-  struct ring *decide;
+  struct outbox *decide;
   int listen_fd;
   uint8_t secret[PEER_SECRET_BYTES];
   struct remote_list remotes;
   struct accepted_list accepted;
   uint32_t accepted_count;
-  struct late_list late; /**< Events that await room; links are held.  */
   uint64_t dropped_count;
 };
 
@@ -87,45 +79,20 @@
 }
 
 static void
-on_flush (struct tevent_context *loop, struct tevent_timer *te,
-          struct timeval at, void *state)
+on_room (void *state)
 {
-  struct peer *p = state;
-  struct late_event *e;
-
-  (void)te;
-  (void)at;
-  while ((e = STAILQ_FIRST (&p->late)) != NULL
-         && ring_push (p->decide, e->event))
-    {
-      STAILQ_REMOVE_HEAD (&p->late, entry);
-      talloc_free (e);
-    }
-  if (e != NULL)
-    tevent_add_timer (loop, loop,
-                      tevent_timeval_current_ofs (0, RETRY_PUSH_US), on_flush,
-                      p);
-  else
-    hold_links (p, false);
+  hold_links (state, false);
 }
 
+/* While events are kept the links are not read, so that they stay few.  */
 static void
 hand_over (struct peer *p, struct event *e)
 {
-  bool first = STAILQ_EMPTY (&p->late);
-  struct late_event *x;
+  bool was_empty = outbox_is_empty (p->decide);
 
-  if (first && ring_push (p->decide, e))
-    return;
-  x = talloc (p, struct late_event);
-  x->event = e;
-  STAILQ_INSERT_TAIL (&p->late, x, entry);
-  if (!first)
-    return;
-  hold_links (p, true);
-  tevent_add_timer (p->duty->loop, p->duty->loop,
-                    tevent_timeval_current_ofs (0, RETRY_PUSH_US), on_flush,
-                    p);
+  outbox_push (p->decide, e);
+  if (was_empty && !outbox_is_empty (p->decide))
+    hold_links (p, true);
 }
 
 static void
@@ -220,7 +187,7 @@
     }
   LIST_INSERT_HEAD (&p->accepted, a, entry);
   p->accepted_count++;
-  if (!STAILQ_EMPTY (&p->late))
+  if (!outbox_is_empty (p->decide))
     peer_link_hold (a->link, true);
 }
 
@@ -422,15 +389,15 @@
 
   if (p == NULL)
     return NULL;
-  p->decide = decide;
   p->listen_fd = -1;
   LIST_INIT (&p->remotes);
   LIST_INIT (&p->accepted);
-  STAILQ_INIT (&p->late);
   crypto_generichash (p->secret, sizeof p->secret,
                       (const uint8_t *)s->cluster_secret,
                       strlen (s->cluster_secret), NULL, 0);
   p->duty = duty_new ("peer", RING_COUNT, on_action, p);
+  if (p->duty != NULL)
+    p->decide = outbox_new (p, p->duty->loop, decide, on_room, p);
   if (p->duty != NULL && open_listener (p, s->peer_listen))
     return p;
   snprintf (text, TEXT_BYTES, "cannot listen on %s: %s", s->peer_listen,
@@ -448,19 +415,12 @@
 void
 peer_free (struct peer *p)
 {
-  struct late_event *e;
   struct accepted *a;
   struct remote *r;
   struct action *x;
 
   if (p == NULL)
     return;
-  STAILQ_FOREACH (e, &p->late, entry)
-  {
-    if (e->event->kind == EVENT_PEER && e->event->u.peer.kind == PEER_RECORD)
-      blob_unref (e->event->u.peer.u.record.raw);
-    talloc_free (e->event);
-  }
   /* The links go before the loop that watches them.  */
   while ((a = LIST_FIRST (&p->accepted)) != NULL)
     {
@@ -474,6 +434,7 @@
     }
   while (p->duty != NULL && ring_pop (p->duty->inbound, (void **)&x, 1) > 0)
     drop_action (x);
+  talloc_free (p->decide);
   duty_free (p->duty);
   if (p->listen_fd >= 0)
     close (p->listen_fd);
--- a/core/issue.c
+++ b/core/issue.c
@@ -2,6 +2,8 @@
 
 #include "core/issue.h"
 
+#include "core/digest.h"
+
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
@@ -376,32 +378,21 @@
   return true;
 }
 
-static void
-hash_number (crypto_generichash_state *h, uint64_t n)
-{
-  uint8_t bytes[8];
-  uint32_t i;
-
-  for (i = 0; i < sizeof bytes; i++)
-    bytes[i] = (uint8_t)(n >> (8 * i));
-  crypto_generichash_update (h, bytes, sizeof bytes);
-}
-
 static void
 hash_member (crypto_generichash_state *h, const struct issue_member *m,
              uint32_t limit_count)
 {
   uint32_t i;
 
-  hash_number (h, m->incarnation);
-  hash_number (h, m->gone);
-  hash_number (h, m->gone_offset);
-  hash_number (h, m->lapse_ms);
-  hash_number (h, m->settled_count);
+  digest_number (h, m->incarnation);
+  digest_number (h, m->gone);
+  digest_number (h, m->gone_offset);
+  digest_number (h, m->lapse_ms);
+  digest_number (h, m->settled_count);
   for (i = 0; i < m->settled_count; i++)
-    hash_number (h, m->settled[i]);
+    digest_number (h, m->settled[i]);
   for (i = 0; i < limit_count; i++)
-    hash_number (h, (uint64_t)m->tokens[i]);
+    digest_number (h, (uint64_t)m->tokens[i]);
 }
 
 void
@@ -411,21 +402,20 @@
   uint32_t i;
 
   crypto_generichash_init (&h, NULL, 0, DIGEST_BYTES);
-  hash_number (&h, t->limit_count);
+  digest_number (&h, t->limit_count);
   for (i = 0; i < t->limit_count; i++)
     {
-      hash_number (&h, t->limits[i].ref.kind);
-      crypto_generichash_update (&h, (const uint8_t *)t->limits[i].ref.name,
-                                 strlen (t->limits[i].ref.name) + 1);
-      hash_number (&h, (uint64_t)t->limits[i].total_count);
-      hash_number (&h, (uint64_t)t->limits[i].unissued_count);
+      digest_number (&h, t->limits[i].ref.kind);
+      digest_text (&h, t->limits[i].ref.name);
+      digest_number (&h, (uint64_t)t->limits[i].total_count);
+      digest_number (&h, (uint64_t)t->limits[i].unissued_count);
     }
-  hash_number (&h, t->member_count);
+  digest_number (&h, t->member_count);
   for (i = 0; i < t->member_count; i++)
     hash_member (&h, &t->members[i], t->limit_count);
-  hash_number (&h, t->longest_timeout_ms);
-  hash_number (&h, t->lapse_floor_ms);
-  hash_number (&h, t->reissue_count);
+  digest_number (&h, t->longest_timeout_ms);
+  digest_number (&h, t->lapse_floor_ms);
+  digest_number (&h, t->reissue_count);
   crypto_generichash_final (&h, digest, DIGEST_BYTES);
 }
 
--- a/port/event.h
+++ b/port/event.h
@@ -146,4 +146,7 @@
   } u;
 };
 
+/** Frees E and drops the blobs that it holds.  */
+void event_drop (struct event *e);
+
 #endif
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -2,7 +2,9 @@
 
 #include "tests/cluster.h"
 
+#include <curl/curl.h>
 #include <signal.h>
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
@@ -102,6 +104,16 @@
   json_decref (j);
 }
 
+void
+cluster_init (int *argc, char ***argv)
+{
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  if (sodium_init () < 0)
+    exit (1);
+  g_test_init (argc, argv, NULL);
+}
+
 struct cluster *
 cluster_start (guint entry_count, guint worker_count)
 {
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -29,6 +29,10 @@
   gchar *folder; /**< Settings and logs of the run.  */
 };
 
+/** Prepares a test program that starts processes; ends it if a library cannot
+    start.  */
+void cluster_init (int *argc, char ***argv);
+
 /** Starts the log, the fleet, WORKER_COUNT workers and ENTRY_COUNT entries,
     and waits until the entries answer.  */
 struct cluster *cluster_start (guint entry_count, guint worker_count);
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -255,11 +255,7 @@
 int
 main (int argc, char **argv)
 {
-  signal (SIGPIPE, SIG_IGN);
-  curl_global_init (CURL_GLOBAL_DEFAULT);
-  if (sodium_init () < 0)
-    return 1;
-  g_test_init (&argc, &argv, NULL);
+  cluster_init (&argc, &argv);
   g_setenv ("FULMARTACK_KEY", "menders secret", TRUE);
   expected_add_folder ("/ctl", FOLDER, ".script", check_script);
   return g_test_run ();
--- a/tests/test_delivery.c
+++ b/tests/test_delivery.c
@@ -321,11 +321,7 @@
 {
   int code;
 
-  signal (SIGPIPE, SIG_IGN);
-  curl_global_init (CURL_GLOBAL_DEFAULT);
-  if (sodium_init () < 0)
-    return 1;
-  g_test_init (&argc, &argv, NULL);
+  cluster_init (&argc, &argv);
   record_file = g_strdup_printf ("%s/fulmartack-runs-%d", g_get_tmp_dir (),
                                  (int)getpid ());
   g_setenv ("FTK_RUN_RECORD", record_file, TRUE);
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -212,11 +212,7 @@
   int code;
   guint i;
 
-  signal (SIGPIPE, SIG_IGN);
-  curl_global_init (CURL_GLOBAL_DEFAULT);
-  if (sodium_init () < 0)
-    return 1;
-  g_test_init (&argc, &argv, NULL);
+  cluster_init (&argc, &argv);
   cluster = cluster_start (ENTRY_COUNT, WORKER_COUNT);
   publish ();
   for (i = 0; i < TEAM_COUNT; i++)
--- a/tests/test_maintenance.c
+++ b/tests/test_maintenance.c
@@ -6,10 +6,8 @@
 
 #include "tests/cluster.h"
 
-#include <curl/curl.h>
 #include <pthread.h>
 #include <signal.h>
-#include <sodium.h>
 #include <stdatomic.h>
 #include <string.h>
 
@@ -224,11 +222,7 @@
 {
   int code;
 
-  signal (SIGPIPE, SIG_IGN);
-  curl_global_init (CURL_GLOBAL_DEFAULT);
-  if (sodium_init () < 0)
-    return 1;
-  g_test_init (&argc, &argv, NULL);
+  cluster_init (&argc, &argv);
   cluster = cluster_start (3, WORKER_COUNT);
   cluster_publish (cluster, 60);
   cluster_wait_version (cluster, 1);
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -2,7 +2,6 @@
 
 #include "tests/cluster.h"
 
-#include <curl/curl.h>
 #include <pthread.h>
 #include <signal.h>
 #include <sodium.h>
@@ -110,11 +109,7 @@
 {
   int code;
 
-  signal (SIGPIPE, SIG_IGN);
-  curl_global_init (CURL_GLOBAL_DEFAULT);
-  if (sodium_init () < 0)
-    return 1;
-  g_test_init (&argc, &argv, NULL);
+  cluster_init (&argc, &argv);
   cluster = cluster_start (3, 8);
   cluster_publish (cluster, 60);
   cluster_wait_version (cluster, 1);
