Copies of tables and the tests' checkpoints are made in one place each

Cause: copy_rows stood three times in the core (checkpoint, VMs, issue), the encoding of a checkpoint three times in tests and bench. No change of behaviour.

--- a/Makefile
+++ b/Makefile
@@ -71,7 +71,7 @@
 $(B)/test_%: $(B)/tests/test_%.o $(TEST_COMMON_SRC:%.c=$(B)/%.o) $(LIB)
 	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
 
-$(B)/bench_%: $(B)/bench/bench_%.o $(B)/tests/cluster.o $(B)/tests/sim.o $(LIB)
+$(B)/bench_%: $(B)/bench/bench_%.o $(TEST_COMMON_SRC:%.c=$(B)/%.o) $(LIB)
 	@$(CC) $(ALL_CFLAGS) $^ -o $@ $(DEPS_LIBS)
 
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -3,6 +3,8 @@
    One JSON line for each measure: commands applied per second, size of a
    checkpoint, and the time that an entry takes to be built from the log.  */
 
+#include "tests/records.h"
+
 #include "adapter/record_json.h"
 #include "core/control.h"
 
@@ -189,17 +191,10 @@
 static char *
 encode_checkpoint (const struct control *c)
 {
-  struct record *r = talloc_zero (NULL, struct record);
-  json_t *j;
-  char *text;
-
-  r->kind = RECORD_CHECKPOINT;
-  text_copy (r->id, ID_BYTES, "checkpoint");
-  r->u.checkpoint = control_checkpoint (c, r);
-  j = record_to_json (r);
-  text = json_dumps (j, JSON_COMPACT);
+  json_t *j = records_checkpoint (c);
+  char *text = json_dumps (j, JSON_COMPACT);
+
   json_decref (j);
-  talloc_free (r);
   return text;
 }
 
--- a/core/checkpoint.c
+++ b/core/checkpoint.c
@@ -6,6 +6,7 @@
 
 #include "core/control.h"
 #include "core/digest.h"
+#include "core/rows.h"
 #include "core/vm_control.h"
 
 #include <sodium.h>
@@ -170,26 +171,15 @@
   crypto_generichash_final (&h, digest, DIGEST_BYTES);
 }
 
-/* Copies COUNT rows; an empty table stays NULL.  */
-static void *
-copy_rows (TALLOC_CTX *mem, const void *rows, uint32_t count, size_t size)
-{
-  void *copy = count > 0 ? talloc_memdup (mem, rows, count * size) : NULL;
-
-  if (count > 0 && copy == NULL)
-    out_of_memory ();
-  return copy;
-}
-
 static struct config *
 copy_config (TALLOC_CTX *mem, const struct config *f)
 {
-  struct config *x = copy_rows (mem, f, 1, sizeof *f);
+  struct config *x = rows_copy (mem, f, 1, sizeof *f);
 
-  x->teams = copy_rows (x, f->teams, f->team_count, sizeof *f->teams);
-  x->pools = copy_rows (x, f->pools, f->pool_count, sizeof *f->pools);
-  x->vms = copy_rows (x, f->vms, f->vm_count, sizeof *f->vms);
-  x->routes = copy_rows (x, f->routes, f->route_count, sizeof *f->routes);
+  x->teams = rows_copy (x, f->teams, f->team_count, sizeof *f->teams);
+  x->pools = rows_copy (x, f->pools, f->pool_count, sizeof *f->pools);
+  x->vms = rows_copy (x, f->vms, f->vm_count, sizeof *f->vms);
+  x->routes = rows_copy (x, f->routes, f->route_count, sizeof *f->routes);
   return x;
 }
 
@@ -208,9 +198,9 @@
   if (c->config != NULL)
     k->config = copy_config (k, c->config);
   k->key_count = c->key_count;
-  k->keys = copy_rows (k, c->keys, c->key_count, sizeof *c->keys);
+  k->keys = rows_copy (k, c->keys, c->key_count, sizeof *c->keys);
   k->member_count = c->member_count;
-  k->members = copy_rows (k, c->members, c->member_count, sizeof *c->members);
+  k->members = rows_copy (k, c->members, c->member_count, sizeof *c->members);
   k->log_ms = c->log_ms;
   k->vm_control = vm_control_copy (k, c->vm_control);
   k->command_count = g_queue_get_length (c->command_ids);
@@ -239,10 +229,10 @@
   c->config = talloc_steal (c, k->config);
   k->config = NULL;
   talloc_free (c->keys);
-  c->keys = copy_rows (c, k->keys, k->key_count, sizeof *k->keys);
+  c->keys = rows_copy (c, k->keys, k->key_count, sizeof *k->keys);
   c->key_count = k->key_count;
   talloc_free (c->members);
-  c->members = copy_rows (c, k->members, k->member_count, sizeof *k->members);
+  c->members = rows_copy (c, k->members, k->member_count, sizeof *k->members);
   c->member_count = k->member_count;
   c->log_ms = k->log_ms;
   talloc_free (c->vm_control);
--- a/core/issue.c
+++ b/core/issue.c
@@ -3,6 +3,7 @@
 #include "core/issue.h"
 
 #include "core/digest.h"
+#include "core/rows.h"
 
 #include <sodium.h>
 #include <stdio.h>
@@ -425,16 +426,6 @@
   issue_table_digest (&s->table, digest);
 }
 
-static void *
-copy_rows (TALLOC_CTX *mem, const void *rows, uint32_t count, size_t size)
-{
-  void *copy = count > 0 ? talloc_memdup (mem, rows, count * size) : NULL;
-
-  if (count > 0 && copy == NULL)
-    out_of_memory ();
-  return copy;
-}
-
 static void
 copy_table (const struct issue_table *from, TALLOC_CTX *mem,
             struct issue_table *t)
@@ -442,17 +433,17 @@
   uint32_t i;
 
   *t = *from;
-  t->limits = copy_rows (mem, from->limits, t->limit_count, sizeof *t->limits);
+  t->limits = rows_copy (mem, from->limits, t->limit_count, sizeof *t->limits);
   t->members
-      = copy_rows (mem, from->members, t->member_count, sizeof *t->members);
+      = rows_copy (mem, from->members, t->member_count, sizeof *t->members);
   for (i = 0; i < t->member_count; i++)
     {
       struct issue_member *m = &t->members[i];
 
       m->tokens
-          = copy_rows (mem, m->tokens, t->limit_count, sizeof *m->tokens);
+          = rows_copy (mem, m->tokens, t->limit_count, sizeof *m->tokens);
       m->settled
-          = copy_rows (mem, m->settled, m->settled_count, sizeof *m->settled);
+          = rows_copy (mem, m->settled, m->settled_count, sizeof *m->settled);
     }
 }
 
--- a/core/vm_checkpoint.c
+++ b/core/vm_checkpoint.c
@@ -3,6 +3,7 @@
 #include "core/vm_control.h"
 
 #include "core/digest.h"
+#include "core/rows.h"
 
 #include <string.h>
 
@@ -64,36 +65,26 @@
   crypto_generichash_final (&h, digest, DIGEST_BYTES);
 }
 
-static void *
-copy_rows (TALLOC_CTX *mem, const void *rows, size_t size_bytes)
-{
-  void *copy = size_bytes > 0 ? talloc_memdup (mem, rows, size_bytes) : NULL;
-
-  if (size_bytes > 0 && copy == NULL)
-    out_of_memory ();
-  return copy;
-}
-
 static struct wave *
 copy_wave (TALLOC_CTX *mem, const struct wave *w)
 {
-  struct wave *x = copy_rows (mem, w, sizeof *w);
+  struct wave *x = rows_copy (mem, w, 1, sizeof *w);
 
-  x->vms = copy_rows (x, w->vms, w->vm_count * sizeof *w->vms);
+  x->vms = rows_copy (x, w->vms, w->vm_count, sizeof *w->vms);
   return x;
 }
 
 struct vm_control *
 vm_control_copy (TALLOC_CTX *mem, const struct vm_control *v)
 {
-  struct vm_control *x = copy_rows (mem, v, sizeof *v);
+  struct vm_control *x = rows_copy (mem, v, 1, sizeof *v);
   uint32_t i;
 
-  x->vms = copy_rows (x, v->vms, v->vm_count * sizeof *v->vms);
+  x->vms = rows_copy (x, v->vms, v->vm_count, sizeof *v->vms);
   for (i = 0; i < v->vm_count; i++)
     x->vms[i].drained_by
-        = copy_rows (x, v->vms[i].drained_by,
-                     v->vms[i].drained_by_count * sizeof (uint64_t));
+        = rows_copy (x, v->vms[i].drained_by, v->vms[i].drained_by_count,
+                     sizeof (uint64_t));
   x->waves = talloc_array (x, struct wave *, v->wave_count + 1);
   if (x->waves == NULL)
     out_of_memory ();
--- /dev/null
+++ b/tests/records.h
@@ -0,0 +1,13 @@
+/* records.h -- records that several tests and benches make.  */
+
+#ifndef TESTS_RECORDS_H
+#define TESTS_RECORDS_H
+
+#include "core/control.h"
+
+#include <jansson.h>
+
+/** Returns C's checkpoint as the log would hold it (a new reference).  */
+json_t *records_checkpoint (const struct control *c);
+
+#endif
--- a/tests/test_checkpoint.c
+++ b/tests/test_checkpoint.c
@@ -1,6 +1,8 @@
 /* test_checkpoint.c -- a checkpoint through its coding gives the same state.
  */
 
+#include "tests/records.h"
+
 #include "adapter/record_json.h"
 #include "core/control.h"
 #include "core/vm_control.h"
@@ -75,17 +77,10 @@
 static struct record *
 send_checkpoint (const struct control *c)
 {
-  struct record *r = talloc_zero (NULL, struct record);
-  struct record *read;
-  json_t *j;
-
-  r->kind = RECORD_CHECKPOINT;
-  text_copy (r->id, ID_BYTES, "k1");
-  r->u.checkpoint = control_checkpoint (c, r);
-  j = record_to_json (r);
-  read = record_from_json (NULL, j);
+  json_t *j = records_checkpoint (c);
+  struct record *read = record_from_json (NULL, j);
+
   json_decref (j);
-  talloc_free (r);
   g_assert_nonnull (read);
   return read;
 }
--- a/tests/test_mutation.c
+++ b/tests/test_mutation.c
@@ -4,6 +4,8 @@
    message or record is refused or is a well-formed other one, and a mutated
    checkpoint is never taken for another state.  */
 
+#include "tests/records.h"
+
 #include "adapter/peer_codec.h"
 #include "adapter/peer_link.h"
 #include "adapter/record_json.h"
@@ -293,17 +295,10 @@
 static char *
 checkpoint_text (struct control *c)
 {
-  struct record *r = talloc_zero (NULL, struct record);
-  json_t *j;
-  char *text;
-
-  r->kind = RECORD_CHECKPOINT;
-  text_copy (r->id, ID_BYTES, "k1");
-  r->u.checkpoint = control_checkpoint (c, r);
-  j = record_to_json (r);
-  text = json_dumps (j, JSON_COMPACT);
+  json_t *j = records_checkpoint (c);
+  char *text = json_dumps (j, JSON_COMPACT);
+
   json_decref (j);
-  talloc_free (r);
   return text;
 }
 
