--- a/tests/test_outbox.c
+++ b/tests/test_outbox.c
@@ -50,7 +50,8 @@
           g_assert_cmpint (tevent_loop_once (loop), ==, 0);
           continue;
         }
-      g_assert_cmpuint (e->u.attempt.attempt_id, ==, next++);
+      g_assert_cmpuint (e->u.attempt.attempt_id, ==, next);
+      next++;
       event_drop (e);
     }
   g_assert_true (outbox_is_empty (o));
