Entries of much processor time own the cell; weak ones wait and yield it

Cause: on the grown deployments 24 of 30 entries have 0.12 cores. Ruled out: the store's limits (no 429), lost runners. Change: beats between entries carry their processor share and whether they reach the store; the owner tells the largest share it knows. An entry with less than half of that waits 0.9 s longer before it joins; an owner with less than half hands the cell over as planned, at most once in 10 s, only to an entry that reaches the store. New: core/cell/peers.c, setting cpu_share.

--- a/adapter/json_field.c
+++ b/adapter/json_field.c
@@ -77,6 +77,28 @@
     json_fault (p, key, "expected an IP number and a port, \"127.0.0.1:80\"");
 }
 
+uint32_t
+json_get_milli (struct json_place *p, const char *key, uint32_t low,
+                uint32_t high, uint32_t otherwise)
+{
+  const json_t *v = json_object_get (p->object, key);
+  double milli = json_number_value (v) * 1000;
+
+  if (v == NULL)
+    return otherwise;
+  if (!json_is_number (v))
+    {
+      json_fault (p, key, "expected a number");
+      return otherwise;
+    }
+  if (milli < low || milli > high)
+    {
+      json_fault (p, key, "is out of range");
+      return otherwise;
+    }
+  return (uint32_t)milli;
+}
+
 uint64_t
 json_get_number (struct json_place *p, const char *key, uint64_t low,
                  uint64_t high, uint64_t otherwise)
--- a/adapter/relay.c
+++ b/adapter/relay.c
@@ -31,6 +31,8 @@
   struct peer_link *peer;
   bool dropped; /**< Out of use; its socket may still have events.  */
   bool ready;
+  bool told; /**< The cell knows of it; accepted ones.  */
+  bool told_able;
   uint64_t heard_us;
 };
 
@@ -49,7 +51,8 @@
   uint64_t connect_us; /**< Next try.  */
   bool told_up;
   bool told_degraded; /**< What the owner's last beat said.  */
-  bool degraded;      /**< What our beats say.  */
+  uint32_t told_cpu_milli;
+  struct relay_message beat; /**< What our beats say.  */
 };
 
 static void
@@ -61,11 +64,30 @@
     return;
   r->told_up = up;
   r->told_degraded = false;
+  r->told_cpu_milli = 0;
   e = cell_event_new (CELL_LINK);
   e->u.link.up = up;
   cell_post (r->cell, e);
 }
 
+static void
+tell_peer (struct link *l, bool up, const struct relay_message *beat)
+{
+  struct cell_event *e = cell_event_new (CELL_PEER);
+
+  l->told = up;
+  e->u.peer.link_id = l->id;
+  e->u.peer.up = up;
+  if (beat != NULL)
+    {
+      l->told_able = !beat->u.beat.degraded;
+      e->u.peer.able = l->told_able;
+      e->u.peer.cpu_milli = beat->u.beat.cpu_milli;
+      text_copy (e->u.peer.zone, NAME_BYTES, beat->u.beat.zone);
+    }
+  cell_post (l->relay->cell, e);
+}
+
 /* Takes L out of use.  It is freed later: a link ends inside its own calls. */
 static void
 drop_link (struct link *l)
@@ -76,6 +98,8 @@
   if (l->dropped)
     return;
   l->dropped = true;
+  if (l->told)
+    tell_peer (l, false, NULL);
   if (l == r->owner)
     {
       r->owner = NULL;
@@ -135,19 +159,31 @@
 }
 
 static void
-take_beat (struct relay *r, bool degraded)
+take_owner_beat (struct relay *r, const struct relay_message *m)
 {
   struct cell_event *e;
 
-  if (degraded == r->told_degraded)
+  if (m->u.beat.degraded == r->told_degraded
+      && m->u.beat.cpu_milli == r->told_cpu_milli)
     return;
-  r->told_degraded = degraded;
+  r->told_degraded = m->u.beat.degraded;
+  r->told_cpu_milli = m->u.beat.cpu_milli;
   e = cell_event_new (CELL_LINK);
   e->u.link.up = true;
-  e->u.link.degraded = degraded;
+  e->u.link.degraded = m->u.beat.degraded;
+  e->u.link.best_cpu_milli = m->u.beat.cpu_milli;
   cell_post (r->cell, e);
 }
 
+static void
+take_beat (struct link *l, const struct relay_message *m)
+{
+  if (l == l->relay->owner)
+    take_owner_beat (l->relay, m);
+  else if (!l->told || l->told_able == m->u.beat.degraded)
+    tell_peer (l, true, m);
+}
+
 static bool
 on_message (void *state, const uint8_t *data, uint32_t size_bytes)
 {
@@ -177,8 +213,7 @@
       break;
     case RELAY_BEAT:
       talloc_free (e);
-      if (l == l->relay->owner)
-        take_beat (l->relay, m.u.degraded);
+      take_beat (l, &m);
       break;
     }
   return true;
@@ -298,8 +333,9 @@
     case RELAY_SEND_LINK:
       send_body (find_link (r, o->link_id), o->body);
       break;
-    case RELAY_DEGRADED:
-      r->degraded = o->degraded;
+    case RELAY_BEAT_AS:
+      r->beat.u.beat.degraded = o->degraded;
+      r->beat.u.beat.cpu_milli = o->cpu_milli;
       break;
     case RELAY_CONNECT:
       set_owner (r, o->address);
@@ -323,8 +359,7 @@
          struct timeval at, void *state)
 {
   struct relay *r = state;
-  struct relay_message m = { .kind = RELAY_BEAT, .u.degraded = r->degraded };
-  struct blob *beat = relay_encode (&m);
+  struct blob *beat = relay_encode (&r->beat);
   uint64_t now = now_us ();
   struct link *l = r->links;
 
@@ -377,6 +412,9 @@
   r->cell = cell;
   r->log = log;
   r->listen_fd = -1;
+  r->beat.kind = RELAY_BEAT;
+  r->beat.u.beat.cpu_milli = s->cell.cpu_milli;
+  text_copy (r->beat.u.beat.zone, NAME_BYTES, s->cell.zone);
   crypto_generichash (r->secret, sizeof r->secret,
                       (const uint8_t *)s->relay_secret,
                       strlen (s->relay_secret), NULL, 0);
--- a/adapter/relay.h
+++ b/adapter/relay.h
@@ -19,11 +19,12 @@
   {
     RELAY_SEND_OWNER, /**< body: a call to the owner.  */
     RELAY_SEND_LINK,  /**< body: a reply on link_id.  */
-    RELAY_DEGRADED,   /**< degraded: said with each beat.  */
+    RELAY_BEAT_AS,    /**< degraded, cpu_milli: said with each beat.  */
     RELAY_CONNECT     /**< address: of the owner, or empty.  */
   } kind;
   uint64_t link_id;
   bool degraded;
+  uint32_t cpu_milli;
   struct blob *body;
   char address[ADDRESS_BYTES];
 };
--- a/adapter/relay_codec.c
+++ b/adapter/relay_codec.c
@@ -36,7 +36,7 @@
 relay_encode (const struct relay_message *m)
 {
   static const uint32_t field_counts[]
-      = { [RELAY_BEAT] = 2, [RELAY_CALL] = 8, [RELAY_REPLY] = 7 };
+      = { [RELAY_BEAT] = 4, [RELAY_CALL] = 8, [RELAY_REPLY] = 7 };
   msgpack_sbuffer out;
   msgpack_packer p;
   struct blob *b;
@@ -46,7 +46,11 @@
   msgpack_pack_array (&p, field_counts[m->kind]);
   msgpack_pack_uint8 (&p, (uint8_t)m->kind);
   if (m->kind == RELAY_BEAT)
-    pack_bool (&p, m->u.degraded);
+    {
+      pack_bool (&p, m->u.beat.degraded);
+      msgpack_pack_uint32 (&p, m->u.beat.cpu_milli);
+      pack_text (&p, m->u.beat.zone);
+    }
   else if (m->kind == RELAY_CALL)
     pack_call (&p, &m->u.call);
   else if (m->kind == RELAY_REPLY)
@@ -97,7 +101,11 @@
     unpack_open (&u, NULL);
   m->kind = (enum relay_kind)unpack_number (&u, RELAY_REPLY);
   if (m->kind == RELAY_BEAT)
-    m->u.degraded = unpack_bool (&u);
+    {
+      m->u.beat.degraded = unpack_bool (&u);
+      m->u.beat.cpu_milli = (uint32_t)unpack_number (&u, UINT32_MAX);
+      unpack_text (&u, m->u.beat.zone, NAME_BYTES);
+    }
   else if (m->kind == RELAY_CALL)
     read_call (mem, &u, &m->u.call);
   else if (m->kind == RELAY_REPLY)
--- a/adapter/site_decide.c
+++ b/adapter/site_decide.c
@@ -142,8 +142,9 @@
       break;
     case CELL_DO_BEAT:
       r = talloc_zero (NULL, struct relay_order);
-      r->kind = RELAY_DEGRADED;
-      r->degraded = a->u.degraded;
+      r->kind = RELAY_BEAT_AS;
+      r->degraded = a->u.beat.degraded;
+      r->cpu_milli = a->u.beat.best_cpu_milli;
       push (d, d->outputs.relay, r, "relay");
       break;
     case CELL_DO_JOIN:
--- a/adapter/site_settings.c
+++ b/adapter/site_settings.c
@@ -25,6 +25,9 @@
 #define EARLY_MS 250
 #define MOVE_MS 1500
 #define UPKEEP_MS 2000
+/** Processor share that is assumed: that of the first sites' entries.  */
+#define CPU_MILLI 250
+#define CPU_LIMIT_MILLI 1000000
 /** Highest value of a time in the settings.  */
 #define TIME_LIMIT_MS 3600000
 
@@ -54,6 +57,8 @@
 read_fields (struct json_place *p, struct site_settings *s)
 {
   static const char *const known[] = { "vm",
+                                       "zone",
+                                       "cpu_share",
                                        "listen",
                                        "ready_listen",
                                        "relay_listen",
@@ -79,6 +84,9 @@
 
   json_check_keys (p, known);
   json_get_text (p, "vm", true, s->cell.member, NAME_BYTES);
+  json_get_text (p, "zone", false, s->cell.zone, NAME_BYTES);
+  s->cell.cpu_milli
+      = json_get_milli (p, "cpu_share", 1, CPU_LIMIT_MILLI, CPU_MILLI);
   json_get_address (p, "listen", true, s->listen);
   json_get_address (p, "ready_listen", true, s->ready_listen);
   json_get_address (p, "relay_listen", true, s->cell.relay_address);
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -119,6 +119,7 @@
   upkeep_free (c);
   g_hash_table_destroy (c->keys);
   g_hash_table_destroy (c->queues);
+  g_hash_table_destroy (c->peers);
   g_hash_table_destroy (c->forwards);
   g_hash_table_destroy (c->jobs);
   g_ptr_array_free (c->active, TRUE);
@@ -148,8 +149,10 @@
   if (c == NULL)
     out_of_memory ();
   c->settings = *s;
+  c->tenure.best_told_milli = s->cpu_milli;
   c->queues = g_hash_table_new (g_str_hash, g_str_equal);
   c->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  c->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   c->forwards
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_talloc);
   c->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -230,9 +233,12 @@
       gate_on_reply (c, &e->u.reply);
       break;
     case CELL_LINK:
-      tenure_on_link (c, e->u.link.up, e->u.link.degraded);
+      tenure_on_link (c, e);
       gate_on_link (c, e->u.link.up);
       break;
+    case CELL_PEER:
+      peers_on_event (c, e);
+      break;
     case CELL_CONFIG:
       gate_on_config (c, talloc_steal (c, e->u.config));
       break;
--- a/core/cell/gate.c
+++ b/core/cell/gate.c
@@ -143,14 +143,19 @@
   cell_do (c, CELL_DO_FORWARD)->u.forward = f->call;
 }
 
+bool
+gate_store_answers (const struct cell *c)
+{
+  return c->now_us <= c->fresh_us + STORE_AWAY_MS * US_PER_MS;
+}
+
 /** The owner known is none, and without the store this entry learns of no
     other.  An owner that still reads its journal says the same of itself, but
     then the store is there.  */
 static bool
 owner_gone (const struct cell *c)
 {
-  return c->tenure.owner_denied
-         && c->now_us > c->fresh_us + STORE_AWAY_MS * US_PER_MS;
+  return c->tenure.owner_denied && !gate_store_answers (c);
 }
 
 static bool
--- /dev/null
+++ b/core/cell/peers.c
@@ -0,0 +1,48 @@
+/* peers.c -- the entries that are linked to this one.
+
+   The owner has a link from every other entry.  It tells in its beats how much
+   processor time the strongest of them has, so that weak ones leave the cell
+   to it.  */
+
+#include "core/cell/state.h"
+
+void
+peers_on_event (struct cell *c, const struct cell_event *e)
+{
+  uint64_t id = e->u.peer.link_id;
+  struct peer *p;
+
+  if (!e->u.peer.up)
+    {
+      g_hash_table_remove (c->peers, &id);
+      return;
+    }
+  p = g_hash_table_lookup (c->peers, &id);
+  if (p == NULL)
+    {
+      p = g_new0 (struct peer, 1);
+      p->link_id = id;
+      g_hash_table_insert (c->peers, &p->link_id, p);
+    }
+  p->able = e->u.peer.able;
+  p->cpu_milli = e->u.peer.cpu_milli;
+  text_copy (p->zone, NAME_BYTES, e->u.peer.zone);
+}
+
+uint32_t
+peers_best_milli (const struct cell *c)
+{
+  uint32_t best = c->settings.cpu_milli;
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, c->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct peer *p = value;
+
+      if (p->able && p->cpu_milli > best)
+        best = p->cpu_milli;
+    }
+  return best;
+}
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -174,6 +174,15 @@
   char vm[NAME_BYTES];
 };
 
+/** Another entry, linked to this one.  */
+struct peer
+{
+  uint64_t link_id;
+  bool able; /**< Could own the cell.  */
+  uint32_t cpu_milli;
+  char zone[NAME_BYTES];
+};
+
 /** A call that an entry has passed to the owner, or is about to.  */
 struct forward
 {
@@ -224,7 +233,10 @@
   uint64_t resend_us;  /**< What it denied is handed over again then.  */
   bool owner_degraded; /**< The owner says that it cannot reach the store.  */
   bool degraded_told;  /**< We say so of ourselves.  */
-  uint64_t link_down_us; /**< Down since.  */
+  uint32_t best_told_milli; /**< Largest processor share that we tell of.  */
+  uint32_t best_cpu_milli;  /**< The same, as an owner told us last.  */
+  uint64_t yield_us;        /**< Next time that we may yield the cell.  */
+  uint64_t link_down_us;    /**< Down since.  */
   bool join_sent;
   uint64_t join_sent_us;
   uint64_t join_good_us;   /**< The last good join was sent then.  */
@@ -283,6 +295,7 @@
   GHashTable *keys;           /**< Key to tenant's index + 1.  */
   uint64_t fresh_us; /**< The newest good read of it was sent then.  */
   struct tenure tenure;
+  GHashTable *peers;      /**< link id to struct peer.  */
   GHashTable *forwards;   /**< call_id to struct forward.  */
   GHashTable *jobs;       /**< id to struct job.  */
   GPtrArray *active;      /**< struct job, not final, by acceptance.  */
@@ -330,6 +343,8 @@
 void gate_on_link (struct cell *c, bool up);
 void gate_on_config (struct cell *c, struct site_config *f);
 void gate_tick (struct cell *c);
+/** Returns true if the store answered this entry lately.  */
+bool gate_store_answers (const struct cell *c);
 /** Sends what waits for an owner, on its link or to this entry itself.  */
 void gate_flush (struct cell *c);
 
@@ -339,13 +354,19 @@
 void tenure_on_joined (struct cell *c, const struct cell_event *e);
 void tenure_on_claimed (struct cell *c, const struct cell_event *e);
 void tenure_on_recovered (struct cell *c, struct cell_event *e);
-void tenure_on_link (struct cell *c, bool up, bool degraded);
+void tenure_on_link (struct cell *c, const struct cell_event *e);
 void tenure_tick (struct cell *c);
 /** The entry on the link does not own the cell.  */
 void tenure_on_denied (struct cell *c);
 /** Gives the cell up because of WHY.  */
 void tenure_lose (struct cell *c, const char *why);
 
+/* peers.c: the entries that are linked to this one.  */
+void peers_on_event (struct cell *c, const struct cell_event *e);
+/** Returns the largest processor share of this entry and of those linked to
+    it that could own the cell.  */
+uint32_t peers_best_milli (const struct cell *c);
+
 /* jobs.c: acceptance, states, durable records.  */
 void jobs_on_call (struct cell *c, bool local, uint64_t link_id,
                    struct job_call *call);
--- a/core/cell/tenure.c
+++ b/core/cell/tenure.c
@@ -36,6 +36,14 @@
 #define TAKEOVER_LIMIT_MS 8000
 /** Entries join in different order, so that seldom two do at once.  */
 #define JOIN_SPREAD_MS 250
+/** An entry with less than half of the largest processor share known waits so
+    much longer before it joins: an owner that is too slow harms all.  */
+#define WEAK_WAIT_MS 900
+#define WEAK_PART 2
+/** An owner yields to a stronger entry at most once in this time.  */
+#define YIELD_GAP_MS 10000
+/** And not before it has settled.  */
+#define YIELD_AFTER_MS 1000
 /** The rate of a runner's clock may be off by this much.  */
 #define CLOCK_ERROR_PERCENT 2
 
@@ -181,8 +189,13 @@
 }
 
 void
-tenure_on_link (struct cell *c, bool up, bool degraded)
+tenure_on_link (struct cell *c, const struct cell_event *e)
 {
+  bool up = e->u.link.up;
+  bool degraded = e->u.link.degraded;
+
+  if (e->u.link.best_cpu_milli > 0)
+    c->tenure.best_cpu_milli = e->u.link.best_cpu_milli;
   c->tenure.owner_degraded = up && degraded;
   if (up && degraded)
     c->tenure.find_us = c->now_us;
@@ -210,6 +223,13 @@
   cell_log (c, "owner_denied", 0, "\"owner\":\"%s\"", c->tenure.newest_member);
 }
 
+/* Much stronger entries are, or were, there.  */
+static bool
+is_weak (const struct cell *c)
+{
+  return c->settings.cpu_milli * WEAK_PART <= c->tenure.best_cpu_milli;
+}
+
 void
 tenure_on_holder (struct cell *c, const struct cell_event *e)
 {
@@ -228,13 +248,17 @@
      the cell by the group and has to claim it anew.  */
   if (m[0] != '\0' && strcmp (m, c->settings.member) != 0)
     {
+      t->retry_us = 0;
       if (!t->link_up)
         connect_owner (c);
       return;
     }
   if (m[0] == '\0' && t->retry_us == 0)
     {
-      t->retry_us = c->now_us + (c->random % JOIN_SPREAD_MS) * US_PER_MS + 1;
+      uint64_t wait_ms
+          = c->random % JOIN_SPREAD_MS + (is_weak (c) ? WEAK_WAIT_MS : 0);
+
+      t->retry_us = c->now_us + wait_ms * US_PER_MS + 1;
       t->find_us = t->retry_us;
       return;
     }
@@ -347,22 +371,54 @@
   gate_flush (c);
 }
 
-/* Has the other entries ask the store for a new holder, when this one cannot
-   reach it.  If nobody can, nothing changes.  */
+/* What our beats say.  An owner that cannot reach the store has the others ask
+   for a new holder; if nobody can, nothing changes.  Another entry that cannot
+   is not one to yield the cell to.  */
 static void
-tell_degraded (struct cell *c)
+tell_beat (struct cell *c)
 {
   struct tenure *t = &c->tenure;
   bool degraded = t->phase == TENURE_OWNER
-                  && c->now_us > t->join_good_us + DEGRADED_MS * US_PER_MS;
+                      ? c->now_us > t->join_good_us + DEGRADED_MS * US_PER_MS
+                      : t->phase == TENURE_NONE
+                            && (!gate_store_answers (c) || c->stopping);
+  uint32_t best_milli = peers_best_milli (c);
+  struct cell_action *a;
 
+  if (degraded == t->degraded_told && best_milli == t->best_told_milli)
+    return;
+  a = cell_do (c, CELL_DO_BEAT);
+  a->u.beat.degraded = degraded;
+  a->u.beat.best_cpu_milli = best_milli;
+  t->best_told_milli = best_milli;
   if (degraded == t->degraded_told)
     return;
   t->degraded_told = degraded;
-  cell_do (c, CELL_DO_BEAT)->u.degraded = degraded;
-  cell_log (c, degraded ? "store_unreachable" : "store_reachable", 0,
-            "\"join_age_ms\":%llu",
-            (unsigned long long)((c->now_us - t->join_good_us) / US_PER_MS));
+  if (t->phase == TENURE_OWNER)
+    cell_log (c, degraded ? "store_unreachable" : "store_reachable", 0,
+              "\"join_age_ms\":%llu",
+              (unsigned long long)((c->now_us - t->join_good_us) / US_PER_MS));
+}
+
+/* Hands the cell over as planned when an entry of much more processor time is
+   there: an owner that falls behind lets leases lapse and work pile up.  */
+static void
+check_yield (struct cell *c)
+{
+  struct tenure *t = &c->tenure;
+  uint32_t best_milli = peers_best_milli (c);
+
+  if (t->phase != TENURE_OWNER || t->degraded_told || c->append.in_flight
+      || best_milli < WEAK_PART * c->settings.cpu_milli
+      || c->now_us < t->claimed_us + YIELD_AFTER_MS * US_PER_MS
+      || c->now_us < t->yield_us)
+    return;
+  t->yield_us = c->now_us + YIELD_GAP_MS * US_PER_MS;
+  t->best_cpu_milli = MAX (t->best_cpu_milli, best_milli);
+  cell_log (c, "ownership_yielded", 0,
+            "\"cpu_milli\":%u,\"best_cpu_milli\":%u", c->settings.cpu_milli,
+            best_milli);
+  release (c);
 }
 
 static void
@@ -399,7 +455,8 @@
 {
   struct tenure *t = &c->tenure;
 
-  tell_degraded (c);
+  tell_beat (c);
+  check_yield (c);
   if (c->now_us >= t->denied_us + DENIED_HOLD_MS * US_PER_MS)
     t->owner_denied = false;
   if (c->stopping && t->phase != TENURE_NONE)
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -62,7 +62,7 @@
   CELL_DO_ANSWER,  /**< answer: to another entry.  */
   CELL_DO_FORWARD, /**< forward: to the owner.  */
   CELL_DO_CONNECT, /**< connect: to the owner's relay; empty: to none.  */
-  CELL_DO_BEAT,    /**< degraded: what this entry's relay says of it.  */
+  CELL_DO_BEAT,    /**< beat: what this entry's relay says of it.  */
   CELL_DO_JOIN,    /**< Join the store's group, or stay in it.  */
   CELL_DO_LEAVE,
   CELL_DO_FIND,    /**< Ask who holds the cell.  */
@@ -95,7 +95,11 @@
       struct reply reply;
     } answer;
     struct job_call forward; /**< Its spec stays the cell's.  */
-    bool degraded;
+    struct
+    {
+      bool degraded;           /**< Cannot reach the store, or is stopping.  */
+      uint32_t best_cpu_milli; /**< Of this entry and all linked to it.  */
+    } beat;
     char connect[ADDRESS_BYTES];
     struct
     {
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -243,6 +243,7 @@
   CELL_JOB_CALL,  /**< job_call: from another entry.  */
   CELL_REPLY,     /**< reply: from the owner.  */
   CELL_LINK,      /**< link: to the owner, up or down.  */
+  CELL_PEER,      /**< peer: another entry, linked to this one.  */
   CELL_CONFIG,    /**< config: a version read.  */
   CELL_FRESH,     /**< sent_us: a read of the configuration answered.  */
   CELL_CLAIM,     /**< claim: the newest claim of the cell.  */
@@ -280,8 +281,17 @@
     struct
     {
       bool up;
-      bool degraded; /**< The owner cannot reach the store.  */
+      bool degraded;           /**< The owner cannot reach the store.  */
+      uint32_t best_cpu_milli; /**< Of the owner and all linked to it.  */
     } link;
+    struct
+    {
+      uint64_t link_id;
+      bool up;
+      bool able; /**< Reaches the store and is not stopping.  */
+      uint32_t cpu_milli;
+      char zone[NAME_BYTES];
+    } peer;
     struct site_config *config;
     uint64_t sent_us;
     struct
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -493,6 +493,16 @@
       e->kind = CELL_LINK;
       e->u.link.up = json_is_true (v);
       e->u.link.degraded = flag (j, "degraded");
+      e->u.link.best_cpu_milli = (uint32_t)number (j, "best", 0);
+    }
+  else if ((v = json_object_get (j, "peer")) != NULL)
+    {
+      e->kind = CELL_PEER;
+      e->u.peer.link_id = number (v, "link", 1);
+      e->u.peer.up = !flag (v, "down");
+      e->u.peer.able = !flag (v, "unable");
+      e->u.peer.cpu_milli = (uint32_t)number (v, "cpu", 250);
+      text (v, "zone", e->u.peer.zone, NAME_BYTES);
     }
   else
     return false;
@@ -602,7 +612,7 @@
       break;
     case CELL_DO_BEAT:
       g_string_append_printf (out, "beat %s",
-                              a->u.degraded ? "degraded" : "well");
+                              a->u.beat.degraded ? "degraded" : "well");
       break;
     case CELL_DO_JOIN:
       x->join_us = x->at_ms * US_PER_MS;
@@ -756,6 +766,8 @@
 {
   struct cell_settings s = { .member = "entry-1",
                              .relay_address = "127.0.0.1:7000",
+                             .zone = "z1",
+                             .cpu_milli = 250,
                              .times = { .revoke_ms = 5000,
                                         .lease_max_ms = 10000,
                                         .stop_ms = 400,
