Owner's rounds on many runners: index by pool, waves counted once a round

Ruled out: sorting the jobs of a round (under a tenth of it). Change: runners are indexed by pool; a wave counts the VMs of all pools once a round.

--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -124,6 +124,7 @@
   g_hash_table_destroy (c->jobs);
   g_ptr_array_free (c->active, TRUE);
   g_hash_table_destroy (c->runners);
+  g_hash_table_destroy (c->pools);
   g_hash_table_destroy (c->orders);
   g_hash_table_destroy (c->images);
   g_hash_table_destroy (c->usage);
@@ -158,6 +159,8 @@
   c->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
   c->active = g_ptr_array_new ();
   c->runners = g_hash_table_new (g_str_hash, g_str_equal);
+  c->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                    (GDestroyNotify)g_ptr_array_unref);
   c->orders
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   c->images = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -119,13 +119,11 @@
 
 /* Returns true if T may run on R as soon as there is room.  */
 static bool
-is_allowed (const struct cell *c, const struct task *t, const struct runner *r,
-            const char *pool)
+is_allowed (const struct cell *c, const struct task *t, const struct runner *r)
 {
   const struct job_step *s = t->step->spec;
 
-  return strcmp (r->report.pool, pool) == 0 && is_usable (c, r)
-         && (s->label[0] == '\0' || has_label (r, s->label))
+  return is_usable (c, r) && (s->label[0] == '\0' || has_label (r, s->label))
          && (s->runner_limit == 0
              || count_same_step (r, t->step) < s->runner_limit);
 }
@@ -155,20 +153,17 @@
   const struct job_step *s = t->step->spec;
   const struct site_queue *q = cell_queue (c, task_job (t)->queue);
   struct resources need = need_of (s);
+  const GPtrArray *pool = q != NULL ? runners_of_pool (c, q->pool) : NULL;
   struct runner *best = NULL;
   uint64_t best_score = 0;
-  GHashTableIter it;
-  gpointer value;
+  guint i;
 
-  if (q == NULL)
-    return NULL;
-  g_hash_table_iter_init (&it, c->runners);
-  while (g_hash_table_iter_next (&it, NULL, &value))
+  for (i = 0; pool != NULL && i < pool->len; i++)
     {
-      struct runner *r = value;
+      struct runner *r = g_ptr_array_index (pool, i);
       uint64_t n;
 
-      if (!is_allowed (c, t, r, q->pool) || !has_room (r, &need)
+      if (!has_room (r, &need) || !is_allowed (c, t, r)
           || (r->held && r->held_for != t))
         continue;
       n = score (t, r, &need);
@@ -186,17 +181,17 @@
 place_exists (const struct cell *c, const struct task *t)
 {
   const struct site_queue *q = cell_queue (c, task_job (t)->queue);
-  GHashTableIter it;
-  gpointer value;
+  const GPtrArray *pool = q != NULL ? runners_of_pool (c, q->pool) : NULL;
+  guint i;
 
-  if (q == NULL)
-    return false;
-  g_hash_table_iter_init (&it, c->runners);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    if (value != t->runner && is_allowed (c, t, value, q->pool)
-        && resources_fit (&t->step->spec->need,
-                          &((struct runner *)value)->report.room))
-      return true;
+  for (i = 0; pool != NULL && i < pool->len; i++)
+    {
+      const struct runner *r = g_ptr_array_index (pool, i);
+
+      if (r != t->runner && is_allowed (c, t, r)
+          && resources_fit (&t->step->spec->need, &r->report.room))
+        return true;
+    }
   return false;
 }
 
@@ -204,18 +199,15 @@
 place_hold (struct cell *c, struct task *t)
 {
   const struct site_queue *q = cell_queue (c, task_job (t)->queue);
+  const GPtrArray *pool = q != NULL ? runners_of_pool (c, q->pool) : NULL;
   struct runner *best = NULL;
-  GHashTableIter it;
-  gpointer value;
+  guint i;
 
-  if (q == NULL)
-    return;
-  g_hash_table_iter_init (&it, c->runners);
-  while (g_hash_table_iter_next (&it, NULL, &value))
+  for (i = 0; pool != NULL && i < pool->len; i++)
     {
-      struct runner *r = value;
+      struct runner *r = g_ptr_array_index (pool, i);
 
-      if (r->held || !is_allowed (c, t, r, q->pool)
+      if (r->held || !is_allowed (c, t, r)
           || !resources_fit (&t->step->spec->need, &r->report.room))
         continue;
       if (r->held_for == t)
@@ -253,23 +245,15 @@
 place_possible (const struct cell *c, const char *pool,
                 const struct resources *need)
 {
-  GHashTableIter it;
-  gpointer value;
-  bool seen = false;
-
-  g_hash_table_iter_init (&it, c->runners);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      const struct runner *r = value;
+  const GPtrArray *all = runners_of_pool (c, pool);
+  guint i;
 
-      if (strcmp (r->report.pool, pool) != 0)
-        continue;
-      seen = true;
-      if (resources_fit (need, &r->report.room))
-        return true;
-    }
+  for (i = 0; all != NULL && i < all->len; i++)
+    if (resources_fit (
+            need, &((struct runner *)g_ptr_array_index (all, i))->report.room))
+      return true;
   /* An empty pool says nothing of what its VMs could hold.  */
-  return !seen;
+  return all == NULL || all->len == 0;
 }
 
 static bool
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -141,6 +141,36 @@
   r->next_hold_us = c->now_us;
 }
 
+const GPtrArray *
+runners_of_pool (const struct cell *c, const char *pool)
+{
+  return g_hash_table_lookup (c->pools, pool);
+}
+
+/* Keeps the index by pool when R is of POOL now; NULL: of none.  */
+static void
+set_pool (struct cell *c, struct runner *r, const char *pool)
+{
+  GPtrArray *now = NULL;
+
+  if (pool != NULL)
+    {
+      now = g_hash_table_lookup (c->pools, pool);
+      if (now == NULL)
+        {
+          now = g_ptr_array_new ();
+          g_hash_table_insert (c->pools, g_strdup (pool), now);
+        }
+    }
+  if (now == r->siblings)
+    return;
+  if (r->siblings != NULL)
+    g_ptr_array_remove (r->siblings, r);
+  if (now != NULL)
+    g_ptr_array_add (now, r);
+  r->siblings = now;
+}
+
 static int
 runner_free (struct runner *r)
 {
@@ -203,6 +233,7 @@
   forget_orders (c, r);
   forget_failed_on (c, r);
   g_hash_table_remove (c->runners, r->report.id);
+  set_pool (c, r, NULL);
   talloc_free (r);
 }
 
@@ -245,6 +276,7 @@
     cell_log (c, "runner_draining", 0, "\"runner\":\"%s\",\"runs\":%u", n->id,
               r->tasks->len);
   r->report = *n;
+  set_pool (c, r, n->pool);
   r->listed = true;
   text_copy (r->rack, LABEL_BYTES, n->label_count > 1 ? n->labels[1] : "");
   c->dispatch_due = true;
@@ -636,6 +668,7 @@
       g_hash_table_iter_remove (&it);
       talloc_free (value);
     }
+  g_hash_table_remove_all (c->pools);
   g_hash_table_remove_all (c->usage);
   c->runners_known = false;
 }
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -142,6 +142,7 @@
 struct runner
 {
   struct runner_report report;
+  GPtrArray *siblings; /**< The runners of its pool, itself included.  */
   char rack[LABEL_BYTES];
   bool listed;         /**< Its entry is there.  */
   uint64_t missing_us; /**< Its entry went then.  */
@@ -300,6 +301,7 @@
   GHashTable *jobs;       /**< id to struct job.  */
   GPtrArray *active;      /**< struct job, not final, by acceptance.  */
   GHashTable *runners;    /**< id to struct runner.  */
+  GHashTable *pools;      /**< Pool's name to its struct runner.  */
   bool runners_known;     /**< A whole list came in this tenure.  */
   GHashTable *orders;     /**< order id to struct order.  */
   GHashTable *images;     /**< Image or queue to struct image_time.  */
@@ -403,6 +405,8 @@
 void runners_on_result (struct cell *c, struct runner_result *x);
 void runners_tick (struct cell *c);
 void runners_clear (struct cell *c);
+/** Returns the runners of POOL, struct runner, or NULL for none.  */
+const GPtrArray *runners_of_pool (const struct cell *c, const char *pool);
 /** Has R looked at soon.  */
 void runners_look (struct cell *c, struct runner *r, uint32_t delay_ms);
 struct runner_order *runners_order (struct cell *c, struct runner *r,
--- a/core/cell/upkeep.c
+++ b/core/cell/upkeep.c
@@ -499,59 +499,78 @@
   return 1 + r->used.cpu_milli;
 }
 
-/* Counts the VMs of POOL: all, those away or being emptied, and those that W
-   has still to do.  */
-static void
-count_pool (const struct cell *c, const struct wave *w, const char *pool,
-            uint32_t *all_count, uint32_t *out_count, uint32_t *left_count)
+/* VMs of one pool, as a round of a wave counts them.  */
+struct pool_count
+{
+  const char *pool;
+  uint32_t all_count;
+  uint32_t out_count;  /**< Away or being emptied.  */
+  uint32_t left_count; /**< That the wave has still to do.  */
+};
+
+static struct pool_count *
+count_of (GArray *counts, const char *pool)
+{
+  struct pool_count n = { .pool = pool };
+  guint i;
+
+  for (i = 0; i < counts->len; i++)
+    if (strcmp (g_array_index (counts, struct pool_count, i).pool, pool) == 0)
+      return &g_array_index (counts, struct pool_count, i);
+  g_array_append_val (counts, n);
+  return &g_array_index (counts, struct pool_count, counts->len - 1);
+}
+
+/* Returns a new array of struct pool_count.  */
+static GArray *
+count_pools (const struct cell *c, const struct wave *w)
 {
+  GArray *counts = g_array_new (FALSE, FALSE, sizeof (struct pool_count));
   GHashTableIter it;
   gpointer value;
   uint32_t k;
 
-  *all_count = *out_count = *left_count = 0;
   g_hash_table_iter_init (&it, c->upkeep->vms);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       const struct vm *v = value;
+      struct pool_count *n = count_of (counts, v->row.pool);
 
-      if (strcmp (v->row.pool, pool) != 0)
-        continue;
-      (*all_count)++;
-      *out_count += v->phase != VM_IDLE || !v->row.up;
+      n->all_count++;
+      n->out_count += v->phase != VM_IDLE || !v->row.up;
     }
   for (k = 0; k < w->spec.vm_count; k++)
     {
-      const struct vm *v = find_vm (c->upkeep, w->spec.vms[k]);
+      const struct vm *v
+          = w->done[k] ? NULL : find_vm (c->upkeep, w->spec.vms[k]);
 
-      *left_count
-          += v != NULL && !w->done[k] && strcmp (v->row.pool, pool) == 0;
+      if (v != NULL)
+        count_of (counts, v->row.pool)->left_count++;
     }
+  return counts;
 }
 
 /* A working pool lends no more VMs at once than it takes to be in time.  */
 static bool
-pool_allows (const struct cell *c, const struct wave *w, const struct vm *v)
+pool_allows (const struct cell *c, const struct wave *w, const struct vm *v,
+             GArray *counts)
 {
   uint64_t left_us
       = w->deadline_us > c->now_us ? w->deadline_us - c->now_us : 0;
   uint64_t rounds = left_us / (ROUND_MS * US_PER_MS);
-  uint32_t all_count;
-  uint32_t out_count;
-  uint32_t left_count;
+  const struct pool_count *n = count_of (counts, v->row.pool);
   uint64_t limit;
 
   if (fleet_is_spare (c, v))
     return true;
-  count_pool (c, w, v->row.pool, &all_count, &out_count, &left_count);
-  limit = rounds > 0 ? (left_count + rounds - 1) / rounds : left_count;
-  limit = MIN (limit, MAX (all_count / POOL_PART, 1));
-  return out_count < MAX (limit, 1);
+  limit = rounds > 0 ? (n->left_count + rounds - 1) / rounds : n->left_count;
+  limit = MIN (limit, MAX (n->all_count / POOL_PART, 1));
+  return n->out_count < MAX (limit, 1);
 }
 
 /* Returns the VM of W that is taken next, or NULL.  */
 static struct vm *
-next_vm (struct cell *c, struct wave *w)
+next_vm (struct cell *c, struct wave *w, GArray *counts)
 {
   struct vm *best = NULL;
   uint32_t k;
@@ -562,7 +581,7 @@
 
       if (v == NULL || v->phase != VM_IDLE || !v->row.up
           || !fleet_is_known (c, v) || c->now_us < v->not_before_us
-          || !pool_allows (c, w, v))
+          || !pool_allows (c, w, v, counts))
         continue;
       if (best == NULL || cost_of (c, v) < cost_of (c, best))
         best = v;
@@ -649,6 +668,38 @@
     }
 }
 
+/* Takes as many VMs of W as may be away now.  */
+static void
+take_vms (struct cell *c, struct wave *w)
+{
+  uint32_t limit_count = MAX (w->spec.limit_count, 1);
+  uint32_t busy = busy_count (c, w);
+  GArray *counts;
+  struct vm *v;
+
+  if (busy >= limit_count)
+    return;
+  counts = count_pools (c, w);
+  while (busy < limit_count && (v = next_vm (c, w, counts)) != NULL)
+    {
+      struct runner *r = fleet_runner (c, v);
+
+      busy++;
+      count_of (counts, v->row.pool)->out_count++;
+      v->wave = w->spec.number;
+      v->phase = VM_EMPTYING;
+      v->order_us = 0;
+      v->begun_us = c->now_us;
+      if (r != NULL)
+        r->emptying = true;
+      cell_log (c, "vm_emptying", 0,
+                "\"vm\":\"%s\",\"pool\":\"%s\",\"wave\":%llu,\"runs\":%u",
+                v->row.vm, v->row.pool, (unsigned long long)w->spec.number,
+                r != NULL ? r->tasks->len : 0);
+    }
+  g_array_free (counts, TRUE);
+}
+
 static void
 carry_wave (struct cell *c, struct wave *w)
 {
@@ -668,22 +719,7 @@
       if (!cell_owns (c))
         return;
     }
-  while (busy_count (c, w) < MAX (w->spec.limit_count, 1)
-         && (v = next_vm (c, w)) != NULL)
-    {
-      struct runner *r = fleet_runner (c, v);
-
-      v->wave = w->spec.number;
-      v->phase = VM_EMPTYING;
-      v->order_us = 0;
-      v->begun_us = c->now_us;
-      if (r != NULL)
-        r->emptying = true;
-      cell_log (c, "vm_emptying", 0,
-                "\"vm\":\"%s\",\"pool\":\"%s\",\"wave\":%llu,\"runs\":%u",
-                v->row.vm, v->row.pool, (unsigned long long)w->spec.number,
-                r != NULL ? r->tasks->len : 0);
-    }
+  take_vms (c, w);
   if (w->done_count == w->spec.vm_count)
     {
       w->completed = true;
