Starts under way are limited; calls take fewer system calls and no new handles

Ruled out: a second owner (the former one's process had ended). Change: at most 300 starts without an answer at once, so that work waits in the cell, not in a ring; libcurl handles are used again; an eventfd is read once; the cell's random numbers no longer come from the kernel one by one.

--- a/adapter/http_client.c
+++ b/adapter/http_client.c
@@ -10,12 +10,17 @@
 /** Largest answer taken, in bytes.  */
 #define ANSWER_LIMIT_BYTES (64u << 20)
 
+/** Handles kept for later calls: what a busy entry has under way.  */
+#define IDLE_LIMIT_COUNT 256
+
 struct http_client
 {
   CURLM *multi;
   struct tevent_context *loop;
   struct tevent_timer *timer;
-  struct transfer *transfers; /**< Those in progress.  */
+  struct transfer *transfers;   /**< Those in progress.  */
+  CURL *idle[IDLE_LIMIT_COUNT]; /**< Handles of calls that have ended.  */
+  uint32_t idle_count;
 };
 
 /* One call in progress; a child of the client.  */
@@ -44,6 +49,25 @@
   curl_socket_t fd;
 };
 
+/* A new handle costs more than the rest of a call.  */
+static CURL *
+take_handle (struct http_client *c)
+{
+  return c->idle_count > 0 ? c->idle[--c->idle_count] : curl_easy_init ();
+}
+
+static void
+give_handle (struct http_client *c, CURL *easy)
+{
+  if (c->idle_count == IDLE_LIMIT_COUNT)
+    {
+      curl_easy_cleanup (easy);
+      return;
+    }
+  curl_easy_reset (easy);
+  c->idle[c->idle_count++] = easy;
+}
+
 static int
 transfer_free (struct transfer *t)
 {
@@ -51,7 +75,7 @@
   if (t->next != NULL)
     t->next->previous = t->previous;
   curl_multi_remove_handle (t->client->multi, t->easy);
-  curl_easy_cleanup (t->easy);
+  give_handle (t->client, t->easy);
   curl_slist_free_all (t->headers);
   blob_unref (t->request);
   blob_unref (t->answer);
@@ -237,6 +261,8 @@
 {
   while (c->transfers != NULL)
     talloc_free (c->transfers);
+  while (c->idle_count > 0)
+    curl_easy_cleanup (c->idle[--c->idle_count]);
   curl_multi_cleanup (c->multi);
   return 0;
 }
@@ -322,7 +348,7 @@
 
   if (t == NULL)
     return NULL;
-  t->easy = curl_easy_init ();
+  t->easy = take_handle (c);
   if (t->easy == NULL)
     {
       talloc_free (t);
--- a/adapter/site_decide.c
+++ b/adapter/site_decide.c
@@ -12,7 +12,7 @@
 #include "adapter/site_front.h"
 #include "adapter/site_store.h"
 
-#include <sodium.h>
+#include <glib.h>
 #include <stdatomic.h>
 
 /** Between two copies of the figures for the metrics page.  */
@@ -25,6 +25,7 @@
   struct cell_actions actions;
   struct site_outputs outputs;
   uint64_t metrics_us;
+  GRand *random; /**< Spreads retries; nothing secret rests on it.  */
 };
 
 static void
@@ -225,7 +226,7 @@
 
   e->now_us = now_us ();
   e->wall_ms = wall_ms ();
-  randombytes_buf (&e->random, sizeof e->random);
+  e->random = (uint64_t)g_rand_int (d->random) << 32 | g_rand_int (d->random);
   d->actions.item_count = 0;
   cell_step (d->cell, e, &d->actions);
   for (i = 0; i < d->actions.item_count; i++)
@@ -267,6 +268,7 @@
       talloc_free (d);
       return NULL;
     }
+  d->random = g_rand_new ();
   d->cell = cell_new (d, s);
   tevent_add_timer (d->duty->loop, d->duty->loop,
                     tevent_timeval_current_ofs (0, 0), on_tick, d);
@@ -311,6 +313,7 @@
     talloc_free (e);
   talloc_free (d->cell);
   talloc_free (d->actions.items);
+  g_rand_free (d->random);
   duty_free (d->duty);
   talloc_free (d);
 }
--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -16,6 +16,9 @@
 #define WAIT_TOLD_MS 1000
 /** A task that waits longer has a runner kept free for it, one a pool.  */
 #define LARGE_WAIT_MS 2000
+/** Starts under way at most: more than an entry sends in the time that it
+    takes to answer one would delay the renewal of leases.  */
+#define STARTS_OUT_LIMIT_COUNT 300
 /** A job that is not begun needs this much more than its mean run time: tasks
     of one step differ, and the slowest counts.  */
 #define MARGIN_PERCENT 15
@@ -327,7 +330,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   guint i;
 
-  for (i = 0; i < turns->len; i++)
+  for (i = 0; i < turns->len && c->starts_out_count < STARTS_OUT_LIMIT_COUNT;
+       i++)
     {
       struct job *j = g_array_index (turns, struct turn, i).job;
       const struct site_queue *q = cell_queue (c, j->queue);
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -80,6 +80,7 @@
       if (o->until_ms > r->until_ms)
         r->until_ms = o->until_ms;
     }
+  c->starts_out_count += kind == ORDER_START;
   g_hash_table_insert (c->orders, &x->id, x);
   return o;
 }
@@ -203,7 +204,10 @@
   g_hash_table_iter_init (&it, c->orders);
   while (g_hash_table_iter_next (&it, NULL, &value))
     if (((struct order *)value)->runner == r)
-      g_hash_table_iter_remove (&it);
+      {
+        c->starts_out_count -= ((struct order *)value)->kind == ORDER_START;
+        g_hash_table_iter_remove (&it);
+      }
 }
 
 static void
@@ -513,6 +517,7 @@
   if (t != NULL && (t->runner != r || t->run != o->run))
     t = NULL;
   sent_us = o->sent_us;
+  c->starts_out_count -= o->kind == ORDER_START;
   g_hash_table_remove (c->orders, &x->order_id);
   if (x->outcome == ORDER_FENCED)
     {
@@ -662,6 +667,7 @@
   gpointer value;
 
   g_hash_table_remove_all (c->orders);
+  c->starts_out_count = 0;
   g_hash_table_iter_init (&it, c->runners);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -308,6 +308,7 @@
   GHashTable *allowances; /**< Tenant to struct allowance.  */
   GHashTable *usage;      /**< Tenant to struct resources running.  */
   uint64_t next_order_id;
+  uint32_t starts_out_count; /**< Starts ordered that have no answer yet.  */
   struct append append;
   bool flush_now;    /**< A caller waits for the next append.  */
   uint64_t dirty_us; /**< The oldest unstored progress is from then.  */
--- a/port/ring.c
+++ b/port/ring.c
@@ -2,6 +2,7 @@
 
 #include "port/ring.h"
 
+#include <errno.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <sys/eventfd.h>
@@ -82,6 +83,7 @@
 {
   uint32_t n = 0;
   uint64_t seen;
+  ssize_t got = 0;
 
   pthread_mutex_lock (&r->lock);
   while (n < max_count && r->item_count > 0)
@@ -93,8 +95,9 @@
   /* Cleared only when drained, so a consumer that takes part is called
      again.  */
   if (r->item_count == 0)
-    while (read (r->event_fd, &seen, sizeof seen) > 0)
-      continue;
+    do
+      got = read (r->event_fd, &seen, sizeof seen);
+    while (got < 0 && errno == EINTR);
   pthread_mutex_unlock (&r->lock);
   return n;
 }
