VMs that are down at first are waited for; pools keep all VMs until their first turn

Cause: the platform's first list, read as the owner begins, shows all working VMs down. The part that a pool keeps before its first turn never counted. Ruled out: pages of the list (all 350 are named). Change: the list is read again while a VM is down; VMs that are down count for a pool's first size; that is kept whole until its first turn; each claim ends the waiting of the entries that own nothing. New line: vms_listed. Tests: cells/vms_come_up, cells/weak_waits (fail without the change); eight expected outputs gain the new line.

--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -40,6 +40,7 @@
   struct pool_plan *pools; /**< What is learned of demand; pools.c.  */
   bool list_asked;
   bool listed;
+  uint32_t up_count;  /**< VMs up by it.  */
   uint64_t listed_us; /**< The newest list was asked for then.  */
 };
 
--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -33,7 +33,7 @@
 /** VMs of an idle pool that stay beyond its need.  */
 #define RESERVE_COUNT 1
 /** Before a pool's first turn is seen it keeps this part of its VMs.  */
-#define UNKNOWN_PERCENT 75
+#define UNKNOWN_PERCENT 100
 /** An expected turn is prepared this long before: a move and what it takes
     until the runner is known; and it is believed for a while.  */
 #define PREPARE_MS 2600
@@ -67,7 +67,8 @@
   uint64_t bucket;                      /**< The newest one's number.  */
   /* Of the look at hand.  */
   bool spare;
-  uint32_t vm_count; /**< In it, or on the way to it.  */
+  uint32_t vm_count;     /**< In it, or on the way to it.  */
+  uint32_t listed_count; /**< The same and those that are down.  */
   uint32_t need_count;
   uint32_t keep_count;  /**< Not switched off: need, reserve, turns to come. */
   uint32_t short_count; /**< Of these by short tasks alone.  */
@@ -194,7 +195,10 @@
       struct pool_memory *m
           = find_pool (c, v->moving ? v->target : v->row.pool);
 
-      if (m != NULL && (v->row.up || v->phase == VM_AWAY))
+      if (m == NULL)
+        continue;
+      m->listed_count++;
+      if (v->row.up || v->phase == VM_AWAY)
         m->vm_count++;
     }
 }
@@ -448,6 +452,7 @@
   for (i = 0; i < p->pool_count; i++)
     {
       p->pools[i].vm_count = 0;
+      p->pools[i].listed_count = 0;
       p->pools[i].lasting_milli = 0;
       p->pools[i].short_milli = 0;
       p->pools[i].waiting_milli = 0;
@@ -462,7 +467,7 @@
       uint64_t short_milli;
 
       if (m->first_count == 0)
-        m->first_count = m->vm_count;
+        m->first_count = m->listed_count;
       short_milli
           = MAX (m->short_milli + m->waiting_milli, arrival_milli (c, m));
       m->short_count = vms_for (m, short_milli);
--- a/core/cell/tenure.c
+++ b/core/cell/tenure.c
@@ -181,6 +181,7 @@
     }
   if (t->phase == TENURE_NONE)
     {
+      t->retry_us = 0;
       if (t->newest_released)
         t->find_us = c->now_us;
       if (!mine || t->newest_released)
--- a/core/cell/upkeep.c
+++ b/core/cell/upkeep.c
@@ -241,6 +241,7 @@
 upkeep_on_vms (struct cell *c, const struct cell_event *e)
 {
   struct upkeep *u = c->upkeep;
+  uint32_t up_count = 0;
   uint32_t i;
 
   u->list_asked = false;
@@ -265,6 +266,7 @@
       text_copy (v->row.pool, NAME_BYTES, row->pool);
       text_copy (v->row.runner, NAME_BYTES, row->runner);
       v->row.up = row->up;
+      up_count += row->up;
       r = fleet_runner (c, v);
       if (r != NULL)
         {
@@ -277,6 +279,10 @@
               || c->now_us >= v->away_until_us + SAME_RUNNER_MS * US_PER_MS))
         fleet_give_back (c, v);
     }
+  if (up_count != u->up_count)
+    cell_log (c, "vms_listed", 0, "\"vms\":%u,\"up\":%u", e->u.vms.row_count,
+              up_count);
+  u->up_count = up_count;
 }
 
 void
@@ -730,7 +736,8 @@
     }
 }
 
-/* A VM that is away comes back with a new runner, which the list names.  */
+/* A VM that is away comes back with a new runner, which the list names; one
+   that is not up yet, as when all begin, will be.  */
 static bool
 any_away (const struct upkeep *u)
 {
@@ -739,8 +746,12 @@
 
   g_hash_table_iter_init (&it, u->vms);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    if (((struct vm *)value)->phase == VM_AWAY)
-      return true;
+    {
+      const struct vm *v = value;
+
+      if (v->phase == VM_AWAY || !v->row.up)
+        return true;
+    }
   return false;
 }
 
