--- a/adapter/cell_post.c
+++ b/adapter/cell_post.c
@@ -2,6 +2,8 @@
 
 #include "adapter/cell_post.h"
 
+#include "adapter/duty.h"
+
 #include <stdatomic.h>
 
 static _Atomic uint64_t dropped_count;
@@ -20,6 +22,7 @@
 bool
 cell_post (struct ring *r, struct cell_event *e)
 {
+  e->posted_us = now_us ();
   if (ring_push (r, e))
     return true;
   atomic_fetch_add (&dropped_count, 1);
--- a/adapter/site_decide.c
+++ b/adapter/site_decide.c
@@ -15,6 +15,9 @@
 #include <glib.h>
 #include <stdatomic.h>
 
+/** An event that waited longer is told of: the entry has too little processor
+    time for what it does.  */
+#define BEHIND_MS 200
 /** Between two copies of the figures for the metrics page.  */
 #define METRICS_GAP_MS 1000
 
@@ -25,6 +28,7 @@
   struct cell_actions actions;
   struct site_outputs outputs;
   uint64_t metrics_us;
+  uint64_t longest_wait_us; /**< Of an event, since the last metrics.  */
   GRand *random; /**< Spreads retries; nothing secret rests on it.  */
 };
 
@@ -206,6 +210,22 @@
     }
 }
 
+/* Tells of events that waited long, at most once between two metrics.  */
+static void
+check_behind (struct site_decide *d)
+{
+  char fields[80];
+
+  if (d->longest_wait_us >= BEHIND_MS * US_PER_MS)
+    {
+      snprintf (fields, sizeof fields, "\"waited_ms\":%llu,\"waiting\":%u",
+                (unsigned long long)(d->longest_wait_us / US_PER_MS),
+                ring_count (d->duty->inbound));
+      line_log_write (d->outputs.log, "falling_behind", 0, fields);
+    }
+  d->longest_wait_us = 0;
+}
+
 static void
 send_metrics (struct site_decide *d, uint64_t now)
 {
@@ -215,6 +235,7 @@
     return;
   d->metrics_us = now;
   o = front_order (FRONT_METRICS);
+  check_behind (d);
   cell_metrics_get (d->cell, &o->metrics);
   push (d, d->outputs.front, o, "front");
 }
@@ -225,6 +246,8 @@
   uint32_t i;
 
   e->now_us = now_us ();
+  if (e->posted_us != 0)
+    d->longest_wait_us = MAX (d->longest_wait_us, e->now_us - e->posted_us);
   e->wall_ms = wall_ms ();
   e->random = (uint64_t)g_rand_int (d->random) << 32 | g_rand_int (d->random);
   d->actions.item_count = 0;
--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -13,6 +13,8 @@
 
 /** Between two looks at demand.  */
 #define PLAN_GAP_MS 100
+/** Between two lines on the state of each pool.  */
+#define TELL_GAP_MS 1000
 /** Work that waits is to be done within this.  */
 #define CLEAR_MS 1000
 /** Part of a pool's room that tasks can fill, in percent.  */
@@ -82,6 +84,7 @@
 {
   bool dirty; /**< Learned something that is to last.  */
   uint64_t look_us;
+  uint64_t told_us;
   uint32_t pool_count;
   struct pool_memory pools[POOL_LIMIT_COUNT];
 };
@@ -608,6 +611,32 @@
     }
 }
 
+/* One line a pool: what it has, and what the need rests on.  */
+static void
+tell_state (struct cell *c)
+{
+  struct pool_plan *p = c->upkeep->pools;
+  uint32_t i;
+
+  if (c->now_us < p->told_us + TELL_GAP_MS * US_PER_MS)
+    return;
+  p->told_us = c->now_us;
+  for (i = 0; i < p->pool_count; i++)
+    {
+      struct pool_memory *m = &p->pools[i];
+
+      cell_log (c, "pool_state", 0,
+                "\"pool\":\"%s\",\"vms\":%u,\"needs\":%u,\"keeps\":%u,"
+                "\"lasting_milli\":%llu,\"short_milli\":%llu,"
+                "\"waiting_milli\":%llu,\"arriving_milli\":%llu",
+                m->name, m->vm_count, m->need_count, m->keep_count,
+                (unsigned long long)m->lasting_milli,
+                (unsigned long long)m->short_milli,
+                (unsigned long long)m->waiting_milli,
+                (unsigned long long)arrival_milli (c, m));
+    }
+}
+
 void
 pools_tick (struct cell *c)
 {
@@ -619,6 +648,7 @@
     return;
   p->look_us = c->now_us;
   look (c);
+  tell_state (c);
   for (i = 0; i < p->pool_count; i++)
     if (p->pools[i].spare)
       spare = &p->pools[i];
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -265,8 +265,9 @@
 struct cell_event
 {
   enum cell_event_kind kind;
-  uint64_t now_us;  /**< Clock that runs on through a pause.  */
-  uint64_t wall_ms; /**< Unix time.  */
+  uint64_t posted_us; /**< It was put into the cell's ring; 0: never was.  */
+  uint64_t now_us;    /**< Clock that runs on through a pause.  */
+  uint64_t wall_ms;   /**< Unix time.  */
   uint64_t random;
   union
   {
