A slow owner hands the cell over

Ruled out: decisions that lag (no event waited 200 ms; orders wait to be sent). Change: an owner half of whose starts in 0.7 s took over 0.5 s hands the cell to a linked entry of no less processor time, and counts as weak for 8 s.

--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -192,6 +192,7 @@
   l->at_us = d->at_us + delay_us;
   l->sequence = ++d->sequence;
   g_tree_insert (d->later, l, l);
+  /* cppcheck-suppress memleak */
   return l->event;
 }
 
--- a/core/cell/peers.c
+++ b/core/cell/peers.c
@@ -30,9 +30,9 @@
 }
 
 uint32_t
-peers_best_milli (const struct cell *c)
+peers_other_milli (const struct cell *c)
 {
-  uint32_t best = c->settings.cpu_milli;
+  uint32_t best = 0;
   GHashTableIter it;
   gpointer value;
 
@@ -41,8 +41,14 @@
     {
       const struct peer *p = value;
 
-      if (p->able && p->cpu_milli > best)
-        best = p->cpu_milli;
+      if (p->able)
+        best = MAX (best, p->cpu_milli);
     }
   return best;
 }
+
+uint32_t
+peers_best_milli (const struct cell *c)
+{
+  return MAX (c->settings.cpu_milli, peers_other_milli (c));
+}
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -18,6 +18,9 @@
 #define NOTE_GAP_MS 900
 /** Time-outs of orders; a hold's is this and its wait.  */
 #define ORDER_TIMEOUT_MS 700
+/** A start that takes longer waited at this entry: a runner answers within
+    some milliseconds, and one that is silent is soon given no more.  */
+#define SLOW_START_MS 500
 /** A stop without effect is ordered again after this.  */
 #define STOP_RETRY_MS 500
 /** A runner's clock may be this much slow, in thousandths.  */
@@ -517,7 +520,12 @@
   if (t != NULL && (t->runner != r || t->run != o->run))
     t = NULL;
   sent_us = o->sent_us;
-  c->starts_out_count -= o->kind == ORDER_START;
+  if (o->kind == ORDER_START)
+    {
+      c->starts_out_count--;
+      c->pace.start_count++;
+      c->pace.slow_count += c->now_us > sent_us + SLOW_START_MS * US_PER_MS;
+    }
   g_hash_table_remove (c->orders, &x->order_id);
   if (x->outcome == ORDER_FENCED)
     {
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -237,6 +237,7 @@
   uint32_t best_told_milli; /**< Largest processor share that we tell of.  */
   uint32_t best_cpu_milli;  /**< The same, as an owner told us last.  */
   uint64_t yield_us;        /**< Next time that we may yield the cell.  */
+  uint64_t slow_us;         /**< We are too slow to own it until then.  */
   uint64_t link_down_us;    /**< Down since.  */
   bool join_sent;
   uint64_t join_sent_us;
@@ -288,6 +289,15 @@
   uint64_t filled_us;
 };
 
+/** How long this owner's starts take, over a short span.  */
+struct start_pace
+{
+  uint64_t begun_us;
+  uint32_t start_count;
+  uint32_t slow_count; /**< Of these, answered late or not at all.  */
+  bool slow;           /**< Most of the span before were.  */
+};
+
 struct cell
 {
   struct cell_settings settings;
@@ -309,6 +319,7 @@
   GHashTable *usage;      /**< Tenant to struct resources running.  */
   uint64_t next_order_id;
   uint32_t starts_out_count; /**< Starts ordered that have no answer yet.  */
+  struct start_pace pace;
   struct append append;
   bool flush_now;    /**< A caller waits for the next append.  */
   uint64_t dirty_us; /**< The oldest unstored progress is from then.  */
@@ -369,6 +380,8 @@
 /** Returns the largest processor share of this entry and of those linked to
     it that could own the cell.  */
 uint32_t peers_best_milli (const struct cell *c);
+/** Returns the same of the linked entries alone; 0: none.  */
+uint32_t peers_other_milli (const struct cell *c);
 
 /* jobs.c: acceptance, states, durable records.  */
 void jobs_on_call (struct cell *c, bool local, uint64_t link_id,
--- a/core/cell/tenure.c
+++ b/core/cell/tenure.c
@@ -44,6 +44,12 @@
 #define YIELD_GAP_MS 10000
 /** And not before it has settled.  */
 #define YIELD_AFTER_MS 1000
+/** Starts are judged over this span, and from this many on.  */
+#define PACE_SPAN_MS 700
+#define PACE_LOW_COUNT 20
+/** An owner that gave the cell up as it was slow counts as weak for this long:
+    a VM's slowness lasts seconds.  */
+#define SLOW_HOLD_MS 8000
 /** The rate of a runner's clock may be off by this much.  */
 #define CLOCK_ERROR_PERCENT 2
 
@@ -228,7 +234,8 @@
 static bool
 is_weak (const struct cell *c)
 {
-  return c->settings.cpu_milli * WEAK_PART <= c->tenure.best_cpu_milli;
+  return c->settings.cpu_milli * WEAK_PART <= c->tenure.best_cpu_milli
+         || c->now_us < c->tenure.slow_us;
 }
 
 void
@@ -401,24 +408,49 @@
               (unsigned long long)((c->now_us - t->join_good_us) / US_PER_MS));
 }
 
-/* Hands the cell over as planned when an entry of much more processor time is
-   there: an owner that falls behind lets leases lapse and work pile up.  */
+/* Judges the starts of the span that has ended, if one has.  */
+static void
+judge_pace (struct cell *c)
+{
+  struct start_pace *p = &c->pace;
+
+  if (c->now_us < p->begun_us + PACE_SPAN_MS * US_PER_MS)
+    return;
+  p->slow = p->start_count >= PACE_LOW_COUNT
+            && 2 * p->slow_count >= p->start_count;
+  p->begun_us = c->now_us;
+  p->start_count = p->slow_count = 0;
+}
+
+/* Hands the cell over as planned when this entry falls behind, and another
+   could do better: leases lapse and work piles up under a slow owner.  */
 static void
 check_yield (struct cell *c)
 {
   struct tenure *t = &c->tenure;
-  uint32_t best_milli = peers_best_milli (c);
+  uint32_t best_milli;
+  bool slow;
 
-  if (t->phase != TENURE_OWNER || t->degraded_told || c->append.in_flight
-      || best_milli < WEAK_PART * c->settings.cpu_milli
+  if (t->phase != TENURE_OWNER)
+    return;
+  best_milli = peers_best_milli (c);
+  judge_pace (c);
+  slow = c->pace.slow && peers_other_milli (c) >= c->settings.cpu_milli;
+  if ((best_milli < WEAK_PART * c->settings.cpu_milli && !slow)
+      || t->degraded_told || c->append.in_flight
       || c->now_us < t->claimed_us + YIELD_AFTER_MS * US_PER_MS
       || c->now_us < t->yield_us)
     return;
   t->yield_us = c->now_us + YIELD_GAP_MS * US_PER_MS;
   t->best_cpu_milli = MAX (t->best_cpu_milli, best_milli);
+  c->pace.slow = false;
+  if (slow)
+    t->slow_us = c->now_us + SLOW_HOLD_MS * US_PER_MS;
   cell_log (c, "ownership_yielded", 0,
-            "\"cpu_milli\":%u,\"best_cpu_milli\":%u", c->settings.cpu_milli,
-            best_milli);
+            "\"why\":\"%s\",\"cpu_milli\":%u,\"best_cpu_milli\":%u,"
+            "\"starts_out\":%u",
+            slow ? "slow" : "weak", c->settings.cpu_milli, best_milli,
+            c->starts_out_count);
   release (c);
 }
 
