Work of a silent runner begins elsewhere only after three looks without an answer

A start burst delayed the owner: a look that a runner had answered, with the runs that were done, ran into its time-out before the answer was read. With that one miss the lease was taken to have run out, 3.5 s after it, and the work began elsewhere; the next look showed the runs done. Change: a lease that is over counts after three looks without an answer, which a runner that is really silent has missed by then (1.7, 2.6 and 3.6 s against 3.5); runs_lost tells the lease's end and the clock it was judged by.

--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -25,6 +25,10 @@
 #define STOP_RETRY_MS 500
 /** A runner's clock may be this much slow, in thousandths.  */
 #define CLOCK_SLOW_MILLI 20
+/** Looks without an answer after which a lease that is over counts: a silent
+    runner has missed as many by then.  With fewer this entry itself was late,
+    and an answer that it did not read may have shown how the runs ended.  */
+#define LOST_MISS_COUNT 3
 /** Reading of clocks in milliseconds.  */
 #define CLOCK_GRAIN_MS 20
 /** A runner whose entry has gone is forgotten after this.  */
@@ -121,9 +125,12 @@
   if (r->tasks->len > 0)
     cell_log (c, "runs_lost", 0,
               "\"runner\":\"%s\",\"why\":\"%s\",\"runs\":%u,\"misses\":%u,"
-              "\"answer_age_ms\":%llu",
+              "\"answer_age_ms\":%llu,\"lease_end_ms\":%llu,"
+              "\"clock_ms\":%llu,\"clock_age_ms\":%llu",
               r->report.id, why, r->tasks->len, r->miss_count,
-              (unsigned long long)((c->now_us - r->answer_us) / US_PER_MS));
+              (unsigned long long)((c->now_us - r->answer_us) / US_PER_MS),
+              (unsigned long long)r->until_ms, (unsigned long long)r->clock_ms,
+              (unsigned long long)((c->now_us - r->clock_us) / US_PER_MS));
   c->metrics.counters[CELL_COUNT_LOST_RUNS] += r->tasks->len;
   while (r->tasks->len > 0)
     task_release (c, g_ptr_array_index (r->tasks, r->tasks->len - 1));
@@ -624,7 +631,8 @@
 static void
 tick_runner (struct cell *c, struct runner *r)
 {
-  if (r->tasks->len > 0 && r->miss_count > 0 && runners_lapsed (c, r))
+  if (r->tasks->len > 0 && r->miss_count >= LOST_MISS_COUNT
+      && runners_lapsed (c, r))
     lose_runs (c, r, "lease_over");
   if (r->tasks->len > 0 && r->miss_count > 0 && fleet_is_gone (c, r))
     lose_runs (c, r, "vm_down");
