The newest claim tells of strong entries; a yielding owner begins no append

Ruled out: a second owner, a lapsed lease (none in the lines). Change: claims carry the largest processor share known, so that an entry that begins again waits as it should; an owner that is to yield begins no further append. Open: a slow owner without a stronger one still orders stops late.

--- a/adapter/site_decide.c
+++ b/adapter/site_decide.c
@@ -167,6 +167,7 @@
       o = operation (STORE_CLAIM);
       o->at_offset = a->u.claim.at_offset;
       o->flag = a->u.claim.released;
+      o->number = a->u.claim.best_cpu_milli;
       send_store (d, o);
       break;
     case CELL_DO_RECOVER:
--- a/adapter/site_store.c
+++ b/adapter/site_store.c
@@ -296,7 +296,8 @@
   cell_post (f->store->cell, e);
 }
 
-/* Reads a claim: [member, address, released].  */
+/* Reads a claim: [member, address, released, largest processor share]; the
+   last was not written by earlier versions.  */
 static bool
 read_claim (const struct platform_record *x, struct cell_event *e)
 {
@@ -312,8 +313,10 @@
   unpack_text (&u, e->u.claim.member, NAME_BYTES);
   unpack_text (&u, e->u.claim.address, ADDRESS_BYTES);
   e->u.claim.released = unpack_bool (&u);
+  good = !u.failed;
+  e->u.claim.best_cpu_milli = (uint32_t)unpack_number (&u, UINT32_MAX);
   msgpack_unpacked_destroy (&m);
-  return !u.failed;
+  return good;
 }
 
 static void
@@ -551,7 +554,7 @@
 }
 
 static struct blob *
-claim_body (const struct site_store *t, bool released)
+claim_body (const struct site_store *t, bool released, uint64_t cpu_milli)
 {
   msgpack_sbuffer value;
   msgpack_sbuffer out;
@@ -561,10 +564,11 @@
   msgpack_sbuffer_init (&value);
   msgpack_sbuffer_init (&out);
   msgpack_packer_init (&p, &value, msgpack_sbuffer_write);
-  msgpack_pack_array (&p, 3);
+  msgpack_pack_array (&p, 4);
   pack_text (&p, t->member);
   pack_text (&p, t->relay_address);
   pack_bool (&p, released);
+  msgpack_pack_uint64 (&p, cpu_milli);
   keyed_record_pack (&out, "0", value.data, (uint32_t)value.size);
   b = blob_copy (out.data, (uint32_t)out.size);
   msgpack_sbuffer_destroy (&value);
@@ -644,7 +648,7 @@
                                .at_offset = x->op.at_offset };
   char url[PLATFORM_URL_BYTES];
 
-  x->op.body = claim_body (x->store, x->op.flag);
+  x->op.body = claim_body (x->store, x->op.flag, x->op.number);
   platform_append_url (url, x->store->address, &a);
   start_call (x->store, "POST", url, x->op.body, CALL_MS, on_claimed, x);
 }
--- a/adapter/site_store.h
+++ b/adapter/site_store.h
@@ -33,7 +33,7 @@
   uint64_t sequence;  /**< APPEND.  */
   uint64_t at_offset; /**< CLAIM.  */
   bool flag;          /**< CLAIM: released.  FOLLOW: begin.  */
-  uint64_t number;    /**< STATUS: of the wave.  */
+  uint64_t number;    /**< STATUS: of the wave.  CLAIM: processor share.  */
   struct blob *body;  /**< APPEND: records.  */
 };
 
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -799,6 +799,8 @@
         send_append (c);
       return;
     }
+  if (c->tenure.yields)
+    return;
   if (c->flush_now || upkeep_is_dirty (c)
       || (c->dirty->len > 0
           && c->now_us >= c->dirty_us + FLUSH_GAP_MS * US_PER_MS))
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -238,6 +238,7 @@
   uint32_t best_cpu_milli;  /**< The same, as an owner told us last.  */
   uint64_t yield_us;        /**< Next time that we may yield the cell.  */
   uint64_t slow_us;         /**< We are too slow to own it until then.  */
+  bool yields;              /**< As soon as no append is under way.  */
   uint64_t link_down_us;    /**< Down since.  */
   bool join_sent;
   uint64_t join_sent_us;
--- a/core/cell/tenure.c
+++ b/core/cell/tenure.c
@@ -76,6 +76,8 @@
 
   a->u.claim.at_offset = c->tenure.claim_offset;
   a->u.claim.released = released;
+  a->u.claim.best_cpu_milli
+      = MAX (c->tenure.best_cpu_milli, peers_best_milli (c));
 }
 
 /* Goes for the link to the newest claimant, unless it is this entry.  */
@@ -170,6 +172,8 @@
   t->newest_token = e->u.claim.token;
   t->newest_released = e->u.claim.released;
   t->owner_denied = false;
+  if (e->u.claim.best_cpu_milli > 0)
+    t->best_cpu_milli = e->u.claim.best_cpu_milli;
   text_copy (t->newest_member, NAME_BYTES, e->u.claim.member);
   text_copy (t->owner_address, ADDRESS_BYTES, e->u.claim.address);
   cell_log (c, "claim_seen", 0,
@@ -436,11 +440,13 @@
   best_milli = peers_best_milli (c);
   judge_pace (c);
   slow = c->pace.slow && peers_other_milli (c) >= c->settings.cpu_milli;
-  if ((best_milli < WEAK_PART * c->settings.cpu_milli && !slow)
-      || t->degraded_told || c->append.in_flight
-      || c->now_us < t->claimed_us + YIELD_AFTER_MS * US_PER_MS
-      || c->now_us < t->yield_us)
+  t->yields = (best_milli >= WEAK_PART * c->settings.cpu_milli || slow)
+              && !t->degraded_told
+              && c->now_us >= t->claimed_us + YIELD_AFTER_MS * US_PER_MS
+              && c->now_us >= t->yield_us;
+  if (!t->yields || c->append.in_flight)
     return;
+  t->yields = false;
   t->yield_us = c->now_us + YIELD_GAP_MS * US_PER_MS;
   t->best_cpu_milli = MAX (t->best_cpu_milli, best_milli);
   c->pace.slow = false;
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -105,6 +105,7 @@
     {
       uint64_t at_offset; /**< Valid only if the topic ends there.  */
       bool released;
+      uint32_t best_cpu_milli; /**< Largest processor share known.  */
     } claim;
     uint64_t token;
     struct
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -303,6 +303,7 @@
       char member[NAME_BYTES];
       char address[ADDRESS_BYTES]; /**< Of the holder's relay.  */
       bool released;               /**< It stopped as planned.  */
+      uint32_t best_cpu_milli; /**< Largest share known there; 0: not said. */
     } claim;
     struct
     {
