--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -419,9 +419,13 @@
     }
   if (c->now_us < m->turn_us + TURN_GAP_MS * US_PER_MS)
     {
-      if (m->need_count > m->peak_count + PEAK_STEP_COUNT)
+      uint32_t count
+          = vms_for (m, m->lasting_milli + m->short_milli
+                            + MIN (m->waiting_milli, m->short_milli / 2));
+
+      if (count > m->peak_count + PEAK_STEP_COUNT)
         c->upkeep->pools->dirty = true;
-      m->peak_count = MAX (m->peak_count, m->need_count);
+      m->peak_count = MAX (m->peak_count, count);
     }
   if (high)
     m->high_us = c->now_us;
