--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -262,7 +262,7 @@
       tenure_on_claimed (c, e);
       break;
     case CELL_APPENDED:
-      jobs_on_appended (c, e->u.appended.sequence, e->u.appended.outcome);
+      records_on_appended (c, e->u.appended.sequence, e->u.appended.outcome);
       break;
     case CELL_RECOVERED:
       tenure_on_recovered (c, e);
@@ -277,7 +277,7 @@
       runners_on_result (c, &e->u.result);
       break;
     case CELL_VMS:
-      upkeep_on_vms (c, e);
+      fleet_on_vms (c, e);
       break;
     case CELL_VM_RESULT:
       upkeep_on_result (c, e);
--- a/core/cell/cell.h
+++ b/core/cell/cell.h
@@ -1,10 +1,12 @@
 /* cell.h -- the decisions of one entry on jobs, runners and VMs.
 
    cell_step is a pure function of the state and the event.  Every entry takes
-   calls (gate.c); the one that the store's group names owns the cell
-   (tenure.c) and has, besides, the jobs (jobs.c), their tasks (tasks.c), the
-   runners (runners.c), placement (dispatch.c, place.c), serving tasks and
-   fillers (serving.c), and maintenance and pool sizes (upkeep.c).  */
+   calls (gate.c) and knows the entries linked to it (peers.c); the one that
+   the store's group names owns the cell (tenure.c) and has, besides, the jobs
+   and their records (jobs.c, records.c), their tasks (tasks.c), the runners
+   (runners.c), placement (dispatch.c, place.c), serving tasks and fillers
+   (serving.c), the VMs (fleet.c), maintenance (upkeep.c) and pool sizes
+   (demand.c, pools.c).  */
 
 #ifndef FTK_CORE_CELL_CELL_H
 #define FTK_CORE_CELL_CELL_H
--- /dev/null
+++ b/core/cell/demand.c
@@ -0,0 +1,476 @@
+/* demand.c -- how many VMs each pool needs.
+
+   Load that it answers: the queues' demand rises in turns to five times its
+   mean for some seconds and falls to a twentieth.  The need is what runs and
+   what waits and can be on time, or what arrives.  When a turn has come twice,
+   or each pool's once, the next ones are expected, and what ran in the last
+   one is needed ahead of them.  */
+
+#include "core/cell/demand.h"
+#include "core/cell/fleet.h"
+
+#include <string.h>
+
+/** Work that waits is to be done within this.  */
+#define CLEAR_MS 1000
+/** Part of a pool's room that tasks can fill, in percent.  */
+#define FILL_PERCENT 90
+/** Need in VMs from which, and by how much above the mean, a turn begins.  */
+#define TURN_LOW_COUNT 3
+#define TURN_FACTOR 2
+/** And part of the VMs that the pool had at first: a turn asks for more than
+    it holds (the users' pages), a single large job for much less.  */
+#define TURN_PERCENT 40
+/** A turn's beginning is no other one's for this long.  */
+#define TURN_GAP_MS 6000
+/** A turn is over when its need has been low for this long; until then a rise
+    belongs to it.  */
+#define TURN_REST_MS 2500
+/** VMs of an idle pool that stay beyond its need.  */
+#define RESERVE_COUNT 1
+/** Before a pool's first turn is seen it keeps this part of its VMs.  */
+#define UNKNOWN_PERCENT 60
+/** An expected turn is prepared this long before: a move and what it takes
+    until the runner is known; and it is believed for a while.  */
+#define PREPARE_MS 2600
+#define BELIEVE_MS 1200
+/** No turn is expected once nothing has come in for this long: some pool
+   always has one while demand goes on.  */
+#define DEMAND_OVER_MS 1500
+/** Weight of the newest need in the mean: one part in this.  */
+#define MEAN_PART 64
+/** A peak that rises by more is stored again.  */
+#define PEAK_STEP_COUNT 3
+
+/** Arrivals are counted by this span, and believed from this many jobs on: a
+    single large one is no turn.  */
+#define BUCKET_MS 100
+#define ARRIVAL_LOW_COUNT 4
+/** The same for a part of that span.  */
+#define ARRIVAL_SHORT_COUNT 12
+
+struct pool_plan *
+pools_new (struct upkeep *u)
+{
+  return talloc_zero (u, struct pool_plan);
+}
+
+void
+pools_clear (struct cell *c)
+{
+  memset (c->upkeep->pools, 0, sizeof *c->upkeep->pools);
+}
+
+static struct pool_memory *
+find_pool (struct cell *c, const char *name)
+{
+  struct pool_plan *p = c->upkeep->pools;
+  const struct site_pool *s;
+  uint32_t i;
+
+  for (i = 0; i < p->pool_count; i++)
+    if (strcmp (p->pools[i].name, name) == 0)
+      return &p->pools[i];
+  s = cell_pool (c, name);
+  if (s == NULL || p->pool_count == POOL_LIMIT_COUNT)
+    return NULL;
+  text_copy (p->pools[p->pool_count].name, NAME_BYTES, name);
+  p->pools[p->pool_count].spare = s->spare;
+  return &p->pools[p->pool_count++];
+}
+
+bool
+pools_dirty (const struct cell *c)
+{
+  return c->upkeep->pools->dirty;
+}
+
+/* Returns the wall clock at AT_US, or 0 for none.  */
+static uint64_t
+to_wall_ms (const struct cell *c, uint64_t at_us)
+{
+  return at_us != 0 ? c->wall_ms - (c->now_us - at_us) / US_PER_MS : 0;
+}
+
+static uint64_t
+from_wall_ms (const struct cell *c, uint64_t at_ms)
+{
+  uint64_t age_us = c->wall_ms > at_ms ? (c->wall_ms - at_ms) * US_PER_MS : 0;
+
+  return at_ms != 0 && c->now_us > age_us ? c->now_us - age_us : 0;
+}
+
+void
+pools_add_item (struct cell *c, struct append *a)
+{
+  struct pool_plan *p = c->upkeep->pools;
+  struct work_item *x = records_add_item (a);
+  uint32_t i;
+
+  p->dirty = false;
+  x->kind = WORK_PLAN;
+  x->pool_count = p->pool_count;
+  x->pools = talloc_zero_array (a->items, struct pool_history, p->pool_count);
+  for (i = 0; i < p->pool_count; i++)
+    {
+      const struct pool_memory *m = &p->pools[i];
+      struct pool_history *h = &x->pools[i];
+
+      text_copy (h->name, NAME_BYTES, m->name);
+      h->turn_ms = to_wall_ms (c, m->turn_us);
+      h->before_ms = to_wall_ms (c, m->before_us);
+      h->peak_count = m->peak_count;
+      h->first_count = m->first_count;
+      h->mean_milli = m->mean_milli;
+    }
+}
+
+void
+pools_take_row (struct cell *c, const struct work_row *r)
+{
+  uint32_t i;
+
+  for (i = 0; i < r->pool_count; i++)
+    {
+      const struct pool_history *h = &r->pools[i];
+      struct pool_memory *m = find_pool (c, h->name);
+
+      if (m == NULL)
+        continue;
+      m->turn_us = from_wall_ms (c, h->turn_ms);
+      m->before_us = from_wall_ms (c, h->before_ms);
+      m->peak_count = h->peak_count;
+      m->first_count = h->first_count;
+      m->mean_milli = h->mean_milli;
+    }
+}
+
+static void
+count_vms (struct cell *c)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, c->upkeep->vms);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct vm *v = value;
+      struct pool_memory *m
+          = find_pool (c, v->moving ? v->target : v->row.pool);
+
+      if (m == NULL)
+        continue;
+      m->listed_count++;
+      if (v->row.up || v->phase == VM_AWAY)
+        m->vm_count++;
+    }
+}
+
+static void
+count_running (struct cell *c)
+{
+  GHashTableIter it;
+  gpointer value;
+  guint i;
+
+  g_hash_table_iter_init (&it, c->runners);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct runner *r = value;
+      struct pool_memory *m = find_pool (c, r->report.pool);
+
+      if (m == NULL)
+        continue;
+      m->room_milli = MAX (m->room_milli, r->report.room.cpu_milli);
+      for (i = 0; i < r->tasks->len; i++)
+        {
+          const struct task *t = g_ptr_array_index (r->tasks, i);
+          const struct job_step *s = t->step->spec;
+
+          if (s->filler)
+            continue;
+          if (s->long_running)
+            m->lasting_milli += s->need.cpu_milli;
+          else if (task_job (t)->urgency <= URGENCY_NEW)
+            m->short_milli += s->need.cpu_milli;
+        }
+    }
+}
+
+static void
+count_waiting_step (struct cell *c, struct pool_memory *m, const struct job *j,
+                    struct work_step *w)
+{
+  uint64_t milli = w->waiting_count * w->spec->need.cpu_milli;
+
+  if (!w->ready || w->spec->filler)
+    return;
+  if (w->spec->long_running)
+    m->lasting_milli += milli;
+  else if (j->urgency <= URGENCY_NEW)
+    m->waiting_milli
+        += MIN (milli * place_step_us (c, w) / (CLEAR_MS * US_PER_MS), milli);
+}
+
+static void
+count_waiting (struct cell *c)
+{
+  guint i;
+  uint32_t o;
+  uint32_t s;
+
+  for (i = 0; i < c->active->len; i++)
+    {
+      const struct job *j = g_ptr_array_index (c->active, i);
+      const struct site_queue *q = cell_queue (c, j->queue);
+      struct pool_memory *m = q != NULL ? find_pool (c, q->pool) : NULL;
+
+      for (o = 0; m != NULL && o < j->occurrence_count; o++)
+        for (s = 0; s < j->spec->step_count; s++)
+          count_waiting_step (c, m, j, &j->occurrences[o]->steps[s]);
+    }
+}
+
+/* Clears the buckets that time has passed over.  */
+static void
+turn_buckets (const struct cell *c, struct pool_memory *m)
+{
+  uint64_t now = c->now_us / (BUCKET_MS * US_PER_MS);
+
+  if (now > m->bucket + BUCKET_COUNT)
+    m->bucket = now - BUCKET_COUNT;
+  while (m->bucket < now)
+    {
+      m->bucket++;
+      m->arrived_us[m->bucket % BUCKET_COUNT] = 0;
+      m->arrived_count[m->bucket % BUCKET_COUNT] = 0;
+    }
+}
+
+void
+pools_note_arrival (struct cell *c, const struct job *j)
+{
+  const struct site_queue *q = cell_queue (c, j->queue);
+  struct pool_memory *m = q != NULL ? find_pool (c, q->pool) : NULL;
+  uint64_t work_us = 0;
+  uint64_t long_us = 0;
+  uint32_t s;
+
+  if (m == NULL || j->excess || j->spec->steps[0].long_running)
+    return;
+  c->upkeep->pools->arrival_us = c->now_us;
+  turn_buckets (c, m);
+  m->arrived_count[m->bucket % BUCKET_COUNT]++;
+  for (s = 0; s < j->spec->step_count; s++)
+    {
+      const struct job_step *step = &j->spec->steps[s];
+      uint64_t task_us = place_task_us (c, j, step);
+
+      work_us += step->task_count * step->need.cpu_milli * task_us / 1000;
+      long_us += task_us;
+    }
+  /* What a job does later than a VM can come is not yet asked for.  */
+  if (long_us > PREPARE_MS * US_PER_MS)
+    work_us = work_us * (PREPARE_MS * US_PER_MS / 1000) / (long_us / 1000);
+  m->arrived_us[m->bucket % BUCKET_COUNT] += work_us;
+}
+
+/* Returns the cores, in thousandths, that the newest arrivals keep busy: the
+   whole need of a turn is seen so before its work has piled up.  */
+uint64_t
+demand_arriving_milli (const struct cell *c, struct pool_memory *m)
+{
+  uint64_t most_milli = 0;
+  uint64_t sum_us = 0;
+  uint32_t count = 0;
+  uint32_t i;
+
+  turn_buckets (c, m);
+  for (i = 0; i < BUCKET_COUNT && i <= m->bucket; i++)
+    {
+      uint32_t k = (uint32_t)((m->bucket - i) % BUCKET_COUNT);
+
+      sum_us += m->arrived_us[k];
+      count += m->arrived_count[k];
+      /* The newest bucket is not full yet.  A short span must show more.  */
+      if (i == BUCKET_COUNT - 1 ? count >= ARRIVAL_LOW_COUNT
+                                : i > 0 && count >= ARRIVAL_SHORT_COUNT)
+        most_milli = MAX (most_milli, sum_us / (i * BUCKET_MS));
+    }
+  return most_milli;
+}
+
+static uint32_t
+vms_for (const struct pool_memory *m, uint64_t milli)
+{
+  uint64_t room = m->room_milli * FILL_PERCENT / 100;
+
+  return room > 0 ? (uint32_t)((milli + room - 1) / room) : 0;
+}
+
+/* Returns the time between two turns of the same pool, or 0.  */
+static uint64_t
+cycle_us (const struct pool_plan *p)
+{
+  uint64_t first_us = UINT64_MAX;
+  uint64_t last_us = 0;
+  uint32_t seen = 0;
+  uint32_t used = 0;
+  uint32_t i;
+
+  for (i = 0; i < p->pool_count; i++)
+    {
+      const struct pool_memory *m = &p->pools[i];
+
+      if (m->spare || m->mean_milli == 0)
+        continue;
+      used++;
+      if (m->before_us != 0)
+        return m->turn_us - m->before_us;
+      if (m->turn_us == 0)
+        continue;
+      seen++;
+      first_us = MIN (first_us, m->turn_us);
+      last_us = MAX (last_us, m->turn_us);
+    }
+  /* Each has had one: the turns follow each other at even distances.  */
+  return seen == used && seen > 2 ? (last_us - first_us) / (seen - 1) * seen
+                                  : 0;
+}
+
+static void
+watch_turn (struct cell *c, struct pool_memory *m)
+{
+  uint64_t need_milli = (uint64_t)m->short_count * 1000;
+  uint32_t low_count
+      = MAX (TURN_LOW_COUNT, m->first_count * TURN_PERCENT / 100);
+  bool high = m->short_count >= low_count
+              && need_milli > TURN_FACTOR * m->mean_milli;
+
+  if (m->mean_milli == 0)
+    m->mean_milli = need_milli;
+  m->mean_milli += need_milli / MEAN_PART;
+  m->mean_milli -= m->mean_milli / MEAN_PART;
+  if (high && c->now_us > m->turn_us + TURN_GAP_MS * US_PER_MS
+      && c->now_us > m->high_us + TURN_REST_MS * US_PER_MS)
+    {
+      m->before_us = m->turn_us;
+      m->turn_us = c->now_us;
+      cell_log (
+          c, "turn_begun", 0,
+          "\"pool\":\"%s\",\"needs\":%u,\"mean_milli\":%llu,"
+          "\"after_ms\":%llu,\"peak_before\":%u",
+          m->name, m->need_count, (unsigned long long)m->mean_milli,
+          (unsigned long long)(m->before_us != 0
+                                   ? (m->turn_us - m->before_us) / US_PER_MS
+                                   : 0),
+          m->peak_count);
+      m->peak_count = 0;
+      c->upkeep->pools->dirty = true;
+    }
+  if (c->now_us < m->turn_us + TURN_GAP_MS * US_PER_MS)
+    {
+      uint32_t count
+          = vms_for (m, m->lasting_milli + m->short_milli
+                            + MIN (m->waiting_milli, m->short_milli / 2));
+
+      if (count > m->peak_count + PEAK_STEP_COUNT)
+        c->upkeep->pools->dirty = true;
+      m->peak_count = MAX (m->peak_count, count);
+    }
+  if (high)
+    m->high_us = c->now_us;
+}
+
+/* When all pools but M have had a turn, at even distances, M's is next.  */
+static void
+expect_last (const struct cell *c, struct pool_memory *m)
+{
+  const struct pool_plan *p = c->upkeep->pools;
+  uint64_t first_us = UINT64_MAX;
+  uint64_t last_us = 0;
+  uint64_t at_us;
+  uint32_t seen = 0;
+  uint32_t peak_sum = 0;
+  uint32_t i;
+
+  for (i = 0; i < p->pool_count; i++)
+    {
+      const struct pool_memory *o = &p->pools[i];
+
+      if (o == m || o->spare)
+        continue;
+      if (o->turn_us == 0 || o->before_us != 0)
+        return;
+      seen++;
+      peak_sum += o->peak_count;
+      first_us = MIN (first_us, o->turn_us);
+      last_us = MAX (last_us, o->turn_us);
+    }
+  if (seen < 2)
+    return;
+  at_us = last_us + (last_us - first_us) / (seen - 1);
+  if (c->now_us + PREPARE_MS * US_PER_MS >= at_us
+      && c->now_us < at_us + BELIEVE_MS * US_PER_MS)
+    m->need_count = MAX (m->need_count, peak_sum / seen);
+}
+
+/* Raises the need of pools whose turn is expected.  */
+static void
+expect_turn (const struct cell *c, struct pool_memory *m, uint64_t cycle)
+{
+  uint64_t at_us = m->turn_us + cycle;
+
+  if (cycle == 0 || m->turn_us == 0
+      || c->now_us + PREPARE_MS * US_PER_MS < at_us
+      || c->now_us > at_us + BELIEVE_MS * US_PER_MS)
+    return;
+  m->need_count = MAX (m->need_count, m->peak_count);
+}
+
+void
+demand_look (struct cell *c)
+{
+  struct pool_plan *p = c->upkeep->pools;
+  bool demand = c->now_us < p->arrival_us + DEMAND_OVER_MS * US_PER_MS;
+  uint64_t cycle;
+  uint32_t i;
+
+  for (i = 0; i < p->pool_count; i++)
+    {
+      p->pools[i].vm_count = 0;
+      p->pools[i].listed_count = 0;
+      p->pools[i].lasting_milli = 0;
+      p->pools[i].short_milli = 0;
+      p->pools[i].waiting_milli = 0;
+    }
+  count_vms (c);
+  count_running (c);
+  count_waiting (c);
+  cycle = cycle_us (p);
+  for (i = 0; i < p->pool_count; i++)
+    {
+      struct pool_memory *m = &p->pools[i];
+      uint64_t short_milli;
+
+      if (m->first_count == 0)
+        m->first_count = m->listed_count;
+      short_milli = MAX (m->short_milli + m->waiting_milli,
+                         demand_arriving_milli (c, m));
+      m->short_count = vms_for (m, short_milli);
+      m->need_count = vms_for (m, m->lasting_milli + short_milli);
+      watch_turn (c, m);
+      if (demand)
+        expect_turn (c, m, cycle);
+      if (demand && m->turn_us == 0 && !m->spare)
+        expect_last (c, m);
+      m->keep_count = m->need_count + RESERVE_COUNT;
+      if (m->turn_us == 0 && !m->spare)
+        m->keep_count
+            = MAX (m->keep_count, m->first_count * UNKNOWN_PERCENT / 100);
+      if (m->keep_count >= m->vm_count)
+        m->busy_us = c->now_us;
+      if (m->need_count >= m->vm_count)
+        m->full_us = c->now_us;
+    }
+}
--- /dev/null
+++ b/core/cell/fleet.c
@@ -0,0 +1,181 @@
+/* fleet.c -- the VMs of a cell: what the platform lists, and orders for them.
+
+   The store's list of runners and the platform's list of VMs each lack some at
+   times; what a former owner may have used is known from both together.  */
+
+#include "core/cell/fleet.h"
+
+#include <string.h>
+
+/** The wall clocks of runners and entries differ by less.  */
+#define CLOCK_DIFFERENCE_MS 1000
+/** A VM that shows its old runner so long after its maintenance had none.  */
+#define SAME_RUNNER_MS 1500
+
+struct vm *
+fleet_find (const struct upkeep *u, const char *name)
+{
+  return g_hash_table_lookup (u->vms, name);
+}
+
+struct runner *
+fleet_runner (const struct cell *c, const struct vm *v)
+{
+  return v->row.runner[0] != '\0'
+             ? g_hash_table_lookup (c->runners, v->row.runner)
+             : NULL;
+}
+
+void
+fleet_give_back (struct cell *c, struct vm *v)
+{
+  struct runner *r = fleet_runner (c, v);
+
+  v->phase = VM_IDLE;
+  v->moving = false;
+  v->target[0] = '\0';
+  if (r != NULL)
+    r->emptying = false;
+  c->dispatch_due = true;
+}
+
+static void
+clear_up (struct cell *c)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, c->runners);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    ((struct runner *)value)->vm_up = false;
+}
+
+void
+fleet_on_vms (struct cell *c, const struct cell_event *e)
+{
+  struct upkeep *u = c->upkeep;
+  uint32_t up_count = 0;
+  uint32_t i;
+
+  u->list_asked = false;
+  if (!cell_owns (c) || !e->u.vms.answered)
+    return;
+  u->listed = true;
+  u->listed_us = u->list_us;
+  clear_up (c);
+  for (i = 0; i < e->u.vms.row_count; i++)
+    {
+      const struct vm_row *row = &e->u.vms.rows[i];
+      struct vm *v = fleet_find (u, row->vm);
+      struct runner *r;
+
+      if (v == NULL)
+        {
+          v = talloc_zero (u, struct vm);
+          v->row = *row;
+          text_copy (v->first_runner, NAME_BYTES, row->runner);
+          g_hash_table_insert (u->vms, v->row.vm, v);
+        }
+      text_copy (v->row.pool, NAME_BYTES, row->pool);
+      text_copy (v->row.runner, NAME_BYTES, row->runner);
+      v->row.up = row->up;
+      up_count += row->up;
+      r = fleet_runner (c, v);
+      if (r != NULL)
+        {
+          text_copy (r->vm, NAME_BYTES, v->row.vm);
+          r->vm_up = row->up;
+        }
+      /* The same runner is there still: the platform had done it before.  */
+      if (v->phase == VM_AWAY && row->up && c->now_us >= v->away_until_us
+          && (strcmp (row->runner, v->old_runner) != 0
+              || c->now_us >= v->away_until_us + SAME_RUNNER_MS * US_PER_MS))
+        fleet_give_back (c, v);
+    }
+  if (up_count != u->up_count)
+    cell_log (c, "vms_listed", 0, "\"vms\":%u,\"up\":%u", e->u.vms.row_count,
+              up_count);
+  u->up_count = up_count;
+}
+
+void
+fleet_order (struct cell *c, struct vm *v)
+{
+  struct cell_action *a = cell_do (c, CELL_DO_VM);
+
+  a->u.vm.is_move = v->moving;
+  text_copy (a->u.vm.vm, NAME_BYTES, v->row.vm);
+  text_copy (a->u.vm.pool, NAME_BYTES, v->target);
+  a->u.vm.wave = v->wave;
+  a->u.vm.token = c->tenure.token;
+  v->phase = VM_ORDERED;
+  v->order_us = c->now_us;
+  cell_log (c, v->moving ? "move_ordered" : "upkeep_ordered", 0,
+            "\"vm\":\"%s\",\"wave\":%llu,\"from\":\"%s\",\"to\":\"%s\","
+            "\"token\":%llu",
+            v->row.vm, (unsigned long long)v->wave, v->row.pool, v->target,
+            (unsigned long long)c->tenure.token);
+}
+
+bool
+fleet_is_gone (const struct cell *c, const struct runner *r)
+{
+  return c->upkeep->listed && !r->vm_up && r->heard_us < c->upkeep->listed_us;
+}
+
+/* The store's list may lack runners whose entries lapsed while it was away,
+   and the platform's list those that began after the first reading; both
+   together name each boot that a former owner can have known.  */
+bool
+fleet_unseen (const struct cell *c, const char *pool)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  if (!c->runners_known || !c->upkeep->listed)
+    return true;
+  g_hash_table_iter_init (&it, c->runners);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct runner *r = value;
+
+      /* One that was born after the claim never had an older order.  */
+      if (!r->met && strcmp (r->report.pool, pool) == 0
+          && !fleet_is_gone (c, r)
+          && r->report.born_ms < c->tenure.claimed_ms + CLOCK_DIFFERENCE_MS)
+        return true;
+    }
+  g_hash_table_iter_init (&it, c->upkeep->vms);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct vm *v = value;
+
+      if (v->row.up && v->first_runner[0] != '\0'
+          && strcmp (v->row.runner, v->first_runner) == 0
+          && strcmp (v->row.pool, pool) == 0 && fleet_runner (c, v) == NULL)
+        return true;
+    }
+  return false;
+}
+
+bool
+fleet_is_known (const struct cell *c, const struct vm *v)
+{
+  const struct runner *r = fleet_runner (c, v);
+
+  if (fleet_is_spare (c, v))
+    return true;
+  /* One that is not listed may be cut off from the store and still run what a
+     former owner started.  */
+  if (r == NULL)
+    return c->runners_known && c->now_us >= c->tenure.doubt_us;
+  return r->met && (r->miss_count == 0 || r->tasks->len == 0);
+}
+
+bool
+fleet_is_spare (const struct cell *c, const struct vm *v)
+{
+  const struct site_pool *p = cell_pool (c, v->row.pool);
+
+  return p != NULL && p->spare;
+}
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -1,5 +1,5 @@
-/* fleet.h -- the VMs of a cell, shared by waves (upkeep.c) and pool sizes
-   (pools.c).  */
+/* fleet.h -- the VMs of a cell (fleet.c), shared by waves (upkeep.c) and pool
+   sizes (pools.c, demand.c).  */
 
 #ifndef FTK_CORE_CELL_FLEET_H
 #define FTK_CORE_CELL_FLEET_H
@@ -44,6 +44,8 @@
   uint64_t listed_us; /**< The newest list was asked for then.  */
 };
 
+/** Returns the VM of that name, or NULL.  */
+struct vm *fleet_find (const struct upkeep *u, const char *name);
 /** Returns the runner on V, or NULL.  */
 struct runner *fleet_runner (const struct cell *c, const struct vm *v);
 /** Returns true if the platform's list, read after R was last heard of, has no
--- /dev/null
+++ b/core/cell/records.c
@@ -0,0 +1,358 @@
+/* records.c -- the durable records of the owner's jobs.
+
+   The owner's appends are numbered and go one at a time, so one without an
+   answer is repeated as it was.  What ended is durable before a runner may
+   forget it.  A new owner reads the records back.  */
+
+#include "core/cell/state.h"
+
+#include <string.h>
+
+/** Most records in one append; the rest goes with the next.  */
+#define APPEND_LIMIT_COUNT 400
+/** An append without an answer is repeated after this.  */
+#define APPEND_RETRY_MS 300
+
+static uint32_t
+task_total (const struct job *j)
+{
+  uint32_t n = 0;
+  uint32_t s;
+
+  for (s = 0; s < j->spec->step_count; s++)
+    n += j->spec->steps[s].task_count;
+  return n * j->occurrence_count;
+}
+
+static void
+fill_progress (const struct job *j, struct work_item *x, TALLOC_CTX *mem)
+{
+  uint32_t i;
+  uint32_t s;
+  uint32_t k;
+  uint32_t n = 0;
+
+  x->task_count = task_total (j);
+  x->tasks = talloc_zero_array (mem, struct task_progress, x->task_count);
+  for (i = 0; i < j->occurrence_count; i++)
+    for (s = 0; s < j->spec->step_count; s++)
+      for (k = 0; k < j->spec->steps[s].task_count; k++)
+        {
+          const struct task *t = &j->occurrences[i]->steps[s].tasks[k];
+
+          x->tasks[n].done = t->phase == TASK_DONE;
+          x->tasks[n].failed_count = (uint8_t)MIN (t->failed_count, 255);
+          memcpy (x->tasks[n].failed_runs, t->failed_runs,
+                  sizeof t->failed_runs);
+          n++;
+        }
+}
+
+struct work_item *
+records_add_item (struct append *a)
+{
+  struct work_item *x;
+
+  a->items
+      = talloc_realloc (NULL, a->items, struct work_item, a->item_count + 1);
+  if (a->items == NULL)
+    out_of_memory ();
+  x = &a->items[a->item_count++];
+  memset (x, 0, sizeof *x);
+  return x;
+}
+
+static void
+add_job_items (struct cell *c, struct job *j)
+{
+  struct append *a = &c->append;
+  struct work_item *x = records_add_item (a);
+
+  x->job = j->id;
+  x->state = j->state;
+  x->final = j->final;
+  x->ended_ms = j->ended_ms;
+  if (!j->stored)
+    {
+      x->kind = WORK_JOB;
+      x->queue = j->queue;
+      x->tenant = j->tenant;
+      x->accepted_ms = j->accepted_ms;
+      x->spec = j->spec;
+      return;
+    }
+  x->kind = WORK_PROGRESS;
+  if (!j->final)
+    {
+      fill_progress (j, x, a->items);
+      return;
+    }
+  x = records_add_item (a);
+  x->kind = WORK_DROP_JOB;
+  x->job = j->id;
+}
+
+void
+records_note_marks (struct cell *c)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  g_array_set_size (c->append.marks, 0);
+  g_hash_table_iter_init (&it, c->runners);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct runner *r = value;
+      struct mark m
+          = { .born_ms = r->report.born_ms, .number = r->seen_number };
+
+      if (r->seen_number == r->stored_number)
+        continue;
+      text_copy (m.runner, NAME_BYTES, r->report.id);
+      g_array_append_val (c->append.marks, m);
+    }
+}
+
+void
+records_send (struct cell *c)
+{
+  struct cell_action *a = cell_do (c, CELL_DO_APPEND);
+
+  a->u.append.token = c->tenure.token;
+  a->u.append.sequence = c->append.sequence;
+  a->u.append.items = c->append.items;
+  a->u.append.item_count = c->append.item_count;
+  c->append.sent_us = c->now_us;
+  c->append.retry_us = 0;
+  c->metrics.counters[CELL_COUNT_APPENDS]++;
+}
+
+void
+records_flush (struct cell *c)
+{
+  struct append *a = &c->append;
+  guint i;
+
+  a->in_flight = true;
+  a->sequence++;
+  TALLOC_FREE (a->items);
+  a->item_count = 0;
+  g_array_set_size (a->jobs, 0);
+  for (i = 0; i < c->dirty->len && a->item_count < APPEND_LIMIT_COUNT; i++)
+    {
+      uint64_t id = g_array_index (c->dirty, uint64_t, i);
+      struct job *j = jobs_find (c, id);
+
+      if (j == NULL)
+        continue;
+      j->dirty = false;
+      g_array_append_val (a->jobs, id);
+      add_job_items (c, j);
+    }
+  g_array_remove_range (c->dirty, 0, i);
+  upkeep_add_items (c, a);
+  /* Ends are durable only if no job is left for the next append.  */
+  g_array_set_size (a->marks, 0);
+  if (c->dirty->len == 0)
+    records_note_marks (c);
+  c->flush_now = c->dirty->len > 0;
+  c->dirty_us = c->now_us;
+  if (a->item_count > 0)
+    records_send (c);
+  else
+    a->in_flight = false;
+}
+
+void
+records_apply_marks (struct cell *c)
+{
+  guint i;
+
+  for (i = 0; i < c->append.marks->len; i++)
+    {
+      struct mark *m = &g_array_index (c->append.marks, struct mark, i);
+      struct runner *r = g_hash_table_lookup (c->runners, m->runner);
+
+      if (r != NULL && r->report.born_ms == m->born_ms
+          && m->number > r->stored_number)
+        r->stored_number = m->number;
+    }
+}
+
+void
+records_on_appended (struct cell *c, uint64_t sequence,
+                     enum append_outcome outcome)
+{
+  struct append *a = &c->append;
+  guint i;
+
+  if (!cell_owns (c) || !a->in_flight || sequence != a->sequence)
+    return;
+  switch (outcome)
+    {
+    case APPEND_FENCED:
+      tenure_lose (c, "append_fenced");
+      return;
+    case APPEND_NOTHING:
+    case APPEND_UNKNOWN:
+      cell_log (c, "append_unanswered", 0, "\"sequence\":%llu,\"outcome\":%u",
+                (unsigned long long)sequence, outcome);
+      a->retry_us = c->now_us + APPEND_RETRY_MS * US_PER_MS;
+      return;
+    case APPEND_STORED:
+      break;
+    }
+  a->in_flight = false;
+  for (i = 0; i < a->jobs->len; i++)
+    {
+      struct job *j = jobs_find (c, g_array_index (a->jobs, uint64_t, i));
+
+      if (j != NULL)
+        jobs_on_stored (c, j);
+    }
+  records_apply_marks (c);
+}
+
+/* Puts back what the record R tells of the tasks of J.  */
+static void
+take_progress (struct cell *c, struct job *j, const struct work_row *r)
+{
+  uint32_t per_occurrence = 0;
+  uint32_t n = 0;
+  uint32_t s;
+  uint32_t k;
+  uint32_t f;
+
+  for (s = 0; s < j->spec->step_count; s++)
+    per_occurrence += j->spec->steps[s].task_count;
+  while (n < r->task_count && per_occurrence > 0)
+    {
+      struct occurrence *o = jobs_add_occurrence (c, j, j->occurrence_count);
+
+      for (s = 0; s < j->spec->step_count; s++)
+        for (k = 0; k < j->spec->steps[s].task_count && n < r->task_count;
+             k++, n++)
+          {
+            struct task *t = &o->steps[s].tasks[k];
+
+            t->failed_count = r->tasks[n].failed_count;
+            memcpy (t->failed_runs, r->tasks[n].failed_runs,
+                    sizeof t->failed_runs);
+            for (f = 0; f < FAILED_RUN_COUNT; f++)
+              t->run
+                  = MAX (t->run, (uint32_t)t->failed_runs[f] + RUN_GAP_COUNT);
+            if (t->failed_count > 0 || r->tasks[n].done)
+              j->started = true;
+            if (r->tasks[n].done)
+              task_done (c, t);
+          }
+    }
+}
+
+void
+records_take_row (struct cell *c, struct work_row *r)
+{
+  struct job *j;
+
+  if (r->is_plan)
+    {
+      pools_take_row (c, r);
+      return;
+    }
+  if (r->is_wave)
+    {
+      upkeep_take_row (c, r);
+      return;
+    }
+  j = jobs_find (c, r->job);
+  if (j == NULL)
+    j = jobs_new (c, r->job);
+  j->old = true;
+  j->stored = true;
+  if (r->is_job)
+    {
+      if (j->final)
+        return;
+      text_copy (j->queue, NAME_BYTES, r->queue);
+      text_copy (j->tenant, NAME_BYTES, r->tenant);
+      talloc_free (j->spec);
+      j->spec = talloc_steal (j, r->spec);
+      r->spec = NULL;
+      j->accepted_ms = r->accepted_ms;
+    }
+  else if (r->final)
+    {
+      j->final = true;
+      j->end_stored = true;
+      j->state = r->state;
+      j->ended_ms = r->ended_ms;
+      TALLOC_FREE (j->spec);
+    }
+  else if (r->task_count > 0)
+    {
+      /* Kept until the job's own record is here.  */
+      talloc_free (j->progress);
+      j->progress = talloc_memdup (j, r, sizeof *r);
+      j->progress->tasks = talloc_steal (j->progress, r->tasks);
+      r->tasks = NULL;
+    }
+}
+
+static int
+by_acceptance (gconstpointer a, gconstpointer b)
+{
+  const struct job *x = *(struct job *const *)a;
+  const struct job *y = *(struct job *const *)b;
+
+  if (x->accepted_ms != y->accepted_ms)
+    return x->accepted_ms < y->accepted_ms ? -1 : 1;
+  return x->id < y->id ? -1 : x->id > y->id;
+}
+
+/* Sets up J, read back from its records.  */
+static void
+recover_job (struct cell *c, struct job *j)
+{
+  uint64_t age_ms
+      = c->wall_ms > j->accepted_ms ? c->wall_ms - j->accepted_ms : 0;
+
+  j->accepted_us
+      = c->now_us > age_ms * US_PER_MS ? c->now_us - age_ms * US_PER_MS : 0;
+  j->sent_us = j->accepted_us;
+  if (j->progress != NULL)
+    take_progress (c, j, j->progress);
+  TALLOC_FREE (j->progress);
+  if (j->final)
+    return;
+  jobs_open_due (c, j);
+  jobs_activate (c, j);
+}
+
+void
+records_recovered (struct cell *c)
+{
+  GPtrArray *all = g_ptr_array_new ();
+  GHashTableIter it;
+  gpointer value;
+  guint i;
+
+  g_hash_table_iter_init (&it, c->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct job *j = value;
+
+      if (j->final)
+        continue;
+      if (j->spec != NULL)
+        {
+          g_ptr_array_add (all, j);
+          continue;
+        }
+      g_hash_table_iter_remove (&it);
+      talloc_free (j);
+    }
+  g_ptr_array_sort (all, by_acceptance);
+  for (i = 0; i < all->len; i++)
+    recover_job (c, g_ptr_array_index (all, i));
+  g_ptr_array_free (all, TRUE);
+}
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -384,22 +384,44 @@
 /** Returns the same of the linked entries alone; 0: none.  */
 uint32_t peers_other_milli (const struct cell *c);
 
-/* jobs.c: acceptance, states, durable records.  */
+/* jobs.c: acceptance, states.  */
 void jobs_on_call (struct cell *c, bool local, uint64_t link_id,
                    struct job_call *call);
-void jobs_on_appended (struct cell *c, uint64_t sequence,
-                       enum append_outcome outcome);
-void jobs_take_row (struct cell *c, struct work_row *r);
-void jobs_recovered (struct cell *c);
 void jobs_clear (struct cell *c);
 void jobs_mark_dirty (struct cell *c, struct job *j);
 void jobs_end (struct cell *c, struct job *j, enum job_state state);
 void jobs_tick (struct cell *c);
-/** Adds an empty record to A; valid until the next one.  */
-struct work_item *jobs_add_item (struct append *a);
 struct job *jobs_find (const struct cell *c, uint64_t id);
 struct task *jobs_find_task (const struct cell *c, const struct task_id *id);
 
+/** Returns a new job of that id, known to C.  */
+struct job *jobs_new (struct cell *c, uint64_t id);
+/** Makes the tasks of occurrence NUMBER of J.  */
+struct occurrence *jobs_add_occurrence (struct cell *c, struct job *j,
+                                        uint32_t number);
+/** Makes the occurrences of J whose time has come.  */
+void jobs_open_due (struct cell *c, struct job *j);
+/** Puts J among those that are not final.  */
+void jobs_activate (struct cell *c, struct job *j);
+/** The newest record of J is durable.  */
+void jobs_on_stored (struct cell *c, struct job *j);
+
+/* records.c: durable records of jobs.  */
+/** Appends what is dirty; none may be under way.  */
+void records_flush (struct cell *c);
+/** Sends the append under way once more.  */
+void records_send (struct cell *c);
+/** Notes which ends of runs are durable once the next append is.  */
+void records_note_marks (struct cell *c);
+void records_apply_marks (struct cell *c);
+/** Adds an empty record to A; valid until the next one.  */
+struct work_item *records_add_item (struct append *a);
+void records_on_appended (struct cell *c, uint64_t sequence,
+                          enum append_outcome outcome);
+/** Takes a record back, and then all that were read.  */
+void records_take_row (struct cell *c, struct work_row *r);
+void records_recovered (struct cell *c);
+
 /* tasks.c: what becomes of a task.  */
 void task_id_of (const struct task *t, struct task_id *id);
 struct job *task_job (const struct task *t);
@@ -458,10 +480,12 @@
 /** Returns true if T may be stopped without passing its step's limit.  */
 bool serving_may_stop (const struct cell *c, const struct task *t);
 
+/* fleet.c: the platform's list of VMs.  */
+void fleet_on_vms (struct cell *c, const struct cell_event *e);
+
 /* upkeep.c: waves, moves, pool sizes.  */
 struct upkeep *upkeep_new (struct cell *c);
 void upkeep_on_wave (struct cell *c, const struct site_wave *w);
-void upkeep_on_vms (struct cell *c, const struct cell_event *e);
 void upkeep_on_result (struct cell *c, const struct cell_event *e);
 void upkeep_tick (struct cell *c);
 /** Counts J, just accepted, for the demand on its pool.  */
--- a/core/cell/tenure.c
+++ b/core/cell/tenure.c
@@ -366,11 +366,11 @@
       return;
     }
   for (i = 0; i < e->u.recovered.row_count; i++)
-    jobs_take_row (c, &e->u.recovered.rows[i]);
+    records_take_row (c, &e->u.recovered.rows[i]);
   if (!e->u.recovered.last)
     return;
   set_phase (c, TENURE_OWNER);
-  jobs_recovered (c);
+  records_recovered (c);
   c->metrics.counters[CELL_COUNT_TAKEOVERS]++;
   cell_do (c, CELL_DO_FOLLOW)->u.follow = true;
   cell_log (c, "ownership_taken", 0,
--- a/core/cell/upkeep.c
+++ b/core/cell/upkeep.c
@@ -11,8 +11,6 @@
 
 /** Between two readings of the cloud's list while a wave is open.  */
 #define LIST_GAP_MS 700
-/** The wall clocks of runners and entries differ by less.  */
-#define CLOCK_DIFFERENCE_MS 1000
 /** Beyond the platform's gap between two carriers.  */
 #define CARRIER_MARGIN_MS 300
 /** A working pool gives a VM back after about this: emptied and down.  */
@@ -25,8 +23,6 @@
 #define POOL_PART 3
 /** Time that the last of a wave must have in hand: emptying and going down. */
 #define STEP_RESERVE_MS 6000
-/** A VM that shows its old runner so long after its maintenance had none.  */
-#define SAME_RUNNER_MS 1500
 /** An order to the cloud without an answer is repeated after this.  */
 #define VM_RETRY_MS 800
 
@@ -164,7 +160,7 @@
       if (!w->dirty)
         continue;
       w->dirty = false;
-      x = jobs_add_item (a);
+      x = records_add_item (a);
       x->kind = WORK_WAVE;
       x->wave = w->spec.number;
       x->vm_count = w->spec.vm_count;
@@ -199,111 +195,6 @@
             s->limit_count);
 }
 
-static struct vm *
-find_vm (const struct upkeep *u, const char *name)
-{
-  return g_hash_table_lookup (u->vms, name);
-}
-
-struct runner *
-fleet_runner (const struct cell *c, const struct vm *v)
-{
-  return v->row.runner[0] != '\0'
-             ? g_hash_table_lookup (c->runners, v->row.runner)
-             : NULL;
-}
-
-void
-fleet_give_back (struct cell *c, struct vm *v)
-{
-  struct runner *r = fleet_runner (c, v);
-
-  v->phase = VM_IDLE;
-  v->moving = false;
-  v->target[0] = '\0';
-  if (r != NULL)
-    r->emptying = false;
-  c->dispatch_due = true;
-}
-
-static void
-clear_up (struct cell *c)
-{
-  GHashTableIter it;
-  gpointer value;
-
-  g_hash_table_iter_init (&it, c->runners);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    ((struct runner *)value)->vm_up = false;
-}
-
-void
-upkeep_on_vms (struct cell *c, const struct cell_event *e)
-{
-  struct upkeep *u = c->upkeep;
-  uint32_t up_count = 0;
-  uint32_t i;
-
-  u->list_asked = false;
-  if (!cell_owns (c) || !e->u.vms.answered)
-    return;
-  u->listed = true;
-  u->listed_us = u->list_us;
-  clear_up (c);
-  for (i = 0; i < e->u.vms.row_count; i++)
-    {
-      const struct vm_row *row = &e->u.vms.rows[i];
-      struct vm *v = find_vm (u, row->vm);
-      struct runner *r;
-
-      if (v == NULL)
-        {
-          v = talloc_zero (u, struct vm);
-          v->row = *row;
-          text_copy (v->first_runner, NAME_BYTES, row->runner);
-          g_hash_table_insert (u->vms, v->row.vm, v);
-        }
-      text_copy (v->row.pool, NAME_BYTES, row->pool);
-      text_copy (v->row.runner, NAME_BYTES, row->runner);
-      v->row.up = row->up;
-      up_count += row->up;
-      r = fleet_runner (c, v);
-      if (r != NULL)
-        {
-          text_copy (r->vm, NAME_BYTES, v->row.vm);
-          r->vm_up = row->up;
-        }
-      /* The same runner is there still: the platform had done it before.  */
-      if (v->phase == VM_AWAY && row->up && c->now_us >= v->away_until_us
-          && (strcmp (row->runner, v->old_runner) != 0
-              || c->now_us >= v->away_until_us + SAME_RUNNER_MS * US_PER_MS))
-        fleet_give_back (c, v);
-    }
-  if (up_count != u->up_count)
-    cell_log (c, "vms_listed", 0, "\"vms\":%u,\"up\":%u", e->u.vms.row_count,
-              up_count);
-  u->up_count = up_count;
-}
-
-void
-fleet_order (struct cell *c, struct vm *v)
-{
-  struct cell_action *a = cell_do (c, CELL_DO_VM);
-
-  a->u.vm.is_move = v->moving;
-  text_copy (a->u.vm.vm, NAME_BYTES, v->row.vm);
-  text_copy (a->u.vm.pool, NAME_BYTES, v->target);
-  a->u.vm.wave = v->wave;
-  a->u.vm.token = c->tenure.token;
-  v->phase = VM_ORDERED;
-  v->order_us = c->now_us;
-  cell_log (c, v->moving ? "move_ordered" : "upkeep_ordered", 0,
-            "\"vm\":\"%s\",\"wave\":%llu,\"from\":\"%s\",\"to\":\"%s\","
-            "\"token\":%llu",
-            v->row.vm, (unsigned long long)v->wave, v->row.pool, v->target,
-            (unsigned long long)c->tenure.token);
-}
-
 static void
 mark_done (struct cell *c, const struct vm *v)
 {
@@ -329,7 +220,7 @@
 void
 upkeep_on_result (struct cell *c, const struct cell_event *e)
 {
-  struct vm *v = find_vm (c->upkeep, e->u.vm_result.vm);
+  struct vm *v = fleet_find (c->upkeep, e->u.vm_result.vm);
   struct runner *r;
 
   if (v == NULL || v->phase != VM_ORDERED || !cell_owns (c))
@@ -403,69 +294,6 @@
     }
 }
 
-bool
-fleet_is_gone (const struct cell *c, const struct runner *r)
-{
-  return c->upkeep->listed && !r->vm_up && r->heard_us < c->upkeep->listed_us;
-}
-
-/* The store's list may lack runners whose entries lapsed while it was away,
-   and the platform's list those that began after the first reading; both
-   together name each boot that a former owner can have known.  */
-bool
-fleet_unseen (const struct cell *c, const char *pool)
-{
-  GHashTableIter it;
-  gpointer value;
-
-  if (!c->runners_known || !c->upkeep->listed)
-    return true;
-  g_hash_table_iter_init (&it, c->runners);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      const struct runner *r = value;
-
-      /* One that was born after the claim never had an older order.  */
-      if (!r->met && strcmp (r->report.pool, pool) == 0
-          && !fleet_is_gone (c, r)
-          && r->report.born_ms < c->tenure.claimed_ms + CLOCK_DIFFERENCE_MS)
-        return true;
-    }
-  g_hash_table_iter_init (&it, c->upkeep->vms);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      const struct vm *v = value;
-
-      if (v->row.up && v->first_runner[0] != '\0'
-          && strcmp (v->row.runner, v->first_runner) == 0
-          && strcmp (v->row.pool, pool) == 0 && fleet_runner (c, v) == NULL)
-        return true;
-    }
-  return false;
-}
-
-bool
-fleet_is_known (const struct cell *c, const struct vm *v)
-{
-  const struct runner *r = fleet_runner (c, v);
-
-  if (fleet_is_spare (c, v))
-    return true;
-  /* One that is not listed may be cut off from the store and still run what a
-     former owner started.  */
-  if (r == NULL)
-    return c->runners_known && c->now_us >= c->tenure.doubt_us;
-  return r->met && (r->miss_count == 0 || r->tasks->len == 0);
-}
-
-bool
-fleet_is_spare (const struct cell *c, const struct vm *v)
-{
-  const struct site_pool *p = cell_pool (c, v->row.pool);
-
-  return p != NULL && p->spare;
-}
-
 /* Tells placement which runners have their maintenance before them.  */
 static void
 mark_due (struct cell *c)
@@ -485,7 +313,7 @@
       for (k = 0; k < w->spec.vm_count; k++)
         {
           const struct vm *v
-              = w->done[k] ? NULL : find_vm (c->upkeep, w->spec.vms[k]);
+              = w->done[k] ? NULL : fleet_find (c->upkeep, w->spec.vms[k]);
           struct runner *r = v != NULL ? fleet_runner (c, v) : NULL;
 
           if (r != NULL)
@@ -548,7 +376,7 @@
   for (k = 0; k < w->spec.vm_count; k++)
     {
       const struct vm *v
-          = w->done[k] ? NULL : find_vm (c->upkeep, w->spec.vms[k]);
+          = w->done[k] ? NULL : fleet_find (c->upkeep, w->spec.vms[k]);
 
       if (v != NULL)
         count_of (counts, v->row.pool)->left_count++;
@@ -583,7 +411,8 @@
 
   for (k = 0; k < w->spec.vm_count; k++)
     {
-      struct vm *v = w->done[k] ? NULL : find_vm (c->upkeep, w->spec.vms[k]);
+      struct vm *v
+          = w->done[k] ? NULL : fleet_find (c->upkeep, w->spec.vms[k]);
 
       if (v == NULL || v->phase != VM_IDLE || !v->row.up
           || !fleet_is_known (c, v) || c->now_us < v->not_before_us
@@ -603,7 +432,7 @@
 
   for (k = 0; k < w->spec.vm_count; k++)
     {
-      const struct vm *v = find_vm (c->upkeep, w->spec.vms[k]);
+      const struct vm *v = fleet_find (c->upkeep, w->spec.vms[k]);
 
       if (v != NULL && v->wave == w->spec.number && v->phase != VM_IDLE)
         n++;
@@ -719,7 +548,7 @@
     }
   for (k = 0; k < w->spec.vm_count; k++)
     {
-      v = w->done[k] ? NULL : find_vm (c->upkeep, w->spec.vms[k]);
+      v = w->done[k] ? NULL : fleet_find (c->upkeep, w->spec.vms[k]);
       if (v != NULL && v->wave == w->spec.number && !v->moving)
         carry_vm (c, v, w);
       if (!cell_owns (c))
