An owner that begins again counts the VMs of a wave that are down

Ruled out: two carriers, a second wave. Change: a VM of the wave that the platform lists as down, without an order of ours, counts towards the wave's limit. Test: cells/wave_restarted (the second VM goes at 0.13 s without the change, at 0.95 s, when the first is up, with it). Only VMs that the list names down are known; an order of the killed owner that the cloud carries out after that list is not (open).

--- a/core/cell/upkeep.c
+++ b/core/cell/upkeep.c
@@ -434,7 +434,9 @@
     {
       const struct vm *v = fleet_find (c->upkeep, w->spec.vms[k]);
 
-      if (v != NULL && v->wave == w->spec.number && v->phase != VM_IDLE)
+      /* One that is down for no order of ours a former owner sent there.  */
+      if (v != NULL
+          && (v->phase != VM_IDLE ? v->wave == w->spec.number : !v->row.up))
         n++;
     }
   return n;
