A very slow owner is told by orders that are overdue; VM orders are not doubled

It got no answers at all, so there was nothing to judge; its joins were late too, which kept it from yielding; and each VM order without an outcome was ordered anew after 0.8 s, 50 at once, while the first was still waiting to be sent. Ruled out: the decisions lag (no event waited 0.2 s). Change: all orders are judged, those without an answer as well, by 0.3 s beyond what the runner may take; a slow owner yields also while its joins are late, if an entry that reaches the store is linked; an order for a VM is repeated 0.8 s after an unknown outcome, and after 4 s if no outcome came.

--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -109,6 +109,7 @@
   a->u.vm.wave = v->wave;
   a->u.vm.token = c->tenure.token;
   v->phase = VM_ORDERED;
+  v->asked = true;
   v->order_us = c->now_us;
   cell_log (c, v->moving ? "move_ordered" : "upkeep_ordered", 0,
             "\"vm\":\"%s\",\"wave\":%llu,\"from\":\"%s\",\"to\":\"%s\","
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -22,6 +22,7 @@
   char target[NAME_BYTES]; /**< Pool that it is moved to.  */
   uint64_t wave;           /**< Being carried out.  */
   uint64_t order_us;
+  bool asked;             /**< The order's outcome is not in yet.  */
   uint64_t begun_us;      /**< Its emptying began.  */
   uint64_t not_before_us; /**< Passed over until then.  */
   uint64_t away_until_us;
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -18,9 +18,9 @@
 #define NOTE_GAP_MS 900
 /** Time-outs of orders; a hold's is this and its wait.  */
 #define ORDER_TIMEOUT_MS 700
-/** A start that takes longer waited at this entry: a runner answers within
+/** An order that takes longer waited at this entry: a runner answers within
     some milliseconds, and one that is silent is soon given no more.  */
-#define SLOW_START_MS 500
+#define SLOW_ORDER_MS 300
 /** A stop without effect is ordered again after this.  */
 #define STOP_RETRY_MS 500
 /** A runner's clock may be this much slow, in thousandths.  */
@@ -107,7 +107,11 @@
   struct runner_order *o = runners_order (c, r, ORDER_HOLD, NULL);
 
   if (r->tasks->len > 0 && r->met)
-    o->wait_ms = HOLD_WAIT_MS;
+    {
+      struct order *x = g_hash_table_lookup (c->orders, &o->order_id);
+
+      o->wait_ms = x->wait_ms = HOLD_WAIT_MS;
+    }
   /* Work of a former owner keeps the lease that it has until it is known.  */
   o->timeout_ms += o->wait_ms;
   o->stored_number = r->stored_number;
@@ -512,6 +516,25 @@
   runners_look (c, r, MISS_GAP_MS * MIN (r->miss_count, 6));
 }
 
+static bool
+is_overdue (const struct cell *c, const struct order *o)
+{
+  return c->now_us > o->sent_us + (o->wait_ms + SLOW_ORDER_MS) * US_PER_MS;
+}
+
+uint32_t
+runners_overdue_count (const struct cell *c)
+{
+  uint32_t n = 0;
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, c->orders);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    n += is_overdue (c, value);
+  return n;
+}
+
 void
 runners_on_result (struct cell *c, struct runner_result *x)
 {
@@ -527,12 +550,9 @@
   if (t != NULL && (t->runner != r || t->run != o->run))
     t = NULL;
   sent_us = o->sent_us;
-  if (o->kind == ORDER_START)
-    {
-      c->starts_out_count--;
-      c->pace.start_count++;
-      c->pace.slow_count += c->now_us > sent_us + SLOW_START_MS * US_PER_MS;
-    }
+  c->starts_out_count -= o->kind == ORDER_START;
+  c->pace.order_count++;
+  c->pace.slow_count += is_overdue (c, o);
   g_hash_table_remove (c->orders, &x->order_id);
   if (x->outcome == ORDER_FENCED)
     {
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -204,6 +204,7 @@
   struct task_id task;
   uint32_t run;
   uint64_t sent_us;
+  uint32_t wait_ms; /**< The runner may take this long to answer.  */
 };
 
 enum tenure_phase
@@ -290,11 +291,11 @@
   uint64_t filled_us;
 };
 
-/** How long this owner's starts take, over a short span.  */
-struct start_pace
+/** How long this owner's orders take, over a short span.  */
+struct order_pace
 {
   uint64_t begun_us;
-  uint32_t start_count;
+  uint32_t order_count;
   uint32_t slow_count; /**< Of these, answered late or not at all.  */
   bool slow;           /**< Most of the span before were.  */
 };
@@ -320,7 +321,7 @@
   GHashTable *usage;      /**< Tenant to struct resources running.  */
   uint64_t next_order_id;
   uint32_t starts_out_count; /**< Starts ordered that have no answer yet.  */
-  struct start_pace pace;
+  struct order_pace pace;
   struct append append;
   bool flush_now;    /**< A caller waits for the next append.  */
   uint64_t dirty_us; /**< The oldest unstored progress is from then.  */
@@ -449,6 +450,8 @@
 struct runner_order *runners_order (struct cell *c, struct runner *r,
                                     enum order_kind kind,
                                     const struct task *t);
+/** Returns how many orders wait for an answer longer than they should.  */
+uint32_t runners_overdue_count (const struct cell *c);
 /** Returns the lease end on R's clock for an order sent now, or 0.  */
 uint64_t runners_until (const struct cell *c, const struct runner *r);
 /** Returns true if nothing that was ordered on R can still run there.  */
--- a/core/cell/tenure.c
+++ b/core/cell/tenure.c
@@ -44,7 +44,7 @@
 #define YIELD_GAP_MS 10000
 /** And not before it has settled.  */
 #define YIELD_AFTER_MS 1000
-/** Starts are judged over this span, and from this many on.  */
+/** Orders are judged over this span, and from this many on.  */
 #define PACE_SPAN_MS 700
 #define PACE_LOW_COUNT 20
 /** An owner that gave the cell up as it was slow counts as weak for this long:
@@ -412,18 +412,21 @@
               (unsigned long long)((c->now_us - t->join_good_us) / US_PER_MS));
 }
 
-/* Judges the starts of the span that has ended, if one has.  */
+/* Judges the orders of the span that has ended, if one has.  */
 static void
 judge_pace (struct cell *c)
 {
-  struct start_pace *p = &c->pace;
+  struct order_pace *p = &c->pace;
+  uint32_t overdue;
 
   if (c->now_us < p->begun_us + PACE_SPAN_MS * US_PER_MS)
     return;
-  p->slow = p->start_count >= PACE_LOW_COUNT
-            && 2 * p->slow_count >= p->start_count;
+  /* A very slow owner gets no answers at all.  */
+  overdue = runners_overdue_count (c);
+  p->slow = p->order_count + overdue >= PACE_LOW_COUNT
+            && p->slow_count + overdue >= p->order_count - p->slow_count;
   p->begun_us = c->now_us;
-  p->start_count = p->slow_count = 0;
+  p->order_count = p->slow_count = 0;
 }
 
 /* Hands the cell over as planned when this entry falls behind, and another
@@ -440,8 +443,10 @@
   best_milli = peers_best_milli (c);
   judge_pace (c);
   slow = c->pace.slow && peers_other_milli (c) >= c->settings.cpu_milli;
-  t->yields = (best_milli >= WEAK_PART * c->settings.cpu_milli || slow)
-              && !t->degraded_told
+  /* A slow owner joins late as well; that others reach the store is known.  */
+  t->yields = (slow
+               || (best_milli >= WEAK_PART * c->settings.cpu_milli
+                   && !t->degraded_told))
               && c->now_us >= t->claimed_us + YIELD_AFTER_MS * US_PER_MS
               && c->now_us >= t->yield_us;
   if (!t->yields || c->append.in_flight)
--- a/core/cell/upkeep.c
+++ b/core/cell/upkeep.c
@@ -23,8 +23,10 @@
 #define POOL_PART 3
 /** Time that the last of a wave must have in hand: emptying and going down. */
 #define STEP_RESERVE_MS 6000
-/** An order to the cloud without an answer is repeated after this.  */
+/** An order to the cloud whose outcome is unknown is repeated after this.  */
 #define VM_RETRY_MS 800
+/** And after this if no outcome came: it is lost between the duties.  */
+#define VM_LOST_MS 4000
 
 struct wave
 {
@@ -225,6 +227,7 @@
 
   if (v == NULL || v->phase != VM_ORDERED || !cell_owns (c))
     return;
+  v->asked = false;
   cell_log (c, "upkeep_answered", 0, "\"vm\":\"%s\",\"outcome\":%u", v->row.vm,
             e->u.vm_result.outcome);
   switch (e->u.vm_result.outcome)
@@ -451,6 +454,15 @@
   a->u.wave_state.completed = completed;
 }
 
+static bool
+needs_repeat (const struct cell *c, const struct vm *v)
+{
+  uint64_t gap_ms = v->asked ? VM_LOST_MS : VM_RETRY_MS;
+
+  return v->phase == VM_ORDERED
+         && c->now_us > v->order_us + gap_ms * US_PER_MS;
+}
+
 static void
 carry_vm (struct cell *c, struct vm *v, const struct wave *w)
 {
@@ -461,8 +473,7 @@
   bool short_of_time
       = c->now_us + rounds * STEP_RESERVE_MS * US_PER_MS > w->deadline_us;
 
-  if (v->phase == VM_ORDERED
-      && c->now_us > v->order_us + VM_RETRY_MS * US_PER_MS)
+  if (needs_repeat (c, v))
     fleet_order (c, v);
   if (v->phase != VM_EMPTYING || !fleet_is_known (c, v))
     return;
@@ -499,8 +510,7 @@
       if (v->moving && v->phase == VM_EMPTYING
           && (r == NULL || r->tasks->len == 0))
         fleet_order (c, v);
-      else if (v->moving && v->phase == VM_ORDERED
-               && c->now_us > v->order_us + VM_RETRY_MS * US_PER_MS)
+      else if (v->moving && needs_repeat (c, v))
         fleet_order (c, v);
     }
 }
