--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -179,6 +179,17 @@
     }
 }
 
+/* Counts R by whether it takes new tasks, and if not, why.  */
+static void
+count_runner (const struct cell *c, struct pool_demand *m,
+              const struct runner *r)
+{
+  m->usable_count += place_is_usable (c, r);
+  m->emptying_count += r->vm_emptying;
+  m->quarantined_count += c->now_us < r->quarantined_until_us;
+  m->silent_count += r->miss_count > 0 || !r->listed;
+}
+
 static void
 count_running (struct cell *c)
 {
@@ -194,6 +205,7 @@
 
       if (m == NULL)
         continue;
+      count_runner (c, m, r);
       m->vm_cpu_milli = MAX (m->vm_cpu_milli, r->report.capacity.cpu_milli);
       for (i = 0; i < r->tasks->len; i++)
         {
@@ -219,7 +231,10 @@
   if (!w->ready || w->spec->filler)
     return;
   if (w->spec->long_running)
-    m->long_running_milli += milli;
+    {
+      m->long_running_milli += milli;
+      m->serving_waiting_count += w->waiting_count;
+    }
   else if (j->urgency <= URGENCY_NEW)
     m->waiting_milli += MIN (
         milli * place_expected_step_us (c, w) / (CLEAR_MS * US_PER_MS), milli);
@@ -466,6 +481,11 @@
       p->pools[i].long_running_milli = 0;
       p->pools[i].short_task_milli = 0;
       p->pools[i].waiting_milli = 0;
+      p->pools[i].usable_count = 0;
+      p->pools[i].emptying_count = 0;
+      p->pools[i].quarantined_count = 0;
+      p->pools[i].silent_count = 0;
+      p->pools[i].serving_waiting_count = 0;
     }
   count_vms (c);
   count_running (c);
--- a/core/cell/demand.h
+++ b/core/cell/demand.h
@@ -39,6 +39,14 @@
                                    late or over their tenant's rate.  */
   uint64_t waiting_milli; /**< Cores to finish waiting short tasks in time.  */
   uint64_t vm_cpu_milli;  /**< Cores of its largest VM.  */
+  uint32_t usable_count;  /**< Runners that take new tasks.  */
+  uint32_t emptying_count;    /**< Runners whose VM is being emptied, waits
+                                 for its order, or is away.  */
+  uint32_t quarantined_count; /**< Runners in quarantine.  */
+  uint32_t silent_count;      /**< Runners that did not answer the last poll,
+                                 or are not registered.  */
+  uint32_t serving_waiting_count; /**< Long-running tasks that could start but
+                                     occupy no runner.  */
 };
 
 /** Demand on all pools.  */
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -39,8 +39,8 @@
   return false;
 }
 
-static bool
-is_usable (const struct cell *c, const struct runner *r)
+bool
+place_is_usable (const struct cell *c, const struct runner *r)
 {
   return r->listed && r->reached && r->clock_read_at_us != 0
          && !r->report.draining && !r->vm_emptying && r->miss_count == 0
@@ -136,7 +136,8 @@
 {
   const struct job_step *s = t->step->spec;
 
-  return is_usable (c, r) && (s->label[0] == '\0' || has_label (r, s->label))
+  return place_is_usable (c, r)
+         && (s->label[0] == '\0' || has_label (r, s->label))
          && (s->per_runner_limit_count == 0
              || count_same_step (r, t->step) < s->per_runner_limit_count);
 }
--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -91,6 +91,7 @@
             v->row.vm, from->name, from->vm_count, from->need_count, to->name,
             to->vm_count, to->need_count);
   v->phase = VM_EMPTYING;
+  v->emptying_at_us = c->now_us;
   if (r == NULL || r->tasks->len == 0)
     fleet_send_order (c, v);
 }
@@ -169,12 +170,16 @@
       cell_log (c, "pool_state", 0,
                 "\"pool\":\"%s\",\"vms\":%u,\"needs\":%u,\"keeps\":%u,"
                 "\"long_running_milli\":%llu,\"short_task_milli\":%llu,"
-                "\"waiting_milli\":%llu,\"arriving_milli\":%llu",
+                "\"waiting_milli\":%llu,\"arriving_milli\":%llu,"
+                "\"serving_waiting\":%u,\"usable\":%u,\"emptying\":%u,"
+                "\"quarantined\":%u,\"silent\":%u",
                 m->name, m->vm_count, m->need_count, m->keep_count,
                 (unsigned long long)m->long_running_milli,
                 (unsigned long long)m->short_task_milli,
                 (unsigned long long)m->waiting_milli,
-                (unsigned long long)demand_arriving_milli (c, m));
+                (unsigned long long)demand_arriving_milli (c, m),
+                m->serving_waiting_count, m->usable_count, m->emptying_count,
+                m->quarantined_count, m->silent_count);
     }
 }
 
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -520,6 +520,8 @@
 /* dispatch.c and place.c: which task starts next, and on which runner.  */
 /** Starts the waiting tasks that can start.  */
 void dispatch_run (struct cell *c);
+/** Returns true if R takes new tasks now, apart from its room.  */
+bool place_is_usable (const struct cell *c, const struct runner *r);
 /** Returns the best runner for T that has room, or NULL.  */
 struct runner *place_find (struct cell *c, const struct task *t);
 /** Returns true if T could run on another runner once that has room.  */
--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -241,8 +241,12 @@
   if (v == NULL || v->phase != VM_ORDERED || !cell_is_owner (c))
     return;
   v->order_pending = false;
-  cell_log (c, "vm_order_answered", 0, "\"vm\":\"%s\",\"outcome\":%u",
-            v->row.vm, e->u.vm_result.outcome);
+  cell_log (c, "vm_order_answered", 0,
+            "\"vm\":\"%s\",\"move\":%s,\"outcome\":%u,\"took_ms\":%llu,"
+            "\"withdrawn_ms\":%llu",
+            v->row.vm, v->moving ? "true" : "false", e->u.vm_result.outcome,
+            (unsigned long long)((c->now_us - v->ordered_at_us) / US_PER_MS),
+            (unsigned long long)((c->now_us - v->emptying_at_us) / US_PER_MS));
   switch (e->u.vm_result.outcome)
     {
     case ORDER_DONE:
