Take VMs out of use only as fast as the cloud takes orders for them

Callers saw long-running tasks that did not run although there was room (LOST). A VM chosen for a move or maintenance gets no new tasks; its order then waited for one of four connections, up to the timeout, and a refused order for maintenance kept the VM out of use until a later one went through.

Cause, by its class: capacity is withdrawn before the operation that needs it is admitted. vm_orders.c now admits operations: within the cloud's rate, which the settings give and nothing read, within as many unanswered orders as the order client has connections to the cloud (16, apart from those to runners), and one at a time, after a delay, while the cloud answers none. A VM whose order was not executed returns to use; one whose order may yet be executed does not. An order that the cloud cannot take now has an outcome of its own, so that a VM that is refused for its own state does not stop the others.

--- a/adapter/site_order_client.c
+++ b/adapter/site_order_client.c
@@ -13,9 +13,11 @@
 
 #define RING_CAPACITY_COUNT 16384
 /** Most connections to one runner: one for the poll, whose answer the runner
-    holds back, and the others for orders at the same time.  The cloud has the
-    same limit.  */
-#define HOST_CONNECTION_LIMIT_COUNT 4
+    holds back, and the others for orders at the same time.  */
+#define RUNNER_CONNECTION_LIMIT_COUNT 4
+/** Most connections to the cloud: one for each order that the cell leaves
+    unanswered, so that none waits here, and one for the list of VMs.  */
+#define CLOUD_CONNECTION_LIMIT_COUNT (VM_ORDER_LIMIT_COUNT + 1)
 #define CONNECT_TIMEOUT_MS 400
 #define CLOUD_TIMEOUT_MS 1500
 #define PAGE_TOKEN_BYTES 120
@@ -24,7 +26,8 @@
 struct site_order_client
 {
   struct duty *duty;
-  struct http_client *http;
+  struct http_client *runner_http; /**< For orders to runners.  */
+  struct http_client *cloud_http;
   struct ring *cell;
   struct line_log *log;
   char cloud[ADDRESS_BYTES];
@@ -86,7 +89,7 @@
   snprintf (target, sizeof target, "%s: %s", PLATFORM_TARGET_HEADER,
             o->runner);
   call.body = platform_runner_order_body (o);
-  http_client_start (x->client->http, &call);
+  http_client_start (x->client->runner_http, &call);
   blob_unref (call.body);
 }
 
@@ -131,7 +134,7 @@
   snprintf (token, sizeof token, "%s: %llu", PLATFORM_TOKEN_HEADER,
             (unsigned long long)x->action.u.vm_order.token);
   call.body = blob_copy (body, (uint32_t)strlen (body));
-  http_client_start (x->client->http, &call);
+  http_client_start (x->client->cloud_http, &call);
   blob_unref (call.body);
 }
 
@@ -169,7 +172,7 @@
                             .state = x };
 
   platform_vms_url (url, x->client->cloud, page);
-  http_client_start (x->client->http, &call);
+  http_client_start (x->client->cloud_http, &call);
 }
 
 static void
@@ -214,7 +217,10 @@
       talloc_free (c);
       return NULL;
     }
-  c->http = http_client_new (c, c->duty->loop, HOST_CONNECTION_LIMIT_COUNT);
+  c->runner_http
+      = http_client_new (c, c->duty->loop, RUNNER_CONNECTION_LIMIT_COUNT);
+  c->cloud_http
+      = http_client_new (c, c->duty->loop, CLOUD_CONNECTION_LIMIT_COUNT);
   return c;
 }
 
@@ -237,7 +243,8 @@
         blob_unref (a->u.order.payload);
       talloc_free (a);
     }
-  TALLOC_FREE (c->http);
+  TALLOC_FREE (c->runner_http);
+  TALLOC_FREE (c->cloud_http);
   duty_free (c->duty);
   talloc_free (c);
 }
--- a/adapter/site_settings.c
+++ b/adapter/site_settings.c
@@ -28,6 +28,10 @@
 #define DEFAULT_EARLY_START_MS 250
 #define DEFAULT_MOVE_MS 1500
 #define DEFAULT_MAINTENANCE_MS 2000
+/** Default rate of orders for VMs, in thousandths a second: that of the first
+    sites.  */
+#define DEFAULT_VM_ORDER_MILLI 64000
+#define VM_ORDER_LIMIT_MILLI 100000000
 /** Default CPU share, in thousandths of a core: that of the entries on the
     first sites.  */
 #define DEFAULT_CPU_MILLI 250
@@ -64,6 +68,7 @@
 {
   static const char *const known[] = { "vm",
                                        "cpu_share",
+                                       "vm_orders_per_s",
                                        "listen",
                                        "ready_listen",
                                        "relay_listen",
@@ -91,6 +96,8 @@
   json_get_text (p, "vm", true, s->cell.member, NAME_BYTES);
   s->cell.cpu_milli
       = json_get_milli (p, "cpu_share", 1, CPU_LIMIT_MILLI, DEFAULT_CPU_MILLI);
+  s->cell.vm_order_rate_milli = json_get_milli (
+      p, "vm_orders_per_s", 1, VM_ORDER_LIMIT_MILLI, DEFAULT_VM_ORDER_MILLI);
   json_get_address (p, "listen", true, s->listen_address);
   json_get_address (p, "ready_listen", true, s->ready_listen_address);
   json_get_address (p, "relay_listen", true, s->cell.relay_address);
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -289,7 +289,7 @@
       fleet_on_vms (c, e);
       break;
     case CELL_VM_RESULT:
-      waves_on_order_result (c, e);
+      vm_orders_on_result (c, e);
       break;
     case CELL_SETTINGS:
       c->settings.times = e->u.times;
--- a/core/cell/cell.h
+++ b/core/cell/cell.h
@@ -23,6 +23,8 @@
   char relay_address[ADDRESS_BYTES];
   uint32_t cpu_milli; /**< Its CPU share, in thousandths of a core.  */
   struct cell_times times;
+  uint32_t vm_order_rate_milli; /**< VM orders that the cloud takes in a
+                                   second, in thousandths.  */
 };
 
 /** Returns a cell that owns nothing yet, as a child of MEM; free it with
--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -42,6 +42,22 @@
   c->dispatch_due = true;
 }
 
+void
+fleet_give_back_vm (struct cell *c, struct vm *v, const char *why,
+                    uint32_t skip_ms)
+{
+  const struct runner *r = fleet_runner (c, v);
+
+  cell_log (c, "vm_given_back", 0,
+            "\"vm\":\"%s\",\"why\":\"%s\",\"move\":%s,\"runs\":%u,"
+            "\"withdrawn_ms\":%llu",
+            v->row.vm, why, v->moving ? "true" : "false",
+            r != NULL ? r->tasks->len : 0,
+            (unsigned long long)((c->now_us - v->emptying_at_us) / US_PER_MS));
+  v->skipped_until_us = c->now_us + skip_ms * US_PER_MS;
+  fleet_return_vm (c, v);
+}
+
 static void
 clear_vm_up (struct cell *c)
 {
@@ -92,7 +108,10 @@
       if (v->phase == VM_AWAY && row->up && c->now_us >= v->away_until_us
           && (strcmp (row->runner, v->previous_runner) != 0
               || c->now_us >= v->away_until_us + SAME_RUNNER_MS * US_PER_MS))
-        fleet_return_vm (c, v);
+        {
+          v->returned_at_us = c->now_us;
+          fleet_return_vm (c, v);
+        }
     }
   if (up_count != f->up_count)
     cell_log (c, "vms_listed", 0, "\"vms\":%u,\"up\":%u", e->u.vms.row_count,
@@ -100,26 +119,6 @@
   f->up_count = up_count;
 }
 
-void
-fleet_send_order (struct cell *c, struct vm *v)
-{
-  struct cell_action *a = cell_emit (c, CELL_DO_ORDER_VM);
-
-  a->u.vm_order.is_move = v->moving;
-  text_copy (a->u.vm_order.vm, NAME_BYTES, v->row.vm);
-  text_copy (a->u.vm_order.pool, NAME_BYTES, v->target_pool);
-  a->u.vm_order.wave = v->wave;
-  a->u.vm_order.token = c->ownership.token;
-  v->phase = VM_ORDERED;
-  v->order_pending = true;
-  v->ordered_at_us = c->now_us;
-  cell_log (c, v->moving ? "move_ordered" : "maintenance_ordered", 0,
-            "\"vm\":\"%s\",\"wave\":%llu,\"from\":\"%s\",\"to\":\"%s\","
-            "\"token\":%llu",
-            v->row.vm, (unsigned long long)v->wave, v->row.pool,
-            v->target_pool, (unsigned long long)c->ownership.token);
-}
-
 bool
 fleet_runner_is_gone (const struct cell *c, const struct runner *r)
 {
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -29,12 +29,27 @@
   uint64_t emptying_at_us;   /**< When VM_EMPTYING began.  */
   uint64_t skipped_until_us; /**< Waves leave it out until then.  */
   uint64_t away_until_us;    /**< Expected end of VM_AWAY.  */
+  uint64_t returned_at_us;   /**< When VM_AWAY last ended; 0: never.  */
   char first_runner[NAME_BYTES];    /**< Its runner when first listed.  */
   char previous_runner[NAME_BYTES]; /**< Its runner before VM_AWAY.  */
 };
 
 struct fleet_demand;
 
+/** How many orders the cloud may be sent.  */
+struct order_window
+{
+  uint32_t open_count;     /**< Orders without an answer.  */
+  uint32_t emptying_count; /**< VMs being emptied.  */
+  uint64_t budget_milli;   /**< Orders that the rate allows now, in
+                              thousandths.  */
+  uint64_t refilled_at_us; /**< When the budget was last raised.  */
+  uint32_t failure_count;  /**< Orders in a row that were not answered or
+                              that the cloud could not take.  */
+  uint64_t resume_at_us;   /**< After a failure no order is sent until
+                              then.  */
+};
+
 /** The VMs of a cell, and what is planned for them.  */
 struct cell_fleet
 {
@@ -48,6 +63,7 @@
   bool listed;                 /**< This owner has read a list.  */
   uint32_t up_count;           /**< VMs up in the newest list.  */
   uint64_t snapshot_at_us;     /**< When the newest list was asked for.  */
+  struct order_window window;  /**< Orders that may be sent now.  */
 };
 
 /** Returns the VM NAME, or NULL.  */
@@ -65,10 +81,32 @@
 bool fleet_runs_are_known (const struct cell *c, const struct vm *v);
 /** Returns true if V is in the spare pool.  */
 bool fleet_is_spare (const struct cell *c, const struct vm *v);
-/** Orders the move or maintenance that V is being emptied for.  */
-void fleet_send_order (struct cell *c, struct vm *v);
 /** Returns V to normal use.  */
 void fleet_return_vm (struct cell *c, struct vm *v);
+/** Returns V, whose operation is given up for now, to normal use; WHY is
+    logged.  Waves leave V out for SKIP_MS.  */
+void fleet_give_back_vm (struct cell *c, struct vm *v, const char *why,
+                         uint32_t skip_ms);
+
+/* vm_orders.c: orders for VMs to the cloud.  */
+/** Updates the window of orders.  */
+void vm_orders_tick (struct cell *c);
+/** Returns true if an order can be sent now.  */
+bool vm_orders_admit (const struct cell *c);
+/** Returns true if another VM can be emptied for an order: the cloud takes
+    orders, and those for the VMs being emptied can be sent soon.  */
+bool vm_orders_admit_emptying (const struct cell *c);
+/** Sends the order for the move or maintenance that V was emptied for.  */
+void vm_orders_send (struct cell *c, struct vm *v);
+/** Sends V's order again if it is due, since its outcome is not known.  */
+void vm_orders_repeat (struct cell *c, struct vm *v);
+/** Sends the order for V, which is empty, as soon as the window allows; gives
+    V back while the cloud takes no orders.  */
+void vm_orders_send_or_give_back (struct cell *c, struct vm *v);
+
+/* waves.c.  */
+/** Notes that V has had the maintenance that was ordered for it.  */
+void waves_mark_done (struct cell *c, const struct vm *v);
 
 /* demand.c and pools.c: demand on the pools, and their sizes.  */
 /** Returns a demand without pools as a child of F.  */
--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -93,7 +93,20 @@
   v->phase = VM_EMPTYING;
   v->emptying_at_us = c->now_us;
   if (r == NULL || r->tasks->len == 0)
-    fleet_send_order (c, v);
+    vm_orders_send (c, v);
+  else
+    c->fleet->window.emptying_count++;
+}
+
+/* Returns true if the move of V can begin now: its order can be sent at once,
+   or soon if V has tasks.  */
+static bool
+admits_move (const struct cell *c, const struct vm *v)
+{
+  const struct runner *r = fleet_runner (c, v);
+
+  return r == NULL || r->tasks->len == 0 ? vm_orders_admit (c)
+                                         : vm_orders_admit_emptying (c);
 }
 
 /* Returns the pool that gives a VM to TO, or NULL: the spare pool if it has a
@@ -130,10 +143,11 @@
   while (!m->spare && m->vm_count < m->need_count)
     {
       struct pool_demand *from = find_donor (c, m);
+      struct vm *v = from != NULL ? find_movable_vm (c, from, false) : NULL;
 
-      if (from == NULL)
+      if (v == NULL || !admits_move (c, v))
         return;
-      move_vm (c, find_movable_vm (c, from, false), from, m);
+      move_vm (c, v, from, m);
     }
 }
 
@@ -147,7 +161,7 @@
     {
       struct vm *v = find_movable_vm (c, m, true);
 
-      if (v == NULL)
+      if (v == NULL || !admits_move (c, v))
         return;
       move_vm (c, v, m, spare);
     }
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -556,12 +556,14 @@
 /* fleet.c: the platform's list of VMs.  */
 void fleet_on_vms (struct cell *c, const struct cell_event *e);
 
+/* vm_orders.c: orders for VMs to the cloud.  */
+void vm_orders_on_result (struct cell *c, const struct cell_event *e);
+
 /* waves.c: maintenance waves.  */
 /** Returns the state of the VMs as a child of C.  */
 struct cell_fleet *cell_fleet_new (struct cell *c);
 /** Adds wave W, which is copied, unless its number is known already.  */
 void waves_on_request (struct cell *c, const struct site_wave *w);
-void waves_on_order_result (struct cell *c, const struct cell_event *e);
 void waves_tick (struct cell *c);
 /** Restores the progress of a wave.  */
 void waves_restore (struct cell *c, const struct recovered_record *r);
--- /dev/null
+++ b/core/cell/vm_orders.c
@@ -0,0 +1,213 @@
+/* vm_orders.c -- orders for VMs to the cloud.
+
+   A VM that is taken out of use for an operation is lost to the tasks that
+   wait until the operation has been carried out.  So orders are sent only as
+   fast as the cloud takes them: within its rate, and no more at once than the
+   order client has connections.  While the cloud does not take orders, one at
+   a time is tried after a growing delay, and VMs that wait for theirs return
+   to use.  */
+
+#include "core/cell/fleet.h"
+
+#include <string.h>
+
+/** An order is sent again after this if its outcome is unknown.  */
+#define RETRY_MS 800
+/** It is also sent again after this if no outcome was reported at all: it was
+    lost within this entry.  */
+#define LOST_MS 4000
+/** Delay after the first failed order, doubled with each further one up to the
+    limit.  */
+#define FAILURE_DELAY_MS 100
+#define FAILURE_DELAY_LIMIT_MS 1600
+/** Waves leave a VM out for this long after the cloud refused its order as
+    busy.  */
+#define BUSY_SKIP_MS 2500
+/** Part of a second's orders, in percent, that may be sent at once; the budget
+    refills by the rest in a second, so that no second has more than all.  */
+#define BURST_PERCENT 10
+/** Most VMs that are being emptied: twice as many as can be ordered at once,
+    since emptying takes longer than an order.  */
+#define EMPTYING_LIMIT_COUNT (2 * VM_ORDER_LIMIT_COUNT)
+
+static void
+refill_budget (struct cell *c)
+{
+  struct order_window *w = &c->fleet->window;
+  uint64_t rate_milli = c->settings.vm_order_rate_milli;
+  uint64_t most_milli = MAX (rate_milli * BURST_PERCENT / 100, 1000);
+  uint64_t passed_us = MIN (c->now_us - w->refilled_at_us, US_PER_S);
+
+  w->refilled_at_us = c->now_us;
+  w->budget_milli
+      += passed_us * rate_milli / US_PER_S * (100 - BURST_PERCENT) / 100;
+  w->budget_milli = MIN (w->budget_milli, most_milli);
+}
+
+void
+vm_orders_tick (struct cell *c)
+{
+  struct order_window *w = &c->fleet->window;
+  GHashTableIter it;
+  gpointer value;
+
+  refill_budget (c);
+  w->open_count = 0;
+  w->emptying_count = 0;
+  g_hash_table_iter_init (&it, c->fleet->vms);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct vm *v = value;
+
+      w->open_count += v->phase == VM_ORDERED && v->order_pending;
+      w->emptying_count += v->phase == VM_EMPTYING;
+    }
+}
+
+bool
+vm_orders_admit (const struct cell *c)
+{
+  const struct order_window *w = &c->fleet->window;
+
+  if (w->budget_milli < 1000)
+    return false;
+  if (w->failure_count > 0)
+    return w->open_count == 0 && c->now_us >= w->resume_at_us;
+  return w->open_count < VM_ORDER_LIMIT_COUNT;
+}
+
+bool
+vm_orders_admit_emptying (const struct cell *c)
+{
+  const struct order_window *w = &c->fleet->window;
+
+  return w->failure_count == 0 && w->emptying_count < EMPTYING_LIMIT_COUNT;
+}
+
+void
+vm_orders_send (struct cell *c, struct vm *v)
+{
+  struct cell_action *a = cell_emit (c, CELL_DO_ORDER_VM);
+  struct order_window *w = &c->fleet->window;
+
+  a->u.vm_order.is_move = v->moving;
+  text_copy (a->u.vm_order.vm, NAME_BYTES, v->row.vm);
+  text_copy (a->u.vm_order.pool, NAME_BYTES, v->target_pool);
+  a->u.vm_order.wave = v->wave;
+  a->u.vm_order.token = c->ownership.token;
+  w->open_count += !v->order_pending;
+  w->budget_milli -= MIN (w->budget_milli, 1000);
+  v->phase = VM_ORDERED;
+  v->order_pending = true;
+  v->ordered_at_us = c->now_us;
+  cell_log (c, v->moving ? "move_ordered" : "maintenance_ordered", 0,
+            "\"vm\":\"%s\",\"wave\":%llu,\"from\":\"%s\",\"to\":\"%s\","
+            "\"token\":%llu",
+            v->row.vm, (unsigned long long)v->wave, v->row.pool,
+            v->target_pool, (unsigned long long)c->ownership.token);
+}
+
+void
+vm_orders_repeat (struct cell *c, struct vm *v)
+{
+  uint64_t gap_ms = v->order_pending ? LOST_MS : RETRY_MS;
+
+  if (v->phase == VM_ORDERED
+      && c->now_us > v->ordered_at_us + gap_ms * US_PER_MS
+      && vm_orders_admit (c))
+    vm_orders_send (c, v);
+}
+
+void
+vm_orders_send_or_give_back (struct cell *c, struct vm *v)
+{
+  if (vm_orders_admit (c))
+    vm_orders_send (c, v);
+  else if (c->fleet->window.failure_count > 0)
+    fleet_give_back_vm (c, v, "cloud", FAILURE_DELAY_LIMIT_MS);
+}
+
+/* Notes whether the cloud took an order.  */
+static void
+note_answer (struct cell *c, bool taken, enum order_outcome outcome)
+{
+  struct order_window *w = &c->fleet->window;
+  uint32_t doubled = MIN (w->failure_count, 4);
+
+  if (taken)
+    {
+      if (w->failure_count > 0)
+        cell_log (c, "cloud_back", 0, "\"failures\":%u", w->failure_count);
+      w->failure_count = 0;
+      return;
+    }
+  w->failure_count++;
+  w->resume_at_us = c->now_us
+                    + MIN (FAILURE_DELAY_MS << doubled, FAILURE_DELAY_LIMIT_MS)
+                          * US_PER_MS;
+  if (w->failure_count == 1)
+    cell_log (c, "cloud_fails", 0, "\"outcome\":%u", outcome);
+}
+
+/* Handles that the cloud carries out the order for V.  */
+static void
+on_done (struct cell *c, struct vm *v)
+{
+  struct runner *r = fleet_runner (c, v);
+  uint32_t away_ms = v->moving ? c->settings.times.move_ms
+                               : c->settings.times.maintenance_ms;
+
+  c->metrics
+      .counters[v->moving ? CELL_COUNT_MOVES : CELL_COUNT_MAINTENANCES]++;
+  if (!v->moving)
+    waves_mark_done (c, v);
+  v->phase = VM_AWAY;
+  v->away_until_us = c->now_us + away_ms * US_PER_MS;
+  text_copy (v->previous_runner, NAME_BYTES, v->row.runner);
+  if (r != NULL)
+    r->vm_emptying = true;
+}
+
+void
+vm_orders_on_result (struct cell *c, const struct cell_event *e)
+{
+  struct vm *v = fleet_find (c->fleet, e->u.vm_result.vm);
+  enum order_outcome outcome = e->u.vm_result.outcome;
+
+  if (v == NULL || v->phase != VM_ORDERED || !cell_is_owner (c))
+    return;
+  c->fleet->window.open_count -= v->order_pending;
+  v->order_pending = false;
+  cell_log (c, "vm_order_answered", 0,
+            "\"vm\":\"%s\",\"move\":%s,\"outcome\":%u,\"took_ms\":%llu,"
+            "\"withdrawn_ms\":%llu",
+            v->row.vm, v->moving ? "true" : "false", outcome,
+            (unsigned long long)((c->now_us - v->ordered_at_us) / US_PER_MS),
+            (unsigned long long)((c->now_us - v->emptying_at_us) / US_PER_MS));
+  note_answer (c, outcome != ORDER_UNKNOWN && outcome != ORDER_UNAVAILABLE,
+               outcome);
+  switch (outcome)
+    {
+    case ORDER_DONE:
+      on_done (c, v);
+      break;
+    case ORDER_FENCED:
+      ownership_lose (c, "vm_order_fenced");
+      break;
+    case ORDER_REJECTED:
+      /* The VM was deleted or left the wave: it needs no maintenance.  */
+      if (!v->moving)
+        waves_mark_done (c, v);
+      fleet_return_vm (c, v);
+      break;
+    case ORDER_UNKNOWN:
+      v->ordered_at_us = c->now_us;
+      break;
+    case ORDER_UNAVAILABLE:
+      fleet_give_back_vm (c, v, "cloud", 0);
+      break;
+    default:
+      fleet_give_back_vm (c, v, "busy", BUSY_SKIP_MS);
+      break;
+    }
+}
--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -31,12 +31,6 @@
 /** Time allowed for emptying and maintaining a VM when it is judged whether a
     wave meets its deadline.  If it would not, short tasks are stopped.  */
 #define VM_ALLOWANCE_MS 6000
-/** An order to the cloud is sent again after this if its outcome is unknown,
-    and one for maintenance also if it was not executed.  */
-#define VM_ORDER_RETRY_MS 800
-/** An order is also sent again after this if no outcome was reported at all:
-    it was lost within this entry.  */
-#define VM_ORDER_LOST_MS 4000
 
 /* A maintenance wave.  */
 struct wave
@@ -88,6 +82,7 @@
     }
   f->listed = false;
   f->list_pending = false;
+  memset (&f->window, 0, sizeof f->window);
   demand_clear (c);
   while (f->recovered_waves->len > 0)
     talloc_free (g_ptr_array_remove_index_fast (f->recovered_waves,
@@ -210,8 +205,8 @@
             s->parallel_limit_count);
 }
 
-static void
-mark_done (struct cell *c, const struct vm *v)
+void
+waves_mark_done (struct cell *c, const struct vm *v)
 {
   guint i;
   uint32_t k;
@@ -232,62 +227,6 @@
     }
 }
 
-void
-waves_on_order_result (struct cell *c, const struct cell_event *e)
-{
-  struct vm *v = fleet_find (c->fleet, e->u.vm_result.vm);
-  struct runner *r;
-
-  if (v == NULL || v->phase != VM_ORDERED || !cell_is_owner (c))
-    return;
-  v->order_pending = false;
-  cell_log (c, "vm_order_answered", 0,
-            "\"vm\":\"%s\",\"move\":%s,\"outcome\":%u,\"took_ms\":%llu,"
-            "\"withdrawn_ms\":%llu",
-            v->row.vm, v->moving ? "true" : "false", e->u.vm_result.outcome,
-            (unsigned long long)((c->now_us - v->ordered_at_us) / US_PER_MS),
-            (unsigned long long)((c->now_us - v->emptying_at_us) / US_PER_MS));
-  switch (e->u.vm_result.outcome)
-    {
-    case ORDER_DONE:
-      c->metrics
-          .counters[v->moving ? CELL_COUNT_MOVES : CELL_COUNT_MAINTENANCES]++;
-      if (!v->moving)
-        mark_done (c, v);
-      v->phase = VM_AWAY;
-      v->away_until_us = c->now_us
-                         + (v->moving ? c->settings.times.move_ms
-                                      : c->settings.times.maintenance_ms)
-                               * US_PER_MS;
-      text_copy (v->previous_runner, NAME_BYTES, v->row.runner);
-      r = fleet_runner (c, v);
-      if (r != NULL)
-        r->vm_emptying = true;
-      break;
-    case ORDER_FENCED:
-      ownership_lose (c, "vm_order_fenced");
-      break;
-    case ORDER_REJECTED:
-      /* The VM was deleted or left the wave: it needs no maintenance.  */
-      if (!v->moving)
-        mark_done (c, v);
-      fleet_return_vm (c, v);
-      break;
-    case ORDER_UNKNOWN:
-      v->ordered_at_us = c->now_us;
-      break;
-    default:
-      if (v->moving)
-        {
-          fleet_return_vm (c, v);
-          break;
-        }
-      v->phase = VM_EMPTYING;
-      v->ordered_at_us = c->now_us;
-      break;
-    }
-}
-
 /* Stops those long-running tasks of R that can start elsewhere, as far as
    their steps' limits allow.  Short tasks end by themselves, and are stopped
    only if SHORT_OF_TIME.  */
@@ -303,9 +242,8 @@
 
       if (t->phase != TASK_RUNNING)
         continue;
-      if (long_running
-              ? serving_may_stop (c, t) && place_has_alternative (c, t)
-              : short_of_time)
+      if (long_running ? serving_may_stop (c, t) && place_has_alternative (c, t)
+                       : short_of_time)
         {
           t->evicting = true;
           cell_log (c, "task_evicted", task_job (t)->id,
@@ -480,17 +418,6 @@
   a->u.wave_state.completed = completed;
 }
 
-/* Returns true if V's order is due to be sent again, as its outcome is not
-   known.  */
-static bool
-needs_repeat (const struct cell *c, const struct vm *v)
-{
-  uint64_t gap_ms = v->order_pending ? VM_ORDER_LOST_MS : VM_ORDER_RETRY_MS;
-
-  return v->phase == VM_ORDERED
-         && c->now_us > v->ordered_at_us + gap_ms * US_PER_MS;
-}
-
 /* Takes V, which W has chosen, a step further: empties it, or orders its
    maintenance when it is empty.  */
 static void
@@ -503,26 +430,20 @@
   bool short_of_time
       = c->now_us + rounds * VM_ALLOWANCE_MS * US_PER_MS > w->deadline_us;
 
-  if (needs_repeat (c, v))
-    fleet_send_order (c, v);
+  vm_orders_repeat (c, v);
   if (v->phase != VM_EMPTYING || !fleet_runs_are_known (c, v))
     return;
   if (r != NULL && r->tasks->len > 0)
     {
       if (c->now_us > v->emptying_at_us + EMPTY_LIMIT_MS * US_PER_MS)
         {
-          cell_log (c, "vm_emptying_timed_out", 0, "\"vm\":\"%s\",\"runs\":%u",
-                    v->row.vm, r->tasks->len);
-          v->skipped_until_us = c->now_us + SKIP_MS * US_PER_MS;
-          fleet_return_vm (c, v);
+          fleet_give_back_vm (c, v, "not_empty", SKIP_MS);
           return;
         }
       empty_runner (c, r, short_of_time);
       return;
     }
-  if (c->now_us > v->ordered_at_us + VM_ORDER_RETRY_MS * US_PER_MS
-      || v->ordered_at_us == 0)
-    fleet_send_order (c, v);
+  vm_orders_send_or_give_back (c, v);
 }
 
 /* Orders the moves of VMs that have become empty, and repeats such orders that
@@ -541,9 +462,9 @@
 
       if (v->moving && v->phase == VM_EMPTYING
           && (r == NULL || r->tasks->len == 0))
-        fleet_send_order (c, v);
-      else if (v->moving && needs_repeat (c, v))
-        fleet_send_order (c, v);
+        vm_orders_send_or_give_back (c, v);
+      else if (v->moving)
+        vm_orders_repeat (c, v);
     }
 }
 
@@ -559,15 +480,16 @@
   if (out_count >= limit_count)
     return;
   counts = count_pools (c, w);
-  while (out_count < limit_count && (v = next_vm (c, w, counts)) != NULL)
+  while (out_count < limit_count && vm_orders_admit_emptying (c)
+         && (v = next_vm (c, w, counts)) != NULL)
     {
       struct runner *r = fleet_runner (c, v);
 
       out_count++;
+      c->fleet->window.emptying_count++;
       find_count (counts, v->row.pool)->out_count++;
       v->wave = w->spec.number;
       v->phase = VM_EMPTYING;
-      v->ordered_at_us = 0;
       v->emptying_at_us = c->now_us;
       if (r != NULL)
         r->vm_emptying = true;
@@ -685,6 +607,7 @@
     return;
   if (!f->listed)
     return;
+  vm_orders_tick (c);
   pools_tick (c);
   advance_moves (c);
   mark_maintenance_due (c);
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -153,6 +153,10 @@
   } u;
 };
 
+/** Most VM orders without an answer; the order client has as many connections
+    to the cloud.  */
+#define VM_ORDER_LIMIT_COUNT 16
+
 /** Actions of one cell_step.  The caller frees items with talloc_free.  */
 struct cell_actions
 {
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -141,6 +141,8 @@
   ORDER_BUSY,       /**< Not executed; a retry may succeed.  */
   ORDER_REJECTED,   /**< Not executed; a retry cannot succeed.  */
   ORDER_UNKNOWN, /**< No answer: it may have been executed, or may yet be. */
+  ORDER_UNAVAILABLE, /**< Not executed: the receiver takes no orders now, or
+                        could not be reached.  */
   ORDER_OUTCOME_COUNT
 };
 
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -67,8 +67,9 @@
 static const char *const call_names[]
     = { "submit", "state", "cancel", "pending", "malformed" };
 static const char *const order_outcome_names[]
-    = { "done",      "fenced",     "stale", "late",     "no_room",
-        "no_ticket", "wrong_boot", "busy",  "rejected", "unknown" };
+    = { "done",     "fenced",    "stale",      "late",
+        "no_room",  "no_ticket", "wrong_boot", "busy",
+        "rejected", "unknown",   "unavailable" };
 static const char *const append_outcome_names[]
     = { "stored", "not_done", "fenced", "unknown" };
 static const char *const end_kind_names[]
@@ -779,6 +780,7 @@
   struct cell_settings s = { .member = "entry-1",
                              .relay_address = "127.0.0.1:7000",
                              .cpu_milli = 250,
+                             .vm_order_rate_milli = 64000,
                              .times = { .revoke_ms = 5000,
                                         .lease_max_ms = 10000,
                                         .task_stop_ms = 400,
