Stop long-running tasks only when a place elsewhere is planned for them

Callers saw long-running tasks that did not run although there was room (LOST). In a wave the owner stopped a task if some runner could have held it when empty, not if one had room; two tasks stopped together counted on the same room; a draining runner's were stopped at once; and a VM that was being emptied stayed out of use while a task fitted nowhere else.

Cause, by its class: capacity is withdrawn without regard to what needs it. places.c plans one place for each such task in every tick, under the same constraints as the dispatch: room beside the runner's tasks and the other planned ones, labels, the step's limit. Waves, drains and moves ask the plan.

--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -1,6 +1,6 @@
 /* cell.c -- creates a cell and passes each event to its handler.  */
 
-#include "core/cell/state.h"
+#include "core/cell/fleet.h"
 
 #include <stdarg.h>
 #include <stdio.h>
@@ -219,6 +219,7 @@
   ownership_tick (c);
   if (cell_is_owner (c))
     {
+      places_plan (c);
       runners_tick (c);
       waves_tick (c);
       c->dispatch_due = true;
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -64,6 +64,9 @@
   uint32_t up_count;           /**< VMs up in the newest list.  */
   uint64_t snapshot_at_us;     /**< When the newest list was asked for.  */
   struct order_window window;  /**< Orders that may be sent now.  */
+  uint64_t plan_number;        /**< Number of the newest plan (places.c).  */
+  uint32_t planned_count;      /**< Tasks that it names places for.  */
+  GPtrArray *unplaced;         /**< struct task that waits and has none.  */
 };
 
 /** Returns the VM NAME, or NULL.  */
@@ -104,6 +107,19 @@
     V back while the cloud takes no orders.  */
 void vm_orders_send_or_give_back (struct cell *c, struct vm *v);
 
+/* places.c: places for long-running tasks that have to start.  */
+/** Makes the plan of this tick.  */
+void places_plan (struct cell *c);
+/** Plans a place for T on another runner than its own; returns false if there
+    is none.  */
+bool places_plan_task (struct cell *c, struct task *t);
+/** The same for all long-running tasks of R; all have one, or none.  */
+bool places_plan_runner (struct cell *c, struct runner *r);
+/** Returns true if the plan names a place for T.  */
+bool places_is_planned (const struct cell *c, const struct task *t);
+/** Returns the number of tasks that the plan names a place on R for.  */
+uint32_t places_planned_count (const struct cell *c, const struct runner *r);
+
 /* waves.c.  */
 /** Notes that V has had the maintenance that was ordered for it.  */
 void waves_mark_done (struct cell *c, const struct vm *v);
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -4,7 +4,7 @@
    room elsewhere and idle VMs can be switched off.  Serving tasks and fillers
    avoid each other, and fillers also avoid other fillers.  */
 
-#include "core/cell/state.h"
+#include "core/cell/fleet.h"
 
 #include <string.h>
 
@@ -59,17 +59,30 @@
   return n;
 }
 
+/* Returns true if NEED fits on R beside its tasks and, if PLANNED, beside
+   those that a place there is planned for.  */
 static bool
-has_room (const struct runner *r, const struct resources *need)
+has_room (const struct cell *c, const struct runner *r,
+          const struct resources *need, bool planned)
 {
   struct resources sum = r->used;
+  guint i;
 
   resources_add (&sum, need);
+  for (i = 0; planned && i < places_planned_count (c, r); i++)
+    {
+      const struct task *t = g_ptr_array_index (r->planned, i);
+      struct resources n = occupied_by (t->step->spec);
+
+      resources_add (&sum, &n);
+    }
   return resources_fit (&sum, &r->report.capacity);
 }
 
+/* Returns how many tasks of S are on R, and if PLANNED, are planned there.  */
 static uint32_t
-count_same_step (const struct runner *r, const struct work_step *s)
+count_same_step (const struct cell *c, const struct runner *r,
+                 const struct work_step *s, bool planned)
 {
   uint32_t n = 0;
   guint i;
@@ -77,6 +90,9 @@
   for (i = 0; i < r->tasks->len; i++)
     if (((struct task *)g_ptr_array_index (r->tasks, i))->step == s)
       n++;
+  for (i = 0; planned && i < places_planned_count (c, r); i++)
+    if (((struct task *)g_ptr_array_index (r->planned, i))->step == s)
+      n++;
   return n;
 }
 
@@ -130,16 +146,33 @@
   return MAX (cpu, memory);
 }
 
-/* Returns true if T may run on R once R has room.  */
+/* Returns true if R has the label that T's step asks for, and fewer of its
+   tasks than the step's limit.  */
 static bool
-is_allowed (const struct cell *c, const struct task *t, const struct runner *r)
+meets_constraints (const struct cell *c, const struct task *t,
+                   const struct runner *r, bool planned)
 {
   const struct job_step *s = t->step->spec;
 
-  return place_is_usable (c, r)
-         && (s->label[0] == '\0' || has_label (r, s->label))
+  return (s->label[0] == '\0' || has_label (r, s->label))
          && (s->per_runner_limit_count == 0
-             || count_same_step (r, t->step) < s->per_runner_limit_count);
+             || count_same_step (c, r, t->step, planned)
+                    < s->per_runner_limit_count);
+}
+
+/* Returns true if T may run on R once R has room.  */
+static bool
+is_allowed (const struct cell *c, const struct task *t, const struct runner *r)
+{
+  return place_is_usable (c, r) && meets_constraints (c, t, r, false);
+}
+
+bool
+place_fits (const struct cell *c, const struct task *t, const struct runner *r)
+{
+  struct resources need = occupied_by (t->step->spec);
+
+  return meets_constraints (c, t, r, true) && has_room (c, r, &need, true);
 }
 
 /* Returns the score of R for T, which occupies NEED; the lowest is best.  */
@@ -178,7 +211,7 @@
       struct runner *r = g_ptr_array_index (pool, i);
       uint64_t n;
 
-      if (!has_room (r, &need) || !is_allowed (c, t, r)
+      if (!has_room (c, r, &need, false) || !is_allowed (c, t, r)
           || (r->reserved && r->reserved_for != t))
         continue;
       n = score (t, r, &need);
@@ -192,24 +225,6 @@
   return best;
 }
 
-bool
-place_has_alternative (const struct cell *c, const struct task *t)
-{
-  const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
-  const GPtrArray *pool = q != NULL ? runners_of_pool (c, q->pool) : NULL;
-  guint i;
-
-  for (i = 0; pool != NULL && i < pool->len; i++)
-    {
-      const struct runner *r = g_ptr_array_index (pool, i);
-
-      if (r != t->runner && is_allowed (c, t, r)
-          && resources_fit (&t->step->spec->need, &r->report.capacity))
-        return true;
-    }
-  return false;
-}
-
 void
 place_reserve (struct cell *c, struct task *t)
 {
--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -21,6 +21,9 @@
 /** A pool gives a VM to another when it has not needed all of its VMs for this
     long.  */
 #define DONOR_DELAY_MS 300
+/** A VM that returned to use since a long-running task needed it is left out
+   by waves for this long.  */
+#define NEEDED_SKIP_MS 1000
 
 static bool
 has_long_running (const struct runner *r)
@@ -62,6 +65,7 @@
 
       if (v->phase != VM_IDLE || !v->row.up || !fleet_runs_are_known (c, v)
           || strcmp (v->row.pool, m->name) != 0 || (r == NULL && !m->spare)
+          || (r != NULL && places_planned_count (c, r) > 0)
           || (r != NULL && r->tasks->len > 0
               && (empty || has_long_running (r))))
         continue;
@@ -167,6 +171,48 @@
     }
 }
 
+/* Returns the VM that is being emptied and on whose runner T could start, or
+   NULL.  */
+static struct vm *
+find_emptying_vm (struct cell *c, const struct task *t)
+{
+  const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, c->fleet->vms);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct vm *v = value;
+      struct runner *r = fleet_runner (c, v);
+
+      if (v->phase == VM_EMPTYING && q != NULL
+          && strcmp (v->row.pool, q->pool) == 0 && r != NULL
+          && place_fits (c, t, r))
+        return v;
+    }
+  return NULL;
+}
+
+/* Returns VMs to use that are being emptied while a long-running task finds no
+   other place.  */
+static void
+give_back_needed_vms (struct cell *c)
+{
+  guint i;
+
+  for (i = 0; i < c->fleet->unplaced->len; i++)
+    {
+      struct task *t = g_ptr_array_index (c->fleet->unplaced, i);
+      struct vm *v = find_emptying_vm (c, t);
+
+      if (v == NULL)
+        continue;
+      fleet_give_back_vm (c, v, "place_needed", NEEDED_SKIP_MS);
+      places_plan_task (c, t);
+    }
+}
+
 /* Logs the size and the demand of each pool.  */
 static void
 log_pools (struct cell *c)
@@ -208,6 +254,7 @@
       || c->config == NULL)
     return;
   p->updated_at_us = c->now_us;
+  give_back_needed_vms (c);
   demand_update (c);
   log_pools (c);
   for (i = 0; i < p->pool_count; i++)
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -45,6 +45,9 @@
 /** The answer to a poll lists at most this many ends.  If it lists as many,
     the next answer may list more.  */
 #define ENDED_PAGE_COUNT 500
+/** A long-running task leaves a draining runner after this even if it has no
+    place elsewhere.  A runner drains for 2 s or longer.  */
+#define DRAIN_LIMIT_MS 1000
 
 uint64_t
 runners_lease_until_ms (const struct cell *c, const struct runner *r)
@@ -206,6 +209,7 @@
 runner_free (struct runner *r)
 {
   g_ptr_array_free (r->tasks, TRUE);
+  g_ptr_array_free (r->planned, TRUE);
   return 0;
 }
 
@@ -217,6 +221,7 @@
   if (r == NULL)
     out_of_memory ();
   r->tasks = g_ptr_array_new ();
+  r->planned = g_ptr_array_new ();
   talloc_set_destructor (r, runner_free);
   r->report = *report;
   r->next_poll_at_us = c->now_us;
@@ -310,9 +315,12 @@
     reset_boot (c, r, "new_boot");
   else if (n->booted_at_ms < r->report.booted_at_ms)
     return;
-  if (n->draining && !r->report.draining)
-    cell_log (c, "runner_draining", 0, "\"runner\":\"%s\",\"runs\":%u", n->id,
-              r->tasks->len);
+  if (n->draining && (!r->report.draining || r->draining_at_us == 0))
+    {
+      r->draining_at_us = c->now_us;
+      cell_log (c, "runner_draining", 0, "\"runner\":\"%s\",\"runs\":%u",
+                n->id, r->tasks->len);
+    }
   r->report = *n;
   set_pool (c, r, n->pool);
   r->listed = true;
@@ -660,9 +668,9 @@
     }
 }
 
-/* Stops the long-running tasks of R, so that they start elsewhere.  R is
-   draining and will be gone within seconds; after that they could start
-   elsewhere only when its lease has expired.  */
+/* Stops the long-running tasks of R that have a place elsewhere, and after
+   DRAIN_LIMIT_MS the others.  R is draining and will be gone within seconds;
+   after that they could start elsewhere only when its lease has expired.  */
 static void
 evict_from_draining (struct cell *c, struct runner *r)
 {
@@ -672,7 +680,9 @@
     {
       struct task *t = g_ptr_array_index (r->tasks, i);
 
-      if (t->step->spec->long_running && t->phase == TASK_RUNNING)
+      if (t->step->spec->long_running && t->phase == TASK_RUNNING
+          && (places_is_planned (c, t)
+              || c->now_us >= r->draining_at_us + DRAIN_LIMIT_MS * US_PER_MS))
         {
           cell_log (c, "task_evicted", task_job (t)->id,
                     "\"task\":\"%u.%u.%u\",\"runner\":\"%s\","
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -88,6 +88,10 @@
   bool stop_wanted; /**< It must not run; a run that is seen is stopped.  */
   bool evicting;    /**< It is being stopped to start elsewhere.  Set, but not
                        used.  */
+  /** The plan (cell_fleet) that names a place for it, and that place; valid in
+      that plan only.  */
+  uint64_t plan_number;
+  struct runner *planned_on;
   char checkpoint[CHECKPOINT_BYTES];
 };
 
@@ -159,12 +163,13 @@
   struct runner_report report;
   GPtrArray *pool_runners; /**< All runners of its pool.  */
   char rack[LABEL_BYTES];
-  bool listed;                /**< It is registered in the store.  */
-  uint64_t unlisted_at_us;    /**< When its registration was deleted.  */
-  bool reached;               /**< It has answered a poll of this owner.  */
-  uint64_t clock_ms;          /**< Its clock, as last read.  */
-  uint64_t clock_read_at_us;  /**< When clock_ms was read; 0: never.  */
-  uint64_t lease_until_ms;    /**< Latest lease end ordered, on its clock.  */
+  uint64_t draining_at_us;   /**< When it was first seen to drain; 0: never. */
+  bool listed;               /**< It is registered in the store.  */
+  uint64_t unlisted_at_us;   /**< When its registration was deleted.  */
+  bool reached;              /**< It has answered a poll of this owner.  */
+  uint64_t clock_ms;         /**< Its clock, as last read.  */
+  uint64_t clock_read_at_us; /**< When clock_ms was read; 0: never.  */
+  uint64_t lease_until_ms;   /**< Latest lease end ordered, on its clock.  */
   uint64_t stored_end_number; /**< Ends up to this number are durable.  */
   uint64_t seen_end_number;   /**< Ends up to this number are processed.  */
   uint64_t acked_end_number;  /**< Last stored_end_number sent to it.  */
@@ -176,6 +181,9 @@
   uint32_t miss_count;            /**< Polls in a row without an answer.  */
   struct resources used;          /**< What its tasks occupy.  */
   GPtrArray *tasks;               /**< struct task that occupies it.  */
+  uint64_t plan_number;           /**< Plan that planned belongs to.  */
+  GPtrArray *planned;             /**< struct task that a place on it is
+                                     planned for.  */
   uint32_t failed_run_count; /**< Failed runs in a row, of different jobs.  */
   uint64_t failed_job;       /**< Job of the last failed run.  */
   uint64_t quarantined_until_us; /**< Gets no new tasks until then.  */
@@ -524,8 +532,10 @@
 bool place_is_usable (const struct cell *c, const struct runner *r);
 /** Returns the best runner for T that has room, or NULL.  */
 struct runner *place_find (struct cell *c, const struct task *t);
-/** Returns true if T could run on another runner once that has room.  */
-bool place_has_alternative (const struct cell *c, const struct task *t);
+/** Returns true if R has room for T, beside its tasks and those that the plan
+    names places for, and meets the constraints of T's step.  */
+bool place_fits (const struct cell *c, const struct task *t,
+                 const struct runner *r);
 /** Reserves a runner for T until the round ends: the one that was reserved for
     T in the last round, else the one with the least CPU used.  */
 void place_reserve (struct cell *c, struct task *t);
--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -31,6 +31,9 @@
 /** Time allowed for emptying and maintaining a VM when it is judged whether a
     wave meets its deadline.  If it would not, short tasks are stopped.  */
 #define VM_ALLOWANCE_MS 6000
+/** A VM whose long-running tasks have no places elsewhere is left out for this
+    long, while its pool gets another VM.  */
+#define PLACE_SKIP_MS 500
 
 /* A maintenance wave.  */
 struct wave
@@ -62,6 +65,8 @@
   f->waves = g_ptr_array_new ();
   f->recovered_waves = g_ptr_array_new ();
   f->demand = demand_new (f);
+  f->unplaced = g_ptr_array_new ();
+  f->plan_number = 1;
   return f;
 }
 
@@ -83,6 +88,7 @@
   f->listed = false;
   f->list_pending = false;
   memset (&f->window, 0, sizeof f->window);
+  g_ptr_array_set_size (f->unplaced, 0);
   demand_clear (c);
   while (f->recovered_waves->len > 0)
     talloc_free (g_ptr_array_remove_index_fast (f->recovered_waves,
@@ -106,6 +112,7 @@
   g_hash_table_destroy (c->fleet->vms);
   g_ptr_array_free (c->fleet->waves, TRUE);
   g_ptr_array_free (c->fleet->recovered_waves, TRUE);
+  g_ptr_array_free (c->fleet->unplaced, TRUE);
 }
 
 /* Restores the progress of W from its record, if there is one.  */
@@ -227,7 +234,7 @@
     }
 }
 
-/* Stops those long-running tasks of R that can start elsewhere, as far as
+/* Stops those long-running tasks of R that have a place elsewhere, as far as
    their steps' limits allow.  Short tasks end by themselves, and are stopped
    only if SHORT_OF_TIME.  */
 static void
@@ -242,7 +249,7 @@
 
       if (t->phase != TASK_RUNNING)
         continue;
-      if (long_running ? serving_may_stop (c, t) && place_has_alternative (c, t)
+      if (long_running ? serving_may_stop (c, t) && places_is_planned (c, t)
                        : short_of_time)
         {
           t->evicting = true;
@@ -485,6 +492,11 @@
     {
       struct runner *r = fleet_runner (c, v);
 
+      if (r != NULL && !places_plan_runner (c, r))
+        {
+          v->skipped_until_us = c->now_us + PLACE_SKIP_MS * US_PER_MS;
+          continue;
+        }
       out_count++;
       c->fleet->window.emptying_count++;
       find_count (counts, v->row.pool)->out_count++;
