Count memory, limits of steps and tasks without a place as demand

A task that fitted nowhere raised no demand, and a VM out of use for maintenance counted as serving.

Cause, by its class: demand in one resource, placement in several. The need of a pool is now the larger of cores, memory and the spread that limits force; long-running tasks without a place in the plan add what they would fill to the VMs that serve now, less those on their way; a VM that cannot be emptied for want of places asks for one more; and a VM that waits for its maintenance is no capacity.

--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -48,6 +48,11 @@
 /** The peak of a surge is stored at once when one update raises it by more
     than this many VMs; a smaller rise is stored with the next record.  */
 #define PEAK_STEP_COUNT 3
+/** A VM that has just moved or had its maintenance counts as on its way for
+    this long, or until its runner takes tasks.  */
+#define ARRIVAL_LIMIT_MS 3000
+/** A VM that is wanted for emptying another is needed for this long.  */
+#define VM_WANTED_MS 1000
 
 /** Time that a bucket of arrivals covers.  */
 #define ARRIVAL_BUCKET_MS 100
@@ -158,6 +163,29 @@
     }
 }
 
+/* Returns true if V serves the pool that it counts for, or soon will.  One
+   that is out of use until its maintenance begins does not.  */
+static bool
+is_capacity (const struct vm *v)
+{
+  if (!v->moving && (v->phase == VM_EMPTYING || v->phase == VM_ORDERED))
+    return false;
+  return v->row.up || v->phase == VM_AWAY;
+}
+
+/* Returns true if V is on its way to the pool that it counts for.  */
+static bool
+is_arriving (const struct cell *c, const struct vm *v)
+{
+  const struct runner *r = fleet_runner (c, v);
+
+  if (v->moving || v->phase == VM_AWAY)
+    return true;
+  return v->returned_at_us != 0
+         && c->now_us < v->returned_at_us + ARRIVAL_LIMIT_MS * US_PER_MS
+         && (r == NULL || !place_is_usable (c, r));
+}
+
 static void
 count_vms (struct cell *c)
 {
@@ -174,8 +202,10 @@
       if (m == NULL)
         continue;
       m->listed_count++;
-      if (v->row.up || v->phase == VM_AWAY)
-        m->vm_count++;
+      if (!is_capacity (v))
+        continue;
+      m->vm_count++;
+      m->arriving_count += is_arriving (c, v);
     }
 }
 
@@ -207,37 +237,57 @@
         continue;
       count_runner (c, m, r);
       m->vm_cpu_milli = MAX (m->vm_cpu_milli, r->report.capacity.cpu_milli);
+      m->vm_memory_mib = MAX (m->vm_memory_mib, r->report.capacity.memory_mib);
       for (i = 0; i < r->tasks->len; i++)
         {
           const struct task *t = g_ptr_array_index (r->tasks, i);
           const struct job_step *s = t->step->spec;
 
-          if (s->filler)
+          if (s->filler
+              || (!s->long_running && task_job (t)->urgency > URGENCY_NEW))
             continue;
+          m->memory_mib += s->need.memory_mib;
           if (s->long_running)
             m->long_running_milli += s->need.cpu_milli;
-          else if (task_job (t)->urgency <= URGENCY_NEW)
+          else
             m->short_task_milli += s->need.cpu_milli;
         }
     }
 }
 
+/* Returns the least number of runners that hold all tasks of W.  */
+static uint32_t
+spread_of (const struct work_step *w)
+{
+  uint32_t limit = w->spec->per_runner_limit_count;
+
+  return limit > 0 ? (w->spec->task_count + limit - 1) / limit : 0;
+}
+
+/* Counts the need of W's tasks that wait, and how far its tasks spread.  */
 static void
 count_waiting_step (struct cell *c, struct pool_demand *m, const struct job *j,
                     struct work_step *w)
 {
   uint64_t milli = w->waiting_count * w->spec->need.cpu_milli;
+  uint64_t mib = w->waiting_count * w->spec->need.memory_mib;
+  uint64_t run_us;
 
   if (!w->ready || w->spec->filler)
     return;
   if (w->spec->long_running)
     {
       m->long_running_milli += milli;
+      m->memory_mib += mib;
       m->serving_waiting_count += w->waiting_count;
+      m->spread_vm_count = MAX (m->spread_vm_count, spread_of (w));
     }
   else if (j->urgency <= URGENCY_NEW)
-    m->waiting_milli += MIN (
-        milli * place_expected_step_us (c, w) / (CLEAR_MS * US_PER_MS), milli);
+    {
+      run_us = MIN (place_expected_step_us (c, w), CLEAR_MS * US_PER_MS);
+      m->waiting_milli += milli * run_us / (CLEAR_MS * US_PER_MS);
+      m->memory_mib += mib * run_us / (CLEAR_MS * US_PER_MS);
+    }
 }
 
 static void
@@ -259,6 +309,52 @@
     }
 }
 
+/* Returns the number of VMs of M that offer MILLI thousandths of a core and
+   MIB of memory.  */
+static uint32_t
+vm_count_for (const struct pool_demand *m, uint64_t milli, uint64_t mib)
+{
+  uint64_t room = m->vm_cpu_milli * FILL_PERCENT / 100;
+  uint64_t room_mib = m->vm_memory_mib * FILL_PERCENT / 100;
+  uint64_t n = room > 0 ? (milli + room - 1) / room : 0;
+
+  if (room_mib > 0)
+    n = MAX (n, (mib + room_mib - 1) / room_mib);
+  return (uint32_t)n;
+}
+
+/* Counts the VMs that the long-running tasks without a place would fill.  */
+static void
+count_unplaced (struct cell *c)
+{
+  const GPtrArray *unplaced = c->fleet->unplaced;
+  guint i;
+
+  for (i = 0; i < unplaced->len; i++)
+    {
+      const struct task *t = g_ptr_array_index (unplaced, i);
+      const struct job_step *s = t->step->spec;
+      const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
+      struct pool_demand *m = q != NULL ? find_pool (c, q->pool) : NULL;
+
+      if (m == NULL)
+        continue;
+      m->unplaced_milli += s->filler ? 0 : s->need.cpu_milli;
+      m->unplaced_mib += s->need.memory_mib;
+      m->unplaced_vm_count
+          = MAX (1, vm_count_for (m, m->unplaced_milli, m->unplaced_mib));
+    }
+}
+
+void
+demand_want_vm (struct cell *c, const char *pool)
+{
+  struct pool_demand *m = find_pool (c, pool);
+
+  if (m != NULL)
+    m->vm_wanted_until_us = c->now_us + VM_WANTED_MS * US_PER_MS;
+}
+
 /* Makes the bucket of the current time the newest; clears those between.  */
 static void
 advance_buckets (const struct cell *c, struct pool_demand *m)
@@ -330,15 +426,6 @@
   return most_milli;
 }
 
-/* Returns the number of VMs of M that offer MILLI thousandths of a core.  */
-static uint32_t
-vm_count_for (const struct pool_demand *m, uint64_t milli)
-{
-  uint64_t room = m->vm_cpu_milli * FILL_PERCENT / 100;
-
-  return room > 0 ? (uint32_t)((milli + room - 1) / room) : 0;
-}
-
 /* Returns the time from one surge of a pool to its next, or 0 if it is not
    known.  */
 static uint64_t
@@ -407,8 +494,10 @@
   if (c->now_us < m->surge_began_at_us + SURGE_INTERVAL_MS * US_PER_MS)
     {
       uint32_t count = vm_count_for (
-          m, m->long_running_milli + m->short_task_milli
-                 + MIN (m->waiting_milli, m->short_task_milli / 2));
+          m,
+          m->long_running_milli + m->short_task_milli
+              + MIN (m->waiting_milli, m->short_task_milli / 2),
+          0);
 
       if (count > m->peak_vm_count + PEAK_STEP_COUNT)
         c->fleet->demand->dirty = true;
@@ -465,6 +554,49 @@
   m->need_count = MAX (m->need_count, m->peak_vm_count);
 }
 
+/* Clears the results of the last update of M.  */
+static void
+clear_results (struct pool_demand *m)
+{
+  m->vm_count = 0;
+  m->arriving_count = 0;
+  m->listed_count = 0;
+  m->long_running_milli = 0;
+  m->short_task_milli = 0;
+  m->waiting_milli = 0;
+  m->memory_mib = 0;
+  m->spread_vm_count = 0;
+  m->unplaced_vm_count = 0;
+  m->unplaced_milli = 0;
+  m->unplaced_mib = 0;
+  m->usable_count = 0;
+  m->emptying_count = 0;
+  m->quarantined_count = 0;
+  m->silent_count = 0;
+  m->serving_waiting_count = 0;
+}
+
+/* Computes how many VMs M needs for what it has to hold now.  */
+static void
+compute_need (struct cell *c, struct pool_demand *m)
+{
+  uint32_t more = m->unplaced_vm_count;
+  uint64_t short_milli = MAX (m->short_task_milli + m->waiting_milli,
+                              demand_arriving_milli (c, m));
+
+  if (c->now_us < m->vm_wanted_until_us)
+    more = MAX (more, 1);
+  m->short_task_vm_count = vm_count_for (m, short_milli, 0);
+  m->need_count
+      = vm_count_for (m, m->long_running_milli + short_milli, m->memory_mib);
+  m->need_count = MAX (m->need_count, m->spread_vm_count);
+  /* Tasks without a place do not fit on the VMs that serve, however much room
+     these have in all.  */
+  if (more > 0)
+    m->need_count
+        = MAX (m->need_count, m->vm_count - m->arriving_count + more);
+}
+
 void
 demand_update (struct cell *c)
 {
@@ -475,33 +607,19 @@
   uint32_t i;
 
   for (i = 0; i < p->pool_count; i++)
-    {
-      p->pools[i].vm_count = 0;
-      p->pools[i].listed_count = 0;
-      p->pools[i].long_running_milli = 0;
-      p->pools[i].short_task_milli = 0;
-      p->pools[i].waiting_milli = 0;
-      p->pools[i].usable_count = 0;
-      p->pools[i].emptying_count = 0;
-      p->pools[i].quarantined_count = 0;
-      p->pools[i].silent_count = 0;
-      p->pools[i].serving_waiting_count = 0;
-    }
+    clear_results (&p->pools[i]);
   count_vms (c);
   count_running (c);
   count_waiting (c);
+  count_unplaced (c);
   cycle_us = surge_cycle_us (p);
   for (i = 0; i < p->pool_count; i++)
     {
       struct pool_demand *m = &p->pools[i];
-      uint64_t short_milli;
 
       if (m->initial_vm_count == 0)
         m->initial_vm_count = m->listed_count;
-      short_milli = MAX (m->short_task_milli + m->waiting_milli,
-                         demand_arriving_milli (c, m));
-      m->short_task_vm_count = vm_count_for (m, short_milli);
-      m->need_count = vm_count_for (m, m->long_running_milli + short_milli);
+      compute_need (c, m);
       detect_surge (c, m);
       if (jobs_arrive)
         expect_surge (c, m, cycle_us);
--- a/core/cell/demand.h
+++ b/core/cell/demand.h
@@ -39,12 +39,25 @@
                                    late or over their tenant's rate.  */
   uint64_t waiting_milli; /**< Cores to finish waiting short tasks in time.  */
   uint64_t vm_cpu_milli;  /**< Cores of its largest VM.  */
-  uint32_t usable_count;  /**< Runners that take new tasks.  */
-  uint32_t emptying_count;    /**< Runners whose VM is being emptied, waits
-                                 for its order, or is away.  */
-  uint32_t quarantined_count; /**< Runners in quarantine.  */
-  uint32_t silent_count;      /**< Runners that did not answer the last poll,
-                                 or are not registered.  */
+  uint64_t vm_memory_mib; /**< Memory of its largest VM.  */
+  uint64_t memory_mib;    /**< Memory of the running and waiting tasks that
+                             long_running_milli and the two after it count. */
+  uint32_t spread_vm_count;    /**< Least VMs over which the steps' limits of
+                                  tasks on a runner spread long-running
+                                  tasks.  */
+  uint32_t arriving_count;     /**< VMs of vm_count that are on their way.  */
+  uint32_t unplaced_vm_count;  /**< VMs that long-running tasks without a
+                                  place would fill.  */
+  uint64_t unplaced_milli;     /**< Cores of those tasks.  */
+  uint64_t unplaced_mib;       /**< Memory of those tasks.  */
+  uint64_t vm_wanted_until_us; /**< Until then one more VM is needed, so that
+                                  another can be emptied.  */
+  uint32_t usable_count;       /**< Runners that take new tasks.  */
+  uint32_t emptying_count;     /**< Runners whose VM is being emptied, waits
+                                  for its order, or is away.  */
+  uint32_t quarantined_count;  /**< Runners in quarantine.  */
+  uint32_t silent_count;       /**< Runners that did not answer the last poll,
+                                  or are not registered.  */
   uint32_t serving_waiting_count; /**< Long-running tasks that could start but
                                      occupy no runner.  */
 };
--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -231,6 +231,7 @@
                 "\"pool\":\"%s\",\"vms\":%u,\"needs\":%u,\"keeps\":%u,"
                 "\"long_running_milli\":%llu,\"short_task_milli\":%llu,"
                 "\"waiting_milli\":%llu,\"arriving_milli\":%llu,"
+                "\"memory_mib\":%llu,\"spread_vms\":%u,\"unplaced_vms\":%u,"
                 "\"serving_waiting\":%u,\"usable\":%u,\"emptying\":%u,"
                 "\"quarantined\":%u,\"silent\":%u",
                 m->name, m->vm_count, m->need_count, m->keep_count,
@@ -238,8 +239,10 @@
                 (unsigned long long)m->short_task_milli,
                 (unsigned long long)m->waiting_milli,
                 (unsigned long long)demand_arriving_milli (c, m),
-                m->serving_waiting_count, m->usable_count, m->emptying_count,
-                m->quarantined_count, m->silent_count);
+                (unsigned long long)m->memory_mib, m->spread_vm_count,
+                m->unplaced_vm_count, m->serving_waiting_count,
+                m->usable_count, m->emptying_count, m->quarantined_count,
+                m->silent_count);
     }
 }
 
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -588,6 +588,8 @@
 /* demand.c: demand on the pools.  */
 /** Counts J, just accepted, towards the demand on its pool.  */
 void demand_note_arrival (struct cell *c, const struct job *j);
+/** Notes that POOL needs another VM before one of its VMs can be emptied.  */
+void demand_want_vm (struct cell *c, const char *pool);
 /** Restores the pools' demand history.  */
 void demand_restore (struct cell *c, const struct recovered_record *r);
 
--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -495,6 +495,7 @@
       if (r != NULL && !places_plan_runner (c, r))
         {
           v->skipped_until_us = c->now_us + PLACE_SKIP_MS * US_PER_MS;
+          demand_want_vm (c, v->row.pool);
           continue;
         }
       out_count++;
