Start long-running tasks on a quarantined runner when no other has room

A long-running task has no limit of attempts and serves nobody while it waits, so it may start in quarantine if no other runner has room; the demand still counts it as without a place and gets a VM. Short tasks, whose attempts are limited, wait. The delay after a refused start, which shared the quarantine's field, has its own.

--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -39,13 +39,21 @@
   return false;
 }
 
-bool
-place_is_usable (const struct cell *c, const struct runner *r)
+/* Returns true if R takes new tasks now, apart from its room, and is not in
+   quarantine or IN_QUARANTINE.  */
+static bool
+takes_tasks (const struct cell *c, const struct runner *r, bool in_quarantine)
 {
   return r->listed && r->reached && r->clock_read_at_us != 0
          && !r->report.draining && !r->vm_emptying && r->miss_count == 0
-         && c->now_us >= r->quarantined_until_us
-         && c->now_us >= r->full_until_us;
+         && (in_quarantine || c->now_us >= r->quarantined_until_us)
+         && c->now_us >= r->refused_until_us && c->now_us >= r->full_until_us;
+}
+
+bool
+place_is_usable (const struct cell *c, const struct runner *r)
+{
+  return takes_tasks (c, r, false);
 }
 
 /* Returns what a task of S occupies on its runner: for a filler, no CPU.  */
@@ -195,8 +203,10 @@
   return n;
 }
 
-struct runner *
-place_find (struct cell *c, const struct task *t)
+/* Returns the best runner for T, one in quarantine only if IN_QUARANTINE, or
+   NULL.  */
+static struct runner *
+find_runner (struct cell *c, const struct task *t, bool in_quarantine)
 {
   const struct job_step *s = t->step->spec;
   const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
@@ -211,7 +221,8 @@
       struct runner *r = g_ptr_array_index (pool, i);
       uint64_t n;
 
-      if (!has_room (c, r, &need, false) || !is_allowed (c, t, r)
+      if (!has_room (c, r, &need, false) || !takes_tasks (c, r, in_quarantine)
+          || !meets_constraints (c, t, r, false)
           || (r->reserved && r->reserved_for != t))
         continue;
       n = score (t, r, &need);
@@ -225,6 +236,17 @@
   return best;
 }
 
+/* A long-running task may start on a runner in quarantine when no other has
+   room: it has no limit of attempts, and away it serves nobody.  */
+struct runner *
+place_find (struct cell *c, const struct task *t)
+{
+  struct runner *r = find_runner (c, t, false);
+
+  return r == NULL && t->step->spec->long_running ? find_runner (c, t, true)
+                                                  : r;
+}
+
 void
 place_reserve (struct cell *c, struct task *t)
 {
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -172,6 +172,7 @@
   r->poll_id = 0;
   r->failed_run_count = 0;
   r->quarantined_until_us = 0;
+  r->refused_until_us = 0;
   r->next_poll_at_us = c->now_us;
 }
 
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -188,6 +188,8 @@
   uint64_t failed_job;       /**< Job of the last failed run.  */
   uint64_t quarantined_until_us; /**< Gets no new tasks until then.  */
   uint32_t quarantine_ms;        /**< Length of the last quarantine.  */
+  uint64_t refused_until_us;     /**< It refused a start as busy, late or the
+                                    like: gets no new tasks until then.  */
   uint64_t full_until_us;        /**< It refused a task for lack of room: gets
                                   no new tasks until then.  */
   struct task *reserved_for; /**< Task that it is or was reserved for in this
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -384,7 +384,7 @@
       runners_schedule_poll (c, r, 0);
       break;
     default:
-      r->quarantined_until_us = c->now_us + REFUSED_BACKOFF_MS * US_PER_MS;
+      r->refused_until_us = c->now_us + REFUSED_BACKOFF_MS * US_PER_MS;
       runners_schedule_poll (c, r, 0);
       break;
     }
