--- a/adapter/decide.c
+++ b/adapter/decide.c
@@ -4,6 +4,7 @@
 
 #include "adapter/log_client.h"
 #include "adapter/outbox.h"
+#include "adapter/timer.h"
 
 #include <sodium.h>
 #include <stdatomic.h>
@@ -221,9 +222,7 @@
   if (d->members != NULL)
     send_members (d, d->members);
   run_step (d, &e);
-  tevent_add_timer (loop, loop,
-                    tevent_timeval_current_ofs (0, TICK_MS * US_PER_MS),
-                    on_tick, state);
+  timer_add (loop, loop, TICK_MS * US_PER_MS, on_tick, state);
 }
 
 struct decide *
@@ -243,9 +242,7 @@
   d->core = core_new (d, s);
   d->unsent_attempts
       = outbox_new (d, d->duty->loop, d->duty->inbound, NULL, NULL);
-  tevent_add_timer (d->duty->loop, d->duty->loop,
-                    tevent_timeval_current_ofs (0, TICK_MS * US_PER_MS),
-                    on_tick, d);
+  timer_add (d->duty->loop, d->duty->loop, TICK_MS * US_PER_MS, on_tick, d);
   return d;
 }
 
--- a/adapter/fleet_client.c
+++ b/adapter/fleet_client.c
@@ -8,6 +8,7 @@
 
 #include "adapter/fleet_page.h"
 #include "adapter/http_client.h"
+#include "adapter/timer.h"
 #include "port/action.h"
 
 #include <inttypes.h>
@@ -62,9 +63,7 @@
   uint32_t us
       = (POLL_MS - POLL_MS / 10 + randombytes_uniform (POLL_MS / 5)) * 1000;
 
-  tevent_add_timer (f->duty->loop, f->duty->loop,
-                    tevent_timeval_current_ofs (us / 1000000, us % 1000000),
-                    on_poll_timer, f);
+  timer_add (f->duty->loop, f->duty->loop, us, on_poll_timer, f);
 }
 
 /* Pushes E to the decide ring or drops it when that is full: the next poll, or
--- a/adapter/front.c
+++ b/adapter/front.c
@@ -8,6 +8,7 @@
 #include "adapter/front.h"
 
 #include "adapter/address.h"
+#include "adapter/timer.h"
 #include "port/action.h"
 
 #include <glib.h>
@@ -586,11 +587,8 @@
   MHD_run (f->http);
   TALLOC_FREE (f->timer);
   if (MHD_get_timeout (f->http, &ms) == MHD_YES)
-    f->timer = tevent_add_timer (
-        f->duty->loop, f->duty->loop,
-        tevent_timeval_current_ofs ((uint32_t)(ms / 1000),
-                                    (uint32_t)(ms % 1000) * 1000),
-        on_http_timer, f);
+    f->timer = timer_add (f->duty->loop, f->duty->loop, ms * US_PER_MS,
+                          on_http_timer, f);
   signal_if_closed (f);
 }
 
--- a/adapter/http_client.c
+++ b/adapter/http_client.c
@@ -2,6 +2,8 @@
 
 #include "adapter/http_client.h"
 
+#include "adapter/timer.h"
+
 #include "port/types.h"
 
 #include <curl/curl.h>
@@ -220,11 +222,8 @@
   (void)multi;
   TALLOC_FREE (c->timer);
   if (timeout_ms >= 0)
-    c->timer = tevent_add_timer (
-        c->loop, c,
-        tevent_timeval_current_ofs ((uint32_t)(timeout_ms / 1000),
-                                    (uint32_t)(timeout_ms % 1000) * 1000),
-        on_timer, c);
+    c->timer = timer_add (c->loop, c, (uint64_t)timeout_ms * US_PER_MS,
+                          on_timer, c);
   return 0;
 }
 
--- a/adapter/log_client.c
+++ b/adapter/log_client.c
@@ -8,6 +8,7 @@
 #include "adapter/http_client.h"
 #include "adapter/outbox.h"
 #include "adapter/record_json.h"
+#include "adapter/timer.h"
 #include "port/event.h"
 
 #include <inttypes.h>
@@ -62,9 +63,7 @@
 static void
 add_timer (struct log_client *l, uint32_t ms, tevent_timer_handler_t fn)
 {
-  tevent_add_timer (l->duty->loop, l->duty->loop,
-                    tevent_timeval_current_ofs (ms / 1000, (ms % 1000) * 1000),
-                    fn, l);
+  timer_add (l->duty->loop, l->duty->loop, ms * US_PER_MS, fn, l);
 }
 
 /* Returns *BACKOFF_MS with jitter, from half of it to all, and doubles it up
--- a/adapter/outbox.c
+++ b/adapter/outbox.c
@@ -2,6 +2,8 @@
 
 #include "adapter/outbox.h"
 
+#include "adapter/timer.h"
+
 #include <sys/queue.h>
 
 #define RETRY_DELAY_US 2000
@@ -30,8 +32,7 @@
 static void
 schedule_push (struct outbox *o)
 {
-  tevent_add_timer (o->loop, o, tevent_timeval_current_ofs (0, RETRY_DELAY_US),
-                    on_push_timer, o);
+  timer_add (o->loop, o, RETRY_DELAY_US, on_push_timer, o);
 }
 
 static void
--- a/adapter/peer_link.c
+++ b/adapter/peer_link.c
@@ -3,6 +3,7 @@
 #include "adapter/peer_link.h"
 
 #include "adapter/peer_codec.h"
+#include "adapter/timer.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -312,9 +313,8 @@
   randombytes_buf (l->nonces[side], HELLO_NONCE_BYTES);
   talloc_set_destructor (l, link_destroy);
   l->watch = tevent_add_fd (loop, l, fd, TEVENT_FD_READ, on_socket, l);
-  l->handshake_timer = tevent_add_timer (
-      loop, l, tevent_timeval_current_ofs (HANDSHAKE_TIMEOUT_S, 0),
-      on_handshake_timeout, l);
+  l->handshake_timer = timer_add (loop, l, HANDSHAKE_TIMEOUT_S * US_PER_S,
+                                  on_handshake_timeout, l);
   if (l->watch == NULL || l->handshake_timer == NULL
       || !queue_bytes (l, (const uint8_t *)MAGIC, MAGIC_BYTES)
       || !queue_bytes (l, l->nonces[side], HELLO_NONCE_BYTES))
--- a/adapter/peer_mesh.c
+++ b/adapter/peer_mesh.c
@@ -13,6 +13,7 @@
 #include "adapter/outbox.h"
 #include "adapter/peer_codec.h"
 #include "adapter/peer_link.h"
+#include "adapter/timer.h"
 #include "port/action.h"
 
 #include <arpa/inet.h>
@@ -142,8 +143,7 @@
 
   if (why == PEER_LINK_REFUSED)
     push_peer_fault (in->mesh, in->address);
-  tevent_add_timer (in->mesh->duty->loop, in, tevent_timeval_current (),
-                    on_free_inbound, in);
+  timer_add (in->mesh->duty->loop, in, 0, on_free_inbound, in);
 }
 
 static void
@@ -216,9 +216,8 @@
   out->backoff_ms *= 2;
   if (out->backoff_ms > MAX_BACKOFF_MS)
     out->backoff_ms = MAX_BACKOFF_MS;
-  tevent_add_timer (out->mesh->duty->loop, out,
-                    tevent_timeval_current_ofs (0, ms * US_PER_MS),
-                    on_connect_timer, out);
+  timer_add (out->mesh->duty->loop, out, ms * US_PER_MS, on_connect_timer,
+             out);
 }
 
 static void
--- a/adapter/relay.c
+++ b/adapter/relay.c
@@ -6,6 +6,7 @@
 #include "adapter/cell_post.h"
 #include "adapter/peer_link.h"
 #include "adapter/relay_codec.h"
+#include "adapter/timer.h"
 
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -397,10 +398,8 @@
   else if (r->address[0] != '\0' && now >= r->connect_at_us)
     connect_owner (r);
   blob_unref (heartbeat);
-  tevent_add_timer (
-      loop, loop,
-      tevent_timeval_current_ofs (0, HEARTBEAT_INTERVAL_MS * US_PER_MS),
-      on_heartbeat_timer, r);
+  timer_add (loop, loop, HEARTBEAT_INTERVAL_MS * US_PER_MS, on_heartbeat_timer,
+             r);
 }
 
 static bool
@@ -440,10 +439,8 @@
   r->duty = duty_new ("relay", RING_CAPACITY_COUNT, on_command, r);
   if (r->duty != NULL && open_listener (r, s->cell.relay_address))
     {
-      tevent_add_timer (
-          r->duty->loop, r->duty->loop,
-          tevent_timeval_current_ofs (0, HEARTBEAT_INTERVAL_MS * US_PER_MS),
-          on_heartbeat_timer, r);
+      timer_add (r->duty->loop, r->duty->loop,
+                 HEARTBEAT_INTERVAL_MS * US_PER_MS, on_heartbeat_timer, r);
       return r;
     }
   snprintf (text, TEXT_BYTES, "\"relay_listen\" %s: the relay does not start",
--- a/adapter/site_decide.c
+++ b/adapter/site_decide.c
@@ -11,6 +11,7 @@
 #include "adapter/relay_codec.h"
 #include "adapter/site_front.h"
 #include "adapter/site_store.h"
+#include "adapter/timer.h"
 
 #include <glib.h>
 #include <stdatomic.h>
@@ -284,10 +285,7 @@
   (void)at;
   step (d, &e);
   send_metrics (d, e.now_us);
-  tevent_add_timer (
-      loop, loop,
-      tevent_timeval_current_ofs (0, cell_tick_ms (d->cell) * US_PER_MS),
-      on_tick, state);
+  timer_add (loop, loop, cell_tick_ms (d->cell) * US_PER_MS, on_tick, state);
 }
 
 struct site_decide *
@@ -303,8 +301,7 @@
     }
   d->random = g_rand_new ();
   d->cell = cell_new (d, s);
-  tevent_add_timer (d->duty->loop, d->duty->loop,
-                    tevent_timeval_current_ofs (0, 0), on_tick, d);
+  timer_add (d->duty->loop, d->duty->loop, 0, on_tick, d);
   return d;
 }
 
--- a/adapter/site_front.c
+++ b/adapter/site_front.c
@@ -8,6 +8,7 @@
 
 #include "adapter/address.h"
 #include "adapter/cell_post.h"
+#include "adapter/timer.h"
 #include "platform/client.h"
 
 #include <glib.h>
@@ -410,11 +411,7 @@
   MHD_run (l->http);
   TALLOC_FREE (l->timer);
   if (MHD_get_timeout (l->http, &ms) == MHD_YES)
-    l->timer = tevent_add_timer (
-        loop, loop,
-        tevent_timeval_current_ofs ((uint32_t)(ms / 1000),
-                                    (uint32_t)(ms % 1000) * 1000),
-        on_http_timer, l);
+    l->timer = timer_add (loop, loop, ms * US_PER_MS, on_http_timer, l);
   report_closed (l->front);
 }
 
--- a/adapter/site_store.c
+++ b/adapter/site_store.c
@@ -5,6 +5,7 @@
 #include "adapter/cell_post.h"
 #include "adapter/http_client.h"
 #include "adapter/job_codec.h"
+#include "adapter/timer.h"
 #include "platform/config.h"
 #include "platform/runner.h"
 #include "platform/store.h"
@@ -163,10 +164,8 @@
       follower_request (f);
       return;
     }
-  f->timer = tevent_add_timer (
-      f->store->duty->loop, f->store->duty->loop,
-      tevent_timeval_current_ofs (delay_ms / 1000, delay_ms % 1000 * 1000),
-      follower_on_timer, f);
+  f->timer = timer_add (f->store->duty->loop, f->store->duty->loop,
+                        delay_ms * US_PER_MS, follower_on_timer, f);
 }
 
 static void
