--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -155,7 +155,7 @@
 
 /** Most VM orders without an answer; the order client has as many connections
     to the cloud.  */
-#define VM_ORDER_LIMIT_COUNT 16
+#define VM_ORDER_LIMIT_COUNT 32
 
 /** Actions of one cell_step.  The caller frees items with talloc_free.  */
 struct cell_actions
