Go on ordering after an order that the cloud could not take

After one order that the cloud could not take, no VM was emptied until an order was answered, and no order was sent as no VM was empty; and an order whose outcome was lost within the entry kept the window closed for ever.

Cause, by its class: admission that only its own progress can open again.

--- a/core/cell/vm_orders.c
+++ b/core/cell/vm_orders.c
@@ -59,7 +59,8 @@
     {
       const struct vm *v = value;
 
-      w->open_count += v->phase == VM_ORDERED && v->order_pending;
+      w->open_count += v->phase == VM_ORDERED && v->order_pending
+                       && c->now_us <= v->ordered_at_us + LOST_MS * US_PER_MS;
       w->emptying_count += v->phase == VM_EMPTYING;
     }
 }
@@ -81,7 +82,11 @@
 {
   const struct order_window *w = &c->fleet->window;
 
-  return w->failure_count == 0 && w->emptying_count < EMPTYING_LIMIT_COUNT;
+  /* One VM is emptied to try an order; nothing else may be left to try.  */
+  if (w->failure_count > 0)
+    return w->open_count + w->emptying_count == 0
+           && c->now_us >= w->resume_at_us;
+  return w->emptying_count < EMPTYING_LIMIT_COUNT;
 }
 
 void
@@ -184,7 +189,8 @@
 
   if (v == NULL || v->phase != VM_ORDERED || !cell_is_owner (c))
     return;
-  c->fleet->window.open_count -= v->order_pending;
+  if (v->order_pending && c->fleet->window.open_count > 0)
+    c->fleet->window.open_count--;
   v->order_pending = false;
   cell_log (c, "vm_order_answered", 0,
             "\"vm\":\"%s\",\"move\":%s,\"outcome\":%u,\"took_ms\":%llu,"
