Reserve runners only for tasks that will fit beside the long-running ones

A task without room reserved the runner with the least cores in use, even if that runner's long-running tasks alone left it no room; the reservation kept out a smaller task that fitted, and never ended.

Cause, by its class: capacity withdrawn without regard to what needs it. cells/reserved_runner_keeps_task_out failed before and passes.

--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -247,6 +247,26 @@
                                                   : r;
 }
 
+/* Returns true if T fits on R beside R's long-running tasks, and so will when
+   the others have ended.  */
+static bool
+fits_beside_long_running (const struct task *t, const struct runner *r)
+{
+  struct resources sum = occupied_by (t->step->spec);
+  guint i;
+
+  for (i = 0; i < r->tasks->len; i++)
+    {
+      const struct job_step *s
+          = ((struct task *)g_ptr_array_index (r->tasks, i))->step->spec;
+      struct resources n = occupied_by (s);
+
+      if (s->long_running)
+        resources_add (&sum, &n);
+    }
+  return resources_fit (&sum, &r->report.capacity);
+}
+
 void
 place_reserve (struct cell *c, struct task *t)
 {
@@ -260,7 +280,7 @@
       struct runner *r = g_ptr_array_index (pool, i);
 
       if (r->reserved || !is_allowed (c, t, r)
-          || !resources_fit (&t->step->spec->need, &r->report.capacity))
+          || !fits_beside_long_running (t, r))
         continue;
       if (r->reserved_for == t)
         {
