Leave runners in quarantine or draining out of a pool's capacity

A VM whose runner is in quarantine or drains takes no new tasks, but counted as serving.

Cause, by its class: demand is compared with capacity that does not serve. While short tasks need VMs, those VMs are added to the need. cells/quarantine_raises_no_demand failed before and passes.

--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -186,6 +186,16 @@
          && (r == NULL || !place_is_usable (c, r));
 }
 
+/* Returns true if V serves but takes no new tasks for seconds.  */
+static bool
+is_unusable (const struct cell *c, const struct vm *v)
+{
+  const struct runner *r = fleet_runner (c, v);
+
+  return r != NULL && !is_arriving (c, v)
+         && (r->report.draining || c->now_us < r->quarantined_until_us);
+}
+
 static void
 count_vms (struct cell *c)
 {
@@ -206,6 +216,7 @@
         continue;
       m->vm_count++;
       m->arriving_count += is_arriving (c, v);
+      m->unusable_count += is_unusable (c, v);
     }
 }
 
@@ -560,6 +571,7 @@
 {
   m->vm_count = 0;
   m->arriving_count = 0;
+  m->unusable_count = 0;
   m->listed_count = 0;
   m->long_running_milli = 0;
   m->short_task_milli = 0;
@@ -590,6 +602,8 @@
   m->need_count
       = vm_count_for (m, m->long_running_milli + short_milli, m->memory_mib);
   m->need_count = MAX (m->need_count, m->spread_vm_count);
+  if (short_milli > 0)
+    m->need_count += m->unusable_count;
   /* Tasks without a place do not fit on the VMs that serve, however much room
      these have in all.  */
   if (more > 0)
--- a/core/cell/demand.h
+++ b/core/cell/demand.h
@@ -46,6 +46,8 @@
                                   tasks on a runner spread long-running
                                   tasks.  */
   uint32_t arriving_count;     /**< VMs of vm_count that are on their way.  */
+  uint32_t unusable_count;     /**< VMs of vm_count whose runners are in
+                                  quarantine or drain.  */
   uint32_t unplaced_vm_count;  /**< VMs that long-running tasks without a
                                   place would fill.  */
   uint64_t unplaced_milli;     /**< Cores of those tasks.  */
