Leave the room that is planned for a long-running task to it

Callers would see a long-running task stopped and started again and again (found in the review): it was stopped for maintenance since another runner had room, and while it stopped a short task took that room.

Cause, by its class: a place that is promised but not held. Short tasks now count what a runner's planned tasks will occupy as used; the sum is kept by value, as a planned task may be freed between two ticks. cells/planned_place_taken_by_short_task failed before and passes. The two functions that tell what a task occupies are one.

--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -56,9 +56,8 @@
   return takes_tasks (c, r, false);
 }
 
-/* Returns what a task of S occupies on its runner: for a filler, no CPU.  */
-static struct resources
-occupied_by (const struct job_step *s)
+struct resources
+place_occupied_by (const struct job_step *s)
 {
   struct resources n = s->need;
 
@@ -74,16 +73,10 @@
           const struct resources *need, bool planned)
 {
   struct resources sum = r->used;
-  guint i;
 
   resources_add (&sum, need);
-  for (i = 0; planned && i < places_planned_count (c, r); i++)
-    {
-      const struct task *t = g_ptr_array_index (r->planned, i);
-      struct resources n = occupied_by (t->step->spec);
-
-      resources_add (&sum, &n);
-    }
+  if (planned && places_planned_count (c, r) > 0)
+    resources_add (&sum, &r->planned_sum);
   return resources_fit (&sum, &r->report.capacity);
 }
 
@@ -178,7 +171,7 @@
 bool
 place_fits (const struct cell *c, const struct task *t, const struct runner *r)
 {
-  struct resources need = occupied_by (t->step->spec);
+  struct resources need = place_occupied_by (t->step->spec);
 
   return meets_constraints (c, t, r, true) && has_room (c, r, &need, true);
 }
@@ -210,7 +203,7 @@
 {
   const struct job_step *s = t->step->spec;
   const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
-  struct resources need = occupied_by (s);
+  struct resources need = place_occupied_by (s);
   const GPtrArray *pool = q != NULL ? runners_of_pool (c, q->pool) : NULL;
   struct runner *best = NULL;
   uint64_t best_score = 0;
@@ -221,7 +214,9 @@
       struct runner *r = g_ptr_array_index (pool, i);
       uint64_t n;
 
-      if (!has_room (c, r, &need, false) || !takes_tasks (c, r, in_quarantine)
+      /* The room that is planned for a long-running task is left to it.  */
+      if (!has_room (c, r, &need, !s->long_running)
+          || !takes_tasks (c, r, in_quarantine)
           || !meets_constraints (c, t, r, false)
           || (r->reserved && r->reserved_for != t))
         continue;
@@ -252,14 +247,14 @@
 static bool
 fits_beside_long_running (const struct task *t, const struct runner *r)
 {
-  struct resources sum = occupied_by (t->step->spec);
+  struct resources sum = place_occupied_by (t->step->spec);
   guint i;
 
   for (i = 0; i < r->tasks->len; i++)
     {
       const struct job_step *s
           = ((struct task *)g_ptr_array_index (r->tasks, i))->step->spec;
-      struct resources n = occupied_by (s);
+      struct resources n = place_occupied_by (s);
 
       if (s->long_running)
         resources_add (&sum, &n);
--- a/core/cell/places.c
+++ b/core/cell/places.c
@@ -30,8 +30,14 @@
 static void
 note_place (struct cell *c, struct task *t, struct runner *r)
 {
+  struct resources need = place_occupied_by (t->step->spec);
+
   if (r->plan_number != c->fleet->plan_number)
-    g_ptr_array_set_size (r->planned, 0);
+    {
+      g_ptr_array_set_size (r->planned, 0);
+      memset (&r->planned_sum, 0, sizeof r->planned_sum);
+    }
+  resources_add (&r->planned_sum, &need);
   r->plan_number = t->plan_number = c->fleet->plan_number;
   t->planned_on = r;
   g_ptr_array_add (r->planned, t);
@@ -72,7 +78,10 @@
     {
       struct task *t = g_ptr_array_index (tasks, i);
 
+      struct resources need = place_occupied_by (t->step->spec);
+
       g_ptr_array_remove_fast (t->planned_on->planned, t);
+      resources_subtract (&t->planned_on->planned_sum, &need);
       t->plan_number = 0;
       c->fleet->planned_count--;
     }
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -182,6 +182,7 @@
   struct resources used;          /**< What its tasks occupy.  */
   GPtrArray *tasks;               /**< struct task that occupies it.  */
   uint64_t plan_number;           /**< Plan that planned belongs to.  */
+  struct resources planned_sum;   /**< What those tasks occupy.  */
   GPtrArray *planned;             /**< struct task that a place on it is
                                      planned for.  */
   uint32_t failed_run_count; /**< Failed runs in a row, of different jobs.  */
@@ -530,6 +531,9 @@
 /* dispatch.c and place.c: which task starts next, and on which runner.  */
 /** Starts the waiting tasks that can start.  */
 void dispatch_run (struct cell *c);
+/** Returns what a task of S occupies on its runner: for a filler, no CPU, as
+   it runs on the time that other tasks leave.  */
+struct resources place_occupied_by (const struct job_step *s);
 /** Returns true if R takes new tasks now, apart from its room.  */
 bool place_is_usable (const struct cell *c, const struct runner *r);
 /** Returns the best runner for T that has room, or NULL.  */
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -41,18 +41,6 @@
   id->index = t->index;
 }
 
-/* Returns what T occupies on its runner.  A filler occupies no CPU, as it runs
-   on the time that other tasks leave.  */
-static struct resources
-occupied_by (const struct task *t)
-{
-  struct resources r = t->step->spec->need;
-
-  if (t->step->spec->filler)
-    r.cpu_milli = 0;
-  return r;
-}
-
 static struct resources *
 usage_of (struct cell *c, const char *tenant)
 {
@@ -69,7 +57,7 @@
 void
 task_assign (struct cell *c, struct task *t, struct runner *r)
 {
-  struct resources room = occupied_by (t);
+  struct resources room = place_occupied_by (t->step->spec);
 
   t->runner = r;
   t->stop_acked_at_us = 0;
@@ -87,7 +75,7 @@
 void
 task_release (struct cell *c, struct task *t)
 {
-  struct resources room = occupied_by (t);
+  struct resources room = place_occupied_by (t->step->spec);
 
   if (t->runner == NULL)
     return;
