Limit how long a VM counts as on its way, and may be emptied for a move

Callers would see a long-running task wait for ever although other pools had VMs to spare (found in the review).

Cause, by its class: capacity withdrawn without a limit. A VM counts as on its way for 3 s at the most after the end of its operation, or after the begin of a move that has not been carried out; and a VM that is not empty 5 s after the begin of its move returns to use, as in a wave. cells/vm_lost_in_move_counts and move_waits_for_long_task failed before (no move, no return) and pass.

--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -48,8 +48,9 @@
 /** The peak of a surge is stored at once when one update raises it by more
     than this many VMs; a smaller rise is stored with the next record.  */
 #define PEAK_STEP_COUNT 3
-/** A VM that has just moved or had its maintenance counts as on its way for
-    this long, or until its runner takes tasks.  */
+/** A VM counts as on its way until its runner takes tasks, but no longer than
+   this after the end of its operation, or after a move that has not been
+   carried out has begun.  */
 #define ARRIVAL_LIMIT_MS 3000
 /** A VM that is wanted for emptying another is needed for this long.  */
 #define VM_WANTED_MS 1000
@@ -179,11 +180,15 @@
 {
   const struct runner *r = fleet_runner (c, v);
 
-  if (v->moving || v->phase == VM_AWAY)
-    return true;
-  return v->returned_at_us != 0
-         && c->now_us < v->returned_at_us + ARRIVAL_LIMIT_MS * US_PER_MS
-         && (r == NULL || !place_is_usable (c, r));
+  uint64_t expected_at_us = v->returned_at_us;
+
+  if (v->phase == VM_AWAY)
+    expected_at_us = v->away_until_us;
+  else if (v->moving)
+    expected_at_us = v->emptying_at_us;
+  else if (v->returned_at_us == 0 || (r != NULL && place_is_usable (c, r)))
+    return false;
+  return c->now_us < expected_at_us + ARRIVAL_LIMIT_MS * US_PER_MS;
 }
 
 /* Returns true if V serves but takes no new tasks for seconds.  */
--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -19,8 +19,7 @@
 /** Time for which a pool lacks a VM under maintenance: emptying and
     downtime.  */
 #define ROUND_MS 4500
-/** A VM that is not empty after this returns to use: its long-running tasks
-    find no other runner.  */
+/** A VM that is not empty after this returns to use, for a wave or a move.  */
 #define EMPTY_LIMIT_MS 5000
 /** Waves leave such a VM out for this long.  */
 #define SKIP_MS 2500
@@ -454,7 +453,7 @@
 }
 
 /* Orders the moves of VMs that have become empty, and repeats such orders that
-   got no answer.  */
+   got no answer.  VMs that do not become empty return to use.  */
 static void
 advance_moves (struct cell *c)
 {
@@ -470,6 +469,9 @@
       if (v->moving && v->phase == VM_EMPTYING
           && (r == NULL || r->tasks->len == 0))
         vm_orders_send_or_give_back (c, v);
+      else if (v->moving && v->phase == VM_EMPTYING
+               && c->now_us > v->emptying_at_us + EMPTY_LIMIT_MS * US_PER_MS)
+        fleet_give_back_vm (c, v, "not_empty", SKIP_MS);
       else if (v->moving)
         vm_orders_repeat (c, v);
     }
