Ask for VMs only where one can help

Operators would see a pool take one VM after the other, and other pools shrink to their need (found in the review): a long-running task whose label no other runner of the pool has raised demand in a wave or without a place, as did fillers, and tasks that had just got their VM back.

Cause, by its class: demand without regard to whether it can be met. VMs are asked for only if runners like those of the pool could hold the task.

--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -353,9 +353,12 @@
       const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
       struct pool_demand *m = q != NULL ? find_pool (c, q->pool) : NULL;
 
-      if (m == NULL)
+      /* Fillers use what is left over.  No VM helps a task that no runner like
+         those of the pool can hold.  */
+      if (m == NULL || s->filler || places_is_planned (c, t)
+          || !place_could_hold (c, t))
         continue;
-      m->unplaced_milli += s->filler ? 0 : s->need.cpu_milli;
+      m->unplaced_milli += s->need.cpu_milli;
       m->unplaced_mib += s->need.memory_mib;
       m->unplaced_vm_count
           = MAX (1, vm_count_for (m, m->unplaced_milli, m->unplaced_mib));
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -308,6 +308,30 @@
     }
 }
 
+bool
+place_could_hold (const struct cell *c, const struct task *t)
+{
+  const struct job_step *s = t->step->spec;
+  const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
+  const GPtrArray *pool = q != NULL ? runners_of_pool (c, q->pool) : NULL;
+  struct resources need = place_occupied_by (s);
+  bool known = false;
+  guint i;
+
+  for (i = 0; pool != NULL && i < pool->len; i++)
+    {
+      const struct runner *r = g_ptr_array_index (pool, i);
+
+      if (r == t->runner)
+        continue;
+      known = true;
+      if ((s->label[0] == '\0' || has_label (r, s->label))
+          && resources_fit (&need, &r->report.capacity))
+        return true;
+    }
+  return !known;
+}
+
 bool
 place_could_ever_fit (const struct cell *c, const char *pool,
                       const struct resources *need)
--- a/core/cell/places.c
+++ b/core/cell/places.c
@@ -125,6 +125,7 @@
 static void
 plan_step (struct cell *c, struct work_step *s, bool waiting)
 {
+  bool none = false; /* No place is left for tasks of S.  */
   uint32_t i;
 
   for (i = 0; i < s->spec->task_count; i++)
@@ -133,7 +134,10 @@
 
       if (waiting)
         {
-          if (waits_for_place (c, t) && !places_plan_task (c, t))
+          if (!waits_for_place (c, t))
+            continue;
+          none = none || !places_plan_task (c, t);
+          if (none)
             g_ptr_array_add (c->fleet->unplaced, t);
         }
       else if (t->runner != NULL && !t->stop_wanted
--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -184,11 +184,13 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct vm *v = value;
-      struct runner *r = fleet_runner (c, v);
+      struct runner *r;
 
-      if (v->phase == VM_EMPTYING && q != NULL
-          && strcmp (v->row.pool, q->pool) == 0 && r != NULL
-          && place_fits (c, t, r))
+      if (v->phase != VM_EMPTYING || q == NULL
+          || strcmp (v->row.pool, q->pool) != 0)
+        continue;
+      r = fleet_runner (c, v);
+      if (r != NULL && place_fits (c, t, r))
         return v;
     }
   return NULL;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -547,6 +547,9 @@
 void place_reserve (struct cell *c, struct task *t);
 /** Ends the reservations of a round; the next one remembers them.  */
 void place_end_round (struct cell *c);
+/** Returns true if a runner of T's pool other than its own could hold T when
+    empty, or if no other is known.  */
+bool place_could_hold (const struct cell *c, const struct task *t);
 /** Returns true if a runner of POOL could hold NEED when empty, or if POOL has
     no runners, so that nothing is known of its VMs.  */
 bool place_could_ever_fit (const struct cell *c, const char *pool,
--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -477,6 +477,23 @@
     }
 }
 
+/* Returns true if runners like the others of its pool could hold each of R's
+   long-running tasks.  */
+static bool
+others_could_hold (const struct cell *c, const struct runner *r)
+{
+  guint i;
+
+  for (i = 0; i < r->tasks->len; i++)
+    {
+      const struct task *t = g_ptr_array_index (r->tasks, i);
+
+      if (t->step->spec->long_running && !place_could_hold (c, t))
+        return false;
+    }
+  return true;
+}
+
 /* Begins to empty as many VMs of W as may be away now.  */
 static void
 empty_next_vms (struct cell *c, struct wave *w)
@@ -497,7 +514,8 @@
       if (r != NULL && !places_plan_runner (c, r))
         {
           v->skipped_until_us = c->now_us + PLACE_SKIP_MS * US_PER_MS;
-          demand_want_vm (c, v->row.pool);
+          if (others_could_hold (c, r))
+            demand_want_vm (c, v->row.pool);
           continue;
         }
       out_count++;
