--- a/tests/standin/site.c
+++ b/tests/standin/site.c
@@ -9,7 +9,9 @@
 
    Faults besides those of server.h: lose_starts=N (every Nth start is made but
    not answered), late_starts=N (every Nth start is made a second later and not
-   answered) and lose_appends=N (every Nth append is made, not answered).  */
+   answered), lose_appends=N (every Nth append is made, not answered) and
+   odd_entries=1 (another writer registers what is no runner; the first of its
+   entries has a key that few parsers read).  */
 
 #include "tests/standin/server.h"
 
@@ -29,6 +31,8 @@
 #define LATE_START_MS 1000
 #define CPU_MILLI 8000
 #define PAGE_COUNT 500
+/** Nesting of an odd entry: beyond any parser's depth.  */
+#define ODD_DEPTH_COUNT 20000
 
 struct record
 {
@@ -273,6 +277,21 @@
   return strcmp (x->key, y->key);
 }
 
+/* Adds a row whose key holds a NUL to the listing in the answer of X.  */
+static void
+add_odd_row (struct exchange *x)
+{
+  static const char row[]
+      = "\"items\":[{\"Key\":\"odd\\u0000\",\"Value\":\"e30=\",\"Offset\":0},";
+  gchar **parts = g_strsplit (x->answer, "\"items\":[", 2);
+
+  free (x->answer);
+  x->answer = NULL;
+  if (asprintf (&x->answer, "%s%s%s", parts[0], row, parts[1]) < 0)
+    abort ();
+  g_strfreev (parts);
+}
+
 /* Answers with a sorted page of each key's newest record, past After.  */
 static void
 read_newest (struct exchange *x)
@@ -300,6 +319,11 @@
       const struct record *r = g_ptr_array_index (rows, k);
       gchar *text = g_base64_encode (r->value, r->value_bytes);
 
+      if (!g_utf8_validate (r->key, -1, NULL))
+        {
+          g_free (text);
+          continue;
+        }
       json_array_append_new (items, json_pack ("{s:s,s:s,s:I}", "Key", r->key,
                                                "Value", text, "Offset",
                                                (json_int_t)(r - t->records)));
@@ -313,6 +337,8 @@
     x->answer = json_dumps (j, JSON_COMPACT);
     json_decref (j);
   }
+  if (fault_get ("odd_entries") > 0 && strcmp (t->name, "keyed.servers") == 0)
+    add_odd_row (x);
   x->answer_bytes = (uint32_t)strlen (x->answer);
   x->status = 200;
   g_ptr_array_free (rows, TRUE);
@@ -705,6 +731,35 @@
   pthread_mutex_unlock (&lock);
 }
 
+/* Registers what is no runner: nested deep, with numbers out of range, with a
+   port out of range, and under keys that are no ids.  */
+static void
+write_odd_entries (void)
+{
+  static const char *const keys[]
+      = { "r-nested", "r-number", "r-port", "r-%s\"\r\nX: 1", "r-\xff" };
+  static const char *const formats[] = {
+    "{\"Service\":\"p\",\"x\":%s}",
+    "{\"Service\":\"p\",\"Address\":\"127.0.0.1:1\",\"State\":\"ready\","
+    "\"born\":1e300,\"Room\":{\"Cpu\":1e300,\"MemMb\":1e300},\"x\":\"%s\"}",
+    "{\"Service\":\"p\",\"Address\":\"127.0.0.1:99999\",\"State\":"
+    "\"ready\",\"Room\":{\"Cpu\":8000,\"MemMb\":16000},\"x\":\"%s\"}",
+    "{\"Service\":\"p\",\"x\":\"%s\"}", "\xff%s"
+  };
+  gchar *nest = g_strnfill (ODD_DEPTH_COUNT, '[');
+  size_t i;
+
+  for (i = 0; i < sizeof keys / sizeof keys[0]; i++)
+    {
+      gchar *value = g_strdup_printf (formats[i], nest);
+
+      store_record (find_topic ("keyed.servers"), keys[i], strlen (keys[i]),
+                    value, strlen (value));
+      g_free (value);
+    }
+  g_free (nest);
+}
+
 /* Writes the status of every runner to the store each STATUS_INTERVAL_MS.  */
 static void *
 write_status_loop (void *state)
@@ -732,6 +787,8 @@
           store_record (find_topic ("keyed.servers"), id, strlen (id), value,
                         strlen (value));
         }
+      if (fault_get ("odd_entries") > 0)
+        write_odd_entries ();
       sequence++;
       pthread_cond_broadcast (&changed);
       pthread_mutex_unlock (&lock);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -436,6 +436,31 @@
   stop_site (&s);
 }
 
+/* Another writer's entries among those of the runners end no process, and no
+   entry stops following the list because of them.  */
+static void
+test_odd_entries (void)
+{
+  struct site s;
+  gint owner;
+  guint n;
+  guint i;
+
+  start_site (&s);
+  owner = wait_owner (&s);
+  cluster_fault (s.base_port, "odd_entries", 1);
+  for (n = 0; n < JOB_COUNT / 2; n++)
+    submit (&s, n);
+  stop_process (s.entries[owner], SIGKILL);
+  start_entry (&s, (guint)owner);
+  for (; n < JOB_COUNT; n++)
+    submit (&s, n);
+  check_jobs (&s);
+  for (i = 0; i < ENTRY_COUNT; i++)
+    g_assert_cmpint (waitpid (s.entries[i], NULL, WNOHANG), ==, 0);
+  stop_site (&s);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -446,5 +471,6 @@
   g_test_add_func ("/site/all_killed", test_all_killed);
   g_test_add_func ("/site/lost_answers", test_lost_answers);
   g_test_add_func ("/site/planned_stop", test_planned_stop);
+  g_test_add_func ("/site/odd_entries", test_odd_entries);
   return g_test_run ();
 }
