Read a page of the store without its odd entries

An owner that took over beside one entry whose key holds a NUL did not follow the list of runners, and its jobs stayed queued. A byte that is not UTF-8, a lone surrogate, a number too large or deep nesting refused a page as well.

The page was parsed as a whole, so one text that the parser refuses refused all entries, and the same page was asked for again. A malformed record is logged once until it can be read, with its key escaped, and counted (records_malformed).

--- a/adapter/site_front.c
+++ b/adapter/site_front.c
@@ -8,6 +8,7 @@
 
 #include "adapter/address.h"
 #include "adapter/cell_post.h"
+#include "adapter/site_store.h"
 #include "adapter/timer.h"
 #include "platform/client.h"
 
@@ -145,11 +146,13 @@
   fprintf (out,
            "fulmartack_log_lines_dropped_total %llu\n"
            "fulmartack_events_dropped_total %llu\n"
+           "fulmartack_records_malformed_total %llu\n"
            "fulmartack_owner %u\nfulmartack_jobs_active %u\n"
            "fulmartack_runners_listed %u\nfulmartack_calls_open %u\n"
            "fulmartack_ready %u\n",
            (unsigned long long)line_log_dropped_count (f->log),
-           (unsigned long long)cell_post_dropped_count (), f->metrics.owner,
+           (unsigned long long)cell_post_dropped_count (),
+           (unsigned long long)site_store_malformed_count (), f->metrics.owner,
            f->metrics.jobs_active, f->metrics.runners_listed, f->open_count,
            f->ready);
   print_histogram (out, "reply", f->metrics.reply_ms);
--- a/adapter/site_store.c
+++ b/adapter/site_store.c
@@ -10,6 +10,8 @@
 #include "platform/runner.h"
 #include "platform/store.h"
 
+#include <glib.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -34,10 +36,17 @@
 #define MEMBER_EXPIRY_MS 1000
 #define BODY_BYTES 400
 #define KEY_BYTES 256
+/** Key of that record, which holds the member.  */
+#define FENCE_KEY "owner"
+/** Most keys of malformed records that a follower remembers.  */
+#define MALFORMED_LIMIT_COUNT 1000
 /** Sequence number of the record that fences the topic at a takeover.  */
 #define FENCE_SEQUENCE 0
 #define PRODUCER "cell"
 
+/* Records found malformed, by any of the followers and recoveries.  */
+static _Atomic uint64_t malformed_count;
+
 struct follower;
 typedef void follower_fn (struct follower *f,
                           const struct platform_records *r);
@@ -60,6 +69,7 @@
   uint64_t sent_at_us;
   uint64_t list_sent_at_us; /**< When the first page was requested.  */
   bool call_failed;         /**< Last call failed; a change is logged.  */
+  GHashTable *malformed;    /**< Escaped keys of the malformed records.  */
   void *call;               /**< The open call, or NULL.  */
   struct tevent_timer *timer;
   struct cell_event *pending_event; /**< CELL_RUNNERS, listed so far.  */
@@ -102,14 +112,45 @@
   line_log_write (t->log, what, 0, fields);
 }
 
-/* Logs that the record with KEY cannot be decoded.  */
+/* Logs and counts that the record of TOPIC with the escaped KEY cannot be
+   used.  */
 static void
-log_malformed (struct site_store *t, const char *what, const char *key)
+log_malformed (struct site_store *t, const char *what, const char *topic,
+               const char *key)
 {
-  char fields[200];
+  char fields[300];
 
-  snprintf (fields, sizeof fields, "\"key\":\"%s\"", key);
+  snprintf (fields, sizeof fields, "\"topic\":\"%s\",\"key\":\"%.200s\"",
+            topic, key);
   line_log_write (t->log, what, 0, fields);
+  atomic_fetch_add (&malformed_count, 1);
+}
+
+/* Notes whether the record with the escaped KEY is malformed.  It is logged
+   once until it can be read again.  */
+static void
+note_escaped (struct follower *f, const char *what, const char *key,
+              bool malformed)
+{
+  if (!malformed)
+    g_hash_table_remove (f->malformed, key);
+  else if (!g_hash_table_contains (f->malformed, key))
+    {
+      if (g_hash_table_size (f->malformed) >= MALFORMED_LIMIT_COUNT)
+        g_hash_table_remove_all (f->malformed);
+      g_hash_table_add (f->malformed, g_strdup (key));
+      log_malformed (f->store, what, f->topic, key);
+    }
+}
+
+static void
+note_record (struct follower *f, const char *what,
+             const struct platform_record *x, bool malformed)
+{
+  char *key = g_uri_escape_string (x->key, "/", FALSE);
+
+  note_escaped (f, what, key, malformed);
+  g_free (key);
 }
 
 /* Starts a call whose body, if any, is JSON or framed records.  Returns its
@@ -176,6 +217,29 @@
   f->after_key[0] = '\0';
 }
 
+static void
+note_odd_keys (struct follower *f, const struct platform_records *r)
+{
+  uint32_t i;
+
+  for (i = 0; i < r->odd_count; i++)
+    note_escaped (f, "record_malformed", r->odd_keys[i], true);
+}
+
+/* Sets AFTER, of KEY_BYTES, to the last key of the page R.  Returns false if
+   no page follows it.  */
+static bool
+move_after (char *after, const struct platform_records *r)
+{
+  const char *last
+      = r->item_count > 0 ? r->items[r->item_count - 1].key : after;
+
+  if (!r->more || strcmp (after, last) == 0)
+    return false;
+  text_copy (after, KEY_BYTES, last);
+  return true;
+}
+
 /* Passes the records of an answer to on_records and moves F to the next page
    or read.  Returns false if the call failed or its answer is malformed.  */
 static bool
@@ -201,14 +265,15 @@
     }
   if (!platform_newest_decode (mem, r->status, body, n, &x))
     return false;
+  note_odd_keys (f, &x);
   if (f->first_page)
     {
       f->list_end_offset = x.end_offset;
       f->list_sent_at_us = f->sent_at_us;
     }
-  if (x.item_count > 0)
-    text_copy (f->after_key, KEY_BYTES, x.items[x.item_count - 1].key);
-  if (!x.more)
+  /* Without a key to continue after, the listing ends here; the records that
+     are appended bring the others.  */
+  if (!move_after (f->after_key, &x))
     {
       f->tailing = true;
       f->from_offset = f->list_end_offset;
@@ -262,32 +327,29 @@
 }
 
 static void
-post_wave (struct site_store *t, const struct platform_record *x)
+post_wave (struct follower *f, const struct platform_record *x)
 {
   struct cell_event *e = cell_event_new (CELL_WAVE);
+  bool valid = platform_wave_decode (e, x->value, x->value_bytes, &e->u.wave);
 
-  if (platform_wave_decode (e, x->value, x->value_bytes, &e->u.wave))
-    cell_post (t->cell, e);
+  note_record (f, "wave_malformed", x, !valid);
+  if (valid)
+    cell_post (f->store->cell, e);
   else
-    {
-      log_malformed (t, "wave_malformed", x->key);
-      talloc_free (e);
-    }
+    talloc_free (e);
 }
 
 static void
-post_config (struct site_store *t, const struct platform_record *x)
+post_config (struct follower *f, const struct platform_record *x)
 {
   struct cell_event *e = cell_event_new (CELL_CONFIG);
 
   e->u.config = platform_config_decode (e, x->value, x->value_bytes);
+  note_record (f, "config_malformed", x, e->u.config == NULL);
   if (e->u.config != NULL)
-    cell_post (t->cell, e);
+    cell_post (f->store->cell, e);
   else
-    {
-      log_malformed (t, "config_malformed", x->key);
-      talloc_free (e);
-    }
+    talloc_free (e);
 }
 
 static void
@@ -303,10 +365,10 @@
       if (x->value_bytes == 0)
         continue;
       if (strcmp (x->key, PLATFORM_KEY_CONFIG) == 0)
-        post_config (f->store, x);
+        post_config (f, x);
       else if (strncmp (x->key, PLATFORM_KEY_WAVE, strlen (PLATFORM_KEY_WAVE))
                == 0)
-        post_wave (f->store, x);
+        post_wave (f, x);
     }
   if (!f->tailing || f->from_offset < r->end_offset)
     return;
@@ -379,13 +441,12 @@
   for (i = 0; i < r->item_count; i++)
     {
       const struct platform_record *x = &r->items[i];
+      bool valid = platform_runner_report_decode (
+          x->key, x->value, x->value_bytes,
+          &e->u.runners.rows[e->u.runners.row_count]);
 
-      if (platform_runner_report_decode (
-              x->key, x->value, x->value_bytes,
-              &e->u.runners.rows[e->u.runners.row_count]))
-        e->u.runners.row_count++;
-      else if (!f->call_failed)
-        log_malformed (f->store, "runner_malformed", x->key);
+      e->u.runners.row_count += valid;
+      note_record (f, "runner_malformed", x, !valid);
     }
   if (!f->tailing)
     {
@@ -510,6 +571,15 @@
   end_call (x);
 }
 
+static void
+log_malformed_record (struct site_store *t, const struct platform_record *x)
+{
+  char *key = g_uri_escape_string (x->key, NULL, FALSE);
+
+  log_malformed (t, "record_malformed", PLATFORM_TOPIC_WORK, key);
+  g_free (key);
+}
+
 /* Decodes a page of a recovery.  Once a newer recovery has started,
    recover_after_key belongs to that one, so an older one ends here.  */
 static void
@@ -533,7 +603,6 @@
     }
   e = cell_event_new (CELL_RECOVERED);
   e->u.recovered.answered = true;
-  e->u.recovered.last = !p.more;
   e->u.recovered.rows
       = talloc_zero_array (e, struct recovered_record, p.item_count + 1);
   for (i = 0; i < p.item_count; i++)
@@ -541,8 +610,13 @@
             e, p.items[i].key, p.items[i].value, p.items[i].value_bytes,
             &e->u.recovered.rows[e->u.recovered.row_count]))
       e->u.recovered.row_count++;
-  if (p.item_count > 0)
-    text_copy (t->recover_after_key, KEY_BYTES, p.items[p.item_count - 1].key);
+    else if (strcmp (p.items[i].key, FENCE_KEY) != 0
+             && p.items[i].value_bytes > 0)
+      log_malformed_record (t, &p.items[i]);
+  for (i = 0; i < p.odd_count; i++)
+    log_malformed (t, "record_malformed", PLATFORM_TOPIC_WORK, p.odd_keys[i]);
+  p.more = move_after (t->recover_after_key, &p);
+  e->u.recovered.last = !p.more;
   cell_post (t->cell, e);
   talloc_free (tmp);
   if (p.more)
@@ -666,7 +740,7 @@
   char url[PLATFORM_STORE_URL_BYTES];
 
   x->store->recover_token = x->op.token;
-  x->op.body = encode_record ("owner", x->store->member);
+  x->op.body = encode_record (FENCE_KEY, x->store->member);
   platform_append_url (url, x->store->address, &a);
   start_call (x->store, "POST", url, x->op.body, APPEND_TIMEOUT_MS,
               on_fence_appended, x);
@@ -763,6 +837,7 @@
   f->wait_ms = wait_ms;
   f->poll_interval_ms = poll_interval_ms;
   f->on_records = on_records;
+  f->malformed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
 struct site_store *
@@ -819,6 +894,15 @@
     }
   TALLOC_FREE (t->runners.pending_event);
   TALLOC_FREE (t->http);
+  g_hash_table_destroy (t->config.malformed);
+  g_hash_table_destroy (t->claims.malformed);
+  g_hash_table_destroy (t->runners.malformed);
   duty_free (t->duty);
   talloc_free (t);
 }
+
+uint64_t
+site_store_malformed_count (void)
+{
+  return atomic_load (&malformed_count);
+}
--- a/adapter/site_store.h
+++ b/adapter/site_store.h
@@ -64,4 +64,8 @@
 void site_store_follow (struct site_store *t);
 void site_store_free (struct site_store *t);
 
+/** Returns how many records of the store were found malformed.  Callable from
+    any thread.  */
+uint64_t site_store_malformed_count (void);
+
 #endif
