Take no record of a read for that of another key

The value under the key "r1" NUL "x" was applied to r1. One record without a key refused the read, which was then repeated for ever.

Keys were cut at a NUL, and a record whose content is odd was treated like an answer that is cut. A key that is no text, or no key at all, now costs its record only; the offset moves on.

--- a/adapter/site_store.c
+++ b/adapter/site_store.c
@@ -259,7 +259,8 @@
           follower_restart_listing (f);
           return true;
         }
-      f->from_offset += x.item_count;
+      note_odd_keys (f, &x);
+      f->from_offset += x.item_count + x.odd_count;
       f->on_records (f, &x);
       return true;
     }
