Take no run that cannot be read for another one, nor for ended

A list of another type was an empty one: all runs there counted as ended, and their tasks started again beside them.

Numbers of rows were cut and converted unchecked.

--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -170,6 +170,7 @@
   r->lease_until_ms = 0;
   r->stored_end_number = r->seen_end_number = r->acked_end_number = 0;
   r->poll_id = 0;
+  r->poll_incomplete = false;
   r->failed_run_count = 0;
   r->quarantined_until_us = 0;
   r->refused_until_us = 0;
@@ -484,6 +485,17 @@
     }
 }
 
+/* Handles that R's answer to a poll lists what cannot be read: a run that it
+   seems not to list may be running there.  Logged once a boot.  */
+static void
+note_incomplete_poll (struct cell *c, struct runner *r)
+{
+  if (!r->poll_incomplete)
+    cell_log (c, "poll_malformed", 0, "\"runner\":\"%s\",\"runs\":%u",
+              r->report.id, r->tasks->len);
+  r->poll_incomplete = true;
+}
+
 static int
 compare_end_numbers (const void *a, const void *b)
 {
@@ -500,7 +512,10 @@
   bool has_new_end = false;
   uint32_t i;
 
-  r->reached = true;
+  if (!x->running_incomplete)
+    r->reached = true;
+  else if (!r->reached)
+    runners_schedule_poll (c, r, MISS_GAP_MS);
   if (x->ended_count > 1)
     qsort (x->ended, x->ended_count, sizeof *x->ended, compare_end_numbers);
   for (i = 0; i < x->ended_count; i++)
@@ -512,7 +527,10 @@
       }
   for (i = 0; i < x->running_count; i++)
     apply_running (c, r, &x->running[i]);
-  check_unreported (c, r, x, sent_us);
+  if (x->running_incomplete)
+    note_incomplete_poll (c, r);
+  else
+    check_unreported (c, r, x, sent_us);
   serving_pace_fillers (c, r);
   if (x->ended_count >= ENDED_PAGE_COUNT)
     runners_schedule_poll (c, r, 0);
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -174,9 +174,10 @@
   uint64_t seen_end_number;   /**< Ends up to this number are processed.  */
   uint64_t acked_end_number;  /**< Last stored_end_number sent to it.  */
   uint64_t poll_id;           /**< Poll in flight; 0: none.  */
-  uint64_t poll_sent_at_us;   /**< Set, but not used.  */
-  uint64_t next_poll_at_us;   /**< When it is polled next; 0: no poll.  */
-  uint64_t answered_at_us;    /**< When it last answered a poll.  */
+  bool poll_incomplete; /**< A poll of this boot listed what cannot be read. */
+  uint64_t poll_sent_at_us;       /**< Set, but not used.  */
+  uint64_t next_poll_at_us;       /**< When it is polled next; 0: no poll.  */
+  uint64_t answered_at_us;        /**< When it last answered a poll.  */
   uint64_t orphans_stopped_at_us; /**< When orphan runs were last stopped.  */
   uint32_t miss_count;            /**< Polls in a row without an answer.  */
   struct resources used;          /**< What its tasks occupy.  */
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -281,6 +281,7 @@
       order_outcome_names, G_N_ELEMENTS (order_outcome_names));
   r->clock_ms = get_number (j, "clock", x->at_ms);
   r->booted_at_ms = get_number (j, "booted_at", 0);
+  r->running_incomplete = get_flag (j, "incomplete");
   if (r->outcome == ORDER_UNKNOWN)
     r->clock_ms = 0;
   r->running = talloc_zero_array (e, struct running_task,
--- a/tests/test_entries.c
+++ b/tests/test_entries.c
@@ -202,8 +202,9 @@
                                 &r);
   g_string_append_printf (out,
                           "  outcome %u clock %" G_GUINT64_FORMAT
-                          " born %" G_GUINT64_FORMAT "\n",
-                          r.outcome, r.clock_ms, r.booted_at_ms);
+                          " born %" G_GUINT64_FORMAT "%s\n",
+                          r.outcome, r.clock_ms, r.booted_at_ms,
+                          r.running_incomplete ? " incomplete" : "");
   for (i = 0; i < r.running_count; i++)
     {
       g_string_append (out, "  running");
