Ask the runner which boot it is when its registration does not tell

A registration that claims a boot in the future ended the runs of a live runner, which started again elsewhere, and every later true registration was taken for one of an earlier boot. A runner whose clock was set back before it restarted was the same: its boot was not noticed, so its ends, numbered anew, were passed over. A poll answer of the boot before was processed as one of the new boot.

Boots were ordered by their start times. The runner's own answers now decide: an answer that names another boot, whichever way, starts a new one, unless the order was sent before the present boot was read. A registration is believed while the runner does not answer, or if it names a later start in the past that is not that of the boot before; otherwise the runner is polled at once.

test_cell boot_in_future, boot_clock_set_back and boot_answer_overtaken failed before.

--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -8,8 +8,6 @@
 
 #include <string.h>
 
-/** The wall clocks of runners and entries differ by less than this.  */
-#define CLOCK_DIFFERENCE_MS 1000
 /** A VM that is up with its previous runner this long after its downtime
     should have ended was not taken down: its order repeated one that the
     platform had executed before.  */
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -6,6 +6,9 @@
 
 #include "core/cell/state.h"
 
+/** The wall clocks of runners and entries differ by less than this.  */
+#define CLOCK_DIFFERENCE_MS 1000
+
 /** What the owner is doing with a VM.  */
 enum vm_phase
 {
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -159,11 +159,19 @@
     task_release (c, g_ptr_array_index (r->tasks, r->tasks->len - 1));
 }
 
-/* Handles that R was restarted: it has none of our runs, and another clock. */
+/* Handles that R was restarted: it has none of our runs, and another clock.
+   Its boot started at BOOTED_AT_MS; 0: not known.  */
 static void
-reset_boot (struct cell *c, struct runner *r, const char *why)
+reset_boot (struct cell *c, struct runner *r, uint64_t booted_at_ms,
+            const char *why)
 {
   release_all_tasks (c, r, why);
+  if (r->report.booted_at_ms != booted_at_ms)
+    r->previous_boot_ms = r->report.booted_at_ms;
+  r->report.booted_at_ms = booted_at_ms;
+  r->boot_named = false;
+  r->boot_doubted_at_us = 0;
+  r->boot_read_at_us = c->now_us;
   r->reached = false;
   r->clock_read_at_us = 0;
   r->clock_ms = 0;
@@ -294,10 +302,41 @@
     runners_schedule_poll (c, r, 0);
 }
 
+/* Returns true if the registration N, of a runner known as R, is of R's boot
+   or of one that came after it.
+
+   The order of two boots does not follow from their start times: clocks are
+   set back, and an entry of another writer may name any time.  A runner that
+   answers is the authority.  A later start time in the past that is not that
+   of the boot before is believed at once, so that lost runs start again soon;
+   otherwise R is asked.  */
+static bool
+accept_boot (struct cell *c, struct runner *r, const struct runner_report *n)
+{
+  bool answers = (r->boot_named || r->reached)
+                 && (r->tasks->len > 0 || r->miss_count < LOST_MISS_COUNT);
+
+  if (n->booted_at_ms == 0 || r->report.booted_at_ms == 0
+      || n->booted_at_ms == r->report.booted_at_ms)
+    return true;
+  if (answers
+      && (n->booted_at_ms < r->report.booted_at_ms
+          || n->booted_at_ms == r->previous_boot_ms
+          || n->booted_at_ms > c->wall_ms + CLOCK_DIFFERENCE_MS))
+    {
+      r->boot_doubted_at_us = c->now_us;
+      runners_schedule_poll (c, r, 0);
+      return false;
+    }
+  reset_boot (c, r, n->booted_at_ms, "new_boot");
+  return true;
+}
+
 static void
 apply_report (struct cell *c, const struct runner_report *n)
 {
   struct runner *r = g_hash_table_lookup (c->runners, n->id);
+  uint64_t booted_at_ms;
 
   if (n->removed)
     {
@@ -312,10 +351,7 @@
                 "\"runner\":\"%s\",\"pool\":\"%s\",\"address\":\"%s\"", n->id,
                 n->pool, n->address);
     }
-  else if (n->booted_at_ms > r->report.booted_at_ms
-           && r->report.booted_at_ms != 0)
-    reset_boot (c, r, "new_boot");
-  else if (n->booted_at_ms < r->report.booted_at_ms)
+  else if (!accept_boot (c, r, n))
     return;
   if (n->draining && (!r->report.draining || r->draining_at_us == 0))
     {
@@ -323,7 +359,10 @@
       cell_log (c, "runner_draining", 0, "\"runner\":\"%s\",\"runs\":%u",
                 n->id, r->tasks->len);
     }
+  booted_at_ms
+      = n->booted_at_ms != 0 ? n->booted_at_ms : r->report.booted_at_ms;
   r->report = *n;
+  r->report.booted_at_ms = booted_at_ms;
   set_pool (c, r, n->pool);
   r->listed = true;
   text_copy (r->rack, LABEL_BYTES, n->label_count > 1 ? n->labels[1] : "");
@@ -561,6 +600,8 @@
         cell_log (c, "runner_back", 0, "\"runner\":\"%s\",\"misses\":%u",
                   r->report.id, r->miss_count);
       r->miss_count = 0;
+      if (sent_us >= r->boot_doubted_at_us)
+        r->boot_doubted_at_us = 0;
       r->answered_at_us = r->heard_at_us = c->now_us;
       on_poll_answer (c, r, x, sent_us);
       return;
@@ -619,21 +660,32 @@
       ownership_lose (c, "order_fenced");
       return;
     }
+  if (x->booted_at_ms != 0 && x->booted_at_ms != r->report.booted_at_ms
+      && sent_us < r->boot_read_at_us)
+    return;
   if (x->outcome == ORDER_WRONG_BOOT
       || (x->booted_at_ms != 0 && r->report.booted_at_ms != 0
-          && x->booted_at_ms > r->report.booted_at_ms))
+          && x->booted_at_ms != r->report.booted_at_ms))
     {
-      reset_boot (c, r, "another_boot");
-      if (x->booted_at_ms > r->report.booted_at_ms)
-        r->report.booted_at_ms = x->booted_at_ms;
-      else
-        runners_schedule_poll (c, r, MISS_GAP_MS);
+      bool own = x->outcome != ORDER_WRONG_BOOT;
+
+      /* Another runner at the address refuses orders, too.  */
+      reset_boot (c, r,
+                  own ? x->booted_at_ms
+                      : MAX (x->booted_at_ms, r->report.booted_at_ms),
+                  "another_boot");
+      r->boot_named = own;
       /* A runner that refused an order as meant for another boot is polled
          again after a delay, not at once.  */
-      if (r->next_poll_at_us == c->now_us && x->outcome == ORDER_WRONG_BOOT)
+      if (!own)
         r->next_poll_at_us += MISS_GAP_MS * US_PER_MS * 4;
       return;
     }
+  if (x->booted_at_ms != 0)
+    {
+      r->report.booted_at_ms = x->booted_at_ms;
+      r->boot_named = true;
+    }
   note_clock (c, r, x->clock_ms);
   switch (x->kind)
     {
@@ -731,7 +783,8 @@
     {
       /* No poll is sent to an idle runner that knows which ends are stored. */
       if (r->reached && r->tasks->len == 0
-          && r->stored_end_number == r->acked_end_number && r->miss_count == 0)
+          && r->stored_end_number == r->acked_end_number && r->miss_count == 0
+          && r->boot_doubted_at_us == 0)
         r->next_poll_at_us = 0;
       else if (r->listed || r->tasks->len > 0)
         send_poll (c, r);
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -163,13 +163,19 @@
   struct runner_report report;
   GPtrArray *pool_runners; /**< All runners of its pool.  */
   char rack[LABEL_BYTES];
-  uint64_t draining_at_us;   /**< When it was first seen to drain; 0: never. */
-  bool listed;               /**< It is registered in the store.  */
-  uint64_t unlisted_at_us;   /**< When its registration was deleted.  */
-  bool reached;              /**< It has answered a poll of this owner.  */
-  uint64_t clock_ms;         /**< Its clock, as last read.  */
-  uint64_t clock_read_at_us; /**< When clock_ms was read; 0: never.  */
-  uint64_t lease_until_ms;   /**< Latest lease end ordered, on its clock.  */
+  uint64_t draining_at_us; /**< When it was first seen to drain; 0: never. */
+  bool listed;             /**< It is registered in the store.  */
+  uint64_t unlisted_at_us; /**< When its registration was deleted.  */
+  bool reached;            /**< It has answered a poll of this owner.  */
+  bool boot_named; /**< Its own answer has named report's booted_at_ms.  */
+  uint64_t previous_boot_ms; /**< booted_at_ms of the boot before; 0: none.  */
+  uint64_t boot_doubted_at_us; /**< When a registration named another boot, for
+                                  which it is polled; 0: none.  */
+  uint64_t boot_read_at_us;   /**< When booted_at_ms changed; answers to orders
+                                 sent before may be of the boot before.  */
+  uint64_t clock_ms;          /**< Its clock, as last read.  */
+  uint64_t clock_read_at_us;  /**< When clock_ms was read; 0: never.  */
+  uint64_t lease_until_ms;    /**< Latest lease end ordered, on its clock.  */
   uint64_t stored_end_number; /**< Ends up to this number are durable.  */
   uint64_t seen_end_number;   /**< Ends up to this number are processed.  */
   uint64_t acked_end_number;  /**< Last stored_end_number sent to it.  */
