Take a start time in the future for no start after the claim

After a takeover, a waiting task started at once although a runner that may be running it had not answered, if that runner's registration names a start in the future: it counted as booted after the claim.

test_cell boot_in_future_is_unreached failed before.

--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -124,6 +124,16 @@
          && r->heard_at_us < c->fleet->snapshot_at_us;
 }
 
+/* Returns true if R got no order of a former owner, since it booted after our
+   claim.  A start time in the future tells nothing.  */
+static bool
+booted_after_claim (const struct cell *c, const struct runner *r)
+{
+  return r->report.booted_at_ms
+             >= c->ownership.claimed_at_ms + CLOCK_DIFFERENCE_MS
+         && r->report.booted_at_ms <= c->wall_ms + CLOCK_DIFFERENCE_MS;
+}
+
 /* Looks in both lists.  The store's list lacks runners whose registrations
    expired while the store was unreachable; the platform's list lacks those
    that started after it was first read.  */
@@ -140,12 +150,8 @@
     {
       const struct runner *r = value;
 
-      /* A runner that booted after our claim got no order of a former
-         owner.  */
       if (!r->reached && strcmp (r->report.pool, pool) == 0
-          && !fleet_runner_is_gone (c, r)
-          && r->report.booted_at_ms
-                 < c->ownership.claimed_at_ms + CLOCK_DIFFERENCE_MS)
+          && !fleet_runner_is_gone (c, r) && !booted_after_claim (c, r))
         return true;
     }
   g_hash_table_iter_init (&it, c->fleet->vms);
