Allocate no more elements than a record can hold

Five bytes of a record that announce an array of elements made msgpack allocate 128 GiB; whether that fails is up to the machine.

The counts are checked against the size before a record or a message of another entry is unpacked.

--- a/adapter/job_codec.c
+++ b/adapter/job_codec.c
@@ -416,7 +416,6 @@
 {
   char id[JOB_ID_BYTES];
   msgpack_unpacked m;
-  size_t at = 0;
   bool valid = false;
 
   memset (r, 0, sizeof *r);
@@ -425,9 +424,7 @@
       || (!job_id_parse (id, &r->job) && strcmp (key, POOL_HISTORY_KEY) != 0
           && strncmp (key, WAVE_KEY_PREFIX, strlen (WAVE_KEY_PREFIX)) != 0))
     return false;
-  msgpack_unpacked_init (&m);
-  if (msgpack_unpack_next (&m, value, size_bytes, &at)
-      == MSGPACK_UNPACK_SUCCESS)
+  if (unpack_message (&m, value, size_bytes))
     valid = unpack_record (mem, &m.data, r);
   msgpack_unpacked_destroy (&m);
   return valid;
--- a/adapter/pack.c
+++ b/adapter/pack.c
@@ -4,6 +4,75 @@
 
 #include <string.h>
 
+/* The codes from FIRST_CODE to LAST_CODE, of objects with a fixed size or with
+   the number of their bytes or elements after the code.  */
+#define FIRST_CODE 0xc0
+#define LAST_CODE 0xdf
+#define FIRST_ARRAY_CODE 0xdc
+#define FIRST_MAP_CODE 0xde
+
+/* Reads the head of the object at *AT and moves *AT behind it, and behind its
+   bytes unless it is an array or a map.  Returns the number of objects in
+   it.  */
+static uint64_t
+skip_object (const uint8_t *data, uint32_t size_bytes, uint64_t *at)
+{
+  /* By code: bytes of the number, and of what has a fixed size.  */
+  static const uint8_t number_bytes[]
+      = { 0, 0, 0, 0, 1, 2, 4, 1, 2, 4, 0, 0, 0, 0, 0, 0,
+          0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 2, 4, 2, 4, 2, 4 };
+  static const uint8_t fixed_bytes[]
+      = { 0, 0, 0, 0, 0, 0, 0, 1, 1,  1, 4, 8, 1, 2, 4, 8,
+          1, 2, 4, 8, 2, 3, 5, 9, 17, 0, 0, 0, 0, 0, 0, 0 };
+  uint8_t code = data[(*at)++];
+  uint64_t n = 0;
+  uint32_t i;
+
+  if (code >= 0x80 && code < 0x90)
+    return 2 * (code & 0xf);
+  if (code >= 0x90 && code < 0xa0)
+    return code & 0xf;
+  if (code >= 0xa0 && code < FIRST_CODE)
+    *at += code & 0x1f;
+  if (code < FIRST_CODE || code > LAST_CODE)
+    return 0;
+  for (i = 0; i < number_bytes[code - FIRST_CODE] && *at < size_bytes; i++)
+    n = n << 8 | data[(*at)++];
+  if (code >= FIRST_ARRAY_CODE)
+    return code >= FIRST_MAP_CODE ? 2 * n : n;
+  *at += fixed_bytes[code - FIRST_CODE] + n;
+  return 0;
+}
+
+/* Returns true if the object at DATA, with all objects in it, can lie in
+   SIZE_BYTES.  */
+static bool
+is_whole (const uint8_t *data, uint32_t size_bytes)
+{
+  uint64_t left_count = 1;
+  uint64_t at = 0;
+
+  while (left_count > 0)
+    {
+      if (at >= size_bytes || left_count > size_bytes - at)
+        return false;
+      left_count += skip_object (data, size_bytes, &at) - 1;
+    }
+  return at <= size_bytes;
+}
+
+bool
+unpack_message (msgpack_unpacked *m, const void *data, uint32_t size_bytes)
+{
+  size_t at = 0;
+
+  msgpack_unpacked_init (m);
+  /* msgpack allocates the elements that an array announces.  */
+  return is_whole (data, size_bytes)
+         && msgpack_unpack_next (m, data, size_bytes, &at)
+                == MSGPACK_UNPACK_SUCCESS;
+}
+
 void
 unpack_open (struct unpack *u, const msgpack_object *o)
 {
--- a/adapter/pack.h
+++ b/adapter/pack.h
@@ -17,6 +17,12 @@
   bool failed;
 };
 
+/** Unpacks the object at DATA, of SIZE_BYTES or less, into M, which the caller
+    destroys in any case.  Returns false if it is cut or malformed; memory is
+    taken for no more elements than DATA can hold.  */
+bool unpack_message (msgpack_unpacked *m, const void *data,
+                     uint32_t size_bytes);
+
 /** Starts reading the array O; U fails if O is NULL or no array.  */
 void unpack_open (struct unpack *u, const msgpack_object *o);
 
--- a/adapter/relay_codec.c
+++ b/adapter/relay_codec.c
@@ -89,12 +89,9 @@
 {
   msgpack_unpacked x;
   struct unpack u;
-  size_t at = 0;
 
   memset (m, 0, sizeof *m);
-  msgpack_unpacked_init (&x);
-  if (msgpack_unpack_next (&x, (const char *)data, size_bytes, &at)
-      == MSGPACK_UNPACK_SUCCESS)
+  if (unpack_message (&x, data, size_bytes))
     unpack_open (&u, &x.data);
   else
     unpack_open (&u, NULL);
--- a/adapter/site_store.c
+++ b/adapter/site_store.c
@@ -389,12 +389,9 @@
 {
   msgpack_unpacked m;
   struct unpack u;
-  size_t at = 0;
   bool valid;
 
-  msgpack_unpacked_init (&m);
-  valid = msgpack_unpack_next (&m, (const char *)x->value, x->value_bytes, &at)
-          == MSGPACK_UNPACK_SUCCESS;
+  valid = unpack_message (&m, x->value, x->value_bytes);
   unpack_open (&u, valid ? &m.data : NULL);
   unpack_text (&u, e->u.claim.member, NAME_BYTES);
   unpack_text (&u, e->u.claim.address, ADDRESS_BYTES);
