--- a/tests/test_entries.c
+++ b/tests/test_entries.c
@@ -349,6 +349,25 @@
     }
 }
 
+/* Parts: the path, as decoded from the URL, and the host of a call.  */
+static void
+decode_call (TALLOC_CTX *mem, const GByteArray *b, GString *out)
+{
+  struct client_call c = { 0 };
+  struct platform_request r = { .method = "GET" };
+  gchar *path;
+  guint n;
+  const guint8 *host = split_key (mem, b, &path, &n);
+
+  r.path = path;
+  r.host = talloc_strndup (mem, (const gchar *)host, n);
+  platform_client_decode (mem, &r, &c);
+  g_string_append (out, " ");
+  print_text (out, "path", c.path);
+  print_text (out, "host", c.host);
+  g_string_append_c (out, '\n');
+}
+
 /* Parts: the key and the value of a record of jobs.  */
 static void
 decode_record (TALLOC_CTX *mem, const GByteArray *b, GString *out)
@@ -382,6 +401,7 @@
   { "config", decode_config }, { "wave", decode_wave },
   { "vms", decode_vms },       { "submit", decode_submit },
   { "record", decode_record }, { "relay", decode_relay },
+  { "call", decode_call },
 };
 
 static void
