--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -163,20 +163,27 @@
   struct runner_report report;
   GPtrArray *pool_runners; /**< All runners of its pool.  */
   char rack[LABEL_BYTES];
-  uint64_t draining_at_us;   /**< When it was first seen to drain; 0: never. */
-  bool listed;               /**< It is registered in the store.  */
-  uint64_t unlisted_at_us;   /**< When its registration was deleted.  */
-  bool reached;              /**< It has answered a poll of this owner.  */
-  uint64_t clock_ms;         /**< Its clock, as last read.  */
-  uint64_t clock_read_at_us; /**< When clock_ms was read; 0: never.  */
-  uint64_t lease_until_ms;   /**< Latest lease end ordered, on its clock.  */
+  uint64_t draining_at_us; /**< When it was first seen to drain; 0: never. */
+  bool listed;             /**< It is registered in the store.  */
+  uint64_t unlisted_at_us; /**< When its registration was deleted.  */
+  bool reached;            /**< It has answered a poll of this owner.  */
+  bool boot_named; /**< Its own answer has named report's booted_at_ms.  */
+  uint64_t previous_boot_ms; /**< booted_at_ms of the boot before; 0: none.  */
+  uint64_t boot_doubted_at_us; /**< When a registration named another boot, for
+                                  which it is polled; 0: none.  */
+  uint64_t boot_read_at_us;   /**< When booted_at_ms changed; answers to orders
+                                 sent before may be of the boot before.  */
+  uint64_t clock_ms;          /**< Its clock, as last read.  */
+  uint64_t clock_read_at_us;  /**< When clock_ms was read; 0: never.  */
+  uint64_t lease_until_ms;    /**< Latest lease end ordered, on its clock.  */
   uint64_t stored_end_number; /**< Ends up to this number are durable.  */
   uint64_t seen_end_number;   /**< Ends up to this number are processed.  */
   uint64_t acked_end_number;  /**< Last stored_end_number sent to it.  */
   uint64_t poll_id;           /**< Poll in flight; 0: none.  */
-  uint64_t poll_sent_at_us;   /**< Set, but not used.  */
-  uint64_t next_poll_at_us;   /**< When it is polled next; 0: no poll.  */
-  uint64_t answered_at_us;    /**< When it last answered a poll.  */
+  bool poll_incomplete; /**< A poll of this boot listed what cannot be read. */
+  uint64_t poll_sent_at_us;       /**< Set, but not used.  */
+  uint64_t next_poll_at_us;       /**< When it is polled next; 0: no poll.  */
+  uint64_t answered_at_us;        /**< When it last answered a poll.  */
   uint64_t orphans_stopped_at_us; /**< When orphan runs were last stopped.  */
   uint32_t miss_count;            /**< Polls in a row without an answer.  */
   struct resources used;          /**< What its tasks occupy.  */
