Keep a start that a runner's new boot has taken

Callers would see a task done twice (found by the tests of odd entries): the order to start it was taken by another boot of the runner than the one it was meant for, under the same id, and the task started elsewhere beside it.

Cause, by its class: an answer that is dropped with the state that it does not fit.

--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -633,6 +633,46 @@
   return n;
 }
 
+/* Returns T to R, whose new boot has taken its start.  The lease in the order
+   was meant for another clock, and is at most as long as a runner grants.  */
+static void
+keep_start (struct cell *c, struct runner *r, struct task *t)
+{
+  task_assign (c, t, r);
+  t->phase = TASK_RUNNING;
+  t->start_known_at_us = c->now_us;
+  r->lease_until_ms = r->clock_ms + c->settings.times.lease_max_ms;
+}
+
+/* Handles that X, the result of an order to R about T or none, is of another
+   boot than R's.  */
+static void
+on_other_boot (struct cell *c, struct runner *r, struct task *t,
+               const struct runner_result *x)
+{
+  bool own = x->outcome != ORDER_WRONG_BOOT;
+  bool taken
+      = own && t != NULL && x->kind == ORDER_START && x->outcome == ORDER_DONE;
+
+  if (taken)
+    task_release (c, t);
+  /* Another runner at the address refuses orders, too.  */
+  reset_boot (c, r,
+              own ? x->booted_at_ms
+                  : MAX (x->booted_at_ms, r->report.booted_at_ms),
+              "another_boot");
+  r->boot_named = own;
+  if (taken)
+    {
+      note_clock (c, r, x->clock_ms);
+      keep_start (c, r, t);
+    }
+  /* A runner that refused an order as meant for another boot is polled again
+     after a delay, not at once.  */
+  if (!own)
+    r->next_poll_at_us += MISS_GAP_MS * US_PER_MS * 4;
+}
+
 void
 runners_on_result (struct cell *c, struct runner_result *x)
 {
@@ -667,18 +707,7 @@
       || (x->booted_at_ms != 0 && r->report.booted_at_ms != 0
           && x->booted_at_ms != r->report.booted_at_ms))
     {
-      bool own = x->outcome != ORDER_WRONG_BOOT;
-
-      /* Another runner at the address refuses orders, too.  */
-      reset_boot (c, r,
-                  own ? x->booted_at_ms
-                      : MAX (x->booted_at_ms, r->report.booted_at_ms),
-                  "another_boot");
-      r->boot_named = own;
-      /* A runner that refused an order as meant for another boot is polled
-         again after a delay, not at once.  */
-      if (!own)
-        r->next_poll_at_us += MISS_GAP_MS * US_PER_MS * 4;
+      on_other_boot (c, r, t, x);
       return;
     }
   if (x->booted_at_ms != 0)
