--- a/core/cell/cell.h
+++ b/core/cell/cell.h
@@ -4,10 +4,10 @@
    on nothing but the cell and the event.  Every entry takes calls (ingress.c)
    and knows the entries linked to it (peers.c).  The entry that the store's
    group names owns the cell (ownership.c); only it decides on jobs (jobs.c),
-   their records (records.c) and tasks (tasks.c), runners (runners.c),
-   placement (dispatch.c, place.c), serving tasks and fillers (serving.c), VMs
-   (fleet.c), maintenance waves (waves.c) and pool sizes (demand.c,
-   pools.c).  */
+   their records (records.c) and tasks (tasks.c), runners (registrations.c,
+   runners.c), placement (dispatch.c, place.c, places.c), serving tasks and
+   fillers (serving.c), VMs (fleet.c, vm_orders.c), maintenance waves (waves.c)
+   and pool sizes (demand.c, pools.c).  */
 
 #ifndef FTK_CORE_CELL_CELL_H
 #define FTK_CORE_CELL_CELL_H
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -31,11 +31,6 @@
 #define STOP_RETRY_MS 500
 /** A runner's clock runs slow by at most this, in thousandths.  */
 #define CLOCK_SLOW_MILLI 20
-/** An expired lease counts only after this many unanswered polls, as many as a
-    silent runner has missed when its lease expires.  With fewer, this entry
-    itself was late, and an answer that tells how the runs ended may still be
-    unread.  */
-#define LOST_MISS_COUNT 3
 /** Margin for the resolution of the clocks, which are read in whole
     milliseconds.  */
 #define CLOCK_GRAIN_MS 20
@@ -140,9 +135,8 @@
   c->metrics.counters[CELL_COUNT_LEASE_RENEWALS]++;
 }
 
-/* Frees the tasks of R, whose runs have certainly ended.  */
-static void
-release_all_tasks (struct cell *c, struct runner *r, const char *why)
+void
+runners_release_tasks (struct cell *c, struct runner *r, const char *why)
 {
   if (r->tasks->len > 0)
     cell_log (
@@ -159,13 +153,11 @@
     task_release (c, g_ptr_array_index (r->tasks, r->tasks->len - 1));
 }
 
-/* Handles that R was restarted: it has none of our runs, and another clock.
-   Its boot started at BOOTED_AT_MS; 0: not known.  */
-static void
-reset_boot (struct cell *c, struct runner *r, uint64_t booted_at_ms,
-            const char *why)
+void
+runners_reset_boot (struct cell *c, struct runner *r, uint64_t booted_at_ms,
+                    const char *why)
 {
-  release_all_tasks (c, r, why);
+  runners_release_tasks (c, r, why);
   if (r->report.booted_at_ms != booted_at_ms)
     r->previous_boot_ms = r->report.booted_at_ms;
   r->report.booted_at_ms = booted_at_ms;
@@ -185,217 +177,6 @@
   r->next_poll_at_us = c->now_us;
 }
 
-const GPtrArray *
-runners_of_pool (const struct cell *c, const char *pool)
-{
-  return g_hash_table_lookup (c->pools, pool);
-}
-
-/* Moves R to POOL in the index by pool, or removes it if POOL is NULL.  */
-static void
-set_pool (struct cell *c, struct runner *r, const char *pool)
-{
-  GPtrArray *runners = NULL;
-
-  if (pool != NULL)
-    {
-      runners = g_hash_table_lookup (c->pools, pool);
-      if (runners == NULL)
-        {
-          runners = g_ptr_array_new ();
-          g_hash_table_insert (c->pools, g_strdup (pool), runners);
-        }
-    }
-  if (runners == r->pool_runners)
-    return;
-  if (r->pool_runners != NULL)
-    g_ptr_array_remove (r->pool_runners, r);
-  if (runners != NULL)
-    g_ptr_array_add (runners, r);
-  r->pool_runners = runners;
-}
-
-static int
-runner_free (struct runner *r)
-{
-  g_ptr_array_free (r->tasks, TRUE);
-  g_ptr_array_free (r->planned, TRUE);
-  return 0;
-}
-
-static struct runner *
-runner_new (struct cell *c, const struct runner_report *report)
-{
-  struct runner *r = talloc_zero (c, struct runner);
-
-  if (r == NULL)
-    out_of_memory ();
-  r->tasks = g_ptr_array_new ();
-  r->planned = g_ptr_array_new ();
-  talloc_set_destructor (r, runner_free);
-  r->report = *report;
-  r->next_poll_at_us = c->now_us;
-  r->heard_at_us = c->now_us;
-  g_hash_table_insert (c->runners, r->report.id, r);
-  return r;
-}
-
-/* Forgets the orders to R that have no answer.  */
-static void
-drop_orders (struct cell *c, const struct runner *r)
-{
-  GHashTableIter it;
-  gpointer value;
-
-  g_hash_table_iter_init (&it, c->pending_orders);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    if (((struct pending_order *)value)->runner == r)
-      {
-        c->unanswered_start_count
-            -= ((struct pending_order *)value)->kind == ORDER_START;
-        g_hash_table_iter_remove (&it);
-      }
-}
-
-static void
-clear_failed_on (struct cell *c, const struct runner *r)
-{
-  guint i;
-  uint32_t o;
-  uint32_t s;
-  uint32_t k;
-
-  for (i = 0; i < c->active->len; i++)
-    {
-      struct job *j = g_ptr_array_index (c->active, i);
-
-      for (o = 0; o < j->occurrence_count; o++)
-        for (s = 0; s < j->spec->step_count; s++)
-          for (k = 0; k < j->spec->steps[s].task_count; k++)
-            if (j->occurrences[o]->steps[s].tasks[k].failed_on == r)
-              j->occurrences[o]->steps[s].tasks[k].failed_on = NULL;
-    }
-}
-
-static void
-drop_runner (struct cell *c, struct runner *r)
-{
-  release_all_tasks (c, r, "forgotten");
-  drop_orders (c, r);
-  clear_failed_on (c, r);
-  g_hash_table_remove (c->runners, r->report.id);
-  set_pool (c, r, NULL);
-  talloc_free (r);
-}
-
-/* Handles that the registration of R was deleted.  */
-static void
-set_unlisted (struct cell *c, struct runner *r)
-{
-  if (!r->listed)
-    return;
-  r->listed = false;
-  r->unlisted_at_us = c->now_us;
-  cell_log (c, "runner_unlisted", 0, "\"runner\":\"%s\",\"runs\":%u",
-            r->report.id, r->tasks->len);
-  if (r->tasks->len > 0)
-    runners_schedule_poll (c, r, 0);
-}
-
-/* Returns true if the registration N, of a runner known as R, is of R's boot
-   or of one that came after it.
-
-   The order of two boots does not follow from their start times: clocks are
-   set back, and an entry of another writer may name any time.  A runner that
-   answers is the authority.  A later start time in the past that is not that
-   of the boot before is believed at once, so that lost runs start again soon;
-   otherwise R is asked.  */
-static bool
-accept_boot (struct cell *c, struct runner *r, const struct runner_report *n)
-{
-  bool answers = (r->boot_named || r->reached)
-                 && (r->tasks->len > 0 || r->miss_count < LOST_MISS_COUNT);
-
-  if (n->booted_at_ms == 0 || r->report.booted_at_ms == 0
-      || n->booted_at_ms == r->report.booted_at_ms)
-    return true;
-  if (answers
-      && (n->booted_at_ms < r->report.booted_at_ms
-          || n->booted_at_ms == r->previous_boot_ms
-          || n->booted_at_ms > c->wall_ms + CLOCK_DIFFERENCE_MS))
-    {
-      r->boot_doubted_at_us = c->now_us;
-      runners_schedule_poll (c, r, 0);
-      return false;
-    }
-  reset_boot (c, r, n->booted_at_ms, "new_boot");
-  return true;
-}
-
-static void
-apply_report (struct cell *c, const struct runner_report *n)
-{
-  struct runner *r = g_hash_table_lookup (c->runners, n->id);
-  uint64_t booted_at_ms;
-
-  if (n->removed)
-    {
-      if (r != NULL)
-        set_unlisted (c, r);
-      return;
-    }
-  if (r == NULL)
-    {
-      r = runner_new (c, n);
-      cell_log (c, "runner_listed", 0,
-                "\"runner\":\"%s\",\"pool\":\"%s\",\"address\":\"%s\"", n->id,
-                n->pool, n->address);
-    }
-  else if (!accept_boot (c, r, n))
-    return;
-  if (n->draining && (!r->report.draining || r->draining_at_us == 0))
-    {
-      r->draining_at_us = c->now_us;
-      cell_log (c, "runner_draining", 0, "\"runner\":\"%s\",\"runs\":%u",
-                n->id, r->tasks->len);
-    }
-  booted_at_ms
-      = n->booted_at_ms != 0 ? n->booted_at_ms : r->report.booted_at_ms;
-  r->report = *n;
-  r->report.booted_at_ms = booted_at_ms;
-  set_pool (c, r, n->pool);
-  r->listed = true;
-  text_copy (r->rack, LABEL_BYTES, n->label_count > 1 ? n->labels[1] : "");
-  c->dispatch_due = true;
-}
-
-void
-runners_on_reports (struct cell *c, struct cell_event *e)
-{
-  GHashTableIter it;
-  gpointer value;
-  uint32_t i;
-
-  if (!cell_is_owner (c))
-    return;
-  if (e->u.runners.whole)
-    {
-      GHashTable *named = g_hash_table_new (g_str_hash, g_str_equal);
-
-      for (i = 0; i < e->u.runners.row_count; i++)
-        g_hash_table_add (named, e->u.runners.rows[i].id);
-      g_hash_table_iter_init (&it, c->runners);
-      while (g_hash_table_iter_next (&it, NULL, &value))
-        if (!g_hash_table_contains (named,
-                                    ((struct runner *)value)->report.id))
-          set_unlisted (c, value);
-      g_hash_table_destroy (named);
-      c->runners_known = true;
-    }
-  for (i = 0; i < e->u.runners.row_count; i++)
-    apply_report (c, &e->u.runners.rows[i]);
-}
-
 /* Gives T the run ROW that R reports and that a former owner started.  */
 static void
 adopt (struct cell *c, struct runner *r, struct task *t,
@@ -657,10 +438,10 @@
   if (taken)
     task_release (c, t);
   /* Another runner at the address refuses orders, too.  */
-  reset_boot (c, r,
-              own ? x->booted_at_ms
-                  : MAX (x->booted_at_ms, r->report.booted_at_ms),
-              "another_boot");
+  runners_reset_boot (c, r,
+                      own ? x->booted_at_ms
+                          : MAX (x->booted_at_ms, r->report.booted_at_ms),
+                      "another_boot");
   r->boot_named = own;
   if (taken)
     {
@@ -799,9 +580,9 @@
 {
   if (r->tasks->len > 0 && r->miss_count >= LOST_MISS_COUNT
       && runners_lease_expired (c, r))
-    release_all_tasks (c, r, "lease_expired");
+    runners_release_tasks (c, r, "lease_expired");
   if (r->tasks->len > 0 && r->miss_count > 0 && fleet_runner_is_gone (c, r))
-    release_all_tasks (c, r, "vm_down");
+    runners_release_tasks (c, r, "vm_down");
   repeat_stops (c, r);
   if (r->report.draining)
     evict_from_draining (c, r);
@@ -838,7 +619,7 @@
       tick_runner (c, r);
       if (!r->listed && r->tasks->len == 0
           && c->now_us > r->unlisted_at_us + UNLISTED_LIMIT_MS * US_PER_MS)
-        drop_runner (c, r);
+        runners_drop (c, r);
     }
   g_ptr_array_free (all, TRUE);
 }
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -20,6 +20,11 @@
 /** A former owner may have used up to this many run numbers of a task without
     storing them.  */
 #define UNRECORDED_RUN_COUNT 64
+/** An expired lease counts only after this many unanswered polls, as many as a
+    silent runner has missed when its lease expires.  With fewer, this entry
+    itself was late, and an answer that tells how the runs ended may still be
+    unread.  */
+#define LOST_MISS_COUNT 3
 /** An entry that owns the cell or is taking it over gives it up when it sent
     its last answered join of the store's group this long ago.  */
 #define OWNERSHIP_TIMEOUT_MS 10000
@@ -512,13 +517,23 @@
 /** Makes those steps of O ready whose dependencies are done.  */
 void task_unblock_steps (struct cell *c, struct occurrence *o);
 
-/* runners.c: leases of runners, polls and orders.  */
+/* registrations.c: the runners that are registered in the store.  */
 void runners_on_reports (struct cell *c, struct cell_event *e);
+/** Forgets R, with its tasks and orders.  */
+void runners_drop (struct cell *c, struct runner *r);
+/** Returns the array of struct runner of POOL, or NULL if it had none yet.  */
+const GPtrArray *runners_of_pool (const struct cell *c, const char *pool);
+
+/* runners.c: leases of runners, polls and orders.  */
+/** Frees the tasks of R, whose runs have certainly ended; WHY is logged.  */
+void runners_release_tasks (struct cell *c, struct runner *r, const char *why);
+/** Handles that R was restarted: it has none of our runs, and another clock.
+    Its boot started at BOOTED_AT_MS, in Unix time; 0: not known.  */
+void runners_reset_boot (struct cell *c, struct runner *r,
+                         uint64_t booted_at_ms, const char *why);
 void runners_on_result (struct cell *c, struct runner_result *x);
 void runners_tick (struct cell *c);
 void runners_clear (struct cell *c);
-/** Returns the array of struct runner of POOL, or NULL if it had none yet.  */
-const GPtrArray *runners_of_pool (const struct cell *c, const char *pool);
 /** Schedules a poll of R in DELAY_MS at the latest.  */
 void runners_schedule_poll (struct cell *c, struct runner *r,
                             uint32_t delay_ms);
