Say once when a VM is empty, and where a task's runners are

"Empty" was tested in four places and "taken out of use" was set in two; waves and moves each gave back VMs that stay full. These are now fleet_is_empty, fleet_begin_emptying and give_back_late_vm. The search for a VM to move is split from the condition (is_movable). The step from a task to the runners of its pool, or to that pool's demand, stood seven times; it is now runners_for_task and find_pool_of_queue.

--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -96,6 +96,15 @@
   return &p->pools[p->pool_count++];
 }
 
+/* Returns the demand on the pool of QUEUE, or NULL as find_pool does.  */
+static struct pool_demand *
+find_pool_of_queue (struct cell *c, const char *queue)
+{
+  const struct site_queue *q = cell_find_queue (c, queue);
+
+  return q != NULL ? find_pool (c, q->pool) : NULL;
+}
+
 bool
 demand_is_dirty (const struct cell *c)
 {
@@ -179,7 +188,6 @@
 is_arriving (const struct cell *c, const struct vm *v)
 {
   const struct runner *r = fleet_runner (c, v);
-
   uint64_t expected_at_us = v->returned_at_us;
 
   if (v->phase == VM_AWAY)
@@ -316,8 +324,7 @@
   for (i = 0; i < c->active->len; i++)
     {
       const struct job *j = g_ptr_array_index (c->active, i);
-      const struct site_queue *q = cell_find_queue (c, j->queue);
-      struct pool_demand *m = q != NULL ? find_pool (c, q->pool) : NULL;
+      struct pool_demand *m = find_pool_of_queue (c, j->queue);
 
       for (o = 0; m != NULL && o < j->occurrence_count; o++)
         for (s = 0; s < j->spec->step_count; s++)
@@ -350,8 +357,7 @@
     {
       const struct task *t = g_ptr_array_index (unplaced, i);
       const struct job_step *s = t->step->spec;
-      const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
-      struct pool_demand *m = q != NULL ? find_pool (c, q->pool) : NULL;
+      struct pool_demand *m = find_pool_of_queue (c, task_job (t)->queue);
 
       /* Fillers use what is left over.  No VM helps a task that no runner like
          those of the pool can hold.  */
@@ -393,8 +399,7 @@
 void
 demand_note_arrival (struct cell *c, const struct job *j)
 {
-  const struct site_queue *q = cell_find_queue (c, j->queue);
-  struct pool_demand *m = q != NULL ? find_pool (c, q->pool) : NULL;
+  struct pool_demand *m = find_pool_of_queue (c, j->queue);
   uint64_t work_us = 0;
   uint64_t serial_us = 0;
   uint32_t s;
--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -1,4 +1,4 @@
-/* fleet.c -- the platform's list of VMs, and orders for VMs.
+/* fleet.c -- the platform's list of VMs, and the phases of a VM.
 
    The store's list of runners and the platform's list of VMs can each be
    incomplete.  Taken together they name every runner that a former owner may
@@ -27,6 +27,25 @@
              : NULL;
 }
 
+bool
+fleet_is_empty (const struct cell *c, const struct vm *v)
+{
+  const struct runner *r = fleet_runner (c, v);
+
+  return r == NULL || r->tasks->len == 0;
+}
+
+void
+fleet_begin_emptying (struct cell *c, struct vm *v)
+{
+  struct runner *r = fleet_runner (c, v);
+
+  v->phase = VM_EMPTYING;
+  v->emptying_at_us = c->now_us;
+  if (r != NULL)
+    r->vm_emptying = true;
+}
+
 void
 fleet_return_vm (struct cell *c, struct vm *v)
 {
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -87,6 +87,10 @@
 bool fleet_runs_are_known (const struct cell *c, const struct vm *v);
 /** Returns true if V is in the spare pool.  */
 bool fleet_is_spare (const struct cell *c, const struct vm *v);
+/** Returns true if no task occupies V's runner, or V has no runner.  */
+bool fleet_is_empty (const struct cell *c, const struct vm *v);
+/** Takes V out of use until it is empty: its runner gets no new tasks.  */
+void fleet_begin_emptying (struct cell *c, struct vm *v);
 /** Returns V to normal use.  */
 void fleet_return_vm (struct cell *c, struct vm *v);
 /** Returns V, whose operation is given up for now, to normal use; WHY is
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -28,13 +28,16 @@
     long-running: it would have to move again.  */
 #define MAINTENANCE_PENALTY 1000
 
+/* Returns true if R has the label that S asks for, or S asks for none.  */
 static bool
-has_label (const struct runner *r, const char *label)
+has_label (const struct runner *r, const struct job_step *s)
 {
   uint32_t i;
 
+  if (s->label[0] == '\0')
+    return true;
   for (i = 0; i < r->report.label_count; i++)
-    if (strcmp (r->report.labels[i], label) == 0)
+    if (strcmp (r->report.labels[i], s->label) == 0)
       return true;
   return false;
 }
@@ -155,7 +158,7 @@
 {
   const struct job_step *s = t->step->spec;
 
-  return (s->label[0] == '\0' || has_label (r, s->label))
+  return has_label (r, s)
          && (s->per_runner_limit_count == 0
              || count_same_step (c, r, t->step, planned)
                     < s->per_runner_limit_count);
@@ -202,9 +205,8 @@
 find_runner (struct cell *c, const struct task *t, bool in_quarantine)
 {
   const struct job_step *s = t->step->spec;
-  const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
   struct resources need = place_occupied_by (s);
-  const GPtrArray *pool = q != NULL ? runners_of_pool (c, q->pool) : NULL;
+  const GPtrArray *pool = runners_for_task (c, t);
   struct runner *best = NULL;
   uint64_t best_score = 0;
   guint i;
@@ -265,8 +267,7 @@
 void
 place_reserve (struct cell *c, struct task *t)
 {
-  const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
-  const GPtrArray *pool = q != NULL ? runners_of_pool (c, q->pool) : NULL;
+  const GPtrArray *pool = runners_for_task (c, t);
   struct runner *best = NULL;
   guint i;
 
@@ -312,8 +313,7 @@
 place_could_hold (const struct cell *c, const struct task *t)
 {
   const struct job_step *s = t->step->spec;
-  const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
-  const GPtrArray *pool = q != NULL ? runners_of_pool (c, q->pool) : NULL;
+  const GPtrArray *pool = runners_for_task (c, t);
   struct resources need = place_occupied_by (s);
   bool known = false;
   guint i;
@@ -325,8 +325,7 @@
       if (r == t->runner)
         continue;
       known = true;
-      if ((s->label[0] == '\0' || has_label (r, s->label))
-          && resources_fit (&need, &r->report.capacity))
+      if (has_label (r, s) && resources_fit (&need, &r->report.capacity))
         return true;
     }
   return !known;
--- a/core/cell/places.c
+++ b/core/cell/places.c
@@ -47,8 +47,7 @@
 bool
 places_plan_task (struct cell *c, struct task *t)
 {
-  const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
-  const GPtrArray *pool = q != NULL ? runners_of_pool (c, q->pool) : NULL;
+  const GPtrArray *pool = runners_for_task (c, t);
   guint i;
 
   if (places_is_planned (c, t))
@@ -77,7 +76,6 @@
   for (i = 0; i < tasks->len; i++)
     {
       struct task *t = g_ptr_array_index (tasks, i);
-
       struct resources need = place_occupied_by (t->step->spec);
 
       g_ptr_array_remove_fast (t->planned_on->planned, t);
--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -22,7 +22,7 @@
     long.  */
 #define DONOR_DELAY_MS 300
 /** A VM that returned to use since a long-running task needed it is left out
-   by waves for this long.  */
+    by waves for this long.  */
 #define NEEDED_SKIP_MS 1000
 
 static bool
@@ -48,8 +48,24 @@
   return r == NULL ? 0 : 2 * r->used.cpu_milli + !r->maintenance_due;
 }
 
-/* Returns the VM of pool M that costs least to move, or NULL.  If EMPTY, only
-   VMs without tasks can be chosen; otherwise all without long-running ones. */
+/* Returns true if V, of pool M, can be moved: it has no tasks or, unless
+   EMPTY, none that are long-running, and no place on it is planned.  */
+static bool
+is_movable (const struct cell *c, const struct pool_demand *m,
+            const struct vm *v, bool empty)
+{
+  const struct runner *r = fleet_runner (c, v);
+
+  if (v->phase != VM_IDLE || !v->row.up || !fleet_runs_are_known (c, v))
+    return false;
+  if (r == NULL)
+    return m->spare;
+  return places_planned_count (c, r) == 0
+         && (r->tasks->len == 0 || (!empty && !has_long_running (r)));
+}
+
+/* Returns the VM of pool M that costs least to move, or NULL; if EMPTY, one
+   without tasks.  */
 static struct vm *
 find_movable_vm (struct cell *c, const struct pool_demand *m, bool empty)
 {
@@ -61,15 +77,9 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct vm *v = value;
-      struct runner *r = fleet_runner (c, v);
 
-      if (v->phase != VM_IDLE || !v->row.up || !fleet_runs_are_known (c, v)
-          || strcmp (v->row.pool, m->name) != 0 || (r == NULL && !m->spare)
-          || (r != NULL && places_planned_count (c, r) > 0)
-          || (r != NULL && r->tasks->len > 0
-              && (empty || has_long_running (r))))
-        continue;
-      if (best == NULL || move_cost (c, v) < move_cost (c, best))
+      if (strcmp (v->row.pool, m->name) == 0 && is_movable (c, m, v, empty)
+          && (best == NULL || move_cost (c, v) < move_cost (c, best)))
         best = v;
     }
   return best;
@@ -81,12 +91,8 @@
 move_vm (struct cell *c, struct vm *v, struct pool_demand *from,
          struct pool_demand *to)
 {
-  struct runner *r = fleet_runner (c, v);
-
   v->moving = true;
   text_copy (v->target_pool, NAME_BYTES, to->name);
-  if (r != NULL)
-    r->vm_emptying = true;
   from->vm_count--;
   to->vm_count++;
   cell_log (c, "vm_move_begun", 0,
@@ -94,9 +100,8 @@
             "\"to\":\"%s\",\"to_has\":%u,\"to_needs\":%u",
             v->row.vm, from->name, from->vm_count, from->need_count, to->name,
             to->vm_count, to->need_count);
-  v->phase = VM_EMPTYING;
-  v->emptying_at_us = c->now_us;
-  if (r == NULL || r->tasks->len == 0)
+  fleet_begin_emptying (c, v);
+  if (fleet_is_empty (c, v))
     vm_orders_send (c, v);
   else
     c->fleet->window.emptying_count++;
@@ -107,10 +112,8 @@
 static bool
 admits_move (const struct cell *c, const struct vm *v)
 {
-  const struct runner *r = fleet_runner (c, v);
-
-  return r == NULL || r->tasks->len == 0 ? vm_orders_admit (c)
-                                         : vm_orders_admit_emptying (c);
+  return fleet_is_empty (c, v) ? vm_orders_admit (c)
+                               : vm_orders_admit_emptying (c);
 }
 
 /* Returns the pool that gives a VM to TO, or NULL: the spare pool if it has a
--- a/core/cell/registrations.c
+++ b/core/cell/registrations.c
@@ -11,6 +11,14 @@
   return g_hash_table_lookup (c->pools, pool);
 }
 
+const GPtrArray *
+runners_for_task (const struct cell *c, const struct task *t)
+{
+  const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
+
+  return q != NULL ? runners_of_pool (c, q->pool) : NULL;
+}
+
 /* Moves R to POOL in the index by pool, or removes it if POOL is NULL.  */
 static void
 set_pool (struct cell *c, struct runner *r, const char *pool)
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -523,6 +523,9 @@
 void runners_drop (struct cell *c, struct runner *r);
 /** Returns the array of struct runner of POOL, or NULL if it had none yet.  */
 const GPtrArray *runners_of_pool (const struct cell *c, const char *pool);
+/** The same for the pool of the queue that T's job is in; NULL also if that
+    queue is not configured.  */
+const GPtrArray *runners_for_task (const struct cell *c, const struct task *t);
 
 /* runners.c: leases of runners, polls and orders.  */
 /** Frees the tasks of R, whose runs have certainly ended; WHY is logged.  */
--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -424,12 +424,22 @@
   a->u.wave_state.completed = completed;
 }
 
+/* Returns V, which is not empty, to use if its emptying has taken too long;
+   returns true if so.  */
+static bool
+give_back_late_vm (struct cell *c, struct vm *v)
+{
+  if (c->now_us <= v->emptying_at_us + EMPTY_LIMIT_MS * US_PER_MS)
+    return false;
+  fleet_give_back_vm (c, v, "not_empty", SKIP_MS);
+  return true;
+}
+
 /* Takes V, which W has chosen, a step further: empties it, or orders its
    maintenance when it is empty.  */
 static void
 advance_vm (struct cell *c, struct vm *v, const struct wave *w)
 {
-  struct runner *r = fleet_runner (c, v);
   uint32_t left = w->spec.vm_count - w->done_count;
   uint64_t rounds = (left + w->spec.parallel_limit_count - 1)
                     / MAX (w->spec.parallel_limit_count, 1);
@@ -439,17 +449,10 @@
   vm_orders_repeat (c, v);
   if (v->phase != VM_EMPTYING || !fleet_runs_are_known (c, v))
     return;
-  if (r != NULL && r->tasks->len > 0)
-    {
-      if (c->now_us > v->emptying_at_us + EMPTY_LIMIT_MS * US_PER_MS)
-        {
-          fleet_give_back_vm (c, v, "not_empty", SKIP_MS);
-          return;
-        }
-      empty_runner (c, r, short_of_time);
-      return;
-    }
-  vm_orders_send_or_give_back (c, v);
+  if (fleet_is_empty (c, v))
+    vm_orders_send_or_give_back (c, v);
+  else if (!give_back_late_vm (c, v))
+    empty_runner (c, fleet_runner (c, v), short_of_time);
 }
 
 /* Orders the moves of VMs that have become empty, and repeats such orders that
@@ -464,16 +467,15 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct vm *v = value;
-      struct runner *r = fleet_runner (c, v);
 
-      if (v->moving && v->phase == VM_EMPTYING
-          && (r == NULL || r->tasks->len == 0))
-        vm_orders_send_or_give_back (c, v);
-      else if (v->moving && v->phase == VM_EMPTYING
-               && c->now_us > v->emptying_at_us + EMPTY_LIMIT_MS * US_PER_MS)
-        fleet_give_back_vm (c, v, "not_empty", SKIP_MS);
-      else if (v->moving)
+      if (!v->moving)
+        continue;
+      if (v->phase != VM_EMPTYING)
         vm_orders_repeat (c, v);
+      else if (fleet_is_empty (c, v))
+        vm_orders_send_or_give_back (c, v);
+      else
+        give_back_late_vm (c, v);
     }
 }
 
@@ -522,10 +524,7 @@
       c->fleet->window.emptying_count++;
       find_count (counts, v->row.pool)->out_count++;
       v->wave = w->spec.number;
-      v->phase = VM_EMPTYING;
-      v->emptying_at_us = c->now_us;
-      if (r != NULL)
-        r->vm_emptying = true;
+      fleet_begin_emptying (c, v);
       cell_log (c, "vm_emptying", 0,
                 "\"vm\":\"%s\",\"pool\":\"%s\",\"wave\":%llu,\"runs\":%u",
                 v->row.vm, v->row.pool, (unsigned long long)w->spec.number,
