Split the handling of results of orders to runners and for VMs

runners_on_result was 60 lines and kept the account of open orders besides acting on the result; vm_orders_on_result and detect_surge had two jobs, too. The delay after a refusal for another boot and the number of doublings after failed orders were bare numbers; they have names now, and the reasons beside them say which case is meant.

No behaviour changes: test_cell, test_entries and test_timer pass with unchanged expected files.

--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -483,6 +483,21 @@
                                   : 0;
 }
 
+/* Raises the peak of M's surge to the VMs that it needs now.  */
+static void
+record_peak (struct cell *c, struct pool_demand *m)
+{
+  uint32_t count
+      = vm_count_for (m,
+                      m->long_running_milli + m->short_task_milli
+                          + MIN (m->waiting_milli, m->short_task_milli / 2),
+                      0);
+
+  if (count > m->peak_vm_count + PEAK_STEP_COUNT)
+    c->fleet->demand->dirty = true;
+  m->peak_vm_count = MAX (m->peak_vm_count, count);
+}
+
 /* Updates the mean need of M, and detects and records its surges.  */
 static void
 detect_surge (struct cell *c, struct pool_demand *m)
@@ -516,17 +531,7 @@
       c->fleet->demand->dirty = true;
     }
   if (c->now_us < m->surge_began_at_us + SURGE_INTERVAL_MS * US_PER_MS)
-    {
-      uint32_t count = vm_count_for (
-          m,
-          m->long_running_milli + m->short_task_milli
-              + MIN (m->waiting_milli, m->short_task_milli / 2),
-          0);
-
-      if (count > m->peak_vm_count + PEAK_STEP_COUNT)
-        c->fleet->demand->dirty = true;
-      m->peak_vm_count = MAX (m->peak_vm_count, count);
-    }
+    record_peak (c, m);
   if (high)
     m->high_at_us = c->now_us;
 }
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -16,6 +16,9 @@
 /** Delay of the poll that follows an unanswered one: this times the number of
     unanswered polls in a row, 6 at most.  */
 #define MISS_GAP_MS 150
+/** Delay of the poll of a runner that refused an order as meant for another
+    boot: another runner may answer at its address.  */
+#define WRONG_BOOT_DELAY_MS 600
 /** A poll is put off for up to this until the ends listed so far are
     stored.  */
 #define STORE_WAIT_MS 400
@@ -414,8 +417,9 @@
   return n;
 }
 
-/* Returns T to R, whose new boot has taken its start.  The lease in the order
-   was meant for another clock, and is at most as long as a runner grants.  */
+/* Returns T to R, whose new boot has carried out its start.  The lease in the
+   order was meant for the clock of the boot before, so the longest that a
+   runner grants is taken for it.  */
 static void
 keep_start (struct cell *c, struct runner *r, struct task *t)
 {
@@ -431,27 +435,71 @@
 on_other_boot (struct cell *c, struct runner *r, struct task *t,
                const struct runner_result *x)
 {
-  bool own = x->outcome != ORDER_WRONG_BOOT;
-  bool taken
-      = own && t != NULL && x->kind == ORDER_START && x->outcome == ORDER_DONE;
+  bool refused = x->outcome == ORDER_WRONG_BOOT;
+  bool started
+      = t != NULL && x->kind == ORDER_START && x->outcome == ORDER_DONE;
 
-  if (taken)
+  if (started)
     task_release (c, t);
-  /* Another runner at the address refuses orders, too.  */
+  /* A refusal may come from another runner at R's address, so the boot that it
+     names is used only if it is later.  */
   runners_reset_boot (c, r,
-                      own ? x->booted_at_ms
-                          : MAX (x->booted_at_ms, r->report.booted_at_ms),
+                      refused ? MAX (x->booted_at_ms, r->report.booted_at_ms)
+                              : x->booted_at_ms,
                       "another_boot");
-  r->boot_named = own;
-  if (taken)
+  r->boot_named = !refused;
+  if (started)
     {
       note_clock (c, r, x->clock_ms);
       keep_start (c, r, t);
     }
-  /* A runner that refused an order as meant for another boot is polled again
-     after a delay, not at once.  */
-  if (!own)
-    r->next_poll_at_us += MISS_GAP_MS * US_PER_MS * 4;
+  if (refused)
+    r->next_poll_at_us += WRONG_BOOT_DELAY_MS * US_PER_MS;
+}
+
+/* Removes O, which X answers, from the orders without an answer, and counts
+   how long the answer took.  */
+static void
+close_order (struct cell *c, const struct pending_order *o,
+             const struct runner_result *x)
+{
+  c->unanswered_start_count -= o->kind == ORDER_START;
+  c->order_latency.order_count++;
+  c->order_latency.slow_count += is_overdue (c, o);
+  g_hash_table_remove (c->pending_orders, &x->order_id);
+}
+
+/* Handles X, the result of an order to R's present boot about T or none, sent
+   at SENT_US.  */
+static void
+apply_result (struct cell *c, struct runner *r, struct task *t,
+              struct runner_result *x, uint64_t sent_us)
+{
+  if (x->booted_at_ms != 0)
+    {
+      r->report.booted_at_ms = x->booted_at_ms;
+      r->boot_named = true;
+    }
+  note_clock (c, r, x->clock_ms);
+  switch (x->kind)
+    {
+    case ORDER_START:
+      if (t != NULL)
+        task_on_start_result (c, t, r, x->outcome);
+      break;
+    case ORDER_STOP:
+      if (t != NULL && t->phase == TASK_STOPPING && x->outcome == ORDER_DONE)
+        {
+          t->stop_acked_at_us = c->now_us;
+          runners_schedule_poll (c, r, POLL_GAP_MS);
+        }
+      break;
+    case ORDER_POLL:
+      on_poll_result (c, r, x, sent_us);
+      break;
+    default:
+      break;
+    }
 }
 
 void
@@ -470,10 +518,7 @@
   if (t != NULL && (t->runner != r || t->run != o->run))
     t = NULL;
   sent_us = o->sent_at_us;
-  c->unanswered_start_count -= o->kind == ORDER_START;
-  c->order_latency.order_count++;
-  c->order_latency.slow_count += is_overdue (c, o);
-  g_hash_table_remove (c->pending_orders, &x->order_id);
+  close_order (c, o, x);
   if (x->outcome == ORDER_FENCED)
     {
       cell_log (c, "order_fenced", 0, "\"runner\":\"%s\",\"token\":%llu",
@@ -483,7 +528,7 @@
     }
   if (x->booted_at_ms != 0 && x->booted_at_ms != r->report.booted_at_ms
       && sent_us < r->boot_read_at_us)
-    return;
+    return; /* Of the boot before.  */
   if (x->outcome == ORDER_WRONG_BOOT
       || (x->booted_at_ms != 0 && r->report.booted_at_ms != 0
           && x->booted_at_ms != r->report.booted_at_ms))
@@ -491,31 +536,7 @@
       on_other_boot (c, r, t, x);
       return;
     }
-  if (x->booted_at_ms != 0)
-    {
-      r->report.booted_at_ms = x->booted_at_ms;
-      r->boot_named = true;
-    }
-  note_clock (c, r, x->clock_ms);
-  switch (x->kind)
-    {
-    case ORDER_START:
-      if (t != NULL)
-        task_on_start_result (c, t, r, x->outcome);
-      break;
-    case ORDER_STOP:
-      if (t != NULL && t->phase == TASK_STOPPING && x->outcome == ORDER_DONE)
-        {
-          t->stop_acked_at_us = c->now_us;
-          runners_schedule_poll (c, r, POLL_GAP_MS);
-        }
-      break;
-    case ORDER_POLL:
-      on_poll_result (c, r, x, sent_us);
-      break;
-    default:
-      break;
-    }
+  apply_result (c, r, t, x, sent_us);
 }
 
 static bool
--- a/core/cell/vm_orders.c
+++ b/core/cell/vm_orders.c
@@ -16,18 +16,20 @@
 /** It is also sent again after this if no outcome was reported at all: it was
     lost within this entry.  */
 #define LOST_MS 4000
-/** Delay after the first failed order, doubled with each further one up to the
-    limit.  */
+/** Delay after the first failed order; each further one doubles it, this many
+    times at most.  */
 #define FAILURE_DELAY_MS 100
-#define FAILURE_DELAY_LIMIT_MS 1600
+#define FAILURE_DOUBLING_COUNT 4
+#define FAILURE_DELAY_LIMIT_MS (FAILURE_DELAY_MS << FAILURE_DOUBLING_COUNT)
 /** Waves leave a VM out for this long after the cloud refused its order as
     busy.  */
 #define BUSY_SKIP_MS 2500
-/** Part of a second's orders, in percent, that may be sent at once; the budget
-    refills by the rest in a second, so that no second has more than all.  */
+/** Part of a second's orders, in percent, that may be sent at once.  The
+   budget is refilled by only the rest in a second, so that in no second more
+   orders are sent than the rate allows.  */
 #define BURST_PERCENT 10
-/** Most VMs that are being emptied: twice as many as can be ordered at once,
-    since emptying takes longer than an order.  */
+/** Most VMs that are being emptied: twice as many as can have an order without
+    an answer, since emptying takes longer than an order.  */
 #define EMPTYING_LIMIT_COUNT (2 * VM_ORDER_LIMIT_COUNT)
 
 static void
@@ -82,7 +84,8 @@
 {
   const struct order_window *w = &c->fleet->window;
 
-  /* One VM is emptied to try an order; nothing else may be left to try.  */
+  /* After a failure one VM is emptied for the next try, and only if none is
+     being emptied or has an order without an answer.  */
   if (w->failure_count > 0)
     return w->open_count + w->emptying_count == 0
            && c->now_us >= w->resume_at_us;
@@ -134,12 +137,12 @@
     fleet_give_back_vm (c, v, "cloud", FAILURE_DELAY_LIMIT_MS);
 }
 
-/* Notes whether the cloud took an order.  */
+/* Notes whether the cloud took an order, whose outcome is OUTCOME.  */
 static void
 note_answer (struct cell *c, bool taken, enum order_outcome outcome)
 {
   struct order_window *w = &c->fleet->window;
-  uint32_t doubled = MIN (w->failure_count, 4);
+  uint32_t doubling_count = MIN (w->failure_count, FAILURE_DOUBLING_COUNT);
 
   if (taken)
     {
@@ -149,9 +152,8 @@
       return;
     }
   w->failure_count++;
-  w->resume_at_us = c->now_us
-                    + MIN (FAILURE_DELAY_MS << doubled, FAILURE_DELAY_LIMIT_MS)
-                          * US_PER_MS;
+  w->resume_at_us
+      = c->now_us + (FAILURE_DELAY_MS << doubling_count) * US_PER_MS;
   if (w->failure_count == 1)
     cell_log (c, "cloud_fails", 0, "\"outcome\":%u", outcome);
 }
@@ -170,7 +172,8 @@
     waves_mark_done (c, v);
   if (v->row.up && strcmp (v->row.runner, v->previous_runner) != 0)
     {
-      /* An order that got no answer was carried out; the VM is back.  */
+      /* An earlier order, which got no answer, was carried out, and the VM is
+         back with a new runner.  */
       v->returned_at_us = c->now_us;
       fleet_return_vm (c, v);
       return;
@@ -181,25 +184,10 @@
     r->vm_emptying = true;
 }
 
-void
-vm_orders_on_result (struct cell *c, const struct cell_event *e)
+/* Takes V, which was ordered, on by the outcome of its order.  */
+static void
+apply_outcome (struct cell *c, struct vm *v, enum order_outcome outcome)
 {
-  struct vm *v = fleet_find (c->fleet, e->u.vm_result.vm);
-  enum order_outcome outcome = e->u.vm_result.outcome;
-
-  if (v == NULL || v->phase != VM_ORDERED || !cell_is_owner (c))
-    return;
-  if (v->order_pending && c->fleet->window.open_count > 0)
-    c->fleet->window.open_count--;
-  v->order_pending = false;
-  cell_log (c, "vm_order_answered", 0,
-            "\"vm\":\"%s\",\"move\":%s,\"outcome\":%u,\"took_ms\":%llu,"
-            "\"withdrawn_ms\":%llu",
-            v->row.vm, v->moving ? "true" : "false", outcome,
-            (unsigned long long)((c->now_us - v->ordered_at_us) / US_PER_MS),
-            (unsigned long long)((c->now_us - v->emptying_at_us) / US_PER_MS));
-  note_answer (c, outcome != ORDER_UNKNOWN && outcome != ORDER_UNAVAILABLE,
-               outcome);
   switch (outcome)
     {
     case ORDER_DONE:
@@ -225,3 +213,25 @@
       break;
     }
 }
+
+void
+vm_orders_on_result (struct cell *c, const struct cell_event *e)
+{
+  struct vm *v = fleet_find (c->fleet, e->u.vm_result.vm);
+  enum order_outcome outcome = e->u.vm_result.outcome;
+
+  if (v == NULL || v->phase != VM_ORDERED || !cell_is_owner (c))
+    return;
+  if (v->order_pending && c->fleet->window.open_count > 0)
+    c->fleet->window.open_count--;
+  v->order_pending = false;
+  cell_log (c, "vm_order_answered", 0,
+            "\"vm\":\"%s\",\"move\":%s,\"outcome\":%u,\"took_ms\":%llu,"
+            "\"withdrawn_ms\":%llu",
+            v->row.vm, v->moving ? "true" : "false", outcome,
+            (unsigned long long)((c->now_us - v->ordered_at_us) / US_PER_MS),
+            (unsigned long long)((c->now_us - v->emptying_at_us) / US_PER_MS));
+  note_answer (c, outcome != ORDER_UNKNOWN && outcome != ORDER_UNAVAILABLE,
+               outcome);
+  apply_outcome (c, v, outcome);
+}
