State units, errors and reasons in the headers of the cell

fleet.h, demand.h and state.h left open what a return value, a limit or a field meant: vm_orders_send does not ask the window, places_plan_task can find the plan full, waves_mark_done also serves VMs that left their wave, skipped_until_us binds waves and not moves, a runner counts in several of the counts of a pool. fleet.c still said that it holds orders for VMs. vm_wanted_until_us and spare stood among the results of an update that does not compute them. The reasons in registrations.c, places.c and place.c are reworded.

--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -49,8 +49,8 @@
     than this many VMs; a smaller rise is stored with the next record.  */
 #define PEAK_STEP_COUNT 3
 /** A VM counts as on its way until its runner takes tasks, but no longer than
-   this after the end of its operation, or after a move that has not been
-   carried out has begun.  */
+    this after the end of its operation, or after the beginning of a move that
+    has not been carried out.  */
 #define ARRIVAL_LIMIT_MS 3000
 /** A VM that is wanted for emptying another is needed for this long.  */
 #define VM_WANTED_MS 1000
@@ -279,7 +279,8 @@
     }
 }
 
-/* Returns the least number of runners that hold all tasks of W.  */
+/* Returns the least number of runners that hold all tasks of W within its
+   limit of tasks on a runner; 0 if it has no limit.  */
 static uint32_t
 spread_of (const struct work_step *w)
 {
@@ -620,6 +621,7 @@
   m->need_count
       = vm_count_for (m, m->long_running_milli + short_milli, m->memory_mib);
   m->need_count = MAX (m->need_count, m->spread_vm_count);
+  /* Long-running tasks may start on a runner in quarantine (place_find).  */
   if (short_milli > 0)
     m->need_count += m->unusable_count;
   /* Tasks without a place do not fit on the VMs that serve, however much room
--- a/core/cell/demand.h
+++ b/core/cell/demand.h
@@ -26,11 +26,14 @@
   uint64_t arrived_us[ARRIVAL_BUCKET_COUNT]; /**< Core time that arrived jobs
                                                 need.  */
   uint32_t arrived_count[ARRIVAL_BUCKET_COUNT]; /**< Jobs that arrived.  */
-  uint64_t newest_bucket; /**< Number of the newest bucket.  */
+  uint64_t newest_bucket;      /**< Number of the newest bucket.  */
+  uint64_t vm_wanted_until_us; /**< Until then one more VM is needed, so that
+                                  another can be emptied.  */
+  bool spare;                  /**< It is the spare pool.  */
   /* Results of the last demand_update.  */
-  bool spare;            /**< It is the spare pool.  */
-  uint32_t vm_count;     /**< VMs in it or moving to it, less those down.  */
-  uint32_t listed_count; /**< VMs in it or moving to it.  */
+  uint32_t vm_count;     /**< VMs in it or moving to it, less those down and
+                            those out of use for maintenance.  */
+  uint32_t listed_count; /**< VMs in it or moving to it, also those down.  */
   uint32_t need_count;   /**< VMs that it needs.  */
   uint32_t keep_count;   /**< VMs that it keeps even if they idle.  */
   uint32_t short_task_vm_count; /**< VMs that short tasks alone need.  */
@@ -40,28 +43,27 @@
   uint64_t waiting_milli; /**< Cores to finish waiting short tasks in time.  */
   uint64_t vm_cpu_milli;  /**< Cores of its largest VM.  */
   uint64_t vm_memory_mib; /**< Memory of its largest VM.  */
-  uint64_t memory_mib;    /**< Memory of the running and waiting tasks that
-                             long_running_milli and the two after it count. */
-  uint32_t spread_vm_count;    /**< Least VMs over which the steps' limits of
-                                  tasks on a runner spread long-running
-                                  tasks.  */
-  uint32_t arriving_count;     /**< VMs of vm_count that are on their way.  */
-  uint32_t unusable_count;     /**< VMs of vm_count whose runners are in
-                                  quarantine or drain.  */
-  uint32_t unplaced_vm_count;  /**< VMs that long-running tasks without a
-                                  place would fill.  */
-  uint64_t unplaced_milli;     /**< Cores of those tasks.  */
-  uint64_t unplaced_mib;       /**< Memory of those tasks.  */
-  uint64_t vm_wanted_until_us; /**< Until then one more VM is needed, so that
-                                  another can be emptied.  */
-  uint32_t usable_count;       /**< Runners that take new tasks.  */
-  uint32_t emptying_count;     /**< Runners whose VM is being emptied, waits
-                                  for its order, or is away.  */
-  uint32_t quarantined_count;  /**< Runners in quarantine.  */
-  uint32_t silent_count;       /**< Runners that did not answer the last poll,
-                                  or are not registered.  */
-  uint32_t serving_waiting_count; /**< Long-running tasks that could start but
-                                     occupy no runner.  */
+  uint64_t memory_mib;    /**< Memory of the tasks that long_running_milli,
+                             short_task_milli and waiting_milli count.  */
+  uint32_t spread_vm_count;   /**< Fewest VMs that hold the long-running tasks
+                                 of a waiting step within its limit of tasks
+                                 on a runner.  */
+  uint32_t arriving_count;    /**< VMs of vm_count that are on their way.  */
+  uint32_t unusable_count;    /**< VMs of vm_count whose runners are in
+                                 quarantine or drain.  */
+  uint32_t unplaced_vm_count; /**< VMs that waiting long-running tasks
+                                 without a place would fill.  */
+  uint64_t unplaced_milli;    /**< Cores of those tasks.  */
+  uint64_t unplaced_mib;      /**< Memory of those tasks.  */
+  /* Its runners.  One may be counted in several of these, or in none.  */
+  uint32_t usable_count;      /**< Runners that take new tasks.  */
+  uint32_t emptying_count;    /**< Runners whose VM is being emptied, waits
+                                 for its order, or is away.  */
+  uint32_t quarantined_count; /**< Runners in quarantine.  */
+  uint32_t silent_count;      /**< Runners that did not answer the last poll,
+                                 or are not registered.  */
+  uint32_t serving_waiting_count; /**< Long-running tasks, of steps that can
+                                     start, that occupy no runner.  */
 };
 
 /** Demand on all pools.  */
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -1,4 +1,5 @@
-/* fleet.h -- the VMs of a cell (fleet.c), as shared by maintenance waves
+/* fleet.h -- the VMs of a cell (fleet.c), as shared by orders for them
+   (vm_orders.c), places for their tasks (places.c), maintenance waves
    (waves.c) and pool sizes (pools.c, demand.c).  */
 
 #ifndef FTK_CORE_CELL_FLEET_H
@@ -6,7 +7,8 @@
 
 #include "core/cell/state.h"
 
-/** The wall clocks of runners and entries differ by less than this.  */
+/** Times by the wall clocks of runners and of entries are compared with this
+    margin.  */
 #define CLOCK_DIFFERENCE_MS 1000
 
 /** What the owner is doing with a VM.  */
@@ -25,21 +27,24 @@
   enum vm_phase phase;
   bool moving; /**< It is emptied, ordered or away for a move, not for
                   maintenance.  */
-  char target_pool[NAME_BYTES]; /**< Pool that it moves to.  */
-  uint64_t wave;                /**< Last wave that chose it; 0: none.  */
-  uint64_t ordered_at_us;    /**< When its last order was sent, or failed. */
-  bool order_pending;        /**< An order has no outcome yet.  */
-  uint64_t emptying_at_us;   /**< When VM_EMPTYING began.  */
-  uint64_t skipped_until_us; /**< Waves leave it out until then.  */
-  uint64_t away_until_us;    /**< Expected end of VM_AWAY.  */
-  uint64_t returned_at_us;   /**< When VM_AWAY last ended; 0: never.  */
-  char first_runner[NAME_BYTES];    /**< Its runner when first listed.  */
-  char previous_runner[NAME_BYTES]; /**< Its runner when ordered.  */
+  char target_pool[NAME_BYTES];  /**< Pool that it moves to.  */
+  uint64_t wave;                 /**< Last wave that chose it; 0: none.  */
+  uint64_t ordered_at_us;        /**< When its last order was sent, or when its
+                                    outcome was found to be unknown.  */
+  bool order_pending;            /**< An order has no outcome yet.  */
+  uint64_t emptying_at_us;       /**< When VM_EMPTYING last began.  */
+  uint64_t skipped_until_us;     /**< Waves leave it out until then; moves do
+                                    not.  */
+  uint64_t away_until_us;        /**< Expected end of VM_AWAY.  */
+  uint64_t returned_at_us;       /**< When VM_AWAY last ended; 0: never.  */
+  char first_runner[NAME_BYTES]; /**< Its runner when first listed.  */
+  char previous_runner[NAME_BYTES]; /**< Its runner when the first order of
+                                       its operation was sent.  */
 };
 
 struct fleet_demand;
 
-/** How many orders the cloud may be sent.  */
+/** How many orders may be sent to the cloud.  */
 struct order_window
 {
   uint32_t open_count;     /**< Orders without an answer.  */
@@ -47,10 +52,10 @@
   uint64_t budget_milli;   /**< Orders that the rate allows now, in
                               thousandths.  */
   uint64_t refilled_at_us; /**< When the budget was last raised.  */
-  uint32_t failure_count;  /**< Orders in a row that were not answered or
-                              that the cloud could not take.  */
-  uint64_t resume_at_us;   /**< After a failure no order is sent until
-                              then.  */
+  uint32_t failure_count;  /**< Results in a row that were ORDER_UNKNOWN or
+                              ORDER_UNAVAILABLE.  */
+  uint64_t resume_at_us;   /**< While failure_count is above 0, no order is
+                              sent before then.  */
 };
 
 /** The VMs of a cell, and what is planned for them.  */
@@ -67,9 +72,12 @@
   uint32_t up_count;           /**< VMs up in the newest list.  */
   uint64_t snapshot_at_us;     /**< When the newest list was asked for.  */
   struct order_window window;  /**< Orders that may be sent now.  */
-  uint64_t plan_number;        /**< Number of the newest plan (places.c).  */
+  uint64_t plan_number;        /**< Number of the newest plan (places.c), from
+                                  1; that of a task or runner which it does
+                                  not name is lower.  */
   uint32_t planned_count;      /**< Tasks that it names places for.  */
-  GPtrArray *unplaced;         /**< struct task that waits and has none.  */
+  GPtrArray *unplaced;         /**< Long-running struct task that waits and
+                                  had no place when the plan was made.  */
 };
 
 /** Returns the VM NAME, or NULL.  */
@@ -93,34 +101,38 @@
 void fleet_begin_emptying (struct cell *c, struct vm *v);
 /** Returns V to normal use.  */
 void fleet_return_vm (struct cell *c, struct vm *v);
-/** Returns V, whose operation is given up for now, to normal use; WHY is
-    logged.  Waves leave V out for SKIP_MS.  */
+/** Returns V, whose operation is given up for now, to normal use, and logs it
+    with the reason WHY.  Waves leave V out for SKIP_MS, in milliseconds.  */
 void fleet_give_back_vm (struct cell *c, struct vm *v, const char *why,
                          uint32_t skip_ms);
 
 /* vm_orders.c: orders for VMs to the cloud.  */
-/** Updates the window of orders.  */
+/** Counts the window of orders anew and refills its budget; called in each
+   tick before orders are sent.  */
 void vm_orders_tick (struct cell *c);
 /** Returns true if an order can be sent now.  */
 bool vm_orders_admit (const struct cell *c);
 /** Returns true if another VM can be emptied for an order: the cloud takes
     orders, and those for the VMs being emptied can be sent soon.  */
 bool vm_orders_admit_emptying (const struct cell *c);
-/** Sends the order for the move or maintenance that V was emptied for.  */
+/** Sends the order for the move or maintenance that V was emptied for, whether
+    or not the window allows: callers ask vm_orders_admit before.  */
 void vm_orders_send (struct cell *c, struct vm *v);
-/** Sends V's order again if it is due, since its outcome is not known.  */
+/** Sends V's order again if its outcome is not known, the time for that has
+    come and the window allows.  */
 void vm_orders_repeat (struct cell *c, struct vm *v);
-/** Sends the order for V, which is empty, as soon as the window allows; gives
-    V back while the cloud takes no orders.  */
+/** Sends the order for V, which is empty, if the window allows; otherwise
+   gives V back while orders fail, and else leaves V for the next tick.  */
 void vm_orders_send_or_give_back (struct cell *c, struct vm *v);
 
 /* places.c: places for long-running tasks that have to start.  */
-/** Makes the plan of this tick.  */
+/** Makes a new plan, which replaces that of the last tick.  */
 void places_plan (struct cell *c);
-/** Plans a place for T on another runner than its own; returns false if there
-    is none.  */
+/** Adds a place for T, on another runner than its own, to the plan unless it
+    names one.  Returns false if there is none, or the plan is full.  */
 bool places_plan_task (struct cell *c, struct task *t);
-/** The same for all long-running tasks of R; all have one, or none.  */
+/** The same for all long-running tasks of R.  Returns false, and adds no
+    place, if one of them has none.  */
 bool places_plan_runner (struct cell *c, struct runner *r);
 /** Returns true if the plan names a place for T.  */
 bool places_is_planned (const struct cell *c, const struct task *t);
@@ -128,7 +140,7 @@
 uint32_t places_planned_count (const struct cell *c, const struct runner *r);
 
 /* waves.c.  */
-/** Notes that V has had the maintenance that was ordered for it.  */
+/** Notes that the wave that chose V last needs no more maintenance of V.  */
 void waves_mark_done (struct cell *c, const struct vm *v);
 
 /* demand.c and pools.c: demand on the pools, and their sizes.  */
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -42,8 +42,8 @@
   return false;
 }
 
-/* Returns true if R takes new tasks now, apart from its room, and is not in
-   quarantine or IN_QUARANTINE.  */
+/* Returns true if R takes new tasks now, apart from its room.  A runner in
+   quarantine takes some only if IN_QUARANTINE.  */
 static bool
 takes_tasks (const struct cell *c, const struct runner *r, bool in_quarantine)
 {
@@ -69,8 +69,8 @@
   return n;
 }
 
-/* Returns true if NEED fits on R beside its tasks and, if PLANNED, beside
-   those that a place there is planned for.  */
+/* Returns true if NEED fits on R beside R's tasks and, if PLANNED, also beside
+   the tasks that the plan names a place on R for.  */
 static bool
 has_room (const struct cell *c, const struct runner *r,
           const struct resources *need, bool planned)
@@ -83,7 +83,8 @@
   return resources_fit (&sum, &r->report.capacity);
 }
 
-/* Returns how many tasks of S are on R, and if PLANNED, are planned there.  */
+/* Returns how many tasks of S are on R and, if PLANNED, how many the plan
+   names a place on R for, too.  */
 static uint32_t
 count_same_step (const struct cell *c, const struct runner *r,
                  const struct work_step *s, bool planned)
@@ -150,8 +151,8 @@
   return MAX (cpu, memory);
 }
 
-/* Returns true if R has the label that T's step asks for, and fewer of its
-   tasks than the step's limit.  */
+/* Returns true if R has the label that T's step asks for, and fewer of the
+   step's tasks, with the planned ones if PLANNED, than the step's limit.  */
 static bool
 meets_constraints (const struct cell *c, const struct task *t,
                    const struct runner *r, bool planned)
@@ -244,8 +245,8 @@
                                                   : r;
 }
 
-/* Returns true if T fits on R beside R's long-running tasks, and so will when
-   the others have ended.  */
+/* Returns true if T fits on R beside R's long-running tasks: it will have room
+   there when the short ones have ended.  */
 static bool
 fits_beside_long_running (const struct task *t, const struct runner *r)
 {
--- a/core/cell/places.c
+++ b/core/cell/places.c
@@ -1,16 +1,16 @@
 /* places.c -- places for long-running tasks that have to start.
 
-   A VM can be taken out of use if the long-running tasks that it would hold
-   have places on other runners.  The plan of a tick names such a place for
-   each long-running task that waits, that is being stopped to start elsewhere,
-   or whose runner is being emptied or drains.  No two tasks are promised the
-   same room.  */
+   A VM can be taken out of use if its long-running tasks have places on other
+   runners.  The plan of a tick names such a place for each long-running task
+   that waits, is being stopped to start elsewhere, or is on a runner that is
+   being emptied or drains, as far as there is room now; no room is planned for
+   two tasks.  Tasks that wait come first, since they serve nobody.  */
 
 #include "core/cell/fleet.h"
 
 #include <string.h>
 
-/** Most tasks that a plan finds places for, which bounds the time of a tick.
+/** Most tasks that a plan names places for, which bounds the time of a tick.
     The others count as having none.  */
 #define PLAN_LIMIT_COUNT 256
 
@@ -123,7 +123,7 @@
 static void
 plan_step (struct cell *c, struct work_step *s, bool waiting)
 {
-  bool none = false; /* No place is left for tasks of S.  */
+  bool none = false; /* A task of S found no place; nor will the next.  */
   uint32_t i;
 
   for (i = 0; i < s->spec->task_count; i++)
--- a/core/cell/registrations.c
+++ b/core/cell/registrations.c
@@ -1,7 +1,7 @@
 /* registrations.c -- the runners that are registered in the store.
 
-   A runner is known from its first registration until seconds after the last
-   one was deleted, and as long as it has tasks.  */
+   A runner is known from its first registration until some seconds after its
+   registration was deleted (runners_tick), and as long as it has tasks.  */
 
 #include "core/cell/fleet.h"
 
@@ -130,14 +130,13 @@
     runners_schedule_poll (c, r, 0);
 }
 
-/* Returns true if the registration N, of a runner known as R, is of R's boot
-   or of one that came after it.
+/* Returns true if the registration N of R is believed to be of R's boot or of
+   a later one; a later one resets R.  If it is not believed, R is polled.
 
-   The order of two boots does not follow from their start times: clocks are
-   set back, and an entry of another writer may name any time.  A runner that
-   answers is the authority.  A later start time in the past that is not that
-   of the boot before is believed at once, so that lost runs start again soon;
-   otherwise R is asked.  */
+   Start times do not order boots: clocks are set back, and other writers may
+   name any time.  The runner's own answers decide.  While it answers, only a
+   start time that is later, but in the past, and is not that of the boot
+   before is believed without a poll, so that lost runs start again soon.  */
 static bool
 accept_boot (struct cell *c, struct runner *r, const struct runner_report *n)
 {
@@ -181,6 +180,7 @@
     }
   else if (!accept_boot (c, r, n))
     return;
+  /* A new runner has N as its report already.  */
   if (n->draining && (!r->report.draining || r->draining_at_us == 0))
     {
       r->draining_at_us = c->now_us;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -20,10 +20,10 @@
 /** A former owner may have used up to this many run numbers of a task without
     storing them.  */
 #define UNRECORDED_RUN_COUNT 64
-/** An expired lease counts only after this many unanswered polls, as many as a
-    silent runner has missed when its lease expires.  With fewer, this entry
-    itself was late, and an answer that tells how the runs ended may still be
-    unread.  */
+/** A runner counts as silent, and its expired lease counts, only after this
+    many unanswered polls: as many as a silent runner has missed when its lease
+    expires.  With fewer, this entry itself was late, and an answer that tells
+    how the runs ended may still be unread.  */
 #define LOST_MISS_COUNT 3
 /** An entry that owns the cell or is taking it over gives it up when it sent
     its last answered join of the store's group this long ago.  */
@@ -168,10 +168,12 @@
   struct runner_report report;
   GPtrArray *pool_runners; /**< All runners of its pool.  */
   char rack[LABEL_BYTES];
-  uint64_t draining_at_us; /**< When it was first seen to drain; 0: never. */
+  uint64_t draining_at_us; /**< When it was last seen to begin to drain; 0:
+                              never.  */
   bool listed;             /**< It is registered in the store.  */
   uint64_t unlisted_at_us; /**< When its registration was deleted.  */
-  bool reached;            /**< It has answered a poll of this owner.  */
+  bool reached;    /**< Its boot has answered a poll of this owner, with
+                      a list of runs that could be read whole.  */
   bool boot_named; /**< Its own answer has named report's booted_at_ms.  */
   uint64_t previous_boot_ms; /**< booted_at_ms of the boot before; 0: none.  */
   uint64_t boot_doubted_at_us; /**< When a registration named another boot, for
@@ -519,7 +521,7 @@
 
 /* registrations.c: the runners that are registered in the store.  */
 void runners_on_reports (struct cell *c, struct cell_event *e);
-/** Forgets R, with its tasks and orders.  */
+/** Frees R, releases its tasks and forgets its orders without an answer.  */
 void runners_drop (struct cell *c, struct runner *r);
 /** Returns the array of struct runner of POOL, or NULL if it had none yet.  */
 const GPtrArray *runners_of_pool (const struct cell *c, const char *pool);
@@ -528,10 +530,12 @@
 const GPtrArray *runners_for_task (const struct cell *c, const struct task *t);
 
 /* runners.c: leases of runners, polls and orders.  */
-/** Frees the tasks of R, whose runs have certainly ended; WHY is logged.  */
+/** Releases the tasks of R, whose runs have certainly ended, and logs it with
+    the reason WHY.  */
 void runners_release_tasks (struct cell *c, struct runner *r, const char *why);
-/** Handles that R was restarted: it has none of our runs, and another clock.
-    Its boot started at BOOTED_AT_MS, in Unix time; 0: not known.  */
+/** Handles that R was restarted: it has none of our runs, which are released
+    with the reason WHY, and another clock.  Its boot started at BOOTED_AT_MS,
+    in Unix time; 0: not known.  */
 void runners_reset_boot (struct cell *c, struct runner *r,
                          uint64_t booted_at_ms, const char *why);
 void runners_on_result (struct cell *c, struct runner_result *x);
--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -19,7 +19,8 @@
 /** Time for which a pool lacks a VM under maintenance: emptying and
     downtime.  */
 #define ROUND_MS 4500
-/** A VM that is not empty after this returns to use, for a wave or a move.  */
+/** A VM that is to be moved or maintained and is not empty after this returns
+    to use.  */
 #define EMPTY_LIMIT_MS 5000
 /** Waves leave such a VM out for this long.  */
 #define SKIP_MS 2500
@@ -65,7 +66,7 @@
   f->recovered_waves = g_ptr_array_new ();
   f->demand = demand_new (f);
   f->unplaced = g_ptr_array_new ();
-  f->plan_number = 1;
+  f->plan_number = 1; /* Tasks and runners without a plan have 0.  */
   return f;
 }
 
