--- a/adapter/http_client.c
+++ b/adapter/http_client.c
@@ -3,7 +3,6 @@
 #include "adapter/http_client.h"
 
 #include "adapter/timer.h"
-
 #include "port/types.h"
 
 #include <curl/curl.h>
--- a/adapter/timer.c
+++ b/adapter/timer.c
@@ -1,8 +1,9 @@
 /* timer.c -- timers of an event loop.
 
    tevent compares a timer's due time with the wall clock.  So before each turn
-   of a loop its timers are set again if the wall clock has been set since. The
-   wait itself is not affected: its length is computed before it begins.  */
+   of a loop the due times of its timers are computed anew if the wall clock
+   has been set.  A wait that has begun is not affected, since tevent computes
+   its length beforehand.  */
 
 #include "adapter/timer.h"
 
@@ -12,15 +13,17 @@
 #include <stdbool.h>
 #include <stdlib.h>
 
-/** The wall clock was set if it differs from the boot-time clock by this much
-    more or less than before.  Slewing stays below it for minutes.  */
+/** The wall clock counts as set when its distance from the boot-time clock has
+    changed by this much.  Slewing needs minutes for that.  */
 #define STEP_MIN_US (10 * (int64_t)US_PER_MS)
 
-/* A pending timer, a child of its tevent timer.  */
+/* A pending timer, a child of its tevent timer, which tevent frees when it has
+   fired.  */
 struct pending_timer
 {
   struct pending_timer *next;
-  struct pending_timer **previous;
+  struct pending_timer **previous; /**< The pointer to this timer; NULL: its
+                                      loop was freed.  */
   struct tevent_timer *te;
   uint64_t due_at_us; /**< On the boot-time clock.  */
 };
@@ -32,6 +35,7 @@
   int64_t wall_offset_us; /**< Wall clock less boot-time clock.  */
 };
 
+/* Returns the wall clock less the boot-time clock.  */
 static int64_t
 wall_offset_us (void)
 {
@@ -52,7 +56,7 @@
   return t;
 }
 
-/* Sets the timers of a loop again if the wall clock was set.  */
+/* Computes the due times of a loop's timers anew if the wall clock was set. */
 static void
 before_turn (enum tevent_trace_point point, void *state)
 {
@@ -81,7 +85,8 @@
   return 0;
 }
 
-/* Returns the timers of LOOP; the first call for a loop makes the list.  */
+/* Returns the timers of LOOP; the first call for a loop makes the list.  NULL
+   when memory is out.  */
 static struct timer_list *
 list_of (struct tevent_context *loop)
 {
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Runs every test program of a build folder; the output of each goes to
-# BUILD/NAME.log.  A failure of a program or of one of its cases named in
-# KNOWN-RED.txt ("test NAME: ..." or "test NAME /CASE: ...") is printed but does not
-# fail the run; such cases are run apart from the others.
+# BUILD/NAME.log.  A failure of a program or of one of its cases that
+# KNOWN-RED.txt names ("test NAME: ..." or "test NAME /CASE: ...") is printed but
+# does not fail the run.  Such cases are run apart from the others, to
+# BUILD/NAME.red.
 # Usage: tests/run.sh BUILD
 set -u
 build=$1
@@ -19,9 +20,10 @@
   case "$build:$name" in
     build/tsan:test_scripts) continue ;; # has one thread only, so TSan finds nothing
   esac
-  skipped=
+  skipped= # options that leave the known red cases out
   for c in $(sed -n "s|^test $name \(/[^:]*\):.*|\1|p" KNOWN-RED.txt); do
     skipped="$skipped -s $c"
+    # The braces keep the shell's message on a crash out of the output.
     if { timeout 300 "$t" --tap -p "$c" > "$t.red" 2>&1; } 2> /dev/null; then
       echo "no longer red: $t $c"
     else
--- a/tests/test_entries.c
+++ b/tests/test_entries.c
@@ -219,7 +219,7 @@
       g_string_append_printf (out, "  ended %" G_GUINT64_FORMAT,
                               r.ended[i].number);
       print_task (out, &r.ended[i].task, r.ended[i].run);
-      g_string_append_printf (out, " kind %u\n", r.ended[i].kind);
+      g_string_append_printf (out, " kind %u\n", (unsigned)r.ended[i].kind);
     }
 }
 
--- a/tests/test_timer.c
+++ b/tests/test_timer.c
@@ -68,14 +68,18 @@
 static void
 test_clock_set_back (void)
 {
-  g_assert_cmpint (measure_lateness (-STEP_S), <, LATE_LIMIT_MS);
+  int64_t late_ms = measure_lateness (-STEP_S);
+
+  g_assert_cmpint (late_ms, <, LATE_LIMIT_MS);
 }
 
 static void
 test_clock_set_ahead (void)
 {
-  g_assert_cmpint (measure_lateness (STEP_S), >, -10);
-  g_assert_cmpint (measure_lateness (STEP_S), <, LATE_LIMIT_MS);
+  int64_t late_ms = measure_lateness (STEP_S);
+
+  g_assert_cmpint (late_ms, >, -10);
+  g_assert_cmpint (late_ms, <, LATE_LIMIT_MS);
 }
 
 /* A timer that is freed does not fire, and the loop still corrects others.  */
