--- a/core/cell/demand.h
+++ b/core/cell/demand.h
@@ -45,8 +45,8 @@
   uint64_t vm_memory_mib; /**< Memory of its largest VM.  */
   uint64_t memory_mib;    /**< Memory of the tasks that long_running_milli,
                              short_task_milli and waiting_milli count.  */
-  uint32_t spread_vm_count;   /**< Fewest VMs that hold the long-running tasks
-                                 of a waiting step within its limit of tasks
+  uint32_t spread_vm_count;   /**< Fewest VMs that hold the tasks of any one
+                                 long-running step within its limit of tasks
                                  on a runner.  */
   uint32_t arriving_count;    /**< VMs of vm_count that are on their way.  */
   uint32_t unusable_count;    /**< VMs of vm_count whose runners are in
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -153,8 +153,8 @@
   } u;
 };
 
-/** Most VM orders without an answer; the order client has as many connections
-    to the cloud.  */
+/** Most VM orders without an answer; the order client has a connection to the
+    cloud for each.  */
 #define VM_ORDER_LIMIT_COUNT 32
 
 /** Actions of one cell_step.  The caller frees items with talloc_free.  */
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -165,7 +165,8 @@
   char runner[NAME_BYTES];
   uint64_t clock_ms;       /**< The runner's monotonic clock; 0: not given.  */
   uint64_t booted_at_ms;   /**< Unix time; 0: not given.  */
-  bool running_incomplete; /**< Some of what runs could not be read.  */
+  bool running_incomplete; /**< Poll: running lacks runs that could not be
+                              read.  */
   uint32_t running_count;
   uint32_t ended_count;
   struct running_task *running; /**< Children of the event.  */
