--- a/adapter/site_store.c
+++ b/adapter/site_store.c
@@ -36,12 +36,13 @@
 #define MEMBER_EXPIRY_MS 1000
 #define BODY_BYTES 400
 #define KEY_BYTES 256
-/** Key of that record, which holds the member.  */
-#define FENCE_KEY "owner"
-/** Most keys of malformed records that a follower remembers.  */
+/** Most keys of malformed records that a follower remembers; then it forgets
+    all, and logs them again.  */
 #define MALFORMED_LIMIT_COUNT 1000
-/** Sequence number of the record that fences the topic at a takeover.  */
+/** Sequence number and key of the record that fences the topic at a takeover;
+    its value is the member.  */
 #define FENCE_SEQUENCE 0
+#define FENCE_KEY "owner"
 #define PRODUCER "cell"
 
 /* Records found malformed, by any of the followers and recoveries.  */
@@ -126,11 +127,11 @@
   atomic_fetch_add (&malformed_count, 1);
 }
 
-/* Notes whether the record with the escaped KEY is malformed.  It is logged
-   once until it can be read again.  */
+/* Notes whether the record with the escaped KEY is malformed.  If it is, the
+   event WHAT is logged, once until the record can be read again.  */
 static void
-note_escaped (struct follower *f, const char *what, const char *key,
-              bool malformed)
+note_malformed (struct follower *f, const char *what, const char *key,
+                bool malformed)
 {
   if (!malformed)
     g_hash_table_remove (f->malformed, key);
@@ -143,13 +144,14 @@
     }
 }
 
+/* The same for the record X.  */
 static void
 note_record (struct follower *f, const char *what,
              const struct platform_record *x, bool malformed)
 {
   char *key = g_uri_escape_string (x->key, "/", FALSE);
 
-  note_escaped (f, what, key, malformed);
+  note_malformed (f, what, key, malformed);
   g_free (key);
 }
 
@@ -217,19 +219,20 @@
   f->after_key[0] = '\0';
 }
 
+/* Notes the records of R that have no place among its items.  */
 static void
-note_odd_keys (struct follower *f, const struct platform_records *r)
+note_unreadable_keys (struct follower *f, const struct platform_records *r)
 {
   uint32_t i;
 
-  for (i = 0; i < r->odd_count; i++)
-    note_escaped (f, "record_malformed", r->odd_keys[i], true);
+  for (i = 0; i < r->unreadable_count; i++)
+    note_malformed (f, "record_malformed", r->unreadable_keys[i], true);
 }
 
 /* Sets AFTER, of KEY_BYTES, to the last key of the page R.  Returns false if
    no page follows it.  */
 static bool
-move_after (char *after, const struct platform_records *r)
+advance_after_key (char *after, const struct platform_records *r)
 {
   const char *last
       = r->item_count > 0 ? r->items[r->item_count - 1].key : after;
@@ -259,14 +262,14 @@
           follower_restart_listing (f);
           return true;
         }
-      note_odd_keys (f, &x);
-      f->from_offset += x.item_count + x.odd_count;
+      note_unreadable_keys (f, &x);
+      f->from_offset += x.item_count + x.unreadable_count;
       f->on_records (f, &x);
       return true;
     }
   if (!platform_newest_decode (mem, r->status, body, n, &x))
     return false;
-  note_odd_keys (f, &x);
+  note_unreadable_keys (f, &x);
   if (f->first_page)
     {
       f->list_end_offset = x.end_offset;
@@ -274,7 +277,7 @@
     }
   /* Without a key to continue after, the listing ends here; the records that
      are appended bring the others.  */
-  if (!move_after (f->after_key, &x))
+  if (!advance_after_key (f->after_key, &x))
     {
       f->tailing = true;
       f->from_offset = f->list_end_offset;
@@ -611,9 +614,10 @@
     else if (strcmp (p.items[i].key, FENCE_KEY) != 0
              && p.items[i].value_bytes > 0)
       log_malformed_record (t, &p.items[i]);
-  for (i = 0; i < p.odd_count; i++)
-    log_malformed (t, "record_malformed", PLATFORM_TOPIC_WORK, p.odd_keys[i]);
-  p.more = move_after (t->recover_after_key, &p);
+  for (i = 0; i < p.unreadable_count; i++)
+    log_malformed (t, "record_malformed", PLATFORM_TOPIC_WORK,
+                   p.unreadable_keys[i]);
+  p.more = advance_after_key (t->recover_after_key, &p);
   e->u.recovered.last = !p.more;
   cell_post (t->cell, e);
   talloc_free (tmp);
--- a/tests/test_entries.c
+++ b/tests/test_entries.c
@@ -98,10 +98,10 @@
       g_string_append_c (out, '\n');
       g_free (value);
     }
-  for (i = 0; i < r->odd_count; i++)
+  for (i = 0; i < r->unreadable_count; i++)
     {
       g_string_append (out, " ");
-      print_text (out, "odd", r->odd_keys[i]);
+      print_text (out, "odd", r->unreadable_keys[i]);
       g_string_append_c (out, '\n');
     }
   g_string_append_printf (out, "  end %" G_GUINT64_FORMAT "%s\n",
