--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -49,8 +49,8 @@
     than this many VMs; a smaller rise is stored with the next record.  */
 #define PEAK_STEP_COUNT 3
 /** A VM counts as on its way until its runner takes tasks, but no longer than
-   this after the end of its operation, or after a move that has not been
-   carried out has begun.  */
+    this after the end of its operation, or after the beginning of a move that
+    has not been carried out.  */
 #define ARRIVAL_LIMIT_MS 3000
 /** A VM that is wanted for emptying another is needed for this long.  */
 #define VM_WANTED_MS 1000
@@ -96,6 +96,15 @@
   return &p->pools[p->pool_count++];
 }
 
+/* Returns the demand on the pool of QUEUE, or NULL as find_pool does.  */
+static struct pool_demand *
+find_pool_of_queue (struct cell *c, const char *queue)
+{
+  const struct site_queue *q = cell_find_queue (c, queue);
+
+  return q != NULL ? find_pool (c, q->pool) : NULL;
+}
+
 bool
 demand_is_dirty (const struct cell *c)
 {
@@ -179,7 +188,6 @@
 is_arriving (const struct cell *c, const struct vm *v)
 {
   const struct runner *r = fleet_runner (c, v);
-
   uint64_t expected_at_us = v->returned_at_us;
 
   if (v->phase == VM_AWAY)
@@ -271,7 +279,8 @@
     }
 }
 
-/* Returns the least number of runners that hold all tasks of W.  */
+/* Returns the least number of runners that hold all tasks of W within its
+   limit of tasks on a runner; 0 if it has no limit.  */
 static uint32_t
 spread_of (const struct work_step *w)
 {
@@ -316,8 +325,7 @@
   for (i = 0; i < c->active->len; i++)
     {
       const struct job *j = g_ptr_array_index (c->active, i);
-      const struct site_queue *q = cell_find_queue (c, j->queue);
-      struct pool_demand *m = q != NULL ? find_pool (c, q->pool) : NULL;
+      struct pool_demand *m = find_pool_of_queue (c, j->queue);
 
       for (o = 0; m != NULL && o < j->occurrence_count; o++)
         for (s = 0; s < j->spec->step_count; s++)
@@ -350,8 +358,7 @@
     {
       const struct task *t = g_ptr_array_index (unplaced, i);
       const struct job_step *s = t->step->spec;
-      const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
-      struct pool_demand *m = q != NULL ? find_pool (c, q->pool) : NULL;
+      struct pool_demand *m = find_pool_of_queue (c, task_job (t)->queue);
 
       /* Fillers use what is left over.  No VM helps a task that no runner like
          those of the pool can hold.  */
@@ -393,8 +400,7 @@
 void
 demand_note_arrival (struct cell *c, const struct job *j)
 {
-  const struct site_queue *q = cell_find_queue (c, j->queue);
-  struct pool_demand *m = q != NULL ? find_pool (c, q->pool) : NULL;
+  struct pool_demand *m = find_pool_of_queue (c, j->queue);
   uint64_t work_us = 0;
   uint64_t serial_us = 0;
   uint32_t s;
@@ -478,6 +484,21 @@
                                   : 0;
 }
 
+/* Raises the peak of M's surge to the VMs that it needs now.  */
+static void
+record_peak (struct cell *c, struct pool_demand *m)
+{
+  uint32_t count
+      = vm_count_for (m,
+                      m->long_running_milli + m->short_task_milli
+                          + MIN (m->waiting_milli, m->short_task_milli / 2),
+                      0);
+
+  if (count > m->peak_vm_count + PEAK_STEP_COUNT)
+    c->fleet->demand->dirty = true;
+  m->peak_vm_count = MAX (m->peak_vm_count, count);
+}
+
 /* Updates the mean need of M, and detects and records its surges.  */
 static void
 detect_surge (struct cell *c, struct pool_demand *m)
@@ -511,17 +532,7 @@
       c->fleet->demand->dirty = true;
     }
   if (c->now_us < m->surge_began_at_us + SURGE_INTERVAL_MS * US_PER_MS)
-    {
-      uint32_t count = vm_count_for (
-          m,
-          m->long_running_milli + m->short_task_milli
-              + MIN (m->waiting_milli, m->short_task_milli / 2),
-          0);
-
-      if (count > m->peak_vm_count + PEAK_STEP_COUNT)
-        c->fleet->demand->dirty = true;
-      m->peak_vm_count = MAX (m->peak_vm_count, count);
-    }
+    record_peak (c, m);
   if (high)
     m->high_at_us = c->now_us;
 }
@@ -610,6 +621,7 @@
   m->need_count
       = vm_count_for (m, m->long_running_milli + short_milli, m->memory_mib);
   m->need_count = MAX (m->need_count, m->spread_vm_count);
+  /* Long-running tasks may start on a runner in quarantine (place_find).  */
   if (short_milli > 0)
     m->need_count += m->unusable_count;
   /* Tasks without a place do not fit on the VMs that serve, however much room
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -28,19 +28,22 @@
     long-running: it would have to move again.  */
 #define MAINTENANCE_PENALTY 1000
 
+/* Returns true if R has the label that S asks for, or S asks for none.  */
 static bool
-has_label (const struct runner *r, const char *label)
+has_label (const struct runner *r, const struct job_step *s)
 {
   uint32_t i;
 
+  if (s->label[0] == '\0')
+    return true;
   for (i = 0; i < r->report.label_count; i++)
-    if (strcmp (r->report.labels[i], label) == 0)
+    if (strcmp (r->report.labels[i], s->label) == 0)
       return true;
   return false;
 }
 
-/* Returns true if R takes new tasks now, apart from its room, and is not in
-   quarantine or IN_QUARANTINE.  */
+/* Returns true if R takes new tasks now, apart from its room.  A runner in
+   quarantine takes some only if IN_QUARANTINE.  */
 static bool
 takes_tasks (const struct cell *c, const struct runner *r, bool in_quarantine)
 {
@@ -66,8 +69,8 @@
   return n;
 }
 
-/* Returns true if NEED fits on R beside its tasks and, if PLANNED, beside
-   those that a place there is planned for.  */
+/* Returns true if NEED fits on R beside R's tasks and, if PLANNED, also beside
+   the tasks that the plan names a place on R for.  */
 static bool
 has_room (const struct cell *c, const struct runner *r,
           const struct resources *need, bool planned)
@@ -80,7 +83,8 @@
   return resources_fit (&sum, &r->report.capacity);
 }
 
-/* Returns how many tasks of S are on R, and if PLANNED, are planned there.  */
+/* Returns how many tasks of S are on R and, if PLANNED, how many the plan
+   names a place on R for, too.  */
 static uint32_t
 count_same_step (const struct cell *c, const struct runner *r,
                  const struct work_step *s, bool planned)
@@ -147,15 +151,15 @@
   return MAX (cpu, memory);
 }
 
-/* Returns true if R has the label that T's step asks for, and fewer of its
-   tasks than the step's limit.  */
+/* Returns true if R has the label that T's step asks for, and fewer of the
+   step's tasks, with the planned ones if PLANNED, than the step's limit.  */
 static bool
 meets_constraints (const struct cell *c, const struct task *t,
                    const struct runner *r, bool planned)
 {
   const struct job_step *s = t->step->spec;
 
-  return (s->label[0] == '\0' || has_label (r, s->label))
+  return has_label (r, s)
          && (s->per_runner_limit_count == 0
              || count_same_step (c, r, t->step, planned)
                     < s->per_runner_limit_count);
@@ -202,9 +206,8 @@
 find_runner (struct cell *c, const struct task *t, bool in_quarantine)
 {
   const struct job_step *s = t->step->spec;
-  const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
   struct resources need = place_occupied_by (s);
-  const GPtrArray *pool = q != NULL ? runners_of_pool (c, q->pool) : NULL;
+  const GPtrArray *pool = runners_for_task (c, t);
   struct runner *best = NULL;
   uint64_t best_score = 0;
   guint i;
@@ -242,8 +245,8 @@
                                                   : r;
 }
 
-/* Returns true if T fits on R beside R's long-running tasks, and so will when
-   the others have ended.  */
+/* Returns true if T fits on R beside R's long-running tasks: it will have room
+   there when the short ones have ended.  */
 static bool
 fits_beside_long_running (const struct task *t, const struct runner *r)
 {
@@ -265,8 +268,7 @@
 void
 place_reserve (struct cell *c, struct task *t)
 {
-  const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
-  const GPtrArray *pool = q != NULL ? runners_of_pool (c, q->pool) : NULL;
+  const GPtrArray *pool = runners_for_task (c, t);
   struct runner *best = NULL;
   guint i;
 
@@ -312,8 +314,7 @@
 place_could_hold (const struct cell *c, const struct task *t)
 {
   const struct job_step *s = t->step->spec;
-  const struct site_queue *q = cell_find_queue (c, task_job (t)->queue);
-  const GPtrArray *pool = q != NULL ? runners_of_pool (c, q->pool) : NULL;
+  const GPtrArray *pool = runners_for_task (c, t);
   struct resources need = place_occupied_by (s);
   bool known = false;
   guint i;
@@ -325,8 +326,7 @@
       if (r == t->runner)
         continue;
       known = true;
-      if ((s->label[0] == '\0' || has_label (r, s->label))
-          && resources_fit (&need, &r->report.capacity))
+      if (has_label (r, s) && resources_fit (&need, &r->report.capacity))
         return true;
     }
   return !known;
--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -19,7 +19,8 @@
 /** Time for which a pool lacks a VM under maintenance: emptying and
     downtime.  */
 #define ROUND_MS 4500
-/** A VM that is not empty after this returns to use, for a wave or a move.  */
+/** A VM that is to be moved or maintained and is not empty after this returns
+    to use.  */
 #define EMPTY_LIMIT_MS 5000
 /** Waves leave such a VM out for this long.  */
 #define SKIP_MS 2500
@@ -65,7 +66,7 @@
   f->recovered_waves = g_ptr_array_new ();
   f->demand = demand_new (f);
   f->unplaced = g_ptr_array_new ();
-  f->plan_number = 1;
+  f->plan_number = 1; /* Tasks and runners without a plan have 0.  */
   return f;
 }
 
@@ -424,12 +425,22 @@
   a->u.wave_state.completed = completed;
 }
 
+/* Returns V, which is not empty, to use if its emptying has taken too long;
+   returns true if so.  */
+static bool
+give_back_late_vm (struct cell *c, struct vm *v)
+{
+  if (c->now_us <= v->emptying_at_us + EMPTY_LIMIT_MS * US_PER_MS)
+    return false;
+  fleet_give_back_vm (c, v, "not_empty", SKIP_MS);
+  return true;
+}
+
 /* Takes V, which W has chosen, a step further: empties it, or orders its
    maintenance when it is empty.  */
 static void
 advance_vm (struct cell *c, struct vm *v, const struct wave *w)
 {
-  struct runner *r = fleet_runner (c, v);
   uint32_t left = w->spec.vm_count - w->done_count;
   uint64_t rounds = (left + w->spec.parallel_limit_count - 1)
                     / MAX (w->spec.parallel_limit_count, 1);
@@ -439,17 +450,10 @@
   vm_orders_repeat (c, v);
   if (v->phase != VM_EMPTYING || !fleet_runs_are_known (c, v))
     return;
-  if (r != NULL && r->tasks->len > 0)
-    {
-      if (c->now_us > v->emptying_at_us + EMPTY_LIMIT_MS * US_PER_MS)
-        {
-          fleet_give_back_vm (c, v, "not_empty", SKIP_MS);
-          return;
-        }
-      empty_runner (c, r, short_of_time);
-      return;
-    }
-  vm_orders_send_or_give_back (c, v);
+  if (fleet_is_empty (c, v))
+    vm_orders_send_or_give_back (c, v);
+  else if (!give_back_late_vm (c, v))
+    empty_runner (c, fleet_runner (c, v), short_of_time);
 }
 
 /* Orders the moves of VMs that have become empty, and repeats such orders that
@@ -464,16 +468,15 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct vm *v = value;
-      struct runner *r = fleet_runner (c, v);
 
-      if (v->moving && v->phase == VM_EMPTYING
-          && (r == NULL || r->tasks->len == 0))
-        vm_orders_send_or_give_back (c, v);
-      else if (v->moving && v->phase == VM_EMPTYING
-               && c->now_us > v->emptying_at_us + EMPTY_LIMIT_MS * US_PER_MS)
-        fleet_give_back_vm (c, v, "not_empty", SKIP_MS);
-      else if (v->moving)
+      if (!v->moving)
+        continue;
+      if (v->phase != VM_EMPTYING)
         vm_orders_repeat (c, v);
+      else if (fleet_is_empty (c, v))
+        vm_orders_send_or_give_back (c, v);
+      else
+        give_back_late_vm (c, v);
     }
 }
 
@@ -522,10 +525,7 @@
       c->fleet->window.emptying_count++;
       find_count (counts, v->row.pool)->out_count++;
       v->wave = w->spec.number;
-      v->phase = VM_EMPTYING;
-      v->emptying_at_us = c->now_us;
-      if (r != NULL)
-        r->vm_emptying = true;
+      fleet_begin_emptying (c, v);
       cell_log (c, "vm_emptying", 0,
                 "\"vm\":\"%s\",\"pool\":\"%s\",\"wave\":%llu,\"runs\":%u",
                 v->row.vm, v->row.pool, (unsigned long long)w->spec.number,
--- a/tests/test_entries.c
+++ b/tests/test_entries.c
@@ -98,10 +98,10 @@
       g_string_append_c (out, '\n');
       g_free (value);
     }
-  for (i = 0; i < r->odd_count; i++)
+  for (i = 0; i < r->unreadable_count; i++)
     {
       g_string_append (out, " ");
-      print_text (out, "odd", r->odd_keys[i]);
+      print_text (out, "odd", r->unreadable_keys[i]);
       g_string_append_c (out, '\n');
     }
   g_string_append_printf (out, "  end %" G_GUINT64_FORMAT "%s\n",
@@ -219,7 +219,7 @@
       g_string_append_printf (out, "  ended %" G_GUINT64_FORMAT,
                               r.ended[i].number);
       print_task (out, &r.ended[i].task, r.ended[i].run);
-      g_string_append_printf (out, " kind %u\n", (guint)r.ended[i].kind);
+      g_string_append_printf (out, " kind %u\n", (unsigned)r.ended[i].kind);
     }
 }
 
