Count no VM that has left or is about to, and replace it at once

VMs whose runners drain counted as serving; for tasks without a place the VMs that a step's limit asks for came one after the other, and tasks on a draining runner asked for none until they were stopped.

Cause, by its class: demand is compared with capacity that does not serve. A VM that the newest list lacks is not up (vm_left) and needs no maintenance; a VM that drains, or whose runner is not registered, does not move and is no capacity; a step's limit counts in what tasks without a place need; tasks on a draining runner without another place count as well. Of tasks beyond the 256 of a plan nothing is concluded.

cells/left_vm_is_chosen, draining_vms_count and drain_raises_no_demand failed before and pass.

--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -174,10 +174,15 @@
 }
 
 /* Returns true if V serves the pool that it counts for, or soon will.  One
-   that is out of use until its maintenance begins does not.  */
+   that is out of use until its maintenance begins does not, nor one that is
+   about to leave.  */
 static bool
-is_capacity (const struct vm *v)
+is_capacity (const struct cell *c, const struct vm *v)
 {
+  const struct runner *r = fleet_runner (c, v);
+
+  if (r != NULL && r->report.draining && v->phase != VM_AWAY)
+    return false;
   if (!v->moving && (v->phase == VM_EMPTYING || v->phase == VM_ORDERED))
     return false;
   return v->row.up || v->phase == VM_AWAY;
@@ -206,7 +211,7 @@
   const struct runner *r = fleet_runner (c, v);
 
   return r != NULL && !is_arriving (c, v)
-         && (r->report.draining || c->now_us < r->quarantined_until_us);
+         && c->now_us < r->quarantined_until_us;
 }
 
 static void
@@ -225,7 +230,7 @@
       if (m == NULL)
         continue;
       m->listed_count++;
-      if (!is_capacity (v))
+      if (!is_capacity (c, v))
         continue;
       m->vm_count++;
       m->arriving_count += is_arriving (c, v);
@@ -279,14 +284,14 @@
     }
 }
 
-/* Returns the least number of runners that hold all tasks of W within its
-   limit of tasks on a runner; 0 if it has no limit.  */
+/* Returns the least number of runners over which the limit of S spreads
+   TASK_COUNT of its tasks; 1 if it has no limit.  */
 static uint32_t
-spread_of (const struct work_step *w)
+spread_of (const struct job_step *s, uint32_t task_count)
 {
-  uint32_t limit = w->spec->per_runner_limit_count;
+  uint32_t limit = s->per_runner_limit_count;
 
-  return limit > 0 ? (w->spec->task_count + limit - 1) / limit : 0;
+  return limit > 0 ? (task_count + limit - 1) / limit : MIN (task_count, 1);
 }
 
 /* Counts the need of W's tasks that wait, and how far its tasks spread.  */
@@ -305,7 +310,8 @@
       m->long_running_milli += milli;
       m->memory_mib += mib;
       m->serving_waiting_count += w->waiting_count;
-      m->spread_vm_count = MAX (m->spread_vm_count, spread_of (w));
+      m->spread_vm_count
+          = MAX (m->spread_vm_count, spread_of (w->spec, w->spec->task_count));
     }
   else if (j->urgency <= URGENCY_NEW)
     {
@@ -352,6 +358,8 @@
 count_unplaced (struct cell *c)
 {
   const GPtrArray *unplaced = c->fleet->unplaced;
+  const struct work_step *step = NULL;
+  uint32_t step_count = 0; /* Tasks of step.  */
   guint i;
 
   for (i = 0; i < unplaced->len; i++)
@@ -367,8 +375,13 @@
         continue;
       m->unplaced_milli += s->need.cpu_milli;
       m->unplaced_mib += s->need.memory_mib;
+      step_count = t->step == step ? step_count + 1 : 1;
+      step = t->step;
+      m->unplaced_vm_count
+          = MAX (m->unplaced_vm_count,
+                 vm_count_for (m, m->unplaced_milli, m->unplaced_mib));
       m->unplaced_vm_count
-          = MAX (1, vm_count_for (m, m->unplaced_milli, m->unplaced_mib));
+          = MAX (m->unplaced_vm_count, spread_of (s, step_count));
     }
 }
 
--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -86,6 +86,33 @@
     ((struct runner *)value)->vm_up = false;
 }
 
+/* Handles that the newest list lacks V: it has left the fleet.  */
+static void
+handle_missing_vm (struct cell *c, struct vm *v)
+{
+  if (!v->row.up && v->phase == VM_IDLE)
+    return;
+  cell_log (c, "vm_left", 0, "\"vm\":\"%s\",\"pool\":\"%s\",\"phase\":%u",
+            v->row.vm, v->row.pool, v->phase);
+  v->row.up = false;
+  if (v->phase == VM_IDLE || v->phase == VM_EMPTYING
+      || (v->phase == VM_AWAY
+          && c->now_us >= v->away_until_us + SAME_RUNNER_MS * US_PER_MS))
+    fleet_return_vm (c, v);
+}
+
+static void
+handle_missing_vms (struct cell *c)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, c->fleet->vms);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    if (((struct vm *)value)->list_number < c->fleet->list_number)
+      handle_missing_vm (c, value);
+}
+
 void
 fleet_on_vms (struct cell *c, const struct cell_event *e)
 {
@@ -97,6 +124,7 @@
   if (!cell_is_owner (c) || !e->u.vms.answered)
     return;
   f->listed = true;
+  f->list_number++;
   f->snapshot_at_us = f->list_sent_at_us;
   clear_vm_up (c);
   for (i = 0; i < e->u.vms.row_count; i++)
@@ -115,6 +143,7 @@
       text_copy (v->row.pool, NAME_BYTES, row->pool);
       text_copy (v->row.runner, NAME_BYTES, row->runner);
       v->row.up = row->up;
+      v->list_number = f->list_number;
       up_count += row->up;
       r = fleet_runner (c, v);
       if (r != NULL)
@@ -130,6 +159,7 @@
           fleet_return_vm (c, v);
         }
     }
+  handle_missing_vms (c);
   if (up_count != f->up_count)
     cell_log (c, "vms_listed", 0, "\"vms\":%u,\"up\":%u", e->u.vms.row_count,
               up_count);
@@ -207,3 +237,9 @@
 
   return p != NULL && p->spare;
 }
+
+bool
+fleet_has_left (const struct cell *c, const struct vm *v)
+{
+  return v->list_number < c->fleet->list_number && v->phase == VM_IDLE;
+}
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -23,7 +23,8 @@
 /** A VM of the platform's list.  */
 struct vm
 {
-  struct vm_row row; /**< As last listed.  */
+  struct vm_row row; /**< As last listed; not up if it is listed no more.  */
+  uint64_t list_number; /**< Newest list that has it.  */
   enum vm_phase phase;
   bool moving; /**< It is emptied, ordered or away for a move, not for
                   maintenance.  */
@@ -31,6 +32,8 @@
   uint64_t wave;                 /**< Last wave that chose it; 0: none.  */
   uint64_t ordered_at_us;        /**< When its last order was sent, or when its
                                     outcome was found to be unknown.  */
+  bool may_be_executed;          /**< An order without an answer may have been
+                                    carried out, or may yet be.  */
   bool order_pending;            /**< An order has no outcome yet.  */
   uint64_t emptying_at_us;       /**< When VM_EMPTYING last began.  */
   uint64_t skipped_until_us;     /**< Waves leave it out until then; moves do
@@ -70,14 +73,16 @@
   bool list_pending;           /**< The platform has not answered yet.  */
   bool listed;                 /**< This owner has read a list.  */
   uint32_t up_count;           /**< VMs up in the newest list.  */
+  uint64_t list_number;        /**< Number of the newest list.  */
   uint64_t snapshot_at_us;     /**< When the newest list was asked for.  */
   struct order_window window;  /**< Orders that may be sent now.  */
   uint64_t plan_number;        /**< Number of the newest plan (places.c), from
                                   1; that of a task or runner which it does
                                   not name is lower.  */
   uint32_t planned_count;      /**< Tasks that it names places for.  */
-  GPtrArray *unplaced;         /**< Long-running struct task that waits and
-                                  had no place when the plan was made.  */
+  GPtrArray *unplaced;         /**< Long-running struct task that waits, or
+                                  whose runner drains, and had no place when
+                                  the plan was made.  */
 };
 
 /** Returns the VM NAME, or NULL.  */
@@ -93,6 +98,9 @@
 bool fleet_has_unreached (const struct cell *c, const char *pool);
 /** Returns true if it is known what runs on V.  */
 bool fleet_runs_are_known (const struct cell *c, const struct vm *v);
+/** Returns true if V, on which no operation is under way, is no longer listed.
+ */
+bool fleet_has_left (const struct cell *c, const struct vm *v);
 /** Returns true if V is in the spare pool.  */
 bool fleet_is_spare (const struct cell *c, const struct vm *v);
 /** Returns true if no task occupies V's runner, or V has no runner.  */
--- a/core/cell/places.c
+++ b/core/cell/places.c
@@ -11,7 +11,7 @@
 #include <string.h>
 
 /** Most tasks that a plan names places for, which bounds the time of a tick.
-    The others count as having none.  */
+    Of the others nothing is concluded.  */
 #define PLAN_LIMIT_COUNT 256
 
 uint32_t
@@ -118,30 +118,47 @@
          && place_within_limit (c, t);
 }
 
-/* Plans places for the tasks of S that wait if WAITING, and otherwise for
-   those that leave their runners.  */
+/* Plans places for the tasks of S that wait.  */
 static void
-plan_step (struct cell *c, struct work_step *s, bool waiting)
+plan_waiting (struct cell *c, struct work_step *s)
 {
   bool none = false; /* A task of S found no place; nor will the next.  */
   uint32_t i;
 
-  for (i = 0; i < s->spec->task_count; i++)
+  for (i = 0;
+       i < s->spec->task_count && c->fleet->planned_count < PLAN_LIMIT_COUNT;
+       i++)
     {
       struct task *t = &s->tasks[i];
 
-      if (waiting)
-        {
-          if (!waits_for_place (c, t))
-            continue;
-          none = none || !places_plan_task (c, t);
-          if (none)
-            g_ptr_array_add (c->fleet->unplaced, t);
-        }
-      else if (t->runner != NULL && !t->stop_wanted
-               && (t->phase == TASK_STOPPING || t->runner->vm_emptying
-                   || t->runner->report.draining))
-        places_plan_task (c, t);
+      if (!waits_for_place (c, t))
+        continue;
+      none = none || !places_plan_task (c, t);
+      if (none)
+        g_ptr_array_add (c->fleet->unplaced, t);
+    }
+}
+
+/* Plans places for the tasks of S that leave their runners.  One that loses
+   its runner soon counts as having none if no other has room.  */
+static void
+plan_leaving (struct cell *c, struct work_step *s)
+{
+  uint32_t i;
+
+  for (i = 0;
+       i < s->spec->task_count && c->fleet->planned_count < PLAN_LIMIT_COUNT;
+       i++)
+    {
+      struct task *t = &s->tasks[i];
+      bool draining = t->runner != NULL && t->runner->report.draining;
+
+      if (t->runner == NULL || t->stop_wanted
+          || (t->phase != TASK_STOPPING && !t->runner->vm_emptying
+              && !draining))
+        continue;
+      if (!places_plan_task (c, t) && draining)
+        g_ptr_array_add (c->fleet->unplaced, t);
     }
 }
 
@@ -161,9 +178,12 @@
           {
             struct work_step *w = &j->occurrences[o]->steps[s];
 
-            if (w->ready && w->spec->long_running
-                && (!waiting || w->waiting_count > 0))
-              plan_step (c, w, waiting);
+            if (!w->ready || !w->spec->long_running)
+              continue;
+            if (!waiting)
+              plan_leaving (c, w);
+            else if (w->waiting_count > 0)
+              plan_waiting (c, w);
           }
     }
 }
--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -56,11 +56,13 @@
 {
   const struct runner *r = fleet_runner (c, v);
 
-  if (v->phase != VM_IDLE || !v->row.up || !fleet_runs_are_known (c, v))
+  if (v->phase != VM_IDLE || !v->row.up || !fleet_runs_are_known (c, v)
+      || c->now_us < v->skipped_until_us)
     return false;
   if (r == NULL)
     return m->spare;
-  return places_planned_count (c, r) == 0
+  /* A VM that is about to leave cannot be moved any more.  */
+  return r->listed && !r->report.draining && places_planned_count (c, r) == 0
          && (r->tasks->len == 0 || (!empty && !has_long_running (r)));
 }
 
--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -548,6 +548,13 @@
   for (k = 0; k < w->spec.vm_count; k++)
     {
       v = w->done[k] ? NULL : fleet_find (c->fleet, w->spec.vms[k]);
+      if (v != NULL && fleet_has_left (c, v))
+        {
+          w->done[k] = true;
+          w->done_count++;
+          w->dirty = true;
+          continue;
+        }
       if (v != NULL && v->wave == w->spec.number && !v->moving)
         advance_vm (c, v, w);
       if (!cell_is_owner (c))
