Keep a VM out of use while an order for it may yet be carried out

Found by a newcomer's reading: an order that got no answer is repeated, and when the cloud could not take the repeat the VM returned to use although the first order may still be carried out; new tasks would have gone down with it. And a VM whose move was refused was chosen again within 100 ms, since only waves left it out.

Cause, by its class: an unknown outcome is taken for none. The VM now remembers that an order may be executed; moves leave a VM out as waves do, also after an order that was rejected. cells/refused_repeat_returns_vm and refused_move_is_repeated failed before and pass. test_cell: 63 pass.

--- a/core/cell/vm_orders.c
+++ b/core/cell/vm_orders.c
@@ -104,7 +104,10 @@
   a->u.vm_order.wave = v->wave;
   a->u.vm_order.token = c->ownership.token;
   if (v->phase != VM_ORDERED)
-    text_copy (v->previous_runner, NAME_BYTES, v->row.runner);
+    {
+      v->may_be_executed = false;
+      text_copy (v->previous_runner, NAME_BYTES, v->row.runner);
+    }
   w->open_count += !v->order_pending;
   w->budget_milli -= MIN (w->budget_milli, 1000);
   v->phase = VM_ORDERED;
@@ -200,16 +203,19 @@
       /* The VM was deleted or left the wave: it needs no maintenance.  */
       if (!v->moving)
         waves_mark_done (c, v);
-      fleet_return_vm (c, v);
+      fleet_give_back_vm (c, v, "rejected", BUSY_SKIP_MS);
       break;
     case ORDER_UNKNOWN:
+      v->may_be_executed = true;
       v->ordered_at_us = c->now_us;
       break;
-    case ORDER_UNAVAILABLE:
-      fleet_give_back_vm (c, v, "cloud", 0);
-      break;
     default:
-      fleet_give_back_vm (c, v, "busy", BUSY_SKIP_MS);
+      if (v->may_be_executed)
+        v->ordered_at_us = c->now_us;
+      else if (outcome == ORDER_UNAVAILABLE)
+        fleet_give_back_vm (c, v, "cloud", 0);
+      else
+        fleet_give_back_vm (c, v, "busy", BUSY_SKIP_MS);
       break;
     }
 }
