Order no VM away before the ends on it are stored

A VM counted as empty when its last task had ended, though the end was not stored yet; the order took the only other copy away, and an owner that resigned or was killed in that gap lost it.

Cause, by its class: capacity withdrawn while something still depends on it. A VM is empty only when the ends that its runner has listed are durable. cells/order_loses_unstored_end failed before (ordered at 300, stored at 340 ms) and passes.

--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -32,7 +32,8 @@
 {
   const struct runner *r = fleet_runner (c, v);
 
-  return r == NULL || r->tasks->len == 0;
+  return r == NULL
+         || (r->tasks->len == 0 && r->seen_end_number == r->stored_end_number);
 }
 
 void
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -103,7 +103,8 @@
 bool fleet_has_left (const struct cell *c, const struct vm *v);
 /** Returns true if V is in the spare pool.  */
 bool fleet_is_spare (const struct cell *c, const struct vm *v);
-/** Returns true if no task occupies V's runner, or V has no runner.  */
+/** Returns true if no task occupies V's runner, and the ends that it has
+   listed are durable: an order for V takes their only other copy away.  */
 bool fleet_is_empty (const struct cell *c, const struct vm *v);
 /** Takes V out of use until it is empty: its runner gets no new tasks.  */
 void fleet_begin_emptying (struct cell *c, struct vm *v);
