--- a/adapter/line_log.c
+++ b/adapter/line_log.c
@@ -4,6 +4,8 @@
 
 #include "port/types.h"
 
+#include <errno.h>
+#include <limits.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,8 +13,9 @@
 #include <unistd.h>
 
 #define LINE_BYTES 720
-/** Most bytes of lines passed to one write.  */
-#define BATCH_BYTES 16384
+/** Most bytes of lines passed to one write: a pipe takes as many whole or not
+   at all, so that no line is cut or mixed with those of another process.  */
+#define BATCH_BYTES PIPE_BUF
 
 struct line_log
 {
@@ -24,6 +27,18 @@
   uint32_t batch_bytes;
 };
 
+/* Returns the number of lines in N bytes of TEXT.  */
+static uint64_t
+count_lines (const char *text, uint32_t n)
+{
+  uint64_t lines = 0;
+  uint32_t i;
+
+  for (i = 0; i < n; i++)
+    lines += text[i] == '\n';
+  return lines;
+}
+
 static void
 write_batch (void *state)
 {
@@ -34,8 +49,14 @@
     {
       ssize_t n = write (STDOUT_FILENO, l->batch + at, l->batch_bytes - at);
 
+      if (n < 0 && errno == EINTR)
+        continue;
       if (n <= 0)
-        break;
+        {
+          atomic_fetch_add (&l->dropped_count,
+                            count_lines (l->batch + at, l->batch_bytes - at));
+          break;
+        }
       at += (uint32_t)n;
     }
   l->batch_bytes = 0;
