Judge failures only by a queue that is known

Cause: an owner that had read no configuration, or one that has dropped a queue, treated a missing queue as one whose tasks may fail once, a job's objective as its bare run time, and dropped the pools' demand history.

Change: core/cell/catalog.c holds what the cell knows of the configuration. Queues and tenants' limits that a newer configuration lacks stay as they were for the jobs accepted before; submissions to them are refused. Failures that cannot be judged are counted, stored, and judged when the queue becomes known or by the next owner; objectives are set then, too. A job whose queue is not known waits and says so (job_waits why queue_unknown, failure_limit_unknown). Demand history is restored, and VMs are neither moved nor emptied, without a configuration only once it is read.

--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -51,23 +51,6 @@
   buckets[i]++;
 }
 
-const struct site_queue *
-cell_find_queue (const struct cell *c, const char *name)
-{
-  return g_hash_table_lookup (c->queues, name);
-}
-
-const struct site_pool *
-cell_find_pool (const struct cell *c, const char *name)
-{
-  uint32_t i;
-
-  for (i = 0; c->config != NULL && i < c->config->pool_count; i++)
-    if (strcmp (c->config->pools[i].name, name) == 0)
-      return &c->config->pools[i];
-  return NULL;
-}
-
 bool
 cell_is_owner (const struct cell *c)
 {
@@ -121,6 +104,8 @@
   cell_fleet_free (c);
   g_hash_table_destroy (c->keys);
   g_hash_table_destroy (c->queues);
+  g_hash_table_destroy (c->dropped_queues);
+  g_hash_table_destroy (c->limits);
   g_hash_table_destroy (c->peers);
   g_hash_table_destroy (c->forwarded_calls);
   g_hash_table_destroy (c->jobs);
@@ -154,6 +139,9 @@
   c->settings = *s;
   c->ownership.best_advertised_milli = s->cpu_milli;
   c->queues = g_hash_table_new (g_str_hash, g_str_equal);
+  c->dropped_queues
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  c->limits = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   c->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   c->forwarded_calls = g_hash_table_new_full (g_int64_hash, g_int64_equal,
@@ -254,6 +242,8 @@
       break;
     case CELL_CONFIG:
       ingress_on_config (c, talloc_steal (c, e->u.config));
+      if (cell_is_owner (c))
+        jobs_on_config (c);
       break;
     case CELL_CONFIG_CONFIRMED:
       if (e->u.config_sent_at_us > c->config_confirmed_at_us)
--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -76,26 +76,46 @@
   memset (c->fleet->demand, 0, sizeof *c->fleet->demand);
 }
 
-/* Returns the demand on pool NAME, which is added if it is configured, or NULL
-   if it is not configured or there are too many pools.  */
+/* Returns the demand on pool NAME, or NULL if it is not followed.  */
 static struct pool_demand *
-find_pool (struct cell *c, const char *name)
+find_followed (struct cell *c, const char *name)
 {
   struct fleet_demand *p = c->fleet->demand;
-  const struct site_pool *s;
   uint32_t i;
 
   for (i = 0; i < p->pool_count; i++)
     if (strcmp (p->pools[i].name, name) == 0)
       return &p->pools[i];
-  s = cell_find_pool (c, name);
-  if (s == NULL || p->pool_count == POOL_LIMIT_COUNT)
+  return NULL;
+}
+
+/* Follows the demand on pool NAME.  Returns NULL if there are too many.  */
+static struct pool_demand *
+follow_pool (struct cell *c, const char *name)
+{
+  struct fleet_demand *p = c->fleet->demand;
+
+  if (p->pool_count == POOL_LIMIT_COUNT)
     return NULL;
   text_copy (p->pools[p->pool_count].name, NAME_BYTES, name);
-  p->pools[p->pool_count].spare = s->spare;
   return &p->pools[p->pool_count++];
 }
 
+/* Returns the demand on pool NAME, which is added if it is configured, or NULL
+   if it is not configured or there are too many pools.  */
+static struct pool_demand *
+find_pool (struct cell *c, const char *name)
+{
+  struct pool_demand *m = find_followed (c, name);
+  const struct site_pool *s = m == NULL ? cell_find_pool (c, name) : NULL;
+
+  if (s != NULL)
+    m = follow_pool (c, name);
+  if (m != NULL && s != NULL)
+    m->spare = s->spare;
+  return m;
+}
+
 /* Returns the demand on the pool of QUEUE, or NULL as find_pool does.  */
 static struct pool_demand *
 find_pool_of_queue (struct cell *c, const char *queue)
@@ -161,8 +181,11 @@
   for (i = 0; i < r->pool_count; i++)
     {
       const struct pool_history *h = &r->pools[i];
-      struct pool_demand *m = find_pool (c, h->name);
+      struct pool_demand *m = find_followed (c, h->name);
 
+      /* No configuration may have been read yet.  */
+      if (m == NULL)
+        m = follow_pool (c, h->name);
       if (m == NULL)
         continue;
       m->surge_began_at_us = from_wall_ms (c, h->surge_began_at_ms);
@@ -654,7 +677,13 @@
   uint32_t i;
 
   for (i = 0; i < p->pool_count; i++)
-    clear_results (&p->pools[i]);
+    {
+      const struct site_pool *s = cell_find_pool (c, p->pools[i].name);
+
+      clear_results (&p->pools[i]);
+      if (s != NULL)
+        p->pools[i].spare = s->spare;
+    }
   count_vms (c);
   count_running (c);
   count_waiting (c);
--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -134,6 +134,27 @@
              : URGENCY_BEST_EFFORT;
 }
 
+/* Logs WHY J waits if that has changed.  */
+static void
+note_wait (struct cell *c, struct job *j, enum wait_reason why)
+{
+  static const char *const names[]
+      = { "", "room", "limit", "unreached", "backoff", "queue_unknown" };
+
+  if (why == j->wait_reason
+      || c->now_us < j->accepted_at_us + WAIT_LOG_MS * US_PER_MS)
+    return;
+  j->wait_reason = why;
+  if (why != WAIT_NONE)
+    cell_log (
+        c, "job_waits", j->id,
+        "\"why\":\"%s\",\"queue\":\"%s\",\"tenant\":\"%s\","
+        "\"age_ms\":%llu,\"left_ms\":%lld",
+        names[why], j->queue, j->tenant,
+        (unsigned long long)((c->now_us - j->accepted_at_us) / US_PER_MS),
+        ((long long)j->objective_deadline_us - (long long)c->now_us) / 1000);
+}
+
 /* Returns the jobs with waiting tasks in the order of the round, as an array
    of struct candidate that the caller frees.  */
 static GArray *
@@ -148,8 +169,13 @@
       const struct site_queue *q = cell_find_queue (c, j->queue);
       struct candidate x = { .job = j };
 
-      if (q == NULL || !has_waiting (j))
+      if (!has_waiting (j))
         continue;
+      if (q == NULL)
+        {
+          note_wait (c, j, WAIT_QUEUE_UNKNOWN);
+          continue;
+        }
       x.long_running = j->spec->steps[0].long_running;
       x.priority = q->priority;
       j->urgency = urgency_of (c, j);
@@ -332,26 +358,6 @@
       }
 }
 
-static void
-note_wait (struct cell *c, struct job *j, const struct pool_round *p)
-{
-  static const char *const names[]
-      = { "", "room", "limit", "unreached", "backoff" };
-
-  if (p->wait == j->wait_reason
-      || c->now_us < j->accepted_at_us + WAIT_LOG_MS * US_PER_MS)
-    return;
-  j->wait_reason = p->wait;
-  if (p->wait != WAIT_NONE)
-    cell_log (
-        c, "job_waits", j->id,
-        "\"why\":\"%s\",\"queue\":\"%s\",\"tenant\":\"%s\","
-        "\"age_ms\":%llu,\"left_ms\":%lld",
-        names[p->wait], j->queue, j->tenant,
-        (unsigned long long)((c->now_us - j->accepted_at_us) / US_PER_MS),
-        ((long long)j->objective_deadline_us - (long long)c->now_us) / 1000);
-}
-
 void
 dispatch_run (struct cell *c)
 {
@@ -376,7 +382,7 @@
       p->wait = WAIT_NONE;
       p->unreached = may_run_unreached (c, j, q->pool);
       start_job (c, j, p);
-      note_wait (c, j, p);
+      note_wait (c, j, p->wait);
     }
   place_end_round (c);
   g_hash_table_destroy (pools);
--- a/core/cell/ingress.c
+++ b/core/cell/ingress.c
@@ -275,23 +275,6 @@
     ((struct forwarded_call *)value)->on_current_link = false;
 }
 
-static void
-index_config (struct cell *c)
-{
-  uint32_t i;
-  uint32_t k;
-
-  g_hash_table_remove_all (c->queues);
-  for (i = 0; i < c->config->queue_count; i++)
-    g_hash_table_insert (c->queues, c->config->queues[i].name,
-                         &c->config->queues[i]);
-  g_hash_table_remove_all (c->keys);
-  for (i = 0; i < c->config->tenant_count; i++)
-    for (k = 0; k < c->config->tenants[i].key_count; k++)
-      g_hash_table_insert (c->keys, g_strdup (c->config->tenants[i].keys[k]),
-                           GUINT_TO_POINTER (i + 1));
-}
-
 void
 ingress_on_config (struct cell *c, struct site_config *config)
 {
@@ -301,10 +284,7 @@
       talloc_free (config);
       return;
     }
-  g_hash_table_remove_all (c->queues);
-  talloc_free (c->config);
-  c->config = config;
-  index_config (c);
+  catalog_set_config (c, config);
   cell_log (c, "config_in_force", 0,
             "\"version\":%llu,\"queues\":%u,\"pools\":%u,\"tenants\":%u",
             (unsigned long long)config->version, config->queue_count,
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -164,6 +164,7 @@
   const struct site_queue *q = cell_find_queue (c, j->queue);
   uint64_t span_us = longest_chain_us (c, j);
 
+  j->objective_known = q != NULL;
   if (q != NULL)
     span_us = span_us * q->stretch_milli / 1000
               + q->objective_slack_ms * US_PER_MS;
@@ -178,6 +179,42 @@
   c->dispatch_due = true;
 }
 
+/* Judges the failed runs of J, whose queue Q has become known.  */
+static void
+judge_failures (struct cell *c, struct job *j, const struct site_queue *q)
+{
+  uint32_t o;
+  uint32_t s;
+  uint32_t k;
+
+  j->failures_unjudged = false;
+  for (o = 0; o < j->occurrence_count; o++)
+    for (s = 0; s < j->spec->step_count; s++)
+      for (k = 0; k < j->spec->steps[s].task_count && !j->final; k++)
+        task_judge_failures (c, &j->occurrences[o]->steps[s].tasks[k], q);
+}
+
+void
+jobs_on_config (struct cell *c)
+{
+  guint i;
+
+  /* Backwards, as a job that has failed is removed.  */
+  for (i = c->active->len; i > 0; i--)
+    {
+      struct job *j = g_ptr_array_index (c->active, i - 1);
+      const struct site_queue *q = cell_find_queue (c, j->queue);
+
+      if (q == NULL)
+        continue;
+      if (!j->objective_known)
+        set_objective (c, j);
+      if (j->failures_unjudged)
+        judge_failures (c, j, q);
+    }
+  c->dispatch_due = true;
+}
+
 static void
 send_reply (struct cell *c, const struct waiter *w, struct reply *r)
 {
@@ -282,7 +319,7 @@
   bool over_rate = false;
   struct job *j;
 
-  if (q == NULL)
+  if (q == NULL || !cell_queue_is_configured (c, call->queue))
     {
       send_reply_code (c, w, REPLY_UNAVAILABLE, MS_PER_S);
       return;
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -393,6 +393,7 @@
     return;
   set_phase (c, OWNERSHIP_OWNER);
   records_finish_recovery (c);
+  jobs_on_config (c);
   c->metrics.counters[CELL_COUNT_TAKEOVERS]++;
   cell_emit (c, CELL_DO_FOLLOW_RUNNERS)->u.follow_runners = true;
   cell_log (c, "ownership_taken", 0,
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -360,14 +360,11 @@
   const char *tenant = task_job (t)->tenant;
   const struct resources *need = &t->step->spec->need;
   const struct resources *used;
-  const struct resources *limit = NULL;
-  uint32_t i;
+  const struct resources *limit;
 
   if (tenant[0] == '\0')
     return true;
-  for (i = 0; c->config != NULL && i < c->config->tenant_count; i++)
-    if (strcmp (c->config->tenants[i].name, tenant) == 0)
-      limit = &c->config->tenants[i].limit;
+  limit = cell_find_limit (c, tenant);
   used = g_hash_table_lookup (c->usage, tenant);
   if (limit == NULL || used == NULL)
     return true;
--- a/core/cell/records.c
+++ b/core/cell/records.c
@@ -252,6 +252,8 @@
                                         + UNRECORDED_RUN_COUNT);
             if (t->failed_count > 0 || r->tasks[n].done)
               j->started = true;
+            if (t->failed_count > 0)
+              j->failures_unjudged = true;
             if (r->tasks[n].done)
               task_complete (c, t);
           }
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -58,7 +58,9 @@
   WAIT_TENANT_LIMIT, /**< Its tenant is at its resource limit.  */
   WAIT_UNREACHED,    /**< It may run on a runner that has not answered this
                       owner.  */
-  WAIT_BACKOFF       /**< It has failed and is restarted with a delay.  */
+  WAIT_BACKOFF,      /**< It has failed and is restarted with a delay.  */
+  WAIT_QUEUE_UNKNOWN /**< Its queue is not known: no configuration has been
+                      read, or none has the queue.  */
 };
 
 struct job;
@@ -138,12 +140,16 @@
   uint64_t ended_at_ms;           /**< Unix time.  */
   enum job_state state;           /**< Valid once final.  */
   bool final;
-  bool stored;                    /**< Its acceptance is durable.  */
-  bool dirty;                     /**< Its progress is to be appended.  */
-  bool started;                   /**< A task of it was started.  */
-  bool over_rate;                 /**< It exceeded its tenant's rate.  */
-  bool inherited;                 /**< Accepted by an earlier owner.  */
-  bool end_stored;                /**< Its final state is durable.  */
+  bool stored;            /**< Its acceptance is durable.  */
+  bool dirty;             /**< Its progress is to be appended.  */
+  bool started;           /**< A task of it was started.  */
+  bool over_rate;         /**< It exceeded its tenant's rate.  */
+  bool inherited;         /**< Accepted by an earlier owner.  */
+  bool end_stored;        /**< Its final state is durable.  */
+  bool objective_known;   /**< objective_deadline_us is set by its queue.  */
+  bool failures_unjudged; /**< A run failed while its queue was not known, or
+                             under a former owner: whether it was one too many
+                             is to be judged.  */
   uint32_t occurrence_count;      /**< Entries of occurrences.  */
   uint32_t open_occurrence_count; /**< Occurrences that are not done.  */
   struct occurrence **occurrences;
@@ -361,6 +367,10 @@
   struct cell_settings settings;
   struct site_config *config;      /**< NULL before the first was read.  */
   GHashTable *queues;              /**< Name to struct site_queue.  */
+  GHashTable *dropped_queues;      /**< The same for queues that config lacks,
+                                      as they were last configured.  */
+  GHashTable *limits;              /**< Tenant to struct resources, also of
+                                      tenants that config lacks.  */
   GHashTable *keys;                /**< API key to tenant's index + 1.  */
   uint64_t config_confirmed_at_us; /**< When config was last the newest; 0:
                                       never confirmed.  */
@@ -410,12 +420,26 @@
     __attribute__ ((format (printf, 4, 5)));
 /** Counts a latency of MS in a histogram of CELL_BUCKET_COUNT buckets.  */
 void cell_histogram_add (uint64_t *buckets, uint64_t ms);
-/** These return the queue or pool NAME of the configuration, or NULL.  */
+bool cell_is_owner (const struct cell *c);
+
+/* catalog.c: the queues, pools and tenants that the cell knows.  */
+/** Returns the queue NAME, which the newest configuration may have dropped, or
+    NULL if it is not known: before the first configuration was read, or if
+    none that this entry has read had it.  What depends on the queue waits
+    then.  */
 const struct site_queue *cell_find_queue (const struct cell *c,
                                           const char *name);
+/** Returns true if the newest configuration has the queue NAME.  */
+bool cell_queue_is_configured (const struct cell *c, const char *name);
+/** Returns the pool NAME of the newest configuration, or NULL.  */
 const struct site_pool *cell_find_pool (const struct cell *c,
                                         const char *name);
-bool cell_is_owner (const struct cell *c);
+/** Returns the limit of TENANT as last configured; NULL if it is not known,
+    else a resource that is 0 has no limit.  */
+const struct resources *cell_find_limit (const struct cell *c,
+                                         const char *tenant);
+/** Makes CONFIG, a child of C, the newest configuration.  */
+void catalog_set_config (struct cell *c, struct site_config *config);
 
 /* ingress.c: calls of this entry's clients.  */
 void ingress_on_call (struct cell *c, struct cell_event *e);
@@ -456,6 +480,9 @@
                    struct job_call *call);
 /** Forgets all jobs; their waiters are referred to the new owner.  */
 void jobs_clear (struct cell *c);
+/** Sets the objectives, and judges the failed runs, of the jobs whose queue
+   was not known before; called after a takeover and for each configuration. */
+void jobs_on_config (struct cell *c);
 /** Requests that the progress of J be appended.  */
 void jobs_mark_dirty (struct cell *c, struct job *j);
 /** Makes STATE the final state of J.  */
@@ -511,6 +538,9 @@
 void task_release (struct cell *c, struct task *t);
 /** Marks T as done, and its step, occurrence and job if it was the last.  */
 void task_complete (struct cell *c, struct task *t);
+/** Fails T's job if T has failed as often as its queue, Q, allows.  */
+void task_judge_failures (struct cell *c, struct task *t,
+                          const struct site_queue *q);
 /** Handles the end of a run that R has listed.  */
 void task_on_end (struct cell *c, struct runner *r, struct ended_run *e);
 /** Handles OUTCOME of the order to R to start T.  */
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -241,25 +241,42 @@
   return true;
 }
 
+void
+task_judge_failures (struct cell *c, struct task *t,
+                     const struct site_queue *q)
+{
+  struct job *j = task_job (t);
+  uint32_t limit = MAX (q->attempt_limit, 1);
+
+  if (t->failed_count < limit || t->step->spec->long_running)
+    return;
+  cell_log (c, "task_attempts_exhausted", j->id,
+            "\"task\":\"%u.%u.%u\",\"failed\":%u,\"limit\":%u",
+            t->step->occurrence->number, t->step->number, t->index,
+            t->failed_count, limit);
+  jobs_end (c, j, JOB_FAILED);
+}
+
 static void
 count_failure (struct cell *c, struct runner *r, struct task *t)
 {
   struct job *j = task_job (t);
   const struct site_queue *q = cell_find_queue (c, j->queue);
-  uint32_t limit = q != NULL && q->attempt_limit > 0 ? q->attempt_limit : 1;
 
   t->failed_count++;
   t->failed_on = r;
   note_runner_failure (c, r, t);
   jobs_mark_dirty (c, j);
-  if (t->failed_count >= limit && !t->step->spec->long_running)
+  if (q != NULL)
     {
-      cell_log (c, "task_attempts_exhausted", j->id,
-                "\"task\":\"%u.%u.%u\",\"failed\":%u,\"limit\":%u",
-                t->step->occurrence->number, t->step->number, t->index,
-                t->failed_count, limit);
-      jobs_end (c, j, JOB_FAILED);
+      task_judge_failures (c, t, q);
+      return;
     }
+  j->failures_unjudged = true;
+  cell_log (c, "failure_limit_unknown", j->id,
+            "\"task\":\"%u.%u.%u\",\"failed\":%u,\"queue\":\"%s\"",
+            t->step->occurrence->number, t->step->number, t->index,
+            t->failed_count, j->queue);
 }
 
 /* Marks T as done.  When one task of a gang is done, all are.  */
--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -645,7 +645,8 @@
   if (!c->ownership.no_predecessor && !c->ownership.predecessor_is_self
       && c->now_us < c->ownership.claimed_at_us + gap_us)
     return;
-  if (!f->listed)
+  /* Without the configuration it is not known which VMs are spare.  */
+  if (!f->listed || c->config == NULL)
     return;
   vm_orders_tick (c);
   pools_tick (c);
