--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -710,6 +710,34 @@
     g_string_truncate (x->out, length);
 }
 
+/* Answers the starts among the orders of J, from "first" to "last", with
+   "done"; their actions are not printed but counted.  */
+static void
+answer_starts (struct script *x, const json_t *j)
+{
+  uint64_t id = get_number (j, "first", 1);
+  uint64_t last = get_number (j, "last", 0);
+  gsize length = x->out->len;
+  uint32_t action_count = 0;
+
+  for (; id <= last; id++)
+    {
+      struct cell_event e = { .kind = CELL_RUNNER_RESULT };
+
+      if (x->order_kinds[id % ORDER_HISTORY_COUNT] != ORDER_START)
+        continue;
+      e.u.runner_result.order_id = id;
+      e.u.runner_result.kind = ORDER_START;
+      e.u.runner_result.clock_ms = x->at_ms;
+      step_cell (x, &e);
+      action_count += x->actions.item_count;
+    }
+  g_string_truncate (x->out, length);
+  g_string_append_printf (x->out, "  %llu %u actions\n",
+                          (unsigned long long)(x->at_ms - START_MS),
+                          action_count);
+}
+
 static void run_file (struct script *x, const char *file);
 
 static void
@@ -735,6 +763,8 @@
       x->included = false;
       g_free (path);
     }
+  else if (json_object_get (j, "starts_done") != NULL)
+    answer_starts (x, json_object_get (j, "starts_done"));
   else if (json_object_get (j, "tick_until") != NULL)
     {
       uint64_t until_ms = START_MS + get_number (j, "tick_until", 0);
