An overloaded owner stays owner

Cause: answers that are late because the owner sends so many orders made it release the cell to an equal, which inherited the backlog.

Change: an owner counts as slow only if its late orders were few for its CPU share: then its VM is slow.

--- a/adapter/site_decide.c
+++ b/adapter/site_decide.c
@@ -174,6 +174,7 @@
       o->at_offset = a->u.claim.at_offset;
       o->released = a->u.claim.released;
       o->best_cpu_milli = a->u.claim.best_cpu_milli;
+      o->slow_yield_at_ms = a->u.claim.slow_yield_at_ms;
       send_store (d, o);
       break;
     case CELL_DO_RECOVER:
--- a/adapter/site_store.c
+++ b/adapter/site_store.c
@@ -385,8 +385,9 @@
   cell_post (f->store->cell, e);
 }
 
-/* Decodes a claim: [member, relay address, released, largest CPU share].
-   Earlier versions wrote no CPU share.  A claim's token is its offset + 1.  */
+/* Decodes a claim: [member, relay address, released, largest CPU share, time
+   of the last release by an owner on a slow VM].  Earlier versions did not
+   write all of them.  A claim's token is its offset + 1.  */
 static bool
 decode_claim (const struct platform_record *x, struct cell_event *e)
 {
@@ -401,6 +402,7 @@
   e->u.claim.released = unpack_bool (&u);
   valid = !u.failed;
   e->u.claim.best_cpu_milli = (uint32_t)unpack_number (&u, UINT32_MAX);
+  e->u.claim.slow_yield_at_ms = unpack_number (&u, UINT64_MAX);
   msgpack_unpacked_destroy (&m);
   return valid;
 }
@@ -657,7 +659,7 @@
 }
 
 static struct blob *
-encode_claim (const struct site_store *t, bool released, uint64_t cpu_milli)
+encode_claim (const struct site_store *t, const struct store_operation *o)
 {
   msgpack_sbuffer value;
   msgpack_sbuffer out;
@@ -667,11 +669,12 @@
   msgpack_sbuffer_init (&value);
   msgpack_sbuffer_init (&out);
   msgpack_packer_init (&p, &value, msgpack_sbuffer_write);
-  msgpack_pack_array (&p, 4);
+  msgpack_pack_array (&p, 5);
   pack_text (&p, t->member);
   pack_text (&p, t->relay_address);
-  pack_bool (&p, released);
-  msgpack_pack_uint64 (&p, cpu_milli);
+  pack_bool (&p, o->released);
+  msgpack_pack_uint64 (&p, o->best_cpu_milli);
+  msgpack_pack_uint64 (&p, o->slow_yield_at_ms);
   keyed_record_pack (&out, "0", value.data, (uint32_t)value.size);
   b = blob_copy (out.data, (uint32_t)out.size);
   msgpack_sbuffer_destroy (&value);
@@ -756,7 +759,7 @@
                                .at_offset = x->op.at_offset };
   char url[PLATFORM_STORE_URL_BYTES];
 
-  x->op.body = encode_claim (x->store, x->op.released, x->op.best_cpu_milli);
+  x->op.body = encode_claim (x->store, &x->op);
   platform_append_url (url, x->store->address, &a);
   start_call (x->store, "POST", url, x->op.body, CALL_TIMEOUT_MS, on_claimed,
               x);
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -52,14 +52,18 @@
 #define WEAK_FACTOR 2
 /** A weak entry delays its join by this.  */
 #define WEAK_JOIN_DELAY_MS 900
-/** Least time between two yields of an entry, and between its claim and a
-    yield, so that it has settled as owner first.  */
+/** Least time between two yields of an entry, between two yields of the cell
+    by owners on slow VMs, and between a claim and a yield, so that the owner
+    has settled first.  */
 #define YIELD_INTERVAL_MS 10000
 #define YIELD_MIN_OWNED_MS 1000
 /** Length of the periods by which the latency of orders is judged, and the
     least number of orders in one that allows a judgement.  */
 #define LATENCY_PERIOD_MS 700
 #define LATENCY_MIN_COUNT 20
+/** An owner whose orders took at least one in this many parts of its CPU share
+    is not on a slow VM but loaded: a successor would inherit the load.  */
+#define LOADED_PART 3
 /** An owner that yielded for being slow counts as weak for this long: a VM
     stays slow for seconds.  */
 #define SLOW_MS 8000
@@ -89,6 +93,7 @@
 
   a->u.claim.at_offset = c->ownership.claims_end_offset;
   a->u.claim.released = released;
+  a->u.claim.slow_yield_at_ms = c->ownership.slow_yield_at_ms;
   a->u.claim.best_cpu_milli
       = MAX (c->ownership.best_cpu_milli, peers_best_cpu_milli (c));
 }
@@ -191,6 +196,7 @@
   o->owner_denied = false;
   if (e->u.claim.best_cpu_milli > 0)
     o->best_cpu_milli = e->u.claim.best_cpu_milli;
+  o->slow_yield_at_ms = MAX (o->slow_yield_at_ms, e->u.claim.slow_yield_at_ms);
   text_copy (o->newest_member, NAME_BYTES, e->u.claim.member);
   text_copy (o->owner_address, ADDRESS_BYTES, e->u.claim.address);
   cell_log (c, "claim_seen", 0,
@@ -438,7 +444,17 @@
               (unsigned long long)((c->now_us - o->joined_at_us) / US_PER_MS));
 }
 
-/* Decides at the end of a period whether its orders were answered late.  */
+/* Returns true if ORDER_COUNT orders took a large part of this entry's CPU
+   share for PERIOD_US.  */
+static bool
+is_loaded (const struct cell *c, uint32_t order_count, uint64_t period_us)
+{
+  return (uint64_t)order_count * ORDER_CPU_US * LOADED_PART
+         >= period_us * c->settings.cpu_milli / 1000;
+}
+
+/* Decides at the end of a period whether its orders were answered late though
+   they were few.  */
 static void
 update_order_latency (struct cell *c)
 {
@@ -451,11 +467,23 @@
      all.  */
   overdue = runners_overdue_count (c);
   p->slow = p->order_count + overdue >= LATENCY_MIN_COUNT
-            && p->slow_count + overdue >= p->order_count - p->slow_count;
+            && p->slow_count + overdue >= p->order_count - p->slow_count
+            && !is_loaded (c, p->order_count, c->now_us - p->began_at_us);
   p->began_at_us = c->now_us;
   p->order_count = p->slow_count = 0;
 }
 
+/* Returns true if an owner on a slow VM may release the cell: the last such
+   release is long ago, or the wall clock was set back.  The claims hand its
+   time on, so that the cell does not go from entry to entry.  */
+static bool
+may_yield_slow (const struct cell *c)
+{
+  uint64_t last_ms = c->ownership.slow_yield_at_ms;
+
+  return c->wall_ms < last_ms || c->wall_ms >= last_ms + YIELD_INTERVAL_MS;
+}
+
 /* Releases the cell if this entry is slow or weak and a peer has as much CPU
    or more: under a slow owner leases expire and jobs pile up.  */
 static void
@@ -469,7 +497,7 @@
     return;
   best_milli = peers_best_cpu_milli (c);
   update_order_latency (c);
-  slow = c->order_latency.slow
+  slow = c->order_latency.slow && may_yield_slow (c)
          && peers_best_other_cpu_milli (c) >= c->settings.cpu_milli;
   /* A degraded owner does not yield, except a slow one: its joins are late
      because it is slow, and its eligible peers reach the store.  */
@@ -486,7 +514,10 @@
   o->best_cpu_milli = MAX (o->best_cpu_milli, best_milli);
   c->order_latency.slow = false;
   if (slow)
-    o->slow_until_us = c->now_us + SLOW_MS * US_PER_MS;
+    {
+      o->slow_until_us = c->now_us + SLOW_MS * US_PER_MS;
+      o->slow_yield_at_ms = c->wall_ms;
+    }
   cell_log (c, "ownership_yielded", 0,
             "\"why\":\"%s\",\"cpu_milli\":%u,\"best_cpu_milli\":%u,"
             "\"unanswered_starts\":%u",
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -17,6 +17,9 @@
 /** Longest wait of a poll: under a third of the lease, so that two may be
     lost.  */
 #define POLL_WAIT_MS 1000
+/** Processor time that an order and its answer take the entry that sends it,
+    on average.  */
+#define ORDER_CPU_US 600
 /** A former owner may have used up to this many run numbers of a task without
     storing them.  */
 #define UNRECORDED_RUN_COUNT 64
@@ -289,6 +292,8 @@
   uint32_t best_advertised_milli; /**< Largest CPU share in our heartbeats.  */
   uint32_t best_cpu_milli;   /**< Largest CPU share reported by an owner.  */
   uint64_t next_yield_at_us; /**< We may yield the cell from then on.  */
+  uint64_t slow_yield_at_ms; /**< When an owner on a slow VM last yielded the
+                                cell, in Unix time; 0: none has.  */
   uint64_t slow_until_us;    /**< Until then we count as weak, having been slow
                                 as owner.  */
   bool yielding;             /**< We yield when no append is in flight.  */
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -332,8 +332,10 @@
       char member[NAME_BYTES];     /**< Entry that made the claim.  */
       char address[ADDRESS_BYTES]; /**< Address of that entry's relay.  */
       bool released;               /**< The claim gives the cell up.  */
-      uint32_t best_cpu_milli; /**< Largest CPU share that the entry knew; 0:
-                                    none.  */
+      uint32_t best_cpu_milli;   /**< Largest CPU share that the entry knew; 0:
+                                      none.  */
+      uint64_t slow_yield_at_ms; /**< When an owner on a slow VM last gave the
+                                    cell up, in Unix time; 0: not known.  */
     } claim;
     struct
     {
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -412,6 +412,7 @@
   e->u.claim.next_offset = get_number (j, "next_offset", e->u.claim.token);
   e->u.claim.released = get_flag (j, "released");
   e->u.claim.best_cpu_milli = (uint32_t)get_number (j, "best_cpu", 0);
+  e->u.claim.slow_yield_at_ms = get_number (j, "slow_yield_at", 0);
   get_text (j, "member", e->u.claim.member, NAME_BYTES);
   get_text (j, "address", e->u.claim.address, ADDRESS_BYTES);
 }
