Have other entries send the orders of a loaded owner

Cause: a task costs its owner 0.6 to 0.8 ms in calls to runners and 0.05 ms in decisions, so one entry of half a core starts 1,300 to 1,500 tasks a second while a surge asks for 2,300; the other entries idle.

Change: core/cell/delegates.c decides which entry sends the orders to a runner: a strong one, in the runner's zone if there is one, and only while orders take a large part of the owner's CPU share. Orders and results go over the peer links in batches (order_codec.c); another entry's order client sends them under the owner's token. An order is not sent when it may be over 1 s old (the batch echoes the receiver's clock, so a pause of either entry shows), nor under a token lower than one seen. Orders of a lost or silent delegate are unknown and are looked for by the owner itself; a slow delegate is avoided. Heartbeats carry zone and clock; entries of earlier builds take no delegated orders.

--- a/adapter/relay.c
+++ b/adapter/relay.c
@@ -4,6 +4,7 @@
 
 #include "adapter/address.h"
 #include "adapter/cell_post.h"
+#include "adapter/order_codec.h"
 #include "adapter/peer_link.h"
 #include "adapter/relay_codec.h"
 #include "adapter/timer.h"
@@ -24,6 +25,9 @@
 #define SILENCE_TIMEOUT_MS 1000
 /** Delay before the owner is connected to again.  */
 #define RECONNECT_DELAY_MS 200
+/** A delegated order is dropped when it may be older than this: one of the two
+    entries was paused, or is slow.  A link is silent no longer.  */
+#define ORDER_LIMIT_MS SILENCE_TIMEOUT_MS
 
 struct link
 {
@@ -38,12 +42,14 @@
   bool reported; /**< The cell was told that this accepted link is up.  */
   bool reported_eligible; /**< Last heartbeat reported was not degraded.  */
   uint64_t heard_at_us;   /**< When the last message arrived.  */
+  uint64_t clock_us;      /**< The other end's clock in its last heartbeat.  */
 };
 
 struct relay
 {
   struct duty *duty;
   struct ring *cell;
+  struct ring *orders; /**< Gets the orders sent for the owner, or NULL.  */
   struct line_log *log;
   uint8_t secret[PEER_SECRET_BYTES];
   int listen_fd;
@@ -91,6 +97,7 @@
       l->reported_eligible = !m->u.heartbeat.degraded;
       e->u.peer.eligible = l->reported_eligible;
       e->u.peer.cpu_milli = m->u.heartbeat.cpu_milli;
+      text_copy (e->u.peer.zone, NAME_BYTES, m->u.heartbeat.zone);
     }
   cell_post (l->relay->cell, e);
 }
@@ -166,6 +173,51 @@
   cell_post (l->relay->cell, e);
 }
 
+/* Passes the orders in M, which the owner has this entry send, on.  They are
+   valid until ORDER_LIMIT_MS after the heartbeat that the owner had read.  */
+static bool
+take_orders (struct link *l, const struct relay_message *m)
+{
+  struct relay *r = l->relay;
+  const struct blob *b = m->u.orders.batch;
+  struct order_batch *batch
+      = b != NULL && l == r->owner && r->orders != NULL
+            ? order_batch_decode (r, b->data, b->size_bytes)
+            : NULL;
+  uint32_t i;
+
+  for (i = 0; batch != NULL && i < batch->item_count; i++)
+    {
+      struct cell_action *a = talloc_zero (NULL, struct cell_action);
+
+      a->kind = CELL_DO_ORDER;
+      a->u.order = batch->items[i];
+      a->u.order.delegated = true;
+      a->u.order.send_until_us
+          = m->u.orders.clock_us + ORDER_LIMIT_MS * US_PER_MS;
+      blob_ref (a->u.order.payload);
+      if (ring_push (r->orders, a))
+        continue;
+      /* The owner gives up what is not answered.  */
+      line_log_write (r->log, "ring_full", 0, "\"ring\":\"back\"");
+      blob_unref (a->u.order.payload);
+      talloc_free (a);
+    }
+  if (batch == NULL)
+    return false;
+  talloc_free (batch);
+  return true;
+}
+
+static void
+post_results (struct link *l, const struct relay_message *m)
+{
+  uint32_t i;
+
+  for (i = 0; i < m->u.results.item_count; i++)
+    cell_post (l->relay->cell, talloc_steal (NULL, m->u.results.items[i]));
+}
+
 static void
 apply_owner_heartbeat (struct relay *r, const struct relay_message *m)
 {
@@ -186,6 +238,7 @@
 static void
 apply_heartbeat (struct link *l, const struct relay_message *m)
 {
+  l->clock_us = m->u.heartbeat.clock_us;
   if (l == l->relay->owner)
     apply_owner_heartbeat (l->relay, m);
   else if (!l->reported || l->reported_eligible == m->u.heartbeat.degraded)
@@ -208,6 +261,7 @@
      the message is decoded.  */
   struct cell_event *e = cell_event_new (CELL_TICK);
   struct relay_message m;
+  bool valid = true;
 
   if (l->dropped)
     {
@@ -233,8 +287,19 @@
       talloc_free (e);
       apply_heartbeat (l, &m);
       break;
+    case RELAY_ORDERS:
+      talloc_free (e);
+      valid = take_orders (l, &m);
+      blob_unref (m.u.orders.batch);
+      break;
+    case RELAY_RESULTS:
+      post_results (l, &m);
+      talloc_free (e);
+      break;
     }
-  return true;
+  if (!valid)
+    log_link (l, "relay_malformed");
+  return valid;
 }
 
 static void
@@ -338,6 +403,28 @@
     peer_link_send (l->peer, b->data, b->size_bytes);
 }
 
+/* Sends the batch in O unless the link is gone or the batch too old.  */
+static void
+send_orders (struct relay *r, const struct relay_command *o)
+{
+  struct link *l = find_link (r, o->link_id);
+  struct relay_message m = { .kind = RELAY_ORDERS };
+  struct blob *b;
+
+  if (l == NULL || o->body == NULL)
+    return;
+  if (now_us () > o->decided_at_us + ORDER_LIMIT_MS * US_PER_MS)
+    {
+      log_link (l, "orders_too_late");
+      return;
+    }
+  m.u.orders.clock_us = l->clock_us;
+  m.u.orders.batch = o->body;
+  b = relay_encode (&m);
+  send_body (l, b);
+  blob_unref (b);
+}
+
 static void
 on_command (void *state, void *item)
 {
@@ -352,6 +439,9 @@
     case RELAY_SEND_ON_LINK:
       send_body (find_link (r, o->link_id), o->body);
       break;
+    case RELAY_SEND_ORDERS:
+      send_orders (r, o);
+      break;
     case RELAY_SET_HEARTBEAT:
       r->heartbeat.u.heartbeat.degraded = o->degraded;
       r->heartbeat.u.heartbeat.cpu_milli = o->cpu_milli;
@@ -379,10 +469,12 @@
                     struct timeval at, void *state)
 {
   struct relay *r = state;
-  struct blob *heartbeat = relay_encode (&r->heartbeat);
   uint64_t now = now_us ();
   struct link *l = r->accepted_links;
+  struct blob *heartbeat;
 
+  r->heartbeat.u.heartbeat.clock_us = now;
+  heartbeat = relay_encode (&r->heartbeat);
   free_dropped (r);
   (void)te;
   (void)at;
@@ -433,6 +525,7 @@
   r->listen_fd = -1;
   r->heartbeat.kind = RELAY_HEARTBEAT;
   r->heartbeat.u.heartbeat.cpu_milli = s->cell.cpu_milli;
+  text_copy (r->heartbeat.u.heartbeat.zone, NAME_BYTES, s->zone);
   crypto_generichash (r->secret, sizeof r->secret,
                       (const uint8_t *)s->relay_secret,
                       strlen (s->relay_secret), NULL, 0);
@@ -449,6 +542,12 @@
   return NULL;
 }
 
+void
+relay_set_orders (struct relay *r, struct ring *orders)
+{
+  r->orders = orders;
+}
+
 struct duty *
 relay_duty (struct relay *r)
 {
--- a/adapter/relay.h
+++ b/adapter/relay.h
@@ -20,10 +20,13 @@
   {
     RELAY_SEND_TO_OWNER, /**< body: a call, for the owner.  */
     RELAY_SEND_ON_LINK, /**< body: a reply, for the entry linked by link_id. */
+    RELAY_SEND_ORDERS,  /**< body: an order batch, made at decided_at_us, for
+                           the entry linked by link_id.  */
     RELAY_SET_HEARTBEAT, /**< degraded, cpu_milli: sent from now on.  */
     RELAY_SET_OWNER      /**< address: the owner's relay; empty: no owner.  */
   } kind;
   uint64_t link_id;
+  uint64_t decided_at_us;
   bool degraded;
   uint32_t cpu_milli;
   struct blob *body; /**< An encoded message; a reference.  */
@@ -37,6 +40,10 @@
     TEXT_BYTES.  */
 struct relay *relay_new (const struct site_settings *s, struct ring *cell,
                          struct line_log *log, char *text);
+/** Sets the ring that gets the orders which this entry sends for the owner, as
+    struct cell_action of kind CELL_DO_ORDER; call before the duty is started.
+    Without a ring this entry takes none.  */
+void relay_set_orders (struct relay *r, struct ring *orders);
 /** Returns the duty, to start and stop it.  Its ring takes struct
     relay_command.  */
 struct duty *relay_duty (struct relay *r);
--- a/adapter/relay_codec.c
+++ b/adapter/relay_codec.c
@@ -2,7 +2,9 @@
 
 #include "adapter/relay_codec.h"
 
+#include "adapter/cell_post.h"
 #include "adapter/job_codec.h"
+#include "adapter/order_codec.h"
 
 #include <string.h>
 
@@ -35,8 +37,10 @@
 struct blob *
 relay_encode (const struct relay_message *m)
 {
-  static const uint32_t field_counts[]
-      = { [RELAY_HEARTBEAT] = 3, [RELAY_CALL] = 8, [RELAY_REPLY] = 7 };
+  static const uint32_t field_counts[] = { [RELAY_HEARTBEAT] = 5,
+                                           [RELAY_CALL] = 8,
+                                           [RELAY_REPLY] = 7,
+                                           [RELAY_ORDERS] = 3 };
   msgpack_sbuffer out;
   msgpack_packer p;
   struct blob *b;
@@ -49,11 +53,36 @@
     {
       pack_bool (&p, m->u.heartbeat.degraded);
       msgpack_pack_uint32 (&p, m->u.heartbeat.cpu_milli);
+      pack_text (&p, m->u.heartbeat.zone);
+      msgpack_pack_uint64 (&p, m->u.heartbeat.clock_us);
     }
   else if (m->kind == RELAY_CALL)
     pack_call (&p, &m->u.call);
   else if (m->kind == RELAY_REPLY)
     pack_reply (&p, &m->u.reply);
+  else if (m->kind == RELAY_ORDERS)
+    {
+      msgpack_pack_uint64 (&p, m->u.orders.clock_us);
+      pack_bytes (&p, m->u.orders.batch->data, m->u.orders.batch->size_bytes);
+    }
+  b = blob_copy (out.data, (uint32_t)out.size);
+  msgpack_sbuffer_destroy (&out);
+  return b;
+}
+
+struct blob *
+relay_encode_results (const void *data, uint32_t size_bytes, uint32_t count)
+{
+  msgpack_sbuffer out;
+  msgpack_packer p;
+  struct blob *b;
+
+  msgpack_sbuffer_init (&out);
+  msgpack_packer_init (&p, &out, msgpack_sbuffer_write);
+  msgpack_pack_array (&p, 2);
+  msgpack_pack_uint8 (&p, RELAY_RESULTS);
+  msgpack_pack_array (&p, count);
+  msgpack_sbuffer_write (&out, data, size_bytes);
   b = blob_copy (out.data, (uint32_t)out.size);
   msgpack_sbuffer_destroy (&out);
   return b;
@@ -83,6 +112,48 @@
   r->retry_after_ms = (uint32_t)unpack_number (u, UINT32_MAX);
 }
 
+static void
+unpack_heartbeat (struct unpack *u, struct relay_message *m)
+{
+  m->u.heartbeat.degraded = unpack_bool (u);
+  m->u.heartbeat.cpu_milli = (uint32_t)unpack_number (u, UINT32_MAX);
+  if (u->next == u->item_count)
+    return;
+  unpack_text (u, m->u.heartbeat.zone, NAME_BYTES);
+  m->u.heartbeat.clock_us = unpack_number (u, UINT64_MAX);
+}
+
+static void
+unpack_orders (struct unpack *u, struct relay_message *m)
+{
+  const uint8_t *bytes;
+  uint32_t size_bytes;
+
+  m->u.orders.clock_us = unpack_number (u, UINT64_MAX);
+  bytes = unpack_bytes (u, &size_bytes);
+  if (!u->failed)
+    m->u.orders.batch = blob_copy (bytes, size_bytes);
+}
+
+static void
+unpack_results (TALLOC_CTX *mem, struct unpack *u, struct relay_message *m)
+{
+  struct unpack list;
+
+  unpack_array (u, &list);
+  m->u.results.items
+      = talloc_zero_array (mem, struct cell_event *, list.item_count + 1);
+  while (m->u.results.item_count < list.item_count && !list.failed)
+    {
+      struct cell_event *e
+          = talloc_steal (mem, cell_event_new (CELL_RUNNER_RESULT));
+
+      order_result_unpack (e, &list, &e->u.runner_result);
+      m->u.results.items[m->u.results.item_count++] = e;
+    }
+  u->failed |= list.failed;
+}
+
 bool
 relay_decode (TALLOC_CTX *mem, const uint8_t *data, uint32_t size_bytes,
               struct relay_message *m)
@@ -95,16 +166,25 @@
     unpack_open (&u, &x.data);
   else
     unpack_open (&u, NULL);
-  m->kind = (enum relay_message_kind)unpack_number (&u, RELAY_REPLY);
-  if (m->kind == RELAY_HEARTBEAT)
+  m->kind = (enum relay_message_kind)unpack_number (&u, RELAY_RESULTS);
+  switch (m->kind)
     {
-      m->u.heartbeat.degraded = unpack_bool (&u);
-      m->u.heartbeat.cpu_milli = (uint32_t)unpack_number (&u, UINT32_MAX);
+    case RELAY_HEARTBEAT:
+      unpack_heartbeat (&u, m);
+      break;
+    case RELAY_CALL:
+      unpack_call (mem, &u, &m->u.call);
+      break;
+    case RELAY_REPLY:
+      unpack_reply (&u, &m->u.reply);
+      break;
+    case RELAY_ORDERS:
+      unpack_orders (&u, m);
+      break;
+    case RELAY_RESULTS:
+      unpack_results (mem, &u, m);
+      break;
     }
-  else if (m->kind == RELAY_CALL)
-    unpack_call (mem, &u, &m->u.call);
-  else if (m->kind == RELAY_REPLY)
-    unpack_reply (&u, &m->u.reply);
   msgpack_unpacked_destroy (&x);
   return !u.failed;
 }
--- a/adapter/relay_codec.h
+++ b/adapter/relay_codec.h
@@ -6,13 +6,16 @@
 #define FTK_ADAPTER_RELAY_CODEC_H
 
 #include "adapter/pack.h"
+#include "port/blob.h"
 #include "port/cell_event.h"
 
 enum relay_message_kind
 {
   RELAY_HEARTBEAT, /**< Shows that the sender and the link are alive.  */
   RELAY_CALL,      /**< To the owner.  */
-  RELAY_REPLY      /**< From the owner, to a forwarded call.  */
+  RELAY_REPLY,     /**< From the owner, to a forwarded call.  */
+  RELAY_ORDERS,    /**< From the owner: orders to send for it.  */
+  RELAY_RESULTS    /**< To the owner: results of such orders.  */
 };
 
 struct relay_message
@@ -27,9 +30,26 @@
           largest of its own and those of the eligible entries linked to
           it.  */
       uint32_t cpu_milli;
+      /* Earlier versions do not send the rest.  */
+      char zone[NAME_BYTES]; /**< Of the sender, which takes delegated orders;
+                                empty: it takes none.  */
+      uint64_t clock_us;     /**< The sender's clock.  */
     } heartbeat;
     struct job_call call; /**< Decoded: its spec is a child of MEM.  */
     struct reply reply;
+    struct
+    {
+      uint64_t clock_us;  /**< The newest clock_us in a heartbeat of the
+                             receiver: shows how old the orders may be.  */
+      struct blob *batch; /**< An order batch; when decoded the caller
+                             unreferences it.  */
+    } orders;
+    struct
+    {
+      uint32_t item_count;
+      struct cell_event **items; /**< Decoded: children of MEM, of kind
+                                    CELL_RUNNER_RESULT.  */
+    } results;
   } u;
 };
 
@@ -41,4 +61,9 @@
 bool relay_decode (TALLOC_CTX *mem, const uint8_t *data, uint32_t size_bytes,
                    struct relay_message *m);
 
+/** Returns an encoded RELAY_RESULTS of the COUNT packed results in DATA; the
+    caller unreferences it.  */
+struct blob *relay_encode_results (const void *data, uint32_t size_bytes,
+                                   uint32_t count);
+
 #endif
--- a/adapter/site_decide.c
+++ b/adapter/site_decide.c
@@ -7,6 +7,7 @@
 
 #include "adapter/cell_post.h"
 #include "adapter/job_codec.h"
+#include "adapter/order_codec.h"
 #include "adapter/relay.h"
 #include "adapter/relay_codec.h"
 #include "adapter/site_front.h"
@@ -21,6 +22,16 @@
 #define EVENT_WAIT_LIMIT_MS 200
 /** Interval at which the metrics are copied to the front duty.  */
 #define METRICS_INTERVAL_MS 1000
+/** Most orders in a message to a delegate.  */
+#define BATCH_LIMIT_COUNT 200
+
+/* Orders for one delegate that are not sent yet.  */
+struct pending_batch
+{
+  uint64_t link_id;
+  uint64_t decided_at_us; /* When the first of them was decided.  */
+  GArray *orders;         /* struct runner_order.  */
+};
 
 struct site_decide
 {
@@ -28,6 +39,7 @@
   struct cell *cell;
   struct cell_actions actions;
   struct site_outputs outputs;
+  GPtrArray *batches; /**< struct pending_batch.  */
   uint64_t metrics_sent_at_us;
   uint64_t longest_wait_us; /**< Longest wait of an event in the ring since
                                the metrics were sent.  */
@@ -106,6 +118,83 @@
   return o;
 }
 
+/* Sends the orders in B and empties it.  */
+static void
+send_batch (struct site_decide *d, struct pending_batch *b)
+{
+  struct relay_command *o;
+  struct blob *body;
+  guint i;
+
+  if (b->orders->len == 0)
+    return;
+  o = talloc_zero (NULL, struct relay_command);
+  o->kind = RELAY_SEND_ORDERS;
+  o->link_id = b->link_id;
+  o->decided_at_us = b->decided_at_us;
+  o->body = body = order_batch_encode (
+      (const struct runner_order *)(void *)b->orders->data, b->orders->len);
+  for (i = 0; i < b->orders->len; i++)
+    blob_unref (g_array_index (b->orders, struct runner_order, i).payload);
+  g_array_set_size (b->orders, 0);
+  if (ring_push (d->outputs.relay, o))
+    return;
+  blob_unref (body);
+  talloc_free (o);
+  line_log_write (d->outputs.log, "ring_full", 0, "\"ring\":\"relay\"");
+}
+
+static void
+send_batches (void *state)
+{
+  struct site_decide *d = state;
+  guint i;
+
+  for (i = 0; i < d->batches->len; i++)
+    send_batch (d, g_ptr_array_index (d->batches, i));
+}
+
+/* Returns the batch for LINK_ID.  An empty one of another link is reused, so
+   that links which went down leave none behind.  */
+static struct pending_batch *
+find_batch (struct site_decide *d, uint64_t link_id)
+{
+  struct pending_batch *unused = NULL;
+  guint i;
+
+  for (i = 0; i < d->batches->len; i++)
+    {
+      struct pending_batch *b = g_ptr_array_index (d->batches, i);
+
+      if (b->link_id == link_id)
+        return b;
+      if (b->orders->len == 0)
+        unused = b;
+    }
+  if (unused == NULL)
+    {
+      unused = g_new0 (struct pending_batch, 1);
+      unused->orders
+          = g_array_new (FALSE, FALSE, sizeof (struct runner_order));
+      g_ptr_array_add (d->batches, unused);
+    }
+  unused->link_id = link_id;
+  return unused;
+}
+
+static void
+delegate_order (struct site_decide *d, const struct runner_order *o,
+                uint64_t now)
+{
+  struct pending_batch *b = find_batch (d, o->link_id);
+
+  if (b->orders->len == 0)
+    b->decided_at_us = now;
+  g_array_append_val (b->orders, *o);
+  if (b->orders->len >= BATCH_LIMIT_COUNT)
+    send_batch (d, b);
+}
+
 static void
 send_order (struct site_decide *d, const struct cell_action *a)
 {
@@ -197,6 +286,11 @@
       send_store (d, o);
       break;
     case CELL_DO_ORDER:
+      if (a->u.order.link_id != 0)
+        delegate_order (d, &a->u.order, now);
+      else
+        send_order (d, a);
+      break;
     case CELL_DO_LIST_VMS:
     case CELL_DO_ORDER_VM:
       send_order (d, a);
@@ -285,6 +379,7 @@
   (void)te;
   (void)at;
   step (d, &e);
+  send_batches (d);
   send_metrics (d, e.now_us);
   timer_add (loop, loop, cell_tick_ms (d->cell) * US_PER_MS, on_tick, state);
 }
@@ -300,6 +395,8 @@
       talloc_free (d);
       return NULL;
     }
+  d->duty->on_batch = send_batches;
+  d->batches = g_ptr_array_new ();
   d->random = g_rand_new ();
   d->cell = cell_new (d, s);
   timer_add (d->duty->loop, d->duty->loop, 0, on_tick, d);
@@ -333,6 +430,24 @@
   cell_post (d->duty->inbound, cell_event_new (CELL_STOP));
 }
 
+static void
+free_batches (struct site_decide *d)
+{
+  guint i;
+  guint k;
+
+  for (i = 0; i < d->batches->len; i++)
+    {
+      struct pending_batch *b = g_ptr_array_index (d->batches, i);
+
+      for (k = 0; k < b->orders->len; k++)
+        blob_unref (g_array_index (b->orders, struct runner_order, k).payload);
+      g_array_free (b->orders, TRUE);
+      g_free (b);
+    }
+  g_ptr_array_free (d->batches, TRUE);
+}
+
 void
 site_decide_free (struct site_decide *d)
 {
@@ -344,6 +459,7 @@
     talloc_free (e);
   talloc_free (d->cell);
   talloc_free (d->actions.items);
+  free_batches (d);
   g_rand_free (d->random);
   duty_free (d->duty);
   talloc_free (d);
--- a/adapter/site_entry.c
+++ b/adapter/site_entry.c
@@ -48,6 +48,10 @@
   e->relay = relay_new (s, cell, e->log, text);
   if (e->relay == NULL)
     return false;
+  relay_set_orders (e->relay,
+                    site_order_client_duty (e->order_client)->inbound);
+  site_order_client_set_relay (e->order_client,
+                               relay_duty (e->relay)->inbound);
   e->front = site_front_new (s, cell, e->log, e->exit_ring, text);
   *listen_failed = e->front == NULL;
   return e->front != NULL;
--- a/adapter/site_order_client.c
+++ b/adapter/site_order_client.c
@@ -5,6 +5,10 @@
 
 #include "adapter/cell_post.h"
 #include "adapter/http_client.h"
+#include "adapter/order_codec.h"
+#include "adapter/relay.h"
+#include "adapter/relay_codec.h"
+#include "adapter/timer.h"
 #include "platform/cloud.h"
 #include "platform/runner.h"
 
@@ -22,6 +26,10 @@
 #define CLOUD_TIMEOUT_MS 1500
 #define PAGE_TOKEN_BYTES 120
 #define HEADER_BYTES 120
+/** Results of delegated orders that become known within this time, or at most
+    so many, share a message to the owner.  */
+#define RESULT_DELAY_MS 2
+#define RESULT_LIMIT_COUNT 64
 
 struct site_order_client
 {
@@ -29,7 +37,11 @@
   struct http_client *runner_http; /**< For orders to runners.  */
   struct http_client *cloud_http;
   struct ring *cell;
+  struct ring *relay; /**< Takes the results of delegated orders.  */
   struct line_log *log;
+  uint64_t newest_token;   /**< Highest token of an order seen.  */
+  msgpack_sbuffer results; /**< Results of delegated orders to be sent.  */
+  uint32_t result_count;
   char cloud[ADDRESS_BYTES];
   char holder[NAME_BYTES]; /**< This member, named as holder in VM orders.  */
 };
@@ -52,6 +64,73 @@
   return 0;
 }
 
+/* Sends the results collected so far to the owner.  */
+static void
+send_results (struct site_order_client *c)
+{
+  struct relay_command *o = talloc_zero (NULL, struct relay_command);
+
+  o->kind = RELAY_SEND_TO_OWNER;
+  o->body = relay_encode_results (c->results.data, (uint32_t)c->results.size,
+                                  c->result_count);
+  msgpack_sbuffer_clear (&c->results);
+  c->result_count = 0;
+  if (ring_push (c->relay, o))
+    return;
+  line_log_write (c->log, "ring_full", 0, "\"ring\":\"relay\"");
+  blob_unref (o->body);
+  talloc_free (o);
+}
+
+static void
+on_result_timer (struct tevent_context *loop, struct tevent_timer *te,
+                 struct timeval at, void *state)
+{
+  struct site_order_client *c = state;
+
+  (void)loop;
+  (void)te;
+  (void)at;
+  if (c->result_count > 0)
+    send_results (c);
+}
+
+/* Adds R to the results for the owner.  */
+static void
+add_result (struct site_order_client *c, const struct runner_result *r)
+{
+  msgpack_packer p;
+
+  msgpack_packer_init (&p, &c->results, msgpack_sbuffer_write);
+  order_result_pack (&p, r);
+  c->result_count++;
+  if (c->result_count >= RESULT_LIMIT_COUNT)
+    send_results (c);
+  else if (c->result_count == 1)
+    timer_add (c->duty->loop, c->duty->loop, RESULT_DELAY_MS * US_PER_MS,
+               on_result_timer, c);
+}
+
+/* Passes the result in E of the order O to the cell that gave it.  */
+static void
+report_result (struct site_order_client *c, const struct runner_order *o,
+               struct cell_event *e)
+{
+  struct runner_result *r = &e->u.runner_result;
+
+  r->order_id = o->order_id;
+  r->kind = o->kind;
+  text_copy (r->runner, NAME_BYTES, o->runner);
+  if (!o->delegated)
+    {
+      cell_post (c->cell, e);
+      return;
+    }
+  r->token = o->token;
+  add_result (c, r);
+  talloc_free (e);
+}
+
 static void
 on_runner_answer (void *state, const struct http_result *r)
 {
@@ -62,12 +141,24 @@
   platform_runner_order_decode (
       e, o->kind, r->status, r->sent, r->body ? r->body->data : NULL,
       r->body ? r->body->size_bytes : 0, &e->u.runner_result);
-  e->u.runner_result.order_id = o->order_id;
-  text_copy (e->u.runner_result.runner, NAME_BYTES, o->runner);
-  cell_post (x->client->cell, e);
+  report_result (x->client, o, e);
   talloc_free (x);
 }
 
+/* Returns ORDER_DONE if O may be sent, or the outcome of an order that is not:
+   a later owner is known, or O was delayed, maybe by a pause of this entry,
+   for so long that its owner may have given it up.  */
+static enum order_outcome
+check_order (struct site_order_client *c, const struct runner_order *o)
+{
+  if (o->token < c->newest_token)
+    return ORDER_FENCED;
+  c->newest_token = o->token;
+  if (o->delegated && now_us () > o->send_until_us)
+    return ORDER_BUSY;
+  return ORDER_DONE;
+}
+
 static void
 send_runner_order (struct open_call *x)
 {
@@ -107,6 +198,17 @@
   talloc_free (x);
 }
 
+/* Ends X, whose order is not sent.  */
+static void
+refuse_order (struct open_call *x, enum order_outcome outcome)
+{
+  struct cell_event *e = cell_event_new (CELL_RUNNER_RESULT);
+
+  e->u.runner_result.outcome = outcome;
+  report_result (x->client, &x->action.u.order, e);
+  talloc_free (x);
+}
+
 static void
 send_vm_order (struct open_call *x)
 {
@@ -181,6 +283,7 @@
   struct site_order_client *c = state;
   struct cell_action *a = item;
   struct open_call *x = talloc_zero (c, struct open_call);
+  enum order_outcome outcome;
 
   x->client = c;
   x->action = *a;
@@ -189,7 +292,13 @@
   switch (x->action.kind)
     {
     case CELL_DO_ORDER:
-      send_runner_order (x);
+      outcome = check_order (c, &x->action.u.order);
+      if (outcome == ORDER_DONE)
+        {
+          send_runner_order (x);
+          break;
+        }
+      refuse_order (x, outcome);
       break;
     case CELL_DO_ORDER_VM:
       send_vm_order (x);
@@ -209,6 +318,7 @@
 
   c->cell = cell;
   c->log = log;
+  msgpack_sbuffer_init (&c->results);
   text_copy (c->cloud, ADDRESS_BYTES, s->cloud_address);
   text_copy (c->holder, NAME_BYTES, s->cell.member);
   c->duty = duty_new ("back", RING_CAPACITY_COUNT, on_action, c);
@@ -224,6 +334,12 @@
   return c;
 }
 
+void
+site_order_client_set_relay (struct site_order_client *c, struct ring *relay)
+{
+  c->relay = relay;
+}
+
 struct duty *
 site_order_client_duty (struct site_order_client *c)
 {
@@ -243,6 +359,7 @@
         blob_unref (a->u.order.payload);
       talloc_free (a);
     }
+  msgpack_sbuffer_destroy (&c->results);
   TALLOC_FREE (c->runner_http);
   TALLOC_FREE (c->cloud_http);
   duty_free (c->duty);
--- a/adapter/site_order_client.h
+++ b/adapter/site_order_client.h
@@ -16,6 +16,10 @@
 struct site_order_client *site_order_client_new (const struct site_settings *s,
                                                  struct ring *cell,
                                                  struct line_log *log);
+/** Sets the ring of the relay, which takes the results of delegated orders to
+    the owner; call before the duty is started.  */
+void site_order_client_set_relay (struct site_order_client *c,
+                                  struct ring *relay);
 /** Returns the duty, to start and stop it.  Its ring takes struct cell_action
     of the kinds CELL_DO_ORDER, CELL_DO_ORDER_VM and CELL_DO_LIST_VMS.  */
 struct duty *site_order_client_duty (struct site_order_client *c);
--- a/adapter/site_settings.c
+++ b/adapter/site_settings.c
@@ -67,6 +67,7 @@
 read_fields (struct json_reader *p, struct site_settings *s)
 {
   static const char *const known[] = { "vm",
+                                       "zone",
                                        "cpu_share",
                                        "vm_orders_per_s",
                                        "listen",
@@ -94,6 +95,7 @@
 
   json_reject_unknown_keys (p, known);
   json_get_text (p, "vm", true, s->cell.member, NAME_BYTES);
+  json_get_text (p, "zone", false, s->zone, NAME_BYTES);
   s->cell.cpu_milli
       = json_get_milli (p, "cpu_share", 1, CPU_LIMIT_MILLI, DEFAULT_CPU_MILLI);
   s->cell.vm_order_rate_milli = json_get_milli (
--- a/adapter/site_settings.h
+++ b/adapter/site_settings.h
@@ -14,6 +14,8 @@
   char ready_listen_address[ADDRESS_BYTES]; /**< Serves the readiness check. */
   char metrics_listen_address[ADDRESS_BYTES]; /**< Serves metrics; empty: none.
                                                */
+  char zone[NAME_BYTES]; /**< Availability zone; empty: this entry sends no
+                            orders for others.  */
   char store_address[ADDRESS_BYTES];
   char cloud_address[ADDRESS_BYTES]; /**< Empty: no VM is moved or maintained.
                                       */
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -69,6 +69,7 @@
     [CELL_COUNT_STARTS] = "task_starts",
     [CELL_COUNT_START_REFUSED] = "task_starts_refused",
     [CELL_COUNT_ORDERS_UNANSWERED] = "orders_unanswered",
+    [CELL_COUNT_ORDERS_DELEGATED] = "orders_delegated",
     [CELL_COUNT_ENDS] = "task_ends",
     [CELL_COUNT_LOST_RUNS] = "task_runs_lost",
     [CELL_COUNT_LEASE_RENEWALS] = "lease_renewals",
@@ -207,6 +208,7 @@
   ownership_tick (c);
   if (cell_is_owner (c))
     {
+      delegates_tick (c);
       places_plan (c);
       runners_tick (c);
       waves_tick (c);
--- a/core/cell/peers.c
+++ b/core/cell/peers.c
@@ -15,6 +15,7 @@
   if (!e->u.peer.up)
     {
       g_hash_table_remove (c->peers, &id);
+      delegates_on_lost (c, id);
       return;
     }
   p = g_hash_table_lookup (c->peers, &id);
@@ -26,6 +27,8 @@
     }
   p->eligible = e->u.peer.eligible;
   p->cpu_milli = e->u.peer.cpu_milli;
+  text_copy (p->zone, NAME_BYTES, e->u.peer.zone);
+  delegates_on_change (c);
 }
 
 uint32_t
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -77,12 +77,13 @@
 
   o->order_id = x->id = ++c->last_order_id;
   o->kind = x->kind = kind;
+  o->link_id = x->link_id = delegates_link_for (c, r);
   x->runner = r;
   x->sent_at_us = c->now_us;
   text_copy (o->runner, NAME_BYTES, r->report.id);
   text_copy (o->address, ADDRESS_BYTES, r->report.address);
   o->token = c->ownership.token;
-  o->timeout_ms = ORDER_TIMEOUT_MS;
+  o->timeout_ms = x->timeout_ms = ORDER_TIMEOUT_MS;
   o->new_connection = r->miss_count > 0;
   if (t != NULL)
     {
@@ -121,15 +122,13 @@
 send_poll (struct cell *c, struct runner *r)
 {
   struct runner_order *o = runners_send_order (c, r, ORDER_POLL, NULL);
+  struct pending_order *x
+      = g_hash_table_lookup (c->pending_orders, &o->order_id);
 
   if (r->tasks->len > 0 && r->reached)
-    {
-      struct pending_order *x
-          = g_hash_table_lookup (c->pending_orders, &o->order_id);
-
-      o->wait_ms = x->wait_ms = POLL_WAIT_MS;
-    }
+    o->wait_ms = x->wait_ms = POLL_WAIT_MS;
   o->timeout_ms += o->wait_ms;
+  x->timeout_ms = o->timeout_ms;
   o->stored_end_number = r->stored_end_number;
   r->acked_end_number = r->stored_end_number;
   r->poll_id = o->order_id;
@@ -413,7 +412,8 @@
 
   g_hash_table_iter_init (&it, c->pending_orders);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    n += is_overdue (c, value);
+    n += ((struct pending_order *)value)->link_id == 0
+         && is_overdue (c, value);
   return n;
 }
 
@@ -464,8 +464,13 @@
              const struct runner_result *x)
 {
   c->unanswered_start_count -= o->kind == ORDER_START;
-  c->order_latency.order_count++;
-  c->order_latency.slow_count += is_overdue (c, o);
+  if (o->link_id != 0)
+    delegates_count_answer (c, o->link_id, is_overdue (c, o));
+  else
+    {
+      c->order_latency.order_count++;
+      c->order_latency.slow_count += is_overdue (c, o);
+    }
   g_hash_table_remove (c->pending_orders, &x->order_id);
 }
 
@@ -513,6 +518,9 @@
 
   if (o == NULL || !cell_is_owner (c))
     return;
+  /* A delegate may answer an order of an earlier ownership.  */
+  if (x->token != 0 && x->token != c->ownership.token)
+    return;
   r = o->runner;
   t = jobs_find_task (c, &o->task);
   if (t != NULL && (t->runner != r || t->run != o->run))
@@ -651,6 +659,7 @@
   GHashTableIter it;
   gpointer value;
 
+  delegates_clear (c);
   g_hash_table_remove_all (c->pending_orders);
   c->unanswered_start_count = 0;
   g_hash_table_iter_init (&it, c->runners);
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -221,6 +221,10 @@
                                 never dereferenced.  */
   bool reserved;             /**< It is reserved in this round.  */
   bool vm_up;                /**< The newest list has it on a VM that is up. */
+  uint32_t delegate_version; /**< Of the delegation that chose its delegate.
+                              */
+  uint64_t delegate_link_id; /**< Link to its delegate; 0: none.  */
+  uint64_t direct_until_us;  /**< This entry sends its orders until then.  */
   uint64_t heard_at_us;      /**< When it last answered a poll; before that,
                                 when this owner first listed it.  */
   bool maintenance_due; /**< A wave has yet to do its VM's maintenance.  */
@@ -234,6 +238,22 @@
   uint64_t link_id;
   bool eligible; /**< It could own the cell.  */
   uint32_t cpu_milli;
+  char zone[NAME_BYTES];     /**< Empty: it takes no delegated orders.  */
+  uint64_t avoided_until_us; /**< As a delegate it is not used until then.  */
+  uint32_t order_count;      /**< Orders that it answered in this period.  */
+  uint32_t late_count;       /**< Those of them that it answered late.  */
+};
+
+/** The use of other entries to send orders to runners.  */
+struct delegation
+{
+  bool active;
+  uint32_t version; /**< Changes when runners may have another delegate.  */
+  uint32_t order_count;    /**< Orders since the load was measured.  */
+  uint64_t measured_at_us; /**< When the load was last measured.  */
+  uint64_t busy_at_us;     /**< When the load last was high.  */
+  uint64_t expired_at_us;  /**< When overdue orders were last looked for.  */
+  uint64_t judged_at_us;   /**< When the delegates' latency was last judged. */
 };
 
 /** A client's call that waits for the owner's reply.  */
@@ -258,6 +278,8 @@
   uint32_t run;
   uint64_t sent_at_us;
   uint32_t wait_ms; /**< The runner may delay its answer by up to this.  */
+  uint32_t timeout_ms;
+  uint64_t link_id; /**< Link to the delegate that sends it; 0: none.  */
 };
 
 enum ownership_phase
@@ -394,6 +416,7 @@
   uint64_t last_order_id;      /**< Id of the newest order; 0: none yet.  */
   uint32_t unanswered_start_count; /**< Start orders without an answer.  */
   struct order_latency order_latency;
+  struct delegation delegation;
   struct append append;
   bool flush_now;        /**< Append without waiting for more progress.  */
   uint64_t dirty_at_us;  /**< Since when progress waits for an append.  */
@@ -478,6 +501,22 @@
 /** Returns the largest CPU share of those peers alone; 0: there are none.  */
 uint32_t peers_best_other_cpu_milli (const struct cell *c);
 
+/* delegates.c: which entry sends the orders to a runner.  */
+/** Counts an order to R, and returns the link to the delegate that sends it;
+   0: this entry sends it.  */
+uint64_t delegates_link_for (struct cell *c, struct runner *r);
+/** Handles that a peer came, left or changed.  */
+void delegates_on_change (struct cell *c);
+/** Handles that the link LINK_ID went down.  */
+void delegates_on_lost (struct cell *c, uint64_t link_id);
+/** Counts an answer on LINK_ID to an order, which was LATE or not.  */
+void delegates_count_answer (struct cell *c, uint64_t link_id, bool late);
+/** Begins and ends the use of delegates, and gives up orders that they leave
+    unanswered.  */
+void delegates_tick (struct cell *c);
+/** Forgets the load; called when the cell is lost.  */
+void delegates_clear (struct cell *c);
+
 /* jobs.c: acceptance and states of jobs.  */
 /** Executes CALL and replies, at once or when its record is durable.  CALL is
     from a client of this entry if LOCAL, and otherwise came on LINK_ID.  */
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -11,6 +11,10 @@
 {
   uint64_t order_id;
   enum order_kind kind;
+  uint64_t link_id; /**< Link to the entry that is to send it; 0: this one.  */
+  bool delegated;   /**< This entry sends it for the owner.  */
+  uint64_t send_until_us; /**< Delegated: it is not sent after this time on
+                             this entry's clock.  */
   char runner[NAME_BYTES];
   char address[ADDRESS_BYTES];
   uint64_t token;
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -160,6 +160,7 @@
 struct runner_result
 {
   uint64_t order_id;
+  uint64_t token; /**< Of the order if another entry sent it; else 0.  */
   enum order_kind kind;
   enum order_outcome outcome;
   char runner[NAME_BYTES];
@@ -319,8 +320,10 @@
     {
       uint64_t link_id;
       bool up;
-      bool eligible;      /**< It reaches the store and is not stopping.  */
-      uint32_t cpu_milli; /**< Its CPU share, thousandths of a core.  */
+      bool eligible;         /**< It reaches the store and is not stopping.  */
+      uint32_t cpu_milli;    /**< Its CPU share, thousandths of a core.  */
+      char zone[NAME_BYTES]; /**< Its zone; empty: it takes no delegated
+                                orders.  */
     } peer;
     struct site_config *config;
     uint64_t config_sent_at_us;
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -244,6 +244,7 @@
     r->label_count = 2;
     text_copy (r->labels[0], LABEL_BYTES, "a");
     get_text (row, "rack", r->labels[1], LABEL_BYTES);
+    get_text (row, "zone", r->zone, NAME_BYTES);
   }
 }
 
@@ -273,6 +274,7 @@
 
   e->kind = CELL_RUNNER_RESULT;
   r->order_id = get_number (j, "order", 0);
+  r->token = get_number (j, "token", 0);
   r->kind = (enum order_kind)x->order_kinds[r->order_id % ORDER_HISTORY_COUNT];
   r->outcome = (enum order_outcome)index_of (
       json_object_get (j, "outcome")
@@ -514,6 +516,7 @@
       e->u.peer.up = !get_flag (v, "down");
       e->u.peer.eligible = !get_flag (v, "ineligible");
       e->u.peer.cpu_milli = (uint32_t)get_number (v, "cpu", 250);
+      get_text (v, "zone", e->u.peer.zone, NAME_BYTES);
     }
   else
     return false;
@@ -580,6 +583,9 @@
                           order_kind_names[o->kind], o->runner,
                           (unsigned long long)o->token);
   print_task (x->out, o);
+  if (o->link_id > 0)
+    g_string_append_printf (x->out, " by link %llu",
+                            (unsigned long long)o->link_id);
   if (o->lease_until_ms > 0)
     g_string_append_printf (x->out, " until %llu",
                             (unsigned long long)o->lease_until_ms);
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -4,6 +4,7 @@
    must be refused as a whole, and no input may be read past its end.  */
 
 #include "adapter/job_codec.h"
+#include "adapter/order_codec.h"
 #include "adapter/relay_codec.h"
 #include "platform/client.h"
 #include "platform/cloud.h"
@@ -363,6 +364,116 @@
   talloc_free (mem);
 }
 
+/* Orders that an owner has another entry send keep every field, and those of
+   one job share its payload.  A truncated batch is refused.  */
+static void
+test_order_batch (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct runner_order orders[3] = { { .order_id = 7,
+                                      .kind = ORDER_START,
+                                      .runner = "r1",
+                                      .address = "10.0.0.1:1",
+                                      .token = 3,
+                                      .lease_until_ms = 90000,
+                                      .timeout_ms = 700,
+                                      .new_connection = true,
+                                      .task = { .job = 5, .index = 2 },
+                                      .run = 65,
+                                      .checkpoint = "00000bb8" } };
+  struct order_batch *batch;
+  struct blob *b;
+  uint32_t i;
+
+  orders[0].payload = blob_copy ("payload", 7);
+  orders[1] = orders[0];
+  orders[1].order_id = 8;
+  orders[2] = (struct runner_order){
+    .order_id = 9, .kind = ORDER_POLL, .wait_ms = 1000, .stored_end_number = 57
+  };
+  b = order_batch_encode (orders, 3);
+  batch = order_batch_decode (mem, b->data, b->size_bytes);
+  g_assert_nonnull (batch);
+  g_assert_cmpuint (batch->item_count, ==, 3);
+  g_assert_true (batch->items[0].payload == batch->items[1].payload);
+  g_assert_cmpuint (batch->items[0].payload->size_bytes, ==, 7);
+  g_assert_null (batch->items[2].payload);
+  for (i = 0; i < 3; i++)
+    {
+      struct runner_order got = batch->items[i];
+
+      got.payload = orders[i].payload;
+      g_assert_cmpmem (&got, sizeof got, &orders[i], sizeof orders[i]);
+    }
+  for (i = 0; i < b->size_bytes; i++)
+    {
+      uint8_t *cut = talloc_memdup (mem, b->data, i + 1);
+
+      g_assert_null (order_batch_decode (mem, cut, i));
+      talloc_free (cut);
+    }
+  blob_unref (b);
+  blob_unref (orders[0].payload);
+  talloc_free (mem);
+}
+
+/* Results that another entry reports keep every field.  */
+static void
+test_order_results (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct running_task running = { .task = { .job = 5, .step = 1, .index = 2 },
+                                  .run = 65,
+                                  .pace_percent = 100,
+                                  .metric = 12,
+                                  .checkpoint = "00000bb8" };
+  struct ended_run ended
+      = { .number = 58, .task = { .job = 6 }, .run = 2, .kind = END_FAILED };
+  struct runner_result r = { .order_id = 7,
+                             .token = 3,
+                             .kind = ORDER_POLL,
+                             .outcome = ORDER_DONE,
+                             .runner = "r1",
+                             .clock_ms = 482113,
+                             .booted_at_ms = 9,
+                             .running_count = 1,
+                             .ended_count = 1,
+                             .running = &running,
+                             .ended = &ended };
+  const struct runner_result *got;
+  msgpack_sbuffer out;
+  msgpack_packer p;
+  struct relay_message m;
+  struct blob *b;
+  uint32_t i;
+
+  msgpack_sbuffer_init (&out);
+  msgpack_packer_init (&p, &out, msgpack_sbuffer_write);
+  order_result_pack (&p, &r);
+  b = relay_encode_results (out.data, (uint32_t)out.size, 1);
+  g_assert_true (relay_decode (mem, b->data, b->size_bytes, &m));
+  g_assert_cmpint (m.kind, ==, RELAY_RESULTS);
+  g_assert_cmpuint (m.u.results.item_count, ==, 1);
+  got = &m.u.results.items[0]->u.runner_result;
+  g_assert_cmpuint (got->order_id, ==, 7);
+  g_assert_cmpuint (got->token, ==, 3);
+  g_assert_cmpint (got->outcome, ==, ORDER_DONE);
+  g_assert_cmpuint (got->clock_ms, ==, 482113);
+  g_assert_cmpuint (got->booted_at_ms, ==, 9);
+  g_assert_cmpmem (got->running, sizeof running, &running, sizeof running);
+  g_assert_cmpmem (got->ended, sizeof ended, &ended, sizeof ended);
+  for (i = 0; i < b->size_bytes; i++)
+    {
+      uint8_t *cut = talloc_memdup (mem, b->data, i + 1);
+
+      g_assert_false (relay_decode (mem, cut, i, &m));
+      talloc_free (cut);
+    }
+  blob_unref (b);
+  msgpack_sbuffer_destroy (&out);
+  talloc_free (mem);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -374,5 +485,7 @@
   g_test_add_func ("/cell_codec/calls", test_calls);
   g_test_add_func ("/cell_codec/outcomes", test_outcomes);
   g_test_add_func ("/cell_codec/polls", test_polls);
+  g_test_add_func ("/cell_codec/order_batch", test_order_batch);
+  g_test_add_func ("/cell_codec/order_results", test_order_results);
   return g_test_run ();
 }
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -37,8 +37,14 @@
   pid_t platform;
   pid_t entries[ENTRY_COUNT];
   gchar *directory;
+  const gchar *settings; /* More settings of the entries, as members of a JSON
+                            object that begin with a comma; NULL: none.  */
 };
 
+/* Settings of entries so small that any load makes the owner have others send
+   its orders.  */
+#define DELEGATING ",\"zone\":\"z\",\"cpu_share\":0.01"
+
 static guint16
 api_port (const struct site *s, guint i)
 {
@@ -84,9 +90,10 @@
       "{\"vm\":\"entry-%u\",\"listen\":\"127.0.0.1:%u\",\"ready_listen\":"
       "\"127.0.0.1:%u\",\"relay_listen\":\"127.0.0.1:%u\",\"metrics_listen\":"
       "\"127.0.0.1:%u\",\"store\":\"127.0.0.1:%u\",\"cloud\":\"127.0.0.1:%u\","
-      "\"relay_secret\":\"a secret of the test\"}",
+      "\"relay_secret\":\"a secret of the test\"%s}",
       i, api_port (s, i), s->base_port + 30 + i, s->base_port + 40 + i,
-      metrics_port (s, i), s->base_port, s->base_port);
+      metrics_port (s, i), s->base_port, s->base_port,
+      s->settings != NULL ? s->settings : "");
 
   g_assert_true (g_file_set_contents (file, text, -1, NULL));
   s->entries[i] = spawn ("fulmartackd", file, NULL, log);
@@ -142,7 +149,7 @@
 }
 
 static void
-start_site (struct site *s)
+start_site_with (struct site *s, const gchar *settings)
 {
   gchar *first;
   gchar *last;
@@ -150,6 +157,7 @@
   guint i;
 
   memset (s, 0, sizeof *s);
+  s->settings = settings;
   s->base_port = ports_take (PORT_LOW, PORT_STEP, PORT_RANGE_COUNT);
   s->directory = g_dir_make_tmp ("site-XXXXXX", NULL);
   first = g_strdup_printf ("%u", s->base_port);
@@ -164,6 +172,12 @@
   g_free (first);
 }
 
+static void
+start_site (struct site *s)
+{
+  start_site_with (s, NULL);
+}
+
 /* Sends SIGNAL_NUMBER, waits for the end and returns the wait status.  */
 static int
 stop_process (pid_t pid, int signal_number)
@@ -201,6 +215,32 @@
   return n;
 }
 
+/* Returns the metric NAME of entry I, or 0 if it has none or does not
+   answer.  */
+static guint64
+get_metric (const struct site *s, guint i, const gchar *name)
+{
+  gchar *url
+      = g_strdup_printf ("http://127.0.0.1:%u/metrics", metrics_port (s, i));
+  gchar *start = g_strdup_printf ("\nfulmartack_%s ", name);
+  struct http_call c = {
+    .method = "GET", .url = url, .timeout_ms = 1000, .connect_timeout_ms = 1000
+  };
+  struct http_result r = { 0 };
+  const gchar *at = NULL;
+  guint64 n;
+
+  http_client_perform (NULL, &c, &r);
+  if (r.body != NULL)
+    at = g_strstr_len ((const char *)r.body->data, (gssize)r.body->size_bytes,
+                       start);
+  n = at != NULL ? g_ascii_strtoull (at + strlen (start), NULL, 10) : 0;
+  blob_unref (r.body);
+  g_free (start);
+  g_free (url);
+  return n;
+}
+
 /* Returns the entry whose metrics say that it owns the cell, or -1.  */
 static gint
 poll_owner (const struct site *s)
@@ -208,27 +248,28 @@
   guint i;
 
   for (i = 0; i < ENTRY_COUNT; i++)
+    if (get_metric (s, i, "owner") == 1)
+      return (gint)i;
+  return -1;
+}
+
+/* Waits until the owner has had others send orders.  Its metrics are up to a
+   second old.  */
+static void
+wait_delegated (const struct site *s)
+{
+  guint waited_ms;
+  guint64 sum = 0;
+  guint i;
+
+  for (waited_ms = 0; sum == 0 && waited_ms < START_TIMEOUT_MS;
+       waited_ms += POLL_INTERVAL_MS)
     {
-      gchar *url = g_strdup_printf ("http://127.0.0.1:%u/metrics",
-                                    metrics_port (s, i));
-      struct http_call c = { .method = "GET",
-                             .url = url,
-                             .timeout_ms = 1000,
-                             .connect_timeout_ms = 1000 };
-      struct http_result r = { 0 };
-      gboolean owns;
-
-      http_client_perform (NULL, &c, &r);
-      owns = r.body != NULL
-             && g_strstr_len ((const char *)r.body->data,
-                              (gssize)r.body->size_bytes, "fulmartack_owner 1")
-                    != NULL;
-      blob_unref (r.body);
-      g_free (url);
-      if (owns)
-        return (gint)i;
+      for (i = 0; i < ENTRY_COUNT; i++)
+        sum += get_metric (s, i, "orders_delegated_total");
+      g_usleep (POLL_INTERVAL_MS * 1000);
     }
-  return -1;
+  g_assert_cmpuint (sum, >, 0);
 }
 
 /* Waits until an entry owns the cell and returns it.  The metrics are up to a
@@ -461,6 +502,98 @@
   stop_site (&s);
 }
 
+/* Delegates send the orders of a loaded owner.  */
+static void
+test_delegates (void)
+{
+  struct site s;
+  guint n;
+
+  start_site_with (&s, DELEGATING);
+  for (n = 0; n < JOB_COUNT; n++)
+    submit (&s, n);
+  check_jobs (&s);
+  wait_delegated (&s);
+  g_assert_cmpint (get_report (&s, "started"), ==, 5 * JOB_COUNT);
+  stop_site (&s);
+}
+
+/* All entries but the owner are killed while they send its orders, and then
+   the owner.  */
+static void
+test_delegates_killed (void)
+{
+  struct site s;
+  gint owner;
+  guint n;
+  guint i;
+
+  start_site_with (&s, DELEGATING);
+  for (n = 0; n < JOB_COUNT / 2; n++)
+    submit (&s, n);
+  wait_delegated (&s);
+  owner = wait_owner (&s);
+  for (i = 0; i < ENTRY_COUNT; i++)
+    if ((gint)i != owner)
+      {
+        stop_process (s.entries[i], SIGKILL);
+        start_entry (&s, i);
+      }
+  for (; n < JOB_COUNT * 3 / 4; n++)
+    submit (&s, n);
+  stop_process (s.entries[owner], SIGKILL);
+  start_entry (&s, (guint)owner);
+  for (; n < JOB_COUNT; n++)
+    submit (&s, n);
+  check_jobs (&s);
+  stop_site (&s);
+}
+
+/* A delegate is paused with orders in its hands.  When it goes on they are too
+   old to be sent.  */
+static void
+test_delegate_paused (void)
+{
+  struct site s;
+  gint owner;
+  guint n;
+  guint i;
+
+  start_site_with (&s, DELEGATING);
+  for (n = 0; n < JOB_COUNT / 2; n++)
+    submit (&s, n);
+  wait_delegated (&s);
+  owner = wait_owner (&s);
+  for (i = 0; i < ENTRY_COUNT; i++)
+    if ((gint)i != owner)
+      kill (s.entries[i], SIGSTOP);
+  g_usleep (2500 * 1000);
+  for (i = 0; i < ENTRY_COUNT; i++)
+    kill (s.entries[i], SIGCONT);
+  for (; n < JOB_COUNT; n++)
+    submit (&s, n);
+  check_jobs (&s);
+  stop_site (&s);
+}
+
+/* Runners start tasks without answering their delegates, or answer too late.
+ */
+static void
+test_delegates_lost_answers (void)
+{
+  struct site s;
+  guint n;
+
+  start_site_with (&s, DELEGATING);
+  cluster_fault (s.base_port, "lose_starts", 7);
+  cluster_fault (s.base_port, "late_starts", 13);
+  for (n = 0; n < JOB_COUNT; n++)
+    submit (&s, n);
+  check_jobs (&s);
+  wait_delegated (&s);
+  stop_site (&s);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -472,5 +605,10 @@
   g_test_add_func ("/site/lost_answers", test_lost_answers);
   g_test_add_func ("/site/planned_stop", test_planned_stop);
   g_test_add_func ("/site/odd_entries", test_odd_entries);
+  g_test_add_func ("/site/delegates", test_delegates);
+  g_test_add_func ("/site/delegates_killed", test_delegates_killed);
+  g_test_add_func ("/site/delegate_paused", test_delegate_paused);
+  g_test_add_func ("/site/delegates_lost_answers",
+                   test_delegates_lost_answers);
   return g_test_run ();
 }
