Send no order that was delayed by a pause

Cause: an order waits in the ring of the order client. After a pause of the process it was sent, although another entry may own the cell by then. Runners and the cloud refuse lower fencing tokens, but only once they have seen a higher one: an order to move a VM would end what the new owner has started there.

Change: an order carries the time until which it may be sent, 2 s after its decision on the boot-time clock (delegated ones as before); a later one is answered as not executed. tests/test_order_client.c: late orders to runners and for VMs, and lower tokens, are answered and make no connection.

--- a/adapter/relay.c
+++ b/adapter/relay.c
@@ -193,8 +193,7 @@
       a->kind = CELL_DO_ORDER;
       a->u.order = batch->items[i];
       a->u.order.delegated = true;
-      a->u.order.send_until_us
-          = m->u.orders.clock_us + ORDER_LIMIT_MS * US_PER_MS;
+      a->send_until_us = m->u.orders.clock_us + ORDER_LIMIT_MS * US_PER_MS;
       blob_ref (a->u.order.payload);
       if (ring_push (r->orders, a))
         continue;
--- a/adapter/site_decide.c
+++ b/adapter/site_decide.c
@@ -24,6 +24,9 @@
 #define METRICS_INTERVAL_MS 1000
 /** Most orders in a message to a delegate.  */
 #define BATCH_LIMIT_COUNT 200
+/** An order is not sent later than this after it was decided.  It is far less
+    than the time after which an owner that hears nothing gives the cell up. */
+#define ORDER_LIMIT_MS 2000
 
 /* Orders for one delegate that are not sent yet.  */
 struct pending_batch
@@ -196,10 +199,12 @@
 }
 
 static void
-send_order (struct site_decide *d, const struct cell_action *a)
+send_order (struct site_decide *d, const struct cell_action *a, uint64_t now)
 {
   struct cell_action *copy = talloc_memdup (NULL, a, sizeof *a);
 
+  copy->send_until_us = now + ORDER_LIMIT_MS * US_PER_MS;
+
   if (ring_push (d->outputs.order_client, copy))
     return;
   if (a->kind == CELL_DO_ORDER)
@@ -289,11 +294,11 @@
       if (a->u.order.link_id != 0)
         delegate_order (d, &a->u.order, now);
       else
-        send_order (d, a);
+        send_order (d, a, now);
       break;
     case CELL_DO_LIST_VMS:
     case CELL_DO_ORDER_VM:
-      send_order (d, a);
+      send_order (d, a, now);
       break;
     case CELL_DO_LOG:
       line_log_write (d->outputs.log, a->u.log.event, a->u.log.job,
--- a/adapter/site_order_client.c
+++ b/adapter/site_order_client.c
@@ -145,18 +145,23 @@
   talloc_free (x);
 }
 
-/* Returns ORDER_DONE if O may be sent, or the outcome of an order that is not:
-   a later owner is known, or O was delayed, maybe by a pause of this entry,
-   for so long that its owner may have given it up.  */
+/* Returns true if A was delayed, maybe by a pause of this entry, for so long
+   that its owner may have lost the cell or given A up.  */
+static bool
+is_too_late (const struct cell_action *a)
+{
+  return a->send_until_us != 0 && now_us () > a->send_until_us;
+}
+
+/* Returns ORDER_DONE if the order of A may be sent, or the outcome of an order
+   that is not: a later owner is known, or it is too late.  */
 static enum order_outcome
-check_order (struct site_order_client *c, const struct runner_order *o)
+check_order (struct site_order_client *c, const struct cell_action *a)
 {
-  if (o->token < c->newest_token)
+  if (a->u.order.token < c->newest_token)
     return ORDER_FENCED;
-  c->newest_token = o->token;
-  if (o->delegated && now_us () > o->send_until_us)
-    return ORDER_BUSY;
-  return ORDER_DONE;
+  c->newest_token = a->u.order.token;
+  return is_too_late (a) ? ORDER_BUSY : ORDER_DONE;
 }
 
 static void
@@ -240,6 +245,19 @@
   blob_unref (call.body);
 }
 
+/* Ends X, whose order is too late to be sent.  */
+static void
+refuse_vm_order (struct open_call *x)
+{
+  struct cell_event *e = cell_event_new (CELL_VM_RESULT);
+
+  text_copy (e->u.vm_result.vm, NAME_BYTES, x->action.u.vm_order.vm);
+  e->u.vm_result.outcome = ORDER_UNAVAILABLE;
+  line_log_write (x->client->log, "vm_order_too_late", 0, "");
+  cell_post (x->client->cell, e);
+  talloc_free (x);
+}
+
 static void request_vm_page (struct open_call *x, const char *page);
 
 static void
@@ -292,7 +310,7 @@
   switch (x->action.kind)
     {
     case CELL_DO_ORDER:
-      outcome = check_order (c, &x->action.u.order);
+      outcome = check_order (c, &x->action);
       if (outcome == ORDER_DONE)
         {
           send_runner_order (x);
@@ -301,7 +319,10 @@
       refuse_order (x, outcome);
       break;
     case CELL_DO_ORDER_VM:
-      send_vm_order (x);
+      if (is_too_late (&x->action))
+        refuse_vm_order (x);
+      else
+        send_vm_order (x);
       break;
     default:
       x->vm_list = talloc_steal (x, cell_event_new (CELL_VMS));
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -13,8 +13,6 @@
   enum order_kind kind;
   uint64_t link_id; /**< Link to the entry that is to send it; 0: this one.  */
   bool delegated;   /**< This entry sends it for the owner.  */
-  uint64_t send_until_us; /**< Delegated: it is not sent after this time on
-                             this entry's clock.  */
   char runner[NAME_BYTES];
   char address[ADDRESS_BYTES];
   uint64_t token;
@@ -101,6 +99,9 @@
 struct cell_action
 {
   enum cell_action_kind kind;
+  uint64_t send_until_us; /**< An order is not sent after this time: its owner
+                             may have lost the cell since.  Set on the way to
+                             the order client; 0: not limited.  */
   union
   {
     struct reply reply;
--- /dev/null
+++ b/tests/test_order_client.c
@@ -0,0 +1,186 @@
+/* test_order_client.c -- which orders the order client does not send.
+
+   Guards against an order that was delayed, by a pause of the process or in
+   the hands of a delegate, and is sent although its owner may have lost the
+   cell or has given the order up; and against an order under a lower fencing
+   token than one seen before.  Each is answered as not executed, and no
+   connection is made.  */
+
+#include "adapter/cell_post.h"
+#include "adapter/site_order_client.h"
+#include "port/types.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ANSWER_TIMEOUT_MS 3000
+#define QUIET_MS 200 /**< No connection arrives for this long.  */
+
+/** A client, and a socket at the address of all receivers of orders.  */
+struct fixture
+{
+  struct site_settings settings;
+  struct ring *cell;
+  struct line_log *log;
+  struct site_order_client *client;
+  int listen_fd;
+};
+
+static void
+open_fixture (struct fixture *f)
+{
+  struct sockaddr_in a
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t n = sizeof a;
+
+  memset (f, 0, sizeof *f);
+  f->listen_fd = socket (AF_INET, SOCK_STREAM, 0);
+  g_assert_cmpint (bind (f->listen_fd, (struct sockaddr *)&a, n), ==, 0);
+  g_assert_cmpint (listen (f->listen_fd, 8), ==, 0);
+  getsockname (f->listen_fd, (struct sockaddr *)&a, &n);
+  g_snprintf (f->settings.cloud_address, ADDRESS_BYTES, "127.0.0.1:%u",
+              ntohs (a.sin_port));
+  text_copy (f->settings.cell.member, NAME_BYTES, "entry-1");
+  f->cell = ring_open (64);
+  f->log = line_log_new ("test", 64);
+  f->client = site_order_client_new (&f->settings, f->cell, f->log);
+  g_assert_nonnull (f->client);
+  g_assert_true (duty_start (site_order_client_duty (f->client)));
+}
+
+static void
+close_fixture (struct fixture *f)
+{
+  void *e;
+
+  duty_stop (site_order_client_duty (f->client));
+  site_order_client_free (f->client);
+  while (ring_pop (f->cell, &e, 1) > 0)
+    talloc_free (e);
+  ring_close (f->cell);
+  line_log_free (f->log);
+  close (f->listen_fd);
+}
+
+/* Returns an order to stop a run under TOKEN, to be sent up to AGE_MS ago; 0:
+   at any time.  */
+static struct cell_action *
+make_stop (const struct fixture *f, uint64_t token, uint64_t age_ms)
+{
+  struct cell_action *a = talloc_zero (NULL, struct cell_action);
+
+  a->kind = CELL_DO_ORDER;
+  a->send_until_us = age_ms > 0 ? now_us () - age_ms * US_PER_MS : 0;
+  a->u.order.kind = ORDER_STOP;
+  a->u.order.order_id = token;
+  a->u.order.token = token;
+  a->u.order.timeout_ms = 300;
+  text_copy (a->u.order.runner, NAME_BYTES, "r1");
+  text_copy (a->u.order.address, ADDRESS_BYTES, f->settings.cloud_address);
+  return a;
+}
+
+static void
+push (struct fixture *f, struct cell_action *a)
+{
+  g_assert_true (ring_push (site_order_client_duty (f->client)->inbound, a));
+}
+
+/* Returns the next event, of KIND; the caller frees it.  */
+static struct cell_event *
+wait_event (struct fixture *f, enum cell_event_kind kind)
+{
+  struct pollfd p = { .fd = ring_fd (f->cell), .events = POLLIN };
+  struct cell_event *e = NULL;
+
+  while (ring_pop (f->cell, (void **)&e, 1) == 0)
+    g_assert_cmpint (poll (&p, 1, ANSWER_TIMEOUT_MS), ==, 1);
+  g_assert_cmpint (e->kind, ==, kind);
+  return e;
+}
+
+static void
+check_runner_outcome (struct fixture *f, enum order_outcome wanted)
+{
+  struct cell_event *e = wait_event (f, CELL_RUNNER_RESULT);
+
+  g_assert_cmpint (e->u.runner_result.outcome, ==, wanted);
+  g_assert_cmpstr (e->u.runner_result.runner, ==, "r1");
+  talloc_free (e);
+}
+
+static void
+check_no_connection (const struct fixture *f)
+{
+  struct pollfd p = { .fd = f->listen_fd, .events = POLLIN };
+
+  g_assert_cmpint (poll (&p, 1, QUIET_MS), ==, 0);
+}
+
+static void
+test_late_order (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  push (&f, make_stop (&f, 3, 1));
+  check_runner_outcome (&f, ORDER_BUSY);
+  check_no_connection (&f);
+  close_fixture (&f);
+}
+
+/* An order for a VM would end what a later owner has started there.  */
+static void
+test_late_vm_order (void)
+{
+  struct fixture f;
+  struct cell_action *a = talloc_zero (NULL, struct cell_action);
+  struct cell_event *e;
+
+  open_fixture (&f);
+  a->kind = CELL_DO_ORDER_VM;
+  a->send_until_us = now_us () - 1;
+  text_copy (a->u.vm_order.vm, NAME_BYTES, "m1");
+  push (&f, a);
+  e = wait_event (&f, CELL_VM_RESULT);
+  g_assert_cmpint (e->u.vm_result.outcome, ==, ORDER_UNAVAILABLE);
+  g_assert_cmpstr (e->u.vm_result.vm, ==, "m1");
+  talloc_free (e);
+  check_no_connection (&f);
+  close_fixture (&f);
+}
+
+static void
+test_lower_token (void)
+{
+  struct fixture f;
+  struct pollfd p;
+  int fd;
+
+  open_fixture (&f);
+  push (&f, make_stop (&f, 4, 0));
+  p = (struct pollfd){ .fd = f.listen_fd, .events = POLLIN };
+  g_assert_cmpint (poll (&p, 1, ANSWER_TIMEOUT_MS), ==, 1);
+  fd = accept (f.listen_fd, NULL, NULL);
+  check_runner_outcome (&f, ORDER_UNKNOWN);
+  push (&f, make_stop (&f, 3, 0));
+  check_runner_outcome (&f, ORDER_FENCED);
+  check_no_connection (&f);
+  close (fd);
+  close_fixture (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/order_client/late_order", test_late_order);
+  g_test_add_func ("/order_client/late_vm_order", test_late_vm_order);
+  g_test_add_func ("/order_client/lower_token", test_lower_token);
+  return g_test_run ();
+}
