Poll runners after a takeover in steps, and by delegates from the start

Change: of runners that are not reached, or silent, as many are polled by the owner at once as it handles in 300 ms; the others follow as answers come. Delegates are used as soon as the orders sent since the last measurement are a third of the owner's share, and take turns with the owner for silent runners.

--- a/core/cell/delegates.c
+++ b/core/cell/delegates.c
@@ -107,19 +107,56 @@
 {
   struct delegation *d = &c->delegation;
 
-  d->order_count++;
-  /* A silent runner may be reachable from here only.  */
-  if (!d->active || r->miss_count > 0 || c->now_us < r->direct_until_us)
+  /* A silent runner may be reachable from here only, or from the delegate
+     only, so they take turns.  */
+  if (!d->active || r->miss_count % 2 == 1 || c->now_us < r->direct_until_us)
     return 0;
   if (r->delegate_version != d->version)
     {
       r->delegate_version = d->version;
       r->delegate_link_id = choose (c, r);
     }
-  c->metrics.counters[CELL_COUNT_ORDERS_DELEGATED] += r->delegate_link_id != 0;
   return r->delegate_link_id;
 }
 
+/* Returns true if ORDER_COUNT orders in PERIOD_US take a large part of this
+   entry's CPU share.  */
+static bool
+is_busy (const struct cell *c, uint32_t order_count, uint64_t period_us)
+{
+  return (uint64_t)order_count * ORDER_CPU_US * BUSY_PART
+         >= period_us * c->settings.cpu_milli / 1000;
+}
+
+static void
+begin_delegation (struct cell *c, uint64_t period_us)
+{
+  struct delegation *d = &c->delegation;
+
+  d->active = true;
+  d->busy_at_us = c->now_us;
+  cell_log (c, "delegation_begun", 0,
+            "\"orders\":%u,\"period_ms\":%llu,\"peers\":%u", d->order_count,
+            (unsigned long long)(period_us / US_PER_MS),
+            g_hash_table_size (c->peers));
+}
+
+uint64_t
+delegates_take_order (struct cell *c, struct runner *r)
+{
+  struct delegation *d = &c->delegation;
+  uint64_t link_id;
+
+  d->order_count++;
+  /* Many orders at once, as after a takeover, are not sent from here before
+     the load is measured.  */
+  if (!d->active && is_busy (c, d->order_count, LOAD_PERIOD_MS * US_PER_MS))
+    begin_delegation (c, c->now_us - d->measured_at_us);
+  link_id = delegates_link_for (c, r);
+  c->metrics.counters[CELL_COUNT_ORDERS_DELEGATED] += link_id != 0;
+  return link_id;
+}
+
 void
 delegates_on_change (struct cell *c)
 {
@@ -272,20 +309,19 @@
 {
   struct delegation *d = &c->delegation;
   uint64_t period_us = c->now_us - d->measured_at_us;
-  bool busy = (uint64_t)d->order_count * ORDER_CPU_US * BUSY_PART
-              >= period_us * c->settings.cpu_milli / 1000;
-  bool active;
-
-  if (busy)
-    d->busy_at_us = c->now_us;
-  active
-      = d->busy_at_us != 0 && c->now_us < d->busy_at_us + CALM_MS * US_PER_MS;
-  if (active != d->active)
-    cell_log (c, active ? "delegation_begun" : "delegation_ended", 0,
-              "\"orders\":%u,\"period_ms\":%llu,\"peers\":%u", d->order_count,
-              (unsigned long long)(period_us / US_PER_MS),
-              g_hash_table_size (c->peers));
-  d->active = active;
+
+  if (is_busy (c, d->order_count, period_us))
+    {
+      if (!d->active)
+        begin_delegation (c, period_us);
+      d->busy_at_us = c->now_us;
+    }
+  else if (d->active && c->now_us >= d->busy_at_us + CALM_MS * US_PER_MS)
+    {
+      d->active = false;
+      cell_log (c, "delegation_ended", 0, "\"orders\":%u,\"peers\":%u",
+                d->order_count, g_hash_table_size (c->peers));
+    }
   d->measured_at_us = c->now_us;
   d->order_count = 0;
 }
--- a/core/cell/registrations.c
+++ b/core/cell/registrations.c
@@ -77,12 +77,15 @@
 
   g_hash_table_iter_init (&it, c->pending_orders);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    if (((struct pending_order *)value)->runner == r)
-      {
-        c->unanswered_start_count
-            -= ((struct pending_order *)value)->kind == ORDER_START;
-        g_hash_table_iter_remove (&it);
-      }
+    {
+      const struct pending_order *o = value;
+
+      if (o->runner != r)
+        continue;
+      c->unanswered_start_count -= o->kind == ORDER_START;
+      c->open_probe_count -= o->is_probe;
+      g_hash_table_iter_remove (&it);
+    }
 }
 
 static void
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -30,6 +30,11 @@
     added.  A runner answers within milliseconds, and a silent one is soon sent
     no more orders, so the delay is mostly at this entry.  */
 #define SLOW_ORDER_MS 300
+/** As many polls of runners that are not reached, or silent, may be without an
+    answer as this entry handles in this time, but no fewer than the least
+    count.  More at once would all be answered too late, again and again.  */
+#define PROBE_WINDOW_MS 300
+#define PROBE_MIN_COUNT 32
 /** A stop that was not acknowledged is sent again after this.  */
 #define STOP_RETRY_MS 500
 /** A runner's clock runs slow by at most this, in thousandths.  */
@@ -77,7 +82,7 @@
 
   o->order_id = x->id = ++c->last_order_id;
   o->kind = x->kind = kind;
-  o->link_id = x->link_id = delegates_link_for (c, r);
+  o->link_id = x->link_id = delegates_take_order (c, r);
   x->runner = r;
   x->sent_at_us = c->now_us;
   text_copy (o->runner, NAME_BYTES, r->report.id);
@@ -114,6 +119,23 @@
     r->next_poll_at_us = at_us;
 }
 
+static bool
+needs_probe (const struct runner *r)
+{
+  return !r->reached || r->miss_count > 0;
+}
+
+/* Returns true if R may be polled now, as far as other polls go.  */
+static bool
+probe_is_admitted (struct cell *c, struct runner *r)
+{
+  uint64_t limit = PROBE_WINDOW_MS * US_PER_MS * c->settings.cpu_milli / 1000
+                   / ORDER_CPU_US;
+
+  return !needs_probe (r) || delegates_link_for (c, r) != 0
+         || c->open_probe_count < MAX (limit, PROBE_MIN_COUNT);
+}
+
 /* Polls R.  The poll waits for the end of a run only if R has tasks and has
    answered this owner before.  The first poll carries no lease end, since R's
    clock is not known: runs of a former owner keep the lease that they have
@@ -129,6 +151,8 @@
     o->wait_ms = x->wait_ms = POLL_WAIT_MS;
   o->timeout_ms += o->wait_ms;
   x->timeout_ms = o->timeout_ms;
+  x->is_probe = needs_probe (r) && x->link_id == 0;
+  c->open_probe_count += x->is_probe;
   o->stored_end_number = r->stored_end_number;
   r->acked_end_number = r->stored_end_number;
   r->poll_id = o->order_id;
@@ -464,6 +488,7 @@
              const struct runner_result *x)
 {
   c->unanswered_start_count -= o->kind == ORDER_START;
+  c->open_probe_count -= o->is_probe;
   if (o->link_id != 0)
     delegates_count_answer (c, o->link_id, is_overdue (c, o));
   else
@@ -625,7 +650,7 @@
           && r->stored_end_number == r->acked_end_number && r->miss_count == 0
           && r->boot_doubted_at_us == 0)
         r->next_poll_at_us = 0;
-      else if (r->listed || r->tasks->len > 0)
+      else if ((r->listed || r->tasks->len > 0) && probe_is_admitted (c, r))
         send_poll (c, r);
     }
 }
@@ -662,6 +687,7 @@
   delegates_clear (c);
   g_hash_table_remove_all (c->pending_orders);
   c->unanswered_start_count = 0;
+  c->open_probe_count = 0;
   g_hash_table_iter_init (&it, c->runners);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -280,6 +280,7 @@
   uint32_t wait_ms; /**< The runner may delay its answer by up to this.  */
   uint32_t timeout_ms;
   uint64_t link_id; /**< Link to the delegate that sends it; 0: none.  */
+  bool is_probe;    /**< It is counted in open_probe_count.  */
 };
 
 enum ownership_phase
@@ -415,6 +416,8 @@
   GHashTable *usage;           /**< Tenant to struct resources in use.  */
   uint64_t last_order_id;      /**< Id of the newest order; 0: none yet.  */
   uint32_t unanswered_start_count; /**< Start orders without an answer.  */
+  uint32_t open_probe_count; /**< Polls without an answer that this entry sent
+                                to runners that are not reached or silent.  */
   struct order_latency order_latency;
   struct delegation delegation;
   struct append append;
@@ -502,9 +505,11 @@
 uint32_t peers_best_other_cpu_milli (const struct cell *c);
 
 /* delegates.c: which entry sends the orders to a runner.  */
-/** Counts an order to R, and returns the link to the delegate that sends it;
-   0: this entry sends it.  */
+/** Returns the link to the delegate that would send an order to R now; 0: this
+    entry would.  */
 uint64_t delegates_link_for (struct cell *c, struct runner *r);
+/** The same for an order that is sent, which it counts.  */
+uint64_t delegates_take_order (struct cell *c, struct runner *r);
 /** Handles that a peer came, left or changed.  */
 void delegates_on_change (struct cell *c);
 /** Handles that the link LINK_ID went down.  */
