Avoid a delegate that is cut off from its runners

Change: three unknown outcomes in 0.7 s, if they are half of what a delegate answers, have it avoided for 8 s; its open orders are given up at once, so that the runners are polled by others.

--- a/core/cell/delegates.c
+++ b/core/cell/delegates.c
@@ -32,7 +32,11 @@
 /** The owner sends the orders to a runner itself for this long after the
     outcome of a delegated one was unknown.  */
 #define DIRECT_MS 5000
-/** A slow delegate is not used for this long: a VM stays slow for seconds.  */
+/** A delegate is not used while it may be cut off from runners: this many of
+   its orders in a period, and at least half, had an unknown outcome.  */
+#define FAILURE_COUNT 3
+/** A slow delegate, or one that is cut off, is not used for this long: such
+    faults last for seconds.  */
 #define AVOID_MS 8000
 /** Length of the periods by which the latency of delegates is judged, and the
     least number of orders in one that allows a judgement.  */
@@ -229,8 +233,21 @@
               (unsigned long long)link_id, n);
 }
 
+static void
+avoid (struct cell *c, struct peer *p, const char *event)
+{
+  p->avoided_until_us = c->now_us + AVOID_MS * US_PER_MS;
+  delegates_on_change (c);
+  cell_log (c, event, 0,
+            "\"link\":%llu,\"zone\":\"%s\",\"orders\":%u,\"late\":%u,"
+            "\"unknown\":%u,\"for_ms\":%u",
+            (unsigned long long)p->link_id, p->zone, p->order_count,
+            p->late_count, p->unknown_count, AVOID_MS);
+}
+
 void
-delegates_count_answer (struct cell *c, uint64_t link_id, bool late)
+delegates_count_answer (struct cell *c, uint64_t link_id, bool late,
+                        bool unknown)
 {
   struct peer *p = g_hash_table_lookup (c->peers, &link_id);
 
@@ -238,6 +255,14 @@
     return;
   p->order_count++;
   p->late_count += late;
+  p->unknown_count += unknown;
+  if (p->unknown_count >= FAILURE_COUNT
+      && p->unknown_count * 2 >= p->order_count
+      && c->now_us >= p->avoided_until_us)
+    {
+      avoid (c, p, "delegate_cut_off");
+      c->delegation.cut_off_link_id = link_id;
+    }
 }
 
 static bool
@@ -271,16 +296,8 @@
       struct peer *p = value;
 
       if (is_late (p) && late_count * 2 < used_count)
-        {
-          p->avoided_until_us = c->now_us + AVOID_MS * US_PER_MS;
-          delegates_on_change (c);
-          cell_log (c, "delegate_slow", 0,
-                    "\"link\":%llu,\"zone\":\"%s\",\"orders\":%u,"
-                    "\"late\":%u,\"for_ms\":%u",
-                    (unsigned long long)p->link_id, p->zone, p->order_count,
-                    p->late_count, AVOID_MS);
-        }
-      p->order_count = p->late_count = 0;
+        avoid (c, p, "delegate_slow");
+      p->order_count = p->late_count = p->unknown_count = 0;
     }
 }
 
@@ -331,6 +348,14 @@
 {
   struct delegation *d = &c->delegation;
 
+  if (d->cut_off_link_id != 0)
+    {
+      /* It would answer each of its open orders as late.  */
+      uint64_t link_id = d->cut_off_link_id;
+
+      d->cut_off_link_id = 0;
+      give_up_orders (c, link_id);
+    }
   if (c->now_us >= d->measured_at_us + LOAD_PERIOD_MS * US_PER_MS)
     measure_load (c);
   if (c->now_us >= d->expired_at_us + EXPIRY_INTERVAL_MS * US_PER_MS)
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -490,7 +490,8 @@
   c->unanswered_start_count -= o->kind == ORDER_START;
   c->open_probe_count -= o->is_probe;
   if (o->link_id != 0)
-    delegates_count_answer (c, o->link_id, is_overdue (c, o));
+    delegates_count_answer (c, o->link_id, is_overdue (c, o),
+                            x->outcome == ORDER_UNKNOWN);
   else
     {
       c->order_latency.order_count++;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -242,6 +242,7 @@
   uint64_t avoided_until_us; /**< As a delegate it is not used until then.  */
   uint32_t order_count;      /**< Orders that it answered in this period.  */
   uint32_t late_count;       /**< Those of them that it answered late.  */
+  uint32_t unknown_count;    /**< Those of them whose outcome is unknown.  */
 };
 
 /** The use of other entries to send orders to runners.  */
@@ -249,11 +250,13 @@
 {
   bool active;
   uint32_t version; /**< Changes when runners may have another delegate.  */
-  uint32_t order_count;    /**< Orders since the load was measured.  */
-  uint64_t measured_at_us; /**< When the load was last measured.  */
-  uint64_t busy_at_us;     /**< When the load last was high.  */
-  uint64_t expired_at_us;  /**< When overdue orders were last looked for.  */
-  uint64_t judged_at_us;   /**< When the delegates' latency was last judged. */
+  uint32_t order_count;     /**< Orders since the load was measured.  */
+  uint64_t measured_at_us;  /**< When the load was last measured.  */
+  uint64_t busy_at_us;      /**< When the load last was high.  */
+  uint64_t expired_at_us;   /**< When overdue orders were last looked for.  */
+  uint64_t cut_off_link_id; /**< Link to a delegate whose open orders are to be
+                               given up in the next tick; 0: none.  */
+  uint64_t judged_at_us; /**< When the delegates' latency was last judged. */
 };
 
 /** A client's call that waits for the owner's reply.  */
@@ -514,8 +517,10 @@
 void delegates_on_change (struct cell *c);
 /** Handles that the link LINK_ID went down.  */
 void delegates_on_lost (struct cell *c, uint64_t link_id);
-/** Counts an answer on LINK_ID to an order, which was LATE or not.  */
-void delegates_count_answer (struct cell *c, uint64_t link_id, bool late);
+/** Counts an answer on LINK_ID to an order: whether it was LATE, and whether
+   the order's outcome is UNKNOWN.  */
+void delegates_count_answer (struct cell *c, uint64_t link_id, bool late,
+                             bool unknown);
 /** Begins and ends the use of delegates, and gives up orders that they leave
     unanswered.  */
 void delegates_tick (struct cell *c);
