Have pools ready when an expected surge begins

Change: VMs for an expected surge are ordered 2.6 s ahead plus the time that the orders take at the cloud's rate; an expected surge holds its expected need for 2 s from its beginning; a rise within 15 s of a pool's last surge belongs to it unless another pool has had a surge since.

--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -35,9 +35,14 @@
 #define RESERVE_COUNT 1
 /** A pool keeps this part of its initial VMs until its first surge.  */
 #define INITIAL_KEEP_PERCENT 60
-/** A pool is prepared for a predicted surge this long before: as long as a
-    move of a VM and the start of its runner take.  */
+/** A VM has to be ordered this long before it is needed: as long as a move and
+    the start of its runner take.  */
 #define PREPARE_MS 2600
+/** In this time a surge that was expected reaches its full need.  */
+#define SURGE_RISE_MS 2000
+/** A rise of demand this long after a pool's last surge is a new one, also if
+    no other pool has had one since.  */
+#define LONE_SURGE_MS 15000
 /** A prediction is dropped when the surge is late by more than this.  */
 #define LATE_SURGE_MS 1200
 /** No surge is predicted when no job has arrived for this long: while the site
@@ -535,6 +540,31 @@
   m->peak_vm_count = MAX (m->peak_vm_count, count);
 }
 
+/* Returns true if a rise of M's demand is a new surge.  The pools have theirs
+   in turn, so it belongs to the last one if no other pool has had one since:
+   an outage splits a surge.  */
+static bool
+may_begin_surge (const struct cell *c, const struct pool_demand *m)
+{
+  const struct fleet_demand *p = c->fleet->demand;
+  bool alone = true;
+  uint32_t i;
+
+  if (c->now_us > m->surge_began_at_us + LONE_SURGE_MS * US_PER_MS)
+    return true;
+  for (i = 0; i < p->pool_count; i++)
+    {
+      const struct pool_demand *o = &p->pools[i];
+
+      if (o == m || o->spare || o->mean_need_milli == 0)
+        continue;
+      if (o->surge_began_at_us > m->surge_began_at_us)
+        return true;
+      alone = false;
+    }
+  return alone;
+}
+
 /* Updates the mean need of M, and detects and records its surges.  */
 static void
 detect_surge (struct cell *c, struct pool_demand *m)
@@ -550,8 +580,10 @@
   m->mean_need_milli += need_milli / MEAN_PART;
   m->mean_need_milli -= m->mean_need_milli / MEAN_PART;
   if (high && c->now_us > m->surge_began_at_us + SURGE_INTERVAL_MS * US_PER_MS
-      && c->now_us > m->high_at_us + SURGE_END_MS * US_PER_MS)
+      && c->now_us > m->high_at_us + SURGE_END_MS * US_PER_MS
+      && may_begin_surge (c, m))
     {
+      m->expected_vm_count = m->expecting ? m->peak_vm_count : 0;
       m->previous_surge_at_us = m->surge_began_at_us;
       m->surge_began_at_us = c->now_us;
       cell_log (c, "surge_begun", 0,
@@ -573,6 +605,17 @@
     m->high_at_us = c->now_us;
 }
 
+/* Returns how long before a surge M must have COUNT VMs ordered: the orders
+   take time, too.  */
+static uint64_t
+prepare_us (const struct cell *c, const struct pool_demand *m, uint32_t count)
+{
+  uint64_t missing = count > m->vm_count ? count - m->vm_count : 0;
+  uint64_t rate_milli = MAX (c->settings.vm_order_rate_milli, 1);
+
+  return PREPARE_MS * US_PER_MS + missing * 1000 * US_PER_S / rate_milli;
+}
+
 /* Raises the need of M if all other pools have had their first surge: at equal
    intervals, M's is next.  */
 static void
@@ -602,7 +645,7 @@
   if (seen < 2)
     return;
   at_us = last_us + (last_us - first_us) / (seen - 1);
-  if (c->now_us + PREPARE_MS * US_PER_MS >= at_us
+  if (c->now_us + prepare_us (c, m, peak_sum / seen) >= at_us
       && c->now_us < at_us + LATE_SURGE_MS * US_PER_MS)
     m->need_count = MAX (m->need_count, peak_sum / seen);
 }
@@ -613,11 +656,14 @@
 {
   uint64_t at_us = m->surge_began_at_us + cycle_us;
 
-  if (cycle_us == 0 || m->surge_began_at_us == 0
-      || c->now_us + PREPARE_MS * US_PER_MS < at_us
-      || c->now_us > at_us + LATE_SURGE_MS * US_PER_MS)
-    return;
-  m->need_count = MAX (m->need_count, m->peak_vm_count);
+  /* Until the surge that has begun shows its full need.  */
+  if (c->now_us < m->surge_began_at_us + SURGE_RISE_MS * US_PER_MS)
+    m->need_count = MAX (m->need_count, m->expected_vm_count);
+  m->expecting = cycle_us != 0 && m->surge_began_at_us != 0
+                 && c->now_us + prepare_us (c, m, m->peak_vm_count) >= at_us
+                 && c->now_us <= at_us + LATE_SURGE_MS * US_PER_MS;
+  if (m->expecting)
+    m->need_count = MAX (m->need_count, m->peak_vm_count);
 }
 
 /* Clears the results of the last update of M.  */
--- a/core/cell/demand.h
+++ b/core/cell/demand.h
@@ -21,8 +21,11 @@
   uint64_t previous_surge_at_us; /**< When the surge before began; 0: none.  */
   uint64_t high_at_us;           /**< When need was last that of a surge.  */
   uint32_t peak_vm_count;        /**< Most VMs that the last surge needed.  */
-  uint64_t full_at_us;           /**< When it last needed all its VMs.  */
-  uint64_t busy_at_us;           /**< When it last had to keep all its VMs.  */
+  uint32_t expected_vm_count;    /**< Most VMs that the surge before needed, if
+                                    the last one was expected; else 0.  */
+  bool expecting;      /**< A surge was expected in the last update.  */
+  uint64_t full_at_us; /**< When it last needed all its VMs.  */
+  uint64_t busy_at_us; /**< When it last had to keep all its VMs.  */
   uint64_t arrived_us[ARRIVAL_BUCKET_COUNT]; /**< Core time that arrived jobs
                                                 need.  */
   uint32_t arrived_count[ARRIVAL_BUCKET_COUNT]; /**< Jobs that arrived.  */
