Avoid a delegate only if the others reach their runners

Change: a delegate counts as cut off only if at most one in 32 orders of the other delegates has an unknown outcome.

Measured: unknown_outcomes_everywhere and delegate_cut_off pass.

--- a/core/cell/delegates.c
+++ b/core/cell/delegates.c
@@ -35,6 +35,8 @@
 /** A delegate is not used while it may be cut off from runners: this many of
    its orders in a period, and at least half, had an unknown outcome.  */
 #define FAILURE_COUNT 3
+/** Of the orders of the other delegates then, at most one in this many has. */
+#define WELL_PART 32
 /** A slow delegate, or one that is cut off, is not used for this long: such
     faults last for seconds.  */
 #define AVOID_MS 8000
@@ -245,6 +247,30 @@
             p->late_count, p->unknown_count, AVOID_MS);
 }
 
+/* Returns true if few orders of the delegates other than P have an unknown
+   outcome.  Else the runners leave orders unanswered, and P is not the cause.
+ */
+static bool
+others_are_well (const struct cell *c, const struct peer *p)
+{
+  uint32_t order_count = 0;
+  uint32_t unknown_count = 0;
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, c->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct peer *o = value;
+
+      if (o == p || c->now_us < o->avoided_until_us)
+        continue;
+      order_count += o->order_count;
+      unknown_count += o->unknown_count;
+    }
+  return unknown_count * WELL_PART <= order_count;
+}
+
 void
 delegates_count_answer (struct cell *c, uint64_t link_id, bool late,
                         bool unknown)
@@ -258,7 +284,7 @@
   p->unknown_count += unknown;
   if (p->unknown_count >= FAILURE_COUNT
       && p->unknown_count * 2 >= p->order_count
-      && c->now_us >= p->avoided_until_us)
+      && c->now_us >= p->avoided_until_us && others_are_well (c, p))
     {
       avoid (c, p, "delegate_cut_off");
       c->delegation.cut_off_link_id = link_id;
