--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -307,8 +307,9 @@
 {
   const char *pool;
   uint32_t all_count;
-  uint32_t out_count;  /**< VMs that are away, down or being emptied.  */
-  uint32_t left_count; /**< VMs of the wave that are not done.  */
+  uint32_t out_count;   /**< VMs that are away, down or being emptied.  */
+  uint32_t left_count;  /**< VMs of the wave that are not done.  */
+  uint32_t clear_count; /**< VMs in use that have no maintenance due.  */
 };
 
 static struct pool_vm_counts *
@@ -340,9 +341,13 @@
     {
       const struct vm *v = value;
       struct pool_vm_counts *n = find_count (counts, v->row.pool);
+      const struct runner *r;
 
       n->all_count++;
       n->out_count += v->phase != VM_IDLE || !v->row.up;
+      r = fleet_runner (c, v);
+      n->clear_count
+          += r != NULL && place_is_usable (c, r) && !r->maintenance_due;
     }
   for (k = 0; k < w->spec.vm_count; k++)
     {
@@ -375,23 +380,48 @@
   return n->out_count < MAX (limit, 1);
 }
 
+/* Returns true if V has long-running tasks, and its pool has VMs that they can
+   move to without having to move again.  Such a VM takes longest to empty, as
+   only few tasks of a step may be away at once, so it comes first.  */
+static bool
+empties_slowly (const struct cell *c, const struct vm *v, GArray *counts)
+{
+  const struct runner *r = fleet_runner (c, v);
+  guint i;
+
+  if (r == NULL || find_count (counts, v->row.pool)->clear_count == 0)
+    return false;
+  for (i = 0; i < r->tasks->len; i++)
+    if (((struct task *)g_ptr_array_index (r->tasks, i))
+            ->step->spec->long_running)
+      return true;
+  return false;
+}
+
 /* Returns the VM of W that is emptied next, or NULL.  */
 static struct vm *
 next_vm (struct cell *c, struct wave *w, GArray *counts)
 {
   struct vm *best = NULL;
+  bool best_slow = false;
   uint32_t k;
 
   for (k = 0; k < w->spec.vm_count; k++)
     {
       struct vm *v = w->done[k] ? NULL : fleet_find (c->fleet, w->spec.vms[k]);
+      bool slow;
 
       if (v == NULL || v->phase != VM_IDLE || !v->row.up
           || !fleet_runs_are_known (c, v) || c->now_us < v->skipped_until_us
           || !pool_allows (c, w, v, counts))
         continue;
-      if (best == NULL || empty_cost (c, v) < empty_cost (c, best))
-        best = v;
+      slow = empties_slowly (c, v, counts);
+      if (best == NULL || slow > best_slow
+          || (slow == best_slow && empty_cost (c, v) < empty_cost (c, best)))
+        {
+          best = v;
+          best_slow = slow;
+        }
     }
   return best;
 }
