--- a/core/cell/cell.h
+++ b/core/cell/cell.h
@@ -5,9 +5,10 @@
    and knows the entries linked to it (peers.c).  The entry that the store's
    group names owns the cell (ownership.c); only it decides on jobs (jobs.c),
    their records (records.c) and tasks (tasks.c), runners (registrations.c,
-   runners.c), placement (dispatch.c, place.c, places.c), serving tasks and
-   fillers (serving.c), VMs (fleet.c, vm_orders.c), maintenance waves (waves.c)
-   and pool sizes (demand.c, pools.c).  */
+   runners.c), the entries that send orders to them (delegates.c), placement
+   (dispatch.c, place.c, places.c), serving tasks and fillers (serving.c), VMs
+   (fleet.c, vm_orders.c), maintenance waves (waves.c) and pool sizes
+   (demand.c, surges.c, pools.c).  */
 
 #ifndef FTK_CORE_CELL_CELL_H
 #define FTK_CORE_CELL_CELL_H
--- a/core/cell/demand.h
+++ b/core/cell/demand.h
@@ -7,6 +7,9 @@
 
 /** Most pools whose demand is followed; the others keep their VMs.  */
 #define POOL_LIMIT_COUNT 64
+/** A VM has to be ordered this long before it is needed: as long as a move and
+    the start of its runner take.  */
+#define PREPARE_MS 2600
 /** Number of buckets that count recent arrivals; each covers 100 ms.  */
 #define ARRIVAL_BUCKET_COUNT 8
 
@@ -86,4 +89,22 @@
     busy.  */
 uint64_t demand_arriving_milli (const struct cell *c, struct pool_demand *m);
 
+/** Returns the number of VMs of M that offer MILLI thousandths of a core and
+   MIB of memory.  */
+uint32_t demand_vm_count_for (const struct pool_demand *m, uint64_t milli,
+                              uint64_t mib);
+
+/* surges.c */
+/** Returns the time from one surge of a pool to its next, or 0 if it is not
+    known.  */
+uint64_t surges_cycle_us (const struct fleet_demand *p);
+/** Updates the mean need of M, and detects and records its surges.  */
+void surges_detect (struct cell *c, struct pool_demand *m);
+/** Raises the need of M if all other pools have had their first surge: at
+   equal intervals, M's is next.  */
+void surges_expect_first (const struct cell *c, struct pool_demand *m);
+/** Raises the need of M around its next surge, CYCLE_US after the last one. */
+void surges_expect (const struct cell *c, struct pool_demand *m,
+                    uint64_t cycle_us);
+
 #endif
