Ask a registered runner for ends before a task starts again

Change: after the former owner's leases have expired, an inherited task still waits while a registered runner of its pool has neither answered a poll nor missed three. A runner that misses three has no lease left by then.

--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -186,12 +186,16 @@
 }
 
 /* Returns true if a former owner may have started tasks of J on a runner of
-   POOL that has not answered us.  */
+   POOL that has not answered us.  Once its leases have expired nothing runs
+   there, but a run may have ended as done there.  */
 static bool
 may_run_unreached (const struct cell *c, const struct job *j, const char *pool)
 {
-  return j->inherited && c->now_us < c->ownership.unconfirmed_until_us
-         && fleet_has_unreached (c, pool);
+  if (!j->inherited)
+    return false;
+  return c->now_us < c->ownership.unconfirmed_until_us
+             ? fleet_has_unreached (c, pool)
+             : fleet_has_unasked (c, pool);
 }
 
 /* Returns true if T is long-running, has failed and has to wait for its
--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -217,6 +217,24 @@
   return false;
 }
 
+bool
+fleet_has_unasked (const struct cell *c, const char *pool)
+{
+  const GPtrArray *runners = runners_of_pool (c, pool);
+  guint i;
+
+  for (i = 0; runners != NULL && i < runners->len; i++)
+    {
+      const struct runner *r = g_ptr_array_index (runners, i);
+
+      if (r->listed && !r->reached && r->answered_at_us == 0
+          && r->miss_count < LOST_MISS_COUNT && !fleet_runner_is_gone (c, r)
+          && !booted_after_claim (c, r))
+        return true;
+    }
+  return false;
+}
+
 bool
 fleet_runs_are_known (const struct cell *c, const struct vm *v)
 {
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -96,6 +96,9 @@
 /** Returns true if a runner of POOL that a former owner may have used has not
     answered us yet.  */
 bool fleet_has_unreached (const struct cell *c, const char *pool);
+/** Returns true if such a runner is registered and has neither answered a poll
+    nor missed as many as make it silent.  */
+bool fleet_has_unasked (const struct cell *c, const char *pool);
 /** Returns true if it is known what runs on V.  */
 bool fleet_runs_are_known (const struct cell *c, const struct vm *v);
 /** Returns true if V, on which no operation is under way, is no longer listed.
