--- a/tests/install.sh
+++ b/tests/install.sh
@@ -15,9 +15,10 @@
 # Static: only libfulmartack is taken from its archive, its dependencies stay
 # shared.
 needed=$(pkg-config --print-requires-private fulmartack)
+private=$(sed -n 's/^Libs.private: //p' "$stage/usr/lib/pkgconfig/fulmartack.pc")
 unset PKG_CONFIG_SYSROOT_DIR
 cc $flags -I"$stage/usr/include" examples/embed.c -o "$stage/embed-static" \
-  "$stage/usr/lib/libfulmartack.a" -pthread $(pkg-config --libs $needed)
+  "$stage/usr/lib/libfulmartack.a" $private $(pkg-config --libs $needed)
 [ "$("$stage/embed-static")" = "$version" ]
 hidden=$(nm -D --defined-only "$stage/usr/lib/libfulmartack.so" | grep -v ' ftk_' | grep -vc ' A ' || true)
 [ "$hidden" -eq 0 ]
