Red test: a refused link ends before it has sent its own proof

When the hello and the wrong proof of the other end arrive in one read, the link is ended before the proof that is queued for the hello is written, so the other end sees a closed connection and reports no fault.

--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -6,6 +6,7 @@
 
 #include "adapter/peer_mesh.h"
 #include "adapter/peer_codec.h"
+#include "adapter/peer_link.h"
 #include "port/action.h"
 #include "port/event.h"
 #include "tests/ports.h"
@@ -15,6 +16,7 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <glib.h>
@@ -222,6 +224,56 @@
   node_close (&b);
 }
 
+static bool
+refuse_message (void *state, const uint8_t *data, uint32_t size_bytes)
+{
+  (void)state;
+  (void)data;
+  (void)size_bytes;
+  return false;
+}
+
+static void
+note_end (void *state, enum peer_link_end why)
+{
+  *(int *)state = (int)why;
+}
+
+/* The other end's hello and its wrong proof arrive together.  The link is
+   refused, but its own proof is sent all the same: without it the other end
+   would see a closed connection and report nothing.  */
+static void
+test_refused_link_proves (void)
+{
+  struct tevent_context *loop = tevent_context_init (NULL);
+  int why = -1;
+  struct peer_link_handler h
+      = { .message = refuse_message, .ended = note_end, .state = &why };
+  uint8_t hello[40] = "FTKPEER1";
+  uint8_t box[4 + crypto_secretbox_MACBYTES] = { 0, 0, 0, 16 };
+  uint8_t secret[PEER_SECRET_BYTES] = { 1 };
+  uint8_t sent[256];
+  size_t sent_bytes = 0;
+  ssize_t n;
+  struct peer_link *l;
+  int fds[2];
+
+  g_assert_cmpint (socketpair (AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds),
+                   ==, 0);
+  g_assert_cmpint (write (fds[0], hello, sizeof hello), ==, sizeof hello);
+  g_assert_cmpint (write (fds[0], box, sizeof box), ==, sizeof box);
+  l = peer_link_new (loop, loop, fds[1], PEER_LINK_ACCEPTOR, secret, &h);
+  while (why < 0)
+    tevent_loop_once (loop);
+  g_assert_cmpint (why, ==, PEER_LINK_REFUSED);
+  talloc_free (l);
+  while ((n = read (fds[0], sent + sent_bytes, sizeof sent - sent_bytes)) > 0)
+    sent_bytes += (size_t)n;
+  g_assert_cmpuint (sent_bytes, ==, sizeof hello + sizeof box);
+  close (fds[0]);
+  talloc_free (loop);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -231,5 +283,6 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/peer/full_ring", test_full_ring);
   g_test_add_func ("/peer/wrong_secret", test_wrong_secret);
+  g_test_add_func ("/peer/refused_link_proves", test_refused_link_proves);
   return g_test_run ();
 }
