--- a/adapter/peer_link.c
+++ b/adapter/peer_link.c
@@ -196,6 +196,17 @@
   return handle_box (l, l->in + at + LENGTH_BYTES, length);
 }
 
+/* Ends L because the other end's hello or frame is not valid.  What is queued
+   is sent first, as far as the socket takes it: if it has our proof, the other
+   end can tell a wrong secret from a broken connection.  */
+static void
+refuse (struct peer_link *l)
+{
+  if (!l->ended && l->out_bytes > 0)
+    (void)send (l->fd, l->out, l->out_bytes, MSG_NOSIGNAL | MSG_DONTWAIT);
+  end_link (l, PEER_LINK_REFUSED);
+}
+
 /* Handles every complete frame; stops early when a handler pauses or ends the
    link.  */
 static void
@@ -217,7 +228,7 @@
   l->in_bytes -= at;
   memmove (l->in, l->in + at, l->in_bytes);
   if (!valid)
-    end_link (l, PEER_LINK_REFUSED);
+    refuse (l);
 }
 
 static void
