Count a peer's reading of the log once its records are applied here

Change: the reading is kept with its offset until that offset is applied. A pending one is not replaced by a later one, which might never be reached.

--- a/core/freshness.c
+++ b/core/freshness.c
@@ -133,19 +133,40 @@
   return NULL;
 }
 
-/* Takes the time at which P read the log to its end, reported in S, as
-   relay_read_at_us if this entry has applied every record that P has.  */
+void
+core_use_pending_readings (struct core *c)
+{
+  uint32_t i;
+
+  for (i = 0; i < c->peer_count; i++)
+    {
+      struct peer_state *p = &c->peers[i];
+
+      if (p->pending_read_at_us == 0
+          || p->pending_read_offset > c->control->next_offset)
+        continue;
+      c->relay_read_at_us = MAX (c->relay_read_at_us, p->pending_read_at_us);
+      p->pending_read_at_us = 0;
+    }
+}
+
+/* Notes when P read the log to its end, as reported in S.  The reading counts
+   once this entry has applied every record that P had.  One that waits for
+   that is kept: while records are appended all the time, P is always ahead by
+   those of the last moment.  */
 static void
-use_peer_reading (struct core *c, const struct peer_state *p,
-                  const struct peer_status *s)
+note_peer_reading (struct core *c, struct peer_state *p,
+                   const struct peer_status *s)
 {
   uint64_t age_us = s->log_age_ms * US_PER_MS;
 
   if (!s->log_readable || p->heard_at_us <= age_us
-      || s->next_offset > c->control->next_offset)
+      || (p->pending_read_at_us > 0
+          && s->next_offset > c->control->next_offset))
     return;
-  if (p->heard_at_us - age_us > c->relay_read_at_us)
-    c->relay_read_at_us = p->heard_at_us - age_us;
+  p->pending_read_at_us = p->heard_at_us - age_us;
+  p->pending_read_offset = s->next_offset;
+  core_use_pending_readings (c);
 }
 
 void
@@ -167,7 +188,7 @@
     p->heard_at_us = s->echo_sent_at_us;
   if (s->next_offset > c->control->next_offset)
     core_learn_offset (c, s->next_offset);
-  use_peer_reading (c, p, s);
+  note_peer_reading (c, p, s);
   core_relay_records (c, p);
 }
 
--- a/core/membership.c
+++ b/core/membership.c
@@ -219,9 +219,11 @@
       control_skip (c->control, offset);
       c->counters[COUNTER_BAD_RECORDS]++;
       core_note (c, NOTE_BAD_RECORD, "", offset);
+      core_use_pending_readings (c);
       return;
     }
   v = control_apply (c->control, offset, r);
+  core_use_pending_readings (c);
   c->counters[COUNTER_RECORDS]++;
   core_maintenance_on_record (c, r, v, offset, c->control->last_append_at_ms);
   switch (v)
--- a/core/state.h
+++ b/core/state.h
@@ -161,6 +161,10 @@
   /** Statuses in a row that repeated a next_offset below this entry's.  */
   uint32_t stalled_status_count;
   uint64_t checkpoint_sent_at_us; /**< When one was last sent; 0: never.  */
+  /** When it read the log to its end, and the first offset that it had not
+      applied then; 0: no such reading waits for this entry to catch up.  */
+  uint64_t pending_read_at_us;
+  uint64_t pending_read_offset;
 };
 
 /** The state of one entry.  */
@@ -270,6 +274,9 @@
 void core_sync_peers (struct core *c);
 /** Remembers that records below OFFSET exist.  */
 void core_learn_offset (struct core *c, uint64_t offset);
+/** Handles that records were applied: what peers have read may now be applied
+    here, too.  */
+void core_use_pending_readings (struct core *c);
 /** Returns the state of the member INCARNATION, or NULL.  */
 struct peer_state *core_find_peer (struct core *c, uint64_t incarnation);
 /** Handles a member's status.  */
