Poll a runner again when an answer is overdue

Cause: only the timeout of an order told that its answer was lost, 0.7 s for a start and 1.7 s for a poll, while tasks run for 0.6 s. Change: core/cell/hedges.c sends a second poll on a new connection when a start has no answer after 0.25 s, or a run should have ended 0.25 s ago and the poll in flight did not tell. When a run ends is projected from its progress (progress.c); the percent that polls list is progress, so it is now called work_percent. A start that such a poll does not list is stopped, and the task starts again once a poll sent after the acknowledged stop does not list it either. An entry that is late itself hedges later and in bounded number.

--- a/adapter/order_codec.c
+++ b/adapter/order_codec.c
@@ -171,7 +171,7 @@
   msgpack_pack_array (p, RUNNING_FIELD_COUNT);
   pack_task (p, &t->task);
   msgpack_pack_uint32 (p, t->run);
-  msgpack_pack_uint32 (p, t->pace_percent);
+  msgpack_pack_uint32 (p, t->work_percent);
   msgpack_pack_uint32 (p, t->metric);
   pack_text (p, t->checkpoint);
 }
@@ -184,7 +184,7 @@
   unpack_array (list, &u);
   unpack_task (&u, &t->task);
   t->run = (uint32_t)unpack_number (&u, UINT32_MAX);
-  t->pace_percent = (uint32_t)unpack_number (&u, UINT32_MAX);
+  t->work_percent = (uint32_t)unpack_number (&u, UINT32_MAX);
   t->metric = (uint32_t)unpack_number (&u, UINT32_MAX);
   unpack_text (&u, t->checkpoint, CHECKPOINT_BYTES);
   list->failed |= u.failed;
--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -281,7 +281,7 @@
 
         x->task = v->runs[i].task;
         x->run = v->runs[i].run;
-        x->pace_percent = 100;
+        x->work_percent = 100;
       }
   r->ended
       = talloc_memdup (e, v->ended, (v->ended_count + 1) * sizeof *v->ended);
--- a/core/cell/registrations.c
+++ b/core/cell/registrations.c
@@ -84,6 +84,7 @@
         continue;
       c->unanswered_start_count -= o->kind == ORDER_START;
       c->open_probe_count -= o->is_probe;
+      c->open_hedge_count -= o->is_hedge;
       g_hash_table_iter_remove (&it);
     }
 }
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -136,29 +136,56 @@
          || c->open_probe_count < MAX (limit, PROBE_MIN_COUNT);
 }
 
-/* Polls R.  The poll waits for the end of a run only if R has tasks and has
-   answered this owner before.  The first poll carries no lease end, since R's
-   clock is not known: runs of a former owner keep the lease that they have
-   until R has answered.  */
-static void
-send_poll (struct cell *c, struct runner *r)
+/* Sends R a poll that waits up to WAIT_MS for the end of a run.  The first one
+   carries no lease end, since R's clock is not known: runs of a former owner
+   keep the lease that they have until R has answered.  */
+static struct runner_order *
+send_poll_order (struct cell *c, struct runner *r, uint32_t wait_ms)
 {
   struct runner_order *o = runners_send_order (c, r, ORDER_POLL, NULL);
   struct pending_order *x
       = g_hash_table_lookup (c->pending_orders, &o->order_id);
 
-  if (r->tasks->len > 0 && r->reached)
-    o->wait_ms = x->wait_ms = POLL_WAIT_MS;
+  o->wait_ms = x->wait_ms = wait_ms;
   o->timeout_ms += o->wait_ms;
   x->timeout_ms = o->timeout_ms;
-  x->is_probe = needs_probe (r) && x->link_id == 0;
-  c->open_probe_count += x->is_probe;
   o->stored_end_number = r->stored_end_number;
   r->acked_end_number = r->stored_end_number;
+  c->metrics.counters[CELL_COUNT_LEASE_RENEWALS]++;
+  return o;
+}
+
+/* Polls R.  The poll waits only if R has tasks and has answered this owner
+   before, and nothing depends on an answer now.  */
+static void
+send_poll (struct cell *c, struct runner *r)
+{
+  bool needs_answer = hedges_need_answer (c, r);
+  bool waits = r->tasks->len > 0 && r->reached && !needs_answer;
+  struct runner_order *o = send_poll_order (c, r, waits ? POLL_WAIT_MS : 0);
+  struct pending_order *x
+      = g_hash_table_lookup (c->pending_orders, &o->order_id);
+
+  x->is_probe = needs_probe (r) && x->link_id == 0;
+  c->open_probe_count += x->is_probe;
   r->poll_id = o->order_id;
   r->poll_sent_at_us = c->now_us;
   r->next_poll_at_us = 0;
-  c->metrics.counters[CELL_COUNT_LEASE_RENEWALS]++;
+  if (needs_answer)
+    r->hedged_at_us = c->now_us;
+}
+
+void
+runners_send_hedge (struct cell *c, struct runner *r)
+{
+  struct runner_order *o = send_poll_order (c, r, 0);
+  struct pending_order *x
+      = g_hash_table_lookup (c->pending_orders, &o->order_id);
+
+  o->new_connection = true;
+  x->is_hedge = true;
+  c->open_hedge_count++;
+  r->hedged_at_us = c->now_us;
 }
 
 void
@@ -259,10 +286,12 @@
       t->phase = TASK_RUNNING;
       t->start_known_at_us = c->now_us;
     }
-  t->pace_percent = row->pace_percent;
+  t->start_confirmed = true;
+  t->work_percent = row->work_percent;
   t->metric = row->metric;
-  if (row->pace_percent > 0)
+  if (row->work_percent > 0)
     t->working_at_us = c->now_us;
+  progress_note (c, t);
   if (row->checkpoint[0] != '\0')
     text_copy (t->checkpoint, CHECKPOINT_BYTES, row->checkpoint);
   if (t->stop_wanted && t->phase == TASK_RUNNING)
@@ -302,13 +331,15 @@
 
       /* Orders can overtake each other: only a poll that was sent after the
          start was answered must list the run.  */
-      if (t->phase == TASK_STARTING || t->start_known_at_us >= sent_us
+      if ((t->phase == TASK_STARTING
+           && !hedges_start_is_overdue (c, t, sent_us))
+          || (t->phase != TASK_STARTING && t->start_known_at_us >= sent_us)
           || is_reported (x, t))
         {
           i++;
           continue;
         }
-      if (t->phase == TASK_UNCONFIRMED)
+      if (t->phase == TASK_UNCONFIRMED || t->phase == TASK_STARTING)
         {
           /* The start may still arrive; after an acknowledged stop it has no
              effect.  */
@@ -353,7 +384,7 @@
 
 static void
 on_poll_answer (struct cell *c, struct runner *r, struct runner_result *x,
-                uint64_t sent_us)
+                uint64_t sent_us, bool is_hedge)
 {
   bool has_new_end = false;
   uint32_t i;
@@ -378,6 +409,10 @@
   else
     check_unreported (c, r, x, sent_us);
   serving_pace_fillers (c, r);
+  /* The poll in flight should have listed the new end before: its answer is
+     lost, and another poll is sent.  */
+  if (is_hedge && has_new_end)
+    r->poll_id = 0;
   if (x->ended_count >= ENDED_PAGE_COUNT)
     runners_schedule_poll (c, r, 0);
   else if (r->tasks->len > 0)
@@ -394,10 +429,12 @@
   r->clock_read_at_us = c->now_us;
 }
 
-/* Handles the result X of a poll of R that was sent at SENT_US.  */
+/* Handles the result X of a poll of R that was sent at SENT_US.  Polls without
+   an answer count as misses, but for hedged ones and those that were followed
+   by one with an answer.  */
 static void
 on_poll_result (struct cell *c, struct runner *r, struct runner_result *x,
-                uint64_t sent_us)
+                uint64_t sent_us, bool is_hedge)
 {
   if (r->poll_id == x->order_id)
     r->poll_id = 0;
@@ -410,7 +447,15 @@
       if (sent_us >= r->boot_doubted_at_us)
         r->boot_doubted_at_us = 0;
       r->answered_at_us = r->heard_at_us = c->now_us;
-      on_poll_answer (c, r, x, sent_us);
+      r->answered_poll_sent_at_us = MAX (r->answered_poll_sent_at_us, sent_us);
+      on_poll_answer (c, r, x, sent_us, is_hedge);
+      return;
+    }
+  if (is_hedge)
+    return;
+  if (sent_us < r->answered_poll_sent_at_us)
+    {
+      runners_schedule_poll (c, r, 0);
       return;
     }
   r->miss_count++;
@@ -489,6 +534,7 @@
 {
   c->unanswered_start_count -= o->kind == ORDER_START;
   c->open_probe_count -= o->is_probe;
+  c->open_hedge_count -= o->is_hedge;
   if (o->link_id != 0)
     delegates_count_answer (c, o->link_id, is_overdue (c, o),
                             x->outcome == ORDER_UNKNOWN);
@@ -501,10 +547,10 @@
 }
 
 /* Handles X, the result of an order to R's present boot about T or none, sent
-   at SENT_US.  */
+   at SENT_US; IS_HEDGE if it was a hedged poll.  */
 static void
 apply_result (struct cell *c, struct runner *r, struct task *t,
-              struct runner_result *x, uint64_t sent_us)
+              struct runner_result *x, uint64_t sent_us, bool is_hedge)
 {
   if (x->booted_at_ms != 0)
     {
@@ -515,6 +561,8 @@
   switch (x->kind)
     {
     case ORDER_START:
+      if (x->outcome == ORDER_DONE)
+        hedges_note_start_latency (c, c->now_us - sent_us);
       if (t != NULL)
         task_on_start_result (c, t, r, x->outcome);
       break;
@@ -526,7 +574,7 @@
         }
       break;
     case ORDER_POLL:
-      on_poll_result (c, r, x, sent_us);
+      on_poll_result (c, r, x, sent_us, is_hedge);
       break;
     default:
       break;
@@ -541,6 +589,7 @@
   struct runner *r;
   struct task *t;
   uint64_t sent_us;
+  bool is_hedge;
 
   if (o == NULL || !cell_is_owner (c))
     return;
@@ -552,6 +601,7 @@
   if (t != NULL && (t->runner != r || t->run != o->run))
     t = NULL;
   sent_us = o->sent_at_us;
+  is_hedge = o->is_hedge;
   close_order (c, o, x);
   if (x->outcome == ORDER_FENCED)
     {
@@ -570,7 +620,7 @@
       on_other_boot (c, r, t, x);
       return;
     }
-  apply_result (c, r, t, x, sent_us);
+  apply_result (c, r, t, x, sent_us, is_hedge);
 }
 
 static bool
@@ -654,6 +704,8 @@
       else if ((r->listed || r->tasks->len > 0) && probe_is_admitted (c, r))
         send_poll (c, r);
     }
+  else
+    hedges_tick_runner (c, r);
 }
 
 void
@@ -689,6 +741,8 @@
   g_hash_table_remove_all (c->pending_orders);
   c->unanswered_start_count = 0;
   c->open_probe_count = 0;
+  c->open_hedge_count = 0;
+  c->start_latency_us = 0;
   g_hash_table_iter_init (&it, c->runners);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
--- a/core/cell/serving.c
+++ b/core/cell/serving.c
@@ -88,7 +88,7 @@
       /* Speed 0 is ordered again while the filler reports a higher one, as the
          order may have been lost.  */
       if (percent != t->ordered_pace_percent
-          || (worst >= PAUSE_PERCENT && t->pace_percent > 0))
+          || (worst >= PAUSE_PERCENT && t->work_percent > 0))
         order_filler_pace (c, r, t, percent, worst);
     }
 }
@@ -97,7 +97,7 @@
 static bool
 is_working (const struct cell *c, const struct task *t)
 {
-  return t->phase == TASK_RUNNING && t->pace_percent >= 100
+  return t->phase == TASK_RUNNING && t->work_percent >= 100
          && t->runner->miss_count == 0
          && c->now_us
                 < t->runner->answered_at_us + ANSWER_AGE_LIMIT_MS * US_PER_MS;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -84,11 +84,15 @@
   uint64_t ordered_at_us;   /**< When its newest order was sent.  */
   uint64_t start_ordered_at_us; /**< When its newest start was ordered.  */
   uint64_t start_known_at_us;   /**< When that start's outcome was known.  */
+  bool start_confirmed;         /**< This run is known to have started.  */
   uint64_t stop_acked_at_us;    /**< When its stop was acknowledged, or 0.  */
   uint64_t ready_at_us;         /**< When it became able to start.  */
   uint64_t working_at_us; /**< When this run last worked; 0: never.  Set, but
                              not used.  */
-  uint32_t pace_percent;  /**< Reported, in percent of full speed.  */
+  uint32_t work_percent;  /**< Reported: of a short task, the part that is
+                             done; a long-running one is at work at 100.  */
+  uint64_t run_total_us;  /**< Run time of this run as its progress projects
+                             it; 0: not known.  */
   uint32_t metric;        /**< Serving: tail latency, ms.  */
   uint32_t ordered_pace_percent; /**< Speed last ordered; 100 at a start.  */
   /** When a serving task exceeded its latency target.  Only ever set to 0:
@@ -197,7 +201,11 @@
   uint64_t acked_end_number;  /**< Last stored_end_number sent to it.  */
   uint64_t poll_id;           /**< Poll in flight; 0: none.  */
   bool poll_incomplete; /**< A poll of this boot listed what cannot be read. */
-  uint64_t poll_sent_at_us;       /**< Set, but not used.  */
+  uint64_t poll_sent_at_us; /**< When that poll was sent.  */
+  uint64_t hedged_at_us;    /**< When a hedged poll was last sent, or one that
+                               does not wait for an end.  */
+  uint64_t answered_poll_sent_at_us; /**< When the newest answered poll was
+                                        sent.  */
   uint64_t next_poll_at_us;       /**< When it is polled next; 0: no poll.  */
   uint64_t answered_at_us;        /**< When it last answered a poll.  */
   uint64_t orphans_stopped_at_us; /**< When orphan runs were last stopped.  */
@@ -284,6 +292,7 @@
   uint32_t timeout_ms;
   uint64_t link_id; /**< Link to the delegate that sends it; 0: none.  */
   bool is_probe;    /**< It is counted in open_probe_count.  */
+  bool is_hedge;    /**< It is a hedged poll, counted in open_hedge_count.  */
 };
 
 enum ownership_phase
@@ -421,6 +430,9 @@
   uint32_t unanswered_start_count; /**< Start orders without an answer.  */
   uint32_t open_probe_count; /**< Polls without an answer that this entry sent
                                 to runners that are not reached or silent.  */
+  uint32_t open_hedge_count; /**< Hedged polls without an answer.  */
+  uint64_t start_latency_us; /**< Mean time from a start order to its
+                                answer.  */
   struct order_latency order_latency;
   struct delegation delegation;
   struct append append;
@@ -625,6 +637,8 @@
 void runners_on_result (struct cell *c, struct runner_result *x);
 void runners_tick (struct cell *c);
 void runners_clear (struct cell *c);
+/** Sends R a poll beside the one in flight, on a new connection.  */
+void runners_send_hedge (struct cell *c, struct runner *r);
 /** Schedules a poll of R in DELAY_MS at the latest.  */
 void runners_schedule_poll (struct cell *c, struct runner *r,
                             uint32_t delay_ms);
@@ -641,6 +655,26 @@
 /** Returns true if the lease of R has certainly expired on its clock.  */
 bool runners_lease_expired (const struct cell *c, const struct runner *r);
 
+/* hedges.c: hedged polls of runners that leave orders unanswered.  */
+/** Sends R a hedged poll if one is due.  */
+void hedges_tick_runner (struct cell *c, struct runner *r);
+/** Returns true if it should be known at once what runs on R: a start has no
+    answer though it should, or a stop may have met no run.  */
+bool hedges_need_answer (const struct cell *c, const struct runner *r);
+/** Returns true if T's start had no answer at AT_US, though it should.  */
+bool hedges_start_is_overdue (const struct cell *c, const struct task *t,
+                              uint64_t at_us);
+/** Notes that a start was answered after LATENCY_US.  */
+void hedges_note_start_latency (struct cell *c, uint64_t latency_us);
+
+/* progress.c: the progress of short tasks.  */
+/** Forgets the progress of T's last run.  */
+void progress_reset (struct task *t);
+/** Handles that a poll has reported T's work_percent.  */
+void progress_note (struct cell *c, struct task *t);
+/** Returns when T's run is expected to end.  */
+uint64_t progress_expected_end_us (struct cell *c, const struct task *t);
+
 /* dispatch.c and place.c: which task starts next, and on which runner.  */
 /** Starts the waiting tasks that can start.  */
 void dispatch_run (struct cell *c);
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -64,7 +64,8 @@
   t->working_at_us = 0;
   t->over_target_at_us = 0;
   t->metric = 0;
-  t->pace_percent = 0;
+  t->work_percent = 0;
+  progress_reset (t);
   t->ordered_pace_percent = 100;
   g_ptr_array_add (r->tasks, t);
   resources_add (&r->used, &room);
@@ -104,6 +105,7 @@
   t->phase = TASK_STARTING;
   t->reconciled = true;
   t->run++;
+  t->start_confirmed = false;
   t->ordered_at_us = t->start_ordered_at_us = c->now_us;
   j->started = true;
   c->metrics.counters[CELL_COUNT_STARTS]++;
@@ -372,6 +374,7 @@
     case ORDER_DONE:
       if (t->phase == TASK_STARTING)
         t->phase = TASK_RUNNING;
+      t->start_confirmed = true;
       t->start_known_at_us = c->now_us;
       return;
     case ORDER_UNKNOWN:
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -112,7 +112,8 @@
 {
   struct task_id task;
   uint32_t run;
-  uint32_t pace_percent; /**< Percent of full speed; 0: not working.  */
+  uint32_t work_percent; /**< Short task: the part that is done.  Long-running
+                            one: 100 while at work, 0: not working.  */
   uint32_t metric; /**< Of a serving task: tail latency, ms; else CPU used,
                        which the cell does not read.  */
   char checkpoint[CHECKPOINT_BYTES];
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -295,7 +295,7 @@
     struct running_task *t = &r->running[r->running_count++];
 
     read_task (row, 0, &t->task, &t->run);
-    t->pace_percent = (uint32_t)json_integer_value (json_array_get (row, 2));
+    t->work_percent = (uint32_t)json_integer_value (json_array_get (row, 2));
     t->metric = (uint32_t)json_integer_value (json_array_get (row, 3));
   }
   json_array_foreach (ended, i, row)
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -434,7 +434,7 @@
   TALLOC_CTX *mem = talloc_new (NULL);
   struct running_task running = { .task = { .job = 5, .step = 1, .index = 2 },
                                   .run = 65,
-                                  .pace_percent = 100,
+                                  .work_percent = 100,
                                   .metric = 12,
                                   .checkpoint = "00000bb8" };
   struct ended_run ended
--- a/tests/test_entries.c
+++ b/tests/test_entries.c
@@ -210,7 +210,7 @@
       g_string_append (out, "  running");
       print_task (out, &r.running[i].task, r.running[i].run);
       g_string_append_printf (out, " pace %u metric %u",
-                              r.running[i].pace_percent, r.running[i].metric);
+                              r.running[i].work_percent, r.running[i].metric);
       print_text (out, "checkpoint", r.running[i].checkpoint);
       g_string_append_c (out, '\n');
     }
