--- a/tests/standin/site.c
+++ b/tests/standin/site.c
@@ -697,7 +697,9 @@
 static void
 handle_store (struct exchange *x)
 {
-  if (strcmp (x->url, "/api/log-append") == 0)
+  if (fault_get ("store_busy") > 0 && g_str_has_prefix (x->url, "/api/log-"))
+    answer_set (x, 503, "{}");
+  else if (strcmp (x->url, "/api/log-append") == 0)
     append (x);
   else if (strcmp (x->url, "/api/log-read") == 0)
     read_log (x);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -29,6 +29,11 @@
 #define JOB_TIMEOUT_MS 60000
 #define POLL_INTERVAL_MS 50
 #define PATH_BYTES 64
+/** Longer than an entry accepts calls by a configuration that it could not
+    confirm.  */
+#define STORE_BUSY_S 7
+/** A failed read is repeated after 0.25 s.  */
+#define STORE_BACK_LIMIT_US (1 * G_USEC_PER_SEC)
 
 /* The stand-in and the entries of a test.  */
 struct site
@@ -452,6 +457,35 @@
   stop_site (&s);
 }
 
+/* The store refuses for so long that all entries stop accepting calls.  When
+   it answers again they do so at the next attempt, and not only after a read
+   that waits for a record which does not come.  */
+static void
+test_store_back (void)
+{
+  gint64 back_us;
+  struct site s;
+
+  start_site (&s);
+  submit (&s, 0);
+  cluster_fault (s.base_port, "store_busy", 1);
+  g_usleep (STORE_BUSY_S * G_USEC_PER_SEC);
+  g_assert_cmpuint (call (&s, 1, "GET", "/q/0000000000000001", NULL, NULL, 0),
+                    ==, 503);
+  cluster_fault (s.base_port, "store_busy", 0);
+  back_us = g_get_monotonic_time ();
+  while (call (&s, 1, "GET", "/q/0000000000000001", NULL, NULL, 0) == 503)
+    {
+      g_assert_cmpint (g_get_monotonic_time () - back_us, <,
+                       STORE_BACK_LIMIT_US);
+      g_usleep (POLL_INTERVAL_MS * 1000 / 5);
+    }
+  g_test_message ("accepts calls %" G_GINT64_FORMAT " ms after the store",
+                  (g_get_monotonic_time () - back_us) / 1000);
+  wait_completed (&s, 0);
+  stop_site (&s);
+}
+
 /* The owner is stopped by SIGTERM and another entry reloads its settings while
    jobs run.  */
 static void
@@ -603,6 +637,7 @@
   g_test_add_func ("/site/owner_paused", test_owner_paused);
   g_test_add_func ("/site/all_killed", test_all_killed);
   g_test_add_func ("/site/lost_answers", test_lost_answers);
+  g_test_add_func ("/site/store_back", test_store_back);
   g_test_add_func ("/site/planned_stop", test_planned_stop);
   g_test_add_func ("/site/odd_entries", test_odd_entries);
   g_test_add_func ("/site/delegates", test_delegates);
