Have the store answer at once after a failed read

Cause: see the red test before; after an outage the first read waits for a record, up to 1.2 s for the configuration, 3 s for the claims, and its answer is what confirms the entry's copy. Change: a read that follows a failed one does not wait; neither does it take longer than 0.7 s to be given up when the store stays silent.

--- a/adapter/site_store.c
+++ b/adapter/site_store.c
@@ -313,19 +313,22 @@
 follower_request (struct follower *f)
 {
   struct site_store *t = f->store;
+  /* After a failure the answer alone tells much, so the store is not to hold
+     it back until there is a record.  */
+  uint32_t wait_ms = f->call_failed ? 0 : f->wait_ms;
   char url[PLATFORM_STORE_URL_BYTES];
 
   if (!f->active || f->call != NULL)
     return;
   f->sent_at_us = now_us ();
   if (f->tailing)
-    platform_read_url (url, t->address, f->topic, f->from_offset, f->wait_ms);
+    platform_read_url (url, t->address, f->topic, f->from_offset, wait_ms);
   else
     platform_newest_url (url, t->address, f->topic, f->after_key);
-  f->call = start_call (t, "GET", url, NULL,
-                        f->tailing ? f->wait_ms + CALL_TIMEOUT_MS
-                                   : LIST_TIMEOUT_MS,
-                        follower_on_answer, f);
+  f->call
+      = start_call (t, "GET", url, NULL,
+                    f->tailing ? wait_ms + CALL_TIMEOUT_MS : LIST_TIMEOUT_MS,
+                    follower_on_answer, f);
   if (f->call == NULL)
     follower_request_later (f, RETRY_DELAY_MS);
 }
