Judge an owner's VM by the answers that came

Cause: see the red test before; an order without an answer counted as late. Change: an owner is slow if at least half of the answers that came were late, those to orders of delegates included when they are in time. Orders without any answer count only if none was answered.

--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -463,14 +463,14 @@
 
   if (c->now_us < p->began_at_us + LATENCY_PERIOD_MS * US_PER_MS)
     return;
-  /* Overdue orders count as late, as a very slow owner may read no answers at
-     all.  */
+  /* Orders without an answer tell of their runners as long as others are
+     answered.  If none is, this entry may be too slow to read any.  */
   overdue = runners_overdue_count (c);
   p->slow = p->order_count + overdue >= LATENCY_MIN_COUNT
-            && p->slow_count + overdue >= p->order_count - p->slow_count
+            && p->slow_count >= p->on_time_count
             && !is_loaded (c, p->order_count, c->now_us - p->began_at_us);
   p->began_at_us = c->now_us;
-  p->order_count = p->slow_count = 0;
+  p->order_count = p->slow_count = p->on_time_count = 0;
 }
 
 /* Returns true if an owner on a slow VM may release the cell: the last such
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -532,17 +532,21 @@
 close_order (struct cell *c, const struct pending_order *o,
              const struct runner_result *x)
 {
+  /* A connection that could not be made is no answer.  */
+  bool answered = x->clock_ms != 0;
+  bool late = is_overdue (c, o);
+
   c->unanswered_start_count -= o->kind == ORDER_START;
   c->open_probe_count -= o->is_probe;
   c->open_hedge_count -= o->is_hedge;
   if (o->link_id != 0)
-    delegates_count_answer (c, o->link_id, is_overdue (c, o),
-                            x->outcome == ORDER_UNKNOWN);
+    delegates_count_answer (c, o->link_id, late, !answered);
   else
     {
       c->order_latency.order_count++;
-      c->order_latency.slow_count += is_overdue (c, o);
+      c->order_latency.slow_count += answered && late;
     }
+  c->order_latency.on_time_count += answered && !late;
   g_hash_table_remove (c->pending_orders, &x->order_id);
 }
 
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -395,10 +395,13 @@
 /** How fast this owner's orders are answered, by periods.  */
 struct order_latency
 {
-  uint64_t began_at_us; /**< Start of the period.  */
-  uint32_t order_count; /**< Orders answered in the period.  */
-  uint32_t slow_count;  /**< Those of them that were answered late.  */
-  bool slow;            /**< In the last period half or more were late.  */
+  uint64_t began_at_us;   /**< Start of the period.  */
+  uint32_t order_count;   /**< Orders of this entry itself whose outcome became
+                             known, or was given up, in the period.  */
+  uint32_t slow_count;    /**< Those of them that were answered late.  */
+  uint32_t on_time_count; /**< Orders that were answered in time, by delegates
+                             too.  */
+  bool slow; /**< In the last period half of the answers or more were late. */
 };
 
 /** A cell as one entry sees it.  */
