Find slow runners and tasks that stand still, and start their tasks elsewhere

Cause: a runner that answers was taken for sound, whatever its tasks did. Change: core/cell/slow_runners.c compares each run's time, projected from its progress on the runner's own clock, with that of the same step's tasks on other runners. A runner whose runs take 2.5 times as long gets no short tasks for 2 s, then one at a time until a run shows that it is sound; at most a fifth of a pool. Its tasks are stopped and started again where that is sooner by more than the time of a stop; so is a task that stands still for 0.7 s. On-call sees runner_slow, task_restarted and runner_sound. Polls wait only until a run whose progress is not known should show some. A start brings the poll of an idle runner forward. The stand-ins of the tests and of bench_cell report progress.

--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -107,6 +107,7 @@
 {
   struct task_id task;
   uint32_t run;
+  uint64_t start_us;
   uint64_t end_us; /* 0 if the slot is free.  */
   bool long_running;
 };
@@ -260,6 +261,16 @@
   g_hash_table_insert (sim->runners, g_strdup (v->runner), v);
 }
 
+/* Returns the part of the run S that is done; 100 for a long-running one.  */
+static uint32_t
+work_percent (const struct simulation *sim, const struct run_slot *s)
+{
+  if (s->long_running || sim->at_us >= s->end_us)
+    return 100;
+  return (uint32_t)((sim->at_us - s->start_us) * 100
+                    / (s->end_us - s->start_us));
+}
+
 static void
 answer_poll (struct simulation *sim, struct vm *v, uint64_t order_id)
 {
@@ -281,7 +292,7 @@
 
         x->task = v->runs[i].task;
         x->run = v->runs[i].run;
-        x->work_percent = 100;
+        x->work_percent = work_percent (sim, &v->runs[i]);
       }
   r->ended
       = talloc_memdup (e, v->ended, (v->ended_count + 1) * sizeof *v->ended);
@@ -386,6 +397,7 @@
   v->runs[i].task = o->task;
   v->runs[i].run = o->run;
   v->runs[i].long_running = long_running;
+  v->runs[i].start_us = sim->at_us;
   v->runs[i].end_us = sim->at_us + mean_us * 85 / 100
                       + next_random (&sim->other_random, mean_us * 3 / 10);
   sim->start_count++;
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -72,6 +72,7 @@
     [CELL_COUNT_ORDERS_DELEGATED] = "orders_delegated",
     [CELL_COUNT_ENDS] = "task_ends",
     [CELL_COUNT_LOST_RUNS] = "task_runs_lost",
+    [CELL_COUNT_SLOW_RUNNERS] = "slow_runners",
     [CELL_COUNT_LEASE_RENEWALS] = "lease_renewals",
     [CELL_COUNT_APPENDS] = "store_appends",
     [CELL_COUNT_TAKEOVERS] = "takeovers",
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -220,7 +220,7 @@
       /* The room that is planned for a long-running task is left to it.  */
       if (!has_room (c, r, &need, !s->long_running)
           || !takes_tasks (c, r, in_quarantine)
-          || !meets_constraints (c, t, r, false)
+          || !meets_constraints (c, t, r, false) || !slow_runners_admit (r, s)
           || (r->reserved && r->reserved_for != t))
         continue;
       n = score (t, r, &need);
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -106,6 +106,9 @@
         r->lease_until_ms = o->lease_until_ms;
     }
   c->unanswered_start_count += kind == ORDER_START;
+  /* The poll of an idle runner may be far off.  */
+  if (kind == ORDER_START && r->next_poll_at_us != 0)
+    runners_schedule_poll (c, r, POLL_GAP_MS);
   g_hash_table_insert (c->pending_orders, &x->id, x);
   return o;
 }
@@ -162,7 +165,8 @@
 {
   bool needs_answer = hedges_need_answer (c, r);
   bool waits = r->tasks->len > 0 && r->reached && !needs_answer;
-  struct runner_order *o = send_poll_order (c, r, waits ? POLL_WAIT_MS : 0);
+  uint32_t wait_ms = waits ? progress_look_ms (c, r, POLL_WAIT_MS) : 0;
+  struct runner_order *o = send_poll_order (c, r, wait_ms);
   struct pending_order *x
       = g_hash_table_lookup (c->pending_orders, &o->order_id);
 
@@ -226,6 +230,9 @@
   r->poll_incomplete = false;
   r->failed_run_count = 0;
   r->quarantined_until_us = 0;
+  r->poll_clock_ms = 0;
+  r->ended_ratio_count = 0;
+  r->on_probation = false;
   r->refused_until_us = 0;
   r->next_poll_at_us = c->now_us;
 }
@@ -287,11 +294,10 @@
       t->start_known_at_us = c->now_us;
     }
   t->start_confirmed = true;
-  t->work_percent = row->work_percent;
+  progress_note (c, t, row->work_percent);
   t->metric = row->metric;
   if (row->work_percent > 0)
     t->working_at_us = c->now_us;
-  progress_note (c, t);
   if (row->checkpoint[0] != '\0')
     text_copy (t->checkpoint, CHECKPOINT_BYTES, row->checkpoint);
   if (t->stop_wanted && t->phase == TASK_RUNNING)
@@ -409,6 +415,7 @@
   else
     check_unreported (c, r, x, sent_us);
   serving_pace_fillers (c, r);
+  slow_runners_judge (c, r);
   /* The poll in flight should have listed the new end before: its answer is
      lost, and another poll is sent.  */
   if (is_hedge && has_new_end)
@@ -447,6 +454,8 @@
       if (sent_us >= r->boot_doubted_at_us)
         r->boot_doubted_at_us = 0;
       r->answered_at_us = r->heard_at_us = c->now_us;
+      r->poll_gap_ms = r->clock_ms - MIN (r->poll_clock_ms, r->clock_ms);
+      r->poll_clock_ms = r->clock_ms;
       r->answered_poll_sent_at_us = MAX (r->answered_poll_sent_at_us, sent_us);
       on_poll_answer (c, r, x, sent_us, is_hedge);
       return;
@@ -747,6 +756,7 @@
   c->open_probe_count = 0;
   c->open_hedge_count = 0;
   c->start_latency_us = 0;
+  c->stop_mean_us = 0;
   g_hash_table_iter_init (&it, c->runners);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -87,14 +87,23 @@
   bool start_confirmed;         /**< This run is known to have started.  */
   uint64_t stop_acked_at_us;    /**< When its stop was acknowledged, or 0.  */
   uint64_t ready_at_us;         /**< When it became able to start.  */
-  uint64_t working_at_us; /**< When this run last worked; 0: never.  Set, but
-                             not used.  */
-  uint32_t work_percent;  /**< Reported: of a short task, the part that is
-                             done; a long-running one is at work at 100.  */
-  uint64_t run_total_us;  /**< Run time of this run as its progress projects
-                             it; 0: not known.  */
-  uint32_t metric;        /**< Serving: tail latency, ms.  */
-  uint32_t ordered_pace_percent; /**< Speed last ordered; 100 at a start.  */
+  uint64_t working_at_us;   /**< When this run last worked; 0: never.  Set, but
+                               not used.  */
+  uint32_t work_percent;    /**< Reported: of a short task, the part that is
+                               done; a long-running one is at work at 100.  */
+  uint64_t run_total_us;    /**< Run time of this run as its progress projects
+                               it, or as it was; 0: not known.  */
+  uint64_t expected_end_us; /**< When its progress lets this run end; 0: not
+                               known.  */
+  /* Times on the runner's clock, in ms.  */
+  uint64_t start_clock_ms; /**< When this run began to work; 0: not known.  */
+  uint64_t first_report_clock_ms; /**< Its first report; 0: none yet.  */
+  uint64_t progressed_clock_ms;   /**< When work_percent last changed.  */
+  uint32_t first_percent;         /**< work_percent in its first report.  */
+  uint32_t restart_count;         /**< Stops because its runner was slow.  */
+  bool slow_run;                  /**< run_total_us was on a slow runner.  */
+  uint32_t metric;                /**< Serving: tail latency, ms.  */
+  uint32_t ordered_pace_percent;  /**< Speed last ordered; 100 at a start.  */
   /** When a serving task exceeded its latency target.  Only ever set to 0:
       the cell does not enforce over_target_limit_ms.  */
   uint64_t over_target_at_us;
@@ -220,10 +229,18 @@
   uint64_t failed_job;       /**< Job of the last failed run.  */
   uint64_t quarantined_until_us; /**< Gets no new tasks until then.  */
   uint32_t quarantine_ms;        /**< Length of the last quarantine.  */
-  uint64_t refused_until_us;     /**< It refused a start as busy, late or the
-                                    like: gets no new tasks until then.  */
-  uint64_t full_until_us;        /**< It refused a task for lack of room: gets
-                                  no new tasks until then.  */
+  uint32_t ended_ratio_milli;    /**< Mean of the run times of its last runs in
+                                    proportion to those elsewhere.  */
+  uint32_t ended_ratio_count;    /**< Runs in that mean.  */
+  uint64_t poll_clock_ms; /**< Its clock in the last answer to a poll.  */
+  uint64_t poll_gap_ms;   /**< Time from the answer before to that one.  */
+  uint64_t slow_at_us;    /**< When it was last found slow.  */
+  bool on_probation; /**< It was slow and has not shown yet that it is sound:
+                        it gets one short task at a time.  */
+  uint64_t refused_until_us; /**< It refused a start as busy, late or the
+                                like: gets no new tasks until then.  */
+  uint64_t full_until_us;    /**< It refused a task for lack of room: gets
+                              no new tasks until then.  */
   struct task *reserved_for; /**< Task that it is or was reserved for in this
                                 or the last round of dispatch; only compared,
                                 never dereferenced.  */
@@ -434,6 +451,8 @@
   uint32_t open_probe_count; /**< Polls without an answer that this entry sent
                                 to runners that are not reached or silent.  */
   uint32_t open_hedge_count; /**< Hedged polls without an answer.  */
+  uint64_t stop_mean_us; /**< Mean time from a stop order to the run's end; 0:
+                            not known.  */
   uint64_t start_latency_us; /**< Mean time from a start order to its
                                 answer.  */
   struct order_latency order_latency;
@@ -673,11 +692,30 @@
 /* progress.c: the progress of short tasks.  */
 /** Forgets the progress of T's last run.  */
 void progress_reset (struct task *t);
-/** Handles that a poll has reported T's work_percent.  */
-void progress_note (struct cell *c, struct task *t);
+/** Handles that R has confirmed the start of T's run.  */
+void progress_note_start (struct task *t, const struct runner *r);
+/** Handles that a poll has reported that PERCENT of T's work is done.  */
+void progress_note (struct cell *c, struct task *t, uint32_t percent);
+/** Returns for how long a poll of R may wait, at most LIMIT_MS: until a run
+    whose progress is not known should have made some.  */
+uint32_t progress_look_ms (struct cell *c, const struct runner *r,
+                           uint32_t limit_ms);
+/** Returns the run time to expect of T on a sound runner: the mean of its
+    step's tasks on other runners; 0: not known.  */
+uint64_t progress_peers_us (const struct task *t);
 /** Returns when T's run is expected to end.  */
 uint64_t progress_expected_end_us (struct cell *c, const struct task *t);
 
+/* slow_runners.c: runners that work slowly or whose tasks stand still.  */
+/** Judges R, which has answered a poll, by its runs.  */
+void slow_runners_judge (struct cell *c, struct runner *r);
+/** Handles that T's current run is done on R.  */
+void slow_runners_on_done (struct cell *c, struct runner *r, struct task *t);
+/** Handles that T's current run has ended after a stop.  */
+void slow_runners_on_stopped (struct cell *c, const struct task *t);
+/** Returns true if R may get another task of S, as far as its speed goes.  */
+bool slow_runners_admit (const struct runner *r, const struct job_step *s);
+
 /* dispatch.c and place.c: which task starts next, and on which runner.  */
 /** Starts the waiting tasks that can start.  */
 void dispatch_run (struct cell *c);
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -106,6 +106,7 @@
   t->reconciled = true;
   t->run++;
   t->start_confirmed = false;
+  t->slow_run = false;
   t->ordered_at_us = t->start_ordered_at_us = c->now_us;
   j->started = true;
   c->metrics.counters[CELL_COUNT_STARTS]++;
@@ -306,7 +307,11 @@
   r->failed_run_count = 0;
   r->quarantine_ms = 0;
   if (is_current_run)
-    place_record_run_time (c, t);
+    {
+      slow_runners_on_done (c, r, t);
+      if (!t->slow_run)
+        place_record_run_time (c, t);
+    }
   if (t->step->spec->long_running)
     return;
   if (!is_current_run && t->runner != NULL)
@@ -335,6 +340,8 @@
               e->task.occurrence, e->task.step, e->task.index, e->run,
               r->report.id, e->kind, t->failed_count, t->phase,
               task_job (t)->final ? "true" : "false");
+  if (is_current_run && e->kind == END_STOPPED)
+    slow_runners_on_stopped (c, t);
   if (task_job (t)->final)
     {
       if (is_current_run)
@@ -375,6 +382,7 @@
       if (t->phase == TASK_STARTING)
         t->phase = TASK_RUNNING;
       t->start_confirmed = true;
+      progress_note_start (t, r);
       t->start_known_at_us = c->now_us;
       return;
     case ORDER_UNKNOWN:
--- a/tests/standin/site.c
+++ b/tests/standin/site.c
@@ -62,6 +62,7 @@
 {
   char name[64];
   int64_t run;
+  int64_t started_at_ms;
   int64_t ends_at_ms;
   int64_t stops_at_ms; /**< 0 if it was not told to stop.  */
 };
@@ -542,7 +543,8 @@
   t = g_new0 (struct task, 1);
   g_strlcpy (t->name, name, sizeof t->name);
   t->run = run;
-  t->ends_at_ms = clock_ms () + (spec ? strtoll (spec, NULL, 10) : 0);
+  t->started_at_ms = clock_ms ();
+  t->ends_at_ms = t->started_at_ms + (spec ? strtoll (spec, NULL, 10) : 0);
   g_ptr_array_add (r->tasks, t);
   return NULL;
 }
@@ -580,6 +582,14 @@
     }
 }
 
+static int
+progress_percent (const struct task *t)
+{
+  int64_t run_ms = MAX (t->ends_at_ms - t->started_at_ms, 1);
+
+  return (int)MIN ((clock_ms () - t->started_at_ms) * 100 / run_ms, 100);
+}
+
 /* Renews R's lease, waits for an end, answers with what runs and ended.  */
 static void
 poll_runner (struct exchange *x, struct runner *r, json_t *j)
@@ -603,9 +613,9 @@
     {
       const struct task *t = g_ptr_array_index (r->tasks, i);
 
-      json_array_append_new (
-          running,
-          json_pack ("[s,I,s,i,i]", t->name, (json_int_t)t->run, "", 100, 0));
+      json_array_append_new (running, json_pack ("[s,I,s,i,i]", t->name,
+                                                 (json_int_t)t->run, "",
+                                                 progress_percent (t), 0));
     }
   for (i = 0; i < r->ended->len; i++)
     {
