bench_cell: varied jobs, lost orders and slow runners

Stops take time, and orders without an answer end at their own timeout. Deployments are chosen by name.

--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -4,7 +4,9 @@
    spare pool.  Each queue in turn has a peak of several times its mean demand.
    Runners, store and cloud answer after their usual times.  Prints for each
    deployment the jobs that met their objective, the VM time used, the moves of
-   VMs, and the processor time of cell_step alone.  */
+   VMs, and the processor time of cell_step alone.
+
+   Usage: bench_cell [NAME...]; the default is all deployments.  */
 
 #include "core/cell/cell.h"
 
@@ -53,8 +55,31 @@
   uint32_t long_running_task_count;
   uint32_t wave_vm_count;
   uint32_t seed_count;
+  /* Jobs vary: standard deviations of the logarithms of the count, the cores
+     and the run time of a step's tasks, and of their estimate.  */
+  bool varied;
+  uint32_t lost_permille; /* Starts and polls without an answer.  */
+  /* These many runners of the pool, in percent, work SLOW_FACTOR times slower
+     from SLOW_BEGIN_S on for SLOW_S.  */
+  uint32_t slow_percent;
 };
 
+/* Spreads of varied jobs, as the users state them.  */
+#define COUNT_SPREAD 0.6
+#define CORES_SPREAD 0.45
+#define TIME_SPREAD 0.5
+#define ESTIMATE_SPREAD 0.5
+#define TASK_SPREAD 0.28 /* Of the tasks of one step.  */
+#define SPREAD_LIMIT 2.5 /* Nothing is more than this many times its mean. */
+#define JOB_STEP_LIMIT_COUNT 8
+/* Lost orders begin with the first peak.  */
+#define LOST_BEGIN_S 4.0
+#define LOST_S 15.0
+#define SLOW_FACTOR 5
+#define SLOW_BEGIN_S 4.0
+#define SLOW_S 6.5
+#define STOP_MS 400
+
 /* Sums over the simulations of a deployment.  */
 struct totals
 {
@@ -68,39 +93,77 @@
 };
 
 static const struct deployment deployments[] = {
-  { "collective",
-    { 9, 9, 11, 12, 8 },
-    4,
-    { 8.89, 1.03, 11.1, 1.26 },
-    { 6, 8, 6, 8 },
-    { 2, 3, 2, 3 },
-    { 3500, 7700, 3500, 7700 },
-    { 640, 1700, 640, 1700 },
-    5,
-    24,
-    24 },
-  { "collective-grown",
-    { 62, 70, 77, 85, 56 },
-    12,
-    { 27.5, 4.45, 34.3, 5.43 },
-    { 8, 8, 8, 8 },
-    { 2, 3, 2, 3 },
-    { 6200, 13000, 6200, 13000 },
-    { 640, 1700, 640, 1700 },
-    24,
-    170,
-    3 },
-  { "collective-grown-scale",
-    { 62, 70, 77, 85, 56 },
-    12,
-    { 55, 8.9, 68.6, 10.86 },
-    { 8, 8, 8, 8 },
-    { 2, 3, 2, 3 },
-    { 6200, 13000, 6200, 13000 },
-    { 640, 1700, 640, 1700 },
-    24,
-    170,
-    3 },
+  { .name = "collective",
+    .pool_vm_counts = { 9, 9, 11, 12, 8 },
+    .rack_vm_count = 4,
+    .jobs_per_s = { 8.89, 1.03, 11.1, 1.26 },
+    .step_task_count = { 6, 8, 6, 8 },
+    .step_limit_count = { 2, 3, 2, 3 },
+    .cpu_milli = { 3500, 7700, 3500, 7700 },
+    .task_ms = { 640, 1700, 640, 1700 },
+    .long_running_task_count = 5,
+    .wave_vm_count = 24,
+    .seed_count = 24 },
+  { .name = "collective-grown",
+    .pool_vm_counts = { 62, 70, 77, 85, 56 },
+    .rack_vm_count = 12,
+    .jobs_per_s = { 27.5, 4.45, 34.3, 5.43 },
+    .step_task_count = { 8, 8, 8, 8 },
+    .step_limit_count = { 2, 3, 2, 3 },
+    .cpu_milli = { 6200, 13000, 6200, 13000 },
+    .task_ms = { 640, 1700, 640, 1700 },
+    .long_running_task_count = 24,
+    .wave_vm_count = 170,
+    .seed_count = 3 },
+  { .name = "collective-grown-scale",
+    .pool_vm_counts = { 62, 70, 77, 85, 56 },
+    .rack_vm_count = 12,
+    .jobs_per_s = { 55, 8.9, 68.6, 10.86 },
+    .step_task_count = { 8, 8, 8, 8 },
+    .step_limit_count = { 2, 3, 2, 3 },
+    .cpu_milli = { 6200, 13000, 6200, 13000 },
+    .task_ms = { 640, 1700, 640, 1700 },
+    .long_running_task_count = 24,
+    .wave_vm_count = 170,
+    .seed_count = 3 },
+  { .name = "large",
+    .pool_vm_counts = { 65, 74, 82, 90, 60 },
+    .rack_vm_count = 8,
+    .jobs_per_s = { 20.6, 3.99, 25.7, 4.87 },
+    .step_task_count = { 8, 8, 8, 8 },
+    .step_limit_count = { 2, 3, 2, 3 },
+    .cpu_milli = { 9100, 20000, 9100, 20000 },
+    .task_ms = { 640, 1300, 640, 1300 },
+    .long_running_task_count = 24,
+    .wave_vm_count = 170,
+    .seed_count = 3,
+    .varied = true },
+  { .name = "large-lost",
+    .pool_vm_counts = { 65, 74, 82, 90, 60 },
+    .rack_vm_count = 8,
+    .jobs_per_s = { 20.6, 3.99, 25.7, 4.87 },
+    .step_task_count = { 8, 8, 8, 8 },
+    .step_limit_count = { 2, 3, 2, 3 },
+    .cpu_milli = { 9100, 20000, 9100, 20000 },
+    .task_ms = { 640, 1300, 640, 1300 },
+    .long_running_task_count = 24,
+    .wave_vm_count = 170,
+    .seed_count = 2,
+    .varied = true,
+    .lost_permille = 55 },
+  { .name = "large-slow",
+    .pool_vm_counts = { 65, 74, 82, 90, 60 },
+    .rack_vm_count = 8,
+    .jobs_per_s = { 20.6, 3.99, 25.7, 4.87 },
+    .step_task_count = { 8, 8, 8, 8 },
+    .step_limit_count = { 2, 3, 2, 3 },
+    .cpu_milli = { 9100, 20000, 9100, 20000 },
+    .task_ms = { 640, 1300, 640, 1300 },
+    .long_running_task_count = 24,
+    .wave_vm_count = 170,
+    .seed_count = 2,
+    .varied = true,
+    .slow_percent = 16 },
 };
 
 struct run_slot
@@ -108,7 +171,8 @@
   struct task_id task;
   uint32_t run;
   uint64_t start_us;
-  uint64_t end_us; /* 0 if the slot is free.  */
+  uint64_t end_us;  /* 0 if the slot is free.  */
+  uint64_t stop_us; /* When it ends because of a stop; 0: none.  */
   bool long_running;
 };
 
@@ -133,6 +197,7 @@
 {
   uint64_t submitted_at_us;
   uint64_t objective_at_us;
+  uint32_t step_ms[JOB_STEP_LIMIT_COUNT]; /* Run times of its steps' tasks.  */
 };
 
 struct scheduled_event
@@ -313,6 +378,7 @@
   x->run = s->run;
   x->kind = outcome;
   s->end_us = 0;
+  s->stop_us = 0;
 }
 
 /* Boots V if it is down and its time has come; otherwise ends the runs that
@@ -333,8 +399,14 @@
       return;
     }
   for (i = 0; i < G_N_ELEMENTS (v->runs); i++)
-    if (v->runs[i].end_us != 0 && !v->runs[i].long_running
-        && sim->at_us >= v->runs[i].end_us)
+    if (v->runs[i].end_us != 0 && v->runs[i].stop_us != 0
+        && sim->at_us >= v->runs[i].stop_us)
+      {
+        end_run (v, &v->runs[i], END_STOPPED);
+        ended = true;
+      }
+    else if (v->runs[i].end_us != 0 && !v->runs[i].long_running
+             && sim->at_us >= v->runs[i].end_us)
       {
         end_run (v, &v->runs[i], END_DONE);
         ended = true;
@@ -358,6 +430,69 @@
   return NULL;
 }
 
+/* Returns a random number around MEAN whose logarithm has the standard
+   deviation SPREAD.  */
+static double
+vary (uint64_t *random, double mean, double spread)
+{
+  double sum = 0;
+  int i;
+
+  /* Twelve uniform numbers add up to nearly a normal one.  */
+  for (i = 0; i < 12; i++)
+    sum += next_random (random, 1000000) / 1e6;
+  return MIN (mean * exp (spread * (sum - 6) - spread * spread / 2),
+              mean * SPREAD_LIMIT);
+}
+
+/* Returns the seconds since the first arrival.  */
+static double
+arrival_second (const struct simulation *sim)
+{
+  return (double)sim->at_us / 1e6 - 1000 - WARMUP_S;
+}
+
+/* Returns true if V works slowly now.  */
+static bool
+is_slow (const struct simulation *sim, const struct vm *v)
+{
+  double second = arrival_second (sim);
+
+  return second >= SLOW_BEGIN_S && second < SLOW_BEGIN_S + SLOW_S
+         && (uint32_t)(v - sim->vms) * 37 % 100
+                < sim->deployment->slow_percent;
+}
+
+/* Returns true if the order that is being sent gets no answer.  */
+static bool
+is_lost (struct simulation *sim)
+{
+  double second = arrival_second (sim);
+
+  return second >= LOST_BEGIN_S && second < LOST_BEGIN_S + LOST_S
+         && sim->deployment->lost_permille > 0
+         && next_random (&sim->other_random, 1000)
+                < sim->deployment->lost_permille;
+}
+
+/* Returns the run time of a task of ID on V.  */
+static uint64_t
+run_us (struct simulation *sim, const struct vm *v, const struct task_id *id)
+{
+  const struct job_record *n = g_hash_table_lookup (sim->jobs, &id->job);
+  uint32_t pool = (uint32_t)(id->job >> 56);
+  uint32_t mean_us = sim->deployment->task_ms[pool] * 1000;
+  uint64_t us;
+
+  if (sim->deployment->varied && n != NULL)
+    us = (uint64_t)vary (&sim->other_random, n->step_ms[id->step] * 1000.0,
+                         TASK_SPREAD);
+  else
+    us = mean_us * 85 / 100
+         + next_random (&sim->other_random, mean_us * 3 / 10);
+  return is_slow (sim, v) ? us * SLOW_FACTOR : us;
+}
+
 /* Answers a poll at once if there is an end to report, else keeps it waiting.
  */
 static void
@@ -384,9 +519,7 @@
 handle_start (struct simulation *sim, struct vm *v,
               const struct runner_order *o)
 {
-  uint32_t pool = (uint32_t)(o->task.job >> 56);
   bool long_running = (o->task.job >> 48 & 0xff) != 0;
-  uint32_t mean_us = sim->deployment->task_ms[pool] * 1000;
   uint32_t i;
 
   for (i = 0; i < G_N_ELEMENTS (v->runs); i++)
@@ -398,8 +531,7 @@
   v->runs[i].run = o->run;
   v->runs[i].long_running = long_running;
   v->runs[i].start_us = sim->at_us;
-  v->runs[i].end_us = sim->at_us + mean_us * 85 / 100
-                      + next_random (&sim->other_random, mean_us * 3 / 10);
+  v->runs[i].end_us = sim->at_us + run_us (sim, v, &o->task);
   sim->start_count++;
 }
 
@@ -411,10 +543,11 @@
   struct run_slot *s;
 
   blob_unref (o->payload);
-  if (v == NULL || !v->up || strcmp (v->runner, o->runner) != 0)
+  if (v == NULL || !v->up || strcmp (v->runner, o->runner) != 0
+      || is_lost (sim))
     {
       /* The runner is gone: the call ends without an answer.  */
-      e = schedule (sim, 700 * US_PER_MS, CELL_RUNNER_RESULT);
+      e = schedule (sim, o->timeout_ms * US_PER_MS, CELL_RUNNER_RESULT);
       e->u.runner_result.order_id = o->order_id;
       e->u.runner_result.kind = o->kind;
       e->u.runner_result.outcome = ORDER_UNKNOWN;
@@ -428,7 +561,7 @@
   if (o->kind == ORDER_START)
     handle_start (sim, v, o);
   else if (o->kind == ORDER_STOP && (s = find_run (v, &o->task)) != NULL)
-    end_run (v, s, END_STOPPED);
+    s->stop_us = sim->at_us + STOP_MS * US_PER_MS / 2;
   e = schedule (sim, RUNNER_CALL_US, CELL_RUNNER_RESULT);
   e->u.runner_result.order_id = o->order_id;
   e->u.runner_result.kind = o->kind;
@@ -619,6 +752,23 @@
     }
 }
 
+/* Draws the tasks of T, a step of a job of POOL, and their mean run time.  */
+static void
+vary_step (struct simulation *sim, uint32_t pool, struct job_step *t,
+           uint32_t *run_ms)
+{
+  const struct deployment *s = sim->deployment;
+  uint64_t *random = &sim->arrival_random;
+
+  t->task_count = (uint32_t)MAX (
+      vary (random, s->step_task_count[pool], COUNT_SPREAD) + 0.5, 1.0);
+  t->need.cpu_milli
+      = (uint64_t)vary (random, s->cpu_milli[pool], CORES_SPREAD);
+  t->need.memory_mib = 2 * t->need.cpu_milli;
+  *run_ms = (uint32_t)vary (random, s->task_ms[pool], TIME_SPREAD);
+  t->estimate_ms = (uint32_t)vary (random, *run_ms, ESTIMATE_SPREAD);
+}
+
 /* Submits a job with random steps, or the long-running job of POOL.  The
    highest byte of a job's id is its pool, the next one is 1 if the job is
    long-running.  */
@@ -635,6 +785,7 @@
                                             s->step_limit_count[pool]);
   struct job_record *n = g_new0 (struct job_record, 1);
   uint64_t *id = g_new (uint64_t, 1);
+  uint64_t chain_ms = 0;
   uint32_t i;
 
   e->u.job_call.link_id = 1;
@@ -663,6 +814,10 @@
             + next_random (&sim->arrival_random, s->cpu_milli[pool] + 1);
       t->need.memory_mib = t->need.cpu_milli;
       t->estimate_ms = s->task_ms[pool];
+      n->step_ms[i] = s->task_ms[pool];
+      if (s->varied && !long_running)
+        vary_step (sim, pool, t, &n->step_ms[i]);
+      chain_ms += n->step_ms[i];
       t->long_running = long_running;
       t->per_runner_limit_count = long_running ? 1 : 0;
       t->unavailable_limit_count
@@ -681,8 +836,7 @@
   *id = c->job;
   n->submitted_at_us = sim->at_us;
   /* By stretch_milli and objective_slack_ms of the queues; see configure.  */
-  n->objective_at_us = sim->at_us + (uint64_t)steps * s->task_ms[pool] * 1600
-                       + 600 * US_PER_MS;
+  n->objective_at_us = sim->at_us + chain_ms * 1600 + 600 * US_PER_MS;
   g_hash_table_insert (sim->jobs, id, n);
   sim->job_count[pool]++;
 }
@@ -843,8 +997,19 @@
   talloc_free (sim.cell);
 }
 
+static bool
+is_wanted (const char *name, int count, char **names)
+{
+  int i;
+
+  for (i = 1; i < count; i++)
+    if (strcmp (name, names[i]) == 0)
+      return true;
+  return count <= 1;
+}
+
 int
-main (void)
+main (int argc, char **argv)
 {
   size_t i;
   uint32_t seed;
@@ -854,6 +1019,8 @@
       const struct deployment *s = &deployments[i];
       struct totals f = { 0 };
 
+      if (!is_wanted (s->name, argc, argv))
+        continue;
       for (seed = 0; seed < s->seed_count; seed++)
         simulate (s, seed, &f);
       printf ("{\"bench\":\"cell\",\"shape\":\"%s\",\"jobs\":%.0f,"
