Refuse a job at once that would end without value; weigh estimates and runs

Change: core/cell/admission.c predicts the end of a new job from the work that its pool owes and the cores that it has or can get. A job is accepted if it would end in time behind the work that can, or while it has value behind all; else it is refused, not run, and told to return when room is expected, one caller after the other. One that returns counts from its first call. While VMs are not known nothing is refused. place.c expects the geometric mean of the image's runs and the estimate. bench_cell has clients that return and a deployment at three times the demand.

--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -79,6 +79,10 @@
 #define SLOW_BEGIN_S 4.0
 #define SLOW_S 6.5
 #define STOP_MS 400
+/* By the users' prices.  */
+#define LATE_WORTH 0.07
+#define LATE_FACTOR 3
+#define ATTEMPT_LIMIT_COUNT 5
 
 /* Sums over the simulations of a deployment.  */
 struct totals
@@ -86,6 +90,10 @@
   double job_count;
   /* Mean over the queues of the share of jobs that met their objective.  */
   double in_time_share;
+  /* What the jobs were worth: one in time, LATE_WORTH late, else nothing.  */
+  double worth;
+  double refusal_count;
+  double returned_count; /* Jobs accepted after a refusal.  */
   double start_count;
   double step_cpu_s;
   double vm_s;
@@ -164,6 +172,18 @@
     .seed_count = 2,
     .varied = true,
     .slow_percent = 16 },
+  { .name = "large-overload",
+    .pool_vm_counts = { 65, 74, 82, 90, 60 },
+    .rack_vm_count = 8,
+    .jobs_per_s = { 62, 12, 77, 14.6 },
+    .step_task_count = { 8, 8, 8, 8 },
+    .step_limit_count = { 2, 3, 2, 3 },
+    .cpu_milli = { 9100, 20000, 9100, 20000 },
+    .task_ms = { 640, 1300, 640, 1300 },
+    .long_running_task_count = 24,
+    .wave_vm_count = 170,
+    .seed_count = 1,
+    .varied = true },
 };
 
 struct run_slot
@@ -197,7 +217,10 @@
 {
   uint64_t submitted_at_us;
   uint64_t objective_at_us;
+  uint64_t value_until_us;                /* Later it is worth nothing.  */
   uint32_t step_ms[JOB_STEP_LIMIT_COUNT]; /* Run times of its steps' tasks.  */
+  struct job_spec *spec;
+  uint32_t attempt_count;
 };
 
 struct scheduled_event
@@ -223,11 +246,13 @@
   double step_cpu_s;
   uint64_t start_count;
   uint64_t next_job;
-  uint64_t vm_us; /* VM time in working pools.  */
-  uint64_t call_id;
+  uint64_t vm_us;   /* VM time in working pools.  */
   GHashTable *jobs; /* id to struct job_record.  */
   uint64_t job_count[SPARE_POOL];
   uint64_t in_time_count[SPARE_POOL];
+  uint64_t late_count;
+  uint64_t refusal_count;
+  uint64_t returned_count;
   uint64_t move_count;
 };
 
@@ -631,6 +656,41 @@
   (void)fields;
   if (n != NULL && sim->at_us <= n->objective_at_us)
     sim->in_time_count[id >> 56]++;
+  else if (n != NULL && sim->at_us <= n->value_until_us)
+    sim->late_count++;
+}
+
+/* Hands job ID in after DELAY_US, for the first time or again.  */
+static void
+hand_in (struct simulation *sim, uint64_t id, uint64_t delay_us)
+{
+  struct job_record *n = g_hash_table_lookup (sim->jobs, &id);
+  struct cell_event *e = schedule (sim, delay_us, CELL_JOB_CALL);
+  struct job_call *c = &e->u.job_call.call;
+
+  n->attempt_count++;
+  e->u.job_call.link_id = 1;
+  c->call_id = id;
+  c->kind = CALL_SUBMIT;
+  c->job = id;
+  snprintf (c->queue, NAME_BYTES, "q%u", (uint32_t)(id >> 56));
+  c->spec = job_spec_copy (e, n->spec);
+}
+
+/* Handles the reply X: a client that is refused returns when it is told to. */
+static void
+handle_reply (struct simulation *sim, const struct reply *x)
+{
+  const struct job_record *n = g_hash_table_lookup (sim->jobs, &x->call_id);
+
+  if (n == NULL)
+    return;
+  sim->returned_count += x->code == REPLY_OK && n->attempt_count > 1;
+  if (x->code != REPLY_OVERLOADED)
+    return;
+  sim->refusal_count++;
+  if (n->attempt_count < ATTEMPT_LIMIT_COUNT)
+    hand_in (sim, x->call_id, x->retry_after_ms * US_PER_MS);
 }
 
 /* Carries out an action of the cell; the answer comes as an event.  */
@@ -671,6 +731,9 @@
     case CELL_DO_LIST_VMS:
       list_vms (sim);
       break;
+    case CELL_DO_PEER_REPLY:
+      handle_reply (sim, &a->u.peer_reply.reply);
+      break;
     case CELL_DO_LOG:
       if (strcmp (a->u.log.event, "job_ended") == 0)
         record_job_end (sim, a->u.log.fields, a->u.log.job);
@@ -776,8 +839,8 @@
 submit (struct simulation *sim, uint32_t pool, bool long_running)
 {
   const struct deployment *s = sim->deployment;
-  struct cell_event *e = schedule (sim, 0, CELL_JOB_CALL);
-  struct job_call *c = &e->u.job_call.call;
+  struct job_spec *spec = job_spec_new (NULL);
+  struct cell_event *e;
   uint32_t steps = long_running
                        ? 1
                        : 1
@@ -788,21 +851,14 @@
   uint64_t chain_ms = 0;
   uint32_t i;
 
-  e->u.job_call.link_id = 1;
-  c->call_id = ++sim->call_id;
-  c->kind = CALL_SUBMIT;
-  snprintf (c->queue, NAME_BYTES, "q%u",
-            pool + (long_running ? SPARE_POOL : 0));
-  c->job
+  spec->id
       = (uint64_t)pool << 56 | (uint64_t)long_running << 48 | ++sim->next_job;
-  c->spec = job_spec_new (e);
-  c->spec->id = c->job;
-  c->spec->payload = blob_copy ("x", 1);
-  c->spec->step_count = steps;
-  c->spec->steps = talloc_zero_array (c->spec, struct job_step, steps);
+  spec->payload = blob_copy ("x", 1);
+  spec->step_count = steps;
+  spec->steps = talloc_zero_array (spec, struct job_step, steps);
   for (i = 0; i < steps; i++)
     {
-      struct job_step *t = &c->spec->steps[i];
+      struct job_step *t = &spec->steps[i];
 
       t->task_count = long_running
                           ? s->long_running_task_count
@@ -823,22 +879,33 @@
       t->unavailable_limit_count
           = long_running ? s->long_running_task_count / 5 : 0;
       t->after_count = i > 0;
-      t->after = talloc_zero_array (c->spec, uint32_t, 1);
+      t->after = talloc_zero_array (spec, uint32_t, 1);
       if (i > 0)
         t->after[0] = i - 1;
     }
   if (long_running)
     {
+      e = schedule (sim, 0, CELL_JOB_CALL);
+      e->u.job_call.link_id = 1;
+      e->u.job_call.call.kind = CALL_SUBMIT;
+      e->u.job_call.call.job = spec->id;
+      snprintf (e->u.job_call.call.queue, NAME_BYTES, "q%u",
+                pool + SPARE_POOL);
+      e->u.job_call.call.spec = talloc_steal (e, spec);
       g_free (n);
       g_free (id);
       return;
     }
-  *id = c->job;
+  *id = spec->id;
+  n->spec = spec;
   n->submitted_at_us = sim->at_us;
   /* By stretch_milli and objective_slack_ms of the queues; see configure.  */
   n->objective_at_us = sim->at_us + chain_ms * 1600 + 600 * US_PER_MS;
+  n->value_until_us
+      = sim->at_us + LATE_FACTOR * (n->objective_at_us - sim->at_us);
   g_hash_table_insert (sim->jobs, id, n);
   sim->job_count[pool]++;
+  hand_in (sim, spec->id, 0);
 }
 
 /* Returns the demand of POOL's queue at SECOND as a multiple of its mean.  */
@@ -990,6 +1057,11 @@
       f->in_time_share += (double)sim.in_time_count[i]
                           / (double)sim.job_count[i] / SPARE_POOL;
     }
+  for (i = 0; i < SPARE_POOL; i++)
+    f->worth += (double)sim.in_time_count[i];
+  f->worth += LATE_WORTH * (double)sim.late_count;
+  f->refusal_count += (double)sim.refusal_count;
+  f->returned_count += (double)sim.returned_count;
   f->start_count += (double)sim.start_count;
   f->step_cpu_s += sim.step_cpu_s;
   f->vm_s += (double)sim.vm_us / 1e6;
@@ -1024,12 +1096,14 @@
       for (seed = 0; seed < s->seed_count; seed++)
         simulate (s, seed, &f);
       printf ("{\"bench\":\"cell\",\"shape\":\"%s\",\"jobs\":%.0f,"
-              "\"in_time_percent\":%.1f,\"tasks\":%.0f,"
+              "\"in_time_percent\":%.1f,\"worth_percent\":%.1f,"
+              "\"refusals\":%.0f,\"returned\":%.0f,\"tasks\":%.0f,"
               "\"decide_us_a_task\":%.1f,\"vm_seconds\":%.0f,"
               "\"moves\":%.0f}\n",
               s->name, f.job_count / s->seed_count,
               100.0 * f.in_time_share / s->seed_count,
-              f.start_count / s->seed_count,
+              100.0 * f.worth / f.job_count, f.refusal_count / s->seed_count,
+              f.returned_count / s->seed_count, f.start_count / s->seed_count,
               f.step_cpu_s * 1e6 / f.start_count, f.vm_s / s->seed_count,
               f.move_count / s->seed_count);
     }
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -117,6 +117,8 @@
   g_hash_table_destroy (c->pending_orders);
   g_hash_table_destroy (c->run_times);
   g_hash_table_destroy (c->usage);
+  g_hash_table_destroy (c->refused_jobs);
+  g_queue_free (c->refused_ids);
   g_hash_table_destroy (c->rate_buckets);
   g_array_free (c->dirty_job_ids, TRUE);
   g_array_free (c->append.job_ids, TRUE);
@@ -157,6 +159,9 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   c->run_times
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  c->refused_jobs
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  c->refused_ids = g_queue_new ();
   c->usage = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   c->rate_buckets
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -62,6 +62,29 @@
   return NULL;
 }
 
+struct pool_demand *
+demand_find (struct cell *c, const char *name)
+{
+  return find_followed (c, name);
+}
+
+uint64_t
+demand_reachable_milli (const struct cell *c, const struct pool_demand *m)
+{
+  const struct fleet_demand *p = c->fleet->demand;
+  uint64_t vm_count = m->vm_count;
+  uint64_t milli;
+  uint32_t i;
+
+  if (!c->fleet->listed || p->updated_at_us == 0)
+    return 0;
+  for (i = 0; i < p->pool_count; i++)
+    if (&p->pools[i] != m && p->pools[i].vm_count > p->pools[i].need_count)
+      vm_count += p->pools[i].vm_count - p->pools[i].need_count;
+  milli = vm_count * m->vm_cpu_milli * FILL_PERCENT / 100;
+  return milli > m->long_running_milli ? milli - m->long_running_milli : 0;
+}
+
 /* Follows the demand on pool NAME.  Returns NULL if there are too many.  */
 static struct pool_demand *
 follow_pool (struct cell *c, const char *name)
@@ -290,6 +313,25 @@
   return limit > 0 ? (task_count + limit - 1) / limit : MIN (task_count, 1);
 }
 
+/* Counts the work of W, of job J, that is not done; of its runs in progress,
+   half.  */
+static void
+count_owed (struct cell *c, struct pool_demand *m, const struct job *j,
+            struct work_step *w)
+{
+  uint32_t running = w->spec->task_count - w->done_count - w->waiting_count;
+  uint64_t halves = 2 * w->waiting_count + running;
+  uint64_t work;
+
+  if (w->spec->long_running || w->spec->filler || j->over_rate
+      || j->urgency == URGENCY_BEST_EFFORT)
+    return;
+  work = halves * w->spec->need.cpu_milli * place_expected_step_us (c, w) / 2;
+  m->owed += work;
+  if (j->urgency <= URGENCY_NEW)
+    m->owed_in_time += work;
+}
+
 /* Counts the need of W's tasks that wait, and how far its tasks spread.  */
 static void
 count_waiting_step (struct cell *c, struct pool_demand *m, const struct job *j,
@@ -299,6 +341,7 @@
   uint64_t mib = w->waiting_count * w->spec->need.memory_mib;
   uint64_t run_us;
 
+  count_owed (c, m, j, w);
   if (!w->ready || w->spec->filler)
     return;
   if (w->spec->long_running)
@@ -425,6 +468,8 @@
       work_us += step->task_count * step->need.cpu_milli * task_us / 1000;
       serial_us += task_us;
     }
+  m->owed += work_us * 1000;
+  m->owed_in_time += work_us * 1000;
   /* Work that the job does only after PREPARE_MS is left out: by then more VMs
      can be moved to the pool.  */
   if (serial_us > PREPARE_MS * US_PER_MS)
@@ -469,6 +514,8 @@
   m->long_running_milli = 0;
   m->short_task_milli = 0;
   m->waiting_milli = 0;
+  m->owed = 0;
+  m->owed_in_time = 0;
   m->memory_mib = 0;
   m->spread_vm_count = 0;
   m->unplaced_vm_count = 0;
--- a/core/cell/demand.h
+++ b/core/cell/demand.h
@@ -32,7 +32,9 @@
   uint64_t arrived_us[ARRIVAL_BUCKET_COUNT]; /**< Core time that arrived jobs
                                                 need.  */
   uint32_t arrived_count[ARRIVAL_BUCKET_COUNT]; /**< Jobs that arrived.  */
-  uint64_t newest_bucket;      /**< Number of the newest bucket.  */
+  uint64_t next_return_us; /**< When the next caller that is refused may come
+                              back.  */
+  uint64_t newest_bucket;  /**< Number of the newest bucket.  */
   uint64_t vm_wanted_until_us; /**< Until then one more VM is needed, so that
                                   another can be emptied.  */
   bool spare;                  /**< It is the spare pool.  */
@@ -46,6 +48,9 @@
   uint64_t long_running_milli;  /**< Cores of long-running tasks.  */
   uint64_t short_task_milli;    /**< Cores of running short tasks that are not
                                    late or over their tenant's rate.  */
+  uint64_t owed; /**< Core time, in thousandths of a core times us, of accepted
+                    short jobs that still have value.  */
+  uint64_t owed_in_time;  /**< That of jobs that can meet their objective.  */
   uint64_t waiting_milli; /**< Cores to finish waiting short tasks in time.  */
   uint64_t vm_cpu_milli;  /**< Cores of its largest VM.  */
   uint64_t vm_memory_mib; /**< Memory of its largest VM.  */
@@ -94,6 +99,13 @@
 uint32_t demand_vm_count_for (const struct pool_demand *m, uint64_t milli,
                               uint64_t mib);
 
+/** Returns the demand on pool NAME, or NULL if it is not followed.  */
+struct pool_demand *demand_find (struct cell *c, const char *name);
+/** Returns the cores, in thousandths, that M has or can get from other pools
+    for short tasks; 0: not known.  */
+uint64_t demand_reachable_milli (const struct cell *c,
+                                 const struct pool_demand *m);
+
 /* surges.c */
 /** Returns the time from one surge of a pool to its next, or 0 if it is not
     known.  */
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -132,9 +132,8 @@
     }
 }
 
-/* Returns the expected run time of J's longest chain of dependent steps.  */
-static uint64_t
-longest_chain_us (struct cell *c, const struct job *j)
+uint64_t
+jobs_longest_chain_us (struct cell *c, const struct job *j)
 {
   uint64_t *chain_end_us
       = talloc_zero_array (NULL, uint64_t, j->spec->step_count);
@@ -162,7 +161,7 @@
 set_objective (struct cell *c, struct job *j)
 {
   const struct site_queue *q = cell_find_queue (c, j->queue);
-  uint64_t span_us = longest_chain_us (c, j);
+  uint64_t span_us = jobs_longest_chain_us (c, j);
 
   j->objective_known = q != NULL;
   if (q != NULL)
@@ -312,11 +311,25 @@
   return oldest_us;
 }
 
+/* Returns the delay to advise if CALL's job would end too late, or 0.  */
+static uint32_t
+predict_retry_ms (struct cell *c, const struct job_call *call)
+{
+  struct job j = { .id = call->job, .spec = call->spec };
+
+  text_copy (j.queue, NAME_BYTES, call->queue);
+  text_copy (j.tenant, NAME_BYTES, call->tenant);
+  j.arrived_at_us = admission_first_arrival_us (
+      c, call->job, c->now_us - call->age_ms * US_PER_MS);
+  return admission_retry_ms (c, &j);
+}
+
 static void
 submit (struct cell *c, const struct waiter *w, struct job_call *call)
 {
   const struct site_queue *q = cell_find_queue (c, call->queue);
   bool over_rate = false;
+  uint32_t retry_ms;
   struct job *j;
 
   if (q == NULL || !cell_queue_is_configured (c, call->queue))
@@ -353,6 +366,13 @@
         }
       over_rate = true;
     }
+  retry_ms = over_rate ? 0 : predict_retry_ms (c, call);
+  if (retry_ms > 0)
+    {
+      c->metrics.counters[CELL_COUNT_REFUSED]++;
+      send_reply_code (c, w, REPLY_OVERLOADED, retry_ms);
+      return;
+    }
   j = jobs_new (c, call->job);
   text_copy (j->queue, NAME_BYTES, call->queue);
   text_copy (j->tenant, NAME_BYTES, call->tenant);
@@ -360,7 +380,8 @@
   call->spec = NULL;
   j->accepted_at_ms = c->wall_ms;
   j->accepted_at_us = c->now_us;
-  j->arrived_at_us = c->now_us - call->age_ms * US_PER_MS;
+  j->arrived_at_us = admission_first_arrival_us (
+      c, call->job, c->now_us - call->age_ms * US_PER_MS);
   j->over_rate = over_rate;
   g_array_append_val (j->waiters, *w);
   jobs_mark_dirty (c, j);
@@ -691,4 +712,5 @@
   c->append.in_flight = false;
   c->append.sequence = 0;
   c->flush_now = false;
+  admission_clear (c);
 }
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -6,13 +6,14 @@
 
 #include "core/cell/fleet.h"
 
+#include <math.h>
 #include <string.h>
 
 /** Expected run time of a task without an estimate or observed runs.  */
 #define DEFAULT_TASK_US (1 * US_PER_S)
 /** The newest run has a weight of one in this many in an image's mean.  */
 #define MEAN_PART 8
-/** The mean replaces the client's estimate after this many observed runs.  */
+/** The mean counts beside the client's estimate after this many runs.  */
 #define LEARNED_COUNT 4
 /* The score of a runner is its free part, from 0 to 1000, plus penalties that
    outweigh it.  */
@@ -398,9 +399,15 @@
 static uint64_t
 expected_run_us (const struct image_run_time *x, const struct job_step *s)
 {
-  if (x->count >= LEARNED_COUNT)
-    return x->mean_us;
-  return s->estimate_ms > 0 ? s->estimate_ms * US_PER_MS : DEFAULT_TASK_US;
+  uint64_t estimate_us = s->estimate_ms * US_PER_MS;
+
+  if (x->count < LEARNED_COUNT)
+    return estimate_us > 0 ? estimate_us : DEFAULT_TASK_US;
+  /* Estimates and the runs of an image both tell little of one step, and err
+     independently of each other.  */
+  return estimate_us > 0
+             ? (uint64_t)sqrt ((double)x->mean_us * (double)estimate_us)
+             : x->mean_us;
 }
 
 uint64_t
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -402,6 +402,13 @@
   uint32_t count;   /**< Runs observed.  */
 };
 
+/** A job that was refused because it would end too late.  */
+struct refused_job
+{
+  uint64_t id;
+  uint64_t arrived_at_us; /**< When its first call arrived.  */
+};
+
 /** Token bucket of a tenant.  It fills by the tenant's weight in jobs a second
     and holds as many.  */
 struct rate_bucket
@@ -446,6 +453,8 @@
   GHashTable *pending_orders;  /**< id to struct pending_order.  */
   GHashTable *run_times;       /**< "QUEUE/IMAGE" to struct image_run_time.  */
   GHashTable *rate_buckets;    /**< Tenant to struct rate_bucket.  */
+  GHashTable *refused_jobs;    /**< id to struct refused_job.  */
+  GQueue *refused_ids;         /**< The same, oldest first; not owned.  */
   GHashTable *usage;           /**< Tenant to struct resources in use.  */
   uint64_t last_order_id;      /**< Id of the newest order; 0: none yet.  */
   uint32_t unanswered_start_count; /**< Start orders without an answer.  */
@@ -579,6 +588,8 @@
 /** Sends an append that is due, creates the occurrences whose start time has
     come, and frees ended jobs.  Runs after every event.  */
 void jobs_tick (struct cell *c);
+/** Returns the expected run time of J's longest chain of dependent steps.  */
+uint64_t jobs_longest_chain_us (struct cell *c, const struct job *j);
 /** These return the job or the task whose id is ID, or NULL.  */
 struct job *jobs_find (const struct cell *c, uint64_t id);
 struct task *jobs_find_task (const struct cell *c, const struct task_id *id);
@@ -783,6 +794,17 @@
 void cell_fleet_clear (struct cell *c);
 void cell_fleet_free (struct cell *c);
 
+/* admission.c: which jobs are accepted.  */
+/** Returns 0 if J, a new job, can end while it has value, and otherwise the
+    delay to advise to its client, in ms.  */
+uint32_t admission_retry_ms (struct cell *c, const struct job *j);
+/** Returns when the first call for job ID arrived, if this owner refused it
+    before; otherwise ARRIVED_AT_US, when the present call did.  */
+uint64_t admission_first_arrival_us (const struct cell *c, uint64_t id,
+                                     uint64_t arrived_at_us);
+/** Forgets the refused jobs.  */
+void admission_clear (struct cell *c);
+
 /* demand.c: demand on the pools.  */
 /** Counts J, just accepted, towards the demand on its pool.  */
 void demand_note_arrival (struct cell *c, const struct job *j);
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -577,7 +577,7 @@
   if (r->code == REPLY_OK && r->kind == CALL_PENDING)
     g_string_append_printf (out, " %u", r->pending_count);
   if (r->retry_after_ms > 0)
-    g_string_append (out, " with Retry-After");
+    g_string_append_printf (out, " with Retry-After %u ms", r->retry_after_ms);
 }
 
 static void
