Refuse jobs at once while the store takes no records

Change: when the append in flight has not been taken for 0.8 s, a new job is refused as unavailable, not run, with 2 to 3 s to come back: its record was not sent. Jobs whose record was sent, or waits in this entry, wait on as before.

--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -16,6 +16,9 @@
 #define OVER_RATE_BACKLOG_MS 1000
 /** Delay that such a refusal advises for a retry.  */
 #define OVER_RATE_RETRY_MS 3000
+/** Least delay advised for a retry while the store takes no records.  Clients
+    retry a few times only.  */
+#define STALLED_RETRY_MS 2000
 /** Most jobs that are not final; bounds memory.  */
 #define ACTIVE_LIMIT_COUNT 4000
 /** An ended job is kept when its end seems longer ago than this: the wall
@@ -337,6 +340,18 @@
       send_reply_code (c, w, REPLY_UNAVAILABLE, MS_PER_S);
       return;
     }
+  /* No record of this call was sent, so it has not run.  */
+  if (records_are_stalled (c))
+    {
+      cell_log (c, "job_refused", call->job,
+                "\"queue\":\"%s\",\"tenant\":\"%s\",\"active\":%u,"
+                "\"why\":\"store_stalled\"",
+                call->queue, call->tenant, c->active->len);
+      c->metrics.counters[CELL_COUNT_REFUSED]++;
+      send_reply_code (c, w, REPLY_UNAVAILABLE,
+                       STALLED_RETRY_MS + (uint32_t)(c->random % MS_PER_S));
+      return;
+    }
   if (!fits_on_pool (c, call->spec, q->pool))
     {
       cell_log (c, "job_impossible", call->job, "\"queue\":\"%s\"",
--- a/core/cell/records.c
+++ b/core/cell/records.c
@@ -14,6 +14,8 @@
 #define APPEND_LIMIT_COUNT 400
 /** A failed or unanswered append is sent again after this.  */
 #define APPEND_RETRY_MS 300
+/** An append takes milliseconds, and a slow store's some hundred.  */
+#define STALL_MS 800
 
 static uint32_t
 total_task_count (const struct job *j)
@@ -118,6 +120,13 @@
     }
 }
 
+bool
+records_are_stalled (const struct cell *c)
+{
+  return c->append.in_flight
+         && c->now_us >= c->append.began_at_us + STALL_MS * US_PER_MS;
+}
+
 void
 records_send (struct cell *c)
 {
@@ -164,6 +173,7 @@
     records_note_watermarks (c);
   c->flush_now = c->dirty_job_ids->len > 0;
   c->dirty_at_us = c->now_us;
+  a->began_at_us = c->now_us;
   if (a->record_count > 0)
     records_send (c);
   else
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -377,7 +377,8 @@
 struct append
 {
   bool in_flight;
-  uint64_t sequence; /**< Its number; rises by one within an ownership.  */
+  uint64_t sequence;    /**< Its number; rises by one within an ownership.  */
+  uint64_t began_at_us; /**< When it was first sent.  */
   uint64_t sent_at_us;
   uint64_t retry_at_us;          /**< When it is sent again; 0: not failed.  */
   struct append_record *records; /**< Kept to send the append again.  */
@@ -610,6 +611,8 @@
 /* records.c: durable records of jobs.  */
 /** Appends the dirty records.  No append may be in flight.  */
 void records_flush (struct cell *c);
+/** Returns true if the store has not taken the append in flight for long.  */
+bool records_are_stalled (const struct cell *c);
 /** Sends the current append again.  */
 void records_send (struct cell *c);
 /** Notes which ends of runs become durable with the next append.  */
