--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -51,6 +51,10 @@
   enum wait_reason wait;  /**< Why the current job waits.  */
   bool unreached;         /**< The current job may run on a runner that has not
                              answered us.  */
+  bool unreached_known;   /**< pool_unreached is set.  */
+  bool pool_unreached;    /**< The same for every inherited job of the pool;
+                             told from all runners and VMs, so found out once a
+                             round.  */
   bool reserved;          /**< This round has tried to reserve a runner for a
                              task that waited for RESERVE_WAIT_MS.  */
   uint32_t no_room_count; /**< Entries of no_room.  */
@@ -189,13 +193,17 @@
    POOL that has not answered us.  Once its leases have expired nothing runs
    there, but a run may have ended as done there.  */
 static bool
-may_run_unreached (const struct cell *c, const struct job *j, const char *pool)
+may_run_unreached (const struct cell *c, const struct job *j, const char *pool,
+                   struct pool_round *p)
 {
   if (!j->inherited)
     return false;
-  return c->now_us < c->ownership.unconfirmed_until_us
-             ? fleet_has_unreached (c, pool)
-             : fleet_has_unasked (c, pool);
+  if (!p->unreached_known)
+    p->pool_unreached = c->now_us < c->ownership.unconfirmed_until_us
+                            ? fleet_has_unreached (c, pool)
+                            : fleet_has_unasked (c, pool);
+  p->unreached_known = true;
+  return p->pool_unreached;
 }
 
 /* Returns true if T is long-running, has failed and has to wait for its
@@ -384,7 +392,7 @@
           g_hash_table_insert (pools, (gpointer)q->pool, p);
         }
       p->wait = WAIT_NONE;
-      p->unreached = may_run_unreached (c, j, q->pool);
+      p->unreached = may_run_unreached (c, j, q->pool, p);
       start_job (c, j, p);
       note_wait (c, j, p->wait);
     }
