--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 STANDINS = $(STANDIN_SRC:tests/standin/%.c=$(B)/standin_%)
 PROGRAMS = $(B)/fulmartackd $(B)/fulmartackctl
 
-.PHONY: proof all deps demo check test lint format format-check bench clean \
+.PHONY: proof all deps demo check test model lint format format-check bench clean \
   install check-install update-expected record-traces sanitized
 .SECONDARY:
 
@@ -42,7 +42,7 @@
 
 deps:
 	@pkg-config --exists $(PACKAGES) \
-	  && command -v clang-format clang-tidy cppcheck curl >/dev/null \
+	  && command -v clang-format clang-tidy cppcheck curl spin >/dev/null \
 	  || { apt-get update -qq && DEBIAN_FRONTEND=noninteractive \
 	       apt-get install -y -qq $$(cat packages.txt) >/dev/null; }
 
@@ -85,6 +85,7 @@
 	$(MAKE) -j8 all
 	$(MAKE) lint
 	$(MAKE) test
+	$(MAKE) model
 	$(MAKE) check-install
 	$(MAKE) sanitized
 	@tests/summary.sh
@@ -115,6 +116,10 @@
 test: all
 	@tests/run.sh $(B)
 
+# Checks the model of ownership, whole and without each of its mechanisms.
+model:
+	@tests/models/check.sh $(B)/models
+
 # Runs the tests built with ASan and UBSan, then built with TSan.
 sanitized:
 	$(MAKE) -j8 B=build/asan CFLAGS="-O1 -g" \
