--- a/core/cell/delegates.c
+++ b/core/cell/delegates.c
@@ -184,6 +184,7 @@
       runners_on_result (c, &x);
       return;
     }
+  c->open_hedge_count -= o->is_hedge;
   if (r->poll_id == o->id)
     r->poll_id = 0;
   g_hash_table_remove (c->pending_orders, &x.order_id);
