Count only unknown outcomes against a delegate

Cause: since a connection to a runner that could not be made counted as an unknown outcome of its delegate, too, as one of a crashed runner. Change: for delegates only outcomes that are unknown count, as before.

--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -535,19 +535,24 @@
     r->next_poll_at_us += WRONG_BOOT_DELAY_MS * US_PER_MS;
 }
 
-/* Counts whether O was ANSWERED, and whether that is LATE, for what it tells
-   of this entry and of the delegate that sent it.  A hedged poll tells
-   nothing: it is sent when its runner is doubted already.  */
+/* Counts whether X, the result of O, is late, for what it tells of this entry
+   and of the delegate that sent O.  A hedged poll tells nothing: it is sent
+   when its runner is doubted already.  */
 static void
-count_latency (struct cell *c, const struct pending_order *o, bool answered,
-               bool late)
+count_latency (struct cell *c, const struct pending_order *o,
+               const struct runner_result *x)
 {
+  /* A connection that could not be made is no answer.  */
+  bool answered = x->clock_ms != 0;
+  bool late = is_overdue (c, o);
+
   if (o->is_hedge)
     return;
   c->order_latency.on_time_count += answered && !late;
   if (o->link_id != 0)
     {
-      delegates_count_answer (c, o->link_id, late, !answered);
+      delegates_count_answer (c, o->link_id, late,
+                              x->outcome == ORDER_UNKNOWN);
       return;
     }
   c->order_latency.order_count++;
@@ -563,8 +568,7 @@
   c->unanswered_start_count -= o->kind == ORDER_START;
   c->open_probe_count -= o->is_probe;
   c->open_hedge_count -= o->is_hedge;
-  /* A connection that could not be made is no answer.  */
-  count_latency (c, o, x->clock_ms != 0, is_overdue (c, o));
+  count_latency (c, o, x);
   g_hash_table_remove (c->pending_orders, &x->order_id);
 }
 
