--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -28,6 +28,11 @@
     expires.  With fewer, this entry itself was late, and an answer that tells
     how the runs ended may still be unread.  */
 #define LOST_MISS_COUNT 3
+/** Delay of the poll that follows one with a new end, so that ends that come
+    close together share a poll.  */
+#define POLL_GAP_MS 30
+/** A stop that was not acknowledged is sent again after this.  */
+#define STOP_RETRY_MS 500
 /** An entry that owns the cell or is taking it over gives it up when it sent
     its last answered join of the store's group this long ago.  */
 #define OWNERSHIP_TIMEOUT_MS 10000
@@ -692,6 +697,14 @@
 /** Returns true if the lease of R has certainly expired on its clock.  */
 bool runners_lease_expired (const struct cell *c, const struct runner *r);
 
+/* polls.c: what the answer to a poll tells.  */
+/** Handles the result X of a poll of R that was sent at SENT_US; IS_HEDGE if
+   it was a hedged one.  Polls without an answer count as misses, but for
+   hedged ones and those that were followed by one with an answer.  */
+void polls_on_result (struct cell *c, struct runner *r,
+                      struct runner_result *x, uint64_t sent_us,
+                      bool is_hedge);
+
 /* hedges.c: hedged polls of runners that leave orders unanswered.  */
 /** Sends R a hedged poll if one is due.  */
 void hedges_tick_runner (struct cell *c, struct runner *r);
