Walk over all runners only when there is something to find

Cause, by gprof of bench_takeover and bench_cell: after each event all runners were walked for ends to acknowledge (40 us of 60 at 3,000 runners), and all jobs for due occurrences; after each round of dispatch all runners for reservations. Change: the first is done when an end was listed since, the second every 10 ms, the third if a runner was reserved in this round or the last.

--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -19,6 +19,8 @@
 /** Least delay advised for a retry while the store takes no records.  Clients
     retry a few times only.  */
 #define STALLED_RETRY_MS 2000
+/** Interval at which due occurrences are looked for.  */
+#define OCCURRENCE_CHECK_MS 10
 /** Most jobs that are not final; bounds memory.  */
 #define ACTIVE_LIMIT_COUNT 4000
 /** An ended job is kept when its end seems longer ago than this: the wall
@@ -612,6 +614,10 @@
 {
   guint i;
 
+  if (c->now_us
+      < c->occurrences_checked_at_us + OCCURRENCE_CHECK_MS * US_PER_MS)
+    return;
+  c->occurrences_checked_at_us = c->now_us;
   for (i = 0; i < c->active->len; i++)
     {
       struct job *j = g_ptr_array_index (c->active, i);
@@ -681,11 +687,12 @@
       || (c->dirty_job_ids->len > 0
           && c->now_us >= c->dirty_at_us + FLUSH_DELAY_MS * US_PER_MS))
     records_flush (c);
-  else if (c->dirty_job_ids->len == 0)
+  else if (c->dirty_job_ids->len == 0 && c->ends_unstored)
     {
       /* No record depends on the ends processed so far.  */
       records_note_watermarks (c);
       records_apply_watermarks (c);
+      c->ends_unstored = false;
     }
   add_due_occurrences (c);
   /* This walks all jobs, so it is done in one of 64 steps on average.  */
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -292,6 +292,7 @@
     return;
   best->reserved = true;
   best->reserved_for = t;
+  c->reserved_now = true;
 }
 
 void
@@ -299,7 +300,12 @@
 {
   GHashTableIter it;
   gpointer value;
+  bool unchanged = !c->reserved_now && !c->reserved_before;
 
+  c->reserved_before = c->reserved_now;
+  c->reserved_now = false;
+  if (unchanged)
+    return;
   g_hash_table_iter_init (&it, c->runners);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -185,7 +185,7 @@
     if (x->ended[i].number > r->seen_end_number)
       {
         r->seen_end_number = x->ended[i].number;
-        has_new_end = true;
+        has_new_end = c->ends_unstored = true;
         task_on_end (c, r, &x->ended[i]);
       }
   for (i = 0; i < x->running_count; i++)
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -474,6 +474,10 @@
   struct order_latency order_latency;
   struct delegation delegation;
   struct append append;
+  bool ends_unstored; /**< A runner may have listed ends that are not stored
+                         yet.  */
+  uint64_t occurrences_checked_at_us; /**< When due occurrences were last
+                                         looked for.  */
   bool flush_now;        /**< Append without waiting for more progress.  */
   uint64_t dirty_at_us;  /**< Since when progress waits for an append.  */
   GArray *dirty_job_ids; /**< uint64_t ids of jobs to be appended.  */
