--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -474,8 +474,10 @@
   struct order_latency order_latency;
   struct delegation delegation;
   struct append append;
-  bool ends_unstored; /**< A runner may have listed ends that are not stored
-                         yet.  */
+  bool reserved_now;    /**< This round of dispatch has reserved a runner.  */
+  bool reserved_before; /**< The round before had.  */
+  bool ends_unstored;   /**< A runner may have listed ends that are not stored
+                           yet.  */
   uint64_t occurrences_checked_at_us; /**< When due occurrences were last
                                          looked for.  */
   bool flush_now;        /**< Append without waiting for more progress.  */
