--- a/core/cell/admission.c
+++ b/core/cell/admission.c
@@ -20,9 +20,6 @@
 
 #include <string.h>
 
-/** By the site's rules a job has value until it has taken this many times the
-    time of its objective.  */
-#define LATE_FACTOR 3
 /** Refused jobs that are remembered, so that one that returns counts from its
     first call.  */
 #define REFUSED_LIMIT_COUNT 4096
--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -49,9 +49,8 @@
   memset (c->fleet->demand, 0, sizeof *c->fleet->demand);
 }
 
-/* Returns the demand on pool NAME, or NULL if it is not followed.  */
-static struct pool_demand *
-find_followed (struct cell *c, const char *name)
+struct pool_demand *
+demand_find (struct cell *c, const char *name)
 {
   struct fleet_demand *p = c->fleet->demand;
   uint32_t i;
@@ -62,12 +61,6 @@
   return NULL;
 }
 
-struct pool_demand *
-demand_find (struct cell *c, const char *name)
-{
-  return find_followed (c, name);
-}
-
 uint64_t
 demand_reachable_milli (const struct cell *c, const struct pool_demand *m)
 {
@@ -102,7 +95,7 @@
 static struct pool_demand *
 find_pool (struct cell *c, const char *name)
 {
-  struct pool_demand *m = find_followed (c, name);
+  struct pool_demand *m = demand_find (c, name);
   const struct site_pool *s = m == NULL ? cell_find_pool (c, name) : NULL;
 
   if (s != NULL)
@@ -177,7 +170,7 @@
   for (i = 0; i < r->pool_count; i++)
     {
       const struct pool_history *h = &r->pools[i];
-      struct pool_demand *m = find_followed (c, h->name);
+      struct pool_demand *m = demand_find (c, h->name);
 
       /* No configuration may have been read yet.  */
       if (m == NULL)
--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -33,9 +33,6 @@
 /** Margin added to the expected run time of a job that has not started: the
     tasks of a step differ, and the slowest one counts.  */
 #define MARGIN_PERCENT 15
-/** By the site's rules a job has value until it has taken this many times the
-    time of its objective.  */
-#define LATE_FACTOR 3
 
 /* A job with waiting tasks, in the order of a round.  */
 struct candidate
--- a/core/cell/progress.c
+++ b/core/cell/progress.c
@@ -12,11 +12,11 @@
 #define PROGRESS_MIN_PERCENT 10
 /** Fewer tasks of a step than this tell nothing of another one.  */
 #define PEER_MIN_COUNT 2
-/** Until its progress is known, a run is looked at after this part of the time
-    that it is expected to take.  */
-#define LOOK_PERCENT 40
-/** Least time between two looks.  */
-#define LOOK_MIN_MS 100
+/** Until a run's progress is known, its runner is polled after this part of
+   the time that the run is expected to take.  */
+#define WAIT_PERCENT 40
+/** Least wait of a poll for that.  */
+#define WAIT_MIN_MS 100
 
 static bool
 is_followed (const struct task *t)
@@ -24,6 +24,13 @@
   return !t->step->spec->long_running && !t->step->spec->filler;
 }
 
+uint64_t
+progress_elapsed_us (const struct runner *r, uint64_t since_ms)
+{
+  /* Answers overtake each other, so the clock may seem to go back.  */
+  return r->clock_ms > since_ms ? (r->clock_ms - since_ms) * US_PER_MS : 0;
+}
+
 void
 progress_reset (struct task *t)
 {
@@ -56,7 +63,7 @@
       if (gained < PROGRESS_MIN_PERCENT)
         return UINT64_MAX;
     }
-  return (r->clock_ms - since_ms) * US_PER_MS * (100 - t->work_percent)
+  return progress_elapsed_us (r, since_ms) * (100 - t->work_percent)
          / MAX (gained, 1);
 }
 
@@ -89,7 +96,7 @@
   percent = MIN (percent, 100);
   note_report (t, r, percent);
   t->work_percent = percent;
-  run_us = (r->clock_ms - MIN (t->start_clock_ms, r->clock_ms)) * US_PER_MS;
+  run_us = progress_elapsed_us (r, t->start_clock_ms);
   if (percent < PROGRESS_MIN_PERCENT
       && (t->start_clock_ms == 0
           || run_us < place_expected_step_us (c, t->step) / 2))
@@ -111,9 +118,10 @@
 }
 
 uint32_t
-progress_look_ms (struct cell *c, const struct runner *r, uint32_t limit_ms)
+progress_poll_wait_ms (struct cell *c, const struct runner *r,
+                       uint32_t limit_ms)
 {
-  uint64_t look_us = c->now_us + limit_ms * US_PER_MS;
+  uint64_t wait_until_us = c->now_us + limit_ms * US_PER_MS;
   guint i;
 
   for (i = 0; i < r->tasks->len; i++)
@@ -122,13 +130,14 @@
 
       if (is_followed (t) && t->expected_end_us == 0
           && (t->phase == TASK_STARTING || t->phase == TASK_RUNNING))
-        look_us = MIN (look_us, t->start_ordered_at_us
-                                    + place_expected_step_us (c, t->step)
-                                          * LOOK_PERCENT / 100);
+        wait_until_us
+            = MIN (wait_until_us, t->start_ordered_at_us
+                                      + place_expected_step_us (c, t->step)
+                                            * WAIT_PERCENT / 100);
     }
-  return (uint32_t)MAX (look_us > c->now_us ? (look_us - c->now_us) / US_PER_MS
-                                            : 0,
-                        LOOK_MIN_MS);
+  return (uint32_t)MAX (
+      wait_until_us > c->now_us ? (wait_until_us - c->now_us) / US_PER_MS : 0,
+      WAIT_MIN_MS);
 }
 
 uint64_t
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -154,7 +154,7 @@
 {
   bool needs_answer = hedges_need_answer (c, r);
   bool waits = r->tasks->len > 0 && r->reached && !needs_answer;
-  uint32_t wait_ms = waits ? progress_look_ms (c, r, POLL_WAIT_MS) : 0;
+  uint32_t wait_ms = waits ? progress_poll_wait_ms (c, r, POLL_WAIT_MS) : 0;
   struct runner_order *o = send_poll_order (c, r, wait_ms);
   struct pending_order *x
       = g_hash_table_lookup (c->pending_orders, &o->order_id);
--- a/core/cell/slow_runners.c
+++ b/core/cell/slow_runners.c
@@ -93,7 +93,7 @@
   if (!is_judged (t) || t->start_clock_ms == 0
       || r->poll_gap_ms > POLL_GAP_LIMIT_MS)
     return;
-  t->run_total_us = (r->clock_ms - t->start_clock_ms) * US_PER_MS;
+  t->run_total_us = progress_elapsed_us (r, t->start_clock_ms);
   ratio = ratio_milli (t, t->run_total_us);
   if (ratio == 0)
     return;
@@ -187,7 +187,7 @@
 is_stalled (struct cell *c, const struct task *t)
 {
   return t->work_percent < 100 && t->first_report_clock_ms > 0
-         && (t->runner->clock_ms - t->progressed_clock_ms) * US_PER_MS
+         && progress_elapsed_us (t->runner, t->progressed_clock_ms)
                 > STALL_MS * US_PER_MS + elsewhere_us (c, t) / STALL_PART;
 }
 
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -37,6 +37,10 @@
     its last answered join of the store's group this long ago.  */
 #define OWNERSHIP_TIMEOUT_MS 10000
 
+/** By the site's rules a job has value until it has taken this many times the
+    time of its objective.  */
+#define LATE_FACTOR 3
+
 enum task_phase
 {
   TASK_WAITING,  /**< Occupies no runner.  After a takeover it may still run
@@ -724,6 +728,9 @@
 void hedges_note_start_latency (struct cell *c, uint64_t latency_us);
 
 /* progress.c: the progress of short tasks.  */
+/** Returns the time on R's clock from SINCE_MS to its last reading; 0 if that
+    is older.  */
+uint64_t progress_elapsed_us (const struct runner *r, uint64_t since_ms);
 /** Forgets the progress of T's last run.  */
 void progress_reset (struct task *t);
 /** Handles that R has confirmed the start of T's run.  */
@@ -732,8 +739,8 @@
 void progress_note (struct cell *c, struct task *t, uint32_t percent);
 /** Returns for how long a poll of R may wait, at most LIMIT_MS: until a run
     whose progress is not known should have made some.  */
-uint32_t progress_look_ms (struct cell *c, const struct runner *r,
-                           uint32_t limit_ms);
+uint32_t progress_poll_wait_ms (struct cell *c, const struct runner *r,
+                                uint32_t limit_ms);
 /** Returns the run time to expect of T on a sound runner: the mean of its
     step's tasks on other runners; 0: not known.  */
 uint64_t progress_peers_us (const struct task *t);
