--- a/core/idempotency.c
+++ b/core/idempotency.c
@@ -384,26 +384,18 @@
     drop_body (t, old);
 }
 
-/* Sends the claim's final STATE to the holders that granted it and to those
-   of now, if this entry owns the key.  A holder that joined while the request
-   ran was told that it runs; if it were not told the end, it would answer
-   repeats as unknown once this entry leaves.  */
+/* Sends the claim's final STATE to the holders that granted it, if this entry
+   owns the key.  */
 static void
 send_end (struct core *c, const struct key_claim *claim,
           enum idempotency_key_state state)
 {
-  struct key_holders h;
   uint32_t i;
 
   if (claim->owner_incarnation != c->incarnation)
     return;
   for (i = 0; i < claim->granted_count; i++)
     send_key (c, PEER_KEY_STATE, claim->granted_by[i], claim, state);
-  core_find_key_holders (c, claim->digest, &h);
-  for (i = 0; i < h.count; i++)
-    if (h.incarnations[i] != c->incarnation
-        && !has_granted (claim, h.incarnations[i]))
-      send_key (c, PEER_KEY_STATE, h.incarnations[i], claim, state);
 }
 
 /* Returns true if this entry owns the key and its request, which was in STATE,
