--- a/adapter/site_decide.c
+++ b/adapter/site_decide.c
@@ -266,9 +266,11 @@
     case CELL_DO_CLAIM:
       o = store_operation_new (STORE_CLAIM);
       o->at_offset = a->u.claim.at_offset;
-      o->released = a->u.claim.released;
-      o->best_cpu_milli = a->u.claim.best_cpu_milli;
-      o->slow_yield_at_ms = a->u.claim.slow_yield_at_ms;
+      o->claim = a->u.claim.terms;
+      if (o->claim.ordered_vm_count > 0)
+        o->claim.ordered_vms = talloc_memdup (
+            o, o->claim.ordered_vms,
+            o->claim.ordered_vm_count * sizeof *o->claim.ordered_vms);
       send_store (d, o);
       break;
     case CELL_DO_RECOVER:
--- a/adapter/site_store.c
+++ b/adapter/site_store.c
@@ -3,6 +3,7 @@
 #include "adapter/site_store.h"
 
 #include "adapter/cell_post.h"
+#include "adapter/claim_codec.h"
 #include "adapter/http_client.h"
 #include "adapter/job_codec.h"
 #include "adapter/timer.h"
@@ -388,28 +389,6 @@
   cell_post (f->store->cell, e);
 }
 
-/* Decodes a claim: [member, relay address, released, largest CPU share, time
-   of the last release by an owner on a slow VM].  Earlier versions did not
-   write all of them.  A claim's token is its offset + 1.  */
-static bool
-decode_claim (const struct platform_record *x, struct cell_event *e)
-{
-  msgpack_unpacked m;
-  struct unpack u;
-  bool valid;
-
-  valid = unpack_message (&m, x->value, x->value_bytes);
-  unpack_open (&u, valid ? &m.data : NULL);
-  unpack_text (&u, e->u.claim.member, NAME_BYTES);
-  unpack_text (&u, e->u.claim.address, ADDRESS_BYTES);
-  e->u.claim.released = unpack_bool (&u);
-  valid = !u.failed;
-  e->u.claim.best_cpu_milli = (uint32_t)unpack_number (&u, UINT32_MAX);
-  e->u.claim.slow_yield_at_ms = unpack_number (&u, UINT64_MAX);
-  msgpack_unpacked_destroy (&m);
-  return valid;
-}
-
 static void
 on_claims (struct follower *f, const struct platform_records *r)
 {
@@ -418,7 +397,7 @@
 
   e->u.claim.none = true;
   for (i = 0; i < r->item_count; i++)
-    if (r->items[i].value_bytes > 0 && decode_claim (&r->items[i], e))
+    if (r->items[i].value_bytes > 0 && claim_decode (&r->items[i], e))
       {
         e->u.claim.none = false;
         e->u.claim.token = r->items[i].offset + 1;
@@ -661,30 +640,6 @@
   request_recover_page (x);
 }
 
-static struct blob *
-encode_claim (const struct site_store *t, const struct store_operation *o)
-{
-  msgpack_sbuffer value;
-  msgpack_sbuffer out;
-  msgpack_packer p;
-  struct blob *b;
-
-  msgpack_sbuffer_init (&value);
-  msgpack_sbuffer_init (&out);
-  msgpack_packer_init (&p, &value, msgpack_sbuffer_write);
-  msgpack_pack_array (&p, 5);
-  pack_text (&p, t->member);
-  pack_text (&p, t->relay_address);
-  pack_bool (&p, o->released);
-  msgpack_pack_uint64 (&p, o->best_cpu_milli);
-  msgpack_pack_uint64 (&p, o->slow_yield_at_ms);
-  keyed_record_pack (&out, "0", value.data, (uint32_t)value.size);
-  b = blob_copy (out.data, (uint32_t)out.size);
-  msgpack_sbuffer_destroy (&value);
-  msgpack_sbuffer_destroy (&out);
-  return b;
-}
-
 static struct blob *
 encode_record (const char *key, const char *value)
 {
@@ -762,7 +717,8 @@
                                .at_offset = x->op.at_offset };
   char url[PLATFORM_STORE_URL_BYTES];
 
-  x->op.body = encode_claim (x->store, &x->op);
+  x->op.body
+      = claim_encode (x->store->member, x->store->relay_address, &x->op.claim);
   platform_append_url (url, x->store->address, &a);
   start_call (x->store, "POST", url, x->op.body, CALL_TIMEOUT_MS, on_claimed,
               x);
--- a/adapter/site_store.h
+++ b/adapter/site_store.h
@@ -40,18 +40,13 @@
   uint64_t at_offset; /**< CLAIM: where the topic must end.  */
   union
   {
-    bool released;  /**< CLAIM: gives the cell up instead of claiming it.  */
     bool following; /**< FOLLOW_RUNNERS: start; else stop.  */
     bool completed; /**< WAVE_STATE: completed; else running.  */
   };
-  union
-  {
-    uint64_t best_cpu_milli; /**< CLAIM: largest CPU share known.  */
-    uint64_t wave;           /**< WAVE_STATE: number of the wave.  */
-  };
-  uint64_t slow_yield_at_ms; /**< CLAIM: when an owner on a slow VM last gave
-                                the cell up, in Unix time; 0: none has.  */
-  struct blob *body;         /**< APPEND: the framed records; a reference.  */
+  uint64_t wave;            /**< WAVE_STATE: number of the wave.  */
+  struct claim_terms claim; /**< CLAIM: its names are children of the
+                               operation.  */
+  struct blob *body;        /**< APPEND: the framed records; a reference.  */
 };
 
 /** Returns a client of the store named in S that posts its events to CELL, its
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -92,9 +92,9 @@
   struct cell_action *a = cell_emit (c, CELL_DO_CLAIM);
 
   a->u.claim.at_offset = c->ownership.claims_end_offset;
-  a->u.claim.released = released;
-  a->u.claim.slow_yield_at_ms = c->ownership.slow_yield_at_ms;
-  a->u.claim.best_cpu_milli
+  a->u.claim.terms.released = released;
+  a->u.claim.terms.slow_yield_at_ms = c->ownership.slow_yield_at_ms;
+  a->u.claim.terms.best_cpu_milli
       = MAX (c->ownership.best_cpu_milli, peers_best_cpu_milli (c));
 }
 
@@ -192,11 +192,12 @@
   o->predecessor_is_self = strcmp (o->newest_member, c->settings.member) == 0;
   o->no_predecessor = o->newest_token == 0;
   o->newest_token = e->u.claim.token;
-  o->newest_released = e->u.claim.released;
+  o->newest_released = e->u.claim.terms.released;
   o->owner_denied = false;
-  if (e->u.claim.best_cpu_milli > 0)
-    o->best_cpu_milli = e->u.claim.best_cpu_milli;
-  o->slow_yield_at_ms = MAX (o->slow_yield_at_ms, e->u.claim.slow_yield_at_ms);
+  if (e->u.claim.terms.best_cpu_milli > 0)
+    o->best_cpu_milli = e->u.claim.terms.best_cpu_milli;
+  o->slow_yield_at_ms
+      = MAX (o->slow_yield_at_ms, e->u.claim.terms.slow_yield_at_ms);
   text_copy (o->newest_member, NAME_BYTES, e->u.claim.member);
   text_copy (o->owner_address, ADDRESS_BYTES, e->u.claim.address);
   cell_log (c, "claim_seen", 0,
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -121,11 +121,8 @@
     char connect[ADDRESS_BYTES];
     struct
     {
-      uint64_t at_offset;        /**< Append only if the topic ends there.  */
-      bool released;             /**< The claim gives the cell up.  */
-      uint32_t best_cpu_milli;   /**< Largest CPU share known.  */
-      uint64_t slow_yield_at_ms; /**< When an owner on a slow VM last gave the
-                                    cell up, in Unix time; 0: none has.  */
+      uint64_t at_offset;       /**< Append only if the topic ends there.  */
+      struct claim_terms terms; /**< Its names belong to the cell.  */
     } claim;
     uint64_t token;
     struct
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -9,6 +9,7 @@
 #ifndef FTK_PORT_CELL_EVENT_H
 #define FTK_PORT_CELL_EVENT_H
 
+#include "port/claim.h"
 #include "port/site_config.h"
 
 /** Bytes of a checkpoint or ticket with its terminating NUL.  */
@@ -335,11 +336,7 @@
       uint64_t next_offset; /**< End of the claims topic.  */
       char member[NAME_BYTES];     /**< Entry that made the claim.  */
       char address[ADDRESS_BYTES]; /**< Address of that entry's relay.  */
-      bool released;               /**< The claim gives the cell up.  */
-      uint32_t best_cpu_milli;   /**< Largest CPU share that the entry knew; 0:
-                                      none.  */
-      uint64_t slow_yield_at_ms; /**< When an owner on a slow VM last gave the
-                                    cell up, in Unix time; 0: not known.  */
+      struct claim_terms terms;    /**< Its names are children of the event. */
     } claim;
     struct
     {
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -440,6 +440,22 @@
   }
 }
 
+/* Reads the array J of VM names; a claim without it does not know them.  */
+static void
+read_ordered_vms (const json_t *j, struct cell_event *e)
+{
+  struct claim_terms *t = &e->u.claim.terms;
+  size_t n = json_array_size (j);
+  size_t i;
+
+  t->vm_orders_known = json_is_array (j);
+  t->ordered_vm_count = (uint32_t)n;
+  t->ordered_vms = talloc_zero_size (e, (n + 1) * sizeof *t->ordered_vms);
+  for (i = 0; i < n; i++)
+    text_copy (t->ordered_vms[i], NAME_BYTES,
+               json_string_value (json_array_get (j, i)));
+}
+
 static void
 read_claim (const json_t *j, struct cell_event *e)
 {
@@ -447,9 +463,12 @@
   e->u.claim.none = get_flag (j, "none");
   e->u.claim.token = get_number (j, "token", 0);
   e->u.claim.next_offset = get_number (j, "next_offset", e->u.claim.token);
-  e->u.claim.released = get_flag (j, "released");
-  e->u.claim.best_cpu_milli = (uint32_t)get_number (j, "best_cpu", 0);
-  e->u.claim.slow_yield_at_ms = get_number (j, "slow_yield_at", 0);
+  e->u.claim.terms.released = get_flag (j, "released");
+  e->u.claim.terms.best_cpu_milli = (uint32_t)get_number (j, "best_cpu", 0);
+  e->u.claim.terms.slow_yield_at_ms = get_number (j, "slow_yield_at", 0);
+  e->u.claim.terms.unconfirmed_ms
+      = (uint32_t)get_number (j, "unconfirmed_ms", 0);
+  read_ordered_vms (json_object_get (j, "ordered_vms"), e);
   get_text (j, "member", e->u.claim.member, NAME_BYTES);
   get_text (j, "address", e->u.claim.address, ADDRESS_BYTES);
 }
@@ -634,6 +653,35 @@
 }
 
 /* Prints an action.  Of a log line only the event and the job are printed.  */
+static int
+compare_names (const void *a, const void *b)
+{
+  return strcmp (a, b);
+}
+
+/* Prints a claim; a release that knows the VMs ordered lately names them.  */
+static void
+print_claim (struct script *x, const struct cell_action *a)
+{
+  const struct claim_terms *t = &a->u.claim.terms;
+  char (*names)[NAME_BYTES] = g_memdup2 (
+      t->ordered_vms, t->ordered_vm_count * sizeof *t->ordered_vms);
+  uint32_t i;
+
+  g_string_append_printf (x->out, "claim at %llu%s",
+                          (unsigned long long)a->u.claim.at_offset,
+                          t->released ? " released" : "");
+  if (t->unconfirmed_ms > 0)
+    g_string_append_printf (x->out, " unconfirmed %u", t->unconfirmed_ms);
+  if (t->vm_orders_known)
+    g_string_append (x->out, " ordered");
+  if (t->ordered_vm_count > 0)
+    qsort (names, t->ordered_vm_count, sizeof *names, compare_names);
+  for (i = 0; i < t->ordered_vm_count; i++)
+    g_string_append_printf (x->out, " %s", names[i]);
+  g_free (names);
+}
+
 static void
 print_action (struct script *x, const struct cell_action *a)
 {
@@ -679,9 +727,7 @@
       g_string_append (out, "find_holder");
       break;
     case CELL_DO_CLAIM:
-      g_string_append_printf (out, "claim at %llu%s",
-                              (unsigned long long)a->u.claim.at_offset,
-                              a->u.claim.released ? " released" : "");
+      print_claim (x, a);
       break;
     case CELL_DO_RECOVER:
       g_string_append_printf (out, "recover token %llu",
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -3,6 +3,7 @@
    What was encoded must be decoded unchanged.  Truncated or malformed input
    must be refused as a whole, and no input may be read past its end.  */
 
+#include "adapter/claim_codec.h"
 #include "adapter/job_codec.h"
 #include "adapter/order_codec.h"
 #include "adapter/relay_codec.h"
@@ -120,6 +121,94 @@
   talloc_free (mem);
 }
 
+/* Encodes a claim and decodes the first SIZE_BYTES of its value, or all if 0;
+   returns false if that is refused.  */
+static bool
+decode_claim_of (TALLOC_CTX *mem, const struct claim_terms *t,
+                 uint32_t size_bytes, struct cell_event **out)
+{
+  struct blob *b = claim_encode ("entry-1", "10.0.0.1:7000", t);
+  uint8_t *body = talloc_zero_size (mem, HEADER_BYTES + b->size_bytes);
+  struct platform_records r;
+
+  memcpy (body + HEADER_BYTES, b->data, b->size_bytes);
+  g_assert_true (platform_read_decode (mem, 200, 7, body,
+                                       HEADER_BYTES + b->size_bytes, &r));
+  blob_unref (b);
+  g_assert_cmpuint (r.item_count, ==, 1);
+  if (size_bytes > 0)
+    r.items[0].value_bytes = size_bytes;
+  *out = talloc_zero (mem, struct cell_event);
+  return claim_decode (&r.items[0], *out);
+}
+
+static void
+test_claims (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  char names[2][NAME_BYTES] = { "m-1", "m-2" };
+  struct claim_terms t = { .released = true,
+                           .best_cpu_milli = 500,
+                           .slow_yield_at_ms = 9,
+                           .unconfirmed_ms = 12000,
+                           .vm_orders_known = true,
+                           .ordered_vm_count = 2,
+                           .ordered_vms = names };
+  struct cell_event *e;
+  uint32_t i;
+
+  g_assert_true (decode_claim_of (mem, &t, 0, &e));
+  g_assert_cmpstr (e->u.claim.member, ==, "entry-1");
+  g_assert_cmpstr (e->u.claim.address, ==, "10.0.0.1:7000");
+  g_assert_true (e->u.claim.terms.released);
+  g_assert_cmpuint (e->u.claim.terms.best_cpu_milli, ==, 500);
+  g_assert_cmpuint (e->u.claim.terms.slow_yield_at_ms, ==, 9);
+  g_assert_cmpuint (e->u.claim.terms.unconfirmed_ms, ==, 12000);
+  g_assert_true (e->u.claim.terms.vm_orders_known);
+  g_assert_cmpuint (e->u.claim.terms.ordered_vm_count, ==, 2);
+  g_assert_cmpstr (e->u.claim.terms.ordered_vms[1], ==, "m-2");
+  /* No names are not the same as none known.  */
+  t.ordered_vm_count = 0;
+  g_assert_true (decode_claim_of (mem, &t, 0, &e));
+  g_assert_true (e->u.claim.terms.vm_orders_known);
+  t.vm_orders_known = false;
+  g_assert_true (decode_claim_of (mem, &t, 0, &e));
+  g_assert_false (e->u.claim.terms.vm_orders_known);
+  for (i = 1; i < 40; i++)
+    g_assert_false (decode_claim_of (mem, &t, i, &e)
+                    && e->u.claim.terms.vm_orders_known);
+  talloc_free (mem);
+}
+
+/* A claim of an earlier version, which has five fields, does not know the VMs
+   that were ordered.  */
+static void
+test_claim_of_earlier_version (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct cell_event *e = talloc_zero (mem, struct cell_event);
+  struct platform_record x = { 0 };
+  msgpack_sbuffer out;
+  msgpack_packer p;
+
+  msgpack_sbuffer_init (&out);
+  msgpack_packer_init (&p, &out, msgpack_sbuffer_write);
+  msgpack_pack_array (&p, 5);
+  pack_text (&p, "entry-1");
+  pack_text (&p, "10.0.0.1:7000");
+  pack_bool (&p, true);
+  msgpack_pack_uint32 (&p, 500);
+  msgpack_pack_uint64 (&p, 9);
+  x.value = (const uint8_t *)out.data;
+  x.value_bytes = (uint32_t)out.size;
+  g_assert_true (claim_decode (&x, e));
+  g_assert_true (e->u.claim.terms.released);
+  g_assert_false (e->u.claim.terms.vm_orders_known);
+  g_assert_cmpuint (e->u.claim.terms.unconfirmed_ms, ==, 0);
+  msgpack_sbuffer_destroy (&out);
+  talloc_free (mem);
+}
+
 /* A record that is truncated anywhere is refused.  One with a changed byte is
    decoded or refused, but never read past its end.  */
 static void
@@ -489,6 +578,9 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/cell_codec/records", test_records);
+  g_test_add_func ("/cell_codec/claims", test_claims);
+  g_test_add_func ("/cell_codec/claim_of_earlier_version",
+                   test_claim_of_earlier_version);
   g_test_add_func ("/cell_codec/mutations", test_mutations);
   g_test_add_func ("/cell_codec/relay", test_relay);
   g_test_add_func ("/cell_codec/reports", test_reports);
