Hand on in a release what a new owner must wait for

A release told that its maker gave the cell up of its own accord and nothing of the owners before, nor of its VM orders. Change: a release tells for how long runs of a lost owner may go on, unless all runners have answered; the new owner waits for that too. An entry whose claim is not stored leaves without a release. A release names the VMs ordered within the platform's gap (handover.c); the new owner leaves these alone and may order all others: from the spare pool, for pools whose runners were asked, and for waves, which count the named VMs as down. After a loss without a release no VM is ordered in the gap, as before, but the pools' needs are followed.

--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -139,6 +139,7 @@
           v = talloc_zero (f, struct vm);
           v->row = *row;
           text_copy (v->first_runner, NAME_BYTES, row->runner);
+          v->orders_from_us = handover_orders_from_us (c, row->vm);
           g_hash_table_insert (f->vms, v->row.vm, v);
         }
       text_copy (v->row.pool, NAME_BYTES, row->pool);
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -38,6 +38,8 @@
   uint64_t emptying_at_us;       /**< When VM_EMPTYING last began.  */
   uint64_t skipped_until_us;     /**< Waves leave it out until then; moves do
                                     not.  */
+  uint64_t orders_from_us;       /**< No order for it is sent before then: a
+                                    former owner may have ordered it.  */
   uint64_t away_until_us;        /**< Expected end of VM_AWAY.  */
   uint64_t returned_at_us;       /**< When VM_AWAY last ended; 0: never.  */
   char first_runner[NAME_BYTES]; /**< Its runner when first listed.  */
@@ -118,6 +120,20 @@
 void fleet_give_back_vm (struct cell *c, struct vm *v, const char *why,
                          uint32_t skip_ms);
 
+/* handover.c: VMs that a new owner may order.  */
+/** Keeps what the newest claim, of another entry, tells.  Takes over the names
+    in T, which are a child of the event.  */
+void handover_note_claim (struct cell *c, struct claim_terms *t);
+/** Handles that our claim is the newest: that noted last is the former
+    owner's.  */
+void handover_begin (struct cell *c);
+/** Returns true if all VMs may be ordered again.  */
+bool handover_is_over (const struct cell *c);
+/** Returns from when on VM may be ordered; 0: at once.  */
+uint64_t handover_orders_from_us (const struct cell *c, const char *vm);
+/** Adds to T, of our release, the VMs that were ordered lately.  */
+void handover_fill_release (struct cell *c, struct claim_terms *t);
+
 /* vm_orders.c: orders for VMs to the cloud.  */
 /** Counts the window of orders anew and refills its budget; called in each
    tick before orders are sent.  */
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -14,7 +14,7 @@
    The other entries have a link to the owner.  While it is down they ask the
    store which entry holds the cell, and join when none does.  */
 
-#include "core/cell/state.h"
+#include "core/cell/fleet.h"
 
 #include <string.h>
 
@@ -86,6 +86,25 @@
   cell_emit (c, CELL_DO_JOIN);
 }
 
+/* Returns for how much longer runs of former owners may go on, in
+   milliseconds: 0 once every runner that they may have used has answered us.
+ */
+static uint32_t
+remaining_unconfirmed_ms (const struct cell *c)
+{
+  const struct ownership *o = &c->ownership;
+  uint32_t i;
+
+  if (c->now_us >= o->unconfirmed_until_us)
+    return 0;
+  for (i = 0; c->config != NULL && i < c->config->pool_count; i++)
+    if (fleet_has_unreached (c, c->config->pools[i].name))
+      break;
+  if (c->config != NULL && i == c->config->pool_count)
+    return 0;
+  return (uint32_t)((o->unconfirmed_until_us - c->now_us) / US_PER_MS + 1);
+}
+
 static void
 send_claim (struct cell *c, bool released)
 {
@@ -93,6 +112,11 @@
 
   a->u.claim.at_offset = c->ownership.claims_end_offset;
   a->u.claim.terms.released = released;
+  if (released)
+    {
+      a->u.claim.terms.unconfirmed_ms = remaining_unconfirmed_ms (c);
+      handover_fill_release (c, &a->u.claim.terms);
+    }
   a->u.claim.terms.slow_yield_at_ms = c->ownership.slow_yield_at_ms;
   a->u.claim.terms.best_cpu_milli
       = MAX (c->ownership.best_cpu_milli, peers_best_cpu_milli (c));
@@ -148,10 +172,19 @@
   end_ownership (c);
 }
 
-/* Gives the cell up by a claim marked as released.  No order may follow it. */
+/* Gives the cell up.  No order may follow.  The claim that is marked as
+   released tells that this owner did so of its own accord.  An entry whose own
+   claim has not been stored makes none: it would hide how the former owner
+   ended.  */
 static void
 release (struct cell *c)
 {
+  if (c->ownership.phase == OWNERSHIP_JOINING
+      || c->ownership.phase == OWNERSHIP_CLAIMING)
+    {
+      ownership_lose (c, "not_claimed");
+      return;
+    }
   cell_log (c, "ownership_released", 0, "\"token\":%llu",
             (unsigned long long)c->ownership.token);
   send_claim (c, true);
@@ -165,10 +198,12 @@
 {
   struct ownership *o = &c->ownership;
   uint64_t lease_ms = LEASE_MS * (100 + CLOCK_ERROR_PERCENT) / 100;
-  uint64_t unconfirmed_ms
-      = o->predecessor_released ? lease_ms : OWNERSHIP_TIMEOUT_MS + lease_ms;
+  uint64_t unconfirmed_ms = o->predecessor_released
+                                ? MAX (lease_ms, o->newest_unconfirmed_ms)
+                                : OWNERSHIP_TIMEOUT_MS + lease_ms;
 
   o->token = o->newest_token;
+  handover_begin (c);
   o->claimed_at_us = c->now_us;
   o->claimed_at_ms = c->wall_ms;
   o->unconfirmed_until_us
@@ -179,7 +214,7 @@
 }
 
 void
-ownership_on_claim (struct cell *c, const struct cell_event *e)
+ownership_on_claim (struct cell *c, struct cell_event *e)
 {
   struct ownership *o = &c->ownership;
   bool mine = strcmp (e->u.claim.member, c->settings.member) == 0;
@@ -193,6 +228,10 @@
   o->no_predecessor = o->newest_token == 0;
   o->newest_token = e->u.claim.token;
   o->newest_released = e->u.claim.terms.released;
+  if (!mine)
+    handover_note_claim (c, &e->u.claim.terms);
+  if (o->newest_released)
+    o->newest_unconfirmed_ms = e->u.claim.terms.unconfirmed_ms;
   o->owner_denied = false;
   if (e->u.claim.terms.best_cpu_milli > 0)
     o->best_cpu_milli = e->u.claim.terms.best_cpu_milli;
--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -57,7 +57,7 @@
   const struct runner *r = fleet_runner (c, v);
 
   if (v->phase != VM_IDLE || !v->row.up || !fleet_runs_are_known (c, v)
-      || c->now_us < v->skipped_until_us)
+      || c->now_us < v->skipped_until_us || c->now_us < v->orders_from_us)
     return false;
   if (r == NULL)
     return m->spare;
@@ -136,7 +136,9 @@
         continue;
       if (m->spare)
         return m;
-      if (c->now_us < m->full_at_us + DONOR_DELAY_MS * US_PER_MS)
+      /* A new owner does not know yet what the other pools need.  */
+      if (!handover_is_over (c)
+          || c->now_us < m->full_at_us + DONOR_DELAY_MS * US_PER_MS)
         continue;
       if (best == NULL
           || m->vm_count - m->need_count > best->vm_count - best->need_count)
@@ -149,6 +151,9 @@
 static void
 add_vms (struct cell *c, struct pool_demand *m)
 {
+  /* Until all its runners were asked, it is not known what M holds.  */
+  if (!handover_is_over (c) && fleet_has_unasked (c, m->name))
+    return;
   while (!m->spare && m->vm_count < m->need_count)
     {
       struct pool_demand *from = find_donor (c, m);
@@ -165,7 +170,7 @@
 switch_off_idle (struct cell *c, struct pool_demand *m,
                  struct pool_demand *spare)
 {
-  while (!m->spare && m->vm_count > m->keep_count
+  while (!m->spare && m->vm_count > m->keep_count && handover_is_over (c)
          && c->now_us >= m->busy_at_us + IDLE_MS * US_PER_MS)
     {
       struct vm *v = find_movable_vm (c, m, true);
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -343,6 +343,7 @@
   bool no_predecessor;        /**< The cell was never claimed before.  */
   bool predecessor_is_self;  /**< The claim before the newest was ours too.  */
   bool predecessor_released; /**< The claim before the newest was a release. */
+  uint32_t newest_unconfirmed_ms; /**< unconfirmed_ms of the newest claim.  */
   char newest_member[NAME_BYTES];
   char owner_address[ADDRESS_BYTES]; /**< Relay of newest_member.  */
   bool link_up;                      /**< The link to the owner is up.  */
@@ -379,7 +380,16 @@
   /** When a failed request is sent again; in OWNERSHIP_NONE, when the store is
       asked again after it named no holder.  0: neither.  */
   uint64_t retry_at_us;
-  bool handover; /**< For a planned handover; neither set nor used.  */
+};
+
+/** Which VMs the former owner may have ordered lately (handover.c).  */
+struct vm_handover
+{
+  struct claim_terms newest; /**< Of the newest claim of another entry.  */
+  struct claim_terms former; /**< Of the claim before ours.  */
+  uint64_t until_us; /**< VMs that the former owner may have ordered get no
+                        order before then.  */
+  char (*released_vms)[NAME_BYTES]; /**< Names in our last release.  */
 };
 
 /** The append in flight; one at a time.  */
@@ -453,6 +463,7 @@
   uint64_t config_confirmed_at_us; /**< When config was last the newest; 0:
                                       never confirmed.  */
   struct ownership ownership;
+  struct vm_handover handover;
   GHashTable *peers;           /**< link_id to struct peer.  */
   GHashTable *forwarded_calls; /**< call_id to struct forwarded_call.  */
   GHashTable *jobs;            /**< id to struct job.  */
@@ -547,7 +558,7 @@
 void ingress_flush (struct cell *c);
 
 /* ownership.c: which entry owns the cell.  */
-void ownership_on_claim (struct cell *c, const struct cell_event *e);
+void ownership_on_claim (struct cell *c, struct cell_event *e);
 void ownership_on_holder (struct cell *c, const struct cell_event *e);
 void ownership_on_joined (struct cell *c, const struct cell_event *e);
 void ownership_on_claim_result (struct cell *c, const struct cell_event *e);
--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -1,8 +1,8 @@
 /* waves.c -- maintenance waves.
 
    Only the owner of the cell orders maintenance and moves of VMs, under its
-   fencing token.  After a takeover it waits for handover_gap_ms and a margin,
-   so that the orders of two owners do not alternate.  A VM is emptied first:
+   fencing token.  After a takeover it leaves the VMs alone for a while that
+   the former owner may have ordered (handover.c).  A VM is emptied first:
    short tasks end, and long-running ones start elsewhere, within their steps'
    limits of unavailable tasks.  */
 
@@ -13,9 +13,6 @@
 /** Interval between reads of the platform's list of VMs while wants_list is
     true.  */
 #define LIST_INTERVAL_MS 700
-/** Added to handover_gap_ms, the least time that the platform requires between
-    the VM orders of two owners.  */
-#define HANDOVER_MARGIN_MS 300
 /** Time for which a pool lacks a VM under maintenance: emptying and
     downtime.  */
 #define ROUND_MS 4500
@@ -344,7 +341,8 @@
       const struct runner *r;
 
       n->all_count++;
-      n->out_count += v->phase != VM_IDLE || !v->row.up;
+      n->out_count += v->phase != VM_IDLE || !v->row.up
+                      || c->now_us < v->orders_from_us;
       r = fleet_runner (c, v);
       n->clear_count
           += r != NULL && place_is_usable (c, r) && !r->maintenance_due;
@@ -413,7 +411,7 @@
 
       if (v == NULL || v->phase != VM_IDLE || !v->row.up
           || !fleet_runs_are_known (c, v) || c->now_us < v->skipped_until_us
-          || !pool_allows (c, w, v, counts))
+          || c->now_us < v->orders_from_us || !pool_allows (c, w, v, counts))
         continue;
       slow = empties_slowly (c, v, counts);
       if (best == NULL || slow > best_slow
@@ -426,7 +424,7 @@
   return best;
 }
 
-/* Returns how many VMs of W are away or being emptied for it.  */
+/* Returns how many VMs of W are away or being emptied for it, or may be.  */
 static uint32_t
 count_out (const struct cell *c, const struct wave *w)
 {
@@ -438,9 +436,12 @@
       const struct vm *v = fleet_find (c->fleet, w->spec.vms[k]);
 
       /* A VM that is down without an order of ours was sent into maintenance
-         by a former owner.  */
+         by a former owner.  Such an order may not show in the list yet.  */
       if (v != NULL
-          && (v->phase != VM_IDLE ? v->wave == w->spec.number : !v->row.up))
+          && (v->phase != VM_IDLE
+                  ? v->wave == w->spec.number
+                  : !v->row.up
+                        || (!w->done[k] && c->now_us < v->orders_from_us)))
         n++;
     }
   return n;
@@ -665,16 +666,9 @@
 waves_tick (struct cell *c)
 {
   struct cell_fleet *f = c->fleet;
-  uint64_t gap_us
-      = (c->settings.times.handover_gap_ms + HANDOVER_MARGIN_MS) * US_PER_MS;
   guint i;
 
   request_list (c, wants_list (c));
-  /* There is no gap to keep if this entry was the former owner too, or there
-     was none.  */
-  if (!c->ownership.no_predecessor && !c->ownership.predecessor_is_self
-      && c->now_us < c->ownership.claimed_at_us + gap_us)
-    return;
   /* Without the configuration it is not known which VMs are spare.  */
   if (!f->listed || c->config == NULL)
     return;
