Do not run a request whose first attempt was refused elsewhere; tell new holders

Cause: see the red test; and delivery_end_to_new_holder.script: an end went to the holders that had granted the claim only. Change: a request that has waited for another entry's claim of its key is never run here: once all holders grant the key, it is answered 'first_not_run' (503, not run, with a time to come back). The end of a request goes to the holders of now as well.

--- a/core/idempotency.c
+++ b/core/idempotency.c
@@ -8,8 +8,11 @@
    that gets the key asks the holders too, learns that another entry runs the
    request (KEY_RUNNING), and asks again until it gets the first answer.
 
-   If the first request was not run, the claims of its key are dropped, so that
-   a repeat may run.  Any other answer is kept for KEEP_US.  A repeat of a
+   If the first request was not run, its caller is told so, and the claims of
+   its key are dropped, so that a later repeat may run.  A repeat that waited
+   for it is not run either: it may be an earlier attempt of that caller, which
+   must not be told "not run" of a request that runs after all.  Any other
+   answer is kept for KEEP_US.  A repeat of a
    claim whose body was dropped to save memory, or whose owner is gone, is
    answered as unknown and not run.  A request is not run while a holder of its
    key does not reply.  */
@@ -53,6 +56,8 @@
   struct action_answer answer; /**< First answer, once completed.  */
   uint64_t updated_at_us;      /**< When it was created or completed.  */
   struct request *request;     /**< Own unanswered request, or NULL.  */
+  bool follows; /**< While that request waited, another entry had the key:
+                   it is not run here.  */
   uint64_t claim_sent_at_us;
   uint64_t granted_by[HOLDER_LIMIT_COUNT]; /**< Holders that granted it.  */
   uint32_t granted_count;
@@ -332,14 +337,16 @@
   struct key_holders h;
 
   claim->request = r;
+  claim->follows = claim->owner_incarnation != c->incarnation;
   r->state = REQUEST_CLAIMING;
   if (core_key_placement_update (c))
     core_idempotency_start_sync (c);
   return ask_holder (c, claim, &h) && !h.in_doubt;
 }
 
-/* Sends the claim to the next holder.  Queues its request if all holders have
-   granted the claim; refuses it if the key is in doubt.  */
+/* Sends the claim to the next holder.  If all holders have granted the claim,
+   queues its request, or refuses it if another entry had the key before: then
+   that entry's request was not run.  Refuses it if the key is in doubt.  */
 static void
 continue_claim (struct core *c, struct key_claim *claim)
 {
@@ -355,6 +362,11 @@
     }
   if (!granted)
     return;
+  if (claim->follows)
+    {
+      core_refuse (c, r, ANSWER_FIRST_NOT_RUN);
+      return;
+    }
   if (p == NULL)
     {
       core_refuse (c, r, ANSWER_NO_QUEUE);
@@ -384,18 +396,26 @@
     drop_body (t, old);
 }
 
-/* Sends the claim's final STATE to the holders that granted it, if this entry
-   owns the key.  */
+/* Sends the claim's final STATE to the holders that granted it and to those
+   of now, if this entry owns the key.  A holder that joined while the request
+   ran was told that it runs; if it were not told the end, it would answer
+   repeats as unknown once this entry leaves.  */
 static void
 send_end (struct core *c, const struct key_claim *claim,
           enum idempotency_key_state state)
 {
+  struct key_holders h;
   uint32_t i;
 
   if (claim->owner_incarnation != c->incarnation)
     return;
   for (i = 0; i < claim->granted_count; i++)
     send_key (c, PEER_KEY_STATE, claim->granted_by[i], claim, state);
+  core_find_key_holders (c, claim->digest, &h);
+  for (i = 0; i < h.count; i++)
+    if (h.incarnations[i] != c->incarnation
+        && !has_granted (claim, h.incarnations[i]))
+      send_key (c, PEER_KEY_STATE, h.incarnations[i], claim, state);
 }
 
 /* Returns true if this entry owns the key and its request, which was in STATE,
@@ -504,6 +524,7 @@
     return KEY_RUNNING;
   claim->owner_incarnation = m->from_incarnation;
   claim->claim_id = k->claim_id;
+  claim->follows = true;
   return KEY_GRANTED;
 }
 
@@ -553,8 +574,9 @@
       continue_claim (c, claim);
       break;
     case KEY_RUNNING:
+      claim->follows = true;
+      break; /* retry_claims sends the claim again.  */
     case KEY_NOT_RUN:
-      /* retry_claims sends the claim again.  */
       break;
     }
 }
--- a/port/action.c
+++ b/port/action.c
@@ -53,6 +53,7 @@
   [ANSWER_NOT_SUPPORTED] = { "not_supported", 501 },
   [ANSWER_TIMED_OUT] = { "late", 504 },
   [ANSWER_CANCELLED] = { "cancelled", 499 },
+  [ANSWER_FIRST_NOT_RUN] = { "first_not_run", 503 },
 };
 
 const char *
--- a/port/action.h
+++ b/port/action.h
@@ -41,6 +41,8 @@
   ANSWER_NOT_SUPPORTED, /**< 501, not run: the queue is for jobs.  */
   ANSWER_TIMED_OUT,     /**< 504: sent; no answer by the deadline.  */
   ANSWER_CANCELLED,     /**< 499, not run: the caller disconnected.  */
+  ANSWER_FIRST_NOT_RUN, /**< 503, not run: nor was the request with the same
+                             key that another entry had first.  */
   ANSWER_CODE_COUNT
 };
 
