Record VM orders before they are sent, so that a loss holds up named VMs only

Cause: after the loss of an owner without a release its successor ordered no VM for 3.3 s, as each may be one that the lost owner ordered. Change: an owner names the VMs that it orders in a record, and orders none before that is stored; claims tell whether the record can be relied on (claims of earlier versions do not). It replaces the names in releases. Moves leave a quarter of the VMs being emptied to waves.

--- a/adapter/claim_codec.c
+++ b/adapter/claim_codec.c
@@ -1,9 +1,9 @@
 /* claim_codec.c -- msgpack coding of claims of the cell, as stored.
 
    A claim is [member, relay address, released, largest CPU share, time of the
-   last release by an owner on a slow VM, names of the VMs ordered lately, time
-   for which runs of former owners may go on].  Earlier versions did not write
-   all of them; the names are nil where they are not known.  */
+   last release by an owner on a slow VM, time for which runs of former owners
+   may go on, whether VM orders are recorded].  Earlier versions did not
+   write all of them.  */
 
 #include "adapter/claim_codec.h"
 
@@ -20,7 +20,6 @@
   msgpack_sbuffer out;
   msgpack_packer p;
   struct blob *b;
-  uint32_t i;
 
   msgpack_sbuffer_init (&value);
   msgpack_sbuffer_init (&out);
@@ -31,13 +30,8 @@
   pack_bool (&p, t->released);
   msgpack_pack_uint32 (&p, t->best_cpu_milli);
   msgpack_pack_uint64 (&p, t->slow_yield_at_ms);
-  if (t->vm_orders_known)
-    msgpack_pack_array (&p, t->ordered_vm_count);
-  else
-    msgpack_pack_nil (&p);
-  for (i = 0; t->vm_orders_known && i < t->ordered_vm_count; i++)
-    pack_text (&p, t->ordered_vms[i]);
   msgpack_pack_uint32 (&p, t->unconfirmed_ms);
+  pack_bool (&p, t->vm_orders_recorded);
   keyed_record_pack (&out, "0", value.data, (uint32_t)value.size);
   b = blob_copy (out.data, (uint32_t)out.size);
   msgpack_sbuffer_destroy (&value);
@@ -45,27 +39,6 @@
   return b;
 }
 
-/* Reads the names of VMs, the next field of U, into T.  They are known only if
-   every one is valid.  */
-static void
-unpack_names (struct unpack *u, struct cell_event *e, struct claim_terms *t)
-{
-  struct unpack names;
-  uint32_t i;
-
-  unpack_array (u, &names);
-  if (names.failed || names.item_count > CLAIM_VM_LIMIT_COUNT)
-    return;
-  t->ordered_vms = talloc_zero_size (e, (names.item_count + (size_t)1)
-                                            * sizeof *t->ordered_vms);
-  if (t->ordered_vms == NULL)
-    return;
-  for (i = 0; i < names.item_count; i++)
-    unpack_text (&names, t->ordered_vms[i], NAME_BYTES);
-  t->vm_orders_known = !names.failed;
-  t->ordered_vm_count = names.failed ? 0 : names.item_count;
-}
-
 bool
 claim_decode (const struct platform_record *x, struct cell_event *e)
 {
@@ -82,8 +55,8 @@
   valid = !u.failed;
   t->best_cpu_milli = (uint32_t)unpack_number (&u, UINT32_MAX);
   t->slow_yield_at_ms = unpack_number (&u, UINT64_MAX);
-  unpack_names (&u, e, t);
   t->unconfirmed_ms = (uint32_t)unpack_number (&u, UINT32_MAX);
+  t->vm_orders_recorded = unpack_bool (&u);
   msgpack_unpacked_destroy (&m);
   return valid;
 }
--- a/adapter/claim_codec.h
+++ b/adapter/claim_codec.h
@@ -12,8 +12,8 @@
 struct blob *claim_encode (const char *member, const char *relay_address,
                            const struct claim_terms *t);
 
-/** Decodes the record X into the claim of E; names of VMs become children of
-    E.  Returns false if X is malformed.  */
+/** Decodes the record X into the claim of E.  Returns false if X is
+    malformed.  */
 bool claim_decode (const struct platform_record *x, struct cell_event *e);
 
 #endif
--- a/adapter/job_codec.c
+++ b/adapter/job_codec.c
@@ -12,6 +12,7 @@
 #define RECORD_PROGRESS 2
 #define RECORD_WAVE 3
 #define RECORD_POOL_HISTORY 4
+#define RECORD_VM_ORDERS 5
 /** The key of a job is its id; that of its progress has this suffix.  */
 #define PROGRESS_KEY_SUFFIX ".p"
 /** Prefix of the keys of waves.  It is not hexadecimal, so no key of a job
@@ -19,6 +20,8 @@
 #define WAVE_KEY_PREFIX "wave-"
 /** Key of the only record with the pools' history.  */
 #define POOL_HISTORY_KEY "plan"
+/** Key of the only record with the VMs that the owner orders.  */
+#define VM_ORDERS_KEY "vms"
 /** Layout of a task's row: the size of a run number, and the parts of the
     first byte.  */
 #define RUN_BYTES 2
@@ -242,6 +245,18 @@
     }
 }
 
+static void
+pack_vm_orders_record (msgpack_packer *p, const struct append_record *x)
+{
+  uint32_t i;
+
+  msgpack_pack_array (p, 2);
+  msgpack_pack_uint8 (p, RECORD_VM_ORDERS);
+  msgpack_pack_array (p, x->vm_count);
+  for (i = 0; i < x->vm_count; i++)
+    pack_text (p, x->vm_names[i]);
+}
+
 void
 append_records_pack (msgpack_sbuffer *out, const struct append_record *items,
                      uint32_t item_count)
@@ -286,6 +301,10 @@
           text_copy (key, sizeof key, POOL_HISTORY_KEY);
           pack_pool_history_record (&p, x);
           break;
+        case APPEND_RECORD_VM_ORDERS:
+          text_copy (key, sizeof key, VM_ORDERS_KEY);
+          pack_vm_orders_record (&p, x);
+          break;
         }
       keyed_record_pack (out, key, value.data, (uint32_t)value.size);
       msgpack_sbuffer_destroy (&value);
@@ -385,6 +404,23 @@
   return !u->failed && !rows.failed;
 }
 
+static bool
+unpack_vm_orders (TALLOC_CTX *mem, struct unpack *u,
+                  struct recovered_record *r)
+{
+  struct unpack names;
+  uint32_t i;
+
+  r->is_vm_orders = true;
+  unpack_array (u, &names);
+  r->vm_count = names.item_count;
+  r->vm_names = talloc_zero_size (mem, (r->vm_count + (size_t)1)
+                                           * sizeof *r->vm_names);
+  for (i = 0; i < r->vm_count; i++)
+    unpack_text (&names, r->vm_names[i], NAME_BYTES);
+  return !u->failed && !names.failed;
+}
+
 static bool
 unpack_record (TALLOC_CTX *mem, const msgpack_object *o,
                struct recovered_record *r)
@@ -400,6 +436,8 @@
     return unpack_wave (mem, &u, r);
   if (kind == RECORD_POOL_HISTORY)
     return unpack_pool_history (mem, &u, r);
+  if (kind == RECORD_VM_ORDERS)
+    return unpack_vm_orders (mem, &u, r);
   if (kind != RECORD_JOB)
     return false;
   r->is_job = true;
@@ -422,6 +460,7 @@
   text_copy (id, sizeof id, key);
   if (size_bytes == 0
       || (!job_id_parse (id, &r->job) && strcmp (key, POOL_HISTORY_KEY) != 0
+          && strcmp (key, VM_ORDERS_KEY) != 0
           && strncmp (key, WAVE_KEY_PREFIX, strlen (WAVE_KEY_PREFIX)) != 0))
     return false;
   if (unpack_message (&m, value, size_bytes))
--- a/adapter/site_decide.c
+++ b/adapter/site_decide.c
@@ -267,10 +267,6 @@
       o = store_operation_new (STORE_CLAIM);
       o->at_offset = a->u.claim.at_offset;
       o->claim = a->u.claim.terms;
-      if (o->claim.ordered_vm_count > 0)
-        o->claim.ordered_vms = talloc_memdup (
-            o, o->claim.ordered_vms,
-            o->claim.ordered_vm_count * sizeof *o->claim.ordered_vms);
       send_store (d, o);
       break;
     case CELL_DO_RECOVER:
--- a/adapter/site_store.h
+++ b/adapter/site_store.h
@@ -44,8 +44,7 @@
     bool completed; /**< WAVE_STATE: completed; else running.  */
   };
   uint64_t wave;            /**< WAVE_STATE: number of the wave.  */
-  struct claim_terms claim; /**< CLAIM: its names are children of the
-                               operation.  */
+  struct claim_terms claim; /**< CLAIM.  */
   struct blob *body;        /**< APPEND: the framed records; a reference.  */
 };
 
--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -43,6 +43,7 @@
 
   v->phase = VM_EMPTYING;
   v->emptying_at_us = c->now_us;
+  handover_want_order (c, v);
   if (r != NULL)
     r->vm_emptying = true;
 }
@@ -54,6 +55,7 @@
 
   v->phase = VM_IDLE;
   v->moving = false;
+  v->naming = VM_NOT_NAMED;
   v->target_pool[0] = '\0';
   if (r != NULL)
     r->vm_emptying = false;
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -11,6 +11,15 @@
     margin.  */
 #define CLOCK_DIFFERENCE_MS 1000
 
+/** Whether the stored record of VM orders names a VM.  */
+enum vm_naming
+{
+  VM_NOT_NAMED,   /**< It is not to be ordered, or its order has ended.  */
+  VM_NAMING_DUE,  /**< The next record names it.  */
+  VM_NAMING_SENT, /**< The record in flight names it.  */
+  VM_NAMED        /**< It may be ordered.  */
+};
+
 /** What the owner is doing with a VM.  */
 enum vm_phase
 {
@@ -28,13 +37,14 @@
   enum vm_phase phase;
   bool moving; /**< It is emptied, ordered or away for a move, not for
                   maintenance.  */
-  char target_pool[NAME_BYTES];  /**< Pool that it moves to.  */
-  uint64_t wave;                 /**< Last wave that chose it; 0: none.  */
-  uint64_t ordered_at_us;        /**< When its last order was sent, or when its
-                                    outcome was found to be unknown.  */
-  bool may_be_executed;          /**< An order without an answer may have been
-                                    carried out, or may yet be.  */
-  bool order_pending;            /**< An order has no outcome yet.  */
+  char target_pool[NAME_BYTES]; /**< Pool that it moves to.  */
+  uint64_t wave;                /**< Last wave that chose it; 0: none.  */
+  uint64_t ordered_at_us;       /**< When its last order was sent, or when its
+                                   outcome was found to be unknown.  */
+  bool may_be_executed;         /**< An order without an answer may have been
+                                   carried out, or may yet be.  */
+  bool order_pending;           /**< An order has no outcome yet.  */
+  enum vm_naming naming;
   uint64_t emptying_at_us;       /**< When VM_EMPTYING last began.  */
   uint64_t skipped_until_us;     /**< Waves leave it out until then; moves do
                                     not.  */
@@ -54,6 +64,7 @@
 {
   uint32_t open_count;     /**< Orders without an answer.  */
   uint32_t emptying_count; /**< VMs being emptied.  */
+  uint32_t empty_count;    /**< Those of them that have no tasks left.  */
   uint64_t budget_milli;   /**< Orders that the rate allows now, in
                               thousandths.  */
   uint64_t refilled_at_us; /**< When the budget was last raised.  */
@@ -120,37 +131,38 @@
 void fleet_give_back_vm (struct cell *c, struct vm *v, const char *why,
                          uint32_t skip_ms);
 
-/* handover.c: VMs that a new owner may order.  */
-/** Keeps what the newest claim, of another entry, tells.  Takes over the names
-    in T, which are a child of the event.  */
-void handover_note_claim (struct cell *c, struct claim_terms *t);
-/** Handles that our claim is the newest: that noted last is the former
-    owner's.  */
+/* handover.c: VMs that an owner may order.  */
+/** Handles that our claim is the newest.  */
 void handover_begin (struct cell *c);
-/** Returns true if all VMs may be ordered again.  */
+/** Returns true if all VMs may be ordered, whoever ordered them before.  */
 bool handover_is_over (const struct cell *c);
 /** Returns from when on VM may be ordered; 0: at once.  */
 uint64_t handover_orders_from_us (const struct cell *c, const char *vm);
-/** Adds to T, of our release, the VMs that were ordered lately.  */
-void handover_fill_release (struct cell *c, struct claim_terms *t);
+/** Has the next record name V, which is to be ordered; V is VM_NAMED once that
+    is stored.  */
+void handover_want_order (struct cell *c, struct vm *v);
+/** Returns true if the record has to be appended.  */
+bool handover_is_dirty (const struct cell *c);
+/** Adds the record to A.  */
+void handover_add_record (struct cell *c, struct append *a);
 
 /* vm_orders.c: orders for VMs to the cloud.  */
 /** Counts the window of orders anew and refills its budget; called in each
    tick before orders are sent.  */
 void vm_orders_tick (struct cell *c);
-/** Returns true if an order can be sent now.  */
-bool vm_orders_admit (const struct cell *c);
+/** Returns true if a VM without tasks can be taken out of use for an order,
+    which can be sent once its name is stored.  */
+bool vm_orders_admit_empty (const struct cell *c);
 /** Returns true if another VM can be emptied for an order: the cloud takes
-    orders, and those for the VMs being emptied can be sent soon.  */
-bool vm_orders_admit_emptying (const struct cell *c);
-/** Sends the order for the move or maintenance that V was emptied for, whether
-    or not the window allows: callers ask vm_orders_admit before.  */
-void vm_orders_send (struct cell *c, struct vm *v);
+    orders, and those for the VMs being emptied can be sent soon.  Moves leave
+    some room for waves, which have a deadline.  */
+bool vm_orders_admit_emptying (const struct cell *c, bool is_move);
 /** Sends V's order again if its outcome is not known, the time for that has
     come and the window allows.  */
 void vm_orders_repeat (struct cell *c, struct vm *v);
-/** Sends the order for V, which is empty, if the window allows; otherwise
-   gives V back while orders fail, and else leaves V for the next tick.  */
+/** Sends the order for V, which is empty, if its name is stored and the window
+    allows; gives V back while orders fail or the store takes no records; and
+    else leaves V for the next tick.  */
 void vm_orders_send_or_give_back (struct cell *c, struct vm *v);
 
 /* places.c: places for long-running tasks that have to start.  */
--- a/core/cell/handover.c
+++ b/core/cell/handover.c
@@ -1,10 +1,16 @@
 /* handover.c -- which VMs a new owner may order.
 
    The platform requires a least time between the orders of two owners for one
-   VM.  A release names the VMs that its maker ordered within that time; the
-   next owner leaves these alone until it has passed since its claim, and may
-   order all others at once.  After an owner was lost without a release, each
-   VM may be one that it ordered.  */
+   VM.  So an owner names in a record the VMs that it is about to order, those
+   that it ordered within that time, and those whose orders may yet be carried
+   out; it sends no order for a VM before a record with its name is stored.
+   Since a new owner fences the records before it reads them, the record names
+   every VM that the former owner ordered or still may, however that one ended.
+   The new owner leaves these alone until the time has passed since its claim,
+   and may order all others at once.
+
+   Owners of earlier versions recorded nothing.  Claims tell whether the record
+   can be relied on; if not, each VM may be one that was ordered.  */
 
 #include "core/cell/fleet.h"
 
@@ -21,28 +27,28 @@
 }
 
 void
-handover_note_claim (struct cell *c, struct claim_terms *t)
+handover_begin (struct cell *c)
 {
   struct vm_handover *h = &c->handover;
+  const struct ownership *o = &c->ownership;
 
-  TALLOC_FREE (h->newest.ordered_vms);
-  h->newest = *t;
-  t->ordered_vms = talloc_steal (c, t->ordered_vms);
+  h->names_known = o->former_vm_orders_recorded;
+  h->name_count = 0;
+  h->dirty = false;
+  h->recording = false;
+  /* Our own orders, and what we waited for before, need no new wait.  */
+  if (!o->predecessor_is_self)
+    h->until_us = o->no_predecessor ? 0 : c->now_us + gap_us (c);
 }
 
 void
-handover_begin (struct cell *c)
+handover_restore (struct cell *c, struct recovered_record *r)
 {
   struct vm_handover *h = &c->handover;
-  const struct ownership *o = &c->ownership;
 
-  /* Our own orders, and what we waited for before, need no new wait.  */
-  if (o->predecessor_is_self)
-    return;
-  TALLOC_FREE (h->former.ordered_vms);
-  h->former = h->newest;
-  h->newest = (struct claim_terms){ 0 };
-  h->until_us = o->no_predecessor ? 0 : c->now_us + gap_us (c);
+  TALLOC_FREE (h->names);
+  h->name_count = r->vm_count;
+  h->names = talloc_steal (c, r->vm_names);
 }
 
 bool
@@ -59,56 +65,94 @@
 
   if (handover_is_over (c))
     return 0;
-  if (!h->former.released || !h->former.vm_orders_known)
+  if (!h->names_known)
     return h->until_us;
-  for (i = 0; i < h->former.ordered_vm_count; i++)
-    if (strcmp (h->former.ordered_vms[i], vm) == 0)
+  for (i = 0; i < h->name_count; i++)
+    if (strcmp (h->names[i], vm) == 0)
       return h->until_us;
   return 0;
 }
 
-/* Returns true if an order for V was sent within the gap, or one may yet be
-   carried out.  */
+void
+handover_want_order (struct cell *c, struct vm *v)
+{
+  if (v->naming != VM_NOT_NAMED)
+    return;
+  v->naming = VM_NAMING_DUE;
+  c->handover.dirty = true;
+}
+
+bool
+handover_is_dirty (const struct cell *c)
+{
+  return c->handover.dirty;
+}
+
+/* Returns true if the record has to name V.  */
 static bool
-was_ordered (const struct cell *c, const struct vm *v)
+has_order (const struct cell *c, const struct vm *v)
 {
-  return v->phase == VM_ORDERED || v->may_be_executed
+  return v->naming != VM_NOT_NAMED || v->phase == VM_ORDERED
+         || v->may_be_executed || c->now_us < v->orders_from_us
          || (v->ordered_at_us > 0
              && c->now_us < v->ordered_at_us + gap_us (c));
 }
 
-static void
-add_name (struct claim_terms *t, const char *vm)
+void
+handover_add_record (struct cell *c, struct append *a)
 {
-  if (t->ordered_vm_count == CLAIM_VM_LIMIT_COUNT)
+  struct vm_handover *h = &c->handover;
+  struct append_record *x = records_add (a);
+  uint32_t inherited_count
+      = h->names_known && !handover_is_over (c) && !c->fleet->listed
+            ? h->name_count
+            : 0;
+  GHashTableIter it;
+  gpointer value;
+  uint32_t i;
+
+  h->dirty = false;
+  h->recording = true;
+  x->kind = APPEND_RECORD_VM_ORDERS;
+  x->vm_names
+      = talloc_zero_size (a->records, (g_hash_table_size (c->fleet->vms)
+                                       + (size_t)inherited_count + 1)
+                                          * sizeof *x->vm_names);
+  g_hash_table_iter_init (&it, c->fleet->vms);
+  while (g_hash_table_iter_next (&it, NULL, &value))
     {
-      t->vm_orders_known = false;
-      return;
+      struct vm *v = value;
+
+      if (!has_order (c, v))
+        continue;
+      text_copy (x->vm_names[x->vm_count++], NAME_BYTES, v->row.vm);
+      if (v->naming == VM_NAMING_DUE)
+        v->naming = VM_NAMING_SENT;
     }
-  text_copy (t->ordered_vms[t->ordered_vm_count++], NAME_BYTES, vm);
+  /* The list of VMs, which will have these names, is not read yet.  */
+  for (i = 0; i < inherited_count; i++)
+    text_copy (x->vm_names[x->vm_count++], NAME_BYTES, h->names[i]);
 }
 
 void
-handover_fill_release (struct cell *c, struct claim_terms *t)
+handover_on_stored (struct cell *c)
 {
-  struct vm_handover *h = &c->handover;
-  bool waiting = !handover_is_over (c);
   GHashTableIter it;
   gpointer value;
-  uint32_t i;
 
-  TALLOC_FREE (h->released_vms);
-  h->released_vms
-      = talloc_zero_size (c, CLAIM_VM_LIMIT_COUNT * sizeof *h->released_vms);
-  if (h->released_vms == NULL
-      || (waiting && !(h->former.released && h->former.vm_orders_known)))
+  if (!c->handover.recording)
     return;
-  t->vm_orders_known = true;
-  t->ordered_vms = h->released_vms;
+  c->handover.recording = false;
   g_hash_table_iter_init (&it, c->fleet->vms);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    if (was_ordered (c, value))
-      add_name (t, ((const struct vm *)value)->row.vm);
-  for (i = 0; waiting && i < h->former.ordered_vm_count; i++)
-    add_name (t, h->former.ordered_vms[i]);
+    {
+      struct vm *v = value;
+
+      if (v->naming != VM_NAMING_SENT)
+        continue;
+      v->naming = VM_NAMED;
+      if (v->phase == VM_EMPTYING && fleet_is_empty (c, v)
+          && fleet_runs_are_known (c, v))
+        vm_orders_send_or_give_back (c, v);
+    }
 }
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -112,10 +112,13 @@
 
   a->u.claim.at_offset = c->ownership.claims_end_offset;
   a->u.claim.terms.released = released;
+  a->u.claim.terms.vm_orders_recorded
+      = released ? handover_is_over (c) || c->handover.names_known
+                 : c->ownership.newest_token == 0
+                       || c->ownership.newest_vm_orders_recorded;
   if (released)
     {
       a->u.claim.terms.unconfirmed_ms = remaining_unconfirmed_ms (c);
-      handover_fill_release (c, &a->u.claim.terms);
     }
   a->u.claim.terms.slow_yield_at_ms = c->ownership.slow_yield_at_ms;
   a->u.claim.terms.best_cpu_milli
@@ -214,7 +217,7 @@
 }
 
 void
-ownership_on_claim (struct cell *c, struct cell_event *e)
+ownership_on_claim (struct cell *c, const struct cell_event *e)
 {
   struct ownership *o = &c->ownership;
   bool mine = strcmp (e->u.claim.member, c->settings.member) == 0;
@@ -228,10 +231,10 @@
   o->no_predecessor = o->newest_token == 0;
   o->newest_token = e->u.claim.token;
   o->newest_released = e->u.claim.terms.released;
-  if (!mine)
-    handover_note_claim (c, &e->u.claim.terms);
   if (o->newest_released)
     o->newest_unconfirmed_ms = e->u.claim.terms.unconfirmed_ms;
+  o->former_vm_orders_recorded = o->newest_vm_orders_recorded;
+  o->newest_vm_orders_recorded = e->u.claim.terms.vm_orders_recorded;
   o->owner_denied = false;
   if (e->u.claim.terms.best_cpu_milli > 0)
     o->best_cpu_milli = e->u.claim.terms.best_cpu_milli;
@@ -408,6 +411,7 @@
   o->predecessor_is_self = strcmp (o->newest_member, c->settings.member) == 0;
   o->no_predecessor = o->newest_token == 0;
   o->newest_token = e->u.claimed.token;
+  o->former_vm_orders_recorded = o->newest_vm_orders_recorded;
   o->newest_released = false;
   text_copy (o->newest_member, NAME_BYTES, c->settings.member);
   /* The token is the claim's offset + 1, which now is the topic's end.  */
--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -87,8 +87,7 @@
   return best;
 }
 
-/* Begins the move of V between two pools.  It is ordered at once if V has no
-   tasks.  */
+/* Begins the move of V between two pools.  */
 static void
 move_vm (struct cell *c, struct vm *v, struct pool_demand *from,
          struct pool_demand *to)
@@ -103,10 +102,8 @@
             v->row.vm, from->name, from->vm_count, from->need_count, to->name,
             to->vm_count, to->need_count);
   fleet_begin_emptying (c, v);
-  if (fleet_is_empty (c, v))
-    vm_orders_send (c, v);
-  else
-    c->fleet->window.emptying_count++;
+  c->fleet->window.emptying_count++;
+  c->fleet->window.empty_count += fleet_is_empty (c, v);
 }
 
 /* Returns true if the move of V can begin now: its order can be sent at once,
@@ -114,8 +111,8 @@
 static bool
 admits_move (const struct cell *c, const struct vm *v)
 {
-  return fleet_is_empty (c, v) ? vm_orders_admit (c)
-                               : vm_orders_admit_emptying (c);
+  return fleet_is_empty (c, v) ? vm_orders_admit_empty (c)
+                               : vm_orders_admit_emptying (c, true);
 }
 
 /* Returns the pool that gives a VM to TO, or NULL: the spare pool if it has a
--- a/core/cell/records.c
+++ b/core/cell/records.c
@@ -229,6 +229,7 @@
         jobs_on_stored (c, j);
     }
   records_apply_watermarks (c);
+  handover_on_stored (c);
 }
 
 /* Restores the tasks of J from the progress record R.  */
@@ -285,6 +286,11 @@
       waves_restore (c, r);
       return;
     }
+  if (r->is_vm_orders)
+    {
+      handover_restore (c, r);
+      return;
+    }
   j = jobs_find (c, r->job);
   if (j == NULL)
     j = jobs_new (c, r->job);
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -343,7 +343,10 @@
   bool no_predecessor;        /**< The cell was never claimed before.  */
   bool predecessor_is_self;  /**< The claim before the newest was ours too.  */
   bool predecessor_released; /**< The claim before the newest was a release. */
-  uint32_t newest_unconfirmed_ms; /**< unconfirmed_ms of the newest claim.  */
+  uint32_t newest_unconfirmed_ms; /**< unconfirmed_ms of the newest release. */
+  bool newest_vm_orders_recorded; /**< vm_orders_recorded of the newest
+                                     claim.  */
+  bool former_vm_orders_recorded; /**< The same of the claim before ours.  */
   char newest_member[NAME_BYTES];
   char owner_address[ADDRESS_BYTES]; /**< Relay of newest_member.  */
   bool link_up;                      /**< The link to the owner is up.  */
@@ -382,14 +385,16 @@
   uint64_t retry_at_us;
 };
 
-/** Which VMs the former owner may have ordered lately (handover.c).  */
+/** Which VMs this owner orders, and the former one may have (handover.c).  */
 struct vm_handover
 {
-  struct claim_terms newest; /**< Of the newest claim of another entry.  */
-  struct claim_terms former; /**< Of the claim before ours.  */
+  bool names_known; /**< names are all VMs that the former owner ordered.  */
+  uint32_t name_count;
+  char (*names)[NAME_BYTES];
   uint64_t until_us; /**< VMs that the former owner may have ordered get no
                         order before then.  */
-  char (*released_vms)[NAME_BYTES]; /**< Names in our last release.  */
+  bool dirty;        /**< Our record has to be appended.  */
+  bool recording;    /**< The append in flight has our record.  */
 };
 
 /** The append in flight; one at a time.  */
@@ -558,7 +563,7 @@
 void ingress_flush (struct cell *c);
 
 /* ownership.c: which entry owns the cell.  */
-void ownership_on_claim (struct cell *c, struct cell_event *e);
+void ownership_on_claim (struct cell *c, const struct cell_event *e);
 void ownership_on_holder (struct cell *c, const struct cell_event *e);
 void ownership_on_joined (struct cell *c, const struct cell_event *e);
 void ownership_on_claim_result (struct cell *c, const struct cell_event *e);
@@ -828,6 +833,10 @@
 void waves_restore (struct cell *c, const struct recovered_record *r);
 /** Returns true if a wave or the demand history has to be appended.  */
 bool waves_are_dirty (const struct cell *c);
+/** handover.c: takes over the names in R, a record of VM orders.  */
+void handover_restore (struct cell *c, struct recovered_record *r);
+/** handover.c: handles that an append was stored.  */
+void handover_on_stored (struct cell *c);
 /** Adds to A the records that waves_are_dirty tells of.  */
 void waves_add_records (struct cell *c, struct append *a);
 /** Forgets the VMs and the waves' progress; the waves stay.  */
--- a/core/cell/vm_orders.c
+++ b/core/cell/vm_orders.c
@@ -29,8 +29,13 @@
    orders are sent than the rate allows.  */
 #define BURST_PERCENT 10
 /** Most VMs that are being emptied: twice as many as can have an order without
-    an answer, since emptying takes longer than an order.  */
+    an answer, since emptying takes longer than an order.  Of these, moves use
+    MOVING_LIMIT_COUNT at most.  */
 #define EMPTYING_LIMIT_COUNT (2 * VM_ORDER_LIMIT_COUNT)
+#define MOVING_LIMIT_COUNT (EMPTYING_LIMIT_COUNT * 3 / 4)
+/** Most VMs without tasks that wait for their orders.  At the usual rates it
+   is what is sent while a record is stored.  */
+#define EMPTY_LIMIT_COUNT 16
 
 static void
 refill_budget (struct cell *c)
@@ -56,6 +61,7 @@
   refill_budget (c);
   w->open_count = 0;
   w->emptying_count = 0;
+  w->empty_count = 0;
   g_hash_table_iter_init (&it, c->fleet->vms);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
@@ -64,11 +70,13 @@
       w->open_count += v->phase == VM_ORDERED && v->order_pending
                        && c->now_us <= v->ordered_at_us + LOST_MS * US_PER_MS;
       w->emptying_count += v->phase == VM_EMPTYING;
+      w->empty_count += v->phase == VM_EMPTYING && fleet_is_empty (c, v);
     }
 }
 
-bool
-vm_orders_admit (const struct cell *c)
+/* Returns true if an order can be sent now.  */
+static bool
+admits_order (const struct cell *c)
 {
   const struct order_window *w = &c->fleet->window;
 
@@ -80,20 +88,38 @@
 }
 
 bool
-vm_orders_admit_emptying (const struct cell *c)
+vm_orders_admit_empty (const struct cell *c)
 {
   const struct order_window *w = &c->fleet->window;
 
+  if (records_are_stalled (c))
+    return false;
+  if (w->failure_count > 0 && w->empty_count > 0)
+    return false;
+  return admits_order (c) && w->empty_count < EMPTY_LIMIT_COUNT
+         && w->open_count + w->empty_count < VM_ORDER_LIMIT_COUNT;
+}
+
+bool
+vm_orders_admit_emptying (const struct cell *c, bool is_move)
+{
+  const struct order_window *w = &c->fleet->window;
+
+  if (records_are_stalled (c))
+    return false;
+
   /* After a failure one VM is emptied for the next try, and only if none is
      being emptied or has an order without an answer.  */
   if (w->failure_count > 0)
     return w->open_count + w->emptying_count == 0
            && c->now_us >= w->resume_at_us;
-  return w->emptying_count < EMPTYING_LIMIT_COUNT;
+  return w->emptying_count
+         < (is_move ? MOVING_LIMIT_COUNT : EMPTYING_LIMIT_COUNT);
 }
 
-void
-vm_orders_send (struct cell *c, struct vm *v)
+/* Sends the order for the move or maintenance that V was emptied for.  */
+static void
+send_order (struct cell *c, struct vm *v)
 {
   struct cell_action *a = cell_emit (c, CELL_DO_ORDER_VM);
   struct order_window *w = &c->fleet->window;
@@ -126,16 +152,20 @@
   uint64_t gap_ms = v->order_pending ? LOST_MS : RETRY_MS;
 
   if (v->phase == VM_ORDERED
-      && c->now_us > v->ordered_at_us + gap_ms * US_PER_MS
-      && vm_orders_admit (c))
-    vm_orders_send (c, v);
+      && c->now_us > v->ordered_at_us + gap_ms * US_PER_MS && admits_order (c))
+    send_order (c, v);
 }
 
 void
 vm_orders_send_or_give_back (struct cell *c, struct vm *v)
 {
-  if (vm_orders_admit (c))
-    vm_orders_send (c, v);
+  if (v->naming != VM_NAMED)
+    {
+      if (records_are_stalled (c))
+        fleet_give_back_vm (c, v, "store", FAILURE_DELAY_LIMIT_MS);
+    }
+  else if (admits_order (c))
+    send_order (c, v);
   else if (c->fleet->window.failure_count > 0)
     fleet_give_back_vm (c, v, "cloud", FAILURE_DELAY_LIMIT_MS);
 }
--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -158,7 +158,7 @@
   for (i = 0; i < c->fleet->waves->len; i++)
     if (((struct wave *)g_ptr_array_index (c->fleet->waves, i))->dirty)
       return true;
-  return demand_is_dirty (c);
+  return demand_is_dirty (c) || handover_is_dirty (c);
 }
 
 void
@@ -182,6 +182,8 @@
     }
   if (demand_is_dirty (c))
     demand_add_record (c, a);
+  if (handover_is_dirty (c))
+    handover_add_record (c, a);
 }
 
 void
@@ -540,7 +542,7 @@
   if (out_count >= limit_count)
     return;
   counts = count_pools (c, w);
-  while (out_count < limit_count && vm_orders_admit_emptying (c)
+  while (out_count < limit_count && vm_orders_admit_emptying (c, false)
          && (v = next_vm (c, w, counts)) != NULL)
     {
       struct runner *r = fleet_runner (c, v);
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -44,7 +44,8 @@
     APPEND_RECORD_DROP_PROGRESS, /**< Deletes its APPEND_RECORD_PROGRESS; never
                                     sent by the cell.  */
     APPEND_RECORD_WAVE,          /**< Progress of a wave.  */
-    APPEND_RECORD_POOL_HISTORY   /**< Demand history of the pools.  */
+    APPEND_RECORD_POOL_HISTORY,  /**< Demand history of the pools.  */
+    APPEND_RECORD_VM_ORDERS      /**< VMs that the owner orders.  */
   } kind;
   uint64_t job;
   const char *queue;
@@ -57,7 +58,8 @@
   uint32_t pool_count;        /**< Entries of pools.  */
   struct pool_history *pools; /**< A child of the append's records.  */
   uint64_t wave_number;
-  uint32_t vm_count; /**< Entries of vms_done.  */
+  char (*vm_names)[NAME_BYTES]; /**< A child of the append's records.  */
+  uint32_t vm_count;            /**< Entries of vms_done or vm_names.  */
   /** Of each VM of the wave, in order: its maintenance is done.  */
   const bool *vms_done;
   uint32_t task_count;
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -204,11 +204,13 @@
   bool is_job;
   bool is_wave;
   bool is_pool_history;
+  bool is_vm_orders;
   uint32_t pool_count; /**< Entries of pools.  */
   struct pool_history *pools;
   uint64_t wave_number;
-  uint32_t vm_count; /**< Entries of vms_done.  */
-  bool *vms_done;    /**< Of each VM of the wave, in order: it is done.  */
+  char (*vm_names)[NAME_BYTES]; /**< VMs that the owner orders.  */
+  uint32_t vm_count;            /**< Entries of vms_done or vm_names.  */
+  bool *vms_done; /**< Of each VM of the wave, in order: it is done.  */
   uint64_t job;
   char queue[NAME_BYTES];
   char tenant[NAME_BYTES];
@@ -336,7 +338,7 @@
       uint64_t next_offset; /**< End of the claims topic.  */
       char member[NAME_BYTES];     /**< Entry that made the claim.  */
       char address[ADDRESS_BYTES]; /**< Address of that entry's relay.  */
-      struct claim_terms terms;    /**< Its names are children of the event. */
+      struct claim_terms terms;
     } claim;
     struct
     {
