Do not take held calls for a surge after a change of owner

Change: jobs that arrive within 0.5 s after a takeover count as waiting work, not as a rate of arrivals.

--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -36,6 +36,9 @@
 /** The same for the newest buckets, if they are fewer than all: a short span
     must show more jobs.  */
 #define ARRIVAL_SHORT_MIN_COUNT 12
+/** Jobs that arrive within this after a change of owner are no measure of
+    demand: calls that were held meanwhile come all at once.  */
+#define HELD_CALLS_MS 500
 
 struct fleet_demand *
 demand_new (struct cell_fleet *f)
@@ -440,6 +443,15 @@
     }
 }
 
+/* Returns true if calls that were held while the cell had no owner may still
+   arrive.  */
+static bool
+held_calls_arrive (const struct cell *c)
+{
+  return !c->ownership.no_predecessor
+         && c->now_us < c->ownership.claimed_at_us + HELD_CALLS_MS * US_PER_MS;
+}
+
 void
 demand_note_arrival (struct cell *c, const struct job *j)
 {
@@ -451,8 +463,6 @@
   if (m == NULL || j->over_rate || j->spec->steps[0].long_running)
     return;
   c->fleet->demand->newest_arrival_at_us = c->now_us;
-  advance_buckets (c, m);
-  m->arrived_count[m->newest_bucket % ARRIVAL_BUCKET_COUNT]++;
   for (s = 0; s < j->spec->step_count; s++)
     {
       const struct job_step *step = &j->spec->steps[s];
@@ -463,10 +473,14 @@
     }
   m->owed += work_us * 1000;
   m->owed_in_time += work_us * 1000;
+  if (held_calls_arrive (c))
+    return;
+  advance_buckets (c, m);
   /* Work that the job does only after PREPARE_MS is left out: by then more VMs
      can be moved to the pool.  */
   if (serial_us > PREPARE_MS * US_PER_MS)
     work_us = work_us * (PREPARE_MS * US_PER_MS / 1000) / (serial_us / 1000);
+  m->arrived_count[m->newest_bucket % ARRIVAL_BUCKET_COUNT]++;
   m->arrived_us[m->newest_bucket % ARRIVAL_BUCKET_COUNT] += work_us;
 }
 
