Log each second how many VMs of a wave are left, and what holds them up

Change: line wave_state; one function tells why a VM is not emptied now, for the choice of the next VM and for the line; a field that nothing read is gone.

--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -8,6 +8,7 @@
 
 #include "core/cell/fleet.h"
 
+#include <stdio.h>
 #include <string.h>
 
 /** Interval between reads of the platform's list of VMs while wants_list is
@@ -28,6 +29,9 @@
 /** Time allowed for emptying and maintaining a VM when it is judged whether a
     wave meets its deadline.  If it would not, short tasks are stopped.  */
 #define VM_ALLOWANCE_MS 6000
+/** Interval between log lines on the state of a wave, and their size.  */
+#define LOG_INTERVAL_MS 1000
+#define WAVE_FIELDS_BYTES 120
 /** A VM whose long-running tasks have no places elsewhere is left out for this
     long, while its pool gets another VM.  */
 #define PLACE_SKIP_MS 500
@@ -39,10 +43,10 @@
   bool *done; /**< Of each VM in spec.vms: its maintenance is done.  */
   uint32_t done_count;
   uint64_t deadline_us;
-  uint64_t arrived_at_us; /**< When it was first read.  Set, but not used.  */
   bool running_published; /**< Its state was published as running.  */
   bool completed;
-  bool dirty; /**< Its progress has to be appended.  */
+  bool dirty;            /**< Its progress has to be appended.  */
+  uint64_t logged_at_us; /**< When its state was last logged.  */
 };
 
 /* The stored progress of a wave, which may be read before the wave itself.  */
@@ -201,7 +205,6 @@
   w->spec = *s;
   w->spec.vms = talloc_memdup (w, s->vms, s->vm_count * sizeof *s->vms);
   w->done = talloc_zero_array (w, bool, s->vm_count);
-  w->arrived_at_us = c->now_us;
   w->deadline_us = c->now_us + s->deadline_s * US_PER_S;
   g_ptr_array_add (f->waves, w);
   restore_wave (f, w);
@@ -398,6 +401,94 @@
   return false;
 }
 
+/* Returns how many VMs of W are away or being emptied for it, or may be.  */
+static uint32_t
+count_out (const struct cell *c, const struct wave *w)
+{
+  uint32_t n = 0;
+  uint32_t k;
+
+  for (k = 0; k < w->spec.vm_count; k++)
+    {
+      const struct vm *v = fleet_find (c->fleet, w->spec.vms[k]);
+
+      /* A VM that is down without an order of ours was sent into maintenance
+         by a former owner.  Such an order may not show in the list yet.  */
+      if (v != NULL
+          && (v->phase != VM_IDLE
+                  ? v->wave == w->spec.number
+                  : !v->row.up
+                        || (!w->done[k] && c->now_us < v->orders_from_us)))
+        n++;
+    }
+  return n;
+}
+
+/* Why a VM of a wave is not emptied now.  */
+enum wave_obstacle
+{
+  WAVE_MAY_EMPTY,
+  WAVE_VM_BUSY,    /* Another operation on it is under way, or it is down.  */
+  WAVE_VM_UNKNOWN, /* What runs on it is not known.  */
+  WAVE_VM_SKIPPED, /* It was given back lately, or its tasks had no places.  */
+  WAVE_VM_ORDERED, /* The former owner may have ordered it lately.  */
+  WAVE_POOL_BUSY,  /* Its pool cannot do without it.  */
+  WAVE_OBSTACLE_COUNT
+};
+
+static const char *const obstacle_names[WAVE_OBSTACLE_COUNT]
+    = { "free", "busy", "unknown", "skipped", "ordered", "pool" };
+
+static enum wave_obstacle
+find_obstacle (const struct cell *c, const struct wave *w, const struct vm *v,
+               GArray *counts)
+{
+  if (v->phase != VM_IDLE || !v->row.up)
+    return WAVE_VM_BUSY;
+  if (!fleet_runs_are_known (c, v))
+    return WAVE_VM_UNKNOWN;
+  if (c->now_us < v->skipped_until_us)
+    return WAVE_VM_SKIPPED;
+  if (c->now_us < v->orders_from_us)
+    return WAVE_VM_ORDERED;
+  return pool_allows (c, w, v, counts) ? WAVE_MAY_EMPTY : WAVE_POOL_BUSY;
+}
+
+/* Logs how many VMs of W are left, and why they are not emptied now.  */
+static void
+log_wave (struct cell *c, struct wave *w)
+{
+  uint32_t by_obstacle[WAVE_OBSTACLE_COUNT] = { 0 };
+  char fields[WAVE_FIELDS_BYTES] = "";
+  GArray *counts;
+  size_t used = 0;
+  uint32_t k;
+
+  if (c->now_us < w->logged_at_us + LOG_INTERVAL_MS * US_PER_MS)
+    return;
+  w->logged_at_us = c->now_us;
+  counts = count_pools (c, w);
+  for (k = 0; k < w->spec.vm_count; k++)
+    {
+      const struct vm *v
+          = w->done[k] ? NULL : fleet_find (c->fleet, w->spec.vms[k]);
+
+      if (v != NULL)
+        by_obstacle[find_obstacle (c, w, v, counts)]++;
+    }
+  for (k = 0; k < WAVE_OBSTACLE_COUNT; k++)
+    used += (size_t)snprintf (fields + used, sizeof fields - used,
+                              ",\"%s\":%u", obstacle_names[k], by_obstacle[k]);
+  g_array_free (counts, TRUE);
+  cell_log (c, "wave_state", 0,
+            "\"wave\":%llu,\"left\":%u,\"out\":%u,\"limit\":%u,"
+            "\"emptying\":%u%s",
+            (unsigned long long)w->spec.number,
+            w->spec.vm_count - w->done_count, count_out (c, w),
+            w->spec.parallel_limit_count, c->fleet->window.emptying_count,
+            fields);
+}
+
 /* Returns the VM of W that is emptied next, or NULL.  */
 static struct vm *
 next_vm (struct cell *c, struct wave *w, GArray *counts)
@@ -411,9 +502,7 @@
       struct vm *v = w->done[k] ? NULL : fleet_find (c->fleet, w->spec.vms[k]);
       bool slow;
 
-      if (v == NULL || v->phase != VM_IDLE || !v->row.up
-          || !fleet_runs_are_known (c, v) || c->now_us < v->skipped_until_us
-          || c->now_us < v->orders_from_us || !pool_allows (c, w, v, counts))
+      if (v == NULL || find_obstacle (c, w, v, counts) != WAVE_MAY_EMPTY)
         continue;
       slow = empties_slowly (c, v, counts);
       if (best == NULL || slow > best_slow
@@ -426,29 +515,6 @@
   return best;
 }
 
-/* Returns how many VMs of W are away or being emptied for it, or may be.  */
-static uint32_t
-count_out (const struct cell *c, const struct wave *w)
-{
-  uint32_t n = 0;
-  uint32_t k;
-
-  for (k = 0; k < w->spec.vm_count; k++)
-    {
-      const struct vm *v = fleet_find (c->fleet, w->spec.vms[k]);
-
-      /* A VM that is down without an order of ours was sent into maintenance
-         by a former owner.  Such an order may not show in the list yet.  */
-      if (v != NULL
-          && (v->phase != VM_IDLE
-                  ? v->wave == w->spec.number
-                  : !v->row.up
-                        || (!w->done[k] && c->now_us < v->orders_from_us)))
-        n++;
-    }
-  return n;
-}
-
 static void
 publish_state (struct cell *c, const struct wave *w, bool completed)
 {
@@ -594,6 +660,7 @@
         return;
     }
   empty_next_vms (c, w);
+  log_wave (c, w);
   if (w->done_count == w->spec.vm_count)
     {
       w->completed = true;
