Have waves take the VMs that a pool need not keep

Change: a wave takes a VM if its pool keeps what it has to without it, besides the VMs that the deadline calls for; VMs that move to another pool do not count as out.

--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -6,6 +6,7 @@
    short tasks end, and long-running ones start elsewhere, within their steps'
    limits of unavailable tasks.  */
 
+#include "core/cell/demand.h"
 #include "core/cell/fleet.h"
 
 #include <stdio.h>
@@ -309,7 +310,8 @@
 {
   const char *pool;
   uint32_t all_count;
-  uint32_t out_count;   /**< VMs that are away, down or being emptied.  */
+  uint32_t out_count;   /**< VMs that are away, down or being emptied, other
+                           than for a move to another pool.  */
   uint32_t left_count;  /**< VMs of the wave that are not done.  */
   uint32_t clear_count; /**< VMs in use that have no maintenance due.  */
 };
@@ -345,6 +347,9 @@
       struct pool_vm_counts *n = find_count (counts, v->row.pool);
       const struct runner *r;
 
+      /* A pool gives up only VMs that it does not need.  */
+      if (v->moving)
+        continue;
       n->all_count++;
       n->out_count += v->phase != VM_IDLE || !v->row.up
                       || c->now_us < v->orders_from_us;
@@ -363,11 +368,21 @@
   return counts;
 }
 
+/* Returns true if the pool of N keeps what it has to without one of the VMs
+   that are in use now.  */
+static bool
+has_surplus (struct cell *c, const struct pool_vm_counts *n)
+{
+  const struct pool_demand *m = demand_find (c, n->pool);
+
+  return m != NULL && n->all_count - n->out_count > m->keep_count;
+}
+
 /* Returns true if V's pool can do without V now.  A pool other than the spare
-   one gives up no more VMs at the same time than W needs to meet its
-   deadline.  */
+   one gives up the VMs that it need not keep, and of the others no more at the
+   same time than W needs to meet its deadline.  */
 static bool
-pool_allows (const struct cell *c, const struct wave *w, const struct vm *v,
+pool_allows (struct cell *c, const struct wave *w, const struct vm *v,
              GArray *counts)
 {
   uint64_t left_us
@@ -380,7 +395,7 @@
     return true;
   limit = rounds > 0 ? (n->left_count + rounds - 1) / rounds : n->left_count;
   limit = MIN (limit, MAX (n->all_count / POOL_PART, 1));
-  return n->out_count < MAX (limit, 1);
+  return n->out_count < MAX (limit, 1) || has_surplus (c, n);
 }
 
 /* Returns true if V has long-running tasks, and its pool has VMs that they can
@@ -440,7 +455,7 @@
     = { "free", "busy", "unknown", "skipped", "ordered", "pool" };
 
 static enum wave_obstacle
-find_obstacle (const struct cell *c, const struct wave *w, const struct vm *v,
+find_obstacle (struct cell *c, const struct wave *w, const struct vm *v,
                GArray *counts)
 {
   if (v->phase != VM_IDLE || !v->row.up)
