Note with each VM order for how long another owner has to wait

Change: the record has the rest of the gap for orders that have ended; it is made anew each 0.5 s while it notes any VM. Scripts show the waits.

--- a/adapter/job_codec.c
+++ b/adapter/job_codec.c
@@ -254,7 +254,11 @@
   msgpack_pack_uint8 (p, RECORD_VM_ORDERS);
   msgpack_pack_array (p, x->vm_count);
   for (i = 0; i < x->vm_count; i++)
-    pack_text (p, x->vm_names[i]);
+    {
+      msgpack_pack_array (p, 2);
+      pack_text (p, x->vm_orders[i].vm);
+      msgpack_pack_uint32 (p, x->vm_orders[i].wait_ms);
+    }
 }
 
 void
@@ -408,17 +412,24 @@
 unpack_vm_orders (TALLOC_CTX *mem, struct unpack *u,
                   struct recovered_record *r)
 {
-  struct unpack names;
+  struct unpack rows;
   uint32_t i;
 
   r->is_vm_orders = true;
-  unpack_array (u, &names);
-  r->vm_count = names.item_count;
-  r->vm_names = talloc_zero_size (mem, (r->vm_count + (size_t)1)
-                                           * sizeof *r->vm_names);
+  unpack_array (u, &rows);
+  r->vm_count = rows.item_count;
+  r->vm_orders
+      = talloc_zero_array (mem, struct vm_order_note, r->vm_count + 1);
   for (i = 0; i < r->vm_count; i++)
-    unpack_text (&names, r->vm_names[i], NAME_BYTES);
-  return !u->failed && !names.failed;
+    {
+      struct unpack row;
+
+      unpack_array (&rows, &row);
+      unpack_text (&row, r->vm_orders[i].vm, NAME_BYTES);
+      r->vm_orders[i].wait_ms = (uint32_t)unpack_number (&row, UINT32_MAX);
+      rows.failed |= row.failed;
+    }
+  return !u->failed && !rows.failed;
 }
 
 static bool
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -41,6 +41,8 @@
   uint64_t wave;                /**< Last wave that chose it; 0: none.  */
   uint64_t ordered_at_us;       /**< When its last order was sent, or when its
                                    outcome was found to be unknown.  */
+  uint64_t order_ended_at_us;   /**< When the outcome of its last order became
+                                   known; 0: it had none.  */
   bool may_be_executed;         /**< An order without an answer may have been
                                    carried out, or may yet be.  */
   bool order_pending;           /**< An order has no outcome yet.  */
--- a/core/cell/handover.c
+++ b/core/cell/handover.c
@@ -1,13 +1,13 @@
 /* handover.c -- which VMs a new owner may order.
 
    The platform requires a least time between the orders of two owners for one
-   VM.  So an owner names in a record the VMs that it is about to order, those
-   that it ordered within that time, and those whose orders may yet be carried
-   out; it sends no order for a VM before a record with its name is stored.
-   Since a new owner fences the records before it reads them, the record names
-   every VM that the former owner ordered or still may, however that one ended.
-   The new owner leaves these alone until the time has passed since its claim,
-   and may order all others at once.
+   VM.  So an owner notes in a record the VMs that it is about to order, those
+   whose orders may yet be carried out, and those that it ordered within that
+   time, with the rest of it; it sends no order for a VM before a record that
+   notes it is stored.  Since a new owner fences the records before it reads
+   them, the record notes every VM that the former owner ordered or still may,
+   however that one ended.  The new owner leaves these alone for the rest of
+   the time, and may order all others at once.
 
    Owners of earlier versions recorded nothing.  Claims tell whether the record
    can be relied on; if not, each VM may be one that was ordered.  */
@@ -19,11 +19,14 @@
 /** Added to handover_gap_ms, the least time that the platform requires between
     the VM orders of two owners.  */
 #define HANDOVER_MARGIN_MS 300
+/** The record is made anew after this, while it notes any VM, so that a new
+    owner does not wait for orders that ended long ago.  */
+#define RENEWAL_MS 500
 
-static uint64_t
-gap_us (const struct cell *c)
+static uint32_t
+gap_ms (const struct cell *c)
 {
-  return (c->settings.times.handover_gap_ms + HANDOVER_MARGIN_MS) * US_PER_MS;
+  return c->settings.times.handover_gap_ms + HANDOVER_MARGIN_MS;
 }
 
 void
@@ -32,13 +35,16 @@
   struct vm_handover *h = &c->handover;
   const struct ownership *o = &c->ownership;
 
-  h->names_known = o->former_vm_orders_recorded;
-  h->name_count = 0;
+  h->orders_known = o->former_vm_orders_recorded;
+  h->order_count = 0;
   h->dirty = false;
   h->recording = false;
+  h->noted_count = 0;
   /* Our own orders, and what we waited for before, need no new wait.  */
-  if (!o->predecessor_is_self)
-    h->until_us = o->no_predecessor ? 0 : c->now_us + gap_us (c);
+  if (o->predecessor_is_self)
+    return;
+  h->begun_at_us = c->now_us;
+  h->until_us = o->no_predecessor ? 0 : c->now_us + gap_ms (c) * US_PER_MS;
 }
 
 void
@@ -46,9 +52,9 @@
 {
   struct vm_handover *h = &c->handover;
 
-  TALLOC_FREE (h->names);
-  h->name_count = r->vm_count;
-  h->names = talloc_steal (c, r->vm_names);
+  talloc_free (h->orders);
+  h->order_count = r->vm_count;
+  h->orders = talloc_steal (c, r->vm_orders);
 }
 
 bool
@@ -65,11 +71,12 @@
 
   if (handover_is_over (c))
     return 0;
-  if (!h->names_known)
+  if (!h->orders_known)
     return h->until_us;
-  for (i = 0; i < h->name_count; i++)
-    if (strcmp (h->names[i], vm) == 0)
-      return h->until_us;
+  for (i = 0; i < h->order_count; i++)
+    if (strcmp (h->orders[i].vm, vm) == 0)
+      return h->begun_at_us
+             + MIN (h->orders[i].wait_ms, gap_ms (c)) * US_PER_MS;
   return 0;
 }
 
@@ -85,17 +92,27 @@
 bool
 handover_is_dirty (const struct cell *c)
 {
-  return c->handover.dirty;
+  const struct vm_handover *h = &c->handover;
+
+  return h->dirty
+         || (h->noted_count > 0
+             && c->now_us >= h->noted_at_us + RENEWAL_MS * US_PER_MS);
 }
 
-/* Returns true if the record has to name V.  */
-static bool
-has_order (const struct cell *c, const struct vm *v)
+/* Returns for how long another owner must not order V, in milliseconds.  */
+static uint32_t
+wait_ms_of (const struct cell *c, const struct vm *v)
 {
-  return v->naming != VM_NOT_NAMED || v->phase == VM_ORDERED
-         || v->may_be_executed || c->now_us < v->orders_from_us
-         || (v->ordered_at_us > 0
-             && c->now_us < v->ordered_at_us + gap_us (c));
+  uint64_t until_us = v->orders_from_us;
+
+  if (v->naming != VM_NOT_NAMED || v->phase == VM_ORDERED
+      || v->may_be_executed)
+    return gap_ms (c);
+  if (v->order_ended_at_us > 0)
+    until_us = MAX (until_us, v->order_ended_at_us + gap_ms (c) * US_PER_MS);
+  return until_us > c->now_us
+             ? (uint32_t)((until_us - c->now_us) / US_PER_MS + 1)
+             : 0;
 }
 
 void
@@ -104,34 +121,36 @@
   struct vm_handover *h = &c->handover;
   struct append_record *x = records_add (a);
   uint32_t inherited_count
-      = h->names_known && !handover_is_over (c) && !c->fleet->listed
-            ? h->name_count
-            : 0;
+      = handover_is_over (c) || c->fleet->listed ? 0 : h->order_count;
   GHashTableIter it;
   gpointer value;
-  uint32_t i;
 
   h->dirty = false;
   h->recording = true;
   x->kind = APPEND_RECORD_VM_ORDERS;
-  x->vm_names
-      = talloc_zero_size (a->records, (g_hash_table_size (c->fleet->vms)
-                                       + (size_t)inherited_count + 1)
-                                          * sizeof *x->vm_names);
+  x->vm_orders = talloc_zero_array (a->records, struct vm_order_note,
+                                    g_hash_table_size (c->fleet->vms)
+                                        + inherited_count + 1);
   g_hash_table_iter_init (&it, c->fleet->vms);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct vm *v = value;
+      uint32_t wait_ms = wait_ms_of (c, v);
 
-      if (!has_order (c, v))
+      if (wait_ms == 0)
         continue;
-      text_copy (x->vm_names[x->vm_count++], NAME_BYTES, v->row.vm);
+      text_copy (x->vm_orders[x->vm_count].vm, NAME_BYTES, v->row.vm);
+      x->vm_orders[x->vm_count++].wait_ms = wait_ms;
       if (v->naming == VM_NAMING_DUE)
         v->naming = VM_NAMING_SENT;
     }
-  /* The list of VMs, which will have these names, is not read yet.  */
-  for (i = 0; i < inherited_count; i++)
-    text_copy (x->vm_names[x->vm_count++], NAME_BYTES, h->names[i]);
+  /* The list of VMs, which will have these, is not read yet.  */
+  if (inherited_count > 0)
+    memcpy (x->vm_orders + x->vm_count, h->orders,
+            inherited_count * sizeof *h->orders);
+  x->vm_count += inherited_count;
+  h->noted_count = x->vm_count;
+  h->noted_at_us = c->now_us;
 }
 
 void
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -113,7 +113,7 @@
   a->u.claim.at_offset = c->ownership.claims_end_offset;
   a->u.claim.terms.released = released;
   a->u.claim.terms.vm_orders_recorded
-      = released ? handover_is_over (c) || c->handover.names_known
+      = released ? handover_is_over (c) || c->handover.orders_known
                  : c->ownership.newest_token == 0
                        || c->ownership.newest_vm_orders_recorded;
   if (released)
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -388,13 +388,15 @@
 /** Which VMs this owner orders, and the former one may have (handover.c).  */
 struct vm_handover
 {
-  bool names_known; /**< names are all VMs that the former owner ordered.  */
-  uint32_t name_count;
-  char (*names)[NAME_BYTES];
-  uint64_t until_us; /**< VMs that the former owner may have ordered get no
-                        order before then.  */
-  bool dirty;        /**< Our record has to be appended.  */
-  bool recording;    /**< The append in flight has our record.  */
+  bool orders_known; /**< orders are all that the former owner gave.  */
+  uint32_t order_count;
+  struct vm_order_note *orders;
+  uint64_t begun_at_us; /**< When the cell was claimed from another owner.  */
+  uint64_t until_us;    /**< Then all VMs may be ordered.  */
+  uint32_t noted_count; /**< VMs in our last record.  */
+  uint64_t noted_at_us; /**< When it was made.  */
+  bool dirty;           /**< Our record has to be appended.  */
+  bool recording;       /**< The append in flight has our record.  */
 };
 
 /** The append in flight; one at a time.  */
--- a/core/cell/vm_orders.c
+++ b/core/cell/vm_orders.c
@@ -261,6 +261,7 @@
   if (v->order_pending && c->fleet->window.open_count > 0)
     c->fleet->window.open_count--;
   v->order_pending = false;
+  v->order_ended_at_us = c->now_us;
   cell_log (c, "vm_order_answered", 0,
             "\"vm\":\"%s\",\"move\":%s,\"outcome\":%u,\"took_ms\":%llu,"
             "\"withdrawn_ms\":%llu",
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -58,8 +58,8 @@
   uint32_t pool_count;        /**< Entries of pools.  */
   struct pool_history *pools; /**< A child of the append's records.  */
   uint64_t wave_number;
-  char (*vm_names)[NAME_BYTES]; /**< A child of the append's records.  */
-  uint32_t vm_count;            /**< Entries of vms_done or vm_names.  */
+  struct vm_order_note *vm_orders; /**< A child of the append's records.  */
+  uint32_t vm_count;               /**< Entries of vms_done or vm_orders.  */
   /** Of each VM of the wave, in order: its maintenance is done.  */
   const bool *vms_done;
   uint32_t task_count;
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -197,6 +197,13 @@
                                 VM.  */
 };
 
+/** A VM that the owner orders or ordered lately.  */
+struct vm_order_note
+{
+  char vm[NAME_BYTES];
+  uint32_t wait_ms; /**< Another owner may order it after this.  */
+};
+
 /** A record read back from the store at a takeover.  One flag tells what it
     describes; without a flag it is the progress of a job.  */
 struct recovered_record
@@ -208,8 +215,8 @@
   uint32_t pool_count; /**< Entries of pools.  */
   struct pool_history *pools;
   uint64_t wave_number;
-  char (*vm_names)[NAME_BYTES]; /**< VMs that the owner orders.  */
-  uint32_t vm_count;            /**< Entries of vms_done or vm_names.  */
+  struct vm_order_note *vm_orders; /**< Of the owner.  */
+  uint32_t vm_count;               /**< Entries of vms_done or vm_orders.  */
   bool *vms_done; /**< Of each VM of the wave, in order: it is done.  */
   uint64_t job;
   char queue[NAME_BYTES];
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -346,21 +346,25 @@
   }
 }
 
-/* Reads the names of VMs of ROW into R.  */
+/* Reads the VMs of ROW, an object of their waits by name, into R.  */
 static void
 read_vm_orders (struct cell_event *e, const json_t *row,
                 struct recovered_record *r)
 {
-  const json_t *names = json_object_get (row, "vm_orders");
-  size_t i;
+  json_t *waits = json_object_get (row, "vm_orders");
+  const char *vm;
+  json_t *wait;
 
   r->is_vm_orders = true;
-  r->vm_count = (uint32_t)json_array_size (names);
-  r->vm_names
-      = talloc_zero_size (e, (r->vm_count + (size_t)1) * sizeof *r->vm_names);
-  for (i = 0; i < r->vm_count; i++)
-    text_copy (r->vm_names[i], NAME_BYTES,
-               json_string_value (json_array_get (names, i)));
+  r->vm_orders = talloc_zero_array (e, struct vm_order_note,
+                                    json_object_size (waits) + 1);
+  json_object_foreach (waits, vm, wait)
+  {
+    struct vm_order_note *n = &r->vm_orders[r->vm_count++];
+
+    text_copy (n->vm, NAME_BYTES, vm);
+    n->wait_ms = (uint32_t)json_integer_value (wait);
+  }
 }
 
 static void
@@ -613,20 +617,22 @@
 }
 
 static int
-compare_names (const void *a, const void *b)
+compare_notes (const void *a, const void *b)
 {
-  return strcmp (a, b);
+  return strcmp (((const struct vm_order_note *)a)->vm,
+                 ((const struct vm_order_note *)b)->vm);
 }
 
-/* Prints the names of the VMs in the record W, sorted.  */
+/* Prints the VMs in the record W, sorted, with their waits.  */
 static void
-print_vm_names (GString *out, const struct append_record *w)
+print_vm_orders (GString *out, const struct append_record *w)
 {
   uint32_t i;
 
-  qsort (w->vm_names, w->vm_count, sizeof *w->vm_names, compare_names);
+  qsort (w->vm_orders, w->vm_count, sizeof *w->vm_orders, compare_notes);
   for (i = 0; i < w->vm_count; i++)
-    g_string_append_printf (out, " %s", w->vm_names[i]);
+    g_string_append_printf (out, " %s=%u", w->vm_orders[i].vm,
+                            w->vm_orders[i].wait_ms);
 }
 
 /* Returns true if A, an append, has VM orders only.  It is not counted in the
@@ -701,7 +707,7 @@
       for (k = 0; w->kind == APPEND_RECORD_WAVE && k < w->vm_count; k++)
         g_string_append (out, w->vms_done[k] ? " +" : " -");
       if (w->kind == APPEND_RECORD_VM_ORDERS)
-        print_vm_names (out, w);
+        print_vm_orders (out, w);
     }
 }
 
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -64,7 +64,7 @@
   bool done[3] = { true, false, true };
   struct pool_history pool
       = { .name = "p", .surge_began_at_ms = 5, .peak_vm_count = 9 };
-  char vm_names[2][NAME_BYTES] = { "m-1", "m-2" };
+  struct vm_order_note vm_orders[2] = { { "m-1", 3300 }, { "m-2", 40 } };
   struct append_record items[] = {
     { .kind = APPEND_RECORD_JOB,
       .job = j->id,
@@ -82,7 +82,7 @@
       .vms_done = done },
     { .kind = APPEND_RECORD_POOL_HISTORY, .pool_count = 1, .pools = &pool },
     { .kind = APPEND_RECORD_DROP_JOB, .job = j->id },
-    { .kind = APPEND_RECORD_VM_ORDERS, .vm_count = 2, .vm_names = vm_names },
+    { .kind = APPEND_RECORD_VM_ORDERS, .vm_count = 2, .vm_orders = vm_orders },
   };
   struct platform_records r;
   struct recovered_record row;
@@ -123,7 +123,8 @@
       mem, r.items[5].key, r.items[5].value, r.items[5].value_bytes, &row));
   g_assert_true (row.is_vm_orders);
   g_assert_cmpuint (row.vm_count, ==, 2);
-  g_assert_cmpstr (row.vm_names[1], ==, "m-2");
+  g_assert_cmpstr (row.vm_orders[1].vm, ==, "m-2");
+  g_assert_cmpuint (row.vm_orders[1].wait_ms, ==, 40);
   msgpack_sbuffer_destroy (&out);
   talloc_free (mem);
 }
