--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -13,6 +13,12 @@
     platform had executed before.  */
 #define SAME_RUNNER_MS 1500
 
+/* Names of the phases of a VM in log lines.  */
+static const char *const phase_names[] = { [VM_IDLE] = "idle",
+                                           [VM_EMPTYING] = "emptying",
+                                           [VM_ORDERED] = "ordered",
+                                           [VM_AWAY] = "away" };
+
 struct vm *
 fleet_find (const struct cell_fleet *f, const char *name)
 {
@@ -95,8 +101,8 @@
 {
   if (!v->row.up && v->phase == VM_IDLE)
     return;
-  cell_log (c, "vm_left", 0, "\"vm\":\"%s\",\"pool\":\"%s\",\"phase\":%u",
-            v->row.vm, v->row.pool, v->phase);
+  cell_log (c, "vm_left", 0, "\"vm\":\"%s\",\"pool\":\"%s\",\"phase\":\"%s\"",
+            v->row.vm, v->row.pool, phase_names[v->phase]);
   v->row.up = false;
   if (v->phase == VM_IDLE || v->phase == VM_EMPTYING
       || (v->phase == VM_AWAY
--- a/core/cell/ingress.c
+++ b/core/cell/ingress.c
@@ -193,9 +193,10 @@
 {
   c->metrics.counters[CELL_COUNT_REFUSED]++;
   cell_log (c, "call_refused", 0,
-            "\"call\":%llu,\"code\":%u,\"kind\":%u,\"version\":%llu,"
+            "\"call\":%llu,\"code\":\"%s\",\"kind\":\"%s\",\"version\":%llu,"
             "\"config_age_ms\":%llu,\"path\":\"%.60s\"",
-            (unsigned long long)call->call_id, code, call->kind,
+            (unsigned long long)call->call_id, reply_code_name (code),
+            call_kind_name (call->kind),
             (unsigned long long)(c->config ? c->config->version : 0),
             (unsigned long long)((c->now_us - c->config_confirmed_at_us)
                                  / US_PER_MS),
@@ -345,10 +346,10 @@
         continue;
       cell_log (
           c, "call_given_up", f->call.job,
-          "\"call\":%llu,\"code\":%u,\"kind\":%u,\"sent\":%s,"
+          "\"call\":%llu,\"code\":\"%s\",\"kind\":\"%s\",\"sent\":%s,"
           "\"age_ms\":%llu,\"owner\":\"%s\"",
-          (unsigned long long)f->call.call_id, code, f->call.kind,
-          f->sent ? "true" : "false",
+          (unsigned long long)f->call.call_id, reply_code_name (code),
+          call_kind_name (f->call.kind), f->sent ? "true" : "false",
           (unsigned long long)((c->now_us - f->arrived_at_us) / US_PER_MS),
           c->ownership.newest_member);
       answer (c, f->call.call_id, f->call.kind, code, random_retry_ms (c));
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -70,6 +70,14 @@
 /** A runner's clock runs fast or slow by at most this.  */
 #define CLOCK_ERROR_PERCENT 2
 
+/* Names of the phases in log lines.  */
+static const char *const phase_names[]
+    = { [OWNERSHIP_NONE] = "none",
+        [OWNERSHIP_JOINING] = "joining",
+        [OWNERSHIP_CLAIMING] = "claiming",
+        [OWNERSHIP_RECOVERING] = "recovering",
+        [OWNERSHIP_OWNER] = "owner" };
+
 static void
 set_phase (struct cell *c, enum ownership_phase p)
 {
@@ -162,14 +170,14 @@
 {
   if (c->ownership.phase == OWNERSHIP_NONE)
     return;
-  cell_log (
-      c, "ownership_lost", 0,
-      "\"why\":\"%s\",\"token\":%llu,\"phase\":%u,\"newest_member\":\"%s\","
-      "\"join_age_ms\":%llu",
-      why, (unsigned long long)c->ownership.token, c->ownership.phase,
-      c->ownership.newest_member,
-      (unsigned long long)((c->now_us - c->ownership.joined_at_us)
-                           / US_PER_MS));
+  cell_log (c, "ownership_lost", 0,
+            "\"why\":\"%s\",\"token\":%llu,\"phase\":\"%s\",\"newest_member\":"
+            "\"%s\","
+            "\"join_age_ms\":%llu",
+            why, (unsigned long long)c->ownership.token,
+            phase_names[c->ownership.phase], c->ownership.newest_member,
+            (unsigned long long)((c->now_us - c->ownership.joined_at_us)
+                                 / US_PER_MS));
   /* After a leave the store assigns the cell to another member at once.  */
   cell_emit (c, CELL_DO_LEAVE);
   end_ownership (c);
--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -238,7 +238,7 @@
   r->miss_count++;
   if (r->miss_count == 1)
     cell_log (c, "runner_silent", 0,
-              "\"runner\":\"%s\",\"outcome\":%u,\"runs\":%u", r->report.id,
-              x->outcome, r->tasks->len);
+              "\"runner\":\"%s\",\"outcome\":\"%s\",\"runs\":%u", r->report.id,
+              order_outcome_name (x->outcome), r->tasks->len);
   runners_schedule_poll (c, r, MISS_GAP_MS * MIN (r->miss_count, 6));
 }
--- a/core/cell/records.c
+++ b/core/cell/records.c
@@ -213,8 +213,9 @@
       return;
     case APPEND_NOT_DONE:
     case APPEND_UNKNOWN:
-      cell_log (c, "append_not_stored", 0, "\"sequence\":%llu,\"outcome\":%u",
-                (unsigned long long)sequence, outcome);
+      cell_log (c, "append_not_stored", 0,
+                "\"sequence\":%llu,\"outcome\":\"%s\"",
+                (unsigned long long)sequence, append_outcome_name (outcome));
       a->retry_at_us = c->now_us + APPEND_RETRY_MS * US_PER_MS;
       return;
     case APPEND_STORED:
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -7,6 +7,7 @@
 #define FTK_CORE_CELL_STATE_H
 
 #include "core/cell/cell.h"
+#include "port/cell_name.h"
 
 #include <glib.h>
 
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -26,6 +26,12 @@
 /** The same for a runner that refused a start for lack of room.  */
 #define FULL_BACKOFF_MS 150
 
+/* Names of the phases of a task in log lines.  */
+static const char *const phase_names[]
+    = { [TASK_WAITING] = "waiting",         [TASK_STARTING] = "starting",
+        [TASK_RUNNING] = "running",         [TASK_STOPPING] = "stopping",
+        [TASK_UNCONFIRMED] = "unconfirmed", [TASK_DONE] = "done" };
+
 struct job *
 task_job (const struct task *t)
 {
@@ -340,10 +346,10 @@
   if (e->kind != END_DONE)
     cell_log (c, "task_ended", e->task.job,
               "\"task\":\"%u.%u.%u\",\"run\":%u,\"runner\":\"%s\","
-              "\"how\":%u,\"failed\":%u,\"phase\":%u,\"final\":%s",
+              "\"how\":\"%s\",\"failed\":%u,\"phase\":\"%s\",\"final\":%s",
               e->task.occurrence, e->task.step, e->task.index, e->run,
-              r->report.id, e->kind, t->failed_count, t->phase,
-              task_job (t)->final ? "true" : "false");
+              r->report.id, end_kind_name (e->kind), t->failed_count,
+              phase_names[t->phase], task_job (t)->final ? "true" : "false");
   if (is_current_run && e->kind == END_STOPPED)
     slow_runners_on_stopped (c, t);
   if (task_job (t)->final)
@@ -375,9 +381,9 @@
   if (outcome != ORDER_DONE)
     cell_log (c, "start_not_done", task_job (t)->id,
               "\"task\":\"%u.%u.%u\",\"run\":%u,\"runner\":\"%s\","
-              "\"outcome\":%u",
+              "\"outcome\":\"%s\"",
               t->step->occurrence->number, t->step->number, t->index, t->run,
-              r->report.id, outcome);
+              r->report.id, order_outcome_name (outcome));
   if (outcome != ORDER_DONE && outcome != ORDER_UNKNOWN)
     c->metrics.counters[CELL_COUNT_START_REFUSED]++;
   switch (outcome)
--- a/core/cell/vm_orders.c
+++ b/core/cell/vm_orders.c
@@ -188,7 +188,8 @@
   w->resume_at_us
       = c->now_us + (FAILURE_DELAY_MS << doubling_count) * US_PER_MS;
   if (w->failure_count == 1)
-    cell_log (c, "cloud_fails", 0, "\"outcome\":%u", outcome);
+    cell_log (c, "cloud_fails", 0, "\"outcome\":\"%s\"",
+              order_outcome_name (outcome));
 }
 
 /* Handles that the cloud carries out the order for V.  */
@@ -263,9 +264,10 @@
   v->order_pending = false;
   v->order_ended_at_us = c->now_us;
   cell_log (c, "vm_order_answered", 0,
-            "\"vm\":\"%s\",\"move\":%s,\"outcome\":%u,\"took_ms\":%llu,"
+            "\"vm\":\"%s\",\"move\":%s,\"outcome\":\"%s\",\"took_ms\":%llu,"
             "\"withdrawn_ms\":%llu",
-            v->row.vm, v->moving ? "true" : "false", outcome,
+            v->row.vm, v->moving ? "true" : "false",
+            order_outcome_name (outcome),
             (unsigned long long)((c->now_us - v->ordered_at_us) / US_PER_MS),
             (unsigned long long)((c->now_us - v->emptying_at_us) / US_PER_MS));
   note_answer (c, outcome != ORDER_UNKNOWN && outcome != ORDER_UNAVAILABLE,
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -8,6 +8,7 @@
 #include "tests/cell_script.h"
 
 #include "core/cell/cell.h"
+#include "port/cell_name.h"
 
 #include <jansson.h>
 #include <stdlib.h>
@@ -58,35 +59,18 @@
   text_copy (dst, size_bytes, s != NULL ? s : "");
 }
 
-static int
-index_of (const char *name, const char *const *names, int count)
-{
-  int i;
-
-  for (i = 0; i < count; i++)
-    if (name != NULL && strcmp (name, names[i]) == 0)
-      return i;
-  g_error ("unknown name: %s", name != NULL ? name : "(none)");
-}
-
-/* Names of enumerators in the order of their values.  */
-static const char *const call_names[]
-    = { "submit", "state", "cancel", "pending", "malformed" };
-static const char *const order_outcome_names[]
-    = { "done",     "fenced",    "stale",      "late",
-        "no_room",  "no_ticket", "wrong_boot", "busy",
-        "rejected", "unknown",   "unavailable" };
-static const char *const append_outcome_names[]
-    = { "stored", "not_done", "fenced", "unknown" };
-static const char *const end_kind_names[]
-    = { "done",          "failed",      "stopped",
-        "lease_expired", "gang_broken", "gang_incomplete" };
-static const char *const reply_code_names[]
-    = { "ok",        "no_job",     "no_queue",      "unauthorized",
-        "malformed", "impossible", "overloaded",    "unavailable",
-        "unknown",   "redirect",   "ownership_lost" };
-static const char *const order_kind_names[]
-    = { "start", "stop", "poll", "pace" };
+/* Returns the enumerator, below COUNT, whose name by NAME_OF is NAME.  */
+#define ENUM_OF(name, name_of, count)                                         \
+  ({                                                                          \
+    const char *wanted_ = (name);                                             \
+    int i_ = 0;                                                               \
+                                                                              \
+    while (i_ < (count) && g_strcmp0 (wanted_, name_of (i_)) != 0)            \
+      i_++;                                                                   \
+    if (i_ == (count))                                                        \
+      g_error ("unknown name: %s", wanted_ != NULL ? wanted_ : "(none)");     \
+    i_;                                                                       \
+  })
 
 static uint64_t
 job_id (const char *s)
@@ -193,9 +177,8 @@
 
   e->kind = CELL_CALL;
   c->call_id = get_number (j, "id", 0);
-  c->kind = (enum call_kind)index_of (
-      json_string_value (json_object_get (j, "kind")), call_names,
-      G_N_ELEMENTS (call_names));
+  c->kind = ENUM_OF (json_string_value (json_object_get (j, "kind")),
+                     call_kind_name, CALL_MALFORMED + 1);
   get_text (j, "host", c->host, HOST_BYTES);
   get_text (j, "path", c->path, sizeof c->path);
   get_text (j, "key", c->key, API_KEY_BYTES);
@@ -212,9 +195,8 @@
   e->kind = CELL_JOB_CALL;
   e->u.job_call.link_id = get_number (j, "link", 1);
   c->call_id = get_number (j, "id", 0);
-  c->kind = (enum call_kind)index_of (
-      json_string_value (json_object_get (j, "kind")), call_names,
-      G_N_ELEMENTS (call_names));
+  c->kind = ENUM_OF (json_string_value (json_object_get (j, "kind")),
+                     call_kind_name, CALL_MALFORMED + 1);
   get_text (j, "queue", c->queue, NAME_BYTES);
   get_text (j, "tenant", c->tenant, NAME_BYTES);
   c->age_ms = (uint32_t)get_number (j, "age", 0);
@@ -282,11 +264,11 @@
   r->order_id = get_number (j, "order", 0);
   r->token = get_number (j, "token", 0);
   r->kind = (enum order_kind)x->order_kinds[r->order_id % ORDER_HISTORY_COUNT];
-  r->outcome = (enum order_outcome)index_of (
-      json_object_get (j, "outcome")
-          ? json_string_value (json_object_get (j, "outcome"))
-          : "done",
-      order_outcome_names, G_N_ELEMENTS (order_outcome_names));
+  r->outcome
+      = ENUM_OF (json_object_get (j, "outcome")
+                     ? json_string_value (json_object_get (j, "outcome"))
+                     : "done",
+                 order_outcome_name, ORDER_OUTCOME_COUNT);
   r->clock_ms = get_number (j, "clock", x->at_ms);
   r->booted_at_ms = get_number (j, "booted_at", 0);
   r->running_incomplete = get_flag (j, "incomplete");
@@ -310,9 +292,8 @@
 
     t->number = (uint64_t)json_integer_value (json_array_get (row, 0));
     read_task (row, 1, &t->task, &t->run);
-    t->kind
-        = (enum end_kind)index_of (json_string_value (json_array_get (row, 3)),
-                                   end_kind_names, END_KIND_COUNT);
+    t->kind = ENUM_OF (json_string_value (json_array_get (row, 3)),
+                       end_kind_name, END_KIND_COUNT);
   }
 }
 
@@ -529,9 +510,9 @@
   else if ((v = json_object_get (j, "claimed")) != NULL)
     {
       e->kind = CELL_CLAIM_RESULT;
-      e->u.claimed.outcome = (enum append_outcome)index_of (
-          json_string_value (json_object_get (v, "outcome")),
-          append_outcome_names, G_N_ELEMENTS (append_outcome_names));
+      e->u.claimed.outcome
+          = ENUM_OF (json_string_value (json_object_get (v, "outcome")),
+                     append_outcome_name, APPEND_UNKNOWN + 1);
       e->u.claimed.token = get_number (v, "token", 0);
     }
   else if ((v = json_object_get (j, "appended")) != NULL)
@@ -539,9 +520,9 @@
       e->kind = CELL_APPENDED;
       e->u.appended.sequence
           = x->sequences[get_number (v, "sequence", 0) % APPEND_HISTORY_COUNT];
-      e->u.appended.outcome = (enum append_outcome)index_of (
-          json_string_value (json_object_get (v, "outcome")),
-          append_outcome_names, G_N_ELEMENTS (append_outcome_names));
+      e->u.appended.outcome
+          = ENUM_OF (json_string_value (json_object_get (v, "outcome")),
+                     append_outcome_name, APPEND_UNKNOWN + 1);
     }
   else if ((v = json_object_get (j, "recovered")) != NULL)
     read_recovered (v, e);
@@ -561,17 +542,17 @@
     {
       e->kind = CELL_VM_RESULT;
       get_text (v, "vm", e->u.vm_result.vm, NAME_BYTES);
-      e->u.vm_result.outcome = (enum order_outcome)index_of (
-          json_string_value (json_object_get (v, "outcome")),
-          order_outcome_names, G_N_ELEMENTS (order_outcome_names));
+      e->u.vm_result.outcome
+          = ENUM_OF (json_string_value (json_object_get (v, "outcome")),
+                     order_outcome_name, ORDER_OUTCOME_COUNT);
     }
   else if ((v = json_object_get (j, "reply")) != NULL)
     {
       e->kind = CELL_REPLY;
       e->u.reply.call_id = get_number (v, "id", 0);
-      e->u.reply.code = (enum reply_code)index_of (
-          json_string_value (json_object_get (v, "code")), reply_code_names,
-          G_N_ELEMENTS (reply_code_names));
+      e->u.reply.code
+          = ENUM_OF (json_string_value (json_object_get (v, "code")),
+                     reply_code_name, REPLY_CODE_COUNT);
     }
   else if ((v = json_object_get (j, "owner_link")) != NULL)
     {
@@ -607,7 +588,7 @@
 print_reply (GString *out, const struct reply *r)
 {
   g_string_append_printf (out, " call %llu %s", (unsigned long long)r->call_id,
-                          reply_code_names[r->code]);
+                          reply_code_name (r->code));
   if (r->code == REPLY_OK && r->kind == CALL_STATE)
     g_string_append_printf (out, " %s", job_state_name (r->state));
   if (r->code == REPLY_OK && r->kind == CALL_PENDING)
@@ -717,7 +698,7 @@
   x->order_kinds[o->order_id % ORDER_HISTORY_COUNT] = o->kind;
   g_string_append_printf (x->out, "order %llu: %s on %s token %llu",
                           (unsigned long long)o->order_id,
-                          order_kind_names[o->kind], o->runner,
+                          order_kind_name (o->kind), o->runner,
                           (unsigned long long)o->token);
   print_task (x->out, o);
   if (o->link_id > 0)
@@ -772,7 +753,7 @@
     case CELL_DO_FORWARD:
       g_string_append_printf (out, "forward call %llu %s",
                               (unsigned long long)a->u.forward.call_id,
-                              call_names[a->u.forward.kind]);
+                              call_kind_name (a->u.forward.kind));
       if (a->u.forward.spec != NULL)
         g_string_append_printf (out, " of %u steps",
                                 a->u.forward.spec->step_count);
