Prefer an entry that was restarted as successor of one that is stopped

Change: a release by an entry that is stopped tells for how long it ran; entries that have not started later than it delay their join by 0.4 s.

--- a/adapter/claim_codec.c
+++ b/adapter/claim_codec.c
@@ -2,7 +2,8 @@
 
    A claim is [member, relay address, released, largest CPU share, time of the
    last release by an owner on a slow VM, time for which runs of former owners
-   may go on, whether VM orders are recorded].  Earlier versions did not
+   may go on, whether VM orders are recorded, age
+   of an entry that is stopped].  Earlier versions did not
    write all of them.  */
 
 #include "adapter/claim_codec.h"
@@ -10,7 +11,7 @@
 #include "adapter/job_codec.h"
 #include "adapter/pack.h"
 
-#define FIELD_COUNT 7
+#define FIELD_COUNT 8
 
 struct blob *
 claim_encode (const char *member, const char *relay_address,
@@ -32,6 +33,7 @@
   msgpack_pack_uint64 (&p, t->slow_yield_at_ms);
   msgpack_pack_uint32 (&p, t->unconfirmed_ms);
   pack_bool (&p, t->vm_orders_recorded);
+  msgpack_pack_uint64 (&p, t->stopped_age_ms);
   keyed_record_pack (&out, "0", value.data, (uint32_t)value.size);
   b = blob_copy (out.data, (uint32_t)out.size);
   msgpack_sbuffer_destroy (&value);
@@ -57,6 +59,7 @@
   t->slow_yield_at_ms = unpack_number (&u, UINT64_MAX);
   t->unconfirmed_ms = (uint32_t)unpack_number (&u, UINT32_MAX);
   t->vm_orders_recorded = unpack_bool (&u);
+  t->stopped_age_ms = unpack_number (&u, UINT64_MAX / US_PER_S);
   msgpack_unpacked_destroy (&m);
   return valid;
 }
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -306,6 +306,8 @@
 void
 cell_step (struct cell *c, struct cell_event *e, struct cell_actions *out)
 {
+  if (c->started_at_us == 0)
+    c->started_at_us = e->now_us;
   c->now_us = e->now_us;
   c->wall_ms = e->wall_ms;
   c->random = e->random;
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -52,6 +52,12 @@
 #define WEAK_FACTOR 2
 /** A weak entry delays its join by this.  */
 #define WEAK_JOIN_DELAY_MS 900
+/** An entry that has not started later than an owner that is stopped delays
+   its join by this, so that the cell goes to an entry that was restarted
+   already: where entries are restarted in turn, any other is stopped soon.
+   Start times that are closer than START_MARGIN_MS are the same.  */
+#define OLD_JOIN_DELAY_MS 400
+#define START_MARGIN_MS 1000
 /** Least time between two yields of an entry, between two yields of the cell
     by owners on slow VMs, and between a claim and a yield, so that the owner
     has settled first.  */
@@ -127,6 +133,9 @@
   if (released)
     {
       a->u.claim.terms.unconfirmed_ms = remaining_unconfirmed_ms (c);
+      if (c->stopping)
+        a->u.claim.terms.stopped_age_ms
+            = (c->now_us - c->started_at_us) / US_PER_MS + 1;
     }
   a->u.claim.terms.slow_yield_at_ms = c->ownership.slow_yield_at_ms;
   a->u.claim.terms.best_cpu_milli
@@ -224,6 +233,17 @@
   cell_emit (c, CELL_DO_RECOVER)->u.token = o->token;
 }
 
+/* Notes when the owner that released the cell with the terms T had started, if
+   it is stopped.  */
+static void
+note_stopped_owner (struct cell *c, const struct claim_terms *t)
+{
+  uint64_t age_us = t->stopped_age_ms * US_PER_MS;
+
+  c->ownership.stopped_started_at_us
+      = t->stopped_age_ms > 0 && c->now_us > age_us ? c->now_us - age_us : 0;
+}
+
 void
 ownership_on_claim (struct cell *c, const struct cell_event *e)
 {
@@ -241,6 +261,7 @@
   o->newest_released = e->u.claim.terms.released;
   if (o->newest_released)
     o->newest_unconfirmed_ms = e->u.claim.terms.unconfirmed_ms;
+  note_stopped_owner (c, &e->u.claim.terms);
   o->former_vm_orders_recorded = o->newest_vm_orders_recorded;
   o->newest_vm_orders_recorded = e->u.claim.terms.vm_orders_recorded;
   o->owner_denied = false;
@@ -319,6 +340,16 @@
          || c->now_us < c->ownership.slow_until_us;
 }
 
+/* Returns true if the last owner was stopped and this entry has not been
+   started after it.  */
+static bool
+may_be_stopped_next (const struct cell *c)
+{
+  uint64_t at_us = c->ownership.stopped_started_at_us;
+
+  return at_us > 0 && c->started_at_us <= at_us + START_MARGIN_MS * US_PER_MS;
+}
+
 void
 ownership_on_holder (struct cell *c, const struct cell_event *e)
 {
@@ -346,7 +377,8 @@
     {
       /* Ask again after a random delay, and join if there is still none.  */
       uint64_t wait_ms = c->random % JOIN_JITTER_MS
-                         + (is_weak (c) ? WEAK_JOIN_DELAY_MS : 0);
+                         + (is_weak (c) ? WEAK_JOIN_DELAY_MS : 0)
+                         + (may_be_stopped_next (c) ? OLD_JOIN_DELAY_MS : 0);
 
       o->retry_at_us = c->now_us + wait_ms * US_PER_MS + 1;
       o->next_find_at_us = o->retry_at_us;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -345,6 +345,9 @@
   bool predecessor_is_self;  /**< The claim before the newest was ours too.  */
   bool predecessor_released; /**< The claim before the newest was a release. */
   uint32_t newest_unconfirmed_ms; /**< unconfirmed_ms of the newest release. */
+  uint64_t stopped_started_at_us; /**< When the owner that was stopped last had
+                                     started; 0: not known, or the newest claim
+                                     is no such release.  */
   bool newest_vm_orders_recorded; /**< vm_orders_recorded of the newest
                                      claim.  */
   bool former_vm_orders_recorded; /**< The same of the claim before ours.  */
@@ -470,6 +473,7 @@
   GHashTable *keys;                /**< API key to tenant's index + 1.  */
   uint64_t config_confirmed_at_us; /**< When config was last the newest; 0:
                                       never confirmed.  */
+  uint64_t started_at_us;          /**< Time of the first event.  */
   struct ownership ownership;
   struct vm_handover handover;
   GHashTable *peers;           /**< link_id to struct peer.  */
--- a/port/claim.h
+++ b/port/claim.h
@@ -14,6 +14,8 @@
                                 none.  */
   uint64_t slow_yield_at_ms; /**< When an owner on a slow VM last gave the cell
                                 up, in Unix time; 0: not known.  */
+  uint64_t stopped_age_ms;   /**< In a release by an entry that is stopped: for
+                                how long it ran; 0: another reason.  */
   bool vm_orders_recorded;   /**< The record of VM orders names every VM that
                                 owners up to its maker ordered lately, and
                                 those that its maker will.  */
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -465,6 +465,7 @@
   e->u.claim.terms.slow_yield_at_ms = get_number (j, "slow_yield_at", 0);
   e->u.claim.terms.unconfirmed_ms
       = (uint32_t)get_number (j, "unconfirmed_ms", 0);
+  e->u.claim.terms.stopped_age_ms = get_number (j, "stopped_age", 0);
   e->u.claim.terms.vm_orders_recorded = get_flag (j, "vm_orders_recorded");
   get_text (j, "member", e->u.claim.member, NAME_BYTES);
   get_text (j, "address", e->u.claim.address, ADDRESS_BYTES);
@@ -728,6 +729,9 @@
     g_string_append (x->out, " released");
   if (!t->vm_orders_recorded)
     g_string_append (x->out, " vm_orders_unknown");
+  if (t->stopped_age_ms > 0)
+    g_string_append_printf (x->out, " stopped_age %llu",
+                            (unsigned long long)t->stopped_age_ms);
   if (t->unconfirmed_ms > 0)
     g_string_append_printf (x->out, " unconfirmed %u", t->unconfirmed_ms);
 }
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -158,6 +158,7 @@
                            .best_cpu_milli = 500,
                            .slow_yield_at_ms = 9,
                            .vm_orders_recorded = true,
+                           .stopped_age_ms = 60000,
                            .unconfirmed_ms = 12000 };
   struct cell_event *e;
 
@@ -168,6 +169,7 @@
   g_assert_cmpuint (e->u.claim.terms.best_cpu_milli, ==, 500);
   g_assert_cmpuint (e->u.claim.terms.slow_yield_at_ms, ==, 9);
   g_assert_true (e->u.claim.terms.vm_orders_recorded);
+  g_assert_cmpuint (e->u.claim.terms.stopped_age_ms, ==, 60000);
   g_assert_cmpuint (e->u.claim.terms.unconfirmed_ms, ==, 12000);
   g_assert_false (decode_claim_of (mem, &t, 1, &e));
   g_assert_false (decode_claim_of (mem, &t, 12, &e));
