Note no VM for good whose lost order was repeated

Cause: may_be_executed stays set after the order has ended, so such a VM was noted at the whole gap in each record, and the record made anew each 0.5 s, for good. Change: only VMs that are to be ordered or have an order are noted so; an order that has ended counts for the rest of the gap. A claim of ours clears when a stopped owner had started.

--- a/adapter/claim_codec.c
+++ b/adapter/claim_codec.c
@@ -2,9 +2,8 @@
 
    A claim is [member, relay address, released, largest CPU share, time of the
    last release by an owner on a slow VM, time for which runs of former owners
-   may go on, whether VM orders are recorded, age
-   of an entry that is stopped].  Earlier versions did not
-   write all of them.  */
+   may go on, whether VM orders are recorded, age of an entry that is stopped].
+   Earlier versions did not write all of them.  */
 
 #include "adapter/claim_codec.h"
 
--- a/core/cell/handover.c
+++ b/core/cell/handover.c
@@ -105,8 +105,7 @@
 {
   uint64_t until_us = v->orders_from_us;
 
-  if (v->naming != VM_NOT_NAMED || v->phase == VM_ORDERED
-      || v->may_be_executed)
+  if (v->naming != VM_NOT_NAMED || v->phase == VM_ORDERED)
     return gap_ms (c);
   if (v->order_ended_at_us > 0)
     until_us = MAX (until_us, v->order_ended_at_us + gap_ms (c) * US_PER_MS);
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -180,9 +180,8 @@
   if (c->ownership.phase == OWNERSHIP_NONE)
     return;
   cell_log (c, "ownership_lost", 0,
-            "\"why\":\"%s\",\"token\":%llu,\"phase\":\"%s\",\"newest_member\":"
-            "\"%s\","
-            "\"join_age_ms\":%llu",
+            "\"why\":\"%s\",\"token\":%llu,\"phase\":\"%s\","
+            "\"newest_member\":\"%s\",\"join_age_ms\":%llu",
             why, (unsigned long long)c->ownership.token,
             phase_names[c->ownership.phase], c->ownership.newest_member,
             (unsigned long long)((c->now_us - c->ownership.joined_at_us)
@@ -452,6 +451,7 @@
   o->no_predecessor = o->newest_token == 0;
   o->newest_token = e->u.claimed.token;
   o->former_vm_orders_recorded = o->newest_vm_orders_recorded;
+  o->stopped_started_at_us = 0;
   o->newest_released = false;
   text_copy (o->newest_member, NAME_BYTES, c->settings.member);
   /* The token is the claim's offset + 1, which now is the topic's end.  */
