Log which runners inherited tasks wait for, and when these answer

After a takeover on-call saw that a job waits as 'unreached', not which runner it waits for, how many tasks do, or until when. tasks_unconfirmed, once a second and pool, tells; runner_reached names a runner that answers 1 s or more after the claim.

--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -33,6 +33,8 @@
 /** Margin added to the expected run time of a job that has not started: the
     tasks of a step differ, and the slowest one counts.  */
 #define MARGIN_PERCENT 15
+/** Interval at which it is logged which runners inherited tasks wait for.  */
+#define UNREACHED_LOG_MS 1000
 
 /* A job with waiting tasks, in the order of a round.  */
 struct candidate
@@ -45,16 +47,17 @@
 /* State of a pool during a round.  */
 struct pool_round
 {
-  enum wait_reason wait;  /**< Why the current job waits.  */
-  bool unreached;         /**< The current job may run on a runner that has not
-                             answered us.  */
-  bool unreached_known;   /**< pool_unreached is set.  */
-  bool pool_unreached;    /**< The same for every inherited job of the pool;
-                             told from all runners and VMs, so found out once a
-                             round.  */
-  bool reserved;          /**< This round has tried to reserve a runner for a
-                             task that waited for RESERVE_WAIT_MS.  */
-  uint32_t no_room_count; /**< Entries of no_room.  */
+  enum wait_reason wait; /**< Why the current job waits.  */
+  bool unreached;        /**< The current job may run on a runner that has not
+                            answered us.  */
+  bool unreached_known;  /**< pool_unreached is set.  */
+  bool pool_unreached;   /**< The same for every inherited job of the pool;
+                            told from all runners and VMs, so found out once a
+                            round.  */
+  uint32_t unreached_count; /**< Tasks that wait for that reason.  */
+  bool reserved;            /**< This round has tried to reserve a runner for a
+                               task that waited for RESERVE_WAIT_MS.  */
+  uint32_t no_room_count;   /**< Entries of no_room.  */
   struct resources no_room[NO_ROOM_LIMIT_COUNT]; /**< Needs of tasks that found
                                                   no room.  */
 };
@@ -339,6 +342,7 @@
       if (p->unreached && !t->reconciled)
         {
           p->wait = WAIT_UNREACHED;
+          p->unreached_count++;
           continue;
         }
       if (backs_off (c, t))
@@ -367,6 +371,47 @@
       }
 }
 
+/* Logs for each pool, in POOLS, how many inherited tasks wait for runners that
+   have not answered us, and for which.  */
+static void
+log_unreached (struct cell *c, GHashTable *pools)
+{
+  GHashTableIter it;
+  gpointer name;
+  gpointer value;
+  bool logged = false;
+
+  if (c->now_us < MAX (c->unreached_logged_at_us, c->ownership.claimed_at_us)
+                      + UNREACHED_LOG_MS * US_PER_MS)
+    return;
+  g_hash_table_iter_init (&it, pools);
+  while (g_hash_table_iter_next (&it, &name, &value))
+    {
+      const struct pool_round *p = value;
+      uint64_t until_us = c->ownership.unconfirmed_until_us;
+      const char *first = "";
+      uint32_t n;
+
+      if (p->unreached_count == 0)
+        continue;
+      logged = true;
+      n = fleet_count_unreached (c, name, UINT32_MAX, &first);
+      cell_log (c, "tasks_unconfirmed", 0,
+                "\"pool\":\"%s\",\"tasks\":%u,\"unreached\":%u,"
+                "\"runner\":\"%s\",\"age_ms\":%llu,\"left_ms\":%llu,"
+                "\"lists_read\":%s",
+                (const char *)name, p->unreached_count, n, first,
+                (unsigned long long)((c->now_us - c->ownership.claimed_at_us)
+                                     / US_PER_MS),
+                (unsigned long long)(until_us > c->now_us
+                                         ? (until_us - c->now_us) / US_PER_MS
+                                         : 0),
+                c->runners_known && c->fleet->listed ? "true" : "false");
+    }
+  if (logged)
+    c->unreached_logged_at_us = c->now_us;
+}
+
 void
 dispatch_run (struct cell *c)
 {
@@ -394,6 +439,7 @@
       note_wait (c, j, p->wait);
     }
   place_end_round (c);
+  log_unreached (c, pools);
   g_hash_table_destroy (pools);
   g_array_free (candidates, TRUE);
 }
--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -193,37 +193,53 @@
          && r->report.booted_at_ms <= c->wall_ms + CLOCK_DIFFERENCE_MS;
 }
 
+/* Returns true if R is in POOL, may have runs of a former owner and has not
+   answered us.  */
+static bool
+is_unreached (const struct cell *c, const struct runner *r, const char *pool)
+{
+  return !r->reached && strcmp (r->report.pool, pool) == 0
+         && !fleet_runner_is_gone (c, r) && !booted_after_claim (c, r);
+}
+
+/* The same for the runner on V, which the store does not list.  */
+static bool
+is_unlisted (const struct cell *c, const struct vm *v, const char *pool)
+{
+  return v->row.up && v->first_runner[0] != '\0'
+         && strcmp (v->row.runner, v->first_runner) == 0
+         && strcmp (v->row.pool, pool) == 0 && fleet_runner (c, v) == NULL;
+}
+
 /* Looks in both lists.  The store's list lacks runners whose registrations
    expired while the store was unreachable; the platform's list lacks those
    that started after it was first read.  */
-bool
-fleet_has_unreached (const struct cell *c, const char *pool)
+uint32_t
+fleet_count_unreached (const struct cell *c, const char *pool, uint32_t limit,
+                       const char **first)
 {
+  uint32_t n = 0;
   GHashTableIter it;
   gpointer value;
 
-  if (!c->runners_known || !c->fleet->listed)
-    return true;
   g_hash_table_iter_init (&it, c->runners);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      const struct runner *r = value;
-
-      if (!r->reached && strcmp (r->report.pool, pool) == 0
-          && !fleet_runner_is_gone (c, r) && !booted_after_claim (c, r))
-        return true;
-    }
+  while (n < limit && g_hash_table_iter_next (&it, NULL, &value))
+    if (is_unreached (c, value, pool) && n++ == 0)
+      *first = ((struct runner *)value)->report.id;
   g_hash_table_iter_init (&it, c->fleet->vms);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      const struct vm *v = value;
+  while (n < limit && g_hash_table_iter_next (&it, NULL, &value))
+    if (is_unlisted (c, value, pool) && n++ == 0)
+      *first = ((struct vm *)value)->row.runner;
+  return n;
+}
 
-      if (v->row.up && v->first_runner[0] != '\0'
-          && strcmp (v->row.runner, v->first_runner) == 0
-          && strcmp (v->row.pool, pool) == 0 && fleet_runner (c, v) == NULL)
-        return true;
-    }
-  return false;
+bool
+fleet_has_unreached (const struct cell *c, const char *pool)
+{
+  const char *first;
+
+  return !c->runners_known || !c->fleet->listed
+         || fleet_count_unreached (c, pool, 1, &first) > 0;
 }
 
 bool
--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -16,6 +16,9 @@
 /** The answer to a poll lists at most this many ends.  If it lists as many,
     the next answer may list more.  */
 #define ENDED_PAGE_COUNT 500
+/** The first answer of a runner is logged if it comes this long or longer
+   after the claim: tasks may have waited for it.  */
+#define REACHED_LOG_MS 1000
 
 /* Gives T the run ROW that R reports and that a former owner started.  */
 static void
@@ -176,7 +179,16 @@
   uint32_t i;
 
   if (!x->running_incomplete)
-    r->reached = true;
+    {
+      if (!r->reached
+          && c->now_us
+                 > c->ownership.claimed_at_us + REACHED_LOG_MS * US_PER_MS)
+        cell_log (c, "runner_reached", 0, "\"runner\":\"%s\",\"age_ms\":%llu",
+                  r->report.id,
+                  (unsigned long long)((c->now_us - c->ownership.claimed_at_us)
+                                       / US_PER_MS));
+      r->reached = true;
+    }
   else if (!r->reached)
     runners_schedule_poll (c, r, MISS_GAP_MS);
   if (x->ended_count > 1)
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -512,6 +512,8 @@
   GArray *dirty_job_ids; /**< uint64_t ids of jobs to be appended.  */
   bool dispatch_due;     /**< Something changed that may let a task start.  */
   uint64_t dispatched_at_us; /**< When the last round of dispatch was.  */
+  uint64_t unreached_logged_at_us; /**< When the runners that inherited tasks
+                                      wait for were last logged.  */
   struct cell_fleet *fleet;
   bool ready;          /**< Last result of the readiness check.  */
   bool ready_reported; /**< ready was reported at least once.  */
