Model of the platform, and red tests of what must hold

Scripted runs check one cell; nothing checked the promises from the runners' side, with several entries and faults at random times.

TSan leaves the model out, as it has one thread.

--- /dev/null
+++ b/tests/model.h
@@ -0,0 +1,336 @@
+/* model.h -- the users' platform and the entries on it, in virtual time.
+
+   Several cells, one for each entry, take events and give actions as they do
+   in an entry process.  The store, the runners, the cloud and the links
+   between entries are modelled as the platform's pages describe them, with
+   faults at random times.  What must hold is judged from what the runners do,
+   not from what the entries believe.  The same seed gives the same run.
+
+   model.c has the clock, the entries and their links; model_store.c the store;
+   model_runner.c the runners and the cloud; model_rules.c what must hold;
+   model_faults.c the load and the faults.  */
+
+#ifndef TESTS_MODEL_H
+#define TESTS_MODEL_H
+
+#include "core/cell/cell.h"
+
+#include <glib.h>
+
+#define MODEL_ENTRY_LIMIT 400
+#define MODEL_VM_LIMIT 3200
+#define MODEL_POOL_COUNT 3
+/** The last pool is the spare one.  */
+#define MODEL_SPARE_POOL (MODEL_POOL_COUNT - 1)
+#define MODEL_CPU_MILLI 8000
+/** Unix time at which a run begins.  */
+#define MODEL_EPOCH_MS UINT64_C (1700000000000)
+
+/** Kinds of faults; names are in model_faults.c.  */
+enum model_fault
+{
+  MODEL_OWNER_KILLED,
+  MODEL_ENTRY_KILLED,
+  MODEL_ALL_KILLED,
+  MODEL_OWNER_STOPPED,     /**< As planned; it starts again.  */
+  MODEL_ENTRIES_RESTARTED, /**< As planned, one after the other.  */
+  MODEL_OWNER_FROZEN,
+  MODEL_OWNER_CUT_OFF, /**< From all others.  */
+  MODEL_OWNER_CUT_FROM_STORE,
+  MODEL_RUNNER_CRASHED, /**< A new boot follows under the same id.  */
+  MODEL_RUNNER_LOST,    /**< Its VM stays up without a runner.  */
+  MODEL_VM_LOST,        /**< The cloud lists it as down.  */
+  MODEL_RUNNER_CUT_OFF, /**< From the entries.  */
+  MODEL_RUNNER_CUT_FROM_STORE,
+  MODEL_RUNNER_DRAINED, /**< It leaves, and another one comes.  */
+  MODEL_STORE_DOWN,
+  MODEL_STORE_SILENT,
+  MODEL_APPENDS_LOST, /**< Appends are stored, their answers lost.  */
+  MODEL_ORDERS_LOST,  /**< Some orders are lost, or their answers.  */
+  MODEL_ORDERS_LATE,  /**< Some are carried out seconds later.  */
+  MODEL_CLOUD_DOWN,
+  MODEL_WAVE,
+  MODEL_CLOCK_STEP, /**< Of the wall clock of an entry.  */
+  MODEL_REASSIGNED, /**< The group assigns the cell anew.  */
+  MODEL_FAULT_COUNT
+};
+
+/** What a run is made of.  */
+struct model_options
+{
+  uint32_t entry_count;
+  uint32_t vm_count;           /**< Of each pool.  */
+  uint32_t serving_task_count; /**< Of each pool's long-running job.  */
+  uint32_t arrival_ms;         /**< Mean time between two short jobs.  */
+  uint32_t cpu_milli;          /**< Processor share of an entry.  */
+  uint32_t fault_count;
+  uint32_t fault_kind_count; /**< Entries of fault_kinds.  */
+  enum model_fault fault_kinds[MODEL_FAULT_COUNT];
+  uint32_t restart_gap_ms; /**< Between restarts in turn.  */
+  bool verbose;            /**< Print the lines of the entries' logs.  */
+};
+
+struct model;
+typedef void (*model_function) (struct model *m, void *argument);
+
+/** A run of a task on a runner.  */
+struct model_run
+{
+  struct task_id task;
+  uint32_t run;
+  uint64_t began_at_us;
+  uint64_t ends_at_us;  /**< 0: it ends only if stopped.  */
+  uint64_t stops_at_us; /**< 0: it was not told to stop.  */
+  bool fails;
+  bool long_running;
+  uint64_t cpu_milli;
+};
+
+/** The end of a run, until it is acknowledged.  */
+struct model_end
+{
+  struct ended_run ended;
+  uint64_t at_us;
+};
+
+/** One life of a VM's runner process.  */
+struct model_runner
+{
+  char id[NAME_BYTES];
+  uint32_t vm;
+  bool alive;
+  bool draining;
+  uint64_t booted_at_us;
+  uint64_t booted_at_ms; /**< As it tells it.  */
+  uint32_t clock_milli;  /**< Rate of its clock, in thousandths.  */
+  uint64_t token;
+  uint64_t lease_end_ms; /**< On its clock.  */
+  uint64_t lapsed_at_us; /**< When its lease last expired; 0: never.  */
+  uint64_t end_number;
+  GArray *runs;          /**< struct model_run.  */
+  GArray *ends;          /**< struct model_end.  */
+  GHashTable *last_runs; /**< Task to the highest run stopped or ended.  */
+  GPtrArray *polls;      /**< struct model_call that waits for an end.  */
+  uint64_t cut_until_us; /**< It reaches no entry until then.  */
+  uint64_t store_cut_until_us;
+  bool registered;
+  uint64_t silent_at_us;         /**< When the store last heard of it.  */
+  uint64_t registration_version; /**< Of the newest change.  */
+};
+
+struct model_vm
+{
+  char name[NAME_BYTES];
+  uint32_t pool;
+  uint32_t rack;
+  uint32_t life_count;
+  bool up;                     /**< Not moving, in maintenance or down.  */
+  struct model_runner *runner; /**< NULL: none has booted.  */
+};
+
+struct model_entry
+{
+  struct model *model;
+  uint32_t index;
+  char name[NAME_BYTES];
+  char address[ADDRESS_BYTES];
+  struct cell_settings settings;
+  struct cell *cell; /**< NULL while the process does not run.  */
+  uint32_t process;  /**< Number of its process.  */
+  uint64_t frozen_until_us;
+  uint64_t cut_until_us; /**< From all others.  */
+  uint64_t store_cut_until_us;
+  int64_t clock_step_ms;              /**< Of its wall clock.  */
+  char wanted_address[ADDRESS_BYTES]; /**< Relay it is to be linked to.  */
+  struct model_entry *linked;         /**< Other end of its link, or NULL.  */
+  uint32_t linked_process;
+  uint64_t link_id;
+  uint64_t link_tried_at_us;
+  uint64_t link_heard_at_us;
+  bool degraded; /**< Contents of its heartbeats.  */
+  uint32_t best_cpu_milli;
+  bool reported_degraded; /**< What its link's other end told it.  */
+  uint32_t reported_cpu_milli;
+  bool reported_eligible; /**< What it told its link's other end.  */
+  uint64_t claims_seen_offset;
+  bool claims_read;
+  bool follows_runners;
+  bool runners_listed;
+  uint64_t runners_seen_version;
+  uint64_t newest_token; /**< Seen in orders that it sent.  */
+};
+
+/** A claim in the store.  */
+struct model_claim
+{
+  char member[NAME_BYTES];
+  char address[ADDRESS_BYTES];
+  struct claim_terms terms;
+};
+
+struct model_store
+{
+  GArray *claims; /**< struct model_claim, by offset.  */
+  uint64_t epoch;
+  uint64_t sequence;
+  GHashTable *records;                         /**< Key to GBytes.  */
+  uint64_t member_until_us[MODEL_ENTRY_LIMIT]; /**< 0: no member.  */
+  int32_t holder; /**< Index of an entry; -1: none.  */
+  uint64_t down_until_us;
+  bool silent; /**< While down it leaves calls unanswered.  */
+  uint64_t appends_lost_until_us;
+  uint64_t registration_version;
+};
+
+/** A task as the rules see it.  */
+struct model_task
+{
+  struct task_id id;
+  bool long_running;
+  bool done;              /**< A run has ended as done.  */
+  uint32_t failed_count;  /**< Runs that failed.  */
+  uint32_t running_count; /**< Runs on runners that are up.  */
+  uint64_t last_at_us;    /**< When its last run ended, or it was accepted. */
+  bool stopped_by_order;  /**< Its last run ended by a stop or VM order.  */
+  GArray *done_ends;      /**< struct model_done.  */
+};
+
+struct model_done
+{
+  struct model_runner *runner;
+  uint64_t booted_at_us; /**< Its boot; ends are numbered in it.  */
+  uint64_t number;
+  uint64_t at_us;
+  uint32_t run;
+  bool noted;         /**< Acknowledged under an unbroken lease.  */
+  uint32_t later_run; /**< A run that was started after it; 0: none.  */
+};
+
+/** A job as its client sees it.  */
+struct model_job
+{
+  uint64_t id;
+  uint32_t pool;
+  bool long_running;
+  uint32_t step_count;
+  uint32_t task_count; /**< Of each step.  */
+  uint32_t task_ms;
+  uint64_t cpu_milli;
+  bool accepted;
+  bool sent; /**< A call is open.  */
+  uint64_t sent_at_us;
+  uint64_t accepted_at_us;
+  uint32_t open_entry;
+  uint32_t open_process;
+  uint64_t open_call_id;
+};
+
+struct model
+{
+  struct model_options options;
+  TALLOC_CTX *arena; /**< Parent of what is scheduled.  */
+  uint64_t now_us;
+  uint64_t random;
+  uint64_t sequence;
+  GTree *queue;
+  struct cell_actions actions;
+  uint32_t entry_count;
+  struct model_entry *entries;
+  uint64_t last_link_id;
+  struct model_store store;
+  uint32_t vm_count;
+  struct model_vm *vms;
+  GHashTable *runners; /**< Id to struct model_runner.  */
+  GPtrArray *all_runners;
+  GHashTable *tasks; /**< Name to struct model_task.  */
+  GPtrArray *jobs;   /**< struct model_job.  */
+  GHashTable *jobs_by_id;
+  uint64_t last_call_id;
+  uint64_t cloud_down_until_us;
+  uint64_t orders_lost_until_us;
+  uint64_t orders_late_until_us;
+  uint64_t disturbed_until_us; /**< End of the newest fault so far.  */
+  uint64_t end_us;
+  uint32_t broken_count;
+  GString *report; /**< The first broken rules.  */
+  uint32_t start_count;
+  uint32_t owner_count; /**< Claims that were stored.  */
+  uint64_t next_wave;
+};
+
+/* model.c */
+/** Plays a run with SEED.  Returns the number of broken rules; adds the first
+    of them to REPORT.  */
+uint32_t model_play (const struct model_options *o, uint64_t seed,
+                     GString *report);
+/** Returns a number below N.  */
+uint32_t model_random (struct model *m, uint32_t n);
+/** Returns a number from LOW to HIGH.  */
+uint64_t model_between (struct model *m, uint64_t low, uint64_t high);
+/** Calls F in DELAY_US.  ARGUMENT is a child of M's arena, which F frees, or
+    NULL.  */
+void model_schedule (struct model *m, uint64_t delay_us, model_function f,
+                     void *argument);
+/** Passes EV, whose ownership it takes, to the cell of E in DELAY_US, unless
+    the process PROCESS of E has ended by then.  */
+void model_post (struct model_entry *e, uint32_t process, uint64_t delay_us,
+                 struct cell_event *ev);
+struct cell_event *model_event (enum cell_event_kind kind);
+void model_entry_start (struct model_entry *e);
+void model_entry_kill (struct model_entry *e);
+bool model_entry_runs (const struct model_entry *e);
+/** Returns the entry that owns the cell by its own counters, or NULL.  */
+struct model_entry *model_owner (struct model *m);
+/** Returns true if the entry can exchange messages with others.  */
+bool model_entry_reaches (const struct model_entry *e);
+
+/* model_store.c */
+void model_store_action (struct model_entry *e, const struct cell_action *a);
+/** Passes news of the store to the entries.  */
+void model_store_tick (struct model *m);
+bool model_store_serves (const struct model_entry *e);
+void model_store_free (struct model *m);
+
+/* model_runner.c */
+void model_runner_action (struct model_entry *e, struct cell_action *a);
+void model_runner_tick (struct model *m);
+void model_vm_boot (struct model *m, uint32_t vm, const char *same_id);
+/** Ends the runner of VM; its runs end without a trace.  */
+void model_runner_end (struct model *m, uint32_t vm);
+void model_runners_free (struct model *m);
+uint64_t model_runner_clock_ms (const struct model *m,
+                                const struct model_runner *r);
+struct model_runner *model_vm_runner (struct model *m, uint32_t vm);
+
+/* model_rules.c */
+void model_broken (struct model *m, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+struct model_task *model_task_of (struct model *m, const struct task_id *id);
+void model_rules_on_start (struct model *m, struct model_runner *r,
+                           const struct model_run *x);
+/** A run ended on R as KIND; END is its number in R's list, or 0 if R is
+    gone.  */
+void model_rules_on_end (struct model *m, struct model_runner *r,
+                         const struct model_run *x, enum end_kind kind,
+                         uint64_t end);
+/** The ends of R up to NUMBER were acknowledged.  */
+void model_rules_on_noted (struct model *m, struct model_runner *r,
+                           uint64_t number);
+/** An order of an entry ends the run X on R.  */
+void model_rules_on_order (struct model *m, struct model_runner *r,
+                           const struct model_run *x);
+void model_rules_tick (struct model *m);
+void model_rules_finish (struct model *m);
+void model_task_print (const struct task_id *id, char *text,
+                       uint32_t size_bytes);
+
+/* model_faults.c */
+/** Notes that a fault lasts until UNTIL_US.  */
+void model_disturb (struct model *m, uint64_t until_us);
+void model_faults_plan (struct model *m);
+void model_load_plan (struct model *m);
+void model_load_tick (struct model *m);
+void model_load_on_reply (struct model_entry *e, const struct reply *r);
+const char *model_fault_name (int kind);
+
+#endif
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -18,7 +18,8 @@
   [ -x "$t" ] && [ -f "$t" ] || continue
   name=$(basename "$t")
   case "$build:$name" in
-    build/tsan:test_scripts) continue ;; # has one thread only, so TSan finds nothing
+    # These have one thread only, so TSan finds nothing.
+    build/tsan:test_scripts | build/tsan:test_promises) continue ;;
   esac
   skipped= # options that leave the known red cases out
   for c in $(sed -n "s|^test $name \(/[^:]*\):.*|\1|p" KNOWN-RED.txt); do
--- /dev/null
+++ b/tests/test_promises.c
@@ -0,0 +1,131 @@
+/* test_promises.c -- what must hold while the platform and the entries fail.
+
+   tests/promises/NAME.script has lines with options of the model; each is
+   played with its seeds.  NAME.expected has the same lines with the number of
+   broken rules.  FTK_PROMISES names another script, whose output is printed;
+   with FTK_PROMISES_LOG set, with the entries' logs.  */
+
+#include "tests/expected.h"
+#include "tests/model.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+static uint32_t
+read_number (const json_t *j, const char *name, uint32_t fallback)
+{
+  const json_t *v = json_object_get (j, name);
+
+  return v != NULL ? (uint32_t)json_integer_value (v) : fallback;
+}
+
+static void
+read_faults (const json_t *j, struct model_options *o)
+{
+  const json_t *list = json_object_get (j, "faults");
+  const json_t *row;
+  size_t i;
+  int k;
+
+  json_array_foreach (list, i, row)
+  {
+    for (k = 0; k < MODEL_FAULT_COUNT; k++)
+      if (strcmp (model_fault_name (k), json_string_value (row)) == 0)
+        break;
+    g_assert_cmpint (k, <, MODEL_FAULT_COUNT);
+    o->fault_kinds[o->fault_kind_count++] = (enum model_fault)k;
+  }
+  for (k = 0; list == NULL && k < MODEL_FAULT_COUNT; k++)
+    if (k != MODEL_ENTRIES_RESTARTED)
+      o->fault_kinds[o->fault_kind_count++] = (enum model_fault)k;
+}
+
+static void
+play_line (const char *line, GString *out)
+{
+  json_error_t error;
+  json_t *j = json_loads (line, 0, &error);
+  struct model_options o = { 0 };
+  const json_t *seeds = json_object_get (j, "seeds");
+  uint32_t seed;
+  uint32_t broken_seeds = 0;
+
+  if (j == NULL)
+    g_error ("%s: %s", line, error.text);
+  o.entry_count = read_number (j, "entries", 4);
+  o.vm_count = read_number (j, "vms", 5);
+  o.serving_task_count = read_number (j, "serving", 4);
+  o.arrival_ms = read_number (j, "arrival", 250);
+  o.cpu_milli = read_number (j, "cpu", 250);
+  o.fault_count = read_number (j, "fault_count", 3);
+  o.restart_gap_ms = read_number (j, "restart_gap", 1000);
+  o.verbose = g_getenv ("FTK_PROMISES_LOG") != NULL;
+  read_faults (j, &o);
+  for (seed = (uint32_t)json_integer_value (json_array_get (seeds, 0));
+       seed <= (uint32_t)json_integer_value (json_array_get (seeds, 1));
+       seed++)
+    {
+      GString *report = g_string_new (NULL);
+      uint32_t broken = model_play (&o, seed, report);
+
+      if (broken > 0)
+        g_string_append_printf (out, "  seed %u: %u broken\n%s", seed, broken,
+                                report->str);
+      broken_seeds += broken > 0;
+      g_string_free (report, TRUE);
+    }
+  g_string_append_printf (out, "  broken: %u\n", broken_seeds);
+  json_decref (j);
+}
+
+static GString *
+play (const gchar *file)
+{
+  GString *out = g_string_new (NULL);
+  gchar *text = NULL;
+  gchar **lines;
+  guint i;
+
+  g_assert_true (g_file_get_contents (file, &text, NULL, NULL));
+  lines = g_strsplit (text, "\n", -1);
+  for (i = 0; lines[i] != NULL; i++)
+    {
+      if (lines[i][0] == '\0')
+        continue;
+      g_string_append_printf (out, "%s\n", lines[i]);
+      if (lines[i][0] != '#')
+        play_line (lines[i], out);
+    }
+  g_strfreev (lines);
+  g_free (text);
+  return out;
+}
+
+static void
+check_script (gconstpointer data)
+{
+  GString *out = play (data);
+
+  expected_check (data, ".script", out->str);
+  g_string_free (out, TRUE);
+}
+
+int
+main (int argc, char **argv)
+{
+  const gchar *file = g_getenv ("FTK_PROMISES");
+
+  g_test_init (&argc, &argv, NULL);
+  if (file != NULL)
+    {
+      GString *out = play (file);
+
+      fputs (out->str, stdout);
+      g_string_free (out, TRUE);
+      return 0;
+    }
+  expected_add_directory ("/promises", "tests/promises", ".script",
+                          check_script);
+  return g_test_run ();
+}
