Keep starts without an answer when their runner has a new boot

Callers saw a task run twice: a runner's process was restarted under its id, the store did not tell (down, or the runner cut off from it), and the owner had several starts on their way. The first result named the new boot, and the tasks of all other starts were released as lost with the old one, and started elsewhere; but the new boot had taken those starts as well. Only the start that the result was about was kept.

An order is void only when its answer, or an acknowledged stop, says so. Tasks whose starts are open stay on the runner as unconfirmed: a poll of the new boot lists the run, or the task is stopped there and polled for again before it starts elsewhere. A start that is refused as meant for another boot is released. Their leases are the longest that a runner grants, as those in the orders are on another clock.

--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -57,9 +57,15 @@
 {
   uint64_t passed_ms = (c->now_us - r->clock_read_at_us) / US_PER_MS;
 
-  return r->clock_read_at_us != 0
-         && r->clock_ms + passed_ms * (1000 - CLOCK_SLOW_MILLI) / 1000
-                > r->lease_until_ms + CLOCK_GRAIN_MS;
+  /* Only starts that were meant for the boot before may be there; their leases
+     are no longer than a runner grants.  */
+  if (r->clock_read_at_us == 0)
+    return r->boot_read_at_us != 0
+           && (c->now_us - r->boot_read_at_us) / US_PER_MS
+                      * (1000 - CLOCK_SLOW_MILLI) / 1000
+                  > c->settings.times.lease_max_ms + CLOCK_GRAIN_MS;
+  return r->clock_ms + passed_ms * (1000 - CLOCK_SLOW_MILLI) / 1000
+         > r->lease_until_ms + CLOCK_GRAIN_MS;
 }
 
 struct runner_order *
@@ -181,29 +187,75 @@
   r->hedged_at_us = c->now_us;
 }
 
+/* Logs that N runs on R have ended, WHY.  */
+static void
+log_lost_runs (struct cell *c, const struct runner *r, const char *why,
+               uint32_t n)
+{
+  if (n == 0)
+    return;
+  c->metrics.counters[CELL_COUNT_LOST_RUNS] += n;
+  cell_log (
+      c, "runs_lost", 0,
+      "\"runner\":\"%s\",\"why\":\"%s\",\"runs\":%u,\"misses\":%u,"
+      "\"answer_age_ms\":%llu,\"lease_end_ms\":%llu,"
+      "\"clock_ms\":%llu,\"clock_age_ms\":%llu",
+      r->report.id, why, n, r->miss_count,
+      (unsigned long long)((c->now_us - r->answered_at_us) / US_PER_MS),
+      (unsigned long long)r->lease_until_ms, (unsigned long long)r->clock_ms,
+      (unsigned long long)((c->now_us - r->clock_read_at_us) / US_PER_MS));
+}
+
 void
 runners_release_tasks (struct cell *c, struct runner *r, const char *why)
 {
-  if (r->tasks->len > 0)
-    cell_log (
-        c, "runs_lost", 0,
-        "\"runner\":\"%s\",\"why\":\"%s\",\"runs\":%u,\"misses\":%u,"
-        "\"answer_age_ms\":%llu,\"lease_end_ms\":%llu,"
-        "\"clock_ms\":%llu,\"clock_age_ms\":%llu",
-        r->report.id, why, r->tasks->len, r->miss_count,
-        (unsigned long long)((c->now_us - r->answered_at_us) / US_PER_MS),
-        (unsigned long long)r->lease_until_ms, (unsigned long long)r->clock_ms,
-        (unsigned long long)((c->now_us - r->clock_read_at_us) / US_PER_MS));
-  c->metrics.counters[CELL_COUNT_LOST_RUNS] += r->tasks->len;
+  log_lost_runs (c, r, why, r->tasks->len);
   while (r->tasks->len > 0)
     task_release (c, g_ptr_array_index (r->tasks, r->tasks->len - 1));
 }
 
+/* Returns true if the start of T may yet be carried out, by whatever boot of
+   its runner the order reaches.  */
+static bool
+start_is_open (const struct task *t)
+{
+  return t->phase == TASK_STARTING || t->phase == TASK_UNCONFIRMED
+         || (t->phase == TASK_STOPPING && !t->start_confirmed);
+}
+
+/* Releases the tasks of R whose runs have ended with its boot, and logs it
+   with the reason WHY.  Those whose starts are open stay, and are polled for,
+   and stopped if a poll does not list them.  */
+static void
+release_boot (struct cell *c, struct runner *r, const char *why)
+{
+  uint32_t lost_count = 0;
+  guint i;
+
+  for (i = 0; i < r->tasks->len; i++)
+    lost_count += !start_is_open (g_ptr_array_index (r->tasks, i));
+  log_lost_runs (c, r, why, lost_count);
+  /* Backwards, as the last task takes the place of a released one.  */
+  for (i = r->tasks->len; i > 0; i--)
+    {
+      struct task *t = g_ptr_array_index (r->tasks, i - 1);
+
+      if (!start_is_open (t))
+        {
+          task_release (c, t);
+          continue;
+        }
+      t->phase = TASK_UNCONFIRMED;
+      t->start_known_at_us = c->now_us;
+      t->stop_acked_at_us = 0;
+    }
+}
+
 void
 runners_reset_boot (struct cell *c, struct runner *r, uint64_t booted_at_ms,
                     const char *why)
 {
-  runners_release_tasks (c, r, why);
+  release_boot (c, r, why);
   if (r->report.booted_at_ms != booted_at_ms)
     r->previous_boot_ms = r->report.booted_at_ms;
   r->report.booted_at_ms = booted_at_ms;
@@ -226,11 +278,16 @@
   r->next_poll_at_us = c->now_us;
 }
 
+/* Notes the time CLOCK_MS on R's clock.  Leases in orders that were meant for
+   an earlier boot are on another clock: tasks whose starts are open may run
+   for the longest that a runner grants.  */
 static void
 note_clock (struct cell *c, struct runner *r, uint64_t clock_ms)
 {
   if (clock_ms == 0)
     return;
+  if (r->clock_read_at_us == 0 && r->tasks->len > 0)
+    r->lease_until_ms = clock_ms + c->settings.times.lease_max_ms;
   r->clock_ms = clock_ms;
   r->clock_read_at_us = c->now_us;
 }
@@ -255,18 +312,6 @@
   return n;
 }
 
-/* Returns T to R, whose new boot has carried out its start.  The lease in the
-   order was meant for the clock of the boot before, so the longest that a
-   runner grants is taken for it.  */
-static void
-keep_start (struct cell *c, struct runner *r, struct task *t)
-{
-  task_assign (c, t, r);
-  t->phase = TASK_RUNNING;
-  t->start_known_at_us = c->now_us;
-  r->lease_until_ms = r->clock_ms + c->settings.times.lease_max_ms;
-}
-
 /* Handles that X, the result of an order to R about T or none, is of another
    boot than R's.  */
 static void
@@ -274,10 +319,9 @@
                const struct runner_result *x)
 {
   bool refused = x->outcome == ORDER_WRONG_BOOT;
-  bool started
-      = t != NULL && x->kind == ORDER_START && x->outcome == ORDER_DONE;
+  bool is_start = t != NULL && x->kind == ORDER_START;
 
-  if (started)
+  if (is_start && refused)
     task_release (c, t);
   /* A refusal may come from another runner at R's address, so the boot that it
      names is used only if it is later.  */
@@ -286,13 +330,15 @@
                               : x->booted_at_ms,
                       "another_boot");
   r->boot_named = !refused;
-  if (started)
+  if (refused)
     {
-      note_clock (c, r, x->clock_ms);
-      keep_start (c, r, t);
+      r->next_poll_at_us += WRONG_BOOT_DELAY_MS * US_PER_MS;
+      return;
     }
-  if (refused)
-    r->next_poll_at_us += WRONG_BOOT_DELAY_MS * US_PER_MS;
+  if (!is_start)
+    return;
+  note_clock (c, r, x->clock_ms);
+  task_on_start_result (c, t, r, x->outcome);
 }
 
 /* Counts whether X, the result of O, is late, for what it tells of this entry
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -389,7 +389,8 @@
   switch (outcome)
     {
     case ORDER_DONE:
-      if (t->phase == TASK_STARTING)
+      /* It is not confirmed yet if R's boot has changed since the order.  */
+      if (t->phase == TASK_STARTING || t->phase == TASK_UNCONFIRMED)
         t->phase = TASK_RUNNING;
       t->start_confirmed = true;
       progress_note_start (t, r);
