Acknowledge no ends to a runner that may have an unknown boot

Callers saw a task run again after it was done: the runner's process was restarted under its id while orders or their answers were lost or late. The new boot took a start, ran it to its end as number 1, and the next poll, which still acknowledged the ends up to 52 of the boot before, made it forget that end before this owner had seen it; the poll after that listed neither run nor end.

Ends are numbered in a boot. A boot that this owner does not know of can have ends only if it took a start without an answer, so a poll acknowledges none while a start is open, or while the runner is silent. Such a poll would be answered at once, as ends are listed, so it is put off like one with ends that are not stored, unless an answer is needed.

--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -134,6 +134,29 @@
          || c->open_probe_count < MAX (limit, PROBE_MIN_COUNT);
 }
 
+/* Returns true if the start of T may yet be carried out, by whatever boot of
+   its runner the order reaches.  */
+static bool
+start_is_open (const struct task *t)
+{
+  return t->phase == TASK_STARTING || t->phase == TASK_UNCONFIRMED
+         || (t->phase == TASK_STOPPING && !t->start_confirmed);
+}
+
+/* Returns true if a poll of R may acknowledge ends.  A new boot numbers its
+   ends anew, and one that we do not know of must not forget any.  It can have
+   some only if it took a start that we have no answer to.  */
+static bool
+may_acknowledge (const struct runner *r)
+{
+  guint i;
+
+  for (i = 0; i < r->tasks->len; i++)
+    if (start_is_open (g_ptr_array_index (r->tasks, i)))
+      return false;
+  return r->miss_count == 0;
+}
+
 /* Sends R a poll that waits up to WAIT_MS for the end of a run.  The first one
    carries no lease end, since R's clock is not known: runs of a former owner
    keep the lease that they have until R has answered.  */
@@ -147,8 +170,8 @@
   o->wait_ms = x->wait_ms = wait_ms;
   o->timeout_ms += o->wait_ms;
   x->timeout_ms = o->timeout_ms;
-  o->stored_end_number = r->stored_end_number;
-  r->acked_end_number = r->stored_end_number;
+  if (may_acknowledge (r))
+    o->stored_end_number = r->acked_end_number = r->stored_end_number;
   c->metrics.counters[CELL_COUNT_LEASE_RENEWALS]++;
   return o;
 }
@@ -214,15 +237,6 @@
     task_release (c, g_ptr_array_index (r->tasks, r->tasks->len - 1));
 }
 
-/* Returns true if the start of T may yet be carried out, by whatever boot of
-   its runner the order reaches.  */
-static bool
-start_is_open (const struct task *t)
-{
-  return t->phase == TASK_STARTING || t->phase == TASK_UNCONFIRMED
-         || (t->phase == TASK_STOPPING && !t->start_confirmed);
-}
-
 /* Releases the tasks of R whose runs have ended with its boot, and logs it
    with the reason WHY.  Those whose starts are open stay, and are polled for,
    and stopped if a poll does not list them.  */
@@ -455,15 +469,24 @@
   apply_result (c, r, t, x, sent_us, is_hedge);
 }
 
+/* Returns true if a poll of R would leave ends that R has listed there, and
+   nothing depends on its answer.  */
+static bool
+keeps_ends (const struct cell *c, const struct runner *r)
+{
+  return r->seen_end_number > r->stored_end_number
+         || (r->stored_end_number > r->acked_end_number && !may_acknowledge (r)
+             && !hedges_need_answer (c, r));
+}
+
 static bool
 poll_is_due (const struct cell *c, const struct runner *r)
 {
   if (r->poll_id != 0 || c->now_us < r->next_poll_at_us)
     return false;
-  /* While ends are not stored the runner would list them again, and so would
-     answer the poll without waiting.  */
-  if (r->reached && r->tasks->len > 0
-      && r->seen_end_number > r->stored_end_number
+  /* Ends that the poll does not acknowledge would be listed again, and the
+     poll answered without waiting.  */
+  if (r->reached && r->tasks->len > 0 && keeps_ends (c, r)
       && c->now_us < r->answered_at_us + STORE_WAIT_MS * US_PER_MS)
     return false;
   if (!r->reached)
