Wait for a lease only once all former owners are known to have ended

The users' line: serving tasks do not run though there is room. An owner is lost, and a runner with serving tasks as well (its VM stays up, so the platform's list does not tell). The new owner held these tasks, and each other inherited task of the pool, for 13.6 s: the ownership timeout, in which the former owner might still renew leases, and a lease. The entry of the former owner runs again after a second or two, but nothing told the new owner so. tasks_unconfirmed shows the wait on one runner.

Heartbeats now tell the newest claim that their sender has seen while it owns nothing. An entry that has seen our claim cannot act under an older one, also if it was paused or cut off; and a restarted process has no orders. Claims name the former owners that their makers waited for, so that several lost in a row are all waited for. When the last one has ended, a lease is enough. Entries that do not come back, and entries of earlier builds, cost the whole wait as before.

--- a/adapter/claim_codec.c
+++ b/adapter/claim_codec.c
@@ -2,7 +2,8 @@
 
    A claim is [member, relay address, released, largest CPU share, time of the
    last release by an owner on a slow VM, time for which runs of former owners
-   may go on, whether VM orders are recorded, age of an entry that is stopped].
+   may go on, whether VM orders are recorded, age of an entry that is stopped,
+   whether all former owners that may act are known, [name of each...]].
    Earlier versions did not write all of them.  */
 
 #include "adapter/claim_codec.h"
@@ -10,7 +11,7 @@
 #include "adapter/job_codec.h"
 #include "adapter/pack.h"
 
-#define FIELD_COUNT 8
+#define FIELD_COUNT 10
 
 struct blob *
 claim_encode (const char *member, const char *relay_address,
@@ -20,6 +21,7 @@
   msgpack_sbuffer out;
   msgpack_packer p;
   struct blob *b;
+  uint32_t i;
 
   msgpack_sbuffer_init (&value);
   msgpack_sbuffer_init (&out);
@@ -33,6 +35,10 @@
   msgpack_pack_uint32 (&p, t->unconfirmed_ms);
   pack_bool (&p, t->vm_orders_recorded);
   msgpack_pack_uint64 (&p, t->stopped_age_ms);
+  pack_bool (&p, t->former.known);
+  msgpack_pack_array (&p, t->former.count);
+  for (i = 0; i < t->former.count; i++)
+    pack_text (&p, t->former.names[i]);
   keyed_record_pack (&out, "0", value.data, (uint32_t)value.size);
   b = blob_copy (out.data, (uint32_t)out.size);
   msgpack_sbuffer_destroy (&value);
@@ -40,6 +46,22 @@
   return b;
 }
 
+/* Decodes the last two fields of U.  Without them, or with more names than a
+   claim has, F is not known.  */
+static void
+unpack_former (struct unpack *u, struct former_owners *f)
+{
+  struct unpack names;
+  bool known = unpack_bool (u);
+
+  unpack_array (u, &names);
+  while (!names.failed && f->count < names.item_count
+         && f->count < FORMER_OWNER_LIMIT_COUNT)
+    unpack_text (&names, f->names[f->count++], NAME_BYTES);
+  f->known
+      = known && !u->failed && !names.failed && f->count == names.item_count;
+}
+
 bool
 claim_decode (const struct platform_record *x, struct cell_event *e)
 {
@@ -59,6 +81,7 @@
   t->unconfirmed_ms = (uint32_t)unpack_number (&u, UINT32_MAX);
   t->vm_orders_recorded = unpack_bool (&u);
   t->stopped_age_ms = unpack_number (&u, UINT64_MAX / US_PER_S);
+  unpack_former (&u, &t->former);
   msgpack_unpacked_destroy (&m);
   return valid;
 }
--- a/adapter/relay.c
+++ b/adapter/relay.c
@@ -40,9 +40,10 @@
   bool dropped;
   bool ready;    /**< The other end has proved that it has the secret.  */
   bool reported; /**< The cell was told that this accepted link is up.  */
-  bool reported_eligible; /**< Last heartbeat reported was not degraded.  */
-  uint64_t heard_at_us;   /**< When the last message arrived.  */
-  uint64_t clock_us;      /**< The other end's clock in its last heartbeat.  */
+  bool reported_eligible;  /**< Last heartbeat reported was not degraded.  */
+  uint64_t reported_token; /**< followed_token of that heartbeat.  */
+  uint64_t heard_at_us;    /**< When the last message arrived.  */
+  uint64_t clock_us; /**< The other end's clock in its last heartbeat.  */
 };
 
 struct relay
@@ -98,6 +99,9 @@
       e->u.peer.eligible = l->reported_eligible;
       e->u.peer.cpu_milli = m->u.heartbeat.cpu_milli;
       text_copy (e->u.peer.zone, NAME_BYTES, m->u.heartbeat.zone);
+      text_copy (e->u.peer.member, NAME_BYTES, m->u.heartbeat.member);
+      l->reported_token = m->u.heartbeat.followed_token;
+      e->u.peer.followed_token = l->reported_token;
     }
   cell_post (l->relay->cell, e);
 }
@@ -240,7 +244,8 @@
   l->clock_us = m->u.heartbeat.clock_us;
   if (l == l->relay->owner)
     apply_owner_heartbeat (l->relay, m);
-  else if (!l->reported || l->reported_eligible == m->u.heartbeat.degraded)
+  else if (!l->reported || l->reported_eligible == m->u.heartbeat.degraded
+           || l->reported_token != m->u.heartbeat.followed_token)
     report_peer (l, true, m);
 }
 
@@ -444,6 +449,7 @@
     case RELAY_SET_HEARTBEAT:
       r->heartbeat.u.heartbeat.degraded = o->degraded;
       r->heartbeat.u.heartbeat.cpu_milli = o->cpu_milli;
+      r->heartbeat.u.heartbeat.followed_token = o->followed_token;
       break;
     case RELAY_SET_OWNER:
       set_owner (r, o->address);
@@ -525,6 +531,7 @@
   r->heartbeat.kind = RELAY_HEARTBEAT;
   r->heartbeat.u.heartbeat.cpu_milli = s->cell.cpu_milli;
   text_copy (r->heartbeat.u.heartbeat.zone, NAME_BYTES, s->zone);
+  text_copy (r->heartbeat.u.heartbeat.member, NAME_BYTES, s->cell.member);
   crypto_generichash (r->secret, sizeof r->secret,
                       (const uint8_t *)s->relay_secret,
                       strlen (s->relay_secret), NULL, 0);
--- a/adapter/relay.h
+++ b/adapter/relay.h
@@ -22,12 +22,14 @@
     RELAY_SEND_ON_LINK, /**< body: a reply, for the entry linked by link_id. */
     RELAY_SEND_ORDERS,  /**< body: an order batch, made at decided_at_us, for
                            the entry linked by link_id.  */
-    RELAY_SET_HEARTBEAT, /**< degraded, cpu_milli: sent from now on.  */
+    RELAY_SET_HEARTBEAT, /**< degraded, cpu_milli, followed_token: sent from
+                            now on.  */
     RELAY_SET_OWNER      /**< address: the owner's relay; empty: no owner.  */
   } kind;
   uint64_t link_id;
   uint64_t decided_at_us;
   bool degraded;
+  uint64_t followed_token;
   uint32_t cpu_milli;
   struct blob *body; /**< An encoded message; a reference.  */
   char address[ADDRESS_BYTES];
--- a/adapter/relay_codec.c
+++ b/adapter/relay_codec.c
@@ -37,7 +37,7 @@
 struct blob *
 relay_encode (const struct relay_message *m)
 {
-  static const uint32_t field_counts[] = { [RELAY_HEARTBEAT] = 5,
+  static const uint32_t field_counts[] = { [RELAY_HEARTBEAT] = 7,
                                            [RELAY_CALL] = 8,
                                            [RELAY_REPLY] = 7,
                                            [RELAY_ORDERS] = 3 };
@@ -55,6 +55,8 @@
       msgpack_pack_uint32 (&p, m->u.heartbeat.cpu_milli);
       pack_text (&p, m->u.heartbeat.zone);
       msgpack_pack_uint64 (&p, m->u.heartbeat.clock_us);
+      pack_text (&p, m->u.heartbeat.member);
+      msgpack_pack_uint64 (&p, m->u.heartbeat.followed_token);
     }
   else if (m->kind == RELAY_CALL)
     pack_call (&p, &m->u.call);
@@ -121,6 +123,10 @@
     return;
   unpack_text (u, m->u.heartbeat.zone, NAME_BYTES);
   m->u.heartbeat.clock_us = unpack_number (u, UINT64_MAX);
+  if (u->next == u->item_count)
+    return;
+  unpack_text (u, m->u.heartbeat.member, NAME_BYTES);
+  m->u.heartbeat.followed_token = unpack_number (u, UINT64_MAX);
 }
 
 static void
--- a/adapter/relay_codec.h
+++ b/adapter/relay_codec.h
@@ -34,6 +34,8 @@
       char zone[NAME_BYTES]; /**< Of the sender, which takes delegated orders;
                                 empty: it takes none.  */
       uint64_t clock_us;     /**< The sender's clock.  */
+      char member[NAME_BYTES]; /**< The sender.  */
+      uint64_t followed_token; /**< As in CELL_PEER.  */
     } heartbeat;
     struct job_call call; /**< Decoded: its spec is a child of MEM.  */
     struct reply reply;
--- a/adapter/site_decide.c
+++ b/adapter/site_decide.c
@@ -250,6 +250,7 @@
       r->kind = RELAY_SET_HEARTBEAT;
       r->degraded = a->u.heartbeat.degraded;
       r->cpu_milli = a->u.heartbeat.best_cpu_milli;
+      r->followed_token = a->u.heartbeat.followed_token;
       push_item (d, d->outputs.relay, r, "relay");
       break;
     case CELL_DO_JOIN:
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -73,8 +73,6 @@
 /** An owner that yielded for being slow counts as weak for this long: a VM
     stays slow for seconds.  */
 #define SLOW_MS 8000
-/** A runner's clock runs fast or slow by at most this.  */
-#define CLOCK_ERROR_PERCENT 2
 
 /* Names of the phases in log lines.  */
 static const char *const phase_names[]
@@ -133,10 +131,16 @@
   if (released)
     {
       a->u.claim.terms.unconfirmed_ms = remaining_unconfirmed_ms (c);
+      /* Then no order of theirs has an effect any more.  */
+      if (a->u.claim.terms.unconfirmed_ms == 0)
+        c->ownership.former = (struct former_owners){ .known = true };
       if (c->stopping)
         a->u.claim.terms.stopped_age_ms
             = (c->now_us - c->started_at_us) / US_PER_MS + 1;
     }
+  else
+    former_owners_at_claim (c, &c->ownership.former);
+  a->u.claim.terms.former = c->ownership.former;
   a->u.claim.terms.slow_yield_at_ms = c->ownership.slow_yield_at_ms;
   a->u.claim.terms.best_cpu_milli
       = MAX (c->ownership.best_cpu_milli, peers_best_cpu_milli (c));
@@ -216,10 +220,12 @@
 begin_recovery (struct cell *c)
 {
   struct ownership *o = &c->ownership;
-  uint64_t lease_ms = LEASE_MS * (100 + CLOCK_ERROR_PERCENT) / 100;
-  uint64_t unconfirmed_ms = o->predecessor_released
-                                ? MAX (lease_ms, o->newest_unconfirmed_ms)
-                                : OWNERSHIP_TIMEOUT_MS + lease_ms;
+  uint64_t unconfirmed_ms = LEASE_LIMIT_MS;
+
+  if (o->predecessor_released)
+    unconfirmed_ms = MAX (unconfirmed_ms, o->newest_unconfirmed_ms);
+  else if (!former_owners_have_ended (&o->former))
+    unconfirmed_ms += OWNERSHIP_TIMEOUT_MS;
 
   o->token = o->newest_token;
   handover_begin (c);
@@ -228,6 +234,7 @@
   o->unconfirmed_until_us
       = c->now_us + (o->no_predecessor ? 0 : unconfirmed_ms * US_PER_MS);
   set_phase (c, OWNERSHIP_RECOVERING);
+  former_owners_check (c);
   cell_emit (c, CELL_DO_CONNECT);
   cell_emit (c, CELL_DO_RECOVER)->u.token = o->token;
 }
@@ -260,6 +267,7 @@
   o->newest_released = e->u.claim.terms.released;
   if (o->newest_released)
     o->newest_unconfirmed_ms = e->u.claim.terms.unconfirmed_ms;
+  o->newest_former = e->u.claim.terms.former;
   note_stopped_owner (c, &e->u.claim.terms);
   o->former_vm_orders_recorded = o->newest_vm_orders_recorded;
   o->newest_vm_orders_recorded = e->u.claim.terms.vm_orders_recorded;
@@ -453,6 +461,7 @@
   o->former_vm_orders_recorded = o->newest_vm_orders_recorded;
   o->stopped_started_at_us = 0;
   o->newest_released = false;
+  o->newest_former = o->former;
   text_copy (o->newest_member, NAME_BYTES, c->settings.member);
   /* The token is the claim's offset + 1, which now is the topic's end.  */
   o->claims_end_offset = o->newest_token;
@@ -510,14 +519,18 @@
                       : o->phase == OWNERSHIP_NONE
                             && (!ingress_store_answers (c) || c->stopping);
   uint32_t best_milli = peers_best_cpu_milli (c);
+  uint64_t followed_token = o->phase == OWNERSHIP_NONE ? o->newest_token : 0;
   struct cell_action *a;
 
   if (degraded == o->degraded_advertised
-      && best_milli == o->best_advertised_milli)
+      && best_milli == o->best_advertised_milli
+      && followed_token == o->followed_advertised_token)
     return;
   a = cell_emit (c, CELL_DO_SET_HEARTBEAT);
   a->u.heartbeat.degraded = degraded;
   a->u.heartbeat.best_cpu_milli = best_milli;
+  a->u.heartbeat.followed_token = followed_token;
+  o->followed_advertised_token = followed_token;
   o->best_advertised_milli = best_milli;
   if (degraded == o->degraded_advertised)
     return;
--- a/core/cell/peers.c
+++ b/core/cell/peers.c
@@ -6,11 +6,14 @@
 
 #include "core/cell/state.h"
 
+#include <string.h>
+
 void
 peers_on_event (struct cell *c, const struct cell_event *e)
 {
   uint64_t id = e->u.peer.link_id;
   struct peer *p;
+  bool changed;
 
   if (!e->u.peer.up)
     {
@@ -19,6 +22,9 @@
       return;
     }
   p = g_hash_table_lookup (c->peers, &id);
+  changed = p == NULL || p->eligible != e->u.peer.eligible
+            || p->cpu_milli != e->u.peer.cpu_milli
+            || strcmp (p->zone, e->u.peer.zone) != 0;
   if (p == NULL)
     {
       p = g_new0 (struct peer, 1);
@@ -28,7 +34,11 @@
   p->eligible = e->u.peer.eligible;
   p->cpu_milli = e->u.peer.cpu_milli;
   text_copy (p->zone, NAME_BYTES, e->u.peer.zone);
-  delegates_on_change (c);
+  text_copy (p->member, NAME_BYTES, e->u.peer.member);
+  p->followed_token = e->u.peer.followed_token;
+  if (changed)
+    delegates_on_change (c);
+  former_owners_check (c);
 }
 
 uint32_t
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -34,6 +34,11 @@
 #define POLL_GAP_MS 30
 /** A stop that was not acknowledged is sent again after this.  */
 #define STOP_RETRY_MS 500
+/** A runner's clock runs fast or slow by at most this.  */
+#define CLOCK_ERROR_PERCENT 2
+/** Longest time for which a lease that an owner ordered lasts, as this entry's
+    clock measures it.  */
+#define LEASE_LIMIT_MS (LEASE_MS * (100 + CLOCK_ERROR_PERCENT) / 100)
 /** An entry that owns the cell or is taking it over gives it up when it sent
     its last answered join of the store's group this long ago.  */
 #define OWNERSHIP_TIMEOUT_MS 10000
@@ -275,6 +280,8 @@
   bool eligible; /**< It could own the cell.  */
   uint32_t cpu_milli;
   char zone[NAME_BYTES];     /**< Empty: it takes no delegated orders.  */
+  char member[NAME_BYTES];   /**< Empty: not known.  */
+  uint64_t followed_token;   /**< As in CELL_PEER.  */
   uint64_t avoided_until_us; /**< As a delegate it is not used until then.  */
   uint32_t order_count;      /**< Orders that it answered in this period.  */
   uint32_t late_count;       /**< Those of them that it answered late.  */
@@ -345,6 +352,9 @@
   bool predecessor_is_self;  /**< The claim before the newest was ours too.  */
   bool predecessor_released; /**< The claim before the newest was a release. */
   uint32_t newest_unconfirmed_ms; /**< unconfirmed_ms of the newest release. */
+  struct former_owners
+      newest_former;              /**< The same field of the newest claim. */
+  struct former_owners former;    /**< Owners before us that may still act.  */
   uint64_t stopped_started_at_us; /**< When the owner that was stopped last had
                                      started; 0: not known, or the newest claim
                                      is no such release.  */
@@ -360,6 +370,7 @@
   bool owner_degraded;   /**< The owner cannot reach the store.  */
   bool degraded_advertised; /**< Our heartbeats say that we are degraded.  */
   uint32_t best_advertised_milli; /**< Largest CPU share in our heartbeats.  */
+  uint64_t followed_advertised_token; /**< followed_token in them.  */
   uint32_t best_cpu_milli;   /**< Largest CPU share reported by an owner.  */
   uint64_t next_yield_at_us; /**< We may yield the cell from then on.  */
   uint64_t slow_yield_at_ms; /**< When an owner on a slow VM last yielded the
@@ -584,6 +595,15 @@
 /** Gives the cell up without a release; WHY is logged.  */
 void ownership_lose (struct cell *c, const char *why);
 
+/* former_owners.c: which former owners may still act.  */
+/** Sets F to the owners that may act when this entry claims the cell.  */
+void former_owners_at_claim (const struct cell *c, struct former_owners *f);
+/** Returns true if none may act any more.  */
+bool former_owners_have_ended (const struct former_owners *f);
+/** Takes those owners out that a peer shows to have ended.  When none is left,
+    their runs go on for no longer than a lease.  */
+void former_owners_check (struct cell *c);
+
 /* peers.c: the entries that are linked to this one.  */
 void peers_on_event (struct cell *c, const struct cell_event *e);
 /** Returns the largest CPU share, in thousandths of a core, of this entry and
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -119,6 +119,7 @@
                             stopping.  */
       uint32_t best_cpu_milli; /**< Largest CPU share of this entry and its
                                   peers.  */
+      uint64_t followed_token; /**< As in CELL_PEER.  */
     } heartbeat;
     char connect[ADDRESS_BYTES];
     struct
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -335,6 +335,10 @@
       uint32_t cpu_milli;    /**< Its CPU share, thousandths of a core.  */
       char zone[NAME_BYTES]; /**< Its zone; empty: it takes no delegated
                                 orders.  */
+      char member[NAME_BYTES]; /**< Its name; empty: not given.  */
+      uint64_t followed_token; /**< Token of the newest claim that it has seen,
+                                  if it neither owns the cell nor is about
+                                  to; else 0.  */
     } peer;
     struct site_config *config;
     uint64_t config_sent_at_us;
--- a/port/claim.h
+++ b/port/claim.h
@@ -5,6 +5,17 @@
 
 #include "port/types.h"
 
+/** Most former owners that a claim names.  */
+#define FORMER_OWNER_LIMIT_COUNT 8
+
+/** Owners that were lost and may not know it yet: they may still act.  */
+struct former_owners
+{
+  bool known; /**< names are all of them.  */
+  uint32_t count;
+  char names[FORMER_OWNER_LIMIT_COUNT][NAME_BYTES];
+};
+
 /** The contents of a claim besides its maker.  Fields that a claim of an
     earlier version lacks read as zero.  */
 struct claim_terms
@@ -22,6 +33,7 @@
   uint32_t unconfirmed_ms;   /**< In a release: for how much longer runs may go
                                 on that an owner before its maker started, on
                                 runners that have not answered its maker.  */
+  struct former_owners former; /**< Owners before its maker that may act.  */
 };
 
 #endif
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -453,6 +453,20 @@
   }
 }
 
+/* Reads the former owners of a claim: all are known unless "former_unknown" is
+   set.  */
+static void
+read_former (const json_t *j, struct former_owners *f)
+{
+  const json_t *names = json_object_get (j, "former");
+  const json_t *name;
+  size_t i;
+
+  f->known = !get_flag (j, "former_unknown");
+  json_array_foreach (names, i, name)
+      text_copy (f->names[f->count++], NAME_BYTES, json_string_value (name));
+}
+
 static void
 read_claim (const json_t *j, struct cell_event *e)
 {
@@ -467,6 +481,7 @@
       = (uint32_t)get_number (j, "unconfirmed_ms", 0);
   e->u.claim.terms.stopped_age_ms = get_number (j, "stopped_age", 0);
   e->u.claim.terms.vm_orders_recorded = get_flag (j, "vm_orders_recorded");
+  read_former (j, &e->u.claim.terms.former);
   get_text (j, "member", e->u.claim.member, NAME_BYTES);
   get_text (j, "address", e->u.claim.address, ADDRESS_BYTES);
 }
@@ -570,6 +585,8 @@
       e->u.peer.eligible = !get_flag (v, "ineligible");
       e->u.peer.cpu_milli = (uint32_t)get_number (v, "cpu", 250);
       get_text (v, "zone", e->u.peer.zone, NAME_BYTES);
+      get_text (v, "member", e->u.peer.member, NAME_BYTES);
+      e->u.peer.followed_token = get_number (v, "follows", 0);
     }
   else
     return false;
@@ -722,6 +739,7 @@
 print_claim (struct script *x, const struct cell_action *a)
 {
   const struct claim_terms *t = &a->u.claim.terms;
+  uint32_t i;
 
   g_string_append_printf (x->out, "claim at %llu",
                           (unsigned long long)a->u.claim.at_offset);
@@ -734,6 +752,8 @@
                             (unsigned long long)t->stopped_age_ms);
   if (t->unconfirmed_ms > 0)
     g_string_append_printf (x->out, " unconfirmed %u", t->unconfirmed_ms);
+  for (i = 0; i < t->former.count; i++)
+    g_string_append_printf (x->out, " former %s", t->former.names[i]);
 }
 
 static void
@@ -769,6 +789,10 @@
       g_string_append_printf (out, "heartbeat %s",
                               a->u.heartbeat.degraded ? "degraded"
                                                       : "healthy");
+      if (a->u.heartbeat.followed_token != 0)
+        g_string_append_printf (
+            out, " follows %llu",
+            (unsigned long long)a->u.heartbeat.followed_token);
       break;
     case CELL_DO_JOIN:
       x->join_us = x->at_ms * US_PER_MS;
--- a/tests/model.c
+++ b/tests/model.c
@@ -144,6 +144,9 @@
   x->u.peer.up = true;
   x->u.peer.eligible = !e->degraded;
   x->u.peer.cpu_milli = e->settings.cpu_milli;
+  e->reported_token = e->followed_token;
+  x->u.peer.followed_token = e->followed_token;
+  text_copy (x->u.peer.member, NAME_BYTES, e->name);
   snprintf (x->u.peer.zone, NAME_BYTES, "z%u", e->index % 3);
   model_post (e->linked, e->linked_process, LINK_US, x);
 }
@@ -218,7 +221,8 @@
   if (e->reported_degraded != o->degraded
       || e->reported_cpu_milli != o->best_cpu_milli)
     report_owner (e);
-  if (e->reported_eligible == e->degraded)
+  if (e->reported_eligible == e->degraded
+      || e->reported_token != e->followed_token)
     report_peer (e);
 }
 
@@ -296,6 +300,7 @@
     case CELL_DO_SET_HEARTBEAT:
       e->degraded = a->u.heartbeat.degraded;
       e->best_cpu_milli = a->u.heartbeat.best_cpu_milli;
+      e->followed_token = a->u.heartbeat.followed_token;
       break;
     case CELL_DO_JOIN:
     case CELL_DO_LEAVE:
@@ -480,6 +485,7 @@
   e->linked = NULL;
   e->wanted_address[0] = '\0';
   e->degraded = false;
+  e->followed_token = 0;
   e->best_cpu_milli = e->settings.cpu_milli;
   e->claims_read = false;
   e->claims_seen_offset = 0;
--- a/tests/model.h
+++ b/tests/model.h
@@ -151,6 +151,8 @@
   uint32_t best_cpu_milli;
   bool reported_degraded; /**< What its link's other end told it.  */
   uint32_t reported_cpu_milli;
+  uint64_t followed_token;
+  uint64_t reported_token;
   bool reported_eligible; /**< What it told its link's other end.  */
   uint64_t claims_seen_offset;
   bool claims_read;
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -154,12 +154,15 @@
 test_claims (void)
 {
   TALLOC_CTX *mem = talloc_new (NULL);
-  struct claim_terms t = { .released = true,
-                           .best_cpu_milli = 500,
-                           .slow_yield_at_ms = 9,
-                           .vm_orders_recorded = true,
-                           .stopped_age_ms = 60000,
-                           .unconfirmed_ms = 12000 };
+  struct claim_terms t
+      = { .released = true,
+          .best_cpu_milli = 500,
+          .slow_yield_at_ms = 9,
+          .vm_orders_recorded = true,
+          .stopped_age_ms = 60000,
+          .unconfirmed_ms = 12000,
+          .former
+          = { .known = true, .count = 2, .names = { "entry-2", "entry-3" } } };
   struct cell_event *e;
   bool valid = decode_claim_of (mem, &t, 0, &e);
 
@@ -172,6 +175,9 @@
   g_assert_true (e->u.claim.terms.vm_orders_recorded);
   g_assert_cmpuint (e->u.claim.terms.stopped_age_ms, ==, 60000);
   g_assert_cmpuint (e->u.claim.terms.unconfirmed_ms, ==, 12000);
+  g_assert_true (e->u.claim.terms.former.known);
+  g_assert_cmpuint (e->u.claim.terms.former.count, ==, 2);
+  g_assert_cmpstr (e->u.claim.terms.former.names[1], ==, "entry-3");
   valid = decode_claim_of (mem, &t, 1, &e);
   g_assert_false (valid);
   valid = decode_claim_of (mem, &t, 12, &e);
@@ -205,6 +211,7 @@
   g_assert_true (e->u.claim.terms.released);
   g_assert_false (e->u.claim.terms.vm_orders_recorded);
   g_assert_cmpuint (e->u.claim.terms.unconfirmed_ms, ==, 0);
+  g_assert_false (e->u.claim.terms.former.known);
   msgpack_sbuffer_destroy (&out);
   talloc_free (mem);
 }
@@ -274,11 +281,16 @@
   g_assert_cmpstr (decoded.u.call.tenant, ==, "");
   blob_unref (b);
   m = (struct relay_message){ .kind = RELAY_HEARTBEAT,
-                              .u.heartbeat = { true, 250 } };
+                              .u.heartbeat = { .degraded = true,
+                                               .cpu_milli = 250,
+                                               .member = "entry-2",
+                                               .followed_token = 7 } };
   b = relay_encode (&m);
   g_assert_true (relay_decode (mem, b->data, b->size_bytes, &decoded));
   g_assert_true (decoded.u.heartbeat.degraded);
   g_assert_cmpuint (decoded.u.heartbeat.cpu_milli, ==, 250);
+  g_assert_cmpstr (decoded.u.heartbeat.member, ==, "entry-2");
+  g_assert_cmpuint (decoded.u.heartbeat.followed_token, ==, 7);
   blob_unref (b);
   talloc_free (mem);
 }
