Count a runner as asked when it has listed all its ends

A new owner took the first answer for the whole, counted the runner as reached, and started at once the tasks whose ends were on the next page; acknowledged later, these had run twice.

A runner whose answer is full has not been reached: its other ends are listed once the first are stored and acknowledged, and inherited tasks of its pool wait for them, also after the former owner's leases. Until its ends are stored it is polled no more often than others that list unstored ends.

ends_on_second_page: the start was ordered at 105 ms before; now the job ends as completed at 125 ms and nothing starts. Scripts can add ends of unknown jobs to an answer.

--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -252,7 +252,8 @@
     {
       const struct runner *r = g_ptr_array_index (runners, i);
 
-      if (r->listed && !r->reached && r->answered_at_us == 0
+      if (r->listed && !r->reached
+          && (r->answered_at_us == 0 || r->ends_incomplete)
           && r->miss_count < LOST_MISS_COUNT && !fleet_runner_is_gone (c, r)
           && !booted_after_claim (c, r))
         return true;
--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -112,7 +112,7 @@
 {
   guint i = 0;
 
-  if (x->ended_count >= ENDED_PAGE_COUNT)
+  if (r->ends_incomplete)
     return;
   while (i < r->tasks->len)
     {
@@ -178,7 +178,8 @@
   bool has_new_end = false;
   uint32_t i;
 
-  if (!x->running_incomplete)
+  r->ends_incomplete = x->ended_count >= ENDED_PAGE_COUNT;
+  if (!x->running_incomplete && !r->ends_incomplete)
     {
       if (!r->reached
           && c->now_us
@@ -189,7 +190,7 @@
                                        / US_PER_MS));
       r->reached = true;
     }
-  else if (!r->reached)
+  else if (!r->reached && x->running_incomplete)
     runners_schedule_poll (c, r, MISS_GAP_MS);
   if (x->ended_count > 1)
     qsort (x->ended, x->ended_count, sizeof *x->ended, compare_end_numbers);
@@ -212,7 +213,7 @@
      lost, and another poll is sent.  */
   if (is_hedge && has_new_end)
     r->poll_id = 0;
-  if (x->ended_count >= ENDED_PAGE_COUNT)
+  if (r->ends_incomplete)
     runners_schedule_poll (c, r, 0);
   else if (r->tasks->len > 0)
     runners_schedule_poll (c, r, has_new_end ? POLL_GAP_MS : 0);
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -283,6 +283,7 @@
   r->stored_end_number = r->seen_end_number = r->acked_end_number = 0;
   r->poll_id = 0;
   r->poll_incomplete = false;
+  r->ends_incomplete = false;
   r->failed_run_count = 0;
   r->quarantined_until_us = 0;
   r->poll_clock_ms = 0;
@@ -486,7 +487,8 @@
     return false;
   /* Ends that the poll does not acknowledge would be listed again, and the
      poll answered without waiting.  */
-  if (r->reached && r->tasks->len > 0 && keeps_ends (c, r)
+  if (((r->reached && r->tasks->len > 0) || r->ends_incomplete)
+      && keeps_ends (c, r)
       && c->now_us < r->answered_at_us + STORE_WAIT_MS * US_PER_MS)
     return false;
   if (!r->reached)
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -210,8 +210,9 @@
                               never.  */
   bool listed;             /**< It is registered in the store.  */
   uint64_t unlisted_at_us; /**< When its registration was deleted.  */
-  bool reached;    /**< Its boot has answered a poll of this owner, with
-                      a list of runs that could be read whole.  */
+  bool reached;         /**< Its boot has answered a poll of this owner, with
+                           lists of all runs and all ends.  */
+  bool ends_incomplete; /**< Its last answer may lack ends.  */
   bool boot_named; /**< Its own answer has named report's booted_at_ms.  */
   uint64_t previous_boot_ms; /**< booted_at_ms of the boot before; 0: none.  */
   uint64_t boot_doubted_at_us; /**< When a registration named another boot, for
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -256,6 +256,8 @@
 {
   const json_t *running = json_object_get (j, "running");
   const json_t *ended = json_object_get (j, "ended");
+  /* That many ends of jobs that are not known, numbered from 1.  */
+  size_t filler_count = get_number (j, "unknown_ends", 0);
   struct runner_result *r = &e->u.runner_result;
   const json_t *row;
   size_t i;
@@ -276,8 +278,8 @@
     r->clock_ms = 0;
   r->running = talloc_zero_array (e, struct running_task,
                                   json_array_size (running) + 1);
-  r->ended
-      = talloc_zero_array (e, struct ended_run, json_array_size (ended) + 1);
+  r->ended = talloc_zero_array (e, struct ended_run,
+                                json_array_size (ended) + filler_count + 1);
   json_array_foreach (running, i, row)
   {
     struct running_task *t = &r->running[r->running_count++];
@@ -295,6 +297,11 @@
     t->kind = ENUM_OF (json_string_value (json_array_get (row, 3)),
                        end_kind_name, END_KIND_COUNT);
   }
+  for (i = 0; i < filler_count; i++)
+    {
+      r->ended[r->ended_count].number = i + 1;
+      r->ended[r->ended_count++].kind = END_STOPPED;
+    }
 }
 
 /* Reads the demand history of pools.  The times of their surges count from the
