Wait for no former owner whose ownership timeout has passed

An entry that was lost for good stayed among the former owners that claims name: only a heartbeat of its own took it out, or a release with all runners reached. Each later takeover after a loss waited 13.6 s again, though the last owner's entry ran again, and so did all takeovers after a claim of an earlier build, which names none.

Former owners that the newest claim names were lost before it was made. Once an entry has seen that claim for the ownership timeout, they act no more, and the claim that it makes names only the maker of the newest one. A lease is waited for in any case.

--- a/core/cell/former_owners.c
+++ b/core/cell/former_owners.c
@@ -11,7 +11,8 @@
    its orders left.  All leases that it ordered before end within a lease.
 
    Claims name the former owners that their makers waited for: those of several
-   owners in a row may still act.  */
+   owners in a row may still act, until the ownership timeout has passed since
+   the claim.  */
 
 #include "core/cell/state.h"
 
@@ -54,6 +55,9 @@
       return;
     }
   *f = o->newest_former;
+  /* They were lost before the newest claim was made.  */
+  if (c->now_us >= o->newest_seen_at_us + OWNERSHIP_TIMEOUT_MS * US_PER_MS)
+    *f = (struct former_owners){ .known = true };
   remove_member (f, o->newest_member);
   if (!o->newest_released)
     add (f, o->newest_member);
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -268,6 +268,7 @@
   if (o->newest_released)
     o->newest_unconfirmed_ms = e->u.claim.terms.unconfirmed_ms;
   o->newest_former = e->u.claim.terms.former;
+  o->newest_seen_at_us = c->now_us;
   note_stopped_owner (c, &e->u.claim.terms);
   o->former_vm_orders_recorded = o->newest_vm_orders_recorded;
   o->newest_vm_orders_recorded = e->u.claim.terms.vm_orders_recorded;
@@ -462,6 +463,7 @@
   o->stopped_started_at_us = 0;
   o->newest_released = false;
   o->newest_former = o->former;
+  o->newest_seen_at_us = c->now_us;
   text_copy (o->newest_member, NAME_BYTES, c->settings.member);
   /* The token is the claim's offset + 1, which now is the topic's end.  */
   o->claims_end_offset = o->newest_token;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -352,6 +352,7 @@
   bool predecessor_is_self;  /**< The claim before the newest was ours too.  */
   bool predecessor_released; /**< The claim before the newest was a release. */
   uint32_t newest_unconfirmed_ms; /**< unconfirmed_ms of the newest release. */
+  uint64_t newest_seen_at_us;     /**< When the newest claim was read.  */
   struct former_owners
       newest_former;              /**< The same field of the newest claim. */
   struct former_owners former;    /**< Owners before us that may still act.  */
