Acknowledge ends again that a runner lists once more

An acknowledgement was lost for good with its poll: the next poll, to a silent runner, acknowledges nothing, and its answer ended the silence, but the end counted as acknowledged. An idle runner then got no further poll, and its end was never taken note of; a runner with an open start answered each poll at once, as it had the end to list, and was polled at every tick.

An end that is listed again was not acknowledged: the runner is polled to acknowledge it, and while a poll may not, polls are put off. An answer that was overtaken costs one poll more.

--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -193,6 +193,9 @@
     runners_schedule_poll (c, r, MISS_GAP_MS);
   if (x->ended_count > 1)
     qsort (x->ended, x->ended_count, sizeof *x->ended, compare_end_numbers);
+  /* The poll that acknowledged them was lost, or overtaken.  */
+  if (x->ended_count > 0 && x->ended[0].number <= r->acked_end_number)
+    r->acked_end_number = 0;
   for (i = 0; i < x->ended_count; i++)
     if (x->ended[i].number > r->seen_end_number)
       {
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -223,7 +223,8 @@
   uint64_t lease_until_ms;    /**< Latest lease end ordered, on its clock.  */
   uint64_t stored_end_number; /**< Ends up to this number are durable.  */
   uint64_t seen_end_number;   /**< Ends up to this number are processed.  */
-  uint64_t acked_end_number;  /**< Last stored_end_number sent to it.  */
+  uint64_t acked_end_number;  /**< Last stored_end_number sent to it; 0 if it
+                                 has listed such an end since.  */
   uint64_t poll_id;           /**< Poll in flight; 0: none.  */
   bool poll_incomplete; /**< A poll of this boot listed what cannot be read. */
   uint64_t poll_sent_at_us; /**< When that poll was sent.  */
