Count the wait that a release tells from when it was read

A release tells for how long runs of former owners may go on; the next owner waited that long from its own claim, though the time had passed since: up to 13.6 s instead of a lease. An entry that reads the release now notes when the time ends.

--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -220,19 +220,18 @@
 begin_recovery (struct cell *c)
 {
   struct ownership *o = &c->ownership;
-  uint64_t unconfirmed_ms = LEASE_LIMIT_MS;
+  uint64_t until_us = c->now_us + LEASE_LIMIT_MS * US_PER_MS;
 
   if (o->predecessor_released)
-    unconfirmed_ms = MAX (unconfirmed_ms, o->newest_unconfirmed_ms);
+    until_us = MAX (until_us, o->newest_unconfirmed_until_us);
   else if (!former_owners_have_ended (&o->former))
-    unconfirmed_ms += OWNERSHIP_TIMEOUT_MS;
+    until_us += OWNERSHIP_TIMEOUT_MS * US_PER_MS;
 
   o->token = o->newest_token;
   handover_begin (c);
   o->claimed_at_us = c->now_us;
   o->claimed_at_ms = c->wall_ms;
-  o->unconfirmed_until_us
-      = c->now_us + (o->no_predecessor ? 0 : unconfirmed_ms * US_PER_MS);
+  o->unconfirmed_until_us = o->no_predecessor ? c->now_us : until_us;
   set_phase (c, OWNERSHIP_RECOVERING);
   former_owners_check (c);
   cell_emit (c, CELL_DO_CONNECT);
@@ -266,7 +265,8 @@
   o->newest_token = e->u.claim.token;
   o->newest_released = e->u.claim.terms.released;
   if (o->newest_released)
-    o->newest_unconfirmed_ms = e->u.claim.terms.unconfirmed_ms;
+    o->newest_unconfirmed_until_us
+        = c->now_us + e->u.claim.terms.unconfirmed_ms * US_PER_MS;
   o->newest_former = e->u.claim.terms.former;
   o->newest_seen_at_us = c->now_us;
   note_stopped_owner (c, &e->u.claim.terms);
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -352,8 +352,10 @@
   bool no_predecessor;        /**< The cell was never claimed before.  */
   bool predecessor_is_self;  /**< The claim before the newest was ours too.  */
   bool predecessor_released; /**< The claim before the newest was a release. */
-  uint32_t newest_unconfirmed_ms; /**< unconfirmed_ms of the newest release. */
-  uint64_t newest_seen_at_us;     /**< When the newest claim was read.  */
+  uint64_t
+      newest_unconfirmed_until_us; /**< The end of unconfirmed_ms of the newest
+                                      release, from when it was read.  */
+  uint64_t newest_seen_at_us;      /**< When the newest claim was read.  */
   struct former_owners
       newest_former;              /**< The same field of the newest claim. */
   struct former_owners former;    /**< Owners before us that may still act.  */
