--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -224,7 +224,8 @@
   uint64_t lease_until_ms;    /**< Latest lease end ordered, on its clock.  */
   uint64_t stored_end_number; /**< Ends up to this number are durable.  */
   uint64_t seen_end_number;   /**< Ends up to this number are processed.  */
-  uint64_t acked_end_number;  /**< Last stored_end_number sent to it.  */
+  uint64_t acked_end_number;  /**< Last stored_end_number sent to it; 0 if it
+                                 has listed such an end since.  */
   uint64_t poll_id;           /**< Poll in flight; 0: none.  */
   bool poll_incomplete; /**< A poll of this boot listed what cannot be read. */
   uint64_t poll_sent_at_us; /**< When that poll was sent.  */
@@ -352,8 +353,10 @@
   bool no_predecessor;        /**< The cell was never claimed before.  */
   bool predecessor_is_self;  /**< The claim before the newest was ours too.  */
   bool predecessor_released; /**< The claim before the newest was a release. */
-  uint32_t newest_unconfirmed_ms; /**< unconfirmed_ms of the newest release. */
-  uint64_t newest_seen_at_us;     /**< When the newest claim was read.  */
+  uint64_t
+      newest_unconfirmed_until_us; /**< The end of unconfirmed_ms of the newest
+                                      release, from when it was read.  */
+  uint64_t newest_seen_at_us;      /**< When the newest claim was read.  */
   struct former_owners
       newest_former;              /**< The same field of the newest claim. */
   struct former_owners former;    /**< Owners before us that may still act.  */
