Model: judge the order of steps and the limit of failed runs

Cause: the model judged TWICE, LOST and AVAIL only.

Change: a start before the steps before it are done breaks ORDER; one after as many acknowledged failed runs as a task may have breaks BUDGET. With the option failing, half of the runs of some short jobs fail without a limit; such a job may end as failed.

--- a/tests/model.h
+++ b/tests/model.h
@@ -23,6 +23,7 @@
 /** The last pool is the spare one.  */
 #define MODEL_SPARE_POOL (MODEL_POOL_COUNT - 1)
 #define MODEL_CPU_MILLI 8000
+#define MODEL_ATTEMPT_LIMIT_COUNT 3
 /** Unix time at which a run begins.  */
 #define MODEL_EPOCH_MS UINT64_C (1700000000000)
 
@@ -66,8 +67,9 @@
   uint32_t fault_count;
   uint32_t fault_kind_count; /**< Entries of fault_kinds.  */
   enum model_fault fault_kinds[MODEL_FAULT_COUNT];
-  uint32_t restart_gap_ms; /**< Between restarts in turn.  */
-  bool verbose;            /**< Print the lines of the entries' logs.  */
+  uint32_t restart_gap_ms;  /**< Between restarts in turn.  */
+  uint32_t failing_percent; /**< Short jobs of which half of the runs fail.  */
+  bool verbose;             /**< Print the lines of the entries' logs.  */
 };
 
 struct model;
@@ -195,8 +197,12 @@
   uint64_t last_at_us;    /**< When its last run ended, or it was accepted. */
   bool stopped_by_order;  /**< Its last run ended by a stop or VM order.  */
   GArray *done_ends;      /**< struct model_done.  */
+  GArray *failed_ends;    /**< struct model_done.  */
+  uint32_t failed_before_start_count; /**< Of them, before the last start.  */
+  bool over_budget;                   /**< Reported.  */
 };
 
+/** The end of a run as done or failed.  */
 struct model_done
 {
   struct model_runner *runner;
@@ -218,6 +224,7 @@
   uint32_t task_count; /**< Of each step.  */
   uint32_t task_ms;
   uint64_t cpu_milli;
+  bool failing; /**< Half of its runs fail.  */
   bool accepted;
   bool sent; /**< A call is open.  */
   uint64_t sent_at_us;
@@ -321,6 +328,8 @@
 /** An order of an entry ends the run X on R.  */
 void model_rules_on_order (struct model *m, struct model_runner *r,
                            const struct model_run *x);
+/** Returns true if a task of J has failed as often as it may.  */
+bool model_job_failed (struct model *m, const struct model_job *j);
 void model_rules_tick (struct model *m);
 void model_rules_finish (struct model *m);
 void model_task_print (const struct task_id *id, char *text,
--- a/tests/model_faults.c
+++ b/tests/model_faults.c
@@ -420,6 +420,8 @@
       = long_running ? m->options.serving_task_count : 1 + model_random (m, 4);
   j->task_ms = 200 + model_random (m, 900);
   j->cpu_milli = long_running ? SERVING_CPU_MILLI : SHORT_CPU_MILLI;
+  if (!long_running && m->options.failing_percent > 0)
+    j->failing = model_random (m, 100) < m->options.failing_percent;
   g_ptr_array_add (m->jobs, j);
   g_hash_table_insert (m->jobs_by_id, &j->id, j);
   return j;
