Model: clients that ask, cancel and submit again; a cell that stores nothing

Cause: UNASKED, and a job's state as clients see it, were not judged.

Change: with the options ask, cancel and resend, clients ask for states during the play and for all near its end, cancel short jobs, and submit accepted ones once more. A start over 3 s after an answered cancel, or a run after 3.4 s more without faults, breaks UNASKED; an accepted job that is said not to exist, or is shown as failed or cancelled without cause, or as not final near the end, LOST; one shown as completed before its tasks are done, MIXED.

A cancel of a job whose end is being stored asks for a flush; nothing is left to store, but the flush takes a number, and the store refuses the next append (409, seq), which the owner repeats.

--- a/tests/model.c
+++ b/tests/model.c
@@ -287,6 +287,7 @@
     {
     case CELL_DO_REPLY:
       model_load_on_reply (e, &a->u.reply);
+      model_client_on_reply (e, &a->u.reply);
       break;
     case CELL_DO_PEER_REPLY:
       send_peer_reply (e, a->u.peer_reply.link_id, &a->u.peer_reply.reply);
@@ -527,6 +528,7 @@
   model_store_tick (m);
   model_runner_tick (m);
   model_load_tick (m);
+  model_clients_tick (m);
   model_rules_tick (m);
   if (m->now_us < m->end_us)
     model_schedule (m, TICK_US, tick, NULL);
@@ -624,8 +626,11 @@
       if (m->vms[i].pool != MODEL_SPARE_POOL)
         model_vm_boot (m, i, NULL);
     }
+  m->questions
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   create_entries (m);
   model_load_plan (m);
+  model_clients_plan (m);
   model_faults_plan (m);
   model_schedule (m, 0, tick, NULL);
   run (m);
@@ -636,6 +641,7 @@
   g_free (m->entries);
   model_runners_free (m);
   model_store_free (m);
+  model_clients_free (m);
   g_hash_table_destroy (m->jobs_by_id);
   g_ptr_array_free (m->jobs, TRUE);
   g_tree_destroy (m->queue);
--- a/tests/test_promises.c
+++ b/tests/test_promises.c
@@ -60,6 +60,9 @@
   o.cpu_milli = read_number (j, "cpu", 250);
   o.fault_count = read_number (j, "fault_count", 3);
   o.restart_gap_ms = read_number (j, "restart_gap", 1000);
+  o.cancel_percent = read_number (j, "cancel", 0);
+  o.resend_percent = read_number (j, "resend", 0);
+  o.ask_ms = read_number (j, "ask", 0);
   o.failing_percent = read_number (j, "failing", 0);
   o.verbose = g_getenv ("FTK_PROMISES_LOG") != NULL;
   read_faults (j, &o);
