Number only the appends that are sent

Cause: records_flush took a number before it knew whether there was anything to store. A cancel of a job whose end is on its way to the store asks for a flush although nothing is dirty; the number it took was never sent. The store refuses numbers that do not follow (409, seq), and the owner repeats the append unchanged: nothing is stored until the cell changes hands, so no job is accepted and no end acknowledged.

Change: the number is taken when there is something to send.

--- a/core/cell/records.c
+++ b/core/cell/records.c
@@ -147,8 +147,6 @@
   struct append *a = &c->append;
   guint i;
 
-  a->in_flight = true;
-  a->sequence++;
   TALLOC_FREE (a->records);
   a->record_count = 0;
   g_array_set_size (a->job_ids, 0);
@@ -174,10 +172,12 @@
   c->flush_now = c->dirty_job_ids->len > 0;
   c->dirty_at_us = c->now_us;
   a->began_at_us = c->now_us;
-  if (a->record_count > 0)
-    records_send (c);
-  else
-    a->in_flight = false;
+  /* The store takes no number after one that was left out.  */
+  if (a->record_count == 0)
+    return;
+  a->in_flight = true;
+  a->sequence++;
+  records_send (c);
 }
 
 void
