Model: runners cut off together, slow and late entries, links, lost owners

Cause: the model had none of these; and cancelled jobs were so short that they ended by themselves, so that tasks which are not stopped broke nothing.

Change: five kinds of faults. Several runners are cut off at once; all that is sent to an entry is 50 to 400 ms late; links break, of one entry or of all; an entry reads claims and registrations up to 4 s late; an owner never comes back. Half of the jobs that are cancelled have tasks of 12 s.

--- a/tests/model.c
+++ b/tests/model.c
@@ -116,6 +116,12 @@
           a->u.log.event, (unsigned long long)a->u.log.job, a->u.log.fields);
 }
 
+uint64_t
+model_delay_us (const struct model *m, uint64_t until_us, uint64_t delay_us)
+{
+  return m->now_us < until_us ? MIN (delay_us, until_us - m->now_us) : 0;
+}
+
 /* Closes the link of E to another entry.  Either end may be gone.  */
 static void
 close_link (struct model_entry *e)
@@ -134,6 +140,12 @@
   model_post (o, e->linked_process, LINK_US, x);
 }
 
+void
+model_link_break (struct model_entry *e)
+{
+  close_link (e);
+}
+
 static void
 report_peer (struct model_entry *e)
 {
@@ -171,7 +183,7 @@
   uint32_t i;
 
   e->link_tried_at_us = m->now_us;
-  if (!model_entry_reaches (e))
+  if (!model_entry_reaches (e) || m->now_us < e->link_cut_until_us)
     return;
   for (i = 0; i < m->entry_count; i++)
     {
@@ -376,6 +388,7 @@
   d->entry = e;
   d->process = process;
   d->event = talloc_steal (d, ev);
+  delay_us += model_delay_us (e->model, e->slow_until_us, e->slow_us);
   model_schedule (e->model, delay_us, deliver, d);
 }
 
@@ -479,7 +492,7 @@
 {
   struct model *m = e->model;
 
-  if (e->cell != NULL)
+  if (e->cell != NULL || e->lost)
     return;
   e->process++;
   e->cell = cell_new (NULL, &e->settings);
--- a/tests/model.h
+++ b/tests/model.h
@@ -52,8 +52,13 @@
   MODEL_ORDERS_LATE,  /**< Some are carried out seconds later.  */
   MODEL_CLOUD_DOWN,
   MODEL_WAVE,
-  MODEL_CLOCK_STEP, /**< Of the wall clock of an entry.  */
-  MODEL_REASSIGNED, /**< The group assigns the cell anew.  */
+  MODEL_CLOCK_STEP,       /**< Of the wall clock of an entry.  */
+  MODEL_REASSIGNED,       /**< The group assigns the cell anew.  */
+  MODEL_RUNNERS_CUT_OFF,  /**< Several at once.  */
+  MODEL_ENTRY_SLOW,       /**< What is sent to it is late.  */
+  MODEL_LINKS_BROKEN,     /**< Of one entry, or of all.  */
+  MODEL_ENTRY_READS_LATE, /**< The store's claims and registrations.  */
+  MODEL_OWNER_LOST,       /**< It never comes back.  */
   MODEL_FAULT_COUNT
 };
 
@@ -146,7 +151,13 @@
   uint64_t frozen_until_us;
   uint64_t cut_until_us; /**< From all others.  */
   uint64_t store_cut_until_us;
-  int64_t clock_step_ms;              /**< Of its wall clock.  */
+  uint64_t link_cut_until_us;
+  uint64_t slow_until_us;
+  uint64_t slow_us; /**< Delay of its events until then.  */
+  uint64_t late_until_us;
+  uint64_t late_us;      /**< Delay of news of the store until then.  */
+  bool lost;             /**< It never starts again.  */
+  int64_t clock_step_ms; /**< Of its wall clock.  */
   char wanted_address[ADDRESS_BYTES]; /**< Relay it is to be linked to.  */
   struct model_entry *linked;         /**< Other end of its link, or NULL.  */
   uint32_t linked_process;
@@ -228,6 +239,7 @@
   uint32_t task_count; /**< Of each step.  */
   uint32_t task_ms;
   uint64_t cpu_milli;
+  bool cancels; /**< Its client cancels it.  */
   bool failing; /**< Half of its runs fail.  */
   bool accepted;
   bool sent; /**< A call is open.  */
@@ -306,6 +318,11 @@
 struct cell_event *model_event (enum cell_event_kind kind);
 void model_entry_start (struct model_entry *e);
 void model_entry_kill (struct model_entry *e);
+/** Returns what a delay that lasts until UNTIL_US adds now; what is sent later
+    does not arrive earlier.  */
+uint64_t model_delay_us (const struct model *m, uint64_t until_us,
+                         uint64_t delay_us);
+void model_link_break (struct model_entry *e);
 bool model_entry_runs (const struct model_entry *e);
 /** Returns the entry that owns the cell by its own counters, or NULL.  */
 struct model_entry *model_owner (struct model *m);
--- a/tests/model_clients.c
+++ b/tests/model_clients.c
@@ -110,8 +110,7 @@
 {
   if (j->long_running)
     return;
-  if (m->options.cancel_percent > 0
-      && model_random (m, 100) < m->options.cancel_percent)
+  if (j->cancels)
     call_later (m, j, CALL_CANCEL,
                 model_random (m, CANCEL_WITHIN_MS) * US_PER_MS);
   if (m->options.resend_percent > 0
--- a/tests/model_faults.c
+++ b/tests/model_faults.c
@@ -17,6 +17,8 @@
 /** After the last fault: arrivals end, and later the run.  */
 #define ARRIVALS_AFTER_MS 2000
 #define RUN_AFTER_MS 20000
+/** A task of some of the jobs that are cancelled.  */
+#define CANCELLED_TASK_MS 12000
 #define CALL_TIMEOUT_US (3000 * US_PER_MS)
 #define RETRY_US (300 * US_PER_MS)
 
@@ -44,6 +46,11 @@
   [MODEL_WAVE] = "wave",
   [MODEL_CLOCK_STEP] = "clock_step",
   [MODEL_REASSIGNED] = "reassigned",
+  [MODEL_RUNNERS_CUT_OFF] = "runners_cut_off",
+  [MODEL_ENTRY_SLOW] = "entry_slow",
+  [MODEL_LINKS_BROKEN] = "links_broken",
+  [MODEL_ENTRY_READS_LATE] = "entry_reads_late",
+  [MODEL_OWNER_LOST] = "owner_lost",
 };
 
 struct planned_fault
@@ -231,6 +238,58 @@
     }
 }
 
+/* Ends the process of E for good, unless it would be the last but one that is
+   lost.  */
+static void
+lose_entry (struct model *m, struct model_entry *e)
+{
+  uint32_t n = 0;
+  uint32_t i;
+
+  for (i = 0; i < m->entry_count; i++)
+    n += !m->entries[i].lost;
+  if (n <= 2)
+    return;
+  e->lost = true;
+  model_entry_kill (e);
+}
+
+static void
+break_links (struct model *m)
+{
+  bool all = model_random (m, 2) == 0;
+  uint32_t chosen = model_random (m, m->entry_count);
+  uint64_t until_us = m->now_us + model_between (m, 0, 3000) * US_PER_MS;
+  uint32_t i;
+
+  for (i = 0; i < m->entry_count; i++)
+    if (all || i == chosen)
+      {
+        model_link_break (&m->entries[i]);
+        m->entries[i].link_cut_until_us = until_us;
+      }
+  model_disturb (m, until_us);
+}
+
+static void
+apply_to_entry (struct model *m, enum model_fault kind)
+{
+  struct model_entry *e = &m->entries[model_random (m, m->entry_count)];
+  uint64_t until_us = m->now_us + model_between (m, 1000, 8000) * US_PER_MS;
+
+  if (kind == MODEL_ENTRY_SLOW)
+    {
+      e->slow_until_us = until_us;
+      e->slow_us = model_between (m, 50, 400) * US_PER_MS;
+    }
+  else
+    {
+      e->late_until_us = until_us;
+      e->late_us = model_between (m, 200, 4000) * US_PER_MS;
+    }
+  model_disturb (m, until_us);
+}
+
 static void
 apply_to_owner (struct model *m, enum model_fault kind)
 {
@@ -244,6 +303,9 @@
     case MODEL_OWNER_KILLED:
       kill_entry (m, e);
       return;
+    case MODEL_OWNER_LOST:
+      lose_entry (m, e);
+      return;
     case MODEL_OWNER_STOPPED:
       schedule_entry (m, 0, stop_entry, e->index);
       model_disturb (m, m->now_us + 6200 * US_PER_MS);
@@ -297,6 +359,22 @@
     }
 }
 
+static void
+cut_off_runners (struct model *m)
+{
+  uint64_t until_us = m->now_us + model_between (m, 500, 8000) * US_PER_MS;
+  uint32_t n = 2 + model_random (m, m->vm_count / 2);
+
+  while (n-- > 0)
+    {
+      struct model_runner *r = model_vm_runner (m, choose_vm (m));
+
+      if (r != NULL)
+        r->cut_until_us = until_us;
+    }
+  model_disturb (m, until_us);
+}
+
 static void
 apply_to_platform (struct model *m, enum model_fault kind)
 {
@@ -351,6 +429,7 @@
     case MODEL_OWNER_FROZEN:
     case MODEL_OWNER_CUT_OFF:
     case MODEL_OWNER_CUT_FROM_STORE:
+    case MODEL_OWNER_LOST:
       apply_to_owner (m, x->kind);
       break;
     case MODEL_ENTRY_KILLED:
@@ -374,6 +453,16 @@
     case MODEL_WAVE:
       request_wave (m);
       break;
+    case MODEL_RUNNERS_CUT_OFF:
+      cut_off_runners (m);
+      break;
+    case MODEL_ENTRY_SLOW:
+    case MODEL_ENTRY_READS_LATE:
+      apply_to_entry (m, x->kind);
+      break;
+    case MODEL_LINKS_BROKEN:
+      break_links (m);
+      break;
     default:
       apply_to_platform (m, x->kind);
       break;
@@ -419,6 +508,10 @@
   j->task_count
       = long_running ? m->options.serving_task_count : 1 + model_random (m, 4);
   j->task_ms = 200 + model_random (m, 900);
+  if (!long_running && m->options.cancel_percent > 0)
+    j->cancels = model_random (m, 100) < m->options.cancel_percent;
+  if (j->cancels && model_random (m, 2) == 0)
+    j->task_ms = CANCELLED_TASK_MS;
   j->cpu_milli = long_running ? SERVING_CPU_MILLI : SHORT_CPU_MILLI;
   if (!long_running && m->options.failing_percent > 0)
     j->failing = model_random (m, 100) < m->options.failing_percent;
--- a/tests/model_store.c
+++ b/tests/model_store.c
@@ -389,7 +389,9 @@
       text_copy (ev->u.claim.address, ADDRESS_BYTES, x->address);
       ev->u.claim.terms = x->terms;
     }
-  model_post (e, e->process, CALL_US, ev);
+  model_post (
+      e, e->process,
+      CALL_US + model_delay_us (e->model, e->late_until_us, e->late_us), ev);
 }
 
 static void
@@ -436,7 +438,9 @@
     }
   e->runners_listed = true;
   e->runners_seen_version = m->store.registration_version;
-  model_post (e, e->process, 2 * CALL_US, ev);
+  model_post (e, e->process,
+              2 * CALL_US + model_delay_us (m, e->late_until_us, e->late_us),
+              ev);
 }
 
 static void
