--- a/tests/models/check.sh
+++ b/tests/models/check.sh
@@ -38,5 +38,6 @@
 }
 
 check ownership NO_FENCE NO_ASK NO_STOP NO_STORE_FIRST NO_REPEAT
-check handover NO_HAND_ON NO_CLAIM_FIRST
+check handover NO_HAND_ON NO_CLAIM_FIRST NO_TELL NO_NEWEST NO_STOP NO_NAMES \
+  NO_KNOWN NO_LEASE
 exit $failed
