Test that tasks of a lost runner do not wait for an owner that has ended

The wait of a new owner was checked in scripted runs and in the model of the platform only. The test kills the owner while a runner with tasks stops answering for good and stays in the list of VMs, and starts the owner's entry again once another one owns the cell. The tasks must run elsewhere within 6 s, and 1 s for the start of the process, by the stand-in's own report.

The stand-in's report tells how many tasks run on each runner that answers, and a runner with the fault down_port registers no more.

--- a/tests/standin/site.c
+++ b/tests/standin/site.c
@@ -5,7 +5,11 @@
    core and runs for the milliseconds in its payload.  GET /report on the first
    port shows the runners' record: tasks started, those started while they ran
    on another runner ("doubled") or after their end was acknowledged
-   ("after_done"), and calls refused for an old fencing token ("fenced").
+   ("after_done"), calls refused for an old fencing token ("fenced"), and how
+   many tasks run now on each runner that answers ("running").
+
+   A runner with the fault down_port of server.h registers no more, and stays
+   in the list of VMs.
 
    Faults besides those of server.h: lose_starts=N (every Nth start is made but
    not answered), late_starts=N (every Nth start is made a second later and not
@@ -704,6 +708,31 @@
   json_decref (j);
 }
 
+static void
+report (struct exchange *x)
+{
+  json_t *running = json_array ();
+  json_t *j;
+  int i;
+
+  for (i = 0; i < runner_count; i++)
+    {
+      gboolean answers = fault_get ("down_port") != runners[i].port;
+
+      end_due_tasks (&runners[i]);
+      json_array_append_new (
+          running, json_integer (answers ? runners[i].tasks->len : 0));
+    }
+  j = json_pack ("{s:I,s:I,s:I,s:I,s:o}", "started", (json_int_t)started_count,
+                 "doubled", (json_int_t)doubled_count, "after_done",
+                 (json_int_t)after_done_count, "fenced",
+                 (json_int_t)fenced_count, "running", running);
+  x->answer = json_dumps (j, JSON_COMPACT);
+  x->answer_bytes = (uint32_t)strlen (x->answer);
+  x->status = 200;
+  json_decref (j);
+}
+
 static void
 handle_store (struct exchange *x)
 {
@@ -720,11 +749,7 @@
   else if (strcmp (x->url, "/api/machines") == 0)
     list_vms (x);
   else if (strcmp (x->url, "/report") == 0)
-    answer_set (x, 200,
-                "{\"started\":%lld,\"doubled\":%lld,\"after_done\":%lld,"
-                "\"fenced\":%lld}",
-                (long long)started_count, (long long)doubled_count,
-                (long long)after_done_count, (long long)fenced_count);
+    report (x);
   else
     handle_membership (x);
 }
@@ -788,6 +813,8 @@
           char id[32];
           char value[400];
 
+          if (fault_get ("down_port") == runners[i].port)
+            continue;
           g_snprintf (id, sizeof id, "r-%u", runners[i].port);
           g_snprintf (value, sizeof value,
                       "{\"Service\":\"p\",\"Address\":\"127.0.0.1:%u\","
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -2,10 +2,11 @@
    (tests/standin/site.c).
 
    Guards against an accepted job that is forgotten or never completes, a task
-   that runs twice at once, and a task that starts again after the entries
-   have acknowledged its end.  The causes: a cell owner that is killed, paused
-   or stopped, answers of the store and the runners that are lost, and starts
-   that arrive late.  */
+   that runs twice at once, a task that starts again after the entries have
+   acknowledged its end, and a task of a lost runner that waits for an owner
+   which has ended.  The causes: a cell owner that is killed, paused or
+   stopped, answers of the store and the runners that are lost, and starts that
+   arrive late.  */
 
 #include "tests/cluster.h"
 #include "tests/ports.h"
@@ -29,12 +30,21 @@
 #define JOB_TIMEOUT_MS 60000
 #define POLL_INTERVAL_MS 50
 #define PATH_BYTES 64
+#define BODY_BYTES 200
 /** Longer than an entry accepts calls by a configuration that it could not
     confirm.  */
 #define STORE_BUSY_S 7
 /** A failed read is repeated after 0.25 s.  */
 #define STORE_BACK_LIMIT_US (1 * G_USEC_PER_SEC)
 
+/** Tasks of a job that does not end by itself, and their run time.  */
+#define SERVING_COUNT 12
+#define SERVING_MS 600000
+/** Tasks of a lost runner run elsewhere this long after the lost owner's entry
+    is back; and the time that its process may need to start.  */
+#define ELSEWHERE_LIMIT_MS 6000
+#define ENTRY_START_MS 1000
+
 /* The stand-in and the entries of a test.  */
 struct site
 {
@@ -296,20 +306,15 @@
   g_error ("no entry owned the cell within %d ms", START_TIMEOUT_MS);
 }
 
-/* Submits job N as a client does: again with the same id, at the next entry,
-   until it is accepted.  */
+/* Submits job N with BODY as a client does: again with the same id, at the
+   next entry, until it is accepted.  */
 static void
-submit (const struct site *s, guint n)
+submit_body (const struct site *s, guint n, const gchar *body)
 {
   gchar path[PATH_BYTES];
-  gchar body[200];
   guint tries;
 
   g_snprintf (path, sizeof path, "/q/%016x", n + 1);
-  g_snprintf (body, sizeof body,
-              "{\"Spec\":\"%d\",\"Steps\":[{\"Count\":3,\"Cpu\":1000},"
-              "{\"Count\":2,\"Cpu\":1000,\"After\":[0]}]}",
-              TASK_MS);
   for (tries = 0; tries < 100; tries++)
     {
       if (call (s, (n + tries) % ENTRY_COUNT, "POST", path, body, NULL, 0)
@@ -320,6 +325,18 @@
   g_error ("job %u was not accepted in %u tries", n, tries);
 }
 
+static void
+submit (const struct site *s, guint n)
+{
+  gchar body[BODY_BYTES];
+
+  g_snprintf (body, sizeof body,
+              "{\"Spec\":\"%d\",\"Steps\":[{\"Count\":3,\"Cpu\":1000},"
+              "{\"Count\":2,\"Cpu\":1000,\"After\":[0]}]}",
+              TASK_MS);
+  submit_body (s, n, body);
+}
+
 static void
 wait_completed (const struct site *s, guint n)
 {
@@ -628,6 +645,83 @@
   stop_site (&s);
 }
 
+/* Copies to RUNNING how many tasks run on each runner that answers, and
+   returns the sum.  */
+static gint64
+get_running (const struct site *s, gint64 running[RUNNER_COUNT])
+{
+  json_t *j = cluster_get (s->base_port, "/report");
+  gint64 sum = 0;
+  size_t i;
+
+  g_assert_nonnull (j);
+  for (i = 0; i < RUNNER_COUNT; i++)
+    {
+      running[i] = json_integer_value (
+          json_array_get (json_object_get (j, "running"), i));
+      sum += running[i];
+    }
+  json_decref (j);
+  return sum;
+}
+
+/* Waits until all tasks of the job that does not end run on runners that
+   answer.  */
+static void
+wait_serving (const struct site *s, gint64 running[RUNNER_COUNT])
+{
+  gint64 began_us = g_get_monotonic_time ();
+
+  while (get_running (s, running) != SERVING_COUNT)
+    {
+      if (g_get_monotonic_time () - began_us > START_TIMEOUT_MS * 1000)
+        g_error ("%d tasks do not run within %d ms", SERVING_COUNT,
+                 START_TIMEOUT_MS);
+      g_usleep (POLL_INTERVAL_MS * 1000);
+    }
+}
+
+/* The owner is killed and a runner with tasks stops answering for good, while
+   its VM stays up.  The entry of the owner is started again when another one
+   owns the cell.  The runner's tasks wait for the former owner's leases only,
+   and not for as long as it could act if it were cut off.  */
+static void
+test_serving_task_behind_lost_owner (void)
+{
+  gint64 running[RUNNER_COUNT];
+  gint64 back_us;
+  gint64 age_ms;
+  gint64 waited_count;
+  gchar body[BODY_BYTES];
+  gint lost = 0;
+  struct site s;
+  gint owner;
+
+  start_site (&s);
+  g_snprintf (body, sizeof body,
+              "{\"Spec\":\"%d\",\"Steps\":[{\"Count\":%d,\"Cpu\":1000}]}",
+              SERVING_MS, SERVING_COUNT);
+  submit_body (&s, 0, body);
+  wait_serving (&s, running);
+  while (lost < RUNNER_COUNT - 1 && running[lost] == 0)
+    lost++;
+  waited_count = running[lost];
+  owner = wait_owner (&s);
+  cluster_fault (s.base_port, "down_port", s.base_port + 1 + lost);
+  stop_process (s.entries[owner], SIGKILL);
+  g_assert_cmpint (wait_owner (&s), !=, owner);
+  start_entry (&s, (guint)owner);
+  back_us = g_get_monotonic_time ();
+  wait_serving (&s, running);
+  age_ms = (g_get_monotonic_time () - back_us) / 1000;
+  g_test_message ("%" G_GINT64_FORMAT " tasks run elsewhere %" G_GINT64_FORMAT
+                  " ms after the start of the entry",
+                  waited_count, age_ms);
+  g_assert_cmpint (age_ms, <=, ELSEWHERE_LIMIT_MS + ENTRY_START_MS);
+  g_assert_cmpint (get_report (&s, "doubled"), ==, 0);
+  stop_site (&s);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -645,5 +739,7 @@
   g_test_add_func ("/site/delegate_paused", test_delegate_paused);
   g_test_add_func ("/site/delegates_lost_answers",
                    test_delegates_lost_answers);
+  g_test_add_func ("/site/serving_task_behind_lost_owner",
+                   test_serving_task_behind_lost_owner);
   return g_test_run ();
 }
