Model: steps that last after others, labels, limits on a runner, failing serving tasks

Cause: serving jobs had one step, whose runs ended only by faults, and no step had a label or, if short, a limit of tasks on a runner.

Change: options mixed, placed and serving_fails.

--- a/tests/model.h
+++ b/tests/model.h
@@ -24,6 +24,8 @@
 /** The last pool is the spare one.  */
 #define MODEL_SPARE_POOL (MODEL_POOL_COUNT - 1)
 #define MODEL_CPU_MILLI 8000
+/** Label of every second VM of a pool.  */
+#define MODEL_LABEL "fast"
 #define MODEL_ATTEMPT_LIMIT_COUNT 3
 /** Unix time at which a run begins.  */
 #define MODEL_EPOCH_MS UINT64_C (1700000000000)
@@ -73,10 +75,14 @@
   uint32_t fault_count;
   uint32_t fault_kind_count; /**< Entries of fault_kinds.  */
   enum model_fault fault_kinds[MODEL_FAULT_COUNT];
-  uint32_t restart_gap_ms;  /**< Between restarts in turn.  */
-  uint32_t cancel_percent;  /**< Short jobs whose clients cancel them.  */
-  uint32_t resend_percent;  /**< Short jobs that are submitted once more.  */
-  uint32_t ask_ms;          /**< Mean time between questions; 0: none.  */
+  uint32_t restart_gap_ms; /**< Between restarts in turn.  */
+  uint32_t cancel_percent; /**< Short jobs whose clients cancel them.  */
+  uint32_t resend_percent; /**< Short jobs that are submitted once more.  */
+  uint32_t ask_ms;         /**< Mean time between questions; 0: none.  */
+  uint32_t mixed_percent;  /**< Short jobs whose second step lasts.  */
+  uint32_t placed_percent; /**< Short jobs with a label or a limit of tasks
+                              on a runner.  */
+  uint32_t serving_fail_percent; /**< Long-running runs that fail.  */
   uint32_t failing_percent; /**< Short jobs of which half of the runs fail.  */
   bool verbose;             /**< Print the lines of the entries' logs.  */
 };
@@ -239,6 +245,9 @@
   uint32_t task_count; /**< Of each step.  */
   uint32_t task_ms;
   uint64_t cpu_milli;
+  bool mixed;    /**< The second of its two steps lasts.  */
+  bool labelled; /**< Only VMs with MODEL_LABEL run it.  */
+  uint32_t per_runner_limit_count;
   bool cancels; /**< Its client cancels it.  */
   bool failing; /**< Half of its runs fail.  */
   bool accepted;
@@ -345,6 +354,7 @@
 void model_runners_free (struct model *m);
 uint64_t model_runner_clock_ms (const struct model *m,
                                 const struct model_runner *r);
+bool model_vm_has_label (uint32_t vm);
 struct model_runner *model_vm_runner (struct model *m, uint32_t vm);
 
 /* model_rules.c */
@@ -395,6 +405,7 @@
 void model_load_plan (struct model *m);
 void model_load_tick (struct model *m);
 void model_load_on_reply (struct model_entry *e, const struct reply *r);
+bool model_step_lasts (const struct model_job *j, uint32_t step);
 struct job_spec *model_job_spec (TALLOC_CTX *mem, const struct model_job *j);
 const char *model_fault_name (int kind);
 
--- a/tests/model_store.c
+++ b/tests/model_store.c
@@ -414,6 +414,10 @@
   row->label_count = 2;
   text_copy (row->labels[0], LABEL_BYTES, "kind");
   g_snprintf (row->labels[1], LABEL_BYTES, "rack%u", v->rack);
+  if (!model_vm_has_label (r->vm))
+    return;
+  row->label_count = 3;
+  text_copy (row->labels[2], LABEL_BYTES, MODEL_LABEL);
 }
 
 static void
--- a/tests/test_promises.c
+++ b/tests/test_promises.c
@@ -63,6 +63,9 @@
   o.cancel_percent = read_number (j, "cancel", 0);
   o.resend_percent = read_number (j, "resend", 0);
   o.ask_ms = read_number (j, "ask", 0);
+  o.mixed_percent = read_number (j, "mixed", 0);
+  o.placed_percent = read_number (j, "placed", 0);
+  o.serving_fail_percent = read_number (j, "serving_fails", 0);
   o.failing_percent = read_number (j, "failing", 0);
   o.verbose = g_getenv ("FTK_PROMISES_LOG") != NULL;
   read_faults (j, &o);
