Model: jobs that find no room beside steps that last are not lost

The rule asks for capacity twice over, for 3 s.

Change: with the option mixed, room for a task that lasts counts after 3 s; a short job that has a label, or is played with that option, is owed at the end only if a runner has room for it. Other plays are judged as before.

--- a/tests/model.h
+++ b/tests/model.h
@@ -216,6 +216,7 @@
   uint32_t failed_count;  /**< Runs that failed.  */
   uint32_t running_count; /**< Runs on runners that are up.  */
   uint64_t last_at_us;    /**< When its last run ended, or it was accepted. */
+  uint64_t room_since_us; /**< It has had room since then; 0: it has none.  */
   bool stopped_by_order;  /**< Its last run ended by a stop or VM order.  */
   GArray *done_ends;      /**< struct model_done.  */
   GArray *failed_ends;    /**< struct model_done.  */
