Model processor time, limits of the store, and runners that do not answer

The model's entries took no time for what they do, its store took any number of calls, and each of its runners answered, so a fleet of 300 entries and 3,000 runners behaved like one of 4 and 15.

Options of a script's line: order_us (an order and its answer take the entry that sends it this much of its share) and event_us (each other event), behind which later events queue up; writes and reads (calls of the store in a second, joins a tenth; further ones are refused as not done); weak_cpu (share of two entries in three); mute and booting (thousandths of the runners that never answer, or boot within 20 s). All are off by default: the six scripts of tests/promises pass unchanged.

--- a/tests/model.c
+++ b/tests/model.c
@@ -28,6 +28,7 @@
   struct model_entry *entry;
   uint32_t process;
   struct cell_event *event;
+  bool queued; /* Its turn is known.  */
 };
 
 uint32_t
@@ -361,6 +362,13 @@
           model_schedule (m, e->frozen_until_us - m->now_us, deliver, d);
           return;
         }
+      if (!d->queued && m->options.event_us > 0)
+        {
+          d->queued = true;
+          model_schedule (m, model_limits_work (e, m->options.event_us),
+                          deliver, d);
+          return;
+        }
       step (e, d->event);
     }
   talloc_free (d);
@@ -395,6 +403,14 @@
       model_schedule (m, e->frozen_until_us - m->now_us, tick_entry, d);
       return;
     }
+  if (!d->queued && m->options.event_us > 0)
+    {
+      d->queued = true;
+      model_schedule (m, model_limits_work (e, m->options.event_us),
+                      tick_entry, d);
+      return;
+    }
+  d->queued = false;
   step (e, &ev);
   if (e->cell == NULL || e->process != d->process)
     {
@@ -452,7 +468,8 @@
       talloc_free (d);
       return;
     }
-  if (model_store_serves (e) && m->now_us >= e->frozen_until_us)
+  if (model_store_serves (e) && m->now_us >= e->frozen_until_us
+      && model_limits_read (m))
     {
       struct cell_event *x = model_event (CELL_CONFIG_CONFIRMED);
 
@@ -491,6 +508,7 @@
   e->claims_seen_offset = 0;
   e->follows_runners = false;
   e->newest_token = 0;
+  e->busy_until_us = 0;
   model_schedule (m, 1000, tick_entry, delivery_to (e));
   model_schedule (m, model_between (m, 5000, 30000), confirm_config,
                   delivery_to (e));
@@ -560,6 +578,8 @@
                                                .stop_grace_ms = 6000,
                                                .move_ms = 1500,
                                                .maintenance_ms = 2000 } };
+      if (m->options.weak_cpu_milli > 0 && i % 3 != 0)
+        e->settings.cpu_milli = m->options.weak_cpu_milli;
       text_copy (e->settings.member, NAME_BYTES, e->name);
       text_copy (e->settings.relay_address, ADDRESS_BYTES, e->address);
       model_entry_start (e);
@@ -624,6 +644,7 @@
       if (m->vms[i].pool != MODEL_SPARE_POOL)
         model_vm_boot (m, i, NULL);
     }
+  model_limits_plan (m);
   create_entries (m);
   model_load_plan (m);
   model_faults_plan (m);
--- a/tests/model.h
+++ b/tests/model.h
@@ -8,7 +8,8 @@
 
    model.c has the clock, the entries and their links; model_store.c the store;
    model_runner.c the runners and the cloud; model_rules.c what must hold;
-   model_faults.c the load and the faults.  */
+   model_faults.c the load and the faults; model_limits.c what makes size
+   bite.  */
 
 #ifndef TESTS_MODEL_H
 #define TESTS_MODEL_H
@@ -67,6 +68,13 @@
   uint32_t fault_kind_count; /**< Entries of fault_kinds.  */
   enum model_fault fault_kinds[MODEL_FAULT_COUNT];
   uint32_t restart_gap_ms; /**< Between restarts in turn.  */
+  uint32_t writes_per_s;   /**< The store's limits; 0: none.  */
+  uint32_t reads_per_s;
+  uint32_t order_us; /**< CPU time of an order and its answer; 0: none.  */
+  uint32_t event_us; /**< CPU time of another event; 0: none.  */
+  uint32_t weak_cpu_milli; /**< Of two entries in three; 0: as the others.  */
+  uint32_t mute_milli;     /**< Part of the runners that never answer.  */
+  uint32_t booting_milli;  /**< Part of them that boot late.  */
   bool verbose;            /**< Print the lines of the entries' logs.  */
 };
 
@@ -160,6 +168,7 @@
   bool runners_listed;
   uint64_t runners_seen_version;
   uint64_t newest_token; /**< Seen in orders that it sent.  */
+  uint64_t busy_until_us;
 };
 
 /** A claim in the store.  */
@@ -182,6 +191,10 @@
   bool silent; /**< While down it leaves calls unanswered.  */
   uint64_t appends_lost_until_us;
   uint64_t registration_version;
+  uint64_t second; /**< Of the counts that follow.  */
+  uint32_t write_tenths;
+  uint32_t read_count;
+  uint32_t refused_count; /**< Since the run began.  */
 };
 
 /** A task as the rules see it.  */
@@ -326,6 +339,16 @@
 void model_task_print (const struct task_id *id, char *text,
                        uint32_t size_bytes);
 
+/* model_limits.c */
+/** Has E work for WORK_US of processor time after all that it has to do.
+    Returns in how many microseconds that is done.  */
+uint64_t model_limits_work (struct model_entry *e, uint32_t work_us);
+/** Counts calls of the store.  Return false if it refuses the call.  */
+bool model_limits_write (struct model *m, uint32_t tenths);
+bool model_limits_read (struct model *m);
+/** Has some runners never answer, and others boot late.  */
+void model_limits_plan (struct model *m);
+
 /* model_faults.c */
 /** Notes that a fault lasts until UNTIL_US.  */
 void model_disturb (struct model *m, uint64_t until_us);
--- a/tests/model_rules.c
+++ b/tests/model_rules.c
@@ -212,6 +212,7 @@
       uint64_t used_milli = 0;
 
       if (m->vms[i].pool != pool || r == NULL || r->draining || !r->registered
+          || m->now_us < r->cut_until_us
           || m->now_us < r->booted_at_us + CALM_US)
         continue;
       for (k = 0; k < r->runs->len; k++)
--- a/tests/model_runner.c
+++ b/tests/model_runner.c
@@ -39,6 +39,7 @@
   bool answered; /* The owner has a result, or the call has timed out.  */
   bool late; /* It is carried out late, by the boot that has received it. */
   uint64_t booted_at_us; /* That boot.  */
+  bool queued;           /* The sender's turn for it is known.  */
   uint32_t reference_count;
 };
 
@@ -90,7 +91,7 @@
     }
   /* A frozen sender reads the answer when it wakes.  */
   model_post (x->owner, x->owner_process,
-              CALL_US
+              CALL_US + model_limits_work (x->sender, m->options.order_us / 2)
                   + (m->now_us < x->sender->frozen_until_us
                          ? x->sender->frozen_until_us - m->now_us
                          : 0),
@@ -455,6 +456,14 @@
                       x);
       return;
     }
+  if (!x->queued && m->options.order_us > 0)
+    {
+      x->queued = true;
+      model_schedule (m,
+                      model_limits_work (x->sender, m->options.order_us / 2),
+                      leave_sender, x);
+      return;
+    }
   if (x->order.token < x->sender->newest_token)
     give_outcome (x, ORDER_FENCED);
   else if (m->now_us > x->decided_at_us + limit_us)
--- a/tests/model_store.c
+++ b/tests/model_store.c
@@ -300,6 +300,22 @@
   answer (x, ev, delay_us);
 }
 
+/* Returns true if the store has a call left for X.  */
+static bool
+is_within_limits (struct model *m, const struct store_call *x)
+{
+  switch (x->kind)
+    {
+    case CELL_DO_JOIN:
+    case CELL_DO_LEAVE:
+      return model_limits_write (m, 1);
+    case CELL_DO_FIND_HOLDER:
+      return model_limits_read (m);
+    default:
+      return model_limits_write (m, 10);
+    }
+}
+
 /* The entry may have ended since it sent the call, which arrives all the
    same.  */
 static void
@@ -309,10 +325,10 @@
   bool cut = m->now_us < x->entry->store_cut_until_us
              || m->now_us < x->entry->cut_until_us;
 
-  if (!cut && m->now_us >= m->store.down_until_us)
+  if (!cut && m->now_us >= m->store.down_until_us && is_within_limits (m, x))
     execute (m, x);
   else
-    fail (x, cut || m->store.silent);
+    fail (x, cut || (m->store.silent && m->now_us < m->store.down_until_us));
   talloc_free (x);
 }
 
@@ -375,6 +391,8 @@
 
   if (e->claims_read && e->claims_seen_offset == claims->len)
     return;
+  if (!model_limits_read (e->model))
+    return;
   e->claims_read = true;
   e->claims_seen_offset = claims->len;
   ev = model_event (CELL_CLAIM);
@@ -418,9 +436,12 @@
 tell_runners (struct model_entry *e)
 {
   struct model *m = e->model;
-  struct cell_event *ev = model_event (CELL_RUNNERS);
+  struct cell_event *ev;
   guint i;
 
+  if (!model_limits_read (m))
+    return;
+  ev = model_event (CELL_RUNNERS);
   ev->u.runners.whole = !e->runners_listed;
   ev->u.runners.rows
       = talloc_zero_array (ev, struct runner_report, m->all_runners->len + 1);
--- a/tests/test_promises.c
+++ b/tests/test_promises.c
@@ -60,6 +60,13 @@
   o.cpu_milli = read_number (j, "cpu", 250);
   o.fault_count = read_number (j, "fault_count", 3);
   o.restart_gap_ms = read_number (j, "restart_gap", 1000);
+  o.writes_per_s = read_number (j, "writes", 0);
+  o.reads_per_s = read_number (j, "reads", 0);
+  o.order_us = read_number (j, "order_us", 0);
+  o.event_us = read_number (j, "event_us", 0);
+  o.weak_cpu_milli = read_number (j, "weak_cpu", 0);
+  o.mute_milli = read_number (j, "mute", 0);
+  o.booting_milli = read_number (j, "booting", 0);
   o.verbose = g_getenv ("FTK_PROMISES_LOG") != NULL;
   read_faults (j, &o);
   for (seed = (uint32_t)json_integer_value (json_array_get (seeds, 0));
