--- a/tests/model_rules.c
+++ b/tests/model_rules.c
@@ -363,7 +363,8 @@
 
       if (m->vms[i].pool != j->pool || r == NULL
           || (j->labelled && !model_vm_has_label (i)) || r->draining
-          || !r->registered || m->now_us < r->booted_at_us + CALM_US)
+          || !r->registered || m->now_us < r->cut_until_us
+          || m->now_us < r->booted_at_us + CALM_US)
         continue;
       for (k = 0; k < r->runs->len; k++)
         {
