Restart an adopted serving task at once when it fails

Clients saw a serving task not run though there was room (LOST): a new owner had adopted its run, it failed by itself, and then waited until every runner of its pool had answered or the former owner's leases were over, up to 13.6 s after a loss. The wait is for runs that may have failed elsewhere and would use up the attempts; a long-running task has no limit of attempts.

--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -278,7 +278,8 @@
   jobs_mark_dirty (c, j);
   /* Runs before an adopted one may have failed on runners that have not
      answered this owner: the task waits until they have.  */
-  if (t->adopted && (q == NULL || t->run >= q->attempt_limit))
+  if (t->adopted && !t->step->spec->long_running
+      && (q == NULL || t->run >= q->attempt_limit))
     t->reconciled = false;
   if (q != NULL)
     {
