Wait for unreached runners after any failed run of an inherited task

Clients could see a job's task run once more than its attempts (BUDGET): run 1 failed on a runner that was then cut off, before the owner had stored it; the new owner adopted run 2, which failed, and waited; its own run 3 failed, and it did not wait, as it waited only after the failure of an adopted run. Run 4 started before the runner had listed the end of run 1.

Every failure of an inherited task whose number reaches the limit has the task wait now until the runners of its pool have answered, or the leases of former owners are over. When all have answered, nothing waits.

run_after_adopted_fails (found by the model) failed before and passes; no other expected output changes.

--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -276,9 +276,9 @@
   t->failed_on = r;
   note_runner_failure (c, r, t);
   jobs_mark_dirty (c, j);
-  /* Runs before an adopted one may have failed on runners that have not
+  /* Runs that former owners started may have failed on runners that have not
      answered this owner: the task waits until they have.  */
-  if (t->adopted && !t->step->spec->long_running
+  if (j->inherited && !t->step->spec->long_running
       && (q == NULL || t->run >= q->attempt_limit))
     t->reconciled = false;
   if (q != NULL)
