Wait for unreached runners whichever run of an inherited task fails last

Cause: a task's failures on runners that have not answered a new owner are not known. The owner waited for these runners only if the run that failed as the last that is allowed was an adopted one, not if it had started it itself after an adopted one had failed.

Change: the wait depends on the job being inherited. It no longer applies to tasks that last, which have no limit.

--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -28,7 +28,7 @@
   t->run = row->run;
   t->phase = TASK_RUNNING;
   task_assign (c, t, r);
-  t->reconciled = t->adopted = true;
+  t->reconciled = true;
   t->start_ordered_at_us = t->ordered_at_us = t->start_known_at_us = c->now_us;
   task_job (t)->started = true;
 }
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -123,7 +123,6 @@
       the cell does not enforce over_target_limit_ms.  */
   uint64_t over_target_at_us;
   bool reconciled;  /**< This owner has started it or seen its run.  */
-  bool adopted;     /**< Its run was started by a former owner.  */
   bool stop_wanted; /**< It must not run; a run that is seen is stopped.  */
   bool evicting;    /**< It is being stopped to start elsewhere.  Set, but not
                        used.  */
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -111,7 +111,7 @@
   t->phase = TASK_STARTING;
   t->reconciled = true;
   t->run++;
-  t->start_confirmed = t->adopted = false;
+  t->start_confirmed = false;
   t->slow_run = false;
   t->ordered_at_us = t->start_ordered_at_us = c->now_us;
   j->started = true;
@@ -276,9 +276,10 @@
   t->failed_on = r;
   note_runner_failure (c, r, t);
   jobs_mark_dirty (c, j);
-  /* Runs before an adopted one may have failed on runners that have not
+  /* Runs of a former owner may have failed on runners that have not
      answered this owner: the task waits until they have.  */
-  if (t->adopted && (q == NULL || t->run >= q->attempt_limit))
+  if (j->inherited && !t->step->spec->long_running
+      && (q == NULL || t->run >= q->attempt_limit))
     t->reconciled = false;
   if (q != NULL)
     {
