Keep the number of a task's current run when a higher one has ended

Cause: an end with a higher number than the current run's became its number, so the current run was an orphan in the next poll, and the task started beside it.

Change: the highest number that has ended is kept apart; it counts for the next start, and for the task while it has no run.

--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -300,7 +300,7 @@
       if (r == NULL)
         break;
       task_assign (c, &s->tasks[i], r);
-      run = MAX (run, s->tasks[i].run);
+      run = MAX (run, MAX (s->tasks[i].run, s->tasks[i].ended_run));
     }
   if (i < s->spec->task_count)
     {
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -122,10 +122,11 @@
   /** When a serving task exceeded its latency target.  Only ever set to 0:
       the cell does not enforce over_target_limit_ms.  */
   uint64_t over_target_at_us;
-  bool reconciled;  /**< This owner has started it or seen its run.  */
-  bool stop_wanted; /**< It must not run; a run that is seen is stopped.  */
-  bool evicting;    /**< It is being stopped to start elsewhere.  Set, but not
-                       used.  */
+  uint32_t ended_run; /**< Highest run that a runner has listed as ended.  */
+  bool reconciled;    /**< This owner has started it or seen its run.  */
+  bool stop_wanted;   /**< It must not run; a run that is seen is stopped.  */
+  bool evicting; /**< It is being stopped to start elsewhere.  Set, but not
+                    used.  */
   /** The plan (cell_fleet) that names a place for it, and that place; valid in
       that plan only.  */
   uint64_t plan_number;
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -110,7 +110,7 @@
   task_assign (c, t, r);
   t->phase = TASK_STARTING;
   t->reconciled = true;
-  t->run++;
+  t->run = MAX (t->run, t->ended_run) + 1;
   t->start_confirmed = false;
   t->slow_run = false;
   t->ordered_at_us = t->start_ordered_at_us = c->now_us;
@@ -340,8 +340,11 @@
   if (t == NULL)
     return;
   is_current_run = t->runner == r && t->run == e->run;
-  if (e->run > t->run)
-    t->run = e->run;
+  /* A run of a former owner may have a higher number than the current one,
+     which keeps its own.  */
+  t->ended_run = MAX (t->ended_run, e->run);
+  if (t->runner == NULL)
+    t->run = MAX (t->run, e->run);
   if (e->checkpoint[0] != '\0' && t->phase != TASK_DONE)
     text_copy (t->checkpoint, CHECKPOINT_BYTES, e->checkpoint);
   if (e->kind != END_DONE)
