--- a/tests/model.c
+++ b/tests/model.c
@@ -325,10 +325,12 @@
     case CELL_DO_FOLLOW_RUNNERS:
       model_store_action (e, a);
       break;
-    case CELL_DO_LIST_VMS:
     case CELL_DO_ORDER:
+      model_runner_order (e, &a->u.order);
+      break;
+    case CELL_DO_LIST_VMS:
     case CELL_DO_ORDER_VM:
-      model_runner_action (e, a);
+      model_cloud_action (e, a);
       break;
     case CELL_DO_LOG:
       if (e->model->options.verbose)
--- a/tests/model.h
+++ b/tests/model.h
@@ -7,9 +7,10 @@
    not from what the entries believe.  The same seed gives the same run.
 
    model.c has the clock, the entries and their links; model_store.c the store;
-   model_runner.c the runners and the cloud; model_rules.c what must hold;
-   model_clients.c clients that ask, cancel and submit again; model_faults.c
-   the load and the faults; model_limits.c what makes size bite.  */
+   model_runner.c the runners; model_cloud.c the cloud; model_clients.c clients
+   that ask, cancel and submit again; model_faults.c the load and the faults;
+   model_limits.c limits of processor time and of the store; model_rules.c what
+   must hold.  */
 
 #ifndef TESTS_MODEL_H
 #define TESTS_MODEL_H
@@ -359,7 +360,9 @@
 void model_store_free (struct model *m);
 
 /* model_runner.c */
-void model_runner_action (struct model_entry *e, struct cell_action *a);
+/** Carries out an order of E to a runner; drops the reference to its payload.
+ */
+void model_runner_order (struct model_entry *e, struct runner_order *o);
 void model_runner_tick (struct model *m);
 void model_vm_boot (struct model *m, uint32_t vm, const char *same_id);
 /** Ends the runner of VM; its runs end without a trace.  */
@@ -370,6 +373,9 @@
 bool model_vm_has_label (uint32_t vm);
 struct model_runner *model_vm_runner (struct model *m, uint32_t vm);
 
+/* model_cloud.c */
+void model_cloud_action (struct model_entry *e, const struct cell_action *a);
+
 /* model_rules.c */
 void model_broken (struct model *m, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
