--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -343,7 +343,7 @@
   /* A run of a former owner may have a higher number than the current one,
      which keeps its own.  */
   t->ended_run = MAX (t->ended_run, e->run);
-  if (t->runner == NULL)
+  if (t->phase == TASK_WAITING)
     t->run = MAX (t->run, e->run);
   if (e->checkpoint[0] != '\0' && t->phase != TASK_DONE)
     text_copy (t->checkpoint, CHECKPOINT_BYTES, e->checkpoint);
