Put polls off for 60 ms at most while a start is open

Since ends are not acknowledged while a start has no answer, a poll beside one was put off for up to 400 ms.

A start is answered within milliseconds, so 60 ms are enough to spare most polls that would be answered at once.

--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -16,6 +16,10 @@
 /** A poll is put off for up to this until the ends listed so far are
     stored.  */
 #define STORE_WAIT_MS 400
+/** A poll is put off for up to this while a start on its runner has no answer:
+    it could not acknowledge ends.  A start is answered within milliseconds;
+    when many are ordered, a longer delay would hide the ends of other runs. */
+#define OPEN_START_WAIT_MS 60
 /** An idle runner gets a poll after this to acknowledge stored ends.  */
 #define IDLE_ACK_DELAY_MS 900
 /** Timeout of an order; for a poll, its wait is added.  */
@@ -470,14 +474,18 @@
   apply_result (c, r, t, x, sent_us, is_hedge);
 }
 
-/* Returns true if a poll of R would leave ends that R has listed there, and
-   nothing depends on its answer.  */
+/* Returns true if a poll of R is put off, as it would leave ends that R has
+   listed there, and nothing depends on its answer.  */
 static bool
 keeps_ends (const struct cell *c, const struct runner *r)
 {
-  return r->seen_end_number > r->stored_end_number
-         || (r->stored_end_number > r->acked_end_number && !may_acknowledge (r)
-             && !hedges_need_answer (c, r));
+  uint64_t age_us = c->now_us - r->answered_at_us;
+
+  if (r->seen_end_number > r->stored_end_number)
+    return age_us < STORE_WAIT_MS * US_PER_MS;
+  return r->stored_end_number > r->acked_end_number
+         && age_us < OPEN_START_WAIT_MS * US_PER_MS && !may_acknowledge (r)
+         && !hedges_need_answer (c, r);
 }
 
 static bool
@@ -488,8 +496,7 @@
   /* Ends that the poll does not acknowledge would be listed again, and the
      poll answered without waiting.  */
   if (((r->reached && r->tasks->len > 0) || r->ends_incomplete)
-      && keeps_ends (c, r)
-      && c->now_us < r->answered_at_us + STORE_WAIT_MS * US_PER_MS)
+      && keeps_ends (c, r))
     return false;
   if (!r->reached)
     return r->listed || r->tasks->len > 0;
