--- a/review/lib.sh
+++ b/review/lib.sh
@@ -32,16 +32,18 @@
 
 fail() { finish 2 "the case could not run: $*"; }
 
-# start_platform RUNNERS: the store and the cloud at $base, runners after it.
+# start_platform RUNNERS [N]: the store and the cloud at $base, runners after it,
+# the first N of them in pool p, the others in pool s; all in p without N.
 start_platform() {
   [ -x target/fulmartackd ] && [ -x target/review/platform ] ||
     fail "target/fulmartackd or target/review/platform is not built"
   for try in 1 2 3 4 5 6 7 8; do
     base=$((20000 + ($(date +%N | sed 's/^0*//') / 1000 + $$ + try * 977) % 190 * 60))
     list=
+    in_p=${2:-$1}
     n=1
     while [ $n -le "$1" ]; do
-      list="$list${list:+,}{\"port\":$((base + n)),\"pool\":\"p\"}"
+      list="$list${list:+,}{\"port\":$((base + n)),\"pool\":\"$([ $n -le "$in_p" ] && echo p || echo s)\"}"
       n=$((n + 1))
     done
     echo "{\"port\":$base,\"answer_ms\":4,\"append_ms\":3,\
