--- a/review/lib.sh
+++ b/review/lib.sh
@@ -35,8 +35,8 @@
 # start_platform RUNNERS [N]: the store and the cloud at $base, runners after it,
 # the first N of them in pool p, the others in pool s; all in p without N.
 start_platform() {
-  [ -x target/fulmartackd ] && [ -x target/review/platform ] ||
-    fail "target/fulmartackd or target/review/platform is not built"
+  [ -x target/fulmartackd ] && [ -x target/review/platform ] &&
+    [ -x target/review/call ] || fail "the programs are not built"
   for try in 1 2 3 4 5 6 7 8; do
     base=$((20000 + ($(date +%N | sed 's/^0*//') / 1000 + $$ + try * 977) % 190 * 60))
     list=
@@ -91,18 +91,14 @@
   say "entry $1 has ended"
 }
 
+# http METHOD URL TIMEOUT_MS BODY [HEADER ...]: body and status of the answer.
+http() { target/review/call "$@"; }
+
 # call I METHOD PATH KEY [BODY]: sets status and answer.
 call() {
-  if [ -n "${5:-}" ]; then
-    answer=$(curl -s -m "${limit_s:-3}" -w '\n%{http_code}' -X "$2" -H 'Host: site' \
-      -H "Authorization: Bearer $4" -H 'X-Fulmartack-Deadline-Ms: 3000' \
-      -H 'Content-Type: application/json' -d "$5" \
-      "http://127.0.0.1:$(front "$1")$3")
-  else
-    answer=$(curl -s -m "${limit_s:-3}" -w '\n%{http_code}' -X "$2" -H 'Host: site' \
-      -H "Authorization: Bearer $4" -H 'X-Fulmartack-Deadline-Ms: 3000' \
-      "http://127.0.0.1:$(front "$1")$3")
-  fi
+  answer=$(http "$2" "http://127.0.0.1:$(front "$1")$3" "${limit_ms:-3000}" "${5:-}" \
+    'Host: site' "Authorization: Bearer $4" 'X-Fulmartack-Deadline-Ms: 3000' \
+    'Content-Type: application/json')
   status=${answer##*
 }
   answer=${answer%
@@ -123,17 +119,17 @@
 }
 
 operator() { # writes the configuration $1
-  curl -s -m 3 -o /dev/null -X POST --data-binary "$1" \
-    "http://127.0.0.1:$base/operator" || fail "the store does not answer"
+  http POST "http://127.0.0.1:$base/operator" 3000 "$1" | grep -q '^200$' ||
+    fail "the store does not answer"
   say "configuration confirmed: $1"
 }
 
 fault() { # sets the fault $1 of the stand-in to $2
-  curl -s -m 3 -o /dev/null -X POST "http://127.0.0.1:$base/fault?$1=$2"
+  http POST "http://127.0.0.1:$base/fault?$1=$2" 3000 '' >/dev/null
   say "fault $1=$2"
 }
 
-report() { curl -s -m 3 "http://127.0.0.1:$base/report"; }
+report() { http GET "http://127.0.0.1:$base/report" 3000 '' | sed -n 1p; }
 
 number() { # the number of field $1 in the JSON text $2, 0 if it has none
   n=$(printf '%s' "$2" | sed -n "s/.*\"$1\":\\([0-9-]*\\).*/\\1/p")
@@ -165,7 +161,7 @@
   while :; do
     owner=0
     while [ $owner -lt "$entries" ]; do
-      curl -s -m 1 "http://127.0.0.1:$((base + 48 + owner))/metrics" |
+      http GET "http://127.0.0.1:$((base + 48 + owner))/metrics" 1000 '' |
         grep -q '^fulmartack_owner 1' && return
       owner=$((owner + 1))
     done
