Review: each script reads TROUBLE itself

The scripts obeyed TROUBLE=0 through lib.sh only, which a reader of a case's folder does not see. Done: run.sh of each case reads it.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,6 +3,7 @@
 # is cut off and runs on; the owner is stopped as planned, and its successor
 # starts the tasks elsewhere before their leases have ended.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=${TROUBLE:-1} # 0: the same without the disruption
 clock_milli=980
 . "$here/../lib.sh"
 
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,6 +3,7 @@
 # job stays where it is.  Its runner is cut off and runs on, and the owner is
 # stopped as planned: the successor starts the tasks in the new service at once.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=${TROUBLE:-1} # 0: the same without the disruption
 . "$here/../lib.sh"
 
 config() { # config VERSION SERVICE
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,6 +3,7 @@
 # than a record of the store may be.  Nothing that the system would store after
 # that is stored: no cancel, no end, no new job, of any tenant.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=${TROUBLE:-1} # 0: the same without the disruption
 . "$here/../lib.sh"
 
 start_platform 4
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -3,7 +3,6 @@
 
 root=$(cd "$here/../.." && pwd)
 record=$here/record.txt
-trouble=${TROUBLE:-1}
 work=$(mktemp -d)
 pids=
 begun_ms=$(date +%s%3N)
