Count leases from the least time that a runner's clock can show

Cause: a lease ended a lease after the clock last read and the whole time since then. A slow clock has moved on by 2% less, so the lease lasted longer by 2% of the age of the reading, which had no limit for an idle runner. A new owner waits for 2% of the lease only.

The clock of a runner that was read over a minute ago is read again before a task starts on it, as the lease of one whose clock is not slow would be too short.

Evidence: tests/cells/lease_of_idle_runner.script: before, 1043605 on the runner's clock where 1042805 is allowed; clock_of_idle_runner_is_read starts on the old reading before. Both pass now. In the expected output of 97 other scripts only ends of leases change, by up to 2% of the age of the reading, and one wait by 2 ms.

--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -15,6 +15,9 @@
 #define MEAN_PART 8
 /** The mean counts beside the client's estimate after this many runs.  */
 #define LEARNED_COUNT 4
+/** Clocks of runners that are read at a time for a task that has no other
+    place.  */
+#define CLOCK_READ_COUNT 16
 /* The score of a runner is its free part, from 0 to 1000, plus penalties that
    outweigh it.  */
 /** Penalty for each task on the runner that would disturb the new one or be
@@ -201,15 +204,32 @@
   return n;
 }
 
+/* Returns true if R can start a task of T's step that occupies NEED, now or
+   when its clock has been read.  */
+static bool
+can_start (const struct cell *c, const struct task *t, const struct runner *r,
+           const struct resources *need, bool in_quarantine)
+{
+  const struct job_step *s = t->step->spec;
+
+  /* The room that is planned for a long-running task is left to it.  */
+  return has_room (c, r, need, !s->long_running)
+         && takes_tasks (c, r, in_quarantine)
+         && meets_constraints (c, t, r, false) && slow_runners_admit (r, s)
+         && (!r->reserved || r->reserved_for == t);
+}
+
 /* Returns the best runner for T, one in quarantine only if IN_QUARANTINE, or
-   NULL.  */
+   NULL.  Then the clocks of some runners that could start T are read, if they
+   are too old for that.  */
 static struct runner *
 find_runner (struct cell *c, const struct task *t, bool in_quarantine)
 {
-  const struct job_step *s = t->step->spec;
-  struct resources need = place_occupied_by (s);
+  struct resources need = place_occupied_by (t->step->spec);
   const GPtrArray *pool = runners_for_task (c, t);
   struct runner *best = NULL;
+  struct runner *old[CLOCK_READ_COUNT];
+  uint32_t old_count = 0;
   uint64_t best_score = 0;
   guint i;
 
@@ -218,12 +238,14 @@
       struct runner *r = g_ptr_array_index (pool, i);
       uint64_t n;
 
-      /* The room that is planned for a long-running task is left to it.  */
-      if (!has_room (c, r, &need, !s->long_running)
-          || !takes_tasks (c, r, in_quarantine)
-          || !meets_constraints (c, t, r, false) || !slow_runners_admit (r, s)
-          || (r->reserved && r->reserved_for != t))
+      if (!can_start (c, t, r, &need, in_quarantine))
         continue;
+      if (runners_clock_is_old (c, r))
+        {
+          if (old_count < CLOCK_READ_COUNT)
+            old[old_count++] = r;
+          continue;
+        }
       n = score (t, r, &need);
       if (best == NULL || n < best_score
           || (n == best_score && strcmp (r->report.id, best->report.id) < 0))
@@ -232,6 +254,8 @@
           best_score = n;
         }
     }
+  for (i = 0; best == NULL && i < old_count; i++)
+    runners_read_clock (c, old[i]);
   return best;
 }
 
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -33,8 +33,9 @@
     count.  More at once would all be answered too late, again and again.  */
 #define PROBE_WINDOW_MS 300
 #define PROBE_MIN_COUNT 32
-/** A runner's clock runs slow by at most this, in thousandths.  */
-#define CLOCK_SLOW_MILLI 20
+/** A runner whose clock was read longer ago gets a poll before its next start:
+    the lease of one whose clock is not slow would be too short.  */
+#define CLOCK_AGE_LIMIT_MS 60000
 /** Margin for the resolution of the clocks, which are read in whole
     milliseconds.  */
 #define CLOCK_GRAIN_MS 20
@@ -45,22 +46,35 @@
     place elsewhere.  A runner drains for 2 s or longer.  */
 #define DRAIN_LIMIT_MS 1000
 
+/* Returns the least time that R's clock, which was read, may show now.  */
+static uint64_t
+least_clock_ms (const struct cell *c, const struct runner *r)
+{
+  uint64_t passed_ms = (c->now_us - r->clock_read_at_us) / US_PER_MS;
+
+  return r->clock_ms + passed_ms * (1000 - CLOCK_SLOW_MILLI) / 1000;
+}
+
+/* With any later time than the least, the lease of a runner whose clock is
+   slow would last longer, the more so the longer ago that clock was read.  A
+   new owner waits for LEASE_LIMIT_MS only.  */
 uint64_t
 runners_lease_until_ms (const struct cell *c, const struct runner *r)
 {
   uint64_t lease_ms = MIN (LEASE_MS, c->settings.times.lease_max_ms);
 
-  if (r->clock_read_at_us == 0)
-    return 0;
-  return r->clock_ms + (c->now_us - r->clock_read_at_us) / US_PER_MS
-         + lease_ms;
+  return r->clock_read_at_us == 0 ? 0 : least_clock_ms (c, r) + lease_ms;
 }
 
 bool
-runners_lease_expired (const struct cell *c, const struct runner *r)
+runners_clock_is_old (const struct cell *c, const struct runner *r)
 {
-  uint64_t passed_ms = (c->now_us - r->clock_read_at_us) / US_PER_MS;
+  return c->now_us > r->clock_read_at_us + CLOCK_AGE_LIMIT_MS * US_PER_MS;
+}
 
+bool
+runners_lease_expired (const struct cell *c, const struct runner *r)
+{
   /* Only starts that were meant for the boot before may be there; their leases
      are no longer than a runner grants.  */
   if (r->clock_read_at_us == 0)
@@ -68,8 +82,7 @@
            && (c->now_us - r->boot_read_at_us) / US_PER_MS
                       * (1000 - CLOCK_SLOW_MILLI) / 1000
                   > c->settings.times.lease_max_ms + CLOCK_GRAIN_MS;
-  return r->clock_ms + passed_ms * (1000 - CLOCK_SLOW_MILLI) / 1000
-         > r->lease_until_ms + CLOCK_GRAIN_MS;
+  return least_clock_ms (c, r) > r->lease_until_ms + CLOCK_GRAIN_MS;
 }
 
 struct runner_order *
@@ -201,6 +214,13 @@
     r->hedged_at_us = c->now_us;
 }
 
+void
+runners_read_clock (struct cell *c, struct runner *r)
+{
+  if (r->poll_id == 0)
+    send_poll (c, r);
+}
+
 void
 runners_send_hedge (struct cell *c, struct runner *r)
 {
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -34,11 +34,11 @@
 #define POLL_GAP_MS 30
 /** A stop that was not acknowledged is sent again after this.  */
 #define STOP_RETRY_MS 500
-/** A runner's clock runs fast or slow by at most this.  */
-#define CLOCK_ERROR_PERCENT 2
+/** A runner's clock runs slow by at most this, in thousandths.  */
+#define CLOCK_SLOW_MILLI 20
 /** Longest time for which a lease that an owner ordered lasts, as this entry's
     clock measures it.  */
-#define LEASE_LIMIT_MS (LEASE_MS * (100 + CLOCK_ERROR_PERCENT) / 100)
+#define LEASE_LIMIT_MS (LEASE_MS * 1000 / (1000 - CLOCK_SLOW_MILLI) + 1)
 /** An entry that owns the cell or is taking it over gives it up when it sent
     its last answered join of the store's group this long ago.  */
 #define OWNERSHIP_TIMEOUT_MS 10000
@@ -752,8 +752,14 @@
 /** Returns the number of orders whose answers are overdue.  */
 uint32_t runners_overdue_count (const struct cell *c);
 /** Returns the lease end, on R's clock, for an order sent now; 0: its clock
-    is not known.  */
+    is not known.  The lease lasts for LEASE_LIMIT_MS at most, however long ago
+    the clock was read.  */
 uint64_t runners_lease_until_ms (const struct cell *c, const struct runner *r);
+/** Returns true if R's clock was read so long ago that no run is to be started
+    before it has been read again.  */
+bool runners_clock_is_old (const struct cell *c, const struct runner *r);
+/** Sends R a poll, whose answer tells R's clock, unless one is in flight.  */
+void runners_read_clock (struct cell *c, struct runner *r);
 /** Returns true if the lease of R has certainly expired on its clock.  */
 bool runners_lease_expired (const struct cell *c, const struct runner *r);
 
