Wait for runners of the pools that a job has run in

Cause: a new owner holds inherited tasks back while a runner on which they may run has not answered. It looked at the runners of the pool that the queue has now. Which pool it had before was in no record.

Change: the records of a job name the pools in which its runs may be, and no task starts in a pool before a stored record names it. A new owner waits for the runners of these pools; for a job whose records are of an earlier build, for those of all pools.

--- a/adapter/job_codec.c
+++ b/adapter/job_codec.c
@@ -159,15 +159,26 @@
     msgpack_sbuffer_write (out, value, size_bytes);
 }
 
+static void
+pack_run_pools (msgpack_packer *p, const struct append_record *x)
+{
+  uint32_t i;
+
+  msgpack_pack_array (p, x->run_pool_count);
+  for (i = 0; i < x->run_pool_count; i++)
+    pack_text (p, x->run_pools[i]);
+}
+
 static void
 pack_job_record (msgpack_packer *p, const struct append_record *x)
 {
-  msgpack_pack_array (p, 5);
+  msgpack_pack_array (p, 6);
   msgpack_pack_uint8 (p, RECORD_JOB);
   pack_text (p, x->queue);
   pack_text (p, x->tenant);
   msgpack_pack_uint64 (p, x->accepted_at_ms);
   job_pack (p, x->spec);
+  pack_run_pools (p, x);
 }
 
 /* Writes the row of a task and returns its length.  A row is a byte with the
@@ -200,13 +211,14 @@
 
   for (i = 0; i < x->task_count; i++)
     n += encode_task_row (&x->tasks[i], rows + n);
-  msgpack_pack_array (p, 6);
+  msgpack_pack_array (p, 7);
   msgpack_pack_uint8 (p, RECORD_PROGRESS);
   msgpack_pack_uint8 (p, (uint8_t)x->state);
   pack_bool (p, x->final);
   msgpack_pack_uint64 (p, x->ended_at_ms);
   msgpack_pack_uint32 (p, x->task_count);
   pack_bytes (p, rows, n);
+  pack_run_pools (p, x);
   talloc_free (rows);
 }
 
@@ -337,6 +349,25 @@
   return n;
 }
 
+/* Reads the pools of a job.  Records of earlier builds end before them.  */
+static void
+unpack_run_pools (TALLOC_CTX *mem, struct unpack *u,
+                  struct recovered_record *r)
+{
+  struct unpack names;
+  uint32_t i;
+
+  if (u->next >= u->item_count)
+    return;
+  unpack_array (u, &names);
+  r->run_pools
+      = talloc_zero_size (mem, (names.item_count + 1) * sizeof *r->run_pools);
+  for (i = 0; i < names.item_count; i++)
+    unpack_text (&names, r->run_pools[i], NAME_BYTES);
+  r->run_pool_count = names.item_count;
+  u->failed |= names.failed;
+}
+
 static bool
 unpack_progress (TALLOC_CTX *mem, struct unpack *u, struct recovered_record *r)
 {
@@ -361,7 +392,8 @@
         return false;
       at += n;
     }
-  return true;
+  unpack_run_pools (mem, u, r);
+  return !u->failed;
 }
 
 static bool
@@ -456,6 +488,7 @@
   unpack_text (&u, r->tenant, NAME_BYTES);
   r->accepted_at_ms = unpack_number (&u, UINT64_MAX);
   r->spec = job_unpack (mem, &u);
+  unpack_run_pools (mem, &u, r);
   return !u.failed;
 }
 
--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -48,12 +48,13 @@
 struct pool_round
 {
   enum wait_reason wait; /**< Why the current job waits.  */
-  bool unreached;        /**< The current job may run on a runner that has not
-                            answered us.  */
-  bool unreached_known;  /**< pool_unreached is set.  */
-  bool pool_unreached;   /**< The same for every inherited job of the pool;
-                            told from all runners and VMs, so found out once a
-                            round.  */
+  /** A pool in which the current job may run on a runner that has not answered
+      us; NULL: none.  */
+  struct pool_round *unreached;
+  bool has_unreached_known; /**< has_unreached is set.  */
+  bool has_unreached;       /**< A runner of the pool has not answered us; told
+                               from all runners and VMs, so found out once a
+                               round.  */
   uint32_t unreached_count; /**< Tasks that wait for that reason.  */
   bool reserved;            /**< This round has tried to reserve a runner for a
                                task that waited for RESERVE_WAIT_MS.  */
@@ -143,7 +144,8 @@
 note_wait (struct cell *c, struct job *j, enum wait_reason why)
 {
   static const char *const names[]
-      = { "", "room", "limit", "unreached", "backoff", "queue_unknown" };
+      = { "",        "room",          "limit", "unreached",
+          "backoff", "queue_unknown", "record" };
 
   if (why == j->wait_reason
       || c->now_us < j->accepted_at_us + WAIT_LOG_MS * US_PER_MS)
@@ -189,21 +191,52 @@
   return candidates;
 }
 
-/* Returns true if a former owner may have started tasks of J on a runner of
-   POOL that has not answered us.  Once its leases have expired nothing runs
-   there, but a run may have ended as done there.  */
-static bool
-may_run_unreached (const struct cell *c, const struct job *j, const char *pool,
-                   struct pool_round *p)
+/* Returns the state of POOL in the round; EVERY_POOL has one, too.  */
+static struct pool_round *
+find_pool_round (GHashTable *pools, const char *pool)
+{
+  struct pool_round *p = g_hash_table_lookup (pools, pool);
+
+  if (p == NULL)
+    {
+      p = g_new0 (struct pool_round, 1);
+      g_hash_table_insert (pools, (gpointer)pool, p);
+    }
+  return p;
+}
+
+/* Returns the state of POOL if a runner of it has not answered us on which a
+   former owner may have started tasks; else NULL.  Once its leases have
+   expired nothing runs there, but a run may have ended as done there.  */
+static struct pool_round *
+find_unreached_in (const struct cell *c, GHashTable *pools, const char *pool)
+{
+  struct pool_round *p = find_pool_round (pools, pool);
+
+  if (!p->has_unreached_known)
+    p->has_unreached = c->now_us < c->ownership.unconfirmed_until_us
+                           ? fleet_has_unreached (c, pool)
+                           : fleet_has_unasked (c, pool);
+  p->has_unreached_known = true;
+  return p->has_unreached ? p : NULL;
+}
+
+/* Returns the state of a pool in which a former owner may have started tasks
+   of J on a runner that has not answered us; NULL: there is none.  These pools
+   are not those of J's queue, which may have another by now.  */
+static struct pool_round *
+find_unreached (const struct cell *c, GHashTable *pools, const struct job *j)
 {
+  struct pool_round *p = NULL;
+  uint32_t i;
+
   if (!j->inherited)
-    return false;
-  if (!p->unreached_known)
-    p->pool_unreached = c->now_us < c->ownership.unconfirmed_until_us
-                            ? fleet_has_unreached (c, pool)
-                            : fleet_has_unasked (c, pool);
-  p->unreached_known = true;
-  return p->pool_unreached;
+    return NULL;
+  if (!j->pools_known)
+    return find_unreached_in (c, pools, EVERY_POOL);
+  for (i = 0; p == NULL && i < j->pool_count; i++)
+    p = find_unreached_in (c, pools, j->pools[i]);
+  return p;
 }
 
 /* Returns true if T is long-running, has failed and has to wait for its
@@ -289,7 +322,7 @@
   uint32_t i;
 
   if (s->waiting_count < s->spec->task_count
-      || (p->unreached && !s->tasks[0].reconciled))
+      || (p->unreached != NULL && !s->tasks[0].reconciled))
     return;
   for (i = 0; i < s->spec->task_count; i++)
     {
@@ -339,10 +372,10 @@
 
       if (t->phase != TASK_WAITING || t->stop_wanted)
         continue;
-      if (p->unreached && !t->reconciled)
+      if (p->unreached != NULL && !t->reconciled)
         {
           p->wait = WAIT_UNREACHED;
-          p->unreached_count++;
+          p->unreached->unreached_count++;
           continue;
         }
       if (backs_off (c, t))
@@ -426,16 +459,15 @@
     {
       struct job *j = g_array_index (candidates, struct candidate, i).job;
       const struct site_queue *q = cell_find_queue (c, j->queue);
-      struct pool_round *p = g_hash_table_lookup (pools, q->pool);
+      struct pool_round *p = find_pool_round (pools, q->pool);
 
-      if (p == NULL)
+      p->wait = WAIT_RECORD;
+      p->unreached = find_unreached (c, pools, j);
+      if (job_pools_allow_start (c, j, q->pool))
         {
-          p = g_new0 (struct pool_round, 1);
-          g_hash_table_insert (pools, (gpointer)q->pool, p);
+          p->wait = WAIT_NONE;
+          start_job (c, j, p);
         }
-      p->wait = WAIT_NONE;
-      p->unreached = may_run_unreached (c, j, q->pool, p);
-      start_job (c, j, p);
       note_wait (c, j, p->wait);
     }
   place_end_round (c);
--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -193,12 +193,19 @@
          && r->report.booted_at_ms <= c->wall_ms + CLOCK_DIFFERENCE_MS;
 }
 
+/* Returns true if NAME is POOL, or POOL stands for all.  */
+static bool
+is_pool (const char *name, const char *pool)
+{
+  return strcmp (pool, EVERY_POOL) == 0 || strcmp (name, pool) == 0;
+}
+
 /* Returns true if R is in POOL, may have runs of a former owner and has not
    answered us.  */
 static bool
 is_unreached (const struct cell *c, const struct runner *r, const char *pool)
 {
-  return !r->reached && strcmp (r->report.pool, pool) == 0
+  return !r->reached && is_pool (r->report.pool, pool)
          && !fleet_runner_is_gone (c, r) && !booted_after_claim (c, r);
 }
 
@@ -208,7 +215,7 @@
 {
   return v->row.up && v->first_runner[0] != '\0'
          && strcmp (v->row.runner, v->first_runner) == 0
-         && strcmp (v->row.pool, pool) == 0 && fleet_runner (c, v) == NULL;
+         && is_pool (v->row.pool, pool) && fleet_runner (c, v) == NULL;
 }
 
 /* Looks in both lists.  The store's list lacks runners whose registrations
@@ -242,10 +249,10 @@
          || fleet_count_unreached (c, pool, 1, &first) > 0;
 }
 
-bool
-fleet_has_unasked (const struct cell *c, const char *pool)
+/* Returns true if one of RUNNERS has not been asked.  */
+static bool
+is_one_unasked (const struct cell *c, const GPtrArray *runners)
 {
-  const GPtrArray *runners = runners_of_pool (c, pool);
   guint i;
 
   for (i = 0; runners != NULL && i < runners->len; i++)
@@ -261,6 +268,21 @@
   return false;
 }
 
+bool
+fleet_has_unasked (const struct cell *c, const char *pool)
+{
+  GHashTableIter it;
+  gpointer runners;
+
+  if (strcmp (pool, EVERY_POOL) != 0)
+    return is_one_unasked (c, runners_of_pool (c, pool));
+  g_hash_table_iter_init (&it, c->pools);
+  while (g_hash_table_iter_next (&it, NULL, &runners))
+    if (is_one_unasked (c, runners))
+      return true;
+  return false;
+}
+
 bool
 fleet_runs_are_known (const struct cell *c, const struct vm *v)
 {
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -10,6 +10,8 @@
 /** Times by the wall clocks of runners and of entries are compared with this
     margin.  */
 #define CLOCK_DIFFERENCE_MS 1000
+/** Name that stands for all pools, also those that no configuration has.  */
+#define EVERY_POOL ""
 
 /** Whether the stored record of VM orders names a VM.  */
 enum vm_naming
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -400,6 +400,8 @@
   j->arrived_at_us = admission_first_arrival_us (
       c, call->job, c->now_us - call->age_ms * US_PER_MS);
   j->over_rate = over_rate;
+  job_pools_add (j, q->pool);
+  j->pools_known = true;
   g_array_append_val (j->waiters, *w);
   jobs_mark_dirty (c, j);
   c->flush_now = true;
@@ -582,6 +584,9 @@
 {
   bool accepted = !j->stored;
 
+  if (j->stored_pool_count < j->sent_pool_count)
+    c->dispatch_due = true;
+  j->stored_pool_count = j->sent_pool_count;
   if (accepted)
     {
       j->stored = true;
--- a/core/cell/records.c
+++ b/core/cell/records.c
@@ -79,6 +79,8 @@
   x->state = j->state;
   x->final = j->final;
   x->ended_at_ms = j->ended_at_ms;
+  x->run_pools = j->pools;
+  x->run_pool_count = j->sent_pool_count = j->pool_count;
   if (!j->stored)
     {
       x->kind = APPEND_RECORD_JOB;
@@ -297,6 +299,7 @@
     j = jobs_new (c, r->job);
   j->inherited = true;
   j->stored = true;
+  job_pools_restore (j, r);
   if (r->is_job)
     {
       if (j->final)
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -71,14 +71,16 @@
 /** Why a job's next task does not start.  */
 enum wait_reason
 {
-  WAIT_NONE,         /**< The task started, or none waits.  */
-  WAIT_ROOM,         /**< No runner has room for it.  */
-  WAIT_TENANT_LIMIT, /**< Its tenant is at its resource limit.  */
-  WAIT_UNREACHED,    /**< It may run on a runner that has not answered this
-                      owner.  */
-  WAIT_BACKOFF,      /**< It has failed and is restarted with a delay.  */
-  WAIT_QUEUE_UNKNOWN /**< Its queue is not known: no configuration has been
-                      read, or none has the queue.  */
+  WAIT_NONE,          /**< The task started, or none waits.  */
+  WAIT_ROOM,          /**< No runner has room for it.  */
+  WAIT_TENANT_LIMIT,  /**< Its tenant is at its resource limit.  */
+  WAIT_UNREACHED,     /**< It may run on a runner that has not answered this
+                       owner.  */
+  WAIT_BACKOFF,       /**< It has failed and is restarted with a delay.  */
+  WAIT_QUEUE_UNKNOWN, /**< Its queue is not known: no configuration has been
+                       read, or none has the queue.  */
+  WAIT_RECORD         /**< Its queue has another pool than before, and the
+                         record that names that pool is not stored yet.  */
 };
 
 struct job;
@@ -182,6 +184,12 @@
   bool failures_unjudged; /**< A run failed while its queue was not known, or
                              under a former owner: whether it was one too many
                              is to be judged.  */
+  /** The pools in which runs of it may be, the oldest first (job_pools.c).  */
+  char (*pools)[NAME_BYTES];
+  uint32_t pool_count;            /**< Entries of pools.  */
+  uint32_t sent_pool_count;       /**< Those that its newest record names.  */
+  uint32_t stored_pool_count;     /**< Those that its stored records name.  */
+  bool pools_known;               /**< pools names all of them.  */
   uint32_t occurrence_count;      /**< Entries of occurrences.  */
   uint32_t open_occurrence_count; /**< Occurrences that are not done.  */
   struct occurrence **occurrences;
@@ -673,6 +681,15 @@
     later one.  */
 void jobs_on_stored (struct cell *c, struct job *j);
 
+/* job_pools.c: the pools in which runs of a job may be.  */
+/** Adds POOL to the pools of J.  */
+void job_pools_add (struct job *j, const char *pool);
+/** Returns true if tasks of J may start in POOL: a stored record names it.
+    Otherwise requests such a record.  */
+bool job_pools_allow_start (struct cell *c, struct job *j, const char *pool);
+/** Adds the pools that R, a record of J, names.  */
+void job_pools_restore (struct job *j, const struct recovered_record *r);
+
 /* records.c: durable records of jobs.  */
 /** Appends the dirty records.  No append may be in flight.  */
 void records_flush (struct cell *c);
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -52,6 +52,9 @@
   const char *tenant;
   uint64_t accepted_at_ms;
   const struct job_spec *spec;
+  const char (*run_pools)[NAME_BYTES]; /**< Pools in which runs of the job may
+                                          be.  */
+  uint32_t run_pool_count;             /**< Entries of run_pools.  */
   enum job_state state;
   bool final;
   uint64_t ended_at_ms;
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -223,6 +223,10 @@
   char tenant[NAME_BYTES];
   uint64_t accepted_at_ms; /**< Unix time.  */
   struct job_spec *spec;
+  /** Pools in which runs of the job may be, beside those that other records of
+      it name; none: the record is of an earlier build.  */
+  char (*run_pools)[NAME_BYTES];
+  uint32_t run_pool_count; /**< Entries of run_pools.  */
   /* The progress of a job.  */
   enum job_state state;
   bool final;
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -355,6 +355,23 @@
   }
 }
 
+/* Reads the pools that a record of a job names: "p" if it says nothing.  */
+static void
+read_run_pools (const json_t *row, struct cell_event *e,
+                struct recovered_record *r)
+{
+  const json_t *names = json_object_get (row, "run_pools");
+  size_t i;
+
+  r->run_pools = talloc_zero_size (e, (json_array_size (names) + 1)
+                                          * sizeof *r->run_pools);
+  r->run_pool_count = names != NULL ? (uint32_t)json_array_size (names) : 1;
+  text_copy (r->run_pools[0], NAME_BYTES, "p");
+  for (i = 0; i < json_array_size (names); i++)
+    text_copy (r->run_pools[i], NAME_BYTES,
+               json_string_value (json_array_get (names, i)));
+}
+
 static void
 read_recovered (const json_t *j, struct cell_event *e)
 {
@@ -403,6 +420,7 @@
       r->spec = read_spec (e, json_object_get (row, "steps"), r->job);
     get_text (row, "queue", r->queue, NAME_BYTES);
     get_text (row, "tenant", r->tenant, NAME_BYTES);
+    read_run_pools (row, e, r);
     r->accepted_at_ms = get_number (row, "accepted", START_MS);
     r->final = get_flag (row, "final");
     r->state = r->final ? JOB_COMPLETED : JOB_QUEUED;
@@ -705,6 +723,9 @@
       g_string_append_printf (out, "; %s", kinds[w->kind]);
       if (w->kind < APPEND_RECORD_WAVE)
         g_string_append_printf (out, " %016llx", (unsigned long long)w->job);
+      /* The first pool, in which the job was accepted, is left out.  */
+      for (k = 1; k < w->run_pool_count; k++)
+        g_string_append_printf (out, " pool %s", w->run_pools[k]);
       if (w->kind == APPEND_RECORD_PROGRESS && w->final)
         g_string_append_printf (out, " %s", job_state_name (w->state));
       for (k = 0; w->kind == APPEND_RECORD_PROGRESS && k < w->task_count; k++)
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -65,15 +65,20 @@
   struct pool_history pool
       = { .name = "p", .surge_began_at_ms = 5, .peak_vm_count = 9 };
   struct vm_order_note vm_orders[2] = { { "m-1", 3300 }, { "m-2", 40 } };
+  const char run_pools[2][NAME_BYTES] = { "p", "s" };
   struct append_record items[] = {
     { .kind = APPEND_RECORD_JOB,
       .job = j->id,
+      .run_pools = run_pools,
+      .run_pool_count = 1,
       .queue = "q",
       .tenant = "t",
       .accepted_at_ms = 12,
       .spec = j },
     { .kind = APPEND_RECORD_PROGRESS,
       .job = j->id,
+      .run_pools = run_pools,
+      .run_pool_count = 2,
       .task_count = 2,
       .tasks = tasks },
     { .kind = APPEND_RECORD_WAVE,
@@ -103,11 +108,15 @@
   g_assert_cmpstr (row.spec->steps[1].data_rack, ==, "r1-3");
   g_assert_cmpuint (row.spec->steps[1].after[0], ==, 0);
   g_assert_cmpuint (row.spec->payload->size_bytes, ==, 7);
+  g_assert_cmpuint (row.run_pool_count, ==, 1);
+  g_assert_cmpstr (row.run_pools[0], ==, "p");
   g_assert_true (recovered_record_unpack (
       mem, r.items[1].key, r.items[1].value, r.items[1].value_bytes, &row));
   g_assert_cmpuint (row.task_count, ==, 2);
   g_assert_true (row.tasks[0].done);
   g_assert_cmpuint (row.tasks[1].failed_runs[1], ==, 66);
+  g_assert_cmpuint (row.run_pool_count, ==, 2);
+  g_assert_cmpstr (row.run_pools[1], ==, "s");
   g_assert_true (recovered_record_unpack (
       mem, r.items[2].key, r.items[2].value, r.items[2].value_bytes, &row));
   g_assert_true (row.is_wave && row.vms_done[2] && !row.vms_done[1]);
