Count runners of removed pools in a release

What callers could see: a task that runs twice (TWICE). An owner that had followed a lost one releases the cell and tells that no run of a former owner goes on, though a runner of a pool that the newest configuration lacks has not answered; the next owner then waits for a lease only, not for the rest of the lost owner's timeout.

Cause: the pools of the newest configuration were looked through, as in the fault before this one (docs/incidents/queue-with-another-pool.md).

Change: the runners of all pools count.

Evidence: tests/cells/release_after_pool_was_removed.script: before, the release has no unconfirmed time and no former owner; now 12,613 ms and the former owner.

--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -105,14 +105,9 @@
 remaining_unconfirmed_ms (const struct cell *c)
 {
   const struct ownership *o = &c->ownership;
-  uint32_t i;
 
-  if (c->now_us >= o->unconfirmed_until_us)
-    return 0;
-  for (i = 0; c->config != NULL && i < c->config->pool_count; i++)
-    if (fleet_has_unreached (c, c->config->pools[i].name))
-      break;
-  if (c->config != NULL && i == c->config->pool_count)
+  if (c->now_us >= o->unconfirmed_until_us
+      || !fleet_has_unreached (c, EVERY_POOL))
     return 0;
   return (uint32_t)((o->unconfirmed_until_us - c->now_us) / US_PER_MS + 1);
 }
