--- a/adapter/job_codec.c
+++ b/adapter/job_codec.c
@@ -13,8 +13,14 @@
 #define RECORD_WAVE 3
 #define RECORD_POOL_HISTORY 4
 #define RECORD_VM_ORDERS 5
-/** The key of a job is its id; that of its progress has this suffix.  */
+#define RECORD_SEGMENT 6
+/** The key of a job is its id; that of its progress has this suffix, and that
+    of a segment of its tasks also a point and the number of the segment's
+   first task, in hexadecimal digits.  */
 #define PROGRESS_KEY_SUFFIX ".p"
+#define SEGMENT_DIGIT_COUNT 16
+#define KEY_BYTES                                                             \
+  (JOB_ID_BYTES + sizeof PROGRESS_KEY_SUFFIX + SEGMENT_DIGIT_COUNT + 1)
 /** Prefix of the keys of waves.  It is not hexadecimal, so no key of a job
     starts with it.  */
 #define WAVE_KEY_PREFIX "wave-"
@@ -27,6 +33,8 @@
 #define RUN_BYTES 2
 #define DONE_BIT 0x80
 #define FAILED_COUNT_MASK 0x7f
+/** No job has as many tasks in all its occurrences.  */
+#define TASK_NUMBER_LIMIT (UINT64_C (1) << 48)
 
 static void
 pack_step (msgpack_packer *p, const struct job_step *s)
@@ -202,7 +210,7 @@
 }
 
 static void
-pack_progress_record (msgpack_packer *p, const struct append_record *x)
+pack_task_rows (msgpack_packer *p, const struct append_record *x)
 {
   uint8_t *rows = talloc_array (
       NULL, uint8_t, x->task_count * (1 + RUN_BYTES * FAILED_RUN_COUNT) + 1);
@@ -211,15 +219,31 @@
 
   for (i = 0; i < x->task_count; i++)
     n += encode_task_row (&x->tasks[i], rows + n);
-  msgpack_pack_array (p, 7);
+  msgpack_pack_uint32 (p, x->task_count);
+  pack_bytes (p, rows, n);
+  talloc_free (rows);
+}
+
+static void
+pack_progress_record (msgpack_packer *p, const struct append_record *x)
+{
+  msgpack_pack_array (p, 8);
   msgpack_pack_uint8 (p, RECORD_PROGRESS);
   msgpack_pack_uint8 (p, (uint8_t)x->state);
   pack_bool (p, x->final);
   msgpack_pack_uint64 (p, x->ended_at_ms);
-  msgpack_pack_uint32 (p, x->task_count);
-  pack_bytes (p, rows, n);
+  pack_task_rows (p, x);
   pack_run_pools (p, x);
-  talloc_free (rows);
+  msgpack_pack_uint64 (p, x->first_task);
+}
+
+static void
+pack_segment_record (msgpack_packer *p, const struct append_record *x)
+{
+  msgpack_pack_array (p, 4);
+  msgpack_pack_uint8 (p, RECORD_SEGMENT);
+  msgpack_pack_uint64 (p, x->first_task);
+  pack_task_rows (p, x);
 }
 
 static void
@@ -273,12 +297,35 @@
     }
 }
 
+/* Writes the key of X, a record of a job.  */
+static void
+print_job_key (const struct append_record *x, char *key)
+{
+  char id[JOB_ID_BYTES];
+
+  job_id_print (x->job, id);
+  switch (x->kind)
+    {
+    case APPEND_RECORD_PROGRESS:
+    case APPEND_RECORD_DROP_PROGRESS:
+      snprintf (key, KEY_BYTES, "%s" PROGRESS_KEY_SUFFIX, id);
+      break;
+    case APPEND_RECORD_SEGMENT:
+    case APPEND_RECORD_DROP_SEGMENT:
+      snprintf (key, KEY_BYTES, "%s" PROGRESS_KEY_SUFFIX ".%llx", id,
+                (unsigned long long)x->first_task);
+      break;
+    default:
+      text_copy (key, KEY_BYTES, id);
+      break;
+    }
+}
+
 void
 append_records_pack (msgpack_sbuffer *out, const struct append_record *items,
                      uint32_t item_count)
 {
-  char id[JOB_ID_BYTES];
-  char key[JOB_ID_BYTES + sizeof PROGRESS_KEY_SUFFIX];
+  char key[KEY_BYTES];
   uint32_t i;
 
   for (i = 0; i < item_count; i++)
@@ -289,12 +336,7 @@
 
       msgpack_sbuffer_init (&value);
       msgpack_packer_init (&p, &value, msgpack_sbuffer_write);
-      job_id_print (x->job, id);
-      snprintf (key, sizeof key, "%s%s", id,
-                x->kind == APPEND_RECORD_PROGRESS
-                        || x->kind == APPEND_RECORD_DROP_PROGRESS
-                    ? PROGRESS_KEY_SUFFIX
-                    : "");
+      print_job_key (x, key);
       switch (x->kind)
         {
         case APPEND_RECORD_JOB:
@@ -303,7 +345,11 @@
         case APPEND_RECORD_PROGRESS:
           pack_progress_record (&p, x);
           break;
+        case APPEND_RECORD_SEGMENT:
+          pack_segment_record (&p, x);
+          break;
         case APPEND_RECORD_DROP_PROGRESS:
+        case APPEND_RECORD_DROP_SEGMENT:
         case APPEND_RECORD_DROP_JOB:
           break;
         case APPEND_RECORD_WAVE:
@@ -369,16 +415,14 @@
 }
 
 static bool
-unpack_progress (TALLOC_CTX *mem, struct unpack *u, struct recovered_record *r)
+unpack_task_rows (TALLOC_CTX *mem, struct unpack *u,
+                  struct recovered_record *r)
 {
   const uint8_t *rows;
   uint32_t size_bytes;
   uint32_t at = 0;
   uint32_t i;
 
-  r->state = (enum job_state)unpack_number (u, JOB_STATE_COUNT - 1);
-  r->final = unpack_bool (u);
-  r->ended_at_ms = unpack_number (u, UINT64_MAX);
   r->task_count = (uint32_t)unpack_number (u, UINT32_MAX);
   rows = unpack_bytes (u, &size_bytes);
   if (u->failed || r->task_count > size_bytes)
@@ -392,10 +436,32 @@
         return false;
       at += n;
     }
+  return true;
+}
+
+static bool
+unpack_progress (TALLOC_CTX *mem, struct unpack *u, struct recovered_record *r)
+{
+  r->state = (enum job_state)unpack_number (u, JOB_STATE_COUNT - 1);
+  r->final = unpack_bool (u);
+  r->ended_at_ms = unpack_number (u, UINT64_MAX);
+  if (!unpack_task_rows (mem, u, r))
+    return false;
   unpack_run_pools (mem, u, r);
+  /* Records of earlier builds hold all tasks.  */
+  if (u->next < u->item_count)
+    r->first_task = unpack_number (u, TASK_NUMBER_LIMIT);
   return !u->failed;
 }
 
+static bool
+unpack_segment (TALLOC_CTX *mem, struct unpack *u, struct recovered_record *r)
+{
+  r->is_segment = true;
+  r->first_task = unpack_number (u, TASK_NUMBER_LIMIT);
+  return unpack_task_rows (mem, u, r);
+}
+
 static bool
 unpack_wave (TALLOC_CTX *mem, struct unpack *u, struct recovered_record *r)
 {
@@ -475,6 +541,8 @@
   kind = unpack_number (&u, UINT8_MAX);
   if (kind == RECORD_PROGRESS)
     return unpack_progress (mem, &u, r);
+  if (kind == RECORD_SEGMENT)
+    return unpack_segment (mem, &u, r);
   if (kind == RECORD_WAVE)
     return unpack_wave (mem, &u, r);
   if (kind == RECORD_POOL_HISTORY)
--- a/adapter/site_settings.c
+++ b/adapter/site_settings.c
@@ -36,6 +36,10 @@
     first sites.  */
 #define DEFAULT_CPU_MILLI 250
 #define CPU_LIMIT_MILLI 1000000
+/** Least limits of the store with which the cell can keep its records: that of
+    a record fits a segment of tasks, and an append takes several.  */
+#define RECORD_LIMIT_MIN_BYTES 32768
+#define APPEND_LIMIT_MIN_BYTES (4 * RECORD_LIMIT_MIN_BYTES)
 /** Largest time that the settings may give: an hour.  The same number limits
     "status_s", which is in seconds.  */
 #define TIME_LIMIT_MS 3600000
@@ -70,6 +74,8 @@
                                        "zone",
                                        "cpu_share",
                                        "vm_orders_per_s",
+                                       "max_record_bytes",
+                                       "max_append_bytes",
                                        "listen",
                                        "ready_listen",
                                        "relay_listen",
@@ -100,6 +106,12 @@
       = json_get_milli (p, "cpu_share", 1, CPU_LIMIT_MILLI, DEFAULT_CPU_MILLI);
   s->cell.vm_order_rate_milli = json_get_milli (
       p, "vm_orders_per_s", 1, VM_ORDER_LIMIT_MILLI, DEFAULT_VM_ORDER_MILLI);
+  s->cell.record_limit_bytes = (uint32_t)json_get_number (
+      p, "max_record_bytes", RECORD_LIMIT_MIN_BYTES, HIGHEST_BODY_LIMIT_BYTES,
+      DEFAULT_RECORD_LIMIT_BYTES);
+  s->cell.append_limit_bytes = (uint32_t)json_get_number (
+      p, "max_append_bytes", APPEND_LIMIT_MIN_BYTES, HIGHEST_BODY_LIMIT_BYTES,
+      DEFAULT_APPEND_LIMIT_BYTES);
   json_get_address (p, "listen", true, s->listen_address);
   json_get_address (p, "ready_listen", true, s->ready_listen_address);
   json_get_address (p, "relay_listen", true, s->cell.relay_address);
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -141,6 +141,10 @@
   if (c == NULL)
     out_of_memory ();
   c->settings = *s;
+  if (s->record_limit_bytes == 0)
+    c->settings.record_limit_bytes = DEFAULT_RECORD_LIMIT_BYTES;
+  if (s->append_limit_bytes == 0)
+    c->settings.append_limit_bytes = DEFAULT_APPEND_LIMIT_BYTES;
   c->ownership.best_advertised_milli = s->cpu_milli;
   c->queues = g_hash_table_new (g_str_hash, g_str_equal);
   c->dropped_queues
--- a/core/cell/cell.h
+++ b/core/cell/cell.h
@@ -26,8 +26,17 @@
   struct cell_times times;
   uint32_t vm_order_rate_milli; /**< VM orders that the cloud takes in a
                                    second, in thousandths.  */
+  uint32_t record_limit_bytes;  /**< Largest record that the store takes; 0:
+                                   DEFAULT_RECORD_LIMIT_BYTES.  */
+  uint32_t append_limit_bytes;  /**< Most bytes of the records of an append; 0:
+                                   DEFAULT_APPEND_LIMIT_BYTES.  */
 };
 
+/** Limits of the store where the settings name none: those of the first
+    sites.  */
+#define DEFAULT_RECORD_LIMIT_BYTES 262144
+#define DEFAULT_APPEND_LIMIT_BYTES 2097152
+
 /** Returns a cell that owns nothing yet, as a child of MEM; free it with
     talloc_free.  */
 struct cell *cell_new (TALLOC_CTX *mem, const struct cell_settings *s);
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -23,6 +23,12 @@
 #define OCCURRENCE_CHECK_MS 10
 /** Most jobs that are not final; bounds memory.  */
 #define ACTIVE_LIMIT_COUNT 4000
+/** Most tasks in an occurrence of a job, most tasks of the occurrences of a
+   job that are created before the earlier ones are done, and most tasks of all
+    jobs; these bound memory, too.  */
+#define JOB_TASK_LIMIT_COUNT 50000
+#define JOB_OPEN_LIMIT_COUNT 20000
+#define TASK_TOTAL_LIMIT_COUNT 200000
 /** An ended job is kept when its end seems longer ago than this: the wall
     clock may have jumped.  */
 #define DAY_MS UINT64_C (86400000)
@@ -37,24 +43,17 @@
 jobs_find_task (const struct cell *c, const struct task_id *id)
 {
   struct job *j = jobs_find (c, id->job);
-  uint32_t i;
 
   /* An ended job keeps its tasks until they occupy no runner; then its spec is
      NULL.  */
-  if (j == NULL || j->spec == NULL)
+  if (j == NULL || j->spec == NULL || id->occurrence < j->first_occurrence
+      || id->occurrence - j->first_occurrence >= j->occurrence_count
+      || id->step >= j->spec->step_count
+      || id->index >= j->spec->steps[id->step].task_count)
     return NULL;
-  for (i = 0; i < j->occurrence_count; i++)
-    {
-      struct occurrence *o = j->occurrences[i];
-
-      if (o == NULL || o->number != id->occurrence)
-        continue;
-      if (id->step >= j->spec->step_count
-          || id->index >= j->spec->steps[id->step].task_count)
-        return NULL;
-      return &o->steps[id->step].tasks[id->index];
-    }
-  return NULL;
+  return &j->occurrences[id->occurrence - j->first_occurrence]
+              ->steps[id->step]
+              .tasks[id->index];
 }
 
 static int
@@ -79,15 +78,15 @@
   return j;
 }
 
-struct occurrence *
-jobs_add_occurrence (struct cell *c, struct job *j, uint32_t number)
+void
+jobs_add_occurrence (struct cell *c, struct job *j)
 {
   struct occurrence *o = talloc_zero (j, struct occurrence);
   uint32_t i;
   uint32_t k;
 
   o->job = j;
-  o->number = number;
+  o->number = j->first_occurrence + j->occurrence_count;
   o->open_step_count = j->spec->step_count;
   o->steps = talloc_zero_array (o, struct work_step, j->spec->step_count);
   for (i = 0; i < j->spec->step_count; i++)
@@ -113,8 +112,20 @@
     out_of_memory ();
   j->occurrences[j->occurrence_count++] = o;
   j->open_occurrence_count++;
+  c->task_count += progress_tasks_per_occurrence (j->spec);
   task_unblock_steps (c, o);
-  return o;
+}
+
+/* Returns true if the next occurrence of J waits until earlier ones are
+   done.  */
+static bool
+has_many_open_tasks (const struct cell *c, const struct job *j)
+{
+  uint32_t n = progress_tasks_per_occurrence (j->spec);
+
+  return j->occurrence_count > 0
+         && ((uint64_t)(j->occurrence_count + 1) * n > JOB_OPEN_LIMIT_COUNT
+             || c->task_count + n > TASK_TOTAL_LIMIT_COUNT);
 }
 
 void
@@ -125,14 +136,18 @@
   if (s->occurrence_count == 0)
     {
       if (j->occurrence_count == 0)
-        jobs_add_occurrence (c, j, 0);
+        jobs_add_occurrence (c, j);
       return;
     }
-  while (j->occurrence_count < s->occurrence_count
-         && c->wall_ms
-                >= s->first_due_ms + j->occurrence_count * s->interval_ms)
+  for (;;)
     {
-      jobs_add_occurrence (c, j, j->occurrence_count);
+      uint64_t n = (uint64_t)j->first_occurrence + j->occurrence_count;
+
+      if (n >= s->occurrence_count
+          || c->wall_ms < s->first_due_ms + n * s->interval_ms
+          || has_many_open_tasks (c, j))
+        return;
+      jobs_add_occurrence (c, j);
       c->dispatch_due = true;
     }
 }
@@ -334,6 +349,7 @@
 {
   const struct site_queue *q = cell_find_queue (c, call->queue);
   bool over_rate = false;
+  uint32_t task_count;
   uint32_t retry_ms;
   struct job *j;
 
@@ -361,11 +377,23 @@
       send_reply_code (c, w, REPLY_IMPOSSIBLE, 0);
       return;
     }
-  if (c->active->len >= ACTIVE_LIMIT_COUNT)
+  task_count = progress_tasks_per_occurrence (call->spec);
+  if (task_count > JOB_TASK_LIMIT_COUNT || !records_fit (c, call->spec))
+    {
+      cell_log (c, "job_too_large", call->job,
+                "\"queue\":\"%s\",\"tasks\":%u,\"size\":%llu", call->queue,
+                task_count,
+                (unsigned long long)job_spec_size_bytes (call->spec));
+      send_reply_code (c, w, REPLY_TOO_LARGE, 0);
+      return;
+    }
+  if (c->active->len >= ACTIVE_LIMIT_COUNT
+      || c->task_count + task_count > TASK_TOTAL_LIMIT_COUNT)
     {
       cell_log (c, "job_refused", call->job,
-                "\"queue\":\"%s\",\"active\":%u,\"why\":\"active_limit\"",
-                call->queue, c->active->len);
+                "\"queue\":\"%s\",\"active\":%u,\"tasks\":%u,"
+                "\"why\":\"active_limit\"",
+                call->queue, c->active->len, c->task_count);
       send_reply_code (c, w, REPLY_OVERLOADED, 2 * MS_PER_S);
       return;
     }
@@ -614,6 +642,23 @@
     jobs_end (c, j, JOB_CANCELLED);
 }
 
+void
+jobs_refuse (struct cell *c, struct job *j)
+{
+  guint i;
+
+  cell_log (c, "job_too_large", j->id, "\"queue\":\"%s\"", j->queue);
+  for (i = 0; i < j->waiters->len; i++)
+    {
+      const struct waiter *w = &g_array_index (j->waiters, struct waiter, i);
+
+      send_reply_code (
+          c, w, w->kind == CALL_SUBMIT ? REPLY_TOO_LARGE : REPLY_NO_JOB, 0);
+    }
+  g_hash_table_remove (c->jobs, &j->id);
+  talloc_free (j);
+}
+
 static void
 add_due_occurrences (struct cell *c)
 {
@@ -633,10 +678,13 @@
 }
 
 static void
-free_occurrences (struct job *j)
+free_occurrences (struct cell *c, struct job *j)
 {
   uint32_t i;
 
+  c->task_count
+      -= j->occurrence_count * progress_tasks_per_occurrence (j->spec);
+
   for (i = 0; i < j->occurrence_count; i++)
     talloc_free (j->occurrences[i]);
   TALLOC_FREE (j->occurrences);
@@ -660,7 +708,7 @@
         continue;
       if (j->spec != NULL && !occupies_runners (j))
         {
-          free_occurrences (j);
+          free_occurrences (c, j);
           TALLOC_FREE (j->spec);
         }
       if (j->spec == NULL
@@ -686,7 +734,7 @@
         records_send (c);
       return;
     }
-  if (c->ownership.yielding)
+  if (c->ownership.yielding || c->now_us < a->resume_at_us)
     return;
   if (c->flush_now || waves_are_dirty (c)
       || (c->dirty_job_ids->len > 0
@@ -730,6 +778,7 @@
       g_hash_table_iter_remove (&it);
       talloc_free (value);
     }
+  c->task_count = 0;
   g_ptr_array_set_size (c->active, 0);
   g_array_set_size (c->dirty_job_ids, 0);
   g_array_set_size (c->append.job_ids, 0);
@@ -738,6 +787,7 @@
   c->append.record_count = 0;
   c->append.in_flight = false;
   c->append.sequence = 0;
+  c->append.resume_at_us = 0;
   c->flush_now = false;
   admission_clear (c);
 }
--- a/core/cell/records.c
+++ b/core/cell/records.c
@@ -12,47 +12,13 @@
 /** An append to which this many records were added takes no more jobs; the
     others wait for the next append.  */
 #define APPEND_LIMIT_COUNT 400
+/** Most bytes of the key and the names in the record of a job.  */
+#define JOB_NAMES_BYTES (4 * NAME_BYTES)
 /** A failed or unanswered append is sent again after this.  */
 #define APPEND_RETRY_MS 300
 /** An append takes milliseconds, and a slow store's some hundred.  */
 #define STALL_MS 800
 
-static uint32_t
-total_task_count (const struct job *j)
-{
-  uint32_t n = 0;
-  uint32_t s;
-
-  for (s = 0; s < j->spec->step_count; s++)
-    n += j->spec->steps[s].task_count;
-  return n * j->occurrence_count;
-}
-
-/* Adds the progress of all tasks of J to X, as a child of MEM.  */
-static void
-add_progress (const struct job *j, struct append_record *x, TALLOC_CTX *mem)
-{
-  uint32_t i;
-  uint32_t s;
-  uint32_t k;
-  uint32_t n = 0;
-
-  x->task_count = total_task_count (j);
-  x->tasks = talloc_zero_array (mem, struct task_progress, x->task_count);
-  for (i = 0; i < j->occurrence_count; i++)
-    for (s = 0; s < j->spec->step_count; s++)
-      for (k = 0; k < j->spec->steps[s].task_count; k++)
-        {
-          const struct task *t = &j->occurrences[i]->steps[s].tasks[k];
-
-          x->tasks[n].done = t->phase == TASK_DONE;
-          x->tasks[n].failed_count = (uint8_t)MIN (t->failed_count, 255);
-          memcpy (x->tasks[n].failed_runs, t->failed_runs,
-                  sizeof t->failed_runs);
-          n++;
-        }
-}
-
 struct append_record *
 records_add (struct append *a)
 {
@@ -67,38 +33,51 @@
   return x;
 }
 
-/* Adds the record of J's acceptance or progress to the append.  When J is
-   final its job record is dropped as well.  */
+/* Adds the record of J's acceptance to the append.  */
 static void
-add_job_records (struct cell *c, struct job *j)
+add_acceptance (struct append *a, struct job *j)
 {
-  struct append *a = &c->append;
   struct append_record *x = records_add (a);
 
+  x->kind = APPEND_RECORD_JOB;
   x->job = j->id;
-  x->state = j->state;
-  x->final = j->final;
-  x->ended_at_ms = j->ended_at_ms;
+  x->queue = j->queue;
+  x->tenant = j->tenant;
+  x->accepted_at_ms = j->accepted_at_ms;
+  x->spec = j->spec;
   x->run_pools = j->pools;
   x->run_pool_count = j->sent_pool_count = j->pool_count;
+  a->size_bytes += job_spec_size_bytes (j->spec) + JOB_NAMES_BYTES;
+}
+
+/* Adds what has to be stored of J to the append.  Returns false if some of it
+   has to wait for the next one.  */
+static bool
+add_job_records (struct cell *c, struct job *j)
+{
   if (!j->stored)
-    {
-      x->kind = APPEND_RECORD_JOB;
-      x->queue = j->queue;
-      x->tenant = j->tenant;
-      x->accepted_at_ms = j->accepted_at_ms;
-      x->spec = j->spec;
-      return;
-    }
-  x->kind = APPEND_RECORD_PROGRESS;
-  if (!j->final)
-    {
-      add_progress (j, x, a->records);
-      return;
-    }
-  x = records_add (a);
-  x->kind = APPEND_RECORD_DROP_JOB;
-  x->job = j->id;
+    add_acceptance (&c->append, j);
+  else if (j->final)
+    progress_add_final (c, j);
+  else if (!j->progress_refused)
+    return progress_add_records (c, j);
+  return true;
+}
+
+bool
+records_fit (const struct cell *c, const struct job_spec *spec)
+{
+  return job_spec_size_bytes (spec) + JOB_NAMES_BYTES
+         <= c->settings.record_limit_bytes;
+}
+
+bool
+records_append_is_full (const struct cell *c)
+{
+  /* The next job, and the records that are not of jobs, need as much.  */
+  return c->append.record_count >= APPEND_LIMIT_COUNT
+         || c->append.size_bytes + 2 * c->settings.record_limit_bytes
+                > c->settings.append_limit_bytes;
 }
 
 void
@@ -151,18 +130,21 @@
 
   TALLOC_FREE (a->records);
   a->record_count = 0;
+  a->size_bytes = 0;
   g_array_set_size (a->job_ids, 0);
-  for (i = 0;
-       i < c->dirty_job_ids->len && a->record_count < APPEND_LIMIT_COUNT; i++)
+  for (i = 0; i < c->dirty_job_ids->len; i++)
     {
       uint64_t id = g_array_index (c->dirty_job_ids, uint64_t, i);
       struct job *j = jobs_find (c, id);
 
       if (j == NULL)
         continue;
-      j->dirty = false;
+      if (i > 0 && records_append_is_full (c))
+        break;
       g_array_append_val (a->job_ids, id);
-      add_job_records (c, j);
+      j->dirty = !add_job_records (c, j);
+      if (j->dirty)
+        break;
     }
   g_array_remove_range (c->dirty_job_ids, 0, i);
   waves_add_records (c, a);
@@ -199,6 +181,83 @@
     }
 }
 
+/* Returns true if X is a record of one of the jobs in IDS, from index FIRST
+   on.  */
+static bool
+is_of_jobs (const struct append_record *x, const GArray *ids, guint first)
+{
+  guint i;
+
+  if (!append_record_is_of_job (x->kind))
+    return false;
+  for (i = first; i < ids->len; i++)
+    if (g_array_index (ids, uint64_t, i) == x->job)
+      return true;
+  return false;
+}
+
+/* Takes the records of the append's jobs from index FIRST on out of it.  */
+static void
+withdraw_jobs (struct cell *c, guint first)
+{
+  struct append *a = &c->append;
+  uint32_t n = 0;
+  uint32_t i;
+
+  for (i = 0; i < a->record_count; i++)
+    if (!is_of_jobs (&a->records[i], a->job_ids, first))
+      a->records[n++] = a->records[i];
+  a->record_count = n;
+  for (i = first; i < a->job_ids->len; i++)
+    {
+      struct job *j = jobs_find (c, g_array_index (a->job_ids, uint64_t, i));
+
+      if (j == NULL)
+        continue;
+      progress_on_withdrawn (j);
+      jobs_mark_dirty (c, j);
+    }
+  g_array_set_size (a->job_ids, first);
+  /* The ends that depend on these records are not stored with this append.  */
+  g_array_set_size (a->watermarks, 0);
+  c->flush_now = true;
+}
+
+/* Handles that the store will never take the append.  The jobs in it are
+   halved, until the one whose record is at fault is alone; that one is left
+   out, so that all others go on.  */
+static void
+on_refused (struct cell *c)
+{
+  struct append *a = &c->append;
+  struct job *j = NULL;
+
+  cell_log (c, "append_refused", 0,
+            "\"sequence\":%llu,\"jobs\":%u,\"records\":%u,\"size\":%llu",
+            (unsigned long long)a->sequence, a->job_ids->len, a->record_count,
+            (unsigned long long)a->size_bytes);
+  if (a->job_ids->len == 0)
+    {
+      a->retry_at_us = c->now_us + APPEND_RETRY_MS * US_PER_MS;
+      return;
+    }
+  if (a->job_ids->len == 1)
+    j = jobs_find (c, g_array_index (a->job_ids, uint64_t, 0));
+  withdraw_jobs (c, a->job_ids->len / 2);
+  if (a->record_count > 0)
+    {
+      records_send (c);
+      return;
+    }
+  a->in_flight = false;
+  a->sequence--;
+  a->resume_at_us = c->now_us + APPEND_RETRY_MS * US_PER_MS;
+  if (j != NULL && !j->stored)
+    jobs_refuse (c, j);
+  else if (j != NULL && !j->final)
+    j->progress_refused = true;
+}
+
 void
 records_on_appended (struct cell *c, uint64_t sequence,
                      enum append_outcome outcome)
@@ -213,6 +272,9 @@
     case APPEND_FENCED:
       ownership_lose (c, "append_fenced");
       return;
+    case APPEND_REFUSED:
+      on_refused (c);
+      return;
     case APPEND_NOT_DONE:
     case APPEND_UNKNOWN:
       cell_log (c, "append_not_stored", 0,
@@ -228,52 +290,15 @@
     {
       struct job *j = jobs_find (c, g_array_index (a->job_ids, uint64_t, i));
 
-      if (j != NULL)
-        jobs_on_stored (c, j);
+      if (j == NULL)
+        continue;
+      progress_on_stored (j);
+      jobs_on_stored (c, j);
     }
   records_apply_watermarks (c);
   handover_on_stored (c);
 }
 
-/* Restores the tasks of J from the progress record R.  */
-static void
-restore_progress (struct cell *c, struct job *j,
-                  const struct recovered_record *r)
-{
-  uint32_t per_occurrence = 0;
-  uint32_t n = 0;
-  uint32_t s;
-  uint32_t k;
-  uint32_t f;
-
-  for (s = 0; s < j->spec->step_count; s++)
-    per_occurrence += j->spec->steps[s].task_count;
-  while (n < r->task_count && per_occurrence > 0)
-    {
-      struct occurrence *o = jobs_add_occurrence (c, j, j->occurrence_count);
-
-      for (s = 0; s < j->spec->step_count; s++)
-        for (k = 0; k < j->spec->steps[s].task_count && n < r->task_count;
-             k++, n++)
-          {
-            struct task *t = &o->steps[s].tasks[k];
-
-            t->failed_count = r->tasks[n].failed_count;
-            memcpy (t->failed_runs, r->tasks[n].failed_runs,
-                    sizeof t->failed_runs);
-            for (f = 0; f < FAILED_RUN_COUNT; f++)
-              t->run = MAX (t->run, (uint32_t)t->failed_runs[f]
-                                        + UNRECORDED_RUN_COUNT);
-            if (t->failed_count > 0 || r->tasks[n].done)
-              j->started = true;
-            if (t->failed_count > 0)
-              j->failures_unjudged = true;
-            if (r->tasks[n].done)
-              task_complete (c, t);
-          }
-    }
-}
-
 void
 records_restore (struct cell *c, struct recovered_record *r)
 {
@@ -319,15 +344,10 @@
       j->ended_at_ms = r->ended_at_ms;
       TALLOC_FREE (j->spec);
     }
-  else if (r->task_count > 0)
-    {
-      /* Kept until all records are read: the record of the job itself may come
-         later.  */
-      talloc_free (j->progress);
-      j->progress = talloc_memdup (j, r, sizeof *r);
-      j->progress->tasks = talloc_steal (j->progress, r->tasks);
-      r->tasks = NULL;
-    }
+  else
+    /* Kept until all records are read: that of the job itself may come
+       later.  */
+    progress_note_recovered (j, r);
 }
 
 static int
@@ -351,9 +371,7 @@
   j->accepted_at_us
       = c->now_us > age_ms * US_PER_MS ? c->now_us - age_ms * US_PER_MS : 0;
   j->arrived_at_us = j->accepted_at_us;
-  if (j->progress != NULL)
-    restore_progress (c, j, j->progress);
-  TALLOC_FREE (j->progress);
+  progress_restore (c, j);
   if (j->final)
     return;
   jobs_add_due_occurrences (c, j);
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -96,6 +96,8 @@
   /** Numbers of the runs that failed first; 0: none.  */
   uint16_t failed_runs[FAILED_RUN_COUNT];
   uint32_t failed_count;
+  bool progress_unstored;   /**< It is done or has failed, and no record that
+                               was sent tells so.  */
   struct runner *runner;    /**< Runner that it occupies, or NULL.  */
   struct runner *failed_on; /**< Runner of its last failed run, or NULL.  */
   uint64_t ordered_at_us;   /**< When its newest order was sent.  */
@@ -190,13 +192,34 @@
   uint32_t sent_pool_count;       /**< Those that its newest record names.  */
   uint32_t stored_pool_count;     /**< Those that its stored records name.  */
   bool pools_known;               /**< pools names all of them.  */
+  uint32_t first_occurrence;      /**< Number of the first of occurrences; all
+                                     before it are done and freed.  */
   uint32_t occurrence_count;      /**< Entries of occurrences.  */
   uint32_t open_occurrence_count; /**< Occurrences that are not done.  */
   struct occurrence **occurrences;
   GArray *waiters;              /**< struct waiter; answered when stored.  */
   enum urgency urgency;         /**< Class in the last round of dispatch.  */
   enum wait_reason wait_reason; /**< Reason that was last logged.  */
-  struct recovered_record *progress; /**< Read, not yet restored; or NULL.  */
+  struct recovered_progress *recovered; /**< Records of its progress that were
+                                           read and not restored yet.  */
+  uint64_t *segment_records;     /**< Segments of its tasks that have a record
+                                    of their own (progress_records.c).  */
+  uint32_t segment_record_count; /**< Entries of segment_records.  */
+  uint64_t sent_segment;         /**< The append in flight deletes the records
+                                    of segments up to this.  */
+  bool progress_refused; /**< The store refuses records of its progress:
+                            none is appended before its end.  */
+};
+
+/** Progress of some tasks of a job, as read from a record.  */
+struct recovered_progress
+{
+  struct recovered_progress *next;
+  bool is_segment; /**< It is the record of a segment; all tasks before those
+                      of the other record are done.  */
+  uint64_t first_task; /**< Number of the first of tasks.  */
+  uint32_t task_count; /**< Entries of tasks.  */
+  struct task_progress *tasks;
 };
 
 /** A call that waits for a job's record to be durable.  */
@@ -434,11 +457,14 @@
   uint64_t sequence;    /**< Its number; rises by one within an ownership.  */
   uint64_t began_at_us; /**< When it was first sent.  */
   uint64_t sent_at_us;
-  uint64_t retry_at_us;          /**< When it is sent again; 0: not failed.  */
+  uint64_t retry_at_us;  /**< When it is sent again; 0: not failed.  */
+  uint64_t resume_at_us; /**< None is sent before then, as the store has
+                            refused the last one.  */
   struct append_record *records; /**< Kept to send the append again.  */
   uint32_t record_count;
-  GArray *job_ids;    /**< uint64_t ids of the jobs in it.  */
-  GArray *watermarks; /**< struct end_watermark.  */
+  uint64_t size_bytes; /**< Most bytes that the records of jobs take.  */
+  GArray *job_ids;     /**< uint64_t ids of the jobs in it.  */
+  GArray *watermarks;  /**< struct end_watermark.  */
 };
 
 /** The ends of a runner's runs that become durable with an append: those up to
@@ -503,6 +529,7 @@
   GHashTable *peers;           /**< link_id to struct peer.  */
   GHashTable *forwarded_calls; /**< call_id to struct forwarded_call.  */
   GHashTable *jobs;            /**< id to struct job.  */
+  uint32_t task_count;         /**< Tasks of all jobs in memory.  */
   GPtrArray *active;           /**< struct job that is not final.  */
   GHashTable *runners;         /**< id to struct runner.  */
   GHashTable *pools;           /**< Name to GPtrArray of struct runner.  */
@@ -670,13 +697,14 @@
 
 /** Adds an empty job ID to C and returns it.  */
 struct job *jobs_new (struct cell *c, uint64_t id);
-/** Creates the tasks of occurrence NUMBER of J.  */
-struct occurrence *jobs_add_occurrence (struct cell *c, struct job *j,
-                                        uint32_t number);
+/** Creates the tasks of J's next occurrence.  */
+void jobs_add_occurrence (struct cell *c, struct job *j);
 /** Creates the occurrences of J whose start time has come.  */
 void jobs_add_due_occurrences (struct cell *c, struct job *j);
 /** Adds J to the jobs that are not final.  */
 void jobs_activate (struct cell *c, struct job *j);
+/** Removes J, whose acceptance the store refuses.  */
+void jobs_refuse (struct cell *c, struct job *j);
 /** Handles that a record of J has become durable: that of its acceptance, or a
     later one.  */
 void jobs_on_stored (struct cell *c, struct job *j);
@@ -701,6 +729,10 @@
 void records_note_watermarks (struct cell *c);
 /** Marks the noted ends as durable, so that their runners may forget them.  */
 void records_apply_watermarks (struct cell *c);
+/** Returns true if a job of SPEC fits into a record of the store.  */
+bool records_fit (const struct cell *c, const struct job_spec *spec);
+/** Returns true if no further job is to be added to the append.  */
+bool records_append_is_full (const struct cell *c);
 /** Adds an empty record to A; the pointer is valid until the next call.  */
 struct append_record *records_add (struct append *a);
 void records_on_appended (struct cell *c, uint64_t sequence,
@@ -710,6 +742,23 @@
 /** Activates the recovered jobs once all records were read.  */
 void records_finish_recovery (struct cell *c);
 
+/* progress_records.c: the durable progress of a job.  */
+/** Returns the number of tasks in an occurrence of a job of SPEC.  */
+uint32_t progress_tasks_per_occurrence (const struct job_spec *spec);
+/** Adds the records of J's progress that is not stored to the append.  Returns
+    false if some had no room in it.  */
+bool progress_add_records (struct cell *c, struct job *j);
+/** Adds the record of J's final state, and deletes the others.  */
+void progress_add_final (struct cell *c, struct job *j);
+/** Handles that the records of J in the append were stored, or that they were
+    taken out of it.  */
+void progress_on_stored (struct job *j);
+void progress_on_withdrawn (struct job *j);
+/** Keeps R, a record of J's progress, until progress_restore restores the
+    tasks of J.  */
+void progress_note_recovered (struct job *j, struct recovered_record *r);
+void progress_restore (struct cell *c, struct job *j);
+
 /* tasks.c: the life of a task.  */
 void task_id_get (const struct task *t, struct task_id *id);
 struct job *task_job (const struct task *t);
@@ -723,6 +772,8 @@
 void task_release (struct cell *c, struct task *t);
 /** Marks T as done, and its step, occurrence and job if it was the last.  */
 void task_complete (struct cell *c, struct task *t);
+/** Ends J if all its occurrences are done, those to come included.  */
+void task_end_job_if_done (struct cell *c, struct job *j);
 /** Fails T's job if T has failed as often as its queue, Q, allows.  */
 void task_judge_failures (struct cell *c, struct task *t,
                           const struct site_queue *q);
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -173,14 +173,14 @@
     }
 }
 
-/* Ends J if all its occurrences are done, those to come included.  */
-static void
-end_job_if_done (struct cell *c, struct job *j)
+void
+task_end_job_if_done (struct cell *c, struct job *j)
 {
   uint32_t wanted
       = j->spec->occurrence_count == 0 ? 1 : j->spec->occurrence_count;
 
-  if (j->open_occurrence_count == 0 && j->occurrence_count == wanted)
+  if (j->open_occurrence_count == 0
+      && j->first_occurrence + j->occurrence_count == wanted)
     jobs_end (c, j, JOB_COMPLETED);
 }
 
@@ -195,6 +195,7 @@
   if (t->phase == TASK_WAITING)
     s->waiting_count--;
   t->phase = TASK_DONE;
+  t->progress_unstored = true;
   s->done_count++;
   jobs_mark_dirty (c, o->job);
   if (s->done_count < s->spec->task_count)
@@ -206,7 +207,7 @@
       return;
     }
   o->job->open_occurrence_count--;
-  end_job_if_done (c, o->job);
+  task_end_job_if_done (c, o->job);
 }
 
 /* Notes that a run of T failed on R, and quarantines R if it is due.  */
@@ -273,6 +274,7 @@
   const struct site_queue *q = cell_find_queue (c, j->queue);
 
   t->failed_count++;
+  t->progress_unstored = true;
   t->failed_on = r;
   note_runner_failure (c, r, t);
   jobs_mark_dirty (c, j);
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -36,16 +36,19 @@
     refer into the cell and are valid until the cell's next step.  */
 struct append_record
 {
-  enum
+  enum append_record_kind
   {
     APPEND_RECORD_JOB,           /**< An accepted job.  */
     APPEND_RECORD_PROGRESS,      /**< A job's progress, or its final state.  */
     APPEND_RECORD_DROP_JOB,      /**< Deletes the job's APPEND_RECORD_JOB.  */
     APPEND_RECORD_DROP_PROGRESS, /**< Deletes its APPEND_RECORD_PROGRESS; never
                                     sent by the cell.  */
-    APPEND_RECORD_WAVE,          /**< Progress of a wave.  */
-    APPEND_RECORD_POOL_HISTORY,  /**< Demand history of the pools.  */
-    APPEND_RECORD_VM_ORDERS      /**< VMs that the owner orders.  */
+    APPEND_RECORD_SEGMENT,       /**< Progress of some more of its tasks.  */
+    APPEND_RECORD_DROP_SEGMENT, /**< Deletes the APPEND_RECORD_SEGMENT with the
+                                   same first_task.  */
+    APPEND_RECORD_WAVE,         /**< Progress of a wave.  */
+    APPEND_RECORD_POOL_HISTORY, /**< Demand history of the pools.  */
+    APPEND_RECORD_VM_ORDERS     /**< VMs that the owner orders.  */
   } kind;
   uint64_t job;
   const char *queue;
@@ -65,10 +68,20 @@
   uint32_t vm_count;               /**< Entries of vms_done or vm_orders.  */
   /** Of each VM of the wave, in order: its maintenance is done.  */
   const bool *vms_done;
+  /** Number of the first of tasks among those of all occurrences.  If the
+      record is an APPEND_RECORD_PROGRESS, all before it are done.  */
+  uint64_t first_task;
   uint32_t task_count;
   struct task_progress *tasks; /**< A child of the append's records.  */
 };
 
+/** Returns true if records of KIND are of a job.  */
+static inline bool
+append_record_is_of_job (enum append_record_kind kind)
+{
+  return kind < APPEND_RECORD_WAVE;
+}
+
 /** Kinds of actions; the comment names the member of u.  */
 enum cell_action_kind
 {
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -67,6 +67,8 @@
                         not serve the cell; resend to the owner.  */
   REPLY_OWNERSHIP_LOST, /**< Between entries: maybe executed, as the receiver
                            has lost the cell; resend to the new owner.  */
+  REPLY_TOO_LARGE,      /**< The job has too many tasks, or its record is too
+                           large; a retry cannot succeed.  */
   REPLY_CODE_COUNT
 };
 
@@ -212,6 +214,7 @@
   bool is_wave;
   bool is_pool_history;
   bool is_vm_orders;
+  bool is_segment;     /**< It is an APPEND_RECORD_SEGMENT of a job.  */
   uint32_t pool_count; /**< Entries of pools.  */
   struct pool_history *pools;
   uint64_t wave_number;
@@ -231,6 +234,7 @@
   enum job_state state;
   bool final;
   uint64_t ended_at_ms;        /**< Unix time.  */
+  uint64_t first_task;         /**< Number of the first of tasks.  */
   uint32_t task_count;         /**< Entries of tasks.  */
   struct task_progress *tasks; /**< By occurrence, then step, then index.  */
 };
@@ -253,6 +257,8 @@
 {
   APPEND_STORED,
   APPEND_NOT_DONE, /**< Not executed; a retry may succeed.  */
+  APPEND_REFUSED,  /**< Not executed, and never will be: a record is too
+                      large.  */
   APPEND_FENCED,   /**< Not executed: a later owner has fenced the records.  */
   APPEND_UNKNOWN   /**< No answer: maybe stored.  Repeating it is safe.  */
 };
--- a/port/cell_name.c
+++ b/port/cell_name.c
@@ -32,7 +32,8 @@
           [REPLY_UNAVAILABLE] = "unavailable",
           [REPLY_UNKNOWN] = "unknown",
           [REPLY_REDIRECT] = "redirect",
-          [REPLY_OWNERSHIP_LOST] = "ownership_lost" };
+          [REPLY_OWNERSHIP_LOST] = "ownership_lost",
+          [REPLY_TOO_LARGE] = "too_large" };
 
   return NAME_OF (names, c);
 }
@@ -85,6 +86,7 @@
 {
   static const char *const names[] = { [APPEND_STORED] = "stored",
                                        [APPEND_NOT_DONE] = "not_done",
+                                       [APPEND_REFUSED] = "refused",
                                        [APPEND_FENCED] = "fenced",
                                        [APPEND_UNKNOWN] = "unknown" };
 
--- a/port/job.c
+++ b/port/job.c
@@ -11,6 +11,11 @@
 #define GPU_LIMIT_COUNT UINT64_C (1000000)
 /** Largest number of occurrences of a job.  */
 #define OCCURRENCE_LIMIT_COUNT 1000000u
+/** Most bytes of an encoded job without its payload and steps, of a step
+   without the steps that it waits for, and of a 32-bit number.  */
+#define SPEC_BYTES 64
+#define STEP_BYTES (3 * (LABEL_BYTES + 3) + 128)
+#define NUMBER_BYTES 5
 
 const char *
 job_state_name (enum job_state s)
@@ -100,6 +105,17 @@
   return NULL;
 }
 
+uint64_t
+job_spec_size_bytes (const struct job_spec *j)
+{
+  uint64_t n = SPEC_BYTES + j->payload->size_bytes;
+  uint32_t i;
+
+  for (i = 0; i < j->step_count; i++)
+    n += STEP_BYTES + (uint64_t)j->steps[i].after_count * NUMBER_BYTES;
+  return n;
+}
+
 /* Returns the value of the hexadecimal digit C, or -1.  */
 static int
 hex_digit (char c)
--- a/port/job.h
+++ b/port/job.h
@@ -106,6 +106,9 @@
     receive.  */
 const char *job_spec_fault (const struct job_spec *j);
 
+/** Returns the most bytes that a codec takes for J.  */
+uint64_t job_spec_size_bytes (const struct job_spec *j);
+
 /** Parses 16 hexadecimal digits.  Returns false if TEXT is anything else.  */
 bool job_id_parse (const char *text, uint64_t *id);
 
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -7,6 +7,7 @@
 
 #include "tests/cell_script.h"
 
+#include "adapter/job_codec.h"
 #include "core/cell/cell.h"
 #include "port/cell_name.h"
 
@@ -18,6 +19,8 @@
 #define TICK_MS 20
 #define ORDER_HISTORY_COUNT 4096
 #define APPEND_HISTORY_COUNT 256
+/** The tasks of a record are printed one by one up to this many.  */
+#define PRINTED_TASK_COUNT 64
 
 struct script
 {
@@ -82,15 +85,33 @@
   return id;
 }
 
+/* Returns a payload of SIZE bytes, 1 if that is NULL.  */
+static struct blob *
+read_payload (const json_t *size)
+{
+  uint32_t n = size != NULL ? (uint32_t)json_integer_value (size) : 1;
+  char *text = g_strnfill (n, 'x');
+  struct blob *b = blob_copy (text, n);
+
+  g_free (text);
+  return b;
+}
+
+/* Reads a job.  The row of its first step also has what is of the whole job.
+ */
 static struct job_spec *
 read_spec (TALLOC_CTX *mem, const json_t *steps, uint64_t id)
 {
+  const json_t *first = json_array_get (steps, 0);
   struct job_spec *s = job_spec_new (mem);
   const json_t *row;
   size_t i;
 
   s->id = id;
-  s->payload = blob_copy ("x", 1);
+  s->payload = read_payload (json_object_get (first, "payload_bytes"));
+  s->occurrence_count = (uint32_t)get_number (first, "times", 0);
+  s->first_due_ms = START_MS + get_number (first, "due", 0);
+  s->interval_ms = get_number (first, "interval", 0);
   s->step_count = (uint32_t)json_array_size (steps);
   s->steps = talloc_zero_array (s, struct job_step, s->step_count + 1);
   json_array_foreach (steps, i, row)
@@ -424,6 +445,8 @@
     r->accepted_at_ms = get_number (row, "accepted", START_MS);
     r->final = get_flag (row, "final");
     r->state = r->final ? JOB_COMPLETED : JOB_QUEUED;
+    r->is_segment = get_flag (row, "segment");
+    r->first_task = get_number (row, "first_task", 0);
     r->task_count = (uint32_t)json_array_size (tasks);
     r->tasks = talloc_zero_array (e, struct task_progress, r->task_count + 1);
     for (k = 0; k < r->task_count; k++)
@@ -677,7 +700,7 @@
 
   for (i = 0; i < a->u.append.item_count; i++)
     {
-      if (a->u.append.items[i].kind < APPEND_RECORD_WAVE)
+      if (append_record_is_of_job (a->u.append.items[i].kind))
         return false;
       found = found || a->u.append.items[i].kind == APPEND_RECORD_VM_ORDERS;
     }
@@ -700,13 +723,59 @@
         = x->last_sequence;
 }
 
+/* Prints the tasks of W: each one, or how many there are and are done.  */
+static void
+print_progress (GString *out, const struct append_record *w)
+{
+  uint32_t done_count = 0;
+  uint32_t k;
+
+  if (w->first_task > 0)
+    g_string_append_printf (out, " from %llu",
+                            (unsigned long long)w->first_task);
+  for (k = 0; k < w->task_count; k++)
+    done_count += w->tasks[k].done;
+  if (w->task_count > PRINTED_TASK_COUNT)
+    {
+      g_string_append_printf (out, " %u of %u done", done_count,
+                              w->task_count);
+      return;
+    }
+  for (k = 0; k < w->task_count; k++)
+    g_string_append_printf (out, " %s%u", w->tasks[k].done ? "+" : "-",
+                            w->tasks[k].failed_count);
+}
+
+/* Prints which records of A are larger than the store of the first sites
+   takes, and whether all together are.  */
+static void
+print_excess (GString *out, const struct cell_action *a)
+{
+  msgpack_sbuffer all;
+  uint32_t i;
+
+  msgpack_sbuffer_init (&all);
+  for (i = 0; i < a->u.append.item_count; i++)
+    {
+      size_t begin = all.size;
+
+      append_records_pack (&all, &a->u.append.items[i], 1);
+      if (all.size - begin > DEFAULT_RECORD_LIMIT_BYTES)
+        g_string_append_printf (out, "; record %u TOO LARGE", i);
+    }
+  if (all.size > DEFAULT_APPEND_LIMIT_BYTES)
+    g_string_append (out, "; append TOO LARGE");
+  msgpack_sbuffer_destroy (&all);
+}
+
 static void
 print_append (struct script *x, const struct cell_action *a)
 {
   GString *out = x->out;
   static const char *const kinds[]
-      = { "job",  "progress",     "drop_job", "drop_progress",
-          "wave", "pool_history", "vm_orders" };
+      = { "job",           "progress",     "drop_job",
+          "drop_progress", "segment",      "drop_segment",
+          "wave",          "pool_history", "vm_orders" };
   uint32_t i;
   uint32_t k;
 
@@ -721,21 +790,25 @@
       const struct append_record *w = &a->u.append.items[i];
 
       g_string_append_printf (out, "; %s", kinds[w->kind]);
-      if (w->kind < APPEND_RECORD_WAVE)
+      if (append_record_is_of_job (w->kind))
         g_string_append_printf (out, " %016llx", (unsigned long long)w->job);
       /* The first pool, in which the job was accepted, is left out.  */
       for (k = 1; k < w->run_pool_count; k++)
         g_string_append_printf (out, " pool %s", w->run_pools[k]);
       if (w->kind == APPEND_RECORD_PROGRESS && w->final)
         g_string_append_printf (out, " %s", job_state_name (w->state));
-      for (k = 0; w->kind == APPEND_RECORD_PROGRESS && k < w->task_count; k++)
-        g_string_append_printf (out, " %s%u", w->tasks[k].done ? "+" : "-",
-                                w->tasks[k].failed_count);
+      if (w->kind == APPEND_RECORD_DROP_SEGMENT)
+        g_string_append_printf (out, " at %llu",
+                                (unsigned long long)w->first_task);
+      if (w->kind == APPEND_RECORD_PROGRESS
+          || w->kind == APPEND_RECORD_SEGMENT)
+        print_progress (out, w);
       for (k = 0; w->kind == APPEND_RECORD_WAVE && k < w->vm_count; k++)
         g_string_append (out, w->vms_done[k] ? " +" : " -");
       if (w->kind == APPEND_RECORD_VM_ORDERS)
         print_vm_orders (out, w);
     }
+  print_excess (out, a);
 }
 
 static void
--- a/tests/model.h
+++ b/tests/model.h
@@ -85,7 +85,8 @@
                               on a runner.  */
   uint32_t serving_fail_percent; /**< Long-running runs that fail.  */
   uint32_t failing_percent; /**< Short jobs of which half of the runs fail.  */
-  uint32_t writes_per_s;    /**< The store's limits; 0: none.  */
+  uint32_t recurring_percent; /**< Short jobs with many occurrences.  */
+  uint32_t writes_per_s;      /**< The store's limits; 0: none.  */
   uint32_t reads_per_s;
   uint32_t order_us; /**< CPU time of an order and its answer; 0: none.  */
   uint32_t event_us; /**< CPU time of another event; 0: none.  */
@@ -262,8 +263,9 @@
   bool mixed;    /**< The second of its two steps lasts.  */
   bool labelled; /**< Only VMs with MODEL_LABEL run it.  */
   uint32_t per_runner_limit_count;
-  bool cancels; /**< Its client cancels it.  */
-  bool failing; /**< Half of its runs fail.  */
+  bool cancels;              /**< Its client cancels it.  */
+  bool failing;              /**< Half of its runs fail.  */
+  uint32_t occurrence_count; /**< 0: it does not recur.  */
   bool accepted;
   bool sent; /**< A call is open.  */
   uint64_t sent_at_us;
--- a/tests/model_faults.c
+++ b/tests/model_faults.c
@@ -19,6 +19,13 @@
 #define RUN_AFTER_MS 20000
 /** A task of some of the jobs that are cancelled.  */
 #define CANCELLED_TASK_MS 12000
+/** Recurring jobs: all occurrences are due when the job is submitted.  Their
+    progress takes several records.  */
+#define RECURRING_COUNT 60
+#define RECURRING_INTERVAL_MS 40
+#define RECURRING_TASK_COUNT 40
+#define RECURRING_TASK_MS 60
+#define RECURRING_CPU_MILLI 100
 #define CALL_TIMEOUT_US (3000 * US_PER_MS)
 #define RETRY_US (300 * US_PER_MS)
 
@@ -529,6 +536,15 @@
     }
   if (!long_running && m->options.failing_percent > 0)
     j->failing = model_random (m, 100) < m->options.failing_percent;
+  if (!long_running && m->options.recurring_percent > 0
+      && model_random (m, 100) < m->options.recurring_percent)
+    {
+      j->occurrence_count = RECURRING_COUNT;
+      j->step_count = 1;
+      j->task_count = RECURRING_TASK_COUNT;
+      j->task_ms = RECURRING_TASK_MS;
+      j->cpu_milli = RECURRING_CPU_MILLI;
+    }
   g_ptr_array_add (m->jobs, j);
   g_hash_table_insert (m->jobs_by_id, &j->id, j);
   return j;
@@ -587,6 +603,8 @@
 
   s->id = j->id;
   s->payload = blob_copy ("x", 1);
+  s->occurrence_count = j->occurrence_count;
+  s->interval_ms = RECURRING_INTERVAL_MS;
   s->step_count = j->step_count;
   s->steps = talloc_zero_array (s, struct job_step, s->step_count);
   for (i = 0; i < s->step_count; i++)
--- a/tests/model_rules.c
+++ b/tests/model_rules.c
@@ -81,6 +81,25 @@
   return t;
 }
 
+/* Returns how many tasks a step of J has in all occurrences.  */
+static uint32_t
+task_count_of (const struct model_job *j)
+{
+  return j->task_count * MAX (j->occurrence_count, 1);
+}
+
+/* Returns the task K of step S of J, counted over all occurrences.  */
+static struct task_id
+task_of_step (const struct model_job *j, uint32_t s, uint32_t k)
+{
+  struct task_id id = { .job = j->id,
+                        .occurrence = k / j->task_count,
+                        .step = s,
+                        .index = k % j->task_count };
+
+  return id;
+}
+
 bool
 model_job_failed (struct model *m, const struct model_job *j)
 {
@@ -88,9 +107,9 @@
   uint32_t k;
 
   for (s = 0; s < j->step_count; s++)
-    for (k = 0; k < j->task_count && !model_step_lasts (j, s); k++)
+    for (k = 0; k < task_count_of (j) && !model_step_lasts (j, s); k++)
       {
-        struct task_id id = { .job = j->id, .step = s, .index = k };
+        struct task_id id = task_of_step (j, s, k);
 
         if (model_task_of (m, &id)->failed_count >= MODEL_ATTEMPT_LIMIT_COUNT)
           return true;
@@ -105,9 +124,9 @@
   uint32_t n = 0;
   uint32_t k;
 
-  for (k = 0; k < j->task_count; k++)
+  for (k = 0; k < task_count_of (j); k++)
     {
-      struct task_id id = { .job = j->id, .step = s, .index = k };
+      struct task_id id = task_of_step (j, s, k);
 
       n += !model_task_of (m, &id)->done;
     }
@@ -434,9 +453,9 @@
       < MAX (j->cancelled_at_us, m->disturbed_until_us) + CANCELLED_STOP_US)
     return;
   for (s = 0; s < j->step_count; s++)
-    for (k = 0; k < j->task_count; k++)
+    for (k = 0; k < task_count_of (j); k++)
       {
-        struct task_id id = { .job = j->id, .step = s, .index = k };
+        struct task_id id = task_of_step (j, s, k);
         char key[64];
 
         if (model_task_of (m, &id)->running_count == 0)
--- a/tests/model_store.c
+++ b/tests/model_store.c
@@ -10,6 +10,8 @@
 
 #define CALL_US 2000 /* One way.  */
 #define APPEND_US 4000
+#define RECORD_LIMIT_BYTES 262144
+#define APPEND_LIMIT_BYTES 2097152
 #define CALL_TIMEOUT_US (700 * US_PER_MS)
 #define APPEND_TIMEOUT_US (1200 * US_PER_MS)
 #define EXPIRY_US (1000 * US_PER_MS)
@@ -150,13 +152,44 @@
                         g_bytes_new (b + 1 + b[0], length - 1 - b[0]));
 }
 
+static uint32_t
+length_at (const struct store_call *x, uint32_t at)
+{
+  uint32_t length;
+
+  memcpy (&length, (const uint8_t *)x->body + at, sizeof length);
+  return ntohl (length);
+}
+
+/* Returns true if the append X, or a record of it, is too large.  */
+static bool
+has_excess (const struct store_call *x)
+{
+  uint32_t at;
+
+  for (at = 0; at + sizeof (uint32_t) < x->body_bytes;
+       at += (uint32_t)sizeof (uint32_t) + length_at (x, at))
+    if (length_at (x, at) > RECORD_LIMIT_BYTES)
+      return true;
+  return x->body_bytes > APPEND_LIMIT_BYTES;
+}
+
+static void
+store_records (struct model_store *s, const struct store_call *x)
+{
+  uint32_t at;
+
+  for (at = 0; at + sizeof (uint32_t) < x->body_bytes;
+       at += (uint32_t)sizeof (uint32_t) + length_at (x, at))
+    store_record (s, (const uint8_t *)x->body + at + sizeof (uint32_t),
+                  length_at (x, at));
+}
+
 static void
 on_append (struct model *m, struct store_call *x)
 {
   struct model_store *s = &m->store;
   struct cell_event *ev = model_event (CELL_APPENDED);
-  const uint8_t *b = x->body;
-  uint32_t at = 0;
   bool lost = m->now_us < s->appends_lost_until_us;
 
   ev->u.appended.sequence = x->sequence;
@@ -169,15 +202,12 @@
   if (x->token > s->epoch || x->sequence == s->sequence + 1)
     {
       s->epoch = x->token;
-      s->sequence = x->sequence;
-      while (at + sizeof (uint32_t) < x->body_bytes)
+      if (has_excess (x))
+        ev->u.appended.outcome = APPEND_REFUSED;
+      else
         {
-          uint32_t length;
-
-          memcpy (&length, b + at, sizeof length);
-          length = ntohl (length);
-          store_record (s, b + at + sizeof length, length);
-          at += (uint32_t)sizeof length + length;
+          s->sequence = x->sequence;
+          store_records (s, x);
         }
     }
   else if (x->sequence != s->sequence)
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -88,6 +88,12 @@
     { .kind = APPEND_RECORD_POOL_HISTORY, .pool_count = 1, .pools = &pool },
     { .kind = APPEND_RECORD_DROP_JOB, .job = j->id },
     { .kind = APPEND_RECORD_VM_ORDERS, .vm_count = 2, .vm_orders = vm_orders },
+    { .kind = APPEND_RECORD_SEGMENT,
+      .job = j->id,
+      .first_task = 3072,
+      .task_count = 2,
+      .tasks = tasks },
+    { .kind = APPEND_RECORD_DROP_SEGMENT, .job = j->id, .first_task = 3072 },
   };
   struct platform_records r;
   struct recovered_record row;
@@ -96,7 +102,7 @@
   msgpack_sbuffer_init (&out);
   append_records_pack (&out, items, G_N_ELEMENTS (items));
   decode_stored (mem, &out, &r);
-  g_assert_cmpuint (r.item_count, ==, 6);
+  g_assert_cmpuint (r.item_count, ==, 8);
   g_assert_cmpuint (r.items[4].offset, ==, 11);
   g_assert_true (recovered_record_unpack (
       mem, r.items[0].key, r.items[0].value, r.items[0].value_bytes, &row));
@@ -134,6 +140,52 @@
   g_assert_cmpuint (row.vm_count, ==, 2);
   g_assert_cmpstr (row.vm_orders[1].vm, ==, "m-2");
   g_assert_cmpuint (row.vm_orders[1].wait_ms, ==, 40);
+  g_assert_true (recovered_record_unpack (
+      mem, r.items[6].key, r.items[6].value, r.items[6].value_bytes, &row));
+  g_assert_true (row.is_segment);
+  g_assert_cmpuint (row.job, ==, j->id);
+  g_assert_cmpuint (row.first_task, ==, 3072);
+  g_assert_true (row.tasks[0].done);
+  g_assert_cmpstr (r.items[7].key, ==, r.items[6].key);
+  g_assert_cmpuint (r.items[7].value_bytes, ==, 0);
+  msgpack_sbuffer_destroy (&out);
+  talloc_free (mem);
+}
+
+/* Guards against a job whose record is larger than what its size was taken
+   for when it was accepted: the store would refuse it.  */
+static void
+test_job_size (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct job_spec *j = make_job_spec (mem);
+  msgpack_sbuffer out;
+  msgpack_packer p;
+  uint32_t i;
+  uint32_t k;
+
+  j->id = j->first_due_ms = j->interval_ms = UINT64_MAX;
+  j->step_count = STEP_LIMIT_COUNT;
+  j->steps = talloc_zero_array (j, struct job_step, j->step_count);
+  for (i = 0; i < j->step_count; i++)
+    {
+      struct job_step *s = &j->steps[i];
+
+      memset (s->label, 'x', LABEL_BYTES - 1);
+      memset (s->data_rack, 'x', LABEL_BYTES - 1);
+      memset (s->image, 'x', LABEL_BYTES - 1);
+      s->task_count = s->estimate_ms = s->per_runner_limit_count = UINT32_MAX;
+      s->latency_target_ms = s->unavailable_limit_count = UINT32_MAX;
+      s->need.cpu_milli = s->need.memory_mib = s->need.gpu_count = UINT64_MAX;
+      s->after_count = i;
+      s->after = talloc_zero_array (j, uint32_t, i + 1);
+      for (k = 0; k < i; k++)
+        s->after[k] = UINT32_MAX;
+    }
+  msgpack_sbuffer_init (&out);
+  msgpack_packer_init (&p, &out, msgpack_sbuffer_write);
+  job_pack (&p, j);
+  g_assert_cmpuint (out.size, <=, job_spec_size_bytes (j));
   msgpack_sbuffer_destroy (&out);
   talloc_free (mem);
 }
@@ -599,6 +651,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/cell_codec/records", test_records);
+  g_test_add_func ("/cell_codec/job_size", test_job_size);
   g_test_add_func ("/cell_codec/claims", test_claims);
   g_test_add_func ("/cell_codec/claim_of_earlier_version",
                    test_claim_of_earlier_version);
