Stop open starts on a runner whose list of ends is full

What callers could see (LOST): tasks that neither run nor end, with room and no fault, on a runner that answers every poll.

Cause: a poll acknowledges no ends while a start on its runner is open; a full list of ends tells nothing about runs that it does not name; and an open start is given up only by a poll that does not name its run. With 500 ends unacknowledged and one start open, none of the three ever ends.

Change: the start is stopped although the list is full, an acknowledged stop is then enough to acknowledge ends, and a runner with a full list gets no tasks.

--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -51,8 +51,9 @@
 static bool
 takes_tasks (const struct cell *c, const struct runner *r, bool in_quarantine)
 {
-  return r->listed && r->reached && r->clock_read_at_us != 0
-         && !r->report.draining && !r->vm_emptying && r->miss_count == 0
+  return r->listed && r->reached && !r->ends_incomplete
+         && r->clock_read_at_us != 0 && !r->report.draining && !r->vm_emptying
+         && r->miss_count == 0
          && (in_quarantine || c->now_us >= r->quarantined_until_us)
          && c->now_us >= r->refused_until_us && c->now_us >= r->full_until_us;
 }
--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -105,15 +105,15 @@
 
 /* Handles the tasks of R that X, the answer to a poll sent at SENT_US, does
    not list as running: their runs have ended, unless the start may still
-   arrive.  When X is full it may lack ends, and nothing is concluded.  */
+   arrive.  When X is full it may lack ends, and no run is found to have ended.
+   A start that may still arrive is stopped all the same: R is told to forget
+   ends only when none is open.  */
 static void
 check_unreported (struct cell *c, struct runner *r,
                   const struct runner_result *x, uint64_t sent_us)
 {
   guint i = 0;
 
-  if (r->ends_incomplete)
-    return;
   while (i < r->tasks->len)
     {
       struct task *t = g_ptr_array_index (r->tasks, i);
@@ -136,8 +136,9 @@
           i++;
           continue;
         }
-      if (t->phase == TASK_STOPPING
-          && (t->stop_acked_at_us == 0 || t->stop_acked_at_us >= sent_us))
+      if (r->ends_incomplete
+          || (t->phase == TASK_STOPPING
+              && (t->stop_acked_at_us == 0 || t->stop_acked_at_us >= sent_us)))
         {
           i++;
           continue;
--- a/core/cell/progress_records.c
+++ b/core/cell/progress_records.c
@@ -379,8 +379,7 @@
 void
 progress_restore (struct cell *c, struct job *j)
 {
-  uint32_t per_occurrence
-      = MAX (progress_tasks_per_occurrence (j->spec), 1);
+  uint32_t per_occurrence = MAX (progress_tasks_per_occurrence (j->spec), 1);
   struct recovered_progress *p;
   uint64_t end = 0;
 
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -162,15 +162,22 @@
 
 /* Returns true if a poll of R may acknowledge ends.  A new boot numbers its
    ends anew, and one that we do not know of must not forget any.  It can have
-   some only if it took a start that we have no answer to.  */
+   some only if it took a start that we have no answer to.  While R's list of
+   ends is full, no poll can tell that such a run has ended, so an acknowledged
+   stop is enough.  */
 static bool
 may_acknowledge (const struct runner *r)
 {
   guint i;
 
   for (i = 0; i < r->tasks->len; i++)
-    if (start_is_open (g_ptr_array_index (r->tasks, i)))
-      return false;
+    {
+      const struct task *t = g_ptr_array_index (r->tasks, i);
+
+      if (start_is_open (t)
+          && !(r->ends_incomplete && t->stop_acked_at_us != 0))
+        return false;
+    }
   return r->miss_count == 0;
 }
 
