Store the terms of a job's queue with the job

Cause: the pool, the priority, the limit of attempts and the objective of a queue came from a configuration only. A queue that was removed before an entry started is not known to it, and its jobs are left out.

Change: the record of a job has the terms of its queue, and a new owner restores from it a queue that no configuration has. New jobs of the queue are refused as before.

--- a/adapter/job_codec.c
+++ b/adapter/job_codec.c
@@ -180,13 +180,18 @@
 static void
 pack_job_record (msgpack_packer *p, const struct append_record *x)
 {
-  msgpack_pack_array (p, 6);
+  msgpack_pack_array (p, 7);
   msgpack_pack_uint8 (p, RECORD_JOB);
   pack_text (p, x->queue);
   pack_text (p, x->tenant);
   msgpack_pack_uint64 (p, x->accepted_at_ms);
   job_pack (p, x->spec);
   pack_run_pools (p, x);
+  msgpack_pack_array (p, 4);
+  msgpack_pack_uint32 (p, x->terms->priority);
+  msgpack_pack_uint32 (p, x->terms->attempt_limit);
+  msgpack_pack_uint32 (p, x->terms->stretch_milli);
+  msgpack_pack_uint32 (p, x->terms->objective_slack_ms);
 }
 
 /* Writes the row of a task and returns its length.  A row is a byte with the
@@ -530,6 +535,24 @@
   return !u->failed && !rows.failed;
 }
 
+/* Reads the terms of a job's queue.  Records of earlier builds end before
+   them.  */
+static void
+unpack_terms (struct unpack *u, struct recovered_record *r)
+{
+  struct unpack t;
+
+  if (u->next >= u->item_count)
+    return;
+  unpack_array (u, &t);
+  r->terms.priority = (uint32_t)unpack_number (&t, UINT32_MAX);
+  r->terms.attempt_limit = (uint32_t)unpack_number (&t, UINT32_MAX);
+  r->terms.stretch_milli = (uint32_t)unpack_number (&t, UINT32_MAX);
+  r->terms.objective_slack_ms = (uint32_t)unpack_number (&t, UINT32_MAX);
+  r->has_terms = true;
+  u->failed |= t.failed;
+}
+
 static bool
 unpack_record (TALLOC_CTX *mem, const msgpack_object *o,
                struct recovered_record *r)
@@ -557,6 +580,7 @@
   r->accepted_at_ms = unpack_number (&u, UINT64_MAX);
   r->spec = job_unpack (mem, &u);
   unpack_run_pools (mem, &u, r);
+  unpack_terms (&u, r);
   return !u.failed;
 }
 
--- a/core/cell/catalog.c
+++ b/core/cell/catalog.c
@@ -2,7 +2,8 @@
 
    Before the first configuration was read, none is known.  A queue or a limit
    that a newer configuration lacks is kept as it was last configured: jobs of
-   the queue were accepted and have to be done.  */
+   the queue were accepted and have to be done.  An owner that has started
+   since takes such a queue from the records of its jobs.  */
 
 #include "core/cell/state.h"
 
@@ -16,7 +17,30 @@
 {
   const struct site_queue *q = g_hash_table_lookup (c->queues, name);
 
-  return q != NULL ? q : g_hash_table_lookup (c->dropped_queues, name);
+  return q != NULL || c->config == NULL
+             ? q
+             : g_hash_table_lookup (c->dropped_queues, name);
+}
+
+void
+catalog_restore_queue (struct cell *c, const struct job *j)
+{
+  struct site_queue *q;
+
+  if (!j->has_terms || j->pool_count == 0
+      || cell_queue_is_configured (c, j->queue)
+      || g_hash_table_contains (c->dropped_queues, j->queue))
+    return;
+  q = g_new0 (struct site_queue, 1);
+  text_copy (q->name, NAME_BYTES, j->queue);
+  text_copy (q->pool, NAME_BYTES, j->pools[j->pool_count - 1]);
+  q->priority = j->terms.priority;
+  q->attempt_limit = j->terms.attempt_limit;
+  q->stretch_milli = j->terms.stretch_milli;
+  q->objective_slack_ms = j->terms.objective_slack_ms;
+  g_hash_table_insert (c->dropped_queues, q->name, q);
+  cell_log (c, "queue_restored", j->id, "\"queue\":\"%s\",\"pool\":\"%s\"",
+            q->name, q->pool);
 }
 
 bool
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -430,6 +430,12 @@
   j->over_rate = over_rate;
   job_pools_add (j, q->pool);
   j->pools_known = true;
+  j->terms
+      = (struct queue_terms){ .priority = q->priority,
+                              .attempt_limit = q->attempt_limit,
+                              .stretch_milli = q->stretch_milli,
+                              .objective_slack_ms = q->objective_slack_ms };
+  j->has_terms = true;
   g_array_append_val (j->waiters, *w);
   jobs_mark_dirty (c, j);
   c->flush_now = true;
--- a/core/cell/records.c
+++ b/core/cell/records.c
@@ -44,6 +44,7 @@
   x->queue = j->queue;
   x->tenant = j->tenant;
   x->accepted_at_ms = j->accepted_at_ms;
+  x->terms = &j->terms;
   x->spec = j->spec;
   x->run_pools = j->pools;
   x->run_pool_count = j->sent_pool_count = j->pool_count;
@@ -335,6 +336,8 @@
       j->spec = talloc_steal (j, r->spec);
       r->spec = NULL;
       j->accepted_at_ms = r->accepted_at_ms;
+      j->terms = r->terms;
+      j->has_terms = r->has_terms;
     }
   else if (r->final)
     {
@@ -371,6 +374,7 @@
   j->accepted_at_us
       = c->now_us > age_ms * US_PER_MS ? c->now_us - age_ms * US_PER_MS : 0;
   j->arrived_at_us = j->accepted_at_us;
+  catalog_restore_queue (c, j);
   progress_restore (c, j);
   if (j->final)
     return;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -166,11 +166,13 @@
   uint64_t id;
   char queue[NAME_BYTES];
   char tenant[NAME_BYTES];
-  struct job_spec *spec;   /**< NULL when final and its tasks are freed.  */
-  uint64_t accepted_at_ms; /**< Unix time.  */
-  uint64_t accepted_at_us; /**< accepted_at_ms on this entry's clock.  */
-  uint64_t arrived_at_us;  /**< When its call arrived at an entry; after a
-                         takeover accepted_at_us.  */
+  struct queue_terms terms; /**< Of its queue when it was accepted.  */
+  bool has_terms;           /**< terms is set.  */
+  struct job_spec *spec;    /**< NULL when final and its tasks are freed.  */
+  uint64_t accepted_at_ms;  /**< Unix time.  */
+  uint64_t accepted_at_us;  /**< accepted_at_ms on this entry's clock.  */
+  uint64_t arrived_at_us;   /**< When its call arrived at an entry; after a
+                          takeover accepted_at_us.  */
   uint64_t objective_deadline_us; /**< When it should be completed to have
                                      its full value.  */
   uint64_t ended_at_ms;           /**< Unix time.  */
@@ -597,8 +599,8 @@
 /* catalog.c: the queues, pools and tenants that the cell knows.  */
 /** Returns the queue NAME, which the newest configuration may have dropped, or
     NULL if it is not known: before the first configuration was read, or if
-    none that this entry has read had it.  What depends on the queue waits
-    then.  */
+    none that this entry has read had it and no job's record tells its terms.
+    What depends on the queue waits then.  */
 const struct site_queue *cell_find_queue (const struct cell *c,
                                           const char *name);
 /** Returns true if the newest configuration has the queue NAME.  */
@@ -610,6 +612,9 @@
     else a resource that is 0 has no limit.  */
 const struct resources *cell_find_limit (const struct cell *c,
                                          const char *tenant);
+/** Restores the queue of J, which a former owner accepted, if no configuration
+    that this entry has read has it.  */
+void catalog_restore_queue (struct cell *c, const struct job *j);
 /** Makes CONFIG, a child of C, the newest configuration.  */
 void catalog_set_config (struct cell *c, struct site_config *config);
 
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -54,6 +54,7 @@
   const char *queue;
   const char *tenant;
   uint64_t accepted_at_ms;
+  const struct queue_terms *terms; /**< Of the job's queue.  */
   const struct job_spec *spec;
   const char (*run_pools)[NAME_BYTES]; /**< Pools in which runs of the job may
                                           be.  */
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -224,7 +224,10 @@
   uint64_t job;
   char queue[NAME_BYTES];
   char tenant[NAME_BYTES];
-  uint64_t accepted_at_ms; /**< Unix time.  */
+  uint64_t accepted_at_ms;  /**< Unix time.  */
+  bool has_terms;           /**< terms is set; records of earlier builds have
+                               none.  */
+  struct queue_terms terms; /**< Of the job's queue when it was accepted.  */
   struct job_spec *spec;
   /** Pools in which runs of the job may be, beside those that other records of
       it name; none: the record is of an earlier build.  */
--- a/port/site_config.h
+++ b/port/site_config.h
@@ -32,6 +32,16 @@
   uint32_t ticket_ttl_ms; /**< Lifetime of that service's tickets.  */
 };
 
+/** What a queue promises its jobs, apart from the pool.  The fields are those
+    of struct site_queue.  */
+struct queue_terms
+{
+  uint32_t priority;
+  uint32_t attempt_limit;
+  uint32_t stretch_milli;
+  uint32_t objective_slack_ms;
+};
+
 /** A pool of VMs.  */
 struct site_pool
 {
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -442,6 +442,11 @@
     get_text (row, "queue", r->queue, NAME_BYTES);
     get_text (row, "tenant", r->tenant, NAME_BYTES);
     read_run_pools (row, e, r);
+    r->has_terms = json_object_get (row, "terms") != NULL;
+    r->terms.attempt_limit
+        = (uint32_t)get_number (json_object_get (row, "terms"), "attempts", 0);
+    r->terms.stretch_milli = 1600;
+    r->terms.objective_slack_ms = 600;
     r->accepted_at_ms = get_number (row, "accepted", START_MS);
     r->final = get_flag (row, "final");
     r->state = r->final ? JOB_COMPLETED : JOB_QUEUED;
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -66,9 +66,11 @@
       = { .name = "p", .surge_began_at_ms = 5, .peak_vm_count = 9 };
   struct vm_order_note vm_orders[2] = { { "m-1", 3300 }, { "m-2", 40 } };
   const char run_pools[2][NAME_BYTES] = { "p", "s" };
+  struct queue_terms terms = { 1, 5, 1600, 600 };
   struct append_record items[] = {
     { .kind = APPEND_RECORD_JOB,
       .job = j->id,
+      .terms = &terms,
       .run_pools = run_pools,
       .run_pool_count = 1,
       .queue = "q",
@@ -116,6 +118,9 @@
   g_assert_cmpuint (row.spec->payload->size_bytes, ==, 7);
   g_assert_cmpuint (row.run_pool_count, ==, 1);
   g_assert_cmpstr (row.run_pools[0], ==, "p");
+  g_assert_true (row.has_terms);
+  g_assert_cmpuint (row.terms.attempt_limit, ==, 5);
+  g_assert_cmpuint (row.terms.objective_slack_ms, ==, 600);
   g_assert_true (recovered_record_unpack (
       mem, r.items[1].key, r.items[1].value, r.items[1].value_bytes, &row));
   g_assert_cmpuint (row.task_count, ==, 2);
@@ -284,7 +289,9 @@
 {
   TALLOC_CTX *mem = talloc_new (NULL);
   struct job_spec *j = make_job_spec (mem);
+  struct queue_terms terms = { 0 };
   struct append_record item = { .kind = APPEND_RECORD_JOB,
+                                .terms = &terms,
                                 .job = j->id,
                                 .queue = "q",
                                 .tenant = "t",
