--- a/core/cell/progress_records.c
+++ b/core/cell/progress_records.c
@@ -150,7 +150,7 @@
 
   r->first_task = from;
   r->tasks = talloc_zero_array (a->records, struct task_progress,
-                                SEGMENT_TASK_COUNT);
+                                (uint32_t)(end - from) + 1);
   if (r->tasks == NULL)
     out_of_memory ();
   for (n = from; n < end; n++)
@@ -286,7 +286,9 @@
   uint64_t n;
 
   j->sent_segment = 0;
-  for (n = first_known_task (j); j->spec != NULL && n < end_of_tasks (j); n++)
+  if (j->spec == NULL)
+    return;
+  for (n = first_known_task (j); n < end_of_tasks (j); n++)
     {
       struct task *t = task_at (j, n);
 
