Copy the names of a dispatch round's pools

The round's table of pools had the names in a job's list of pools as keys; the list may move when a pool is added to it in the same round. Found by reading; no run failed. ASan runs of test_cell pass.

--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -200,7 +200,7 @@
   if (p == NULL)
     {
       p = g_new0 (struct pool_round, 1);
-      g_hash_table_insert (pools, (gpointer)pool, p);
+      g_hash_table_insert (pools, g_strdup (pool), p);
     }
   return p;
 }
@@ -450,7 +450,7 @@
 {
   GArray *candidates = collect_candidates (c);
   GHashTable *pools
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   guint i;
 
   for (i = 0; i < candidates->len
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -110,9 +110,10 @@
     R on no VM that is up.  Then R was shut down, and all its runs have
     ended.  */
 bool fleet_runner_is_gone (const struct cell *c, const struct runner *r);
-/** Returns how many runners of POOL that a former owner may have used have not
-    answered us, LIMIT at most, and sets FIRST to the id of one.  Before both
-    lists are read there may be more.  */
+/** Returns how many runners of POOL, which may be EVERY_POOL here and below,
+    that a former owner may have used have not answered us, LIMIT at most, and
+    sets FIRST to the id of one.  Before both lists are read there may be
+    more.  */
 uint32_t fleet_count_unreached (const struct cell *c, const char *pool,
                                 uint32_t limit, const char **first);
 /** Returns true if there is one, or may be as a list is not read yet.  */
