--- a/tests/test_scale.c
+++ b/tests/test_scale.c
@@ -10,9 +10,9 @@
 #include <string.h>
 #include <time.h>
 
-#define RUNNER_COUNT 1000
-#define FEW_ENTRY_COUNT 40
-#define MANY_ENTRY_COUNT 400
+#define RUNNER_COUNT 1000u
+#define FEW_ENTRY_COUNT 40u
+#define MANY_ENTRY_COUNT 400u
 /** Ten times the entries may take this many times as long, reading the longer
     script included.  */
 #define GROWTH_LIMIT 6
