Log each run that is given up, and how old the proof of ownership is

run_given_up has a line for each such run, with its job, the reason and the age of the runner's last answer; it takes the place of run_not_reported. start_ordered tells how the run before came to be over. Both have confirmed_ms, the age of the newest append that the store took under this owner's token: until it was sent no other entry had taken the cell. No decision depends on any of this.

--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -338,14 +338,14 @@
   if (i < s->spec->task_count)
     {
       while (i-- > 0)
-        task_release (c, &s->tasks[i]);
+        task_release (c, &s->tasks[i], RUN_NEVER);
       return;
     }
   for (i = 0; i < s->spec->task_count; i++)
     {
       struct runner *r = s->tasks[i].runner;
 
-      task_release (c, &s->tasks[i]);
+      task_release (c, &s->tasks[i], RUN_NEVER);
       s->tasks[i].run = run;
       /* A gang restarts from one checkpoint.  */
       text_copy (s->tasks[i].checkpoint, CHECKPOINT_BYTES,
--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -143,12 +143,7 @@
           i++;
           continue;
         }
-      if (t->phase == TASK_RUNNING)
-        cell_log (c, "run_not_reported", task_job (t)->id,
-                  "\"task\":\"%u.%u.%u\",\"run\":%u,\"runner\":\"%s\"",
-                  t->step->occurrence->number, t->step->number, t->index,
-                  t->run, r->report.id);
-      task_release (c, t);
+      task_release (c, t, RUN_NOT_REPORTED);
     }
 }
 
--- a/core/cell/records.c
+++ b/core/cell/records.c
@@ -287,6 +287,7 @@
       break;
     }
   a->in_flight = false;
+  c->ownership.confirmed_at_us = a->began_at_us;
   for (i = 0; i < a->job_ids->len; i++)
     {
       struct job *j = jobs_find (c, g_array_index (a->job_ids, uint64_t, i));
--- a/core/cell/registrations.c
+++ b/core/cell/registrations.c
@@ -112,7 +112,7 @@
 void
 runners_drop (struct cell *c, struct runner *r)
 {
-  runners_release_tasks (c, r, "forgotten");
+  runners_release_tasks (c, r, RUN_FORGOTTEN);
   drop_orders (c, r);
   clear_failed_on (c, r);
   g_hash_table_remove (c->runners, r->report.id);
@@ -159,7 +159,7 @@
       runners_schedule_poll (c, r, 0);
       return false;
     }
-  runners_reset_boot (c, r, n->booted_at_ms, "new_boot");
+  runners_reset_boot (c, r, n->booted_at_ms, RUN_NEW_BOOT);
   return true;
 }
 
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -243,7 +243,7 @@
 
 /* Logs that N runs on R have ended, WHY.  */
 static void
-log_lost_runs (struct cell *c, const struct runner *r, const char *why,
+log_lost_runs (struct cell *c, const struct runner *r, enum run_over why,
                uint32_t n)
 {
   if (n == 0)
@@ -254,25 +254,25 @@
       "\"runner\":\"%s\",\"why\":\"%s\",\"runs\":%u,\"misses\":%u,"
       "\"answer_age_ms\":%llu,\"lease_end_ms\":%llu,"
       "\"clock_ms\":%llu,\"clock_age_ms\":%llu",
-      r->report.id, why, n, r->miss_count,
+      r->report.id, run_over_name (why), n, r->miss_count,
       (unsigned long long)((c->now_us - r->answered_at_us) / US_PER_MS),
       (unsigned long long)r->lease_until_ms, (unsigned long long)r->clock_ms,
       (unsigned long long)((c->now_us - r->clock_read_at_us) / US_PER_MS));
 }
 
 void
-runners_release_tasks (struct cell *c, struct runner *r, const char *why)
+runners_release_tasks (struct cell *c, struct runner *r, enum run_over why)
 {
   log_lost_runs (c, r, why, r->tasks->len);
   while (r->tasks->len > 0)
-    task_release (c, g_ptr_array_index (r->tasks, r->tasks->len - 1));
+    task_release (c, g_ptr_array_index (r->tasks, r->tasks->len - 1), why);
 }
 
 /* Releases the tasks of R whose runs have ended with its boot, and logs it
    with the reason WHY.  Those whose starts are open stay, and are polled for,
    and stopped if a poll does not list them.  */
 static void
-release_boot (struct cell *c, struct runner *r, const char *why)
+release_boot (struct cell *c, struct runner *r, enum run_over why)
 {
   uint32_t lost_count = 0;
   guint i;
@@ -287,7 +287,7 @@
 
       if (!start_is_open (t))
         {
-          task_release (c, t);
+          task_release (c, t, why);
           continue;
         }
       t->phase = TASK_UNCONFIRMED;
@@ -298,7 +298,7 @@
 
 void
 runners_reset_boot (struct cell *c, struct runner *r, uint64_t booted_at_ms,
-                    const char *why)
+                    enum run_over why)
 {
   release_boot (c, r, why);
   if (r->report.booted_at_ms != booted_at_ms)
@@ -368,13 +368,13 @@
   bool is_start = t != NULL && x->kind == ORDER_START;
 
   if (is_start && refused)
-    task_release (c, t);
+    task_release (c, t, RUN_REFUSED);
   /* A refusal may come from another runner at R's address, so the boot that it
      names is used only if it is later.  */
   runners_reset_boot (c, r,
                       refused ? MAX (x->booted_at_ms, r->report.booted_at_ms)
                               : x->booted_at_ms,
-                      "another_boot");
+                      RUN_OTHER_BOOT);
   r->boot_named = !refused;
   if (refused)
     {
@@ -576,9 +576,9 @@
 {
   if (r->tasks->len > 0 && r->miss_count >= LOST_MISS_COUNT
       && runners_lease_expired (c, r))
-    runners_release_tasks (c, r, "lease_expired");
+    runners_release_tasks (c, r, RUN_LEASE_EXPIRED);
   if (r->tasks->len > 0 && r->miss_count > 0 && fleet_runner_is_gone (c, r))
-    runners_release_tasks (c, r, "vm_down");
+    runners_release_tasks (c, r, RUN_VM_DOWN);
   repeat_stops (c, r);
   if (r->report.draining)
     evict_from_draining (c, r);
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -83,6 +83,21 @@
                          record that names that pool is not stored yet.  */
 };
 
+/** Why it is certain that a run is over, or never was.  */
+enum run_over
+{
+  RUN_NEVER,         /**< It was not ordered.  */
+  RUN_REFUSED,       /**< Its runner refused the start.  */
+  RUN_ENDED,         /**< Its runner listed its end.  */
+  RUN_NOT_REPORTED,  /**< Its runner does not list it.  */
+  RUN_LEASE_EXPIRED, /**< Its silent runner's lease has expired.  */
+  RUN_VM_DOWN,       /**< The platform lists its VM as down.  */
+  RUN_NEW_BOOT,      /**< A registration names a newer boot.  */
+  RUN_OTHER_BOOT,    /**< An answer to an order names another boot.  */
+  RUN_FORGOTTEN,     /**< Its runner is forgotten.  */
+  RUN_OVER_COUNT
+};
+
 struct job;
 struct runner;
 
@@ -106,6 +121,7 @@
   bool start_confirmed;         /**< This run is known to have started.  */
   uint64_t stop_acked_at_us;    /**< When its stop was acknowledged, or 0.  */
   uint64_t ready_at_us;         /**< When it became able to start.  */
+  enum run_over last_run_over;  /**< How its last run came to be over.  */
   uint64_t working_at_us;   /**< When this run last worked; 0: never.  Set, but
                                not used.  */
   uint32_t work_percent;    /**< Reported: of a short task, the part that is
@@ -422,6 +438,9 @@
   uint64_t join_sent_at_us;
   uint64_t joined_at_us; /**< When the last join that was answered was sent; 0:
                             none was.  */
+  uint64_t confirmed_at_us; /**< When the newest append that was stored under
+                               our token was first sent: no newer owner had
+                               fenced the records by then.  */
   uint32_t unassigned_join_count; /**< Joins in a row that assigned the cell to
                                    another member.  */
   uint64_t next_find_at_us; /**< When we may ask for the holder again.  */
@@ -775,8 +794,11 @@
 void task_start (struct cell *c, struct task *t, struct runner *r);
 /** Orders T's runner to stop it, if it has one.  */
 void task_stop (struct cell *c, struct task *t);
-/** Frees T's room on its runner; T waits again unless it is done.  */
-void task_release (struct cell *c, struct task *t);
+/** Returns the name of WHY in log lines.  */
+const char *run_over_name (enum run_over why);
+/** Frees T's room on its runner, as its run is over by WHY; T waits again
+    unless it is done.  */
+void task_release (struct cell *c, struct task *t, enum run_over why);
 /** Marks T as done, and its step, occurrence and job if it was the last.  */
 void task_complete (struct cell *c, struct task *t);
 /** Ends J if all its occurrences are done, those to come included.  */
@@ -803,14 +825,15 @@
 const GPtrArray *runners_for_task (const struct cell *c, const struct task *t);
 
 /* runners.c: leases of runners, polls and orders.  */
-/** Releases the tasks of R, whose runs have certainly ended, and logs it with
-    the reason WHY.  */
-void runners_release_tasks (struct cell *c, struct runner *r, const char *why);
-/** Handles that R was restarted: it has none of our runs, which are released
-    with the reason WHY, and another clock.  Its boot started at BOOTED_AT_MS,
-    in Unix time; 0: not known.  */
+/** Releases the tasks of R, whose runs are certainly over by WHY, and logs
+    it.  */
+void runners_release_tasks (struct cell *c, struct runner *r,
+                            enum run_over why);
+/** Handles that R was restarted, as WHY tells: it has none of our runs, which
+    are released, and another clock.  Its boot started at BOOTED_AT_MS, in Unix
+    time; 0: not known.  */
 void runners_reset_boot (struct cell *c, struct runner *r,
-                         uint64_t booted_at_ms, const char *why);
+                         uint64_t booted_at_ms, enum run_over why);
 void runners_on_result (struct cell *c, struct runner_result *x);
 void runners_tick (struct cell *c);
 void runners_clear (struct cell *c);
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -32,6 +32,23 @@
         [TASK_RUNNING] = "running",         [TASK_STOPPING] = "stopping",
         [TASK_UNCONFIRMED] = "unconfirmed", [TASK_DONE] = "done" };
 
+const char *
+run_over_name (enum run_over why)
+{
+  static const char *const names[RUN_OVER_COUNT]
+      = { [RUN_NEVER] = "",
+          [RUN_REFUSED] = "refused",
+          [RUN_ENDED] = "ended",
+          [RUN_NOT_REPORTED] = "not_reported",
+          [RUN_LEASE_EXPIRED] = "lease_expired",
+          [RUN_VM_DOWN] = "vm_down",
+          [RUN_NEW_BOOT] = "new_boot",
+          [RUN_OTHER_BOOT] = "another_boot",
+          [RUN_FORGOTTEN] = "forgotten" };
+
+  return why < RUN_OVER_COUNT ? names[why] : "";
+}
+
 struct job *
 task_job (const struct task *t)
 {
@@ -79,13 +96,36 @@
   t->step->waiting_count--;
 }
 
+/* Logs that the run of T is given up by WHY, without an end that its runner
+   listed.  */
+static void
+log_run_given_up (struct cell *c, const struct task *t, enum run_over why)
+{
+  const struct runner *r = t->runner;
+
+  cell_log (c, "run_given_up", task_job (t)->id,
+            "\"task\":\"%u.%u.%u\",\"run\":%u,\"runner\":\"%s\","
+            "\"why\":\"%s\",\"answer_age_ms\":%llu,\"token\":%llu,"
+            "\"confirmed_ms\":%llu",
+            t->step->occurrence->number, t->step->number, t->index, t->run,
+            r->report.id, run_over_name (why),
+            (unsigned long long)((c->now_us - r->answered_at_us) / US_PER_MS),
+            (unsigned long long)c->ownership.token,
+            (unsigned long long)((c->now_us - c->ownership.confirmed_at_us)
+                                 / US_PER_MS));
+}
+
 void
-task_release (struct cell *c, struct task *t)
+task_release (struct cell *c, struct task *t, enum run_over why)
 {
   struct resources room = place_occupied_by (t->step->spec);
 
   if (t->runner == NULL)
     return;
+  if (why > RUN_ENDED)
+    log_run_given_up (c, t, why);
+  if (why > RUN_REFUSED)
+    t->last_run_over = why;
   g_ptr_array_remove_fast (t->runner->tasks, t);
   resources_subtract (&t->runner->used, &room);
   resources_subtract (usage_of (c, task_job (t)->tenant),
@@ -121,11 +161,15 @@
   text_copy (o->checkpoint, CHECKPOINT_BYTES, t->checkpoint);
   cell_log (c, "start_ordered", j->id,
             "\"task\":\"%u.%u.%u\",\"run\":%u,\"runner\":\"%s\","
-            "\"token\":%llu,\"used_milli\":%llu,\"waited_ms\":%llu",
+            "\"token\":%llu,\"used_milli\":%llu,\"waited_ms\":%llu,"
+            "\"after\":\"%s\",\"confirmed_ms\":%llu",
             t->step->occurrence->number, t->step->number, t->index, t->run,
             r->report.id, (unsigned long long)c->ownership.token,
             (unsigned long long)r->used.cpu_milli,
-            (unsigned long long)((c->now_us - t->ready_at_us) / US_PER_MS));
+            (unsigned long long)((c->now_us - t->ready_at_us) / US_PER_MS),
+            run_over_name (t->last_run_over),
+            (unsigned long long)((c->now_us - c->ownership.confirmed_at_us)
+                                 / US_PER_MS));
 }
 
 void
@@ -361,7 +405,7 @@
   if (task_job (t)->final)
     {
       if (is_current_run)
-        task_release (c, t);
+        task_release (c, t, RUN_ENDED);
       return;
     }
   switch (e->kind)
@@ -377,7 +421,7 @@
       break;
     }
   if (is_current_run)
-    task_release (c, t);
+    task_release (c, t, RUN_ENDED);
 }
 
 void
@@ -422,5 +466,5 @@
       break;
     }
   /* The start was refused, so this run does not exist and never will.  */
-  task_release (c, t);
+  task_release (c, t, RUN_REFUSED);
 }
