Reproduce tasks started twice by an owner that is cut off with some runners

The model's faults had an owner that is cut off from all, or from the store, and runners that nobody reaches. The new fault forms such an island for 4 to 14 s; it may hold other entries, share runners with the rest, or lose messages in one direction only. It is not among the faults of the scripts that name none, whose plays stay the same.

--- a/tests/model.c
+++ b/tests/model.c
@@ -93,6 +93,23 @@
          && e->model->now_us >= e->cut_until_us;
 }
 
+bool
+model_entry_reaches_cloud (const struct model_entry *e)
+{
+  const struct model *m = e->model;
+
+  return model_entry_reaches (e)
+         && (m->island_has_cloud || !model_island_has (m, e->side));
+}
+
+/* Returns true if A and B can exchange messages.  */
+static bool
+entries_reach (const struct model_entry *a, const struct model_entry *b)
+{
+  return model_entry_reaches (a) && model_entry_reaches (b)
+         && !model_island_parts_pair (a->model, a->side, b->side);
+}
+
 struct model_entry *
 model_owner (struct model *m)
 {
@@ -191,7 +208,7 @@
       struct model_entry *o = &m->entries[i];
 
       if (o == e || strcmp (o->address, e->wanted_address) != 0
-          || !model_entry_reaches (o))
+          || !entries_reach (e, o))
         continue;
       e->linked = o;
       e->linked_process = o->process;
@@ -222,7 +239,7 @@
       close_link (e);
       return;
     }
-  if (model_entry_reaches (e) && model_entry_reaches (o))
+  if (entries_reach (e, o))
     e->link_heard_at_us = m->now_us;
   else if (m->now_us >= e->link_heard_at_us + LINK_SILENCE_US)
     {
@@ -255,7 +272,7 @@
 link_carries (const struct model_entry *e)
 {
   return e->linked != NULL && e->linked->process == e->linked_process
-         && model_entry_reaches (e) && model_entry_reaches (e->linked);
+         && entries_reach (e, e->linked);
 }
 
 static void
--- a/tests/model.h
+++ b/tests/model.h
@@ -9,6 +9,7 @@
    model.c has the clock, the entries and their links; model_store.c the store;
    model_runner.c the runners; model_cloud.c the cloud; model_clients.c clients
    that ask, cancel and submit again; model_faults.c the load and the faults;
+   model_island.c entries and runners that are cut off together;
    model_limits.c limits of processor time and of the store; model_rules.c what
    must hold.  */
 
@@ -62,9 +63,39 @@
   MODEL_LINKS_BROKEN,     /**< Of one entry, or of all.  */
   MODEL_ENTRY_READS_LATE, /**< The store's claims and registrations.  */
   MODEL_OWNER_LOST,       /**< It never comes back.  */
+  /* The owner is cut off with half of the runners.  */
+  MODEL_OWNER_ISLANDED,
+  MODEL_ENTRIES_ISLANDED, /**< With other entries, too.  */
+  MODEL_ISLAND_SHARED,    /**< Both sides reach some runners.  */
+  MODEL_ISLAND_HALF_CUT,  /**< Messages pass in one direction only.  */
   MODEL_FAULT_COUNT
 };
 
+/** Where an entry or a runner is while there is an island.  */
+enum model_side
+{
+  MODEL_MAIN, /**< With the store.  */
+  MODEL_ISLAND,
+  MODEL_BOTH_SIDES
+};
+
+/** Which messages between the island and the rest get lost.  */
+enum model_direction
+{
+  MODEL_ISLAND_CUT,     /**< All.  */
+  MODEL_ISLAND_SENDS,   /**< Those to the island.  */
+  MODEL_ISLAND_RECEIVES /**< Those from the island.  */
+};
+
+/** What an island is made of beside the owner and runners.  */
+enum model_island_kind
+{
+  MODEL_ISLAND_OF_OWNER,
+  MODEL_ISLAND_OF_ENTRIES,
+  MODEL_ISLAND_WITH_SHARED,
+  MODEL_ISLAND_ONE_WAY
+};
+
 /** What a run is made of.  */
 struct model_options
 {
@@ -139,6 +170,7 @@
   GPtrArray *polls;      /**< struct model_call that waits for an end.  */
   uint64_t cut_until_us; /**< It reaches no entry until then.  */
   uint64_t store_cut_until_us;
+  enum model_side side;
   bool registered;
   uint64_t silent_at_us;         /**< When the store last heard of it.  */
   uint64_t registration_version; /**< Of the newest change.  */
@@ -170,9 +202,10 @@
   uint64_t slow_until_us;
   uint64_t slow_us; /**< Delay of its events until then.  */
   uint64_t late_until_us;
-  uint64_t late_us;      /**< Delay of news of the store until then.  */
-  bool lost;             /**< It never starts again.  */
-  int64_t clock_step_ms; /**< Of its wall clock.  */
+  uint64_t late_us; /**< Delay of news of the store until then.  */
+  bool lost;        /**< It never starts again.  */
+  enum model_side side;
+  int64_t clock_step_ms;              /**< Of its wall clock.  */
   char wanted_address[ADDRESS_BYTES]; /**< Relay it is to be linked to.  */
   struct model_entry *linked;         /**< Other end of its link, or NULL.  */
   uint32_t linked_process;
@@ -312,6 +345,9 @@
   GHashTable *questions; /**< Number of a call to struct model_question.  */
   uint64_t last_call_id;
   uint64_t cloud_down_until_us;
+  uint64_t island_until_us; /**< There is an island until then.  */
+  enum model_direction island_direction;
+  bool island_has_cloud; /**< The island reaches the cloud.  */
   uint64_t orders_lost_until_us;
   uint64_t orders_late_until_us;
   uint64_t disturbed_until_us; /**< End of the newest fault so far.  */
@@ -353,6 +389,23 @@
 struct model_entry *model_owner (struct model *m);
 /** Returns true if the entry can exchange messages with others.  */
 bool model_entry_reaches (const struct model_entry *e);
+/** Returns true if the cloud, while it is up, answers E.  */
+bool model_entry_reaches_cloud (const struct model_entry *e);
+
+/* model_island.c */
+/** Has OWNER and half of the runners form an island of KIND for FOR_US.  */
+void model_island_form (struct model *m, struct model_entry *owner,
+                        enum model_island_kind kind, uint64_t for_us);
+/** Returns true if there is an island now.  */
+bool model_island_exists (const struct model *m);
+/** Returns true if what is sent FROM one side TO another gets lost.  */
+bool model_island_parts (const struct model *m, enum model_side from,
+                         enum model_side to);
+/** The same in either direction.  */
+bool model_island_parts_pair (const struct model *m, enum model_side a,
+                              enum model_side b);
+/** Returns true if who is on SIDE is on the island now.  */
+bool model_island_has (const struct model *m, enum model_side side);
 
 /* model_store.c */
 void model_store_action (struct model_entry *e, const struct cell_action *a);
--- a/tests/model_cloud.c
+++ b/tests/model_cloud.c
@@ -54,7 +54,7 @@
   struct model_vm *v = &m->vms[vm];
 
   text_copy (ev->u.vm_result.vm, NAME_BYTES, a->u.vm_order.vm);
-  if (!model_entry_reaches (e) || m->now_us < m->cloud_down_until_us)
+  if (!model_entry_reaches_cloud (e) || m->now_us < m->cloud_down_until_us)
     {
       ev->u.vm_result.outcome
           = model_random (m, 2) == 0 ? ORDER_UNAVAILABLE : ORDER_UNKNOWN;
@@ -79,7 +79,7 @@
   struct cell_event *ev = model_event (CELL_VMS);
   uint32_t i;
 
-  if (!model_entry_reaches (e) || m->now_us < m->cloud_down_until_us)
+  if (!model_entry_reaches_cloud (e) || m->now_us < m->cloud_down_until_us)
     {
       model_post (e, e->process,
                   model_random (m, 2) == 0 ? CLOUD_TIMEOUT_US : 5000, ev);
--- a/tests/model_faults.c
+++ b/tests/model_faults.c
@@ -58,6 +58,10 @@
   [MODEL_LINKS_BROKEN] = "links_broken",
   [MODEL_ENTRY_READS_LATE] = "entry_reads_late",
   [MODEL_OWNER_LOST] = "owner_lost",
+  [MODEL_OWNER_ISLANDED] = "owner_islanded",
+  [MODEL_ENTRIES_ISLANDED] = "entries_islanded",
+  [MODEL_ISLAND_SHARED] = "island_shared",
+  [MODEL_ISLAND_HALF_CUT] = "island_half_cut",
 };
 
 struct planned_fault
@@ -420,6 +424,19 @@
   model_disturb (m, until_us);
 }
 
+static void
+form_island (struct model *m, enum model_fault kind)
+{
+  struct model_entry *owner = model_owner (m);
+  uint64_t for_us = model_between (m, 4000, 14000) * US_PER_MS;
+
+  if (owner == NULL || model_island_exists (m))
+    return;
+  model_island_form (
+      m, owner, MODEL_ISLAND_OF_OWNER + kind - MODEL_OWNER_ISLANDED, for_us);
+  model_disturb (m, m->now_us + for_us);
+}
+
 static void
 apply_fault (struct model *m, void *argument)
 {
@@ -470,6 +487,12 @@
     case MODEL_LINKS_BROKEN:
       break_links (m);
       break;
+    case MODEL_OWNER_ISLANDED:
+    case MODEL_ENTRIES_ISLANDED:
+    case MODEL_ISLAND_SHARED:
+    case MODEL_ISLAND_HALF_CUT:
+      form_island (m, x->kind);
+      break;
     default:
       apply_to_platform (m, x->kind);
       break;
--- a/tests/model_runner.c
+++ b/tests/model_runner.c
@@ -74,12 +74,14 @@
 {
   struct runner_result *r = &ev->u.runner_result;
   struct model *m = x->owner->model;
-  bool arrives = !x->answered
-                 && (x->link_id == 0
-                     || (x->sender->process == x->sender_process
-                         && x->sender->linked == x->owner
-                         && x->sender->link_id == x->link_id
-                         && model_entry_reaches (x->owner)));
+  bool arrives
+      = !x->answered
+        && (x->link_id == 0
+            || (x->sender->process == x->sender_process
+                && x->sender->linked == x->owner
+                && x->sender->link_id == x->link_id
+                && model_entry_reaches (x->owner)
+                && !model_island_parts (m, x->sender->side, x->owner->side)));
 
   x->answered = true;
   r->order_id = x->order.order_id;
@@ -192,12 +194,24 @@
         = g_array_index (r->ends, struct model_end, i).ended;
 }
 
+/* Returns true if what E sends reaches R.  */
 static bool
 reaches_runner (const struct model_entry *e, const struct model_runner *r)
 {
   const struct model *m = e->model;
 
-  return m->now_us >= e->cut_until_us && m->now_us >= r->cut_until_us;
+  return m->now_us >= e->cut_until_us && m->now_us >= r->cut_until_us
+         && !model_island_parts (m, e->side, r->side);
+}
+
+/* Returns true if what R answers reaches E.  */
+static bool
+answer_reaches (const struct model_entry *e, const struct model_runner *r)
+{
+  const struct model *m = e->model;
+
+  return m->now_us >= e->cut_until_us && m->now_us >= r->cut_until_us
+         && !model_island_parts (m, r->side, e->side);
 }
 
 /* Sends R's answer to X, unless it is lost on the way.  */
@@ -207,7 +221,7 @@
 {
   struct cell_event *ev;
 
-  if (x->late || !reaches_runner (x->sender, r)
+  if (x->late || !answer_reaches (x->sender, r)
       || (m->now_us < m->orders_lost_until_us
           && model_random (m, FAULTY_PART) == 0))
     return;
@@ -499,7 +513,8 @@
 
   for (i = 0; i < m->entry_count; i++)
     if (m->entries[i].linked == e && m->entries[i].link_id == link_id
-        && model_entry_reaches (&m->entries[i]) && model_entry_reaches (e))
+        && model_entry_reaches (&m->entries[i]) && model_entry_reaches (e)
+        && !model_island_parts (m, e->side, m->entries[i].side))
       return &m->entries[i];
   return NULL;
 }
@@ -581,7 +596,7 @@
     {
       struct call *x = g_ptr_array_remove_index (r->polls, 0);
 
-      if (!x->answered && reaches_runner (x->sender, r))
+      if (!x->answered && answer_reaches (x->sender, r))
         give_outcome (x, ORDER_UNKNOWN);
       release (x);
     }
--- a/tests/model_store.c
+++ b/tests/model_store.c
@@ -43,6 +43,7 @@
   const struct model *m = e->model;
 
   return model_entry_reaches (e) && m->now_us >= e->store_cut_until_us
+         && !model_island_has (m, e->side)
          && m->now_us >= m->store.down_until_us;
 }
 
@@ -353,7 +354,8 @@
 {
   struct store_call *x = argument;
   bool cut = m->now_us < x->entry->store_cut_until_us
-             || m->now_us < x->entry->cut_until_us;
+             || m->now_us < x->entry->cut_until_us
+             || model_island_has (m, x->entry->side);
 
   if (!cut && m->now_us >= m->store.down_until_us && is_within_limits (m, x))
     execute (m, x);
@@ -510,7 +512,7 @@
 update_registration (struct model *m, struct model_runner *r)
 {
   if (r->alive && m->now_us >= r->store_cut_until_us
-      && m->now_us >= m->store.down_until_us)
+      && !model_island_has (m, r->side) && m->now_us >= m->store.down_until_us)
     {
       if (r->registered && m->now_us < r->silent_at_us + HEARTBEAT_US)
         return;
--- a/tests/test_promises.c
+++ b/tests/test_promises.c
@@ -37,7 +37,7 @@
     o->fault_kinds[o->fault_kind_count++] = (enum model_fault)k;
   }
   for (k = 0; list == NULL && k < MODEL_FAULT_COUNT; k++)
-    if (k != MODEL_ENTRIES_RESTARTED && k != MODEL_OWNER_LOST)
+    if (k != MODEL_ENTRIES_RESTARTED && k < MODEL_OWNER_LOST)
       o->fault_kinds[o->fault_kind_count++] = (enum model_fault)k;
 }
 
