Start a task again only after proof that its last run was over for the owner

Cause: an expired lease, a VM that is down, another boot, or what a poll tells that a runner has held show that a run is over only as long as no newer owner acts, which renews leases and notes ends. Nothing that an entry sees by itself tells that, since it may be cut off.

An append that is stored under our token shows that no newer owner had fenced the records when it was sent, and a newer owner asks no runner before that. So such a task waits until an append is stored that was sent after its run was known to be over; if none is due, the record of VM orders is stored again. What a runner answers at once under our token needs no proof.

--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -144,8 +144,8 @@
 note_wait (struct cell *c, struct job *j, enum wait_reason why)
 {
   static const char *const names[]
-      = { "",        "room",          "limit", "unreached",
-          "backoff", "queue_unknown", "record" };
+      = { "",        "room",          "limit",  "unreached",
+          "backoff", "queue_unknown", "record", "confirmation" };
 
   if (why == j->wait_reason
       || c->now_us < j->accepted_at_us + WAIT_LOG_MS * US_PER_MS)
@@ -316,7 +316,7 @@
 
 /* Starts all tasks of a gang under one run number, or none.  */
 static void
-start_gang (struct cell *c, struct work_step *s, const struct pool_round *p)
+start_gang (struct cell *c, struct work_step *s, struct pool_round *p)
 {
   uint32_t run = 0;
   uint32_t i;
@@ -324,6 +324,12 @@
   if (s->waiting_count < s->spec->task_count
       || (p->unreached != NULL && !s->tasks[0].reconciled))
     return;
+  for (i = 0; i < s->spec->task_count; i++)
+    if (!confirmation_covers (c, s->tasks[i].over_at_us))
+      {
+        p->wait = WAIT_CONFIRMATION;
+        return;
+      }
   for (i = 0; i < s->spec->task_count; i++)
     {
       struct runner *r = place_within_limit (c, &s->tasks[i])
@@ -383,6 +389,11 @@
           p->wait = WAIT_BACKOFF;
           continue;
         }
+      if (!confirmation_covers (c, t->over_at_us))
+        {
+          p->wait = WAIT_CONFIRMATION;
+          continue;
+        }
       if (!start_one (c, t, p))
         return;
     }
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -742,7 +742,7 @@
     }
   if (c->ownership.yielding || c->now_us < a->resume_at_us)
     return;
-  if (c->flush_now || waves_are_dirty (c)
+  if (c->flush_now || waves_are_dirty (c) || confirmation_is_due (c)
       || (c->dirty_job_ids->len > 0
           && c->now_us >= c->dirty_at_us + FLUSH_DELAY_MS * US_PER_MS))
     records_flush (c);
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -225,6 +225,7 @@
   o->token = o->newest_token;
   handover_begin (c);
   o->claimed_at_us = o->confirmed_at_us = c->now_us;
+  o->confirmation_wanted_us = 0;
   o->claimed_at_ms = c->wall_ms;
   o->unconfirmed_until_us = o->no_predecessor ? c->now_us : until_us;
   set_phase (c, OWNERSHIP_RECOVERING);
--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -221,8 +221,11 @@
 
 void
 polls_on_result (struct cell *c, struct runner *r, struct runner_result *x,
-                 uint64_t sent_us, bool is_hedge)
+                 const struct pending_order *o)
 {
+  uint64_t sent_us = o->sent_at_us;
+  bool is_hedge = o->is_hedge;
+
   if (r->poll_id == x->order_id)
     r->poll_id = 0;
   if (x->outcome == ORDER_DONE)
@@ -231,6 +234,7 @@
         cell_log (c, "runner_back", 0, "\"runner\":\"%s\",\"misses\":%u",
                   r->report.id, r->miss_count);
       r->miss_count = 0;
+      r->answer_held = o->wait_ms > 0;
       if (sent_us >= r->boot_doubted_at_us)
         r->boot_doubted_at_us = 0;
       r->answered_at_us = r->heard_at_us = c->now_us;
--- a/core/cell/records.c
+++ b/core/cell/records.c
@@ -5,7 +5,7 @@
    run only when the records that depend on it are stored.  A new owner reads
    all records back.  */
 
-#include "core/cell/state.h"
+#include "core/cell/fleet.h"
 
 #include <string.h>
 
@@ -149,6 +149,9 @@
     }
   g_array_remove_range (c->dirty_job_ids, 0, i);
   waves_add_records (c, a);
+  /* The record of VM orders may be stored again at any time.  */
+  if (confirmation_is_due (c) && a->record_count == 0)
+    handover_add_record (c, a);
   /* The ends processed so far become durable with this append only if it holds
      every dirty job.  */
   g_array_set_size (a->watermarks, 0);
@@ -287,7 +290,7 @@
       break;
     }
   a->in_flight = false;
-  c->ownership.confirmed_at_us = a->began_at_us;
+  confirmation_on_stored (c);
   for (i = 0; i < a->job_ids->len; i++)
     {
       struct job *j = jobs_find (c, g_array_index (a->job_ids, uint64_t, i));
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -424,11 +424,11 @@
   g_hash_table_remove (c->pending_orders, &x->order_id);
 }
 
-/* Handles X, the result of an order to R's present boot about T or none, sent
-   at SENT_US; IS_HEDGE if it was a hedged poll.  */
+/* Handles X, the result of O, which was sent to R's present boot about T or
+   none.  */
 static void
 apply_result (struct cell *c, struct runner *r, struct task *t,
-              struct runner_result *x, uint64_t sent_us, bool is_hedge)
+              struct runner_result *x, const struct pending_order *o)
 {
   if (x->booted_at_ms != 0)
     {
@@ -440,7 +440,7 @@
     {
     case ORDER_START:
       if (x->outcome == ORDER_DONE)
-        hedges_note_start_latency (c, c->now_us - sent_us);
+        hedges_note_start_latency (c, c->now_us - o->sent_at_us);
       if (t != NULL)
         task_on_start_result (c, t, r, x->outcome);
       break;
@@ -452,7 +452,7 @@
         }
       break;
     case ORDER_POLL:
-      polls_on_result (c, r, x, sent_us, is_hedge);
+      polls_on_result (c, r, x, o);
       break;
     default:
       break;
@@ -462,25 +462,23 @@
 void
 runners_on_result (struct cell *c, struct runner_result *x)
 {
-  struct pending_order *o
+  const struct pending_order *open
       = g_hash_table_lookup (c->pending_orders, &x->order_id);
+  struct pending_order o;
   struct runner *r;
   struct task *t;
-  uint64_t sent_us;
-  bool is_hedge;
 
-  if (o == NULL || !cell_is_owner (c))
+  if (open == NULL || !cell_is_owner (c))
     return;
   /* A delegate may answer an order of an earlier ownership.  */
   if (x->token != 0 && x->token != c->ownership.token)
     return;
-  r = o->runner;
-  t = jobs_find_task (c, &o->task);
-  if (t != NULL && (t->runner != r || t->run != o->run))
+  o = *open;
+  r = o.runner;
+  t = jobs_find_task (c, &o.task);
+  if (t != NULL && (t->runner != r || t->run != o.run))
     t = NULL;
-  sent_us = o->sent_at_us;
-  is_hedge = o->is_hedge;
-  close_order (c, o, x);
+  close_order (c, open, x);
   if (x->outcome == ORDER_FENCED)
     {
       cell_log (c, "order_fenced", 0, "\"runner\":\"%s\",\"token\":%llu",
@@ -489,7 +487,7 @@
       return;
     }
   if (x->booted_at_ms != 0 && x->booted_at_ms != r->report.booted_at_ms
-      && sent_us < r->boot_read_at_us)
+      && o.sent_at_us < r->boot_read_at_us)
     return; /* Of the boot before.  */
   if (x->outcome == ORDER_WRONG_BOOT
       || (x->booted_at_ms != 0 && r->report.booted_at_ms != 0
@@ -498,7 +496,7 @@
       on_other_boot (c, r, t, x);
       return;
     }
-  apply_result (c, r, t, x, sent_us, is_hedge);
+  apply_result (c, r, t, x, &o);
 }
 
 /* Returns true if a poll of R is put off, as it would leave ends that R has
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -79,8 +79,10 @@
   WAIT_BACKOFF,       /**< It has failed and is restarted with a delay.  */
   WAIT_QUEUE_UNKNOWN, /**< Its queue is not known: no configuration has been
                        read, or none has the queue.  */
-  WAIT_RECORD         /**< Its queue has another pool than before, and the
+  WAIT_RECORD,        /**< Its queue has another pool than before, and the
                          record that names that pool is not stored yet.  */
+  WAIT_CONFIRMATION   /**< Its last run is over, but this entry may not have
+                         been the owner any more at that time.  */
 };
 
 /** Why it is certain that a run is over, or never was.  */
@@ -122,6 +124,8 @@
   uint64_t stop_acked_at_us;    /**< When its stop was acknowledged, or 0.  */
   uint64_t ready_at_us;         /**< When it became able to start.  */
   enum run_over last_run_over;  /**< How its last run came to be over.  */
+  uint64_t over_at_us;          /**< When that became known in a way that only
+                                   holds for the owner; 0: it did not.  */
   uint64_t working_at_us;   /**< When this run last worked; 0: never.  Set, but
                                not used.  */
   uint32_t work_percent;    /**< Reported: of a short task, the part that is
@@ -262,6 +266,8 @@
   bool reached;         /**< Its boot has answered a poll of this owner, with
                            lists of all runs and all ends.  */
   bool ends_incomplete; /**< Its last answer may lack ends.  */
+  bool answer_held;     /**< Its last answer is to a poll that waits for ends:
+                           another owner may have asked it meanwhile.  */
   bool boot_named; /**< Its own answer has named report's booted_at_ms.  */
   uint64_t previous_boot_ms; /**< booted_at_ms of the boot before; 0: none.  */
   uint64_t boot_doubted_at_us; /**< When a registration named another boot, for
@@ -441,6 +447,8 @@
   uint64_t confirmed_at_us; /**< When the newest append that was stored under
                                our token was first sent: no newer owner had
                                fenced the records by then.  */
+  uint64_t confirmation_wanted_us; /**< Latest time for which a decision
+                                      depends on confirmed_at_us.  */
   uint32_t unassigned_join_count; /**< Joins in a row that assigned the cell to
                                    another member.  */
   uint64_t next_find_at_us; /**< When we may ask for the holder again.  */
@@ -661,6 +669,15 @@
 /** Gives the cell up without a release; WHY is logged.  */
 void ownership_lose (struct cell *c, const char *why);
 
+/* confirmation.c: proof that this entry has still been the owner.  */
+/** Returns true if no newer owner had begun to act at AT_US.  If that is not
+    known, requests an append, which shows it when it is stored.  */
+bool confirmation_covers (struct cell *c, uint64_t at_us);
+/** Returns true if an append has to be sent for that.  */
+bool confirmation_is_due (const struct cell *c);
+/** Handles that the append in flight was stored.  */
+void confirmation_on_stored (struct cell *c);
+
 /* former_owners.c: which former owners may still act.  */
 /** Sets F to the owners that may act when this entry claims the cell.  */
 void former_owners_at_claim (const struct cell *c, struct former_owners *f);
@@ -862,12 +879,11 @@
 bool runners_lease_expired (const struct cell *c, const struct runner *r);
 
 /* polls.c: what the answer to a poll tells.  */
-/** Handles the result X of a poll of R that was sent at SENT_US; IS_HEDGE if
-   it was a hedged one.  Polls without an answer count as misses, but for
-   hedged ones and those that were followed by one with an answer.  */
+/** Handles the result X of O, a poll of R.  Polls without an answer count as
+   misses, but for hedged ones and those that were followed by one with an
+   answer.  */
 void polls_on_result (struct cell *c, struct runner *r,
-                      struct runner_result *x, uint64_t sent_us,
-                      bool is_hedge);
+                      struct runner_result *x, const struct pending_order *o);
 
 /* hedges.c: hedged polls of runners that leave orders unanswered.  */
 /** Sends R a hedged poll if one is due.  */
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -96,6 +96,25 @@
   t->step->waiting_count--;
 }
 
+/* Returns true if WHY shows that a run on R is over only as long as this entry
+   is the owner.  What R answers at once, under our token, holds anyway: no
+   newer owner had asked it before.  */
+static bool
+needs_confirmation (const struct runner *r, enum run_over why)
+{
+  switch (why)
+    {
+    case RUN_NEVER:
+    case RUN_REFUSED:
+      return false;
+    case RUN_ENDED:
+    case RUN_NOT_REPORTED:
+      return r->answer_held;
+    default:
+      return true;
+    }
+}
+
 /* Logs that the run of T is given up by WHY, without an end that its runner
    listed.  */
 static void
@@ -125,7 +144,10 @@
   if (why > RUN_ENDED)
     log_run_given_up (c, t, why);
   if (why > RUN_REFUSED)
-    t->last_run_over = why;
+    {
+      t->last_run_over = why;
+      t->over_at_us = needs_confirmation (t->runner, why) ? c->now_us : 0;
+    }
   g_ptr_array_remove_fast (t->runner->tasks, t);
   resources_subtract (&t->runner->used, &room);
   resources_subtract (usage_of (c, task_job (t)->tenant),
