End the wait for unreached runners only once an append shows ownership

After a takeover, tasks that may run on runners that do not answer wait for the ownership timeout and a lease. A successor that was itself cut off let that time pass and started them, while a third owner had reached those runners (TWICE).

The time alone proves nothing to an entry that may not be the owner any more. The wait is over once an append is stored that was sent after it; the owner asks for one when the time comes. Dispatch, places, VM orders and the list of VMs use the same test.

--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -218,6 +218,7 @@
   ownership_tick (c);
   if (cell_is_owner (c))
     {
+      confirmation_tick (c);
       delegates_tick (c);
       places_plan (c);
       runners_tick (c);
--- a/core/cell/confirmation.c
+++ b/core/cell/confirmation.c
@@ -25,6 +25,21 @@
   return false;
 }
 
+bool
+confirmation_wait_is_over (const struct cell *c)
+{
+  return c->ownership.confirmed_at_us >= c->ownership.unconfirmed_until_us;
+}
+
+void
+confirmation_tick (struct cell *c)
+{
+  uint64_t until_us = c->ownership.unconfirmed_until_us;
+
+  if (c->now_us >= until_us)
+    confirmation_covers (c, until_us);
+}
+
 bool
 confirmation_is_due (const struct cell *c)
 {
--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -214,9 +214,9 @@
   struct pool_round *p = find_pool_round (pools, pool);
 
   if (!p->has_unreached_known)
-    p->has_unreached = c->now_us < c->ownership.unconfirmed_until_us
-                           ? fleet_has_unreached (c, pool)
-                           : fleet_has_unasked (c, pool);
+    p->has_unreached = confirmation_wait_is_over (c)
+                           ? fleet_has_unasked (c, pool)
+                           : fleet_has_unreached (c, pool);
   p->has_unreached_known = true;
   return p->has_unreached ? p : NULL;
 }
--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -293,7 +293,7 @@
   /* A runner that is not registered may be cut off from the store and still
      have runs that a former owner started.  */
   if (r == NULL)
-    return c->runners_known && c->now_us >= c->ownership.unconfirmed_until_us;
+    return c->runners_known && confirmation_wait_is_over (c);
   return r->reached && (r->miss_count == 0 || r->tasks->len == 0);
 }
 
--- a/core/cell/places.c
+++ b/core/cell/places.c
@@ -114,7 +114,7 @@
 {
   return t->phase == TASK_WAITING && !t->stop_wanted
          && (t->reconciled || !task_job (t)->inherited
-             || c->now_us >= c->ownership.unconfirmed_until_us)
+             || confirmation_wait_is_over (c))
          && place_within_limit (c, t);
 }
 
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -673,6 +673,12 @@
 /** Returns true if no newer owner had begun to act at AT_US.  If that is not
     known, requests an append, which shows it when it is stored.  */
 bool confirmation_covers (struct cell *c, uint64_t at_us);
+/** Returns true if runs of former owners have ended even on runners that have
+    not answered us: the time for that has passed, and this entry was the owner
+    then.  */
+bool confirmation_wait_is_over (const struct cell *c);
+/** Requests an append when that time has passed.  */
+void confirmation_tick (struct cell *c);
 /** Returns true if an append has to be sent for that.  */
 bool confirmation_is_due (const struct cell *c);
 /** Handles that the append in flight was stored.  */
--- a/core/cell/waves.c
+++ b/core/cell/waves.c
@@ -479,7 +479,7 @@
 
       /* Tasks wait until it is known that a silent runner is gone.  */
       if ((r->miss_count > 0 && r->tasks->len > 0)
-          || (!r->reached && c->now_us < c->ownership.unconfirmed_until_us))
+          || (!r->reached && !confirmation_wait_is_over (c)))
         return true;
     }
   return false;
