Order no start on a boot before an append shows ownership

A runner that is restarted has seen no fencing token and takes orders of a former owner again. An owner that is cut off could start a task on such a boot while its successor, which had asked the boot before and counts the runner as reached, started the same task elsewhere (TWICE).

A boot gets no start before an append is stored that was sent after this owner had heard of it: no newer owner had asked the boot before then. The append is sent when the boot becomes known, beside the first poll.

new_boot_gets_no_start_unconfirmed failed before: the start was ordered at 1,010 ms.

--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -47,13 +47,16 @@
 }
 
 /* Returns true if R takes new tasks now, apart from its room.  A runner in
-   quarantine takes some only if IN_QUARANTINE.  */
+   quarantine takes some only if IN_QUARANTINE.  A boot knows no token at first
+   and would take orders of an owner that has been followed, after a newer
+   owner had asked the boot before.  */
 static bool
 takes_tasks (const struct cell *c, const struct runner *r, bool in_quarantine)
 {
   return r->listed && r->reached && !r->ends_incomplete
          && r->clock_read_at_us != 0 && !r->report.draining && !r->vm_emptying
          && r->miss_count == 0
+         && c->ownership.confirmed_at_us >= r->boot_known_at_us
          && (in_quarantine || c->now_us >= r->quarantined_until_us)
          && c->now_us >= r->refused_until_us && c->now_us >= r->full_until_us;
 }
--- a/core/cell/registrations.c
+++ b/core/cell/registrations.c
@@ -64,6 +64,7 @@
   r->report = *report;
   r->next_poll_at_us = c->now_us;
   r->heard_at_us = c->now_us;
+  runners_note_boot (c, r);
   g_hash_table_insert (c->runners, r->report.id, r);
   return r;
 }
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -296,6 +296,13 @@
     }
 }
 
+void
+runners_note_boot (struct cell *c, struct runner *r)
+{
+  r->boot_known_at_us = c->now_us;
+  confirmation_covers (c, c->now_us);
+}
+
 void
 runners_reset_boot (struct cell *c, struct runner *r, uint64_t booted_at_ms,
                     enum run_over why)
@@ -307,6 +314,7 @@
   r->boot_named = false;
   r->boot_doubted_at_us = 0;
   r->boot_read_at_us = c->now_us;
+  runners_note_boot (c, r);
   r->reached = false;
   r->clock_read_at_us = 0;
   r->clock_ms = 0;
@@ -432,6 +440,8 @@
 {
   if (x->booted_at_ms != 0)
     {
+      if (r->report.booted_at_ms == 0)
+        runners_note_boot (c, r);
       r->report.booted_at_ms = x->booted_at_ms;
       r->boot_named = true;
     }
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -270,6 +270,7 @@
                            another owner may have asked it meanwhile.  */
   bool boot_named; /**< Its own answer has named report's booted_at_ms.  */
   uint64_t previous_boot_ms; /**< booted_at_ms of the boot before; 0: none.  */
+  uint64_t boot_known_at_us; /**< When we first heard of its boot.  */
   uint64_t boot_doubted_at_us; /**< When a registration named another boot, for
                                   which it is polled; 0: none.  */
   uint64_t boot_read_at_us;   /**< When booted_at_ms changed; answers to orders
@@ -857,6 +858,9 @@
     time; 0: not known.  */
 void runners_reset_boot (struct cell *c, struct runner *r,
                          uint64_t booted_at_ms, enum run_over why);
+/** Notes that R's boot has just become known.  It gets no starts before an
+    append that is sent from now on is stored.  */
+void runners_note_boot (struct cell *c, struct runner *r);
 void runners_on_result (struct cell *c, struct runner_result *x);
 void runners_tick (struct cell *c);
 void runners_clear (struct cell *c);
