Count the ownership timeout from the last join that held the cell

A join that assigns the cell to another member moved the timeout on. That member may have claimed the cell before, and waits for the timeout from its claim on only; cut off from the store just then, this owner would act for up to a join and its answer longer than its successor waits (TWICE).

unassigned_join_extends_no_ownership failed before: the cell was not given up at 10,060 ms.

--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -408,7 +408,6 @@
       return;
     }
   o->unassigned_join_count++;
-  o->joined_at_us = o->join_sent_at_us;
   if (o->unassigned_join_count >= UNASSIGNED_LIMIT_COUNT)
     release (c);
 }
