Ask runners that booted between our claim and our fence

A runner that booted after the claim was taken as free of the former owner's starts. But the former owner's appends are taken, and so it starts tasks, until the new owner has fenced the records, which may be up to 8 s after its claim if the store is slow. An inherited task could run twice then.

--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -183,13 +183,14 @@
          && r->heard_at_us < c->fleet->snapshot_at_us;
 }
 
-/* Returns true if R got no order of a former owner, since it booted after our
-   claim.  A start time in the future tells nothing.  */
+/* Returns true if R got no start of a former owner, since it booted after we
+   had fenced the records: then no former owner could show that it still was
+   one. A start time in the future tells nothing.  */
 static bool
-booted_after_claim (const struct cell *c, const struct runner *r)
+booted_after_fence (const struct cell *c, const struct runner *r)
 {
   return r->report.booted_at_ms
-             >= c->ownership.claimed_at_ms + CLOCK_DIFFERENCE_MS
+             >= c->ownership.fenced_at_ms + CLOCK_DIFFERENCE_MS
          && r->report.booted_at_ms <= c->wall_ms + CLOCK_DIFFERENCE_MS;
 }
 
@@ -206,7 +207,7 @@
 is_unreached (const struct cell *c, const struct runner *r, const char *pool)
 {
   return !r->reached && is_pool (r->report.pool, pool)
-         && !fleet_runner_is_gone (c, r) && !booted_after_claim (c, r);
+         && !fleet_runner_is_gone (c, r) && !booted_after_fence (c, r);
 }
 
 /* The same for the runner on V, which the store does not list.  */
@@ -262,7 +263,7 @@
       if (r->listed && !r->reached
           && (r->answered_at_us == 0 || r->ends_incomplete)
           && r->miss_count < LOST_MISS_COUNT && !fleet_runner_is_gone (c, r)
-          && !booted_after_claim (c, r))
+          && !booted_after_fence (c, r))
         return true;
     }
   return false;
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -226,7 +226,6 @@
   handover_begin (c);
   o->claimed_at_us = o->confirmed_at_us = c->now_us;
   o->confirmation_wanted_us = 0;
-  o->claimed_at_ms = c->wall_ms;
   o->unconfirmed_until_us = o->no_predecessor ? c->now_us : until_us;
   set_phase (c, OWNERSHIP_RECOVERING);
   former_owners_check (c);
@@ -488,6 +487,7 @@
   if (!e->u.recovered.last)
     return;
   set_phase (c, OWNERSHIP_OWNER);
+  o->fenced_at_ms = c->wall_ms;
   records_finish_recovery (c);
   jobs_on_config (c);
   c->metrics.counters[CELL_COUNT_TAKEOVERS]++;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -456,7 +456,8 @@
   bool find_sent;           /**< A request for the holder is in flight.  */
   uint64_t find_sent_at_us;
   uint64_t claimed_at_us;        /**< When our claim became known as stored. */
-  uint64_t claimed_at_ms;        /**< claimed_at_us in Unix time.  */
+  uint64_t fenced_at_ms;         /**< When the records had been read, which are
+                                    fenced before, in Unix time.  */
   uint64_t unconfirmed_until_us; /**< By then every run that a former owner
                                     started has ended, even on runners that
                                     have not answered us.  */
