Give each owner run numbers of its own

The first run of each inherited task was number 65, whoever owned the cell.

Numbers of inherited tasks begin at 64 times the owner's token now, which rises with each claim. Records keep the low 16 bits of the numbers of failed runs, as before; two are the same only 1,024 claims apart.

--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -103,7 +103,8 @@
           s->tasks[k].step = s;
           s->tasks[k].index = k;
           s->tasks[k].ordered_pace_percent = 100;
-          s->tasks[k].run = j->inherited ? UNRECORDED_RUN_COUNT : 0;
+          if (j->inherited)
+            s->tasks[k].run = (uint32_t)(c->ownership.token * OWNER_RUN_COUNT);
         }
     }
   j->occurrences = talloc_realloc (j, j->occurrences, struct occurrence *,
--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -60,11 +60,9 @@
 {
   struct task *t = jobs_find_task (c, &row->task);
 
-  /* An inherited task's run number is UNRECORDED_RUN_COUNT above that of its
-     last recorded run.  For recorded numbers below UNRECORDED_RUN_COUNT the
-     remainder is the recorded number; an older run is an orphan.  */
+  /* A run before one that has failed is an orphan.  */
   if (t != NULL && t->phase == TASK_WAITING && !t->stop_wanted
-      && !task_job (t)->final && row->run >= t->run % UNRECORDED_RUN_COUNT)
+      && !task_job (t)->final && row->run >= t->recorded_run)
     adopt (c, r, t, row);
   if (t == NULL || t->runner != r || t->run != row->run)
     {
--- a/core/cell/progress_records.c
+++ b/core/cell/progress_records.c
@@ -322,7 +322,7 @@
   t->failed_count = p->failed_count;
   memcpy (t->failed_runs, p->failed_runs, sizeof t->failed_runs);
   for (f = 0; f < FAILED_RUN_COUNT; f++)
-    t->run = MAX (t->run, (uint32_t)t->failed_runs[f] + UNRECORDED_RUN_COUNT);
+    t->recorded_run = MAX (t->recorded_run, t->failed_runs[f]);
   if (t->failed_count > 0 || p->done)
     j->started = true;
   if (t->failed_count > 0)
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -21,9 +21,9 @@
 /** Processor time that an order and its answer take the entry that sends it,
     on average.  */
 #define ORDER_CPU_US 600
-/** A former owner may have used up to this many run numbers of a task without
-    storing them.  */
-#define UNRECORDED_RUN_COUNT 64
+/** Each owner has this many run numbers of its own for an inherited task, from
+    its token times this on, so that two owners give no number to two runs.  */
+#define OWNER_RUN_COUNT 64
 /** A runner counts as silent, and its expired lease counts, only after this
     many unanswered polls: as many as a silent runner has missed when its lease
     expires.  With fewer, this entry itself was late, and an answer that tells
@@ -109,8 +109,9 @@
   struct work_step *step;
   uint32_t index;
   enum task_phase phase;
-  uint32_t run; /**< Highest run number known.  */
-  /** Numbers of the runs that failed first; 0: none.  */
+  uint32_t run;          /**< Highest run number known.  */
+  uint32_t recorded_run; /**< Highest of failed_runs as read from a record.  */
+  /** The low 16 bits of the numbers of the runs that failed first; 0: none. */
   uint16_t failed_runs[FAILED_RUN_COUNT];
   uint32_t failed_count;
   bool progress_unstored;   /**< It is done or has failed, and no record that
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -306,7 +306,7 @@
 
   for (i = 0; i < FAILED_RUN_COUNT; i++)
     {
-      if (t->failed_runs[i] == run)
+      if (t->failed_runs[i] == (uint16_t)run)
         return false;
       if (t->failed_runs[i] == 0)
         {
