Play an owner that is cut off with runners as whole processes

The users saw the fault on real processes. The stand-in has a store port for each entry now, so that one can be cut off, and runners that answer up to a token only, or higher ones only. A cut that begins while a request is held loses the answer.

--- a/tests/standin/server.c
+++ b/tests/standin/server.c
@@ -148,7 +148,8 @@
   struct MHD_Response *r;
   enum MHD_Result done;
 
-  if (x->drop)
+  /* A cut that began while the request was held loses the answer.  */
+  if (x->drop || fault_get ("down_port") == x->port)
     return MHD_NO;
   r = make_response (x);
   done = MHD_queue_response (x->connection, x->status, r);
--- a/tests/standin/site.c
+++ b/tests/standin/site.c
@@ -1,12 +1,15 @@
 /* site.c -- stand-in of the users' platform: store, cloud and runners.
 
-   The first port serves the store and the cloud.  Each further port is a
-   runner "r-PORT" with 8 cores, on VM "m-PORT" of pool "p".  A task takes one
-   core and runs for the milliseconds in its payload.  GET /report on the first
-   port shows the runners' record: tasks started, those started while they ran
-   on another runner ("doubled") or after their end was acknowledged
-   ("after_done"), calls refused for an old fencing token ("fenced"), and how
-   many tasks run now on each runner that answers ("running").
+   Usage: site FIRST LAST [COUNT].  Port FIRST serves the store and the cloud,
+   and so do COUNT ports after LAST, one for each entry, so that each can be
+   cut off by down_port of server.h.  Each port in between is a runner "r-PORT"
+   with 8 cores, on VM "m-PORT" of pool "p".  A task takes one core and runs
+   for the milliseconds in its payload.  GET /report on the first port shows
+   the runners' record: tasks started, those started while they ran on another
+   runner ("doubled") or after their end was acknowledged
+   ("after_done"), calls refused for an old fencing token ("fenced"), the
+   highest token that a runner has seen ("token"), and how many tasks run now
+   on each runner that answers ("running").
 
    A runner with the fault down_port of server.h registers no more, and stays
    in the list of VMs.
@@ -14,6 +17,9 @@
    Faults besides those of server.h: lose_starts=N (every Nth start is made but
    not answered), late_starts=N (every Nth start is made a second later and not
    answered), lose_appends=N (every Nth append is made, not answered) and
+   island_token=T with island_runners=MASK (the runners whose bits are set in
+   MASK answer calls with a token up to T only, the others calls with a higher
+   one only, as if T's owner and those runners were cut off together), and
    odd_entries=1 (another writer registers what is no runner; the first of its
    entries has a key that few parsers read).  */
 
@@ -679,12 +685,28 @@
   answer_runner (x, r, start_task (r, j));
 }
 
+/* Returns true if a call with TOKEN does not reach R.  */
+static gboolean
+is_cut_off (const struct runner *r, int64_t token)
+{
+  gboolean on_island = (fault_get ("island_runners") >> (r - runners)) & 1;
+
+  return fault_get ("island_token") > 0
+         && on_island != (token <= fault_get ("island_token"));
+}
+
 static void
 handle_runner (struct exchange *x, struct runner *r)
 {
   json_t *j = json_loadb (x->body, x->body_bytes, 0, NULL);
   int64_t token = json_integer_value (json_object_get (j, "FencingToken"));
 
+  if (is_cut_off (r, token))
+    {
+      x->drop = 1;
+      json_decref (j);
+      return;
+    }
   end_due_tasks (r);
   if (token < r->token)
     {
@@ -712,6 +734,7 @@
 report (struct exchange *x)
 {
   json_t *running = json_array ();
+  int64_t token = 0;
   json_t *j;
   int i;
 
@@ -719,14 +742,16 @@
     {
       gboolean answers = fault_get ("down_port") != runners[i].port;
 
+      token = MAX (token, runners[i].token);
       end_due_tasks (&runners[i]);
       json_array_append_new (
           running, json_integer (answers ? runners[i].tasks->len : 0));
     }
-  j = json_pack ("{s:I,s:I,s:I,s:I,s:o}", "started", (json_int_t)started_count,
-                 "doubled", (json_int_t)doubled_count, "after_done",
-                 (json_int_t)after_done_count, "fenced",
-                 (json_int_t)fenced_count, "running", running);
+  j = json_pack (
+      "{s:I,s:I,s:I,s:I,s:I,s:o}", "started", (json_int_t)started_count,
+      "doubled", (json_int_t)doubled_count, "after_done",
+      (json_int_t)after_done_count, "fenced", (json_int_t)fenced_count,
+      "token", (json_int_t)token, "running", running);
   x->answer = json_dumps (j, JSON_COMPACT);
   x->answer_bytes = (uint32_t)strlen (x->answer);
   x->status = 200;
@@ -760,7 +785,7 @@
   int i;
 
   pthread_mutex_lock (&lock);
-  if (x->port == store_port)
+  if (x->port == store_port || x->port > store_port + runner_count)
     handle_store (x);
   for (i = 0; i < runner_count; i++)
     if (runners[i].port == x->port)
@@ -855,6 +880,7 @@
 {
   uint16_t first = (uint16_t)(argc > 1 ? atoi (argv[1]) : 0);
   uint16_t last = (uint16_t)(argc > 2 ? atoi (argv[2]) : 0);
+  int link_count = argc > 3 ? atoi (argv[3]) : 0;
   pthread_t t;
   int i;
 
@@ -874,5 +900,5 @@
   write_config ();
   pthread_create (&t, NULL, write_status_loop, NULL);
   standin_handler = handle;
-  return standin_serve (first, last);
+  return standin_serve (first, (uint16_t)(last + link_count));
 }
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -44,6 +44,10 @@
     is back; and the time that its process may need to start.  */
 #define ELSEWHERE_LIMIT_MS 6000
 #define ENTRY_START_MS 1000
+/** An owner that is cut off acts for 10 s; and the time for the entries to
+   settle after that.  */
+#define ISLAND_MS 9000
+#define HEALED_MS 3000
 
 /* The stand-in and the entries of a test.  */
 struct site
@@ -72,10 +76,18 @@
   return (guint16)(s->base_port + 50 + i);
 }
 
-/* Starts program NAME of the build with two arguments, output to file LOG.  */
+/* The port at which entry I reaches the store and the cloud.  */
+static guint16
+store_port (const struct site *s, guint i)
+{
+  return (guint16)(s->base_port + 1 + RUNNER_COUNT + i);
+}
+
+/* Starts program NAME of the build with up to three arguments, output to file
+   LOG.  */
 static pid_t
 spawn (const gchar *name, const gchar *first, const gchar *second,
-       const gchar *log)
+       const gchar *third, const gchar *log)
 {
   const gchar *directory = g_getenv ("FTK_BUILD");
   gchar *path = g_build_filename (directory ? directory : "build", name, NULL);
@@ -87,7 +99,7 @@
       if (freopen (log, "a", stdout) == NULL
           || freopen (log, "a", stderr) == NULL)
         _exit (126);
-      execl (path, path, first, second, NULL);
+      execl (path, path, first, second, third, NULL);
       _exit (127);
     }
   g_assert_cmpint (pid, >, 0);
@@ -107,11 +119,11 @@
       "\"127.0.0.1:%u\",\"store\":\"127.0.0.1:%u\",\"cloud\":\"127.0.0.1:%u\","
       "\"relay_secret\":\"a secret of the test\"%s}",
       i, api_port (s, i), s->base_port + 30 + i, s->base_port + 40 + i,
-      metrics_port (s, i), s->base_port, s->base_port,
+      metrics_port (s, i), store_port (s, i), store_port (s, i),
       s->settings != NULL ? s->settings : "");
 
   g_assert_true (g_file_set_contents (file, text, -1, NULL));
-  s->entries[i] = spawn ("fulmartackd", file, NULL, log);
+  s->entries[i] = spawn ("fulmartackd", file, NULL, NULL, log);
   g_free (text);
   g_free (log);
   g_free (file);
@@ -168,6 +180,7 @@
 {
   gchar *first;
   gchar *last;
+  gchar *count;
   gchar *log;
   guint i;
 
@@ -177,12 +190,14 @@
   s->directory = g_dir_make_tmp ("site-XXXXXX", NULL);
   first = g_strdup_printf ("%u", s->base_port);
   last = g_strdup_printf ("%d", s->base_port + RUNNER_COUNT);
+  count = g_strdup_printf ("%d", ENTRY_COUNT);
   log = g_build_filename (s->directory, "platform.log", NULL);
-  s->platform = spawn ("standin_site", first, last, log);
+  s->platform = spawn ("standin_site", first, last, count, log);
   for (i = 0; i < ENTRY_COUNT; i++)
     start_entry (s, i);
   wait_ready (s);
   g_free (log);
+  g_free (count);
   g_free (last);
   g_free (first);
 }
@@ -722,6 +737,46 @@
   stop_site (&s);
 }
 
+/* The owner is cut off from the store, together with the runners that have no
+   tasks; its successor reaches the others only.  The former owner's leases for
+   these expire, as it counts them, while the successor renews them.  */
+static void
+test_owner_cut_off_with_runners (void)
+{
+  gint64 running[RUNNER_COUNT];
+  gint64 island = 0;
+  gchar body[BODY_BYTES];
+  struct site s;
+  gint owner;
+  guint other_count = 0;
+  guint i;
+
+  start_site (&s);
+  g_snprintf (body, sizeof body,
+              "{\"Spec\":\"%d\",\"Steps\":[{\"Count\":%d,\"Cpu\":1000}]}",
+              SERVING_MS, SERVING_COUNT);
+  submit_body (&s, 0, body);
+  wait_serving (&s, running);
+  for (i = 0; i < RUNNER_COUNT; i++)
+    island |= (gint64)(running[i] == 0) << i;
+  g_assert_cmpint (island, !=, 0);
+  owner = wait_owner (&s);
+  cluster_fault (s.base_port, "island_runners", island);
+  cluster_fault (s.base_port, "island_token", get_report (&s, "token"));
+  cluster_fault (s.base_port, "down_port", store_port (&s, (guint)owner));
+  g_usleep (ISLAND_MS * 1000);
+  for (i = 0; i < ENTRY_COUNT; i++)
+    other_count += i != (guint)owner && get_metric (&s, i, "owner") == 1;
+  g_assert_cmpuint (other_count, ==, 1);
+  g_assert_cmpint (get_report (&s, "doubled"), ==, 0);
+  cluster_fault (s.base_port, "down_port", 0);
+  cluster_fault (s.base_port, "island_token", 0);
+  g_usleep (HEALED_MS * 1000);
+  g_assert_cmpint (get_running (&s, running), ==, SERVING_COUNT);
+  g_assert_cmpint (get_report (&s, "doubled"), ==, 0);
+  stop_site (&s);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -741,5 +796,7 @@
                    test_delegates_lost_answers);
   g_test_add_func ("/site/serving_task_behind_lost_owner",
                    test_serving_task_behind_lost_owner);
+  g_test_add_func ("/site/owner_cut_off_with_runners",
+                   test_owner_cut_off_with_runners);
   return g_test_run ();
 }
