Reproduce tasks started twice on runners restarted behind their owner's back

A runner that is restarted under its id knows no token, and an owner that does not hear of it sends it starts as before.

The model has a new fault, an island whose runners still reach the store, and jobs whose occurrences become due one after the other. The plays of the other scripts do not use them.

--- a/tests/model.h
+++ b/tests/model.h
@@ -65,9 +65,10 @@
   MODEL_OWNER_LOST,       /**< It never comes back.  */
   /* The owner is cut off with half of the runners.  */
   MODEL_OWNER_ISLANDED,
-  MODEL_ENTRIES_ISLANDED, /**< With other entries, too.  */
-  MODEL_ISLAND_SHARED,    /**< Both sides reach some runners.  */
-  MODEL_ISLAND_HALF_CUT,  /**< Messages pass in one direction only.  */
+  MODEL_ENTRIES_ISLANDED,  /**< With other entries, too.  */
+  MODEL_ISLAND_SHARED,     /**< Both sides reach some runners.  */
+  MODEL_ISLAND_HALF_CUT,   /**< Messages pass in one direction only.  */
+  MODEL_ISLAND_REGISTERED, /**< Its runners reach the store.  */
   MODEL_FAULT_COUNT
 };
 
@@ -93,7 +94,8 @@
   MODEL_ISLAND_OF_OWNER,
   MODEL_ISLAND_OF_ENTRIES,
   MODEL_ISLAND_WITH_SHARED,
-  MODEL_ISLAND_ONE_WAY
+  MODEL_ISLAND_ONE_WAY,
+  MODEL_ISLAND_WITH_STORE
 };
 
 /** What a run is made of.  */
@@ -117,7 +119,8 @@
   uint32_t serving_fail_percent; /**< Long-running runs that fail.  */
   uint32_t failing_percent; /**< Short jobs of which half of the runs fail.  */
   uint32_t recurring_percent; /**< Short jobs with many occurrences.  */
-  uint32_t writes_per_s;      /**< The store's limits; 0: none.  */
+  uint32_t recurring_ms; /**< Time between occurrences; 0: the default.  */
+  uint32_t writes_per_s; /**< The store's limits; 0: none.  */
   uint32_t reads_per_s;
   uint32_t order_us; /**< CPU time of an order and its answer; 0: none.  */
   uint32_t event_us; /**< CPU time of another event; 0: none.  */
@@ -348,6 +351,7 @@
   uint64_t island_until_us; /**< There is an island until then.  */
   enum model_direction island_direction;
   bool island_has_cloud; /**< The island reaches the cloud.  */
+  bool island_registers; /**< Its runners reach the store.  */
   uint64_t orders_lost_until_us;
   uint64_t orders_late_until_us;
   uint64_t disturbed_until_us; /**< End of the newest fault so far.  */
@@ -490,7 +494,8 @@
 void model_load_tick (struct model *m);
 void model_load_on_reply (struct model_entry *e, const struct reply *r);
 bool model_step_lasts (const struct model_job *j, uint32_t step);
-struct job_spec *model_job_spec (TALLOC_CTX *mem, const struct model_job *j);
+struct job_spec *model_job_spec (const struct model *m, TALLOC_CTX *mem,
+                                 const struct model_job *j);
 const char *model_fault_name (int kind);
 
 #endif
--- a/tests/model_clients.c
+++ b/tests/model_clients.c
@@ -70,7 +70,7 @@
     j->cancel_sent_at_us = m->now_us;
   ev = model_call (m, j, kind);
   if (kind == CALL_SUBMIT)
-    ev->u.call.spec = model_job_spec (ev, j);
+    ev->u.call.spec = model_job_spec (m, ev, j);
   q = g_new0 (struct model_question, 1);
   q->call_id = ev->u.call.call_id;
   q->job = j;
--- a/tests/model_faults.c
+++ b/tests/model_faults.c
@@ -26,6 +26,10 @@
 #define RECURRING_TASK_COUNT 40
 #define RECURRING_TASK_MS 60
 #define RECURRING_CPU_MILLI 100
+/** Those of which the occurrences become due one after the other.  */
+#define TIMED_COUNT 8
+#define TIMED_TASK_COUNT 2
+#define TIMED_TASK_MS 500
 #define CALL_TIMEOUT_US (3000 * US_PER_MS)
 #define RETRY_US (300 * US_PER_MS)
 
@@ -62,6 +66,7 @@
   [MODEL_ENTRIES_ISLANDED] = "entries_islanded",
   [MODEL_ISLAND_SHARED] = "island_shared",
   [MODEL_ISLAND_HALF_CUT] = "island_half_cut",
+  [MODEL_ISLAND_REGISTERED] = "island_registered",
 };
 
 struct planned_fault
@@ -491,6 +496,7 @@
     case MODEL_ENTRIES_ISLANDED:
     case MODEL_ISLAND_SHARED:
     case MODEL_ISLAND_HALF_CUT:
+    case MODEL_ISLAND_REGISTERED:
       form_island (m, x->kind);
       break;
     default:
@@ -567,6 +573,12 @@
       j->task_count = RECURRING_TASK_COUNT;
       j->task_ms = RECURRING_TASK_MS;
       j->cpu_milli = RECURRING_CPU_MILLI;
+      if (m->options.recurring_ms > 0)
+        {
+          j->occurrence_count = TIMED_COUNT;
+          j->task_count = TIMED_TASK_COUNT;
+          j->task_ms = TIMED_TASK_MS;
+        }
     }
   g_ptr_array_add (m->jobs, j);
   g_hash_table_insert (m->jobs_by_id, &j->id, j);
@@ -619,7 +631,8 @@
 }
 
 struct job_spec *
-model_job_spec (TALLOC_CTX *mem, const struct model_job *j)
+model_job_spec (const struct model *m, TALLOC_CTX *mem,
+                const struct model_job *j)
 {
   struct job_spec *s = job_spec_new (mem);
   uint32_t i;
@@ -628,6 +641,11 @@
   s->payload = blob_copy ("x", 1);
   s->occurrence_count = j->occurrence_count;
   s->interval_ms = RECURRING_INTERVAL_MS;
+  if (m->options.recurring_ms > 0)
+    {
+      s->interval_ms = m->options.recurring_ms;
+      s->first_due_ms = MODEL_EPOCH_MS + m->now_us / US_PER_MS;
+    }
   s->step_count = j->step_count;
   s->steps = talloc_zero_array (s, struct job_step, s->step_count);
   for (i = 0; i < s->step_count; i++)
@@ -668,7 +686,7 @@
       return;
     }
   ev = model_call (m, j, CALL_SUBMIT);
-  ev->u.call.spec = model_job_spec (ev, j);
+  ev->u.call.spec = model_job_spec (m, ev, j);
   j->open_entry = e->index;
   j->open_process = e->process;
   j->open_call_id = ev->u.call.call_id;
--- a/tests/model_island.c
+++ b/tests/model_island.c
@@ -55,6 +55,7 @@
 
   m->island_until_us = m->now_us + for_us;
   m->island_has_cloud = model_random (m, 2) == 0;
+  m->island_registers = kind == MODEL_ISLAND_WITH_STORE;
   m->island_direction = kind == MODEL_ISLAND_ONE_WAY
                             ? MODEL_ISLAND_SENDS + model_random (m, 2)
                             : MODEL_ISLAND_CUT;
--- a/tests/test_promises.c
+++ b/tests/test_promises.c
@@ -68,6 +68,7 @@
   o.serving_fail_percent = read_number (j, "serving_fails", 0);
   o.failing_percent = read_number (j, "failing", 0);
   o.recurring_percent = read_number (j, "recurring", 0);
+  o.recurring_ms = read_number (j, "recurring_ms", 0);
   o.writes_per_s = read_number (j, "writes", 0);
   o.reads_per_s = read_number (j, "reads", 0);
   o.order_us = read_number (j, "order_us", 0);
