Wait for a known runner that was restarted after the fence

A boot later than the fence counted as free of a former owner's starts. A former owner that is cut off and does not hear of the boot sends starts as before, and the boot, which knows no token, takes them: an inherited task ran twice.

Only a runner that no list named before is free of such starts now; it must also have booted after the fence, and not be the first runner that the list of VMs has on its VM.

--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -183,14 +183,20 @@
          && r->heard_at_us < c->fleet->snapshot_at_us;
 }
 
-/* Returns true if R got no start of a former owner, since it booted after we
-   had fenced the records: then no former owner could show that it still was
-   one. A start time in the future tells nothing.  */
+/* Returns true if R got no start of a former owner: it came after we had
+   fenced the records, and no former owner could learn of it and show that it
+   still was one.  A known runner that was restarted is no such runner, as a
+   former owner may not have heard of that.  A start time in the future tells
+   nothing.  */
 static bool
-booted_after_fence (const struct cell *c, const struct runner *r)
+came_after_fence (const struct cell *c, const struct runner *r)
 {
-  return r->report.booted_at_ms
-             >= c->ownership.fenced_at_ms + CLOCK_DIFFERENCE_MS
+  const struct vm *v = r->vm[0] != '\0' ? fleet_find (c->fleet, r->vm) : NULL;
+
+  return r->came_later
+         && (v == NULL || strcmp (v->first_runner, r->report.id) != 0)
+         && r->report.booted_at_ms
+                >= c->ownership.fenced_at_ms + CLOCK_DIFFERENCE_MS
          && r->report.booted_at_ms <= c->wall_ms + CLOCK_DIFFERENCE_MS;
 }
 
@@ -207,7 +213,7 @@
 is_unreached (const struct cell *c, const struct runner *r, const char *pool)
 {
   return !r->reached && is_pool (r->report.pool, pool)
-         && !fleet_runner_is_gone (c, r) && !booted_after_fence (c, r);
+         && !fleet_runner_is_gone (c, r) && !came_after_fence (c, r);
 }
 
 /* The same for the runner on V, which the store does not list.  */
@@ -263,7 +269,7 @@
       if (r->listed && !r->reached
           && (r->answered_at_us == 0 || r->ends_incomplete)
           && r->miss_count < LOST_MISS_COUNT && !fleet_runner_is_gone (c, r)
-          && !booted_after_fence (c, r))
+          && !came_after_fence (c, r))
         return true;
     }
   return false;
--- a/core/cell/registrations.c
+++ b/core/cell/registrations.c
@@ -164,8 +164,9 @@
   return true;
 }
 
+/* Handles N, a row of a WHOLE list, or a change.  */
 static void
-apply_report (struct cell *c, const struct runner_report *n)
+apply_report (struct cell *c, const struct runner_report *n, bool whole)
 {
   struct runner *r = g_hash_table_lookup (c->runners, n->id);
   uint64_t booted_at_ms;
@@ -179,6 +180,7 @@
   if (r == NULL)
     {
       r = runner_new (c, n);
+      r->came_later = !whole;
       cell_log (c, "runner_listed", 0,
                 "\"runner\":\"%s\",\"pool\":\"%s\",\"address\":\"%s\"", n->id,
                 n->pool, n->address);
@@ -226,5 +228,5 @@
       c->runners_known = true;
     }
   for (i = 0; i < e->u.runners.row_count; i++)
-    apply_report (c, &e->u.runners.rows[i]);
+    apply_report (c, &e->u.runners.rows[i], e->u.runners.whole);
 }
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -263,6 +263,8 @@
   uint64_t draining_at_us; /**< When it was last seen to begin to drain; 0:
                               never.  */
   bool listed;             /**< It is registered in the store.  */
+  bool came_later;         /**< No whole list that this owner has read named
+                              it before it was registered.  */
   uint64_t unlisted_at_us; /**< When its registration was deleted.  */
   bool reached;         /**< Its boot has answered a poll of this owner, with
                            lists of all runs and all ends.  */
