Ask an idle runner before a start while the store has not confirmed this owner

An idle runner is not polled.

While the newest stored append was sent over 1 s ago, a runner gets a start only if its clock was read within 0.3 s; otherwise it is polled first, and the answer names the boot.

--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -36,6 +36,11 @@
 /** A runner whose clock was read longer ago gets a poll before its next start:
     the lease of one whose clock is not slow would be too short.  */
 #define CLOCK_AGE_LIMIT_MS 60000
+/** The same while this entry has not been confirmed as the owner for
+    CONFIRMED_LIMIT_MS: it may be cut off, and not hear that the runner was
+    restarted.  A restart takes longer.  */
+#define UNCONFIRMED_CLOCK_AGE_LIMIT_MS 300
+#define CONFIRMED_LIMIT_MS 1000
 /** Margin for the resolution of the clocks, which are read in whole
     milliseconds.  */
 #define CLOCK_GRAIN_MS 20
@@ -69,7 +74,12 @@
 bool
 runners_clock_is_old (const struct cell *c, const struct runner *r)
 {
-  return c->now_us > r->clock_read_at_us + CLOCK_AGE_LIMIT_MS * US_PER_MS;
+  bool confirmed = c->now_us <= c->ownership.confirmed_at_us
+                                    + CONFIRMED_LIMIT_MS * US_PER_MS;
+  uint64_t limit_ms
+      = confirmed ? CLOCK_AGE_LIMIT_MS : UNCONFIRMED_CLOCK_AGE_LIMIT_MS;
+
+  return c->now_us > r->clock_read_at_us + limit_ms * US_PER_MS;
 }
 
 bool
