Reckon with leases that a boot took from orders for the boot before

A poll of an idle runner renewed a lease that nothing needs.

Polls of idle runners carry no lease. Of a boot that has answered an order for the boot before, the lease counts as the longest that a runner grants.

--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -120,8 +120,11 @@
       x->run = t->run;
     }
   /* A silent runner's lease is not renewed: if the runner received orders
-     while its answers are lost, the lease would never expire.  */
-  if ((kind == ORDER_START || kind == ORDER_POLL) && r->miss_count == 0)
+     while its answers are lost, the lease would never expire.  An idle runner
+     may have been restarted; a lease by the clock of the boot before would
+     last for the longest that a runner grants.  */
+  if ((kind == ORDER_START || (kind == ORDER_POLL && r->tasks->len > 0))
+      && r->miss_count == 0)
     {
       o->lease_until_ms = runners_lease_until_ms (c, r);
       if (o->lease_until_ms > r->lease_until_ms)
@@ -323,6 +326,7 @@
   r->report.booted_at_ms = booted_at_ms;
   r->boot_named = false;
   r->boot_doubted_at_us = 0;
+  r->took_earlier_lease = false;
   r->boot_read_at_us = c->now_us;
   runners_note_boot (c, r);
   r->reached = false;
@@ -343,14 +347,15 @@
 }
 
 /* Notes the time CLOCK_MS on R's clock.  Leases in orders that were meant for
-   an earlier boot are on another clock: tasks whose starts are open may run
-   for the longest that a runner grants.  */
+   an earlier boot are on another clock: one that this boot has taken, or that
+   tasks whose starts are open may have, lasts for the longest that a runner
+   grants.  */
 static void
 note_clock (struct cell *c, struct runner *r, uint64_t clock_ms)
 {
   if (clock_ms == 0)
     return;
-  if (r->clock_read_at_us == 0 && r->tasks->len > 0)
+  if (r->clock_read_at_us == 0 && (r->tasks->len > 0 || r->took_earlier_lease))
     r->lease_until_ms = clock_ms + c->settings.times.lease_max_ms;
   r->clock_ms = clock_ms;
   r->clock_read_at_us = c->now_us;
@@ -394,6 +399,7 @@
                               : x->booted_at_ms,
                       RUN_OTHER_BOOT);
   r->boot_named = !refused;
+  r->took_earlier_lease = !refused && x->kind != ORDER_STOP;
   if (refused)
     {
       r->next_poll_at_us += WRONG_BOOT_DELAY_MS * US_PER_MS;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -272,6 +272,8 @@
   bool answer_held;     /**< Its last answer is to a poll that waits for ends:
                            another owner may have asked it meanwhile.  */
   bool boot_named; /**< Its own answer has named report's booted_at_ms.  */
+  bool took_earlier_lease; /**< Its boot has taken an order that was meant for
+                              the boot before.  */
   uint64_t previous_boot_ms; /**< booted_at_ms of the boot before; 0: none.  */
   uint64_t boot_known_at_us; /**< When we first heard of its boot.  */
   uint64_t boot_doubted_at_us; /**< When a registration named another boot, for
