Ignore the answer to an append of an earlier ownership

Each ownership numbers its appends from 1, and an outcome named the number only. After an entry had lost the cell with an append in flight and taken it again, the answer to that append counted for the one in flight: a job was accepted that was not stored, and the entry seemed to be the owner; or it lost the cell, fenced by its own claim.

--- a/adapter/site_store.c
+++ b/adapter/site_store.c
@@ -527,6 +527,7 @@
 
   if (a.outcome != APPEND_STORED)
     log_call (x->store, "append_failed", PLATFORM_TOPIC_WORK, r->status);
+  e->u.appended.token = x->op.token;
   e->u.appended.sequence = x->op.sequence;
   e->u.appended.outcome = a.outcome;
   cell_post (x->store->cell, e);
--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -731,6 +731,7 @@
       break;
     case CELL_DO_APPEND:
       e = schedule (sim, STORE_CALL_US, CELL_APPENDED);
+      e->u.appended.token = a->u.append.token;
       e->u.appended.sequence = a->u.append.sequence;
       break;
     case CELL_DO_ORDER:
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -275,7 +275,7 @@
       ownership_on_claim_result (c, e);
       break;
     case CELL_APPENDED:
-      records_on_appended (c, e->u.appended.sequence, e->u.appended.outcome);
+      records_on_appended (c, e);
       break;
     case CELL_RECOVERED:
       ownership_on_recovered (c, e);
--- a/core/cell/records.c
+++ b/core/cell/records.c
@@ -263,13 +263,16 @@
 }
 
 void
-records_on_appended (struct cell *c, uint64_t sequence,
-                     enum append_outcome outcome)
+records_on_appended (struct cell *c, const struct cell_event *e)
 {
   struct append *a = &c->append;
+  enum append_outcome outcome = e->u.appended.outcome;
   guint i;
 
-  if (!cell_is_owner (c) || !a->in_flight || sequence != a->sequence)
+  /* Each ownership numbers its appends anew.  */
+  if (!cell_is_owner (c) || !a->in_flight
+      || e->u.appended.token != c->ownership.token
+      || e->u.appended.sequence != a->sequence)
     return;
   switch (outcome)
     {
@@ -281,9 +284,9 @@
       return;
     case APPEND_NOT_DONE:
     case APPEND_UNKNOWN:
-      cell_log (c, "append_not_stored", 0,
-                "\"sequence\":%llu,\"outcome\":\"%s\"",
-                (unsigned long long)sequence, append_outcome_name (outcome));
+      cell_log (
+          c, "append_not_stored", 0, "\"sequence\":%llu,\"outcome\":\"%s\"",
+          (unsigned long long)a->sequence, append_outcome_name (outcome));
       a->retry_at_us = c->now_us + APPEND_RETRY_MS * US_PER_MS;
       return;
     case APPEND_STORED:
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -791,8 +791,7 @@
 bool records_append_is_full (const struct cell *c);
 /** Adds an empty record to A; the pointer is valid until the next call.  */
 struct append_record *records_add (struct append *a);
-void records_on_appended (struct cell *c, uint64_t sequence,
-                          enum append_outcome outcome);
+void records_on_appended (struct cell *c, const struct cell_event *e);
 /** Restores state from a recovered record; may take parts of it over.  */
 void records_restore (struct cell *c, struct recovered_record *r);
 /** Activates the recovered jobs once all records were read.  */
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -382,6 +382,7 @@
     } claimed;
     struct
     {
+      uint64_t token; /**< Under which it was sent.  */
       uint64_t sequence;
       enum append_outcome outcome;
     } appended;
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -34,6 +34,7 @@
   uint32_t order_kinds[ORDER_HISTORY_COUNT]; /**< By order id.  */
   bool included;       /**< The line is of an included file: print nothing.  */
   bool hold_vm_orders; /**< Lines answer the appends of VM orders.  */
+  uint64_t last_token; /**< Of the newest append.  */
   uint64_t last_sequence; /**< Of the newest append.  */
   uint64_t hidden_count;  /**< Appends up to it that have VM orders only.  */
   uint64_t sequences[APPEND_HISTORY_COUNT]; /**< By the number that lines have:
@@ -587,6 +588,7 @@
   else if ((v = json_object_get (j, "appended")) != NULL)
     {
       e->kind = CELL_APPENDED;
+      e->u.appended.token = get_number (v, "token", x->last_token);
       e->u.appended.sequence
           = x->sequences[get_number (v, "sequence", 0) % APPEND_HISTORY_COUNT];
       e->u.appended.outcome
@@ -978,6 +980,8 @@
       print_action (x, &x->actions.items[i]);
       if (x->actions.items[i].kind == CELL_DO_ORDER)
         blob_unref (x->actions.items[i].u.order.payload);
+      if (x->actions.items[i].kind == CELL_DO_APPEND)
+        x->last_token = x->actions.items[i].u.append.token;
       if (x->actions.items[i].kind == CELL_DO_APPEND
           && is_answered_at_once (x, &x->actions.items[i]))
         stored_sequence = x->actions.items[i].u.append.sequence;
@@ -986,6 +990,7 @@
     {
       struct cell_event stored = { .kind = CELL_APPENDED };
 
+      stored.u.appended.token = x->last_token;
       stored.u.appended.sequence = stored_sequence;
       stored.u.appended.outcome = APPEND_STORED;
       step_cell (x, &stored);
--- a/tests/model_store.c
+++ b/tests/model_store.c
@@ -193,6 +193,7 @@
   struct cell_event *ev = model_event (CELL_APPENDED);
   bool lost = m->now_us < s->appends_lost_until_us;
 
+  ev->u.appended.token = x->token;
   ev->u.appended.sequence = x->sequence;
   if (x->token < s->epoch)
     {
@@ -322,6 +323,7 @@
       break;
     case CELL_DO_APPEND:
       ev = model_event (CELL_APPENDED);
+      ev->u.appended.token = x->token;
       ev->u.appended.sequence = x->sequence;
       ev->u.appended.outcome = silent ? APPEND_UNKNOWN : APPEND_NOT_DONE;
       break;
