Count a failed run whose number ends in 16 zero bits

Records keep the low 16 bits of the numbers of failed runs, and 0 stands for none, so such a failure was not counted.

--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -302,15 +302,17 @@
 static bool
 note_failed_run (struct task *t, uint32_t run)
 {
+  /* 0 stands for none.  */
+  uint16_t number = (uint16_t)run != 0 ? (uint16_t)run : UINT16_MAX;
   uint32_t i;
 
   for (i = 0; i < FAILED_RUN_COUNT; i++)
     {
-      if (t->failed_runs[i] == (uint16_t)run)
+      if (t->failed_runs[i] == number)
         return false;
       if (t->failed_runs[i] == 0)
         {
-          t->failed_runs[i] = (uint16_t)run;
+          t->failed_runs[i] = number;
           return true;
         }
     }
