Order no VM without proof that this entry is still the owner

An owner that is cut off from the store, but not from the cloud, went on sending the orders for VMs that its record names, and repeats of those without an answer, for up to 10 s. It counted a VM as empty once the lease of a silent runner had expired. The cloud compares tokens for each VM by itself, so it takes such an order unless the successor has ordered the same VM; it ends what the successor has started there or adopted (work lost, AVAIL).

An order is sent up to 600 ms after the sending of an append that was stored, and, if the VM is empty by evidence that holds only for the owner, once such an append was sent later. A VM that waits while the store is stalled returns to use, as before. VMs that wait for a confirmation get their orders when it is stored, without another tick.

--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -13,6 +13,12 @@
 /** Name that stands for all pools, also those that no configuration has.  */
 #define EVERY_POOL ""
 
+/** An order for a VM is sent up to this long after the newest confirmation. */
+#define VM_ORDER_CONFIRMED_MS 600
+/** It reaches the cloud within this, or never: the time that it may be delayed
+    within the entry, and that of the call.  */
+#define VM_ORDER_REACH_MS 2500
+
 /** Whether the stored record of VM orders names a VM.  */
 enum vm_naming
 {
@@ -167,11 +173,12 @@
     some room for waves, which have a deadline.  */
 bool vm_orders_admit_emptying (const struct cell *c, bool is_move);
 /** Sends V's order again if its outcome is not known, the time for that has
-    come and the window allows.  */
+    come, the window allows, and this entry has shown that it is the owner.  */
 void vm_orders_repeat (struct cell *c, struct vm *v);
-/** Sends the order for V, which is empty, if its name is stored and the window
-    allows; gives V back while orders fail or the store takes no records; and
-    else leaves V for the next tick.  */
+/** Sends the order for V, which is empty, if its name is stored, the window
+    allows and this entry has shown that it is the owner; gives V back while
+    orders fail or the store takes no records; and else leaves V for the next
+    tick.  */
 void vm_orders_send_or_give_back (struct cell *c, struct vm *v);
 
 /* places.c: places for long-running tasks that have to start.  */
--- a/core/cell/handover.c
+++ b/core/cell/handover.c
@@ -166,11 +166,11 @@
     {
       struct vm *v = value;
 
-      if (v->naming != VM_NAMING_SENT)
-        continue;
-      v->naming = VM_NAMED;
-      if (v->phase == VM_EMPTYING && fleet_is_empty (c, v)
-          && fleet_runs_are_known (c, v))
+      vm_orders_repeat (c, v);
+      if (v->naming == VM_NAMING_SENT)
+        v->naming = VM_NAMED;
+      if (v->naming == VM_NAMED && v->phase == VM_EMPTYING
+          && fleet_is_empty (c, v) && fleet_runs_are_known (c, v))
         vm_orders_send_or_give_back (c, v);
     }
 }
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -272,6 +272,8 @@
   bool boot_named; /**< Its own answer has named report's booted_at_ms.  */
   uint64_t previous_boot_ms; /**< booted_at_ms of the boot before; 0: none.  */
   uint64_t boot_known_at_us; /**< When we first heard of its boot.  */
+  uint64_t runs_over_at_us;  /**< Newest over_at_us of the tasks that it
+                                had.  */
   uint64_t boot_doubted_at_us; /**< When a registration named another boot, for
                                   which it is polled; 0: none.  */
   uint64_t boot_read_at_us;   /**< When booted_at_ms changed; answers to orders
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -147,6 +147,8 @@
     {
       t->last_run_over = why;
       t->over_at_us = needs_confirmation (t->runner, why) ? c->now_us : 0;
+      t->runner->runs_over_at_us
+          = MAX (t->runner->runs_over_at_us, t->over_at_us);
     }
   g_ptr_array_remove_fast (t->runner->tasks, t);
   resources_subtract (&t->runner->used, &room);
--- a/core/cell/vm_orders.c
+++ b/core/cell/vm_orders.c
@@ -5,7 +5,12 @@
    fast as the cloud takes them: within its rate, and no more at once than the
    order client has connections.  While the cloud does not take orders, one at
    a time is tried after a growing delay, and VMs that wait for theirs return
-   to use.  */
+   to use.
+
+   The cloud compares tokens for each VM by itself, so it takes orders of an
+   owner that another one has followed.  So an order is sent only shortly after
+   a confirmation that we were the owner (confirmation.c).  A new owner leaves
+   the VMs that our record names unused for longer (handover.c).  */
 
 #include "core/cell/fleet.h"
 
@@ -146,20 +151,34 @@
             v->target_pool, (unsigned long long)c->ownership.token);
 }
 
+/* Returns true if an order for V may be sent as far as another owner may have
+   followed: that one has not yet used V.  Otherwise requests a confirmation.
+ */
+static bool
+is_confirmed (struct cell *c, const struct vm *v)
+{
+  const uint64_t age_us = VM_ORDER_CONFIRMED_MS * US_PER_MS;
+  const struct runner *r = fleet_runner (c, v);
+
+  return confirmation_covers (c, c->now_us > age_us ? c->now_us - age_us : 0)
+         && (r == NULL || confirmation_covers (c, r->runs_over_at_us));
+}
+
 void
 vm_orders_repeat (struct cell *c, struct vm *v)
 {
   uint64_t gap_ms = v->order_pending ? LOST_MS : RETRY_MS;
 
   if (v->phase == VM_ORDERED
-      && c->now_us > v->ordered_at_us + gap_ms * US_PER_MS && admits_order (c))
+      && c->now_us > v->ordered_at_us + gap_ms * US_PER_MS && admits_order (c)
+      && is_confirmed (c, v))
     send_order (c, v);
 }
 
 void
 vm_orders_send_or_give_back (struct cell *c, struct vm *v)
 {
-  if (v->naming != VM_NAMED)
+  if (v->naming != VM_NAMED || !is_confirmed (c, v))
     {
       if (records_are_stalled (c))
         fleet_give_back_vm (c, v, "store", FAILURE_DELAY_LIMIT_MS);
