Count the wait for a former owner's VM orders from the fence

The wait of a new owner for the VMs that the former one may have ordered began with the claim. But the former owner's records are taken, so it names and orders VMs, until the new owner has fenced the records, which may be up to 8 s after the claim if the store is slow. Both could then order a VM within the platform's gap, and a wave could have more VMs down than it may (LIMIT). A takeover that stalled and was begun again waited from the first claim on.

--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -149,6 +149,9 @@
 /* handover.c: VMs that an owner may order.  */
 /** Handles that our claim is the newest.  */
 void handover_begin (struct cell *c);
+/** Handles that the records have been read, which are fenced before: the
+   former owner orders VMs until then.  */
+void handover_on_recovered (struct cell *c);
 /** Returns true if all VMs may be ordered, whoever ordered them before.  */
 bool handover_is_over (const struct cell *c);
 /** Returns from when on VM may be ordered; 0: at once.  */
--- a/core/cell/handover.c
+++ b/core/cell/handover.c
@@ -43,10 +43,22 @@
   /* Our own orders, and what we waited for before, need no new wait.  */
   if (o->predecessor_is_self)
     return;
-  h->begun_at_us = c->now_us;
+  h->begin_due = !o->no_predecessor;
   h->until_us = o->no_predecessor ? 0 : c->now_us + gap_ms (c) * US_PER_MS;
 }
 
+void
+handover_on_recovered (struct cell *c)
+{
+  struct vm_handover *h = &c->handover;
+
+  if (!h->begin_due)
+    return;
+  h->begin_due = false;
+  h->begun_at_us = c->now_us;
+  h->until_us = c->now_us + gap_ms (c) * US_PER_MS;
+}
+
 void
 handover_restore (struct cell *c, struct recovered_record *r)
 {
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -488,6 +488,7 @@
     return;
   set_phase (c, OWNERSHIP_OWNER);
   o->fenced_at_ms = c->wall_ms;
+  handover_on_recovered (c);
   records_finish_recovery (c);
   jobs_on_config (c);
   c->metrics.counters[CELL_COUNT_TAKEOVERS]++;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -476,7 +476,8 @@
   bool orders_known; /**< orders are all that the former owner gave.  */
   uint32_t order_count;
   struct vm_order_note *orders;
-  uint64_t begun_at_us; /**< When the cell was claimed from another owner.  */
+  bool begin_due;       /**< Those of another owner have not been read.  */
+  uint64_t begun_at_us; /**< When they had been.  */
   uint64_t until_us;    /**< Then all VMs may be ordered.  */
   uint32_t noted_count; /**< VMs in our last record.  */
   uint64_t noted_at_us; /**< When it was made.  */
