Start no task on a VM that the former owner may yet order

A new owner left the VMs that the former owner's record names alone as to its own orders, but started tasks on them at once. A former owner that is cut off from the store, but not from the cloud, may still order them, which ends these tasks (work lost, AVAIL).

Runners on such VMs get no task until the wait for the VM is over, and while VMs are noted, none does of which it is not known on which VM it is. The wait is at least the 600 ms for which the former owner sends orders after its newest stored append and the 2.5 s in which these reach the cloud or never do. The record is read behind all appends that were stored, so every order is over by then. So that VMs that have just been moved are not left unused, one that is away is noted only for the rest of the time since its order was answered; it gets no other order before it is named again.

--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -156,6 +156,9 @@
 bool handover_is_over (const struct cell *c);
 /** Returns from when on VM may be ordered; 0: at once.  */
 uint64_t handover_orders_from_us (const struct cell *c, const char *vm);
+/** Returns true if tasks may start on R: it is known to be on no VM that the
+    former owner may yet order.  */
+bool handover_admits_starts (const struct cell *c, const struct runner *r);
 /** Has the next record name V, which is to be ordered; V is VM_NAMED once that
     is stored.  */
 void handover_want_order (struct cell *c, struct vm *v);
--- a/core/cell/handover.c
+++ b/core/cell/handover.c
@@ -9,6 +9,11 @@
    however that one ended.  The new owner leaves these alone for the rest of
    the time, and may order all others at once.
 
+   Nor does it start tasks on them until then.  The former owner may be cut off
+   from the records, but not from the cloud, and still order a VM that it has
+   named, whatever runs there by now.  It does so only shortly after an append
+   that was stored (vm_orders.c), so before this owner's wait is over.
+
    Owners of earlier versions recorded nothing.  Claims tell whether the record
    can be relied on; if not, each VM may be one that was ordered.  */
 
@@ -26,7 +31,8 @@
 static uint32_t
 gap_ms (const struct cell *c)
 {
-  return c->settings.times.handover_gap_ms + HANDOVER_MARGIN_MS;
+  return MAX (c->settings.times.handover_gap_ms + HANDOVER_MARGIN_MS,
+              VM_ORDER_CONFIRMED_MS + VM_ORDER_REACH_MS);
 }
 
 void
@@ -92,6 +98,18 @@
   return 0;
 }
 
+bool
+handover_admits_starts (const struct cell *c, const struct runner *r)
+{
+  const struct vm_handover *h = &c->handover;
+  const struct vm *v;
+
+  if (handover_is_over (c) || !h->orders_known || h->order_count == 0)
+    return true;
+  v = fleet_find (c->fleet, r->vm);
+  return v != NULL && c->now_us >= v->orders_from_us;
+}
+
 void
 handover_want_order (struct cell *c, struct vm *v)
 {
@@ -117,7 +135,9 @@
 {
   uint64_t until_us = v->orders_from_us;
 
-  if (v->naming != VM_NOT_NAMED || v->phase == VM_ORDERED)
+  /* A VM that is away gets no further order before it is named again.  */
+  if (v->phase == VM_ORDERED
+      || (v->naming != VM_NOT_NAMED && v->phase != VM_AWAY))
     return gap_ms (c);
   if (v->order_ended_at_us > 0)
     until_us = MAX (until_us, v->order_ended_at_us + gap_ms (c) * US_PER_MS);
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -57,6 +57,7 @@
          && r->clock_read_at_us != 0 && !r->report.draining && !r->vm_emptying
          && r->miss_count == 0
          && c->ownership.confirmed_at_us >= r->boot_known_at_us
+         && handover_admits_starts (c, r)
          && (in_quarantine || c->now_us >= r->quarantined_until_us)
          && c->now_us >= r->refused_until_us && c->now_us >= r->full_until_us;
 }
