Confirm that runners which did not answer have no former runs

An inherited task that no runner reports starts once every runner of its pools has answered, or is known to be gone: its VM is down in the cloud's list, it has booted since, or, after the wait, it misses polls. A new owner that is cut off from the store took that as proof by itself. Before the VM went down or the runner booted, another owner may have reached it and noted the task's end, or started the task elsewhere since (TWICE).

Such a task waits now until an append is stored that was sent after the newest evidence of that kind. A runner that answers at once needs no such proof: a newer owner that starts the task has to reach the runner on which this one starts it.

--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -239,6 +239,18 @@
   return p;
 }
 
+/* Returns true if T may start as far as its former runs go: they were over
+   while this entry was the owner.  Otherwise requests a confirmation.  */
+static bool
+is_confirmed (struct cell *c, const struct task *t)
+{
+  uint64_t at_us = t->over_at_us;
+
+  if (task_job (t)->inherited && !t->reconciled)
+    at_us = MAX (at_us, c->ownership.unreached_over_at_us);
+  return confirmation_covers (c, at_us);
+}
+
 /* Returns true if T is long-running, has failed and has to wait for its
    restart: 50 ms for each failure, 1 s at most.  */
 static bool
@@ -325,7 +337,7 @@
       || (p->unreached != NULL && !s->tasks[0].reconciled))
     return;
   for (i = 0; i < s->spec->task_count; i++)
-    if (!confirmation_covers (c, s->tasks[i].over_at_us))
+    if (!is_confirmed (c, &s->tasks[i]))
       {
         p->wait = WAIT_CONFIRMATION;
         return;
@@ -389,7 +401,7 @@
           p->wait = WAIT_BACKOFF;
           continue;
         }
-      if (!confirmation_covers (c, t->over_at_us))
+      if (!is_confirmed (c, t))
         {
           p->wait = WAIT_CONFIRMATION;
           continue;
--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -104,6 +104,7 @@
   cell_log (c, "vm_left", 0, "\"vm\":\"%s\",\"pool\":\"%s\",\"phase\":\"%s\"",
             v->row.vm, v->row.pool, phase_names[v->phase]);
   v->row.up = false;
+  c->ownership.unreached_over_at_us = c->now_us;
   if (v->phase == VM_IDLE || v->phase == VM_EMPTYING
       || (v->phase == VM_AWAY
           && c->now_us >= v->away_until_us + SAME_RUNNER_MS * US_PER_MS))
@@ -149,7 +150,11 @@
           text_copy (v->first_runner, NAME_BYTES, row->runner);
           v->orders_from_us = handover_orders_from_us (c, row->vm);
           g_hash_table_insert (f->vms, v->row.vm, v);
+          if (!row->up)
+            c->ownership.unreached_over_at_us = c->now_us;
         }
+      if ((v->row.up && !row->up) || strcmp (row->runner, v->row.runner) != 0)
+        c->ownership.unreached_over_at_us = c->now_us;
       text_copy (v->row.pool, NAME_BYTES, row->pool);
       text_copy (v->row.runner, NAME_BYTES, row->runner);
       v->row.up = row->up;
--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -250,6 +250,8 @@
       return;
     }
   r->miss_count++;
+  if (r->miss_count == LOST_MISS_COUNT && !r->reached)
+    c->ownership.unreached_over_at_us = c->now_us;
   if (r->miss_count == 1)
     cell_log (c, "runner_silent", 0,
               "\"runner\":\"%s\",\"outcome\":\"%s\",\"runs\":%u", r->report.id,
--- a/core/cell/registrations.c
+++ b/core/cell/registrations.c
@@ -128,6 +128,8 @@
   if (!r->listed)
     return;
   r->listed = false;
+  if (!r->reached)
+    c->ownership.unreached_over_at_us = c->now_us;
   r->unlisted_at_us = c->now_us;
   cell_log (c, "runner_unlisted", 0, "\"runner\":\"%s\",\"runs\":%u",
             r->report.id, r->tasks->len);
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -300,6 +300,7 @@
 runners_note_boot (struct cell *c, struct runner *r)
 {
   r->boot_known_at_us = c->now_us;
+  c->ownership.unreached_over_at_us = c->now_us;
   confirmation_covers (c, c->now_us);
 }
 
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -453,6 +453,9 @@
                                fenced the records by then.  */
   uint64_t confirmation_wanted_us; /**< Latest time for which a decision
                                       depends on confirmed_at_us.  */
+  uint64_t unreached_over_at_us;   /**< When runs on a runner that had not
+                                      answered were last found to be over in a
+                                      way that only holds for the owner.  */
   uint32_t unassigned_join_count; /**< Joins in a row that assigned the cell to
                                    another member.  */
   uint64_t next_find_at_us; /**< When we may ask for the holder again.  */
