Read the VMs after the wait for a former owner's orders

A wave counts a VM as down while the former owner may have ordered it, and then by the list of VMs. That list may have been asked for before the former owner's order was carried out, if the cloud left later ones unanswered: then the wave took another VM while this one was down (LIMIT).

Such a VM counts as down until a list that was asked for after the wait tells.

--- a/core/cell/wave_choice.c
+++ b/core/cell/wave_choice.c
@@ -160,12 +160,14 @@
       const struct vm *v = fleet_find (c->fleet, w->spec.vms[k]);
 
       /* A VM that is down without an order of ours was sent into maintenance
-         by a former owner.  Such an order may not show in the list yet.  */
+         by a former owner.  Such an order may not show in the list yet, unless
+         the list was asked for when it was over.  */
       if (v != NULL
           && (v->phase != VM_IDLE
                   ? v->wave == w->spec.number
                   : !v->row.up
-                        || (!w->done[k] && c->now_us < v->orders_from_us)))
+                        || (!w->done[k]
+                            && c->fleet->snapshot_at_us < v->orders_from_us)))
         n++;
     }
   return n;
