--- a/tests/model.h
+++ b/tests/model.h
@@ -448,6 +448,9 @@
 /** An order of an entry ends the run X on R.  */
 void model_rules_on_order (struct model *m, struct model_runner *r,
                            const struct model_run *x);
+/** The same for an order for the VM of R.  */
+void model_rules_on_vm_order (struct model *m, struct model_runner *r,
+                              const struct model_run *x);
 /** Returns true if a task of J has failed as often as it may.  */
 bool model_job_failed (struct model *m, const struct model_job *j);
 /** The state of J, or that there is no such job, was shown to a client whose
--- a/tests/model_cloud.c
+++ b/tests/model_cloud.c
@@ -36,7 +36,8 @@
   guint i;
 
   for (i = 0; r != NULL && i < r->runs->len; i++)
-    model_rules_on_order (m, r, &g_array_index (r->runs, struct model_run, i));
+    model_rules_on_vm_order (m, r,
+                             &g_array_index (r->runs, struct model_run, i));
   model_runner_end (m, vm);
   m->vms[vm].up = false;
   m->vms[vm].runner = NULL;
--- a/tests/model_rules.c
+++ b/tests/model_rules.c
@@ -21,7 +21,8 @@
           answered, or runs on after 3.4 s more without faults.
    MIXED  A job is shown as completed only when all its tasks are done.
    AVAIL  No order ends a serving task while as many others of its step are
-          away as may be.  */
+          away as may be.
+   WORK   No order for a VM ends a run, unless the run is being stopped.  */
 
 #include "tests/model.h"
 
@@ -367,6 +368,20 @@
                 key, x->run, r->id, count_away (m, t));
 }
 
+void
+model_rules_on_vm_order (struct model *m, struct model_runner *r,
+                         const struct model_run *x)
+{
+  char key[64];
+
+  model_rules_on_order (m, r, x);
+  if (x->stops_at_us != 0)
+    return;
+  model_task_print (&x->task, key, sizeof key);
+  model_broken (m, "WORK: %s run %u on %s is ended by an order for its VM",
+                key, x->run, r->id);
+}
+
 /* Returns true if a runner has room for a task of the step twice over.  */
 static bool
 has_room (struct model *m, const struct model_job *j, uint32_t step)
