Hold up no inherited task for runners that boot later

Now the evidence counts that there was when no runner of the job's pools was waited for any more.

boots_hold_up_no_inherited_task failed before: no start at 900 ms.

--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -239,15 +239,29 @@
   return p;
 }
 
+/* The same, and notes since when there is none, as far as that only holds for
+   the owner.  */
+static struct pool_round *
+note_unreached (const struct cell *c, GHashTable *pools, struct job *j)
+{
+  struct pool_round *p = find_unreached (c, pools, j);
+
+  if (p == NULL && !j->reached)
+    j->reached_at_us = c->ownership.unreached_over_at_us;
+  j->reached = p == NULL;
+  return p;
+}
+
 /* Returns true if T may start as far as its former runs go: they were over
    while this entry was the owner.  Otherwise requests a confirmation.  */
 static bool
 is_confirmed (struct cell *c, const struct task *t)
 {
+  const struct job *j = task_job (t);
   uint64_t at_us = t->over_at_us;
 
-  if (task_job (t)->inherited && !t->reconciled)
-    at_us = MAX (at_us, c->ownership.unreached_over_at_us);
+  if (j->inherited && !t->reconciled)
+    at_us = MAX (at_us, j->reached_at_us);
   return confirmation_covers (c, at_us);
 }
 
@@ -485,7 +499,7 @@
       struct pool_round *p = find_pool_round (pools, q->pool);
 
       p->wait = WAIT_RECORD;
-      p->unreached = find_unreached (c, pools, j);
+      p->unreached = note_unreached (c, pools, j);
       if (job_pools_allow_start (c, j, q->pool))
         {
           p->wait = WAIT_NONE;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -204,6 +204,10 @@
   bool started;           /**< A task of it was started.  */
   bool over_rate;         /**< It exceeded its tenant's rate.  */
   bool inherited;         /**< Accepted by an earlier owner.  */
+  bool reached;           /**< No runner may have runs of it that this owner
+                             does not know of.  */
+  uint64_t reached_at_us; /**< The owner's unreached_over_at_us when reached
+                             became true.  */
   bool end_stored;        /**< Its final state is durable.  */
   bool objective_known;   /**< objective_deadline_us is set by its queue.  */
   bool failures_unjudged; /**< A run failed while its queue was not known, or
