--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -13,6 +13,12 @@
 /** Name that stands for all pools, also those that no configuration has.  */
 #define EVERY_POOL ""
 
+/** An order for a VM is sent up to this long after the newest confirmation. */
+#define VM_ORDER_CONFIRMED_MS 600
+/** It reaches the cloud within this, or never: the time that it may be delayed
+    within the entry, and that of the call.  */
+#define VM_ORDER_REACH_MS 2500
+
 /** Whether the stored record of VM orders names a VM.  */
 enum vm_naming
 {
@@ -143,10 +149,16 @@
 /* handover.c: VMs that an owner may order.  */
 /** Handles that our claim is the newest.  */
 void handover_begin (struct cell *c);
+/** Handles that the records have been read, which are fenced before: the
+   former owner orders VMs until then.  */
+void handover_on_recovered (struct cell *c);
 /** Returns true if all VMs may be ordered, whoever ordered them before.  */
 bool handover_is_over (const struct cell *c);
 /** Returns from when on VM may be ordered; 0: at once.  */
 uint64_t handover_orders_from_us (const struct cell *c, const char *vm);
+/** Returns true if tasks may start on R: it is known to be on no VM that the
+    former owner may yet order.  */
+bool handover_admits_starts (const struct cell *c, const struct runner *r);
 /** Has the next record name V, which is to be ordered; V is VM_NAMED once that
     is stored.  */
 void handover_want_order (struct cell *c, struct vm *v);
@@ -167,11 +179,12 @@
     some room for waves, which have a deadline.  */
 bool vm_orders_admit_emptying (const struct cell *c, bool is_move);
 /** Sends V's order again if its outcome is not known, the time for that has
-    come and the window allows.  */
+    come, the window allows, and this entry has shown that it is the owner.  */
 void vm_orders_repeat (struct cell *c, struct vm *v);
-/** Sends the order for V, which is empty, if its name is stored and the window
-    allows; gives V back while orders fail or the store takes no records; and
-    else leaves V for the next tick.  */
+/** Sends the order for V, which is empty, if its name is stored, the window
+    allows and this entry has shown that it is the owner; gives V back while
+    orders fail or the store takes no records; and else leaves V for the next
+    tick.  */
 void vm_orders_send_or_give_back (struct cell *c, struct vm *v);
 
 /* places.c: places for long-running tasks that have to start.  */
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -204,6 +204,10 @@
   bool started;           /**< A task of it was started.  */
   bool over_rate;         /**< It exceeded its tenant's rate.  */
   bool inherited;         /**< Accepted by an earlier owner.  */
+  bool reached;           /**< No runner may have runs of it that this owner
+                             does not know of.  */
+  uint64_t reached_at_us; /**< The owner's unreached_over_at_us when reached
+                             became true.  */
   bool end_stored;        /**< Its final state is durable.  */
   bool objective_known;   /**< objective_deadline_us is set by its queue.  */
   bool failures_unjudged; /**< A run failed while its queue was not known, or
@@ -276,6 +280,8 @@
                               the boot before.  */
   uint64_t previous_boot_ms; /**< booted_at_ms of the boot before; 0: none.  */
   uint64_t boot_known_at_us; /**< When we first heard of its boot.  */
+  uint64_t runs_over_at_us;  /**< Newest over_at_us of the tasks that it
+                                had.  */
   uint64_t boot_doubted_at_us; /**< When a registration named another boot, for
                                   which it is polled; 0: none.  */
   uint64_t boot_read_at_us;   /**< When booted_at_ms changed; answers to orders
@@ -455,6 +461,9 @@
                                fenced the records by then.  */
   uint64_t confirmation_wanted_us; /**< Latest time for which a decision
                                       depends on confirmed_at_us.  */
+  uint64_t unreached_over_at_us;   /**< When runs on a runner that had not
+                                      answered were last found to be over in a
+                                      way that only holds for the owner.  */
   uint32_t unassigned_join_count; /**< Joins in a row that assigned the cell to
                                    another member.  */
   uint64_t next_find_at_us; /**< When we may ask for the holder again.  */
@@ -478,7 +487,8 @@
   bool orders_known; /**< orders are all that the former owner gave.  */
   uint32_t order_count;
   struct vm_order_note *orders;
-  uint64_t begun_at_us; /**< When the cell was claimed from another owner.  */
+  bool begin_due;       /**< Those of another owner have not been read.  */
+  uint64_t begun_at_us; /**< When they had been.  */
   uint64_t until_us;    /**< Then all VMs may be ordered.  */
   uint32_t noted_count; /**< VMs in our last record.  */
   uint64_t noted_at_us; /**< When it was made.  */
