Wait for stops that a former owner has ordered

A runner lists a run while it stops it, so a new owner counted a serving task as at work that the former owner was stopping, and could stop another one of its step for a wave at once (AVAIL). The wave must have more than one VM out, or the first stop be for a drain; the takeover must take less than a stop, 400 ms at most.

A task that was adopted counts as at work once its runner has answered a stop's time after it was found there: from its first answer on the runner takes no order of the former owner.

former_stop_is_waited_for failed before: task 1 was stopped at 160 ms, while task 0 ended at 300 ms; now at 820 ms, when task 0 is at work again.

--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -29,7 +29,8 @@
   t->phase = TASK_RUNNING;
   task_assign (c, t, r);
   t->reconciled = true;
-  t->start_ordered_at_us = t->ordered_at_us = t->start_known_at_us = c->now_us;
+  t->start_ordered_at_us = t->ordered_at_us = t->start_known_at_us
+      = t->adopted_at_us = c->now_us;
   task_job (t)->started = true;
 }
 
--- a/core/cell/serving.c
+++ b/core/cell/serving.c
@@ -93,11 +93,23 @@
     }
 }
 
+/* Returns true if no former owner is stopping T's run: it runs on after the
+   time that a stop may take.  The runner has taken no stop of theirs since it
+   first answered this owner.  */
+static bool
+is_kept (const struct cell *c, const struct task *t)
+{
+  return t->adopted_at_us == 0
+         || t->runner->answered_at_us
+                >= t->adopted_at_us
+                       + c->settings.times.task_stop_ms * US_PER_MS;
+}
+
 /* Returns true if T was at full speed by a recent answer of its runner.  */
 static bool
 is_working (const struct cell *c, const struct task *t)
 {
-  return t->phase == TASK_RUNNING && t->work_percent >= 100
+  return t->phase == TASK_RUNNING && t->work_percent >= 100 && is_kept (c, t)
          && t->runner->miss_count == 0
          && c->now_us
                 < t->runner->answered_at_us + ANSWER_AGE_LIMIT_MS * US_PER_MS;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -121,12 +121,14 @@
   uint64_t ordered_at_us;   /**< When its newest order was sent.  */
   uint64_t start_ordered_at_us; /**< When its newest start was ordered.  */
   uint64_t start_known_at_us;   /**< When that start's outcome was known.  */
-  bool start_confirmed;         /**< This run is known to have started.  */
-  uint64_t stop_acked_at_us;    /**< When its stop was acknowledged, or 0.  */
-  uint64_t ready_at_us;         /**< When it became able to start.  */
-  enum run_over last_run_over;  /**< How its last run came to be over.  */
-  uint64_t over_at_us;          /**< When that became known in a way that only
-                                   holds for the owner; 0: it did not.  */
+  uint64_t adopted_at_us; /**< When its run, which a former owner started, was
+                             found; 0: it has none.  */
+  bool start_confirmed;   /**< This run is known to have started.  */
+  uint64_t stop_acked_at_us;   /**< When its stop was acknowledged, or 0.  */
+  uint64_t ready_at_us;        /**< When it became able to start.  */
+  enum run_over last_run_over; /**< How its last run came to be over.  */
+  uint64_t over_at_us;         /**< When that became known in a way that only
+                                  holds for the owner; 0: it did not.  */
   uint64_t working_at_us;   /**< When this run last worked; 0: never.  Set, but
                                not used.  */
   uint32_t work_percent;    /**< Reported: of a short task, the part that is
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -178,6 +178,7 @@
   t->start_confirmed = false;
   t->slow_run = false;
   t->ordered_at_us = t->start_ordered_at_us = c->now_us;
+  t->adopted_at_us = 0;
   j->started = true;
   c->metrics.counters[CELL_COUNT_STARTS]++;
   o = runners_send_order (c, r, ORDER_START, t);
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -267,8 +267,7 @@
 };
 
 /** Times of the platform and of the site, from the settings.  The cell does
-    not use task_stop_ms, away_notice_ms, over_target_limit_ms and
-    early_start_ms.  */
+    not use away_notice_ms, over_target_limit_ms and early_start_ms.  */
 struct cell_times
 {
   uint32_t revoke_ms;       /**< Longest time that a withdrawn key works.  */
