Show tasks that wait for a proof of ownership in log and metrics

An owner that is cut off showed itself by job_waits only, which is written once a job. starts_unconfirmed tells once a second how many tasks wait, for how long, and how old the newest stored append and join are. The counter confirmation_appends and the histogram confirmation_ms tell what the proof costs.

--- a/adapter/site_front.c
+++ b/adapter/site_front.c
@@ -157,6 +157,7 @@
            f->ready);
   print_histogram (out, "reply", f->metrics.reply_ms);
   print_histogram (out, "finish", f->metrics.finish_ms);
+  print_histogram (out, "confirmation", f->metrics.confirmation_ms);
   fclose (out);
   done = respond (c, 200, "text/plain; version=0.0.4", text, 0);
   free (text);
--- a/core/cell/cell.h
+++ b/core/cell/cell.h
@@ -66,6 +66,8 @@
   CELL_COUNT_SLOW_RUNNERS,
   CELL_COUNT_LEASE_RENEWALS,
   CELL_COUNT_APPENDS,
+  CELL_COUNT_CONFIRMATION_APPENDS, /**< Those sent only to show that this entry
+                                      is the owner.  */
   CELL_COUNT_TAKEOVERS,
   CELL_COUNT_OWNERSHIPS_LOST,
   CELL_COUNT_MOVES,
@@ -84,8 +86,11 @@
   uint64_t reply_ms[CELL_BUCKET_COUNT];  /**< From a call to its reply.  */
   uint64_t finish_ms[CELL_BUCKET_COUNT]; /**< From a job's arrival at
                                             the owner to its end.  */
-  uint32_t owner;                        /**< 1 if it owns the cell.  */
-  uint32_t jobs_active;                  /**< Jobs that are not final.  */
+  /** For how long a task that could start waited for an append to show that
+      this entry was the owner when its last run was over.  */
+  uint64_t confirmation_ms[CELL_BUCKET_COUNT];
+  uint32_t owner;       /**< 1 if it owns the cell.  */
+  uint32_t jobs_active; /**< Jobs that are not final.  */
   uint32_t runners_listed;
 };
 
--- a/core/cell/confirmation.c
+++ b/core/cell/confirmation.c
@@ -15,6 +15,10 @@
 
 #include "core/cell/state.h"
 
+/** Tasks that wait are logged once one has waited this long, and then at this
+    interval.  */
+#define LOG_MS 1000
+
 bool
 confirmation_covers (struct cell *c, uint64_t at_us)
 {
@@ -25,6 +29,63 @@
   return false;
 }
 
+/* Counts T among the tasks that wait in this round.  */
+static void
+note_unconfirmed (struct cell *c, struct task *t)
+{
+  struct unconfirmed_tasks *u = &c->unconfirmed_tasks;
+
+  if (t->unconfirmed_at_us == 0)
+    t->unconfirmed_at_us = c->now_us;
+  if (u->count == 0 || t->unconfirmed_at_us < u->since_us)
+    {
+      u->since_us = t->unconfirmed_at_us;
+      u->job = task_job (t)->id;
+    }
+  u->count++;
+}
+
+bool
+confirmation_covers_task (struct cell *c, struct task *t, uint64_t at_us)
+{
+  if (!confirmation_covers (c, at_us))
+    {
+      note_unconfirmed (c, t);
+      return false;
+    }
+  if (t->unconfirmed_at_us > 0)
+    cell_histogram_add (c->metrics.confirmation_ms,
+                        (c->now_us - t->unconfirmed_at_us) / US_PER_MS);
+  t->unconfirmed_at_us = 0;
+  return true;
+}
+
+void
+confirmation_end_round (struct cell *c)
+{
+  struct unconfirmed_tasks *u = &c->unconfirmed_tasks;
+  uint32_t n = u->count;
+
+  u->count = 0;
+  if (n == 0 || c->now_us < u->since_us + LOG_MS * US_PER_MS
+      || c->now_us < u->logged_at_us + LOG_MS * US_PER_MS)
+    return;
+  u->logged_at_us = c->now_us;
+  cell_log (c, "starts_unconfirmed", u->job,
+            "\"token\":%llu,\"tasks\":%u,\"waited_ms\":%llu,"
+            "\"confirmed_ms\":%llu,\"append_ms\":%llu,\"join_age_ms\":%llu",
+            (unsigned long long)c->ownership.token, n,
+            (unsigned long long)((c->now_us - u->since_us) / US_PER_MS),
+            (unsigned long long)((c->now_us - c->ownership.confirmed_at_us)
+                                 / US_PER_MS),
+            (unsigned long long)(c->append.in_flight
+                                     ? (c->now_us - c->append.began_at_us)
+                                           / US_PER_MS
+                                     : 0),
+            (unsigned long long)((c->now_us - c->ownership.joined_at_us)
+                                 / US_PER_MS));
+}
+
 bool
 confirmation_wait_is_over (const struct cell *c)
 {
--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -255,14 +255,14 @@
 /* Returns true if T may start as far as its former runs go: they were over
    while this entry was the owner.  Otherwise requests a confirmation.  */
 static bool
-is_confirmed (struct cell *c, const struct task *t)
+is_confirmed (struct cell *c, struct task *t)
 {
   const struct job *j = task_job (t);
   uint64_t at_us = t->over_at_us;
 
   if (j->inherited && !t->reconciled)
     at_us = MAX (at_us, j->reached_at_us);
-  return confirmation_covers (c, at_us);
+  return confirmation_covers_task (c, t, at_us);
 }
 
 /* Returns true if T is long-running, has failed and has to wait for its
@@ -344,6 +344,7 @@
 static void
 start_gang (struct cell *c, struct work_step *s, struct pool_round *p)
 {
+  bool covered = true;
   uint32_t run = 0;
   uint32_t i;
 
@@ -351,11 +352,12 @@
       || (p->unreached != NULL && !s->tasks[0].reconciled))
     return;
   for (i = 0; i < s->spec->task_count; i++)
-    if (!is_confirmed (c, &s->tasks[i]))
-      {
-        p->wait = WAIT_CONFIRMATION;
-        return;
-      }
+    covered = is_confirmed (c, &s->tasks[i]) && covered;
+  if (!covered)
+    {
+      p->wait = WAIT_CONFIRMATION;
+      return;
+    }
   for (i = 0; i < s->spec->task_count; i++)
     {
       struct runner *r = place_within_limit (c, &s->tasks[i])
@@ -509,6 +511,7 @@
     }
   place_end_round (c);
   log_unreached (c, pools);
+  confirmation_end_round (c);
   g_hash_table_destroy (pools);
   g_array_free (candidates, TRUE);
 }
--- a/core/cell/records.c
+++ b/core/cell/records.c
@@ -151,7 +151,10 @@
   waves_add_records (c, a);
   /* The record of VM orders may be stored again at any time.  */
   if (confirmation_is_due (c) && a->record_count == 0)
-    handover_add_record (c, a);
+    {
+      handover_add_record (c, a);
+      c->metrics.counters[CELL_COUNT_CONFIRMATION_APPENDS]++;
+    }
   /* The ends processed so far become durable with this append only if it holds
      every dirty job.  */
   g_array_set_size (a->watermarks, 0);
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -127,6 +127,8 @@
   enum run_over last_run_over;  /**< How its last run came to be over.  */
   uint64_t over_at_us;          /**< When that became known in a way that only
                                    holds for the owner; 0: it did not.  */
+  uint64_t unconfirmed_at_us; /**< Since when only that keeps it from starting;
+                                 0: it does not.  */
   uint64_t working_at_us;   /**< When this run last worked; 0: never.  Set, but
                                not used.  */
   uint32_t work_percent;    /**< Reported: of a short task, the part that is
@@ -481,6 +483,16 @@
   uint64_t retry_at_us;
 };
 
+/** Tasks that wait in this round of dispatch until an append shows that this
+    entry was the owner when their last runs were over.  */
+struct unconfirmed_tasks
+{
+  uint32_t count;
+  uint64_t since_us;     /**< Since when the one that waits longest does.  */
+  uint64_t job;          /**< Job of that task.  */
+  uint64_t logged_at_us; /**< When they were last logged.  */
+};
+
 /** Which VMs this owner orders, and the former one may have (handover.c).  */
 struct vm_handover
 {
@@ -571,6 +583,7 @@
                                       never confirmed.  */
   uint64_t started_at_us;          /**< Time of the first event.  */
   struct ownership ownership;
+  struct unconfirmed_tasks unconfirmed_tasks;
   struct vm_handover handover;
   GHashTable *peers;            /**< link_id to struct peer.  */
   uint32_t best_peer_cpu_milli; /**< Largest CPU share of the peers that could
@@ -690,6 +703,11 @@
 /** Returns true if no newer owner had begun to act at AT_US.  If that is not
     known, requests an append, which shows it when it is stored.  */
 bool confirmation_covers (struct cell *c, uint64_t at_us);
+/** The same for T, which could start otherwise, and its last run.  */
+bool confirmation_covers_task (struct cell *c, struct task *t, uint64_t at_us);
+/** Logs the tasks for which that was not known in the round of dispatch that
+    ends, if one of them has waited long.  */
+void confirmation_end_round (struct cell *c);
 /** Returns true if runs of former owners have ended even on runners that have
     not answered us: the time for that has passed, and this entry was the owner
     then.  */
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -83,6 +83,7 @@
   struct resources room = place_occupied_by (t->step->spec);
 
   t->runner = r;
+  t->unconfirmed_at_us = 0;
   t->stop_acked_at_us = 0;
   t->working_at_us = 0;
   t->over_target_at_us = 0;
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -34,9 +34,11 @@
   uint32_t order_kinds[ORDER_HISTORY_COUNT]; /**< By order id.  */
   bool included;       /**< The line is of an included file: print nothing.  */
   bool hold_vm_orders; /**< Lines answer the appends of VM orders.  */
-  uint64_t last_token; /**< Of the newest append.  */
-  uint64_t last_sequence; /**< Of the newest append.  */
-  uint64_t hidden_count;  /**< Appends up to it that have VM orders only.  */
+  char shown_event[NAME_BYTES]; /**< Log lines of this event are printed with
+                                   their keys.  */
+  uint64_t last_token;          /**< Of the newest append.  */
+  uint64_t last_sequence;       /**< Of the newest append.  */
+  uint64_t hidden_count; /**< Appends up to it that have VM orders only.  */
   uint64_t sequences[APPEND_HISTORY_COUNT]; /**< By the number that lines have:
                                                all but the hidden appends.  */
 };
@@ -945,6 +947,8 @@
       if (a->u.log.job != 0)
         g_string_append_printf (out, " %016llx",
                                 (unsigned long long)a->u.log.job);
+      if (strcmp (a->u.log.event, x->shown_event) == 0)
+        g_string_append_printf (out, " %s", a->u.log.fields);
       break;
     case CELL_DO_WAVE_STATE:
       g_string_append_printf (
@@ -1027,6 +1031,27 @@
                           action_count);
 }
 
+/* Prints the metrics of confirmations: the counter, and the buckets that are
+   not empty, each by its upper bound.  */
+static void
+print_confirmation_metrics (struct script *x)
+{
+  struct cell_metrics m;
+  uint32_t i;
+
+  cell_metrics_get (x->cell, &m);
+  g_string_append_printf (
+      x->out, "  %llu %s %llu; waits in ms",
+      (unsigned long long)(x->at_ms - START_MS),
+      cell_counter_name (CELL_COUNT_CONFIRMATION_APPENDS),
+      (unsigned long long)m.counters[CELL_COUNT_CONFIRMATION_APPENDS]);
+  for (i = 0; i < CELL_BUCKET_COUNT; i++)
+    if (m.confirmation_ms[i] > 0)
+      g_string_append_printf (x->out, " <%u: %llu", 1u << i,
+                              (unsigned long long)m.confirmation_ms[i]);
+  g_string_append_c (x->out, '\n');
+}
+
 static void run_file (struct script *x, const char *file);
 
 static void
@@ -1054,6 +1079,10 @@
     }
   else if (json_object_get (j, "hold_vm_orders") != NULL)
     x->hold_vm_orders = json_is_true (json_object_get (j, "hold_vm_orders"));
+  else if (json_object_get (j, "show_log") != NULL)
+    get_text (j, "show_log", x->shown_event, NAME_BYTES);
+  else if (json_object_get (j, "confirmation_metrics") != NULL)
+    print_confirmation_metrics (x);
   else if (json_object_get (j, "starts_done") != NULL)
     answer_starts (x, json_object_get (j, "starts_done"));
   else if (json_object_get (j, "tick_until") != NULL)
