Confirm what the first list of VMs tells of runners that did not answer

first_list_ends_no_wait_unconfirmed failed before: the start was ordered at 800 ms, without an append. In queue_was_removed the list comes after the append; the start follows another one, 5 ms later.

--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -133,6 +133,8 @@
   f->list_pending = false;
   if (!cell_is_owner (c) || !e->u.vms.answered)
     return;
+  if (!f->listed)
+    c->ownership.unreached_over_at_us = c->now_us;
   f->listed = true;
   f->list_number++;
   f->snapshot_at_us = f->list_sent_at_us;
