Model: several islands at once

Sides are numbered, so that the entries that claim the cell while its owner is cut off can be cut off with other runners, too, before they have waited for those that they can't reach (fault successor_islanded). A VM keeps its side for its next runner.

--- a/tests/model.c
+++ b/tests/model.c
@@ -98,8 +98,7 @@
 {
   const struct model *m = e->model;
 
-  return model_entry_reaches (e)
-         && (m->island_has_cloud || !model_island_has (m, e->side));
+  return model_entry_reaches (e) && model_island_reaches_cloud (m, e->side);
 }
 
 /* Returns true if A and B can exchange messages.  */
--- a/tests/model.h
+++ b/tests/model.h
@@ -10,6 +10,7 @@
    model_runner.c the runners; model_cloud.c the cloud; model_clients.c clients
    that ask, cancel and submit again; model_faults.c the load and the faults;
    model_island.c entries and runners that are cut off together;
+   model_island_faults.c when they are;
    model_limits.c limits of processor time and of the store; model_rules.c what
    must hold.  */
 
@@ -65,22 +66,22 @@
   MODEL_OWNER_LOST,       /**< It never comes back.  */
   /* The owner is cut off with half of the runners.  */
   MODEL_OWNER_ISLANDED,
-  MODEL_ENTRIES_ISLANDED,  /**< With other entries, too.  */
-  MODEL_ISLAND_SHARED,     /**< Both sides reach some runners.  */
-  MODEL_ISLAND_HALF_CUT,   /**< Messages pass in one direction only.  */
-  MODEL_ISLAND_REGISTERED, /**< Its runners reach the store.  */
+  MODEL_ENTRIES_ISLANDED,   /**< With other entries, too.  */
+  MODEL_ISLAND_SHARED,      /**< Both sides reach some runners.  */
+  MODEL_ISLAND_HALF_CUT,    /**< Messages pass in one direction only.  */
+  MODEL_ISLAND_REGISTERED,  /**< Its runners reach the store.  */
+  MODEL_SUCCESSOR_ISLANDED, /**< So are those who claim the cell then.  */
   MODEL_FAULT_COUNT
 };
 
-/** Where an entry or a runner is while there is an island.  */
-enum model_side
-{
-  MODEL_MAIN, /**< With the store.  */
-  MODEL_ISLAND,
-  MODEL_BOTH_SIDES
-};
+/** Where an entry or a runner is: with the store, on an island, by its number,
+    or where all sides reach it.  */
+#define MODEL_MAIN 0
+#define MODEL_ALL_SIDES UINT32_MAX
+/** Islands are numbered from 1.  */
+#define MODEL_ISLAND_LIMIT 4
 
-/** Which messages between the island and the rest get lost.  */
+/** Which messages between an island and the rest get lost.  */
 enum model_direction
 {
   MODEL_ISLAND_CUT,     /**< All.  */
@@ -88,6 +89,16 @@
   MODEL_ISLAND_RECEIVES /**< Those from the island.  */
 };
 
+/** Some entries and runners that reach each other, but neither the store nor
+    the others.  */
+struct model_island
+{
+  uint64_t until_us; /**< It exists until then.  */
+  enum model_direction direction;
+  bool has_cloud; /**< It reaches the cloud.  */
+  bool registers; /**< Its runners reach the store.  */
+};
+
 /** What an island is made of beside the owner and runners.  */
 enum model_island_kind
 {
@@ -173,7 +184,7 @@
   GPtrArray *polls;      /**< struct model_call that waits for an end.  */
   uint64_t cut_until_us; /**< It reaches no entry until then.  */
   uint64_t store_cut_until_us;
-  enum model_side side;
+  uint32_t side;
   bool registered;
   uint64_t silent_at_us;         /**< When the store last heard of it.  */
   uint64_t registration_version; /**< Of the newest change.  */
@@ -187,6 +198,7 @@
   uint32_t life_count;
   bool up;                     /**< Not moving, in maintenance or down.  */
   struct model_runner *runner; /**< NULL: none has booted.  */
+  uint32_t side;               /**< Of its next runner.  */
 };
 
 struct model_entry
@@ -207,7 +219,7 @@
   uint64_t late_until_us;
   uint64_t late_us; /**< Delay of news of the store until then.  */
   bool lost;        /**< It never starts again.  */
-  enum model_side side;
+  uint32_t side;
   int64_t clock_step_ms;              /**< Of its wall clock.  */
   char wanted_address[ADDRESS_BYTES]; /**< Relay it is to be linked to.  */
   struct model_entry *linked;         /**< Other end of its link, or NULL.  */
@@ -348,10 +360,7 @@
   GHashTable *questions; /**< Number of a call to struct model_question.  */
   uint64_t last_call_id;
   uint64_t cloud_down_until_us;
-  uint64_t island_until_us; /**< There is an island until then.  */
-  enum model_direction island_direction;
-  bool island_has_cloud; /**< The island reaches the cloud.  */
-  bool island_registers; /**< Its runners reach the store.  */
+  struct model_island islands[MODEL_ISLAND_LIMIT + 1]; /**< By number.  */
   uint64_t orders_lost_until_us;
   uint64_t orders_late_until_us;
   uint64_t disturbed_until_us; /**< End of the newest fault so far.  */
@@ -397,19 +406,27 @@
 bool model_entry_reaches_cloud (const struct model_entry *e);
 
 /* model_island.c */
-/** Has OWNER and half of the runners form an island of KIND for FOR_US.  */
-void model_island_form (struct model *m, struct model_entry *owner,
-                        enum model_island_kind kind, uint64_t for_us);
+/** Has OWNER and half of the runners that are with the store form an island of
+    KIND for FOR_US.  Returns its number; 0: there are too many.  */
+uint32_t model_island_form (struct model *m, const struct model_entry *owner,
+                            enum model_island_kind kind, uint64_t for_us);
 /** Returns true if there is an island now.  */
 bool model_island_exists (const struct model *m);
+/** Returns the side on which who was put on SIDE is now.  */
+uint32_t model_island_side (const struct model *m, uint32_t side);
 /** Returns true if what is sent FROM one side TO another gets lost.  */
-bool model_island_parts (const struct model *m, enum model_side from,
-                         enum model_side to);
+bool model_island_parts (const struct model *m, uint32_t from, uint32_t to);
 /** The same in either direction.  */
-bool model_island_parts_pair (const struct model *m, enum model_side a,
-                              enum model_side b);
-/** Returns true if who is on SIDE is on the island now.  */
-bool model_island_has (const struct model *m, enum model_side side);
+bool model_island_parts_pair (const struct model *m, uint32_t a, uint32_t b);
+/** Returns true if who is on SIDE is on an island now.  */
+bool model_island_has (const struct model *m, uint32_t side);
+/** Returns true if a runner on SIDE reaches the store.  */
+bool model_island_registers (const struct model *m, uint32_t side);
+/** Returns true if who is on SIDE reaches the cloud.  */
+bool model_island_reaches_cloud (const struct model *m, uint32_t side);
+
+/* model_island_faults.c */
+void model_island_fault (struct model *m, enum model_fault kind);
 
 /* model_store.c */
 void model_store_action (struct model_entry *e, const struct cell_action *a);
--- a/tests/model_faults.c
+++ b/tests/model_faults.c
@@ -67,6 +67,7 @@
   [MODEL_ISLAND_SHARED] = "island_shared",
   [MODEL_ISLAND_HALF_CUT] = "island_half_cut",
   [MODEL_ISLAND_REGISTERED] = "island_registered",
+  [MODEL_SUCCESSOR_ISLANDED] = "successor_islanded",
 };
 
 struct planned_fault
@@ -429,19 +430,6 @@
   model_disturb (m, until_us);
 }
 
-static void
-form_island (struct model *m, enum model_fault kind)
-{
-  struct model_entry *owner = model_owner (m);
-  uint64_t for_us = model_between (m, 4000, 14000) * US_PER_MS;
-
-  if (owner == NULL || model_island_exists (m))
-    return;
-  model_island_form (
-      m, owner, MODEL_ISLAND_OF_OWNER + kind - MODEL_OWNER_ISLANDED, for_us);
-  model_disturb (m, m->now_us + for_us);
-}
-
 static void
 apply_fault (struct model *m, void *argument)
 {
@@ -497,7 +485,8 @@
     case MODEL_ISLAND_SHARED:
     case MODEL_ISLAND_HALF_CUT:
     case MODEL_ISLAND_REGISTERED:
-      form_island (m, x->kind);
+    case MODEL_SUCCESSOR_ISLANDED:
+      model_island_fault (m, x->kind);
       break;
     default:
       apply_to_platform (m, x->kind);
--- a/tests/model_runner.c
+++ b/tests/model_runner.c
@@ -555,6 +555,7 @@
       r = g_new0 (struct model_runner, 1);
       g_snprintf (r->id, NAME_BYTES, "r%u-%u", vm, ++v->life_count);
       r->vm = vm;
+      r->side = v->side;
       r->runs = g_array_new (FALSE, TRUE, sizeof (struct model_run));
       r->ends = g_array_new (FALSE, TRUE, sizeof (struct model_end));
       r->last_runs
--- a/tests/model_store.c
+++ b/tests/model_store.c
@@ -514,7 +514,7 @@
 update_registration (struct model *m, struct model_runner *r)
 {
   if (r->alive && m->now_us >= r->store_cut_until_us
-      && (m->island_registers || !model_island_has (m, r->side))
+      && model_island_registers (m, r->side)
       && m->now_us >= m->store.down_until_us)
     {
       if (r->registered && m->now_us < r->silent_at_us + HEARTBEAT_US)
