Model: islands that end at a time of ownership

island_ends_at_timeout ends 10 s after the owner's last join that held the cell, up to 0.3 s earlier or later; island_ends_after_claim up to 1.5 s after the successor's claim; in unassigned_and_islanded one join of the owner passes after that claim, and tells it that it does not hold the cell any more.

The other scripts as before.

--- a/tests/model.h
+++ b/tests/model.h
@@ -66,11 +66,14 @@
   MODEL_OWNER_LOST,       /**< It never comes back.  */
   /* The owner is cut off with half of the runners.  */
   MODEL_OWNER_ISLANDED,
-  MODEL_ENTRIES_ISLANDED,   /**< With other entries, too.  */
-  MODEL_ISLAND_SHARED,      /**< Both sides reach some runners.  */
-  MODEL_ISLAND_HALF_CUT,    /**< Messages pass in one direction only.  */
-  MODEL_ISLAND_REGISTERED,  /**< Its runners reach the store.  */
-  MODEL_SUCCESSOR_ISLANDED, /**< So are those who claim the cell then.  */
+  MODEL_ENTRIES_ISLANDED,        /**< With other entries, too.  */
+  MODEL_ISLAND_SHARED,           /**< Both sides reach some runners.  */
+  MODEL_ISLAND_HALF_CUT,         /**< Messages pass in one direction only.  */
+  MODEL_ISLAND_REGISTERED,       /**< Its runners reach the store.  */
+  MODEL_SUCCESSOR_ISLANDED,      /**< So are those who claim the cell then.  */
+  MODEL_ISLAND_ENDS_AT_TIMEOUT,  /**< At the ownership timeout.  */
+  MODEL_ISLAND_ENDS_AFTER_CLAIM, /**< Just after its successor's claim.  */
+  MODEL_UNASSIGNED_AND_ISLANDED, /**< A join tells it that it is not it.  */
   MODEL_FAULT_COUNT
 };
 
@@ -220,7 +223,10 @@
   uint64_t late_us; /**< Delay of news of the store until then.  */
   bool lost;        /**< It never starts again.  */
   uint32_t side;
-  int64_t clock_step_ms;              /**< Of its wall clock.  */
+  uint64_t joined_at_us; /**< When it sent the last join that held the cell. */
+  uint64_t unassigned_at_us; /**< When a join did not hold it.  */
+  bool joins_pass;           /**< Its joins reach the store from an island.  */
+  int64_t clock_step_ms;     /**< Of its wall clock.  */
   char wanted_address[ADDRESS_BYTES]; /**< Relay it is to be linked to.  */
   struct model_entry *linked;         /**< Other end of its link, or NULL.  */
   uint32_t linked_process;
--- a/tests/model_faults.c
+++ b/tests/model_faults.c
@@ -68,6 +68,9 @@
   [MODEL_ISLAND_HALF_CUT] = "island_half_cut",
   [MODEL_ISLAND_REGISTERED] = "island_registered",
   [MODEL_SUCCESSOR_ISLANDED] = "successor_islanded",
+  [MODEL_ISLAND_ENDS_AT_TIMEOUT] = "island_ends_at_timeout",
+  [MODEL_ISLAND_ENDS_AFTER_CLAIM] = "island_ends_after_claim",
+  [MODEL_UNASSIGNED_AND_ISLANDED] = "unassigned_and_islanded",
 };
 
 struct planned_fault
@@ -486,6 +489,9 @@
     case MODEL_ISLAND_HALF_CUT:
     case MODEL_ISLAND_REGISTERED:
     case MODEL_SUCCESSOR_ISLANDED:
+    case MODEL_ISLAND_ENDS_AT_TIMEOUT:
+    case MODEL_ISLAND_ENDS_AFTER_CLAIM:
+    case MODEL_UNASSIGNED_AND_ISLANDED:
       model_island_fault (m, x->kind);
       break;
     default:
--- a/tests/model_island_faults.c
+++ b/tests/model_island_faults.c
@@ -8,12 +8,21 @@
 /** Who claims the cell is cut off within this after its claim: before it has
     waited for the runners that it can't reach.  */
 #define CLAIMED_FOR_MS 14000
-
-/* An owner that is watched for, or was found.  */
+/** Ownership timeout: how long an owner is one without an answered join.  */
+#define OWNERSHIP_TIMEOUT_MS 10000
+/** An island that ends near a time ends at most this much before or after.  */
+#define NEAR_MS 300
+/** It ends within this after a claim.  */
+#define ENDS_AFTER_CLAIM_MS 1500
+
+/* A claim that is watched for, by another entry than OWNER.  */
 struct watch
 {
+  enum model_fault kind;
+  struct model_entry *owner;
+  uint32_t island;
   uint64_t until_us;
-  guint claim_count; /* Before the claim that is watched for.  */
+  guint claim_count; /* Before it.  */
 };
 
 static uint64_t
@@ -45,41 +54,83 @@
   return NULL;
 }
 
-static void watch_for_claim (struct model *m, uint64_t for_us);
+static void look_for_claim (struct model *m, void *argument);
+
+/* Has OWNER form an island for a time.  */
+static void
+cut_off (struct model *m, const struct model_entry *owner)
+{
+  uint64_t for_us = choose_time_us (m);
+
+  if (owner->cell == NULL || model_island_has (m, owner->side)
+      || model_island_form (m, owner, choose_kind (m), for_us) == 0)
+    return;
+  model_disturb (m, m->now_us + for_us);
+}
+
+/* Looks for a claim by another entry than OWNER, for FOR_US.  */
+static struct watch *
+watch_for_claim (struct model *m, enum model_fault kind,
+                 struct model_entry *owner, uint64_t for_us)
+{
+  struct watch *x = talloc_zero (m->arena, struct watch);
+
+  x->kind = kind;
+  x->owner = owner;
+  x->until_us = m->now_us + for_us;
+  x->claim_count = m->store.claims->len;
+  model_schedule (m, WATCH_US, look_for_claim, x);
+  return x;
+}
 
 static void
 cut_off_claimant (struct model *m, void *argument)
 {
-  const struct model_entry *e = newest_claimant (m);
+  struct model_entry *e = newest_claimant (m);
 
   (void)argument;
-  if (e != NULL && e->cell != NULL && !model_island_has (m, e->side))
-    {
-      uint64_t for_us = choose_time_us (m);
-
-      if (model_island_form (m, e, choose_kind (m), for_us) == 0)
-        return;
-      model_disturb (m, m->now_us + for_us);
-      if (model_random (m, 2) == 0)
-        watch_for_claim (m, for_us);
-    }
+  if (e == NULL)
+    return;
+  cut_off (m, e);
+  if (model_random (m, 2) == 0)
+    watch_for_claim (m, MODEL_SUCCESSOR_ISLANDED, e, choose_time_us (m));
 }
 
+/* Handles that the claim that X is for has been made.  */
 static void
-look_for_claim (struct model *m, void *argument)
+on_claim (struct model *m, struct watch *x)
 {
-  struct watch *x = argument;
+  uint64_t delay_us;
 
-  model_disturb (m, m->now_us);
-  if (m->store.claims->len > x->claim_count && newest_claimant (m) != NULL)
+  switch (x->kind)
     {
-      uint64_t delay_us = model_random (m, CLAIMED_FOR_MS) * US_PER_MS;
-
+    case MODEL_ISLAND_ENDS_AFTER_CLAIM:
+      m->islands[x->island].until_us
+          = m->now_us + model_random (m, ENDS_AFTER_CLAIM_MS) * US_PER_MS;
+      model_disturb (m, m->islands[x->island].until_us);
+      break;
+    case MODEL_UNASSIGNED_AND_ISLANDED:
+      x->owner->joins_pass = true;
+      break;
+    default:
+      delay_us = model_random (m, CLAIMED_FOR_MS) * US_PER_MS;
       if (model_random (m, 2) == 0)
         delay_us /= 5;
       model_schedule (m, delay_us, cut_off_claimant, NULL);
       model_disturb (m, m->now_us + delay_us);
+      break;
     }
+}
+
+static void
+look_for_claim (struct model *m, void *argument)
+{
+  struct watch *x = argument;
+  const struct model_entry *e = newest_claimant (m);
+
+  model_disturb (m, m->now_us);
+  if (m->store.claims->len > x->claim_count && e != NULL && e != x->owner)
+    on_claim (m, x);
   else if (m->now_us < x->until_us)
     {
       model_schedule (m, WATCH_US, look_for_claim, x);
@@ -88,23 +139,15 @@
   talloc_free (x);
 }
 
-/* Cuts off the next entry that claims the cell, within FOR_US.  */
-static void
-watch_for_claim (struct model *m, uint64_t for_us)
-{
-  struct watch *x = talloc_zero (m->arena, struct watch);
-
-  x->until_us = m->now_us + for_us;
-  x->claim_count = m->store.claims->len;
-  model_schedule (m, WATCH_US, look_for_claim, x);
-}
-
 void
 model_island_fault (struct model *m, enum model_fault kind)
 {
-  const struct model_entry *owner = model_owner (m);
+  struct model_entry *owner = model_owner (m);
   enum model_island_kind made_of;
   uint64_t for_us = choose_time_us (m);
+  uint64_t end_us;
+  struct watch *x = NULL;
+  uint32_t number;
 
   if (owner == NULL || model_island_exists (m))
     return;
@@ -112,12 +155,32 @@
     {
     case MODEL_SUCCESSOR_ISLANDED:
       made_of = choose_kind (m);
-      watch_for_claim (m, for_us);
+      watch_for_claim (m, kind, owner, for_us);
+      break;
+    case MODEL_ISLAND_ENDS_AT_TIMEOUT:
+      made_of = choose_kind (m);
+      end_us = owner->joined_at_us
+               + model_between (m, OWNERSHIP_TIMEOUT_MS - NEAR_MS,
+                                OWNERSHIP_TIMEOUT_MS + NEAR_MS)
+                     * US_PER_MS;
+      for_us = end_us > m->now_us ? end_us - m->now_us : 0;
+      break;
+    case MODEL_UNASSIGNED_AND_ISLANDED:
+      for_us += OWNERSHIP_TIMEOUT_MS * US_PER_MS;
+      made_of = choose_kind (m);
+      x = watch_for_claim (m, kind, owner, for_us);
+      break;
+    case MODEL_ISLAND_ENDS_AFTER_CLAIM:
+      made_of = choose_kind (m);
+      x = watch_for_claim (m, kind, owner, for_us);
       break;
     default:
       made_of = MODEL_ISLAND_OF_OWNER + kind - MODEL_OWNER_ISLANDED;
       break;
     }
-  model_island_form (m, owner, made_of, for_us);
+  owner->joins_pass = false;
+  number = model_island_form (m, owner, made_of, for_us);
+  if (x != NULL)
+    x->island = number;
   model_disturb (m, m->now_us + for_us);
 }
--- a/tests/model_store.c
+++ b/tests/model_store.c
@@ -99,6 +99,13 @@
   ev->u.joined.answered = true;
   ev->u.joined.holds = s->holder == (int32_t)i;
   ev->u.joined.sent_at_us = x->sent_at_us;
+  if (ev->u.joined.holds)
+    x->entry->joined_at_us = x->sent_at_us;
+  else
+    {
+      x->entry->unassigned_at_us = m->now_us;
+      x->entry->joins_pass = false;
+    }
   answer (x, ev, CALL_US);
 }
 
@@ -357,7 +364,8 @@
   struct store_call *x = argument;
   bool cut = m->now_us < x->entry->store_cut_until_us
              || m->now_us < x->entry->cut_until_us
-             || model_island_has (m, x->entry->side);
+             || (model_island_has (m, x->entry->side)
+                 && !(x->entry->joins_pass && x->kind == CELL_DO_JOIN));
 
   if (!cut && m->now_us >= m->store.down_until_us && is_within_limits (m, x))
     execute (m, x);
