Model: the cloud checks tokens, and rule ONE

An order for a VM under a lower token than one that was taken for it is fenced, unless the option unfenced is set. ONE is reported when two owners' orders for a VM are taken within 3 s, under one token, or in the wrong order.

--- a/tests/model.h
+++ b/tests/model.h
@@ -141,6 +141,7 @@
   uint32_t weak_cpu_milli; /**< Of two entries in three; 0: as the others.  */
   uint32_t mute_milli;     /**< Part of the runners that never answer.  */
   uint32_t booting_milli;  /**< Part of them that boot late.  */
+  bool unfenced;           /**< The cloud does not check tokens.  */
   bool verbose;            /**< Print the lines of the entries' logs.  */
 };
 
@@ -202,6 +203,9 @@
   bool up;                     /**< Not moving, in maintenance or down.  */
   struct model_runner *runner; /**< NULL: none has booted.  */
   uint32_t side;               /**< Of its next runner.  */
+  uint64_t token;              /**< The highest of its orders; 0: none.  */
+  uint32_t ordered_by;         /**< Entry whose order was taken last.  */
+  uint64_t ordered_at_us;
 };
 
 struct model_entry
@@ -478,6 +482,9 @@
 /** The same for an order for the VM of R.  */
 void model_rules_on_vm_order (struct model *m, struct model_runner *r,
                               const struct model_run *x);
+/** The cloud takes an order of E for V under TOKEN.  */
+void model_rules_on_taken_order (struct model *m, const struct model_vm *v,
+                                 const struct model_entry *e, uint64_t token);
 /** Returns true if a task of J has failed as often as it may.  */
 bool model_job_failed (struct model *m, const struct model_job *j);
 /** The state of J, or that there is no such job, was shown to a client whose
--- a/tests/model_cloud.c
+++ b/tests/model_cloud.c
@@ -62,10 +62,16 @@
       delay_us
           = ev->u.vm_result.outcome == ORDER_UNKNOWN ? CLOUD_TIMEOUT_US : 5000;
     }
+  else if (!m->options.unfenced && a->u.vm_order.token < v->token)
+    ev->u.vm_result.outcome = ORDER_FENCED;
   else if (!v->up || (v->runner != NULL && v->runner->draining))
     ev->u.vm_result.outcome = ORDER_BUSY;
   else
     {
+      model_rules_on_taken_order (m, v, e, a->u.vm_order.token);
+      v->token = MAX (v->token, a->u.vm_order.token);
+      v->ordered_by = e->index;
+      v->ordered_at_us = m->now_us;
       if (a->u.vm_order.is_move)
         v->pool = (uint32_t)atoi (a->u.vm_order.pool + 1);
       take_vm_down (m, vm, a->u.vm_order.is_move ? MOVE_US : MAINTENANCE_US);
--- a/tests/model_rules.c
+++ b/tests/model_rules.c
@@ -20,6 +20,8 @@
    UNASKED No task of a cancelled job starts over 3 s after the cancel was
           answered, or runs on after 3.4 s more without faults.
    MIXED  A job is shown as completed only when all its tasks are done.
+   ONE    No two owners' orders for one VM are taken within 3 s, or under one
+          token, or one under a lower token after one under a higher token.
    AVAIL  No order ends a serving task while as many others of its step are
           away as may be.
    WORK   No order for a VM ends a run, unless the run is being stopped.  */
@@ -39,6 +41,7 @@
 #define CANCEL_US (3000 * US_PER_MS)
 #define CANCELLED_STOP_US (CANCEL_US + 400 * US_PER_MS)
 #define VISIBLE_US (3000 * US_PER_MS)
+#define TURNS_US (3000 * US_PER_MS)
 
 void
 model_broken (struct model *m, const char *format, ...)
@@ -382,6 +385,28 @@
                 key, x->run, r->id);
 }
 
+void
+model_rules_on_taken_order (struct model *m, const struct model_vm *v,
+                            const struct model_entry *e, uint64_t token)
+{
+  if (v->token == 0)
+    return;
+  if (token < v->token)
+    model_broken (m,
+                  "ONE: %s orders %s under token %llu, after an order under "
+                  "token %llu",
+                  e->name, v->name, (unsigned long long)token,
+                  (unsigned long long)v->token);
+  if (e->index != v->ordered_by
+      && (token == v->token || m->now_us < v->ordered_at_us + TURNS_US))
+    model_broken (m,
+                  "ONE: %s orders %s under token %llu; entry-%u did under "
+                  "token %llu at %.3f s",
+                  e->name, v->name, (unsigned long long)token, v->ordered_by,
+                  (unsigned long long)v->token,
+                  (double)v->ordered_at_us / 1e6 - 100);
+}
+
 /* Returns true if a runner has room for a task of the step twice over.  */
 static bool
 has_room (struct model *m, const struct model_job *j, uint32_t step)
--- a/tests/test_promises.c
+++ b/tests/test_promises.c
@@ -76,6 +76,7 @@
   o.weak_cpu_milli = read_number (j, "weak_cpu", 0);
   o.mute_milli = read_number (j, "mute", 0);
   o.booting_milli = read_number (j, "booting", 0);
+  o.unfenced = read_number (j, "unfenced", 0) != 0;
   o.verbose = g_getenv ("FTK_PROMISES_LOG") != NULL;
   read_faults (j, &o);
   for (seed = (uint32_t)json_integer_value (json_array_get (seeds, 0));
