Model: runners that both sides reach crash after a claim

shared_crash: while an owner is on an island, the runners that both sides reach crash within 30 ms or 1.5 s of its successor's claim, and are back in 0.5 s.

--- a/tests/model.h
+++ b/tests/model.h
@@ -74,6 +74,8 @@
   MODEL_ISLAND_ENDS_AT_TIMEOUT,  /**< At the ownership timeout.  */
   MODEL_ISLAND_ENDS_AFTER_CLAIM, /**< Just after its successor's claim.  */
   MODEL_UNASSIGNED_AND_ISLANDED, /**< A join tells it that it is not it.  */
+  MODEL_SHARED_CRASH, /**< Runners that both sides reach crash after a claim.
+                       */
   MODEL_FAULT_COUNT
 };
 
@@ -520,6 +522,8 @@
 void model_limits_plan (struct model *m);
 
 /* model_faults.c */
+/** Ends the runner of VM and boots it anew in BACK_US under the same id.  */
+void model_runner_crash (struct model *m, uint32_t vm, uint64_t back_us);
 /** Notes that a fault lasts until UNTIL_US.  */
 void model_disturb (struct model *m, uint64_t until_us);
 void model_faults_plan (struct model *m);
--- a/tests/model_faults.c
+++ b/tests/model_faults.c
@@ -70,6 +70,7 @@
   [MODEL_SUCCESSOR_ISLANDED] = "successor_islanded",
   [MODEL_ISLAND_ENDS_AT_TIMEOUT] = "island_ends_at_timeout",
   [MODEL_ISLAND_ENDS_AFTER_CLAIM] = "island_ends_after_claim",
+  [MODEL_SHARED_CRASH] = "shared_crash",
   [MODEL_UNASSIGNED_AND_ISLANDED] = "unassigned_and_islanded",
 };
 
@@ -202,6 +203,17 @@
   model_schedule (m, delay_us, boot_vm, x);
 }
 
+void
+model_runner_crash (struct model *m, uint32_t vm, uint64_t back_us)
+{
+  const struct model_runner *r = model_vm_runner (m, vm);
+
+  if (r == NULL)
+    return;
+  model_runner_end (m, vm);
+  boot_later (m, vm, back_us, r->id);
+}
+
 static void
 end_drained (struct model *m, void *argument)
 {
@@ -355,8 +367,7 @@
   switch (kind)
     {
     case MODEL_RUNNER_CRASHED:
-      model_runner_end (m, vm);
-      boot_later (m, vm, model_between (m, 300, 2000) * US_PER_MS, r->id);
+      model_runner_crash (m, vm, model_between (m, 300, 2000) * US_PER_MS);
       break;
     case MODEL_RUNNER_LOST:
       model_runner_end (m, vm);
@@ -492,6 +503,7 @@
     case MODEL_ISLAND_ENDS_AT_TIMEOUT:
     case MODEL_ISLAND_ENDS_AFTER_CLAIM:
     case MODEL_UNASSIGNED_AND_ISLANDED:
+    case MODEL_SHARED_CRASH:
       model_island_fault (m, x->kind);
       break;
     default:
--- a/tests/model_island_faults.c
+++ b/tests/model_island_faults.c
@@ -14,6 +14,11 @@
 #define NEAR_MS 300
 /** It ends within this after a claim.  */
 #define ENDS_AFTER_CLAIM_MS 1500
+/** Runners crash within this after a claim, or before its claimant asks them,
+    and are back within this.  */
+#define CRASHES_AFTER_CLAIM_MS 1500
+#define CRASHES_AT_CLAIM_MS 30
+#define BACK_MS 500
 
 /* A claim that is watched for, by another entry than OWNER.  */
 struct watch
@@ -96,6 +101,33 @@
     watch_for_claim (m, MODEL_SUCCESSOR_ISLANDED, e, choose_time_us (m));
 }
 
+static void
+crash (struct model *m, void *argument)
+{
+  uint32_t *vm = argument;
+
+  model_runner_crash (m, *vm, model_between (m, 10, BACK_MS) * US_PER_MS);
+  talloc_free (vm);
+}
+
+/* Has the runners that all sides reach crash soon.  */
+static void
+crash_shared (struct model *m)
+{
+  uint32_t i;
+
+  for (i = 0; i < m->vm_count; i++)
+    if (model_island_side (m, m->vms[i].side) == MODEL_ALL_SIDES)
+      {
+        uint32_t *vm = talloc (m->arena, uint32_t);
+        uint32_t within_ms = model_random (m, 2) == 0 ? CRASHES_AT_CLAIM_MS
+                                                      : CRASHES_AFTER_CLAIM_MS;
+
+        *vm = i;
+        model_schedule (m, model_random (m, within_ms) * US_PER_MS, crash, vm);
+      }
+}
+
 /* Handles that the claim that X is for has been made.  */
 static void
 on_claim (struct model *m, struct watch *x)
@@ -109,6 +141,9 @@
           = m->now_us + model_random (m, ENDS_AFTER_CLAIM_MS) * US_PER_MS;
       model_disturb (m, m->islands[x->island].until_us);
       break;
+    case MODEL_SHARED_CRASH:
+      crash_shared (m);
+      break;
     case MODEL_UNASSIGNED_AND_ISLANDED:
       x->owner->joins_pass = true;
       break;
@@ -170,6 +205,10 @@
       made_of = choose_kind (m);
       x = watch_for_claim (m, kind, owner, for_us);
       break;
+    case MODEL_SHARED_CRASH:
+      made_of = MODEL_ISLAND_WITH_SHARED;
+      x = watch_for_claim (m, kind, owner, for_us);
+      break;
     case MODEL_ISLAND_ENDS_AFTER_CLAIM:
       made_of = choose_kind (m);
       x = watch_for_claim (m, kind, owner, for_us);
