--- a/tests/model_faults.c
+++ b/tests/model_faults.c
@@ -67,6 +67,11 @@
   [MODEL_ISLAND_SHARED] = "island_shared",
   [MODEL_ISLAND_HALF_CUT] = "island_half_cut",
   [MODEL_ISLAND_REGISTERED] = "island_registered",
+  [MODEL_SUCCESSOR_ISLANDED] = "successor_islanded",
+  [MODEL_ISLAND_ENDS_AT_TIMEOUT] = "island_ends_at_timeout",
+  [MODEL_ISLAND_ENDS_AFTER_CLAIM] = "island_ends_after_claim",
+  [MODEL_SHARED_CRASH] = "shared_crash",
+  [MODEL_UNASSIGNED_AND_ISLANDED] = "unassigned_and_islanded",
 };
 
 struct planned_fault
@@ -198,6 +203,17 @@
   model_schedule (m, delay_us, boot_vm, x);
 }
 
+void
+model_runner_crash (struct model *m, uint32_t vm, uint64_t back_us)
+{
+  const struct model_runner *r = model_vm_runner (m, vm);
+
+  if (r == NULL)
+    return;
+  model_runner_end (m, vm);
+  boot_later (m, vm, back_us, r->id);
+}
+
 static void
 end_drained (struct model *m, void *argument)
 {
@@ -351,8 +367,7 @@
   switch (kind)
     {
     case MODEL_RUNNER_CRASHED:
-      model_runner_end (m, vm);
-      boot_later (m, vm, model_between (m, 300, 2000) * US_PER_MS, r->id);
+      model_runner_crash (m, vm, model_between (m, 300, 2000) * US_PER_MS);
       break;
     case MODEL_RUNNER_LOST:
       model_runner_end (m, vm);
@@ -429,19 +444,6 @@
   model_disturb (m, until_us);
 }
 
-static void
-form_island (struct model *m, enum model_fault kind)
-{
-  struct model_entry *owner = model_owner (m);
-  uint64_t for_us = model_between (m, 4000, 14000) * US_PER_MS;
-
-  if (owner == NULL || model_island_exists (m))
-    return;
-  model_island_form (
-      m, owner, MODEL_ISLAND_OF_OWNER + kind - MODEL_OWNER_ISLANDED, for_us);
-  model_disturb (m, m->now_us + for_us);
-}
-
 static void
 apply_fault (struct model *m, void *argument)
 {
@@ -497,7 +499,12 @@
     case MODEL_ISLAND_SHARED:
     case MODEL_ISLAND_HALF_CUT:
     case MODEL_ISLAND_REGISTERED:
-      form_island (m, x->kind);
+    case MODEL_SUCCESSOR_ISLANDED:
+    case MODEL_ISLAND_ENDS_AT_TIMEOUT:
+    case MODEL_ISLAND_ENDS_AFTER_CLAIM:
+    case MODEL_UNASSIGNED_AND_ISLANDED:
+    case MODEL_SHARED_CRASH:
+      model_island_fault (m, x->kind);
       break;
     default:
       apply_to_platform (m, x->kind);
