Take a removed member's waiting requests with keys out of their queue

A member that read its own removal answered its requests with idempotency keys as unknown, since the other members answer repeats of these keys so, and freed those that waited for a worker without taking them out of their pool's queue. The next request of the pool aborted the entry, or a freed request could start. The same happened when a member sent the end of such a key.

answer_own_request now takes the request out of its queue first.

delivery_removed_waiting aborted before (plain build).

--- a/core/idempotency.c
+++ b/core/idempotency.c
@@ -462,6 +462,7 @@
   if (claim->request == NULL)
     return;
   blob_ref (a.body);
+  core_leave_queue (c, claim->request);
   core_answer (c, claim->request, &a);
 }
 
--- a/core/request.c
+++ b/core/request.c
@@ -59,9 +59,8 @@
   core_answer (c, r, &a);
 }
 
-/* Removes R from the list in which it waits, if any.  */
-static void
-leave_queue (struct core *c, struct request *r)
+void
+core_leave_queue (struct core *c, struct request *r)
 {
   switch (r->state)
     {
@@ -86,7 +85,7 @@
 {
   struct action_answer timed_out = { .code = ANSWER_TIMED_OUT };
 
-  leave_queue (c, r);
+  core_leave_queue (c, r);
   if (r->state == REQUEST_RUNNING)
     core_answer (c, r, &timed_out);
   else
--- a/core/state.h
+++ b/core/state.h
@@ -328,6 +328,8 @@
 /** Answers R with CODE, or with ANSWER_UNKNOWN if it may have reached a
     worker.  R is in no queue.  */
 void core_refuse (struct core *c, struct request *r, enum answer_code code);
+/** Removes R from the list in which it waits, if any.  */
+void core_leave_queue (struct core *c, struct request *r);
 /** Returns the state of the pool that serves QUEUE, or NULL.  */
 struct pool_state *core_pool_of_queue (struct core *c, const char *queue);
 /** Answers R, whose deadline passed while it waited.  */
