Settle with a gone member only after it has stopped starting requests

A member that is declared gone may be cut off from the log and the other members only. The others settled with it one longest timeout after the record of its end, and issued its tokens again while it still started requests with them.

One that was replaced on its VM or left with nothing running has ended, and is settled as before, so a restart costs nothing. The wait is each member's own and no part of the control state, so members of two versions agree on what is issued.

--- a/core/limit.c
+++ b/core/limit.c
@@ -185,12 +185,29 @@
   return NULL;
 }
 
+/* Returns how long G, by the log's clock, may go on starting requests after
+   the record of its end.  A member that was declared gone may be cut off
+   instead: it starts requests until its last reading of the log, which is
+   older than that record, has become too old.  One that was replaced on its VM
+   or left with nothing running has ended.  */
+static uint64_t
+start_limit_ms (const struct core *c, const struct issuance_member *g)
+{
+  bool replaced
+      = issuance_find_member (c->control->issuance, g->gone_offset + 1)
+        != NULL;
+  bool left_idle = g->leases_expire_at_ms == c->control->last_append_at_ms;
+
+  return replaced || left_idle ? 0 : c->settings.log_age_limit_ms;
+}
+
 /* Closes the link with a gone member and schedules the settlement.  */
 static void
 add_pending_settlement (struct core *c, const struct issuance_member *g)
 {
   struct limit_state *s = c->limits;
   struct ledger_link *k = ledger_link_find (s->ledger, g->incarnation);
+  uint64_t end_ms = g->leases_expire_at_ms + start_limit_ms (c, g);
 
   if (k != NULL)
     k->closed = true;
@@ -205,10 +222,9 @@
       = g->incarnation;
   s->pending_settlements[s->pending_settlement_count].send_at_us
       = c->now_us + SETTLE_MARGIN_US;
-  if (g->leases_expire_at_ms > c->control->last_append_at_ms)
+  if (end_ms > c->control->last_append_at_ms)
     s->pending_settlements[s->pending_settlement_count].send_at_us
-        += (g->leases_expire_at_ms - c->control->last_append_at_ms)
-           * US_PER_MS;
+        += (end_ms - c->control->last_append_at_ms) * US_PER_MS;
   s->pending_settlement_count++;
 }
 
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -83,6 +83,8 @@
 {
   uint64_t incarnation = s->log->len + 1;
 
+  if (s->entries[entry].cut_off)
+    return;
   append_to_log (s, record_to_json (r));
   if (r->kind == RECORD_JOIN)
     g_hash_table_insert (
@@ -94,7 +96,7 @@
 }
 
 static void
-send_message (struct sim *s, const struct peer_message *m)
+send_message (struct sim *s, uint32_t entry, const struct peer_message *m)
 {
   gsize owner = GPOINTER_TO_SIZE (
       g_hash_table_lookup (s->owners, GSIZE_TO_POINTER (m->to_incarnation)));
@@ -103,7 +105,7 @@
   s->message_count++;
   s->transfer_count += m->kind == PEER_TRANSFER;
   /* Relayed records are not delivered: each entry reads the log itself.  */
-  if (owner == 0 || m->kind == PEER_RECORD
+  if (owner == 0 || m->kind == PEER_RECORD || s->entries[entry].cut_off
       || sim_random (s, 100) < s->drop_percent)
     return;
   if (sim_random (s, 100) < s->duplicate_percent)
@@ -181,7 +183,7 @@
       else if (a->kind == ACTION_ANSWER)
         on_answer (s, entry, &a->u.answer);
       else if (a->kind == ACTION_PEER)
-        send_message (s, &a->u.peer);
+        send_message (s, entry, &a->u.peer);
       else if (a->kind == ACTION_APPEND)
         on_append (s, entry, a->u.append);
       trace_action_drop (a);
@@ -204,7 +206,7 @@
   struct sim_entry *x = &s->entries[entry];
   struct event *e;
 
-  while (x->next_offset < s->log->len)
+  while (!x->cut_off && x->next_offset < s->log->len)
     {
       e = new_event (EVENT_RECORD);
       e->u.record.offset = x->next_offset;
@@ -216,7 +218,7 @@
       step_core (s, entry, e);
     }
   e = new_event (EVENT_LOG_READ);
-  e->u.log_read.readable = true;
+  e->u.log_read.readable = !x->cut_off;
   e->u.log_read.next_offset = x->next_offset;
   step_core (s, entry, e);
 }
@@ -246,6 +248,8 @@
       step_core (s, x->entry, new_event (EVENT_TICK));
       break;
     case SIM_EVENT_MESSAGE:
+      if (s->entries[x->entry].cut_off)
+        break;
       e = new_event (EVENT_PEER);
       e->u.peer = x->message;
       step_core (s, x->entry, e);
@@ -345,6 +349,12 @@
     deliver (s, x);
 }
 
+void
+sim_cut (struct sim *s, uint32_t i, bool cut_off)
+{
+  s->entries[i].cut_off = cut_off;
+}
+
 void
 sim_kill (struct sim *s, uint32_t i)
 {
@@ -354,6 +364,7 @@
     return;
   e->alive = false;
   e->paused = false;
+  e->cut_off = false;
   g_queue_clear_full (&e->deferred, g_free);
   talloc_free (e->core);
   e->core = NULL;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -2,8 +2,8 @@
 
    The log, the workers and the peer links are simulated as far as the limits
    depend on them: messages may be delayed, lost or duplicated; entries may be
-   paused, killed and replaced.  Running tasks are counted per team and per VM
-   apart from what the entries believe.  */
+   paused, cut off, killed and replaced.  Running tasks are counted per team
+   and per VM apart from what the entries believe.  */
 
 #ifndef TESTS_SIM_H
 #define TESTS_SIM_H
@@ -25,8 +25,9 @@
   uint32_t generation; /**< Number of its process, from 1.  */
   bool alive;
   bool paused;
-  GQueue deferred;                   /**< Events due during a pause.  */
-  uint64_t next_offset;              /**< Next offset of the log to read.  */
+  bool cut_off;         /**< Reaches its clients and the workers only.  */
+  GQueue deferred;      /**< Events due during a pause.  */
+  uint64_t next_offset; /**< Next offset of the log to read.  */
   uint32_t clients[SIM_QUEUE_LIMIT]; /**< Each keeps one request in flight.  */
   uint32_t inflight[SIM_QUEUE_LIMIT];
 };
@@ -87,6 +88,9 @@
 /** Entry I runs no event until sim_resume, which runs those that came due.  */
 void sim_pause (struct sim *s, uint32_t i);
 void sim_resume (struct sim *s, uint32_t i);
+/** Cuts entry I off from the log and from the other entries if CUT_OFF is
+    true, or ends that.  Its clients and the workers still reach it.  */
+void sim_cut (struct sim *s, uint32_t i, bool cut_off);
 /** Ends the process of entry I; its tasks run on at the workers.  */
 void sim_kill (struct sim *s, uint32_t i);
 /** Starts a new process of entry I.  */
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -234,6 +234,23 @@
     }
 }
 
+/* Sets up S with 2 pools and 2 teams, checked by K.  */
+static void
+init_fleet (struct sim *s, struct check *k)
+{
+  sim_init (s, k->seed);
+  s->state = k;
+  s->on_start = check_start;
+  s->pool_count = 2;
+  s->team_count = 2;
+  s->vm_count = 4;
+  s->slot_count = 4;
+  s->ceiling[0] = 10;
+  s->ceiling[1] = 14;
+  s->weight[0] = 1;
+  s->weight[1] = 2;
+}
+
 static void
 run_seed (uint64_t seed)
 {
@@ -241,17 +258,7 @@
   struct sim s;
   uint64_t end_us;
 
-  sim_init (&s, seed);
-  s.state = &k;
-  s.on_start = check_start;
-  s.pool_count = 2;
-  s.team_count = 2;
-  s.vm_count = 4;
-  s.slot_count = 4;
-  s.ceiling[0] = 10;
-  s.ceiling[1] = 14;
-  s.weight[0] = 1;
-  s.weight[1] = 2;
+  init_fleet (&s, &k);
   s.run_high_us = 400000;
   s.drop_percent = 5;
   s.duplicate_percent = 5;
@@ -288,6 +295,34 @@
   g_test_message ("seeds 1 to %" G_GUINT64_FORMAT, count);
 }
 
+/* A member that is cut off goes on with its clients and the workers until its
+   reading of the log is too old, while the others read that it is gone.  Its
+   tokens are issued again only once its last task has ended.  */
+static void
+test_cut_off_member (void)
+{
+  struct check k = { .seed = 1 };
+  struct sim s;
+  uint32_t i;
+
+  init_fleet (&s, &k);
+  s.run_low_us = 900000;
+  s.run_high_us = 990000;
+  sim_open (&s);
+  for (i = 0; i < SIM_ENTRY_COUNT; i++)
+    sim_load (&s, i, 0, 0, 1);
+  sim_run (&s, s.now_us + 3 * US_PER_S);
+  sim_cut (&s, 0, true);
+  sim_declare_gone (&s, 0, s.entries[0].core->incarnation);
+  for (i = 1; i < SIM_ENTRY_COUNT; i++)
+    sim_load (&s, i, 0, 0, 12);
+  sim_run (&s, s.now_us + 6 * US_PER_S);
+  sim_cut (&s, 0, false);
+  check_usable (&s);
+  check_audit (&s);
+  sim_close (&s);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -295,5 +330,6 @@
     return 1;
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/ledger/seeds", test_seeds);
+  g_test_add_func ("/ledger/cut_off_member", test_cut_off_member);
   return g_test_run ();
 }
