Keep the claim of a key while its request may run

A holder dropped the claim of an idempotency key 600 s after it was granted, whether or not the request had ended; routes may let requests run for 24 hours. A repeat at a third entry was granted the key then and ran beside the first request.

A claim whose answer is not known is kept for 600 s after the longest route timeout. Claims that outlast 600 s are moved behind the others, so they don't keep those from being dropped; an entry's own long requests did that before.

delivery_long_request failed before: the claim of the repeat was granted.

--- a/core/idempotency.c
+++ b/core/idempotency.c
@@ -23,7 +23,7 @@
 #include <stdio.h>
 #include <string.h>
 
-/** How long a completed claim is kept.  */
+/** How long a claim is kept after its request was answered.  */
 #define KEEP_US (600 * US_PER_S)
 /** How long a completed claim is kept at least when the table is full.  */
 #define KEEP_MIN_US (60 * US_PER_S)
@@ -42,6 +42,8 @@
 #define RETRY_AFTER_MS 1000
 /** Time after which a claim not yet granted is sent to the holder again.  */
 #define CLAIM_RETRY_US (200 * US_PER_MS)
+/** Claims of long requests moved behind the others in one tick.  */
+#define MOVE_STEP_COUNT 16
 /** Claims sent to their holders in one tick.  */
 #define SYNC_STEP_COUNT 400
 
@@ -55,6 +57,7 @@
   bool completed;              /**< The first answer is known.  */
   struct action_answer answer; /**< First answer, once completed.  */
   uint64_t updated_at_us;      /**< When it was created or completed.  */
+  uint64_t keep_us;            /**< How long it is kept from then on.  */
   struct request *request;     /**< Own unanswered request, or NULL.  */
   bool follows; /**< While that request waited, another entry had the key:
                    it is not run here.  */
@@ -71,7 +74,7 @@
 struct idempotency_table
 {
   GHashTable *by_digest;
-  struct claim_list claims;       /**< Oldest first.  */
+  struct claim_list claims;       /**< Oldest first, but see drop_expired.  */
   struct key_claim *next_to_send; /**< Next to sync; NULL: all sent.  */
   uint64_t body_bytes;            /**< Size of the bodies kept.  */
   uint64_t last_claim_id;
@@ -157,6 +160,10 @@
 
   memcpy (claim->digest, digest, DIGEST_BYTES);
   claim->updated_at_us = c->now_us;
+  /* Its request is answered by its deadline, though its owner may be unable to
+     tell of it.  */
+  claim->keep_us
+      = KEEP_US + c->control->issuance->table.longest_timeout_ms * US_PER_MS;
   TAILQ_INSERT_TAIL (&t->claims, claim, link);
   g_hash_table_insert (t->by_digest, claim->digest, claim);
   return claim;
@@ -386,6 +393,7 @@
 
   claim->completed = true;
   claim->updated_at_us = c->now_us;
+  claim->keep_us = KEEP_US;
   claim->answer = *a;
   if (a->body != NULL)
     t->body_bytes += blob_ref (a->body)->size_bytes;
@@ -723,15 +731,43 @@
   g_ptr_array_free (due, TRUE);
 }
 
-void
-core_idempotency_tick (struct core *c)
+static void
+move_to_end (struct idempotency_table *t, struct key_claim *claim)
+{
+  if (t->next_to_send == claim)
+    t->next_to_send = TAILQ_NEXT (claim, link);
+  TAILQ_REMOVE (&t->claims, claim, link);
+  TAILQ_INSERT_TAIL (&t->claims, claim, link);
+}
+
+/* Drops the claims whose time is over.  Older ones that must be kept longer
+   are moved behind the others.  */
+static void
+drop_expired (struct core *c)
 {
+  struct idempotency_table *t = c->idempotency;
   struct key_claim *claim;
+  uint32_t moved_count = 0;
+
+  while ((claim = TAILQ_FIRST (&t->claims)) != NULL
+         && c->now_us - claim->updated_at_us > KEEP_US
+         && moved_count < MOVE_STEP_COUNT)
+    {
+      if (claim->request == NULL
+          && c->now_us - claim->updated_at_us > claim->keep_us)
+        {
+          drop_claim (t, claim);
+          continue;
+        }
+      move_to_end (t, claim);
+      moved_count++;
+    }
+}
 
-  while ((claim = TAILQ_FIRST (&c->idempotency->claims)) != NULL
-         && claim->request == NULL
-         && c->now_us - claim->updated_at_us > KEEP_US)
-    drop_claim (c->idempotency, claim);
+void
+core_idempotency_tick (struct core *c)
+{
+  drop_expired (c);
   if (core_key_placement_update (c))
     core_idempotency_start_sync (c);
   sync_step (c);
