Doubt a key whose last holder was silent before it was lost

Two holders of a key that were lost over 5 s apart counted as one after the other: the second one was taken to have handed its claims to new holders in between. One that was frozen or cut off from them then had not. Once it was lost, too, a repeat of the key was granted and ran again. The same held for a holder that was lost soon after the other one had left by a planned stop.

The second holder must have been heard 3 s after the end of the first one now, beside the 5 s. Nothing is asked or sent more, and two crashes over 5 s apart of entries that were heard cause no more doubt than before.

delivery_silent_holder failed before: the claim was granted. delivery_holders_lost_apart passed before and guards the other side.

--- a/core/key_holders.c
+++ b/core/key_holders.c
@@ -6,9 +6,11 @@
    established ESTABLISH_US after it joined; before, it may not have received
    the claims that it is to hold.  With two established holders, the holders
    before and after one change of the members have a member in common that
-   holds the claim.  If two members ranked above the last holder were lost
-   within ESTABLISH_US of each other, the claim may be lost with them: the key
-   is in doubt.  */
+   holds the claim.  It hands the claim to the new holders, unless it is cut
+   off from them, paused or lost.  So if two members ranked above the last
+   holder ended, and the one that ended last was not heard ESTABLISH_US after
+   the other one ended, the claim may be lost with them: the key is in doubt.
+ */
 
 #include "core/state.h"
 
@@ -17,6 +19,8 @@
 
 /** Time that the holders of a key need to send its claim to a new holder.  */
 #define ESTABLISH_US (5 * US_PER_S)
+/** Time in which a holder that reaches a new one sends it all claims.  */
+#define HAND_OVER_US (3 * US_PER_S)
 /** How long a member that left or was lost is remembered: as long as a claim
     is kept.  */
 #define DEPARTED_KEEP_US (600 * US_PER_S)
@@ -29,8 +33,9 @@
   char vm[NAME_BYTES];
   uint64_t incarnation;
   uint64_t joined_at_us;
-  uint64_t left_at_us; /**< 0 while it is a member.  */
-  bool left_by_stop;   /**< It appended its own leave record.  */
+  uint64_t heard_at_us; /**< As peer_state.heard_at_us while it is one.  */
+  uint64_t left_at_us;  /**< 0 while it is a member.  */
+  bool left_by_stop;    /**< It appended its own leave record.  */
 };
 
 /** The members that the holders of a key are chosen from.  */
@@ -130,6 +135,26 @@
   return changed;
 }
 
+/* Copies when each member was heard last, which is forgotten elsewhere once it
+   is no longer a member.  */
+static void
+copy_heard (struct core *c)
+{
+  struct key_placement *p = c->key_placement;
+  uint32_t i;
+
+  for (i = 0; i < p->member_count; i++)
+    {
+      struct placement_member *x = &p->members[i];
+      const struct peer_state *peer = core_find_peer (c, x->incarnation);
+
+      if (x->incarnation == c->incarnation)
+        x->heard_at_us = c->now_us;
+      else if (peer != NULL)
+        x->heard_at_us = peer->heard_at_us;
+    }
+}
+
 bool
 core_key_placement_update (struct core *c)
 {
@@ -140,6 +165,7 @@
   if (!c->caught_up)
     return false;
   joined = add_joined (c);
+  copy_heard (c);
   return mark_left (c) || joined;
 }
 
@@ -171,8 +197,22 @@
   return x->member->incarnation < y->member->incarnation ? -1 : 1;
 }
 
-/* Returns true if one of the first COUNT - 1 members of R was lost within
-   ESTABLISH_US of the loss of member COUNT - 1.  */
+/* Returns true if LAST, which ended after FIRST, may have handed no claim that
+   both held to another member.  */
+static bool
+may_lose_claims (const struct placement_member *first,
+                 const struct placement_member *last)
+{
+  if (last->left_by_stop)
+    return false;
+  if (last->left_at_us - first->left_at_us < ESTABLISH_US)
+    return true;
+  return last->joined_at_us < first->left_at_us
+         && last->heard_at_us < first->left_at_us + HAND_OVER_US;
+}
+
+/* Returns true if a claim may be lost with member COUNT - 1 of R and one of
+   those before it, both of which have ended.  */
 static bool
 lost_together (const struct ranked_member *r, uint32_t count)
 {
@@ -182,11 +222,11 @@
   for (i = 0; i + 1 < count; i++)
     {
       const struct placement_member *x = r[i].member;
-      uint64_t apart_us = x->left_at_us > m->left_at_us
-                              ? x->left_at_us - m->left_at_us
-                              : m->left_at_us - x->left_at_us;
 
-      if (x->left_at_us != 0 && !x->left_by_stop && apart_us < ESTABLISH_US)
+      if (x->left_at_us == 0)
+        continue;
+      if (x->left_at_us > m->left_at_us ? may_lose_claims (m, x)
+                                        : may_lose_claims (x, m))
         return true;
     }
   return false;
@@ -218,7 +258,7 @@
 
       if (m->left_at_us != 0)
         {
-          if (!m->left_by_stop && lost_together (r, i + 1))
+          if (lost_together (r, i + 1))
             out->in_doubt = true;
           continue;
         }
