Answer a running request with its own outcome

A holder that missed the end of a claim that was given back without a run completes that claim as unknown once the claim's owner is gone, and sends it to the holders. The entry that had been granted the key since then took it for the end of its own request: its caller was answered as unknown, the request ran on, and its answer was dropped. A member that leaves sends the end of its claims to the holders that it knows of; a holder that restarted at that moment is told of the claim by another one and misses the end.

An entry ignores the end of a key whose request it runs. One that waits is answered as before and does not run.

delivery_end_of_other_claim failed before.

--- a/core/idempotency.c
+++ b/core/idempotency.c
@@ -474,14 +474,25 @@
   core_answer (c, claim->request, &a);
 }
 
-/* Completes the claim with the answer in K, a message of a peer.  */
+/* Returns true if this entry owns the claim and its request runs.  */
+static bool
+runs_here (const struct core *c, const struct key_claim *claim)
+{
+  return claim->request != NULL && claim->request->state == REQUEST_RUNNING
+         && claim->owner_incarnation == c->incarnation;
+}
+
+/* Completes the claim with the answer in K, a message of a peer.  One that
+   runs here gets its own answer: a peer may have missed the end of an earlier
+   claim of the key, and take it for unknown once the owner of that claim is
+   gone.  */
 static void
 learn_answer (struct core *c, struct key_claim *claim,
               const struct peer_key *k)
 {
   struct action_answer a = { .code = ANSWER_UNKNOWN };
 
-  if (claim->completed)
+  if (claim->completed || runs_here (c, claim))
     return;
   if (k->code < ANSWER_CODE_COUNT)
     a.code = (enum answer_code)k->code;
