Confirm a loss by a later fleet list, not by the time that passed

An entry that had read once that a VM is missing from the fleet list proposed its loss, or that its member is gone, 2 s later by its own clock, whether or not it had read the list again. One that was paused meanwhile, or could not reach the fleet, took the time for the proof: a live member was removed, its requests with keys answered as unknown and its tokens withheld for the longest timeout.

A list that is 2 s newer, by the platform's clock, must still have the VM so (10 s if half are away). The list is read each second, so a loss is reported up to a second later than before.

maintenance_paused_reader failed before: gone and vm_lost were appended at the resume. maintenance_fleet and maintenance_member_lost stated a loss after a single reading, against the contract of core_propose_gone; they have a tick without a new list, at which nothing may be reported, and then a list.

--- a/core/maintenance.c
+++ b/core/maintenance.c
@@ -43,6 +43,7 @@
   bool in_list; /**< Listed since the last complete list.  */
   enum fleet_vm_state state;
   uint64_t away_at_us;        /**< When first seen away; 0: not away.  */
+  uint64_t away_listed_at_ms; /**< Time of the newest fleet list then.  */
   uint64_t last_record_at_ms; /**< When the log appended its last record.  */
   enum vm_phase phase;        /**< As of the last scan.  */
   bool lost;                  /**< As of the last scan.  */
@@ -185,6 +186,31 @@
   m->clock_read_at_us = now_us;
 }
 
+/* Sets that V's VM is away, or not.  */
+static void
+set_away (struct core *c, struct vm_view *v, bool away)
+{
+  if (!away)
+    v->away_at_us = 0;
+  else if (v->away_at_us == 0)
+    {
+      v->away_at_us = c->now_us;
+      v->away_listed_at_ms = c->maintenance->listed_at_ms;
+    }
+}
+
+/* Returns true if V's VM has been away for CONFIRM_US, and a fleet list of
+   that much later still has it so.  This entry may have been paused, or unable
+   to read the list, since it saw the VM away.  */
+static bool
+is_loss_confirmed (const struct core *c, const struct vm_view *v,
+                   uint64_t confirm_us)
+{
+  return v->away_at_us != 0 && c->now_us - v->away_at_us >= confirm_us
+         && c->maintenance->listed_at_ms
+                >= v->away_listed_at_ms + confirm_us / US_PER_MS;
+}
+
 /* Marks listed VMs that are missing from a complete list as gone.  */
 static void
 mark_unlisted_gone (struct maintenance *m)
@@ -219,14 +245,10 @@
       struct vm_view *v = vm_view_get (c, s->vms[i].name);
 
       listed += v->listed ? 1 : 0;
-      if (!is_away (v, &s->vms[i]) || v->last_record_at_ms >= m->listed_at_ms)
-        {
-          v->away_at_us = 0;
-          continue;
-        }
-      m->away_count++;
-      if (v->away_at_us == 0)
-        v->away_at_us = c->now_us;
+      set_away (c, v,
+                is_away (v, &s->vms[i])
+                    && v->last_record_at_ms < m->listed_at_ms);
+      m->away_count += v->away_at_us != 0 ? 1 : 0;
     }
   m->half_away = m->away_count > 1 && m->away_count * 2 >= listed;
 }
@@ -242,10 +264,7 @@
     {
       struct vm_view *v = vm_view_get (c, c->control->members[i].vm);
 
-      if (!v->listed || v->state != FLEET_VM_GONE)
-        v->away_at_us = 0;
-      else if (v->away_at_us == 0)
-        v->away_at_us = c->now_us;
+      set_away (c, v, v->listed && v->state == FLEET_VM_GONE);
     }
 }
 
@@ -274,11 +293,11 @@
   for (i = 0; i < c->control->member_count; i++)
     {
       const struct member *m = &c->control->members[i];
-      uint64_t since_us = vm_view_get (c, m->vm)->away_at_us;
+      const struct vm_view *v = vm_view_get (c, m->vm);
 
-      if (since_us != 0 && m->incarnation != c->incarnation
-          && c->now_us - since_us >= confirm_us
-          && is_due (c, "fleet", since_us + confirm_us))
+      if (m->incarnation != c->incarnation
+          && is_loss_confirmed (c, v, confirm_us)
+          && is_due (c, "fleet", v->away_at_us + confirm_us))
         core_propose_gone (c, m->vm);
     }
 }
@@ -323,8 +342,8 @@
 
   if (!may_append (c, v))
     return;
-  if (!x->lost && away && is_due (c, "fleet", v->away_at_us + confirm_us)
-      && c->now_us - v->away_at_us >= confirm_us)
+  if (!x->lost && is_loss_confirmed (c, v, confirm_us)
+      && is_due (c, "fleet", v->away_at_us + confirm_us))
     append_vm_record (c, RECORD_VM_LOST, x->name, 0);
   else if (!x->lost && overdue
            && is_due (c, "fleet", v->phase_began_at_us + MAINTENANCE_LIMIT_US))
