Grant no claim of a key to a member that is gone

A holder granted the claims of a member that it had read to be gone. Such a member may be cut off from the log only, and runs requests for fresh_limit_ms more. It asks the holders that it knows of; those that came after it was removed, to whom the others had sent their claims before, learn nothing of the new one. Once the holder that granted it was lost, a repeat ran again.

A holder ignores the claims of others than its members.

delivery_claim_of_gone_member failed before: both claims were granted.

--- a/core/idempotency.c
+++ b/core/idempotency.c
@@ -548,14 +548,19 @@
   return KEY_GRANTED;
 }
 
+/* Replies to a claim of a member.  One that is gone may know outdated holders;
+   one that is not known yet sends its claim again.  */
 static void
 on_claim (struct core *c, struct key_claim *claim,
           const struct peer_message *m)
 {
-  enum idempotency_key_state state = decide_claim (c, &claim, m);
+  enum idempotency_key_state state;
   struct key_claim nothing = { 0 };
   struct peer_key *reply;
 
+  if (!core_is_member (c, m->from_incarnation))
+    return;
+  state = decide_claim (c, &claim, m);
   if (claim == NULL)
     {
       memcpy (nothing.digest, m->u.key.digest, DIGEST_BYTES);
