Know of the holders that were lost before this entry joined

Two holders that are lost together leave a key in doubt for the members that saw it. Entries that joined later took up their places as holders after 5 s and knew of no loss: if both holders of a key were killed and restarted, each had forgotten the key, and a repeat was granted and ran again.

An entry takes the members that ended before it joined from the log's records, with their times, and counts them like those that it sees end.

The price is that of the rule, which was not kept before: when all entries are killed at once, requests with keys are answered as unknown for 600 s. Planned stops are not counted.

--- a/core/key_holders.c
+++ b/core/key_holders.c
@@ -38,9 +38,14 @@
   bool left_by_stop;    /**< It appended its own leave record.  */
 };
 
-/** The members that the holders of a key are chosen from.  */
+/** The members that the holders of a key are chosen from.  Until this entry
+   has joined, their times are those of the log's records, which tell of the
+   members that ended before.  Then they are this entry's time plus
+   DEPARTED_KEEP_US, so that none is below 0.  */
 struct key_placement
 {
+  bool has_joined;
+  bool is_new; /**< No update since this entry joined.  */
   struct placement_member *members;
   uint32_t member_count;
 };
@@ -84,6 +89,14 @@
   return control_member_index (c->control, incarnation) >= 0;
 }
 
+static uint64_t
+placement_time_us (const struct core *c)
+{
+  return c->key_placement->has_joined
+             ? c->now_us + DEPARTED_KEEP_US
+             : MAX (c->control->last_append_at_ms, 1) * US_PER_MS;
+}
+
 /* Adds the members that joined; returns true if there are any.  */
 static bool
 add_joined (struct core *c)
@@ -105,7 +118,7 @@
       memset (x, 0, sizeof *x);
       text_copy (x->vm, NAME_BYTES, m->vm);
       x->incarnation = m->incarnation;
-      x->joined_at_us = c->now_us;
+      x->joined_at_us = placement_time_us (c);
       changed = true;
     }
   return changed;
@@ -117,6 +130,7 @@
 mark_left (struct core *c)
 {
   struct key_placement *p = c->key_placement;
+  uint64_t now_us = placement_time_us (c);
   bool changed = false;
   uint32_t i;
 
@@ -126,10 +140,10 @@
 
       if (x->left_at_us == 0 && !core_is_member (c, x->incarnation))
         {
-          x->left_at_us = c->now_us;
+          x->left_at_us = now_us;
           changed = true;
         }
-      if (x->left_at_us != 0 && c->now_us - x->left_at_us > DEPARTED_KEEP_US)
+      if (x->left_at_us != 0 && now_us > x->left_at_us + DEPARTED_KEEP_US)
         *x = p->members[--p->member_count];
     }
   return changed;
@@ -149,24 +163,63 @@
       const struct peer_state *peer = core_find_peer (c, x->incarnation);
 
       if (x->incarnation == c->incarnation)
-        x->heard_at_us = c->now_us;
-      else if (peer != NULL)
-        x->heard_at_us = peer->heard_at_us;
+        x->heard_at_us = placement_time_us (c);
+      else if (peer != NULL && peer->heard_at_us > 0)
+        x->heard_at_us = peer->heard_at_us + DEPARTED_KEEP_US;
     }
 }
 
+/* Changes the times to this entry's once it has joined.  The members present
+   count as joined now.  Those that ended before were not heard by this entry,
+   and count as heard until their end.  */
+static void
+start_own_time (struct core *c)
+{
+  struct key_placement *p = c->key_placement;
+  uint64_t log_us = placement_time_us (c);
+  uint32_t i;
+
+  if (p->has_joined || !c->caught_up || c->incarnation == 0)
+    return;
+  mark_left (c);
+  p->has_joined = p->is_new = true;
+  for (i = 0; i < p->member_count; i++)
+    {
+      struct placement_member *x = &p->members[i];
+      uint64_t member_us = x->left_at_us - x->joined_at_us;
+
+      x->joined_at_us = placement_time_us (c);
+      if (x->left_at_us == 0)
+        continue;
+      x->left_at_us = placement_time_us (c) - (log_us - x->left_at_us);
+      x->heard_at_us = x->left_at_us;
+      x->joined_at_us = x->left_at_us - MIN (member_us, x->left_at_us);
+    }
+}
+
+void
+core_key_placement_on_record (struct core *c)
+{
+  if (c->key_placement->has_joined)
+    return;
+  add_joined (c);
+  mark_left (c);
+}
+
 bool
 core_key_placement_update (struct core *c)
 {
-  bool joined;
+  struct key_placement *p = c->key_placement;
+  bool changed;
 
-  /* While the log is being read for the first time, losses of long ago would
-     all seem to happen now.  */
-  if (!c->caught_up)
+  start_own_time (c);
+  if (!p->has_joined)
     return false;
-  joined = add_joined (c);
+  changed = p->is_new;
+  p->is_new = false;
+  changed |= add_joined (c);
   copy_heard (c);
-  return mark_left (c) || joined;
+  return mark_left (c) || changed;
 }
 
 /* Returns the score of VM for a key: FNV-1a of the name, mixed with the first
@@ -242,6 +295,7 @@
   uint32_t established_count = 0;
   uint32_t i;
 
+  start_own_time (c);
   memset (out, 0, sizeof *out);
   for (i = 0; i < p->member_count; i++)
     {
@@ -263,7 +317,8 @@
           continue;
         }
       out->incarnations[out->count++] = m->incarnation;
-      established_count += c->now_us - m->joined_at_us >= ESTABLISH_US ? 1 : 0;
+      established_count
+          += placement_time_us (c) - m->joined_at_us >= ESTABLISH_US ? 1 : 0;
     }
   talloc_free (r);
 }
--- a/core/membership.c
+++ b/core/membership.c
@@ -185,17 +185,20 @@
       break;
     case RECORD_JOIN:
       on_join_applied (c, r, offset);
+      core_key_placement_on_record (c);
       core_sync_peers (c);
       core_check_own_membership (c);
       break;
     case RECORD_LEAVE:
       core_note (c, NOTE_MEMBER_LEFT, r->u.leave.vm, offset);
       core_key_placement_member_left (c, r->u.leave.incarnation);
+      core_key_placement_on_record (c);
       core_sync_peers (c);
       core_check_own_membership (c);
       break;
     case RECORD_GONE:
       core_note (c, NOTE_MEMBER_GONE, r->u.leave.vm, offset);
+      core_key_placement_on_record (c);
       core_sync_peers (c);
       core_check_own_membership (c);
       break;
--- a/core/state.h
+++ b/core/state.h
@@ -367,6 +367,8 @@
 
 /** Creates the empty list of members.  */
 void core_key_placement_open (struct core *c);
+/** Handles a record that changed the members.  */
+void core_key_placement_on_record (struct core *c);
 /** Updates the list from the members; returns true if they changed.  */
 bool core_key_placement_update (struct core *c);
 /** Remembers that the member INCARNATION left by a planned stop.  */
