--- a/core/key_holders.c
+++ b/core/key_holders.c
@@ -6,9 +6,11 @@
    established ESTABLISH_US after it joined; before, it may not have received
    the claims that it is to hold.  With two established holders, the holders
    before and after one change of the members have a member in common that
-   holds the claim.  If two members ranked above the last holder were lost
-   within ESTABLISH_US of each other, the claim may be lost with them: the key
-   is in doubt.  */
+   holds the claim.  It hands the claim to the new holders, unless it is cut
+   off from them, paused or lost.  So if two members ranked above the last
+   holder ended, and the one that ended last was not heard ESTABLISH_US after
+   the other one ended, the claim may be lost with them: the key is in doubt.
+ */
 
 #include "core/state.h"
 
@@ -17,6 +19,8 @@
 
 /** Time that the holders of a key need to send its claim to a new holder.  */
 #define ESTABLISH_US (5 * US_PER_S)
+/** Time in which a holder that reaches a new one sends it all claims.  */
+#define HAND_OVER_US (3 * US_PER_S)
 /** How long a member that left or was lost is remembered: as long as a claim
     is kept.  */
 #define DEPARTED_KEEP_US (600 * US_PER_S)
@@ -29,13 +33,19 @@
   char vm[NAME_BYTES];
   uint64_t incarnation;
   uint64_t joined_at_us;
-  uint64_t left_at_us; /**< 0 while it is a member.  */
-  bool left_by_stop;   /**< It appended its own leave record.  */
+  uint64_t heard_at_us; /**< As peer_state.heard_at_us while it is one.  */
+  uint64_t left_at_us;  /**< 0 while it is a member.  */
+  bool left_by_stop;    /**< It appended its own leave record.  */
 };
 
-/** The members that the holders of a key are chosen from.  */
+/** The members that the holders of a key are chosen from.  Until this entry
+   has joined, their times are those of the log's records, which tell of the
+   members that ended before.  Then they are this entry's time plus
+   DEPARTED_KEEP_US, so that none is below 0.  */
 struct key_placement
 {
+  bool has_joined;
+  bool is_new; /**< No update since this entry joined.  */
   struct placement_member *members;
   uint32_t member_count;
 };
@@ -79,6 +89,14 @@
   return control_member_index (c->control, incarnation) >= 0;
 }
 
+static uint64_t
+placement_time_us (const struct core *c)
+{
+  return c->key_placement->has_joined
+             ? c->now_us + DEPARTED_KEEP_US
+             : MAX (c->control->last_append_at_ms, 1) * US_PER_MS;
+}
+
 /* Adds the members that joined; returns true if there are any.  */
 static bool
 add_joined (struct core *c)
@@ -100,7 +118,7 @@
       memset (x, 0, sizeof *x);
       text_copy (x->vm, NAME_BYTES, m->vm);
       x->incarnation = m->incarnation;
-      x->joined_at_us = c->now_us;
+      x->joined_at_us = placement_time_us (c);
       changed = true;
     }
   return changed;
@@ -112,6 +130,7 @@
 mark_left (struct core *c)
 {
   struct key_placement *p = c->key_placement;
+  uint64_t now_us = placement_time_us (c);
   bool changed = false;
   uint32_t i;
 
@@ -121,26 +140,86 @@
 
       if (x->left_at_us == 0 && !core_is_member (c, x->incarnation))
         {
-          x->left_at_us = c->now_us;
+          x->left_at_us = now_us;
           changed = true;
         }
-      if (x->left_at_us != 0 && c->now_us - x->left_at_us > DEPARTED_KEEP_US)
+      if (x->left_at_us != 0 && now_us > x->left_at_us + DEPARTED_KEEP_US)
         *x = p->members[--p->member_count];
     }
   return changed;
 }
 
+/* Copies when each member was heard last, which is forgotten elsewhere once it
+   is no longer a member.  */
+static void
+copy_heard (struct core *c)
+{
+  struct key_placement *p = c->key_placement;
+  uint32_t i;
+
+  for (i = 0; i < p->member_count; i++)
+    {
+      struct placement_member *x = &p->members[i];
+      const struct peer_state *peer = core_find_peer (c, x->incarnation);
+
+      if (x->incarnation == c->incarnation)
+        x->heard_at_us = placement_time_us (c);
+      else if (peer != NULL && peer->heard_at_us > 0)
+        x->heard_at_us = peer->heard_at_us + DEPARTED_KEEP_US;
+    }
+}
+
+/* Changes the times to this entry's once it has joined.  The members present
+   count as joined now.  Those that ended before were not heard by this entry,
+   and count as heard until their end.  */
+static void
+start_own_time (struct core *c)
+{
+  struct key_placement *p = c->key_placement;
+  uint64_t log_us = placement_time_us (c);
+  uint32_t i;
+
+  if (p->has_joined || !c->caught_up || c->incarnation == 0)
+    return;
+  mark_left (c);
+  p->has_joined = p->is_new = true;
+  for (i = 0; i < p->member_count; i++)
+    {
+      struct placement_member *x = &p->members[i];
+      uint64_t member_us = x->left_at_us - x->joined_at_us;
+
+      x->joined_at_us = placement_time_us (c);
+      if (x->left_at_us == 0)
+        continue;
+      x->left_at_us = placement_time_us (c) - (log_us - x->left_at_us);
+      x->heard_at_us = x->left_at_us;
+      x->joined_at_us = x->left_at_us - MIN (member_us, x->left_at_us);
+    }
+}
+
+void
+core_key_placement_on_record (struct core *c)
+{
+  if (c->key_placement->has_joined)
+    return;
+  add_joined (c);
+  mark_left (c);
+}
+
 bool
 core_key_placement_update (struct core *c)
 {
-  bool joined;
+  struct key_placement *p = c->key_placement;
+  bool changed;
 
-  /* While the log is being read for the first time, losses of long ago would
-     all seem to happen now.  */
-  if (!c->caught_up)
+  start_own_time (c);
+  if (!p->has_joined)
     return false;
-  joined = add_joined (c);
-  return mark_left (c) || joined;
+  changed = p->is_new;
+  p->is_new = false;
+  changed |= add_joined (c);
+  copy_heard (c);
+  return mark_left (c) || changed;
 }
 
 /* Returns the score of VM for a key: FNV-1a of the name, mixed with the first
@@ -171,8 +250,22 @@
   return x->member->incarnation < y->member->incarnation ? -1 : 1;
 }
 
-/* Returns true if one of the first COUNT - 1 members of R was lost within
-   ESTABLISH_US of the loss of member COUNT - 1.  */
+/* Returns true if LAST, which ended after FIRST, may have handed no claim that
+   both held to another member.  */
+static bool
+may_lose_claims (const struct placement_member *first,
+                 const struct placement_member *last)
+{
+  if (last->left_by_stop)
+    return false;
+  if (last->left_at_us - first->left_at_us < ESTABLISH_US)
+    return true;
+  return last->joined_at_us < first->left_at_us
+         && last->heard_at_us < first->left_at_us + HAND_OVER_US;
+}
+
+/* Returns true if a claim may be lost with member COUNT - 1 of R and one of
+   those before it, both of which have ended.  */
 static bool
 lost_together (const struct ranked_member *r, uint32_t count)
 {
@@ -182,11 +275,11 @@
   for (i = 0; i + 1 < count; i++)
     {
       const struct placement_member *x = r[i].member;
-      uint64_t apart_us = x->left_at_us > m->left_at_us
-                              ? x->left_at_us - m->left_at_us
-                              : m->left_at_us - x->left_at_us;
 
-      if (x->left_at_us != 0 && !x->left_by_stop && apart_us < ESTABLISH_US)
+      if (x->left_at_us == 0)
+        continue;
+      if (x->left_at_us > m->left_at_us ? may_lose_claims (m, x)
+                                        : may_lose_claims (x, m))
         return true;
     }
   return false;
@@ -202,6 +295,7 @@
   uint32_t established_count = 0;
   uint32_t i;
 
+  start_own_time (c);
   memset (out, 0, sizeof *out);
   for (i = 0; i < p->member_count; i++)
     {
@@ -218,12 +312,13 @@
 
       if (m->left_at_us != 0)
         {
-          if (!m->left_by_stop && lost_together (r, i + 1))
+          if (lost_together (r, i + 1))
             out->in_doubt = true;
           continue;
         }
       out->incarnations[out->count++] = m->incarnation;
-      established_count += c->now_us - m->joined_at_us >= ESTABLISH_US ? 1 : 0;
+      established_count
+          += placement_time_us (c) - m->joined_at_us >= ESTABLISH_US ? 1 : 0;
     }
   talloc_free (r);
 }
--- a/core/state.h
+++ b/core/state.h
@@ -328,6 +328,8 @@
 /** Answers R with CODE, or with ANSWER_UNKNOWN if it may have reached a
     worker.  R is in no queue.  */
 void core_refuse (struct core *c, struct request *r, enum answer_code code);
+/** Removes R from the list in which it waits, if any.  */
+void core_leave_queue (struct core *c, struct request *r);
 /** Returns the state of the pool that serves QUEUE, or NULL.  */
 struct pool_state *core_pool_of_queue (struct core *c, const char *queue);
 /** Answers R, whose deadline passed while it waited.  */
@@ -365,6 +367,8 @@
 
 /** Creates the empty list of members.  */
 void core_key_placement_open (struct core *c);
+/** Handles a record that changed the members.  */
+void core_key_placement_on_record (struct core *c);
 /** Updates the list from the members; returns true if they changed.  */
 bool core_key_placement_update (struct core *c);
 /** Remembers that the member INCARNATION left by a planned stop.  */
