Take the cell again after a restart as from another owner

An entry that was killed and claimed the cell again took the claim before for its own, and left out the wait for the VMs that the owner ordered before: the new process knows nothing of them, nor of what that owner waited for itself. Two owners' orders for one VM came within the time that the platform requires between them (ONE).

--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -244,6 +244,15 @@
       = t->stopped_age_ms > 0 && c->now_us > age_us ? c->now_us - age_us : 0;
 }
 
+/* Returns true if the newest claim is of this process.  One that it made
+   before it was started again has the same member, but its state is gone.  */
+static bool
+is_own_claim (const struct cell *c)
+{
+  return c->ownership.token != 0
+         && strcmp (c->ownership.newest_member, c->settings.member) == 0;
+}
+
 void
 ownership_on_claim (struct cell *c, const struct cell_event *e)
 {
@@ -255,7 +264,7 @@
   if (e->u.claim.none || e->u.claim.token <= o->newest_token)
     return;
   o->predecessor_released = o->newest_released;
-  o->predecessor_is_self = strcmp (o->newest_member, c->settings.member) == 0;
+  o->predecessor_is_self = is_own_claim (c);
   o->no_predecessor = o->newest_token == 0;
   o->newest_token = e->u.claim.token;
   o->newest_released = e->u.claim.terms.released;
@@ -450,7 +459,7 @@
       return;
     }
   o->predecessor_released = o->newest_released;
-  o->predecessor_is_self = strcmp (o->newest_member, c->settings.member) == 0;
+  o->predecessor_is_self = is_own_claim (c);
   o->no_predecessor = o->newest_token == 0;
   o->newest_token = e->u.claimed.token;
   o->former_vm_orders_recorded = o->newest_vm_orders_recorded;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -422,7 +422,8 @@
   bool claims_known;          /**< The claims topic was read to its end.  */
   bool newest_released;       /**< The newest claim gives the cell up.  */
   bool no_predecessor;        /**< The cell was never claimed before.  */
-  bool predecessor_is_self;  /**< The claim before the newest was ours too.  */
+  bool predecessor_is_self;   /**< The claim before the newest was of this
+                                 process, too.  */
   bool predecessor_released; /**< The claim before the newest was a release. */
   uint64_t
       newest_unconfirmed_until_us; /**< The end of unconfirmed_ms of the newest
