--- a/review/standin-2/platform.c
+++ b/review/standin-2/platform.c
@@ -9,8 +9,9 @@
    RECORD the file to which what runners start, end and refuse is written.
 
    The payload of a task tells its runner what it does: "MS CPU TENANT HOW",
-   with HOW one of done, failed (it fails at the end) and lasts (it runs until
-   it is stopped).
+   with HOW one of done, failed (it fails at the end), failsN (the same for its
+   first N runs that end by themselves) and lasts (it runs until it is
+   stopped).
 
    GET /report on the first port returns counts, among them what the runners
    saw of broken rules.  POST /fault?NAME=NUMBER (tests/standin/server.c) sets
@@ -634,7 +635,9 @@
   t->cpu = cpu;
   t->started_at_ms = clock_ms ();
   t->ends_at_ms = strcmp (how, "lasts") == 0 ? 0 : t->started_at_ms + ms;
-  t->fails = strcmp (how, "failed") == 0;
+  t->fails = strcmp (how, "failed") == 0
+             || (g_str_has_prefix (how, "fails")
+                 && find_history (name)->failed_count < atoi (how + 5));
   note ("%s start %s run %lld token %lld", r->id, name, (long long)run,
         (long long)r->token);
   judge_start (r, t);
