--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -8,7 +8,7 @@
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 tools=$root/target/review-2
 entry_count=3
-memory_mb=260
+memory_mb=${MEMORY_MB:-260}
 declare -A entry_pid
 guard_pid=
 platform_pid=
@@ -91,7 +91,7 @@
   "lease_max_ms": 10000,
   "task_stop_ms": 400,
   "carrier_gap_ms": 3000,
-  "status_s": 120,
+  "status_s": ${status_s:-120},
   "away_notice_ms": 4500,
   "harm_ms": 4000,
   "early_ms": 250
