--- a/review/standin-2/platform.c
+++ b/review/standin-2/platform.c
@@ -21,6 +21,10 @@
                       entries: calls hang, and are not carried out; they run on
      cut_from=N       the runners from index N on are cut off (0: none)
      lose_appends=N   every Nth append is carried out and not answered
+     late_starts=N, late_ms=M   every Nth start is not answered, and carried
+                      out M ms later, unless its runner has crashed since
+     (POST /reboot?reboot=N) runner N, from 1 on, crashes and starts again at
+                      once under its id: it knows nothing of before
      age_s=S, age_per_s=R   with POST /age: adds to the records of ended jobs,
                       which the entries have stored, those that they would have
                       stored in S seconds at R jobs a second: the same values
@@ -596,6 +600,27 @@
     }
 }
 
+/* R crashes and starts again under its id.  */
+static void
+reboot (struct runner *r)
+{
+  while (r->tasks->len > 0)
+    {
+      struct task *t = g_ptr_array_index (r->tasks, 0);
+
+      note ("%s crash ends %s run %lld", r->id, t->name, (long long)t->run);
+      g_ptr_array_remove_index (r->tasks, 0);
+      g_free (t);
+    }
+  g_ptr_array_set_size (r->ended, 0);
+  g_hash_table_remove_all (r->last_runs);
+  r->last_end_number = 0;
+  r->token = 0;
+  r->lease_end_ms = 0;
+  r->booted_at_ms = clock_ms ();
+  note ("%s is a new boot", r->id);
+}
+
 /* Starts the task in J; returns NULL, or the reason why not.  */
 static const char *
 start_task (struct runner *r, json_t *j)
@@ -745,11 +770,30 @@
                 clock, (long long)r->booted_at_ms, reason);
 }
 
+/* Carries out a start late, without an answer: it is one of those that are to
+   be late.  Returns TRUE if so.  */
+static gboolean
+is_late_start (struct exchange *x)
+{
+  static int64_t count;
+  int64_t every = fault_get ("late_starts");
+
+  if (every == 0 || strcmp (x->url, "/api/run-start") != 0
+      || ++count % every != 0)
+    return FALSE;
+  pthread_mutex_unlock (&lock);
+  sleep_ms (fault_get ("late_ms"));
+  pthread_mutex_lock (&lock);
+  x->drop = 1;
+  return TRUE;
+}
+
 static void
 handle_runner (struct exchange *x, struct runner *r)
 {
   json_t *j;
   int64_t token;
+  int64_t booted_at_ms;
 
   /* Behind a cut a call gets no answer, and none comes later.  */
   if (is_cut (r))
@@ -763,6 +807,13 @@
       x->drop = 1;
       return;
     }
+  booted_at_ms = r->booted_at_ms;
+  if (is_late_start (x))
+    {
+      if (r->booted_at_ms != booted_at_ms)
+        return;
+      note ("%s gets a start late", r->id);
+    }
   j = json_loadb (x->body, x->body_bytes, 0, NULL);
   token = json_integer_value (json_object_get (j, "FencingToken"));
   end_due_tasks (r);
@@ -942,6 +993,14 @@
     age (x);
   else if (strcmp (x->url, "/config") == 0)
     set_config (x);
+  else if (strcmp (x->url, "/reboot") == 0)
+    {
+      int n = (int)query_get (x, "reboot", 0);
+
+      if (n > 0 && n <= runner_count)
+        reboot (&runners[n - 1]);
+      answer_set (x, 200, "{}");
+    }
   else
     handle_membership (x);
 }
