End runs under a lease that was counted on the clock of another boot

Cause: the answers tell the owner of the new boot. It reckons with 10 s from then on, and leaves the runs where they are, but a successor relies on leases of 3.6 s and is told of nothing else.

Change: when an answer shows that a boot has taken a lease by another boot's clock, the runs on it are stopped and start elsewhere, and it gets none until the rest of the lease is an ordinary one. A release tells how long such runs may go on. The answer may come when the new boot is known already, or name no boot: then its clock shows an earlier time than the boot before had shown. New line long_lease_taken, counter long_leases.

--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -74,6 +74,7 @@
     [CELL_COUNT_LOST_RUNS] = "task_runs_lost",
     [CELL_COUNT_SLOW_RUNNERS] = "slow_runners",
     [CELL_COUNT_LEASE_RENEWALS] = "lease_renewals",
+    [CELL_COUNT_LONG_LEASES] = "long_leases",
     [CELL_COUNT_APPENDS] = "store_appends",
     [CELL_COUNT_CONFIRMATION_APPENDS] = "confirmation_appends",
     [CELL_COUNT_TAKEOVERS] = "takeovers",
--- a/core/cell/cell.h
+++ b/core/cell/cell.h
@@ -65,6 +65,7 @@
   CELL_COUNT_LOST_RUNS,
   CELL_COUNT_SLOW_RUNNERS,
   CELL_COUNT_LEASE_RENEWALS,
+  CELL_COUNT_LONG_LEASES, /**< Taken by the clock of another boot.  */
   CELL_COUNT_APPENDS,
   CELL_COUNT_CONFIRMATION_APPENDS, /**< Those sent only to show that this entry
                                       is the owner.  */
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -98,18 +98,32 @@
   cell_emit (c, CELL_DO_JOIN);
 }
 
-/* Returns for how much longer runs of former owners may go on, in
-   milliseconds: 0 once every runner that they may have used has answered us.
- */
+/* Returns for how much longer runs may go on that a new owner may not hear of,
+   in milliseconds: those of former owners, until every runner that they may
+   have used has answered us, and our own under long leases.  0: no longer than
+   an ordinary lease.  */
 static uint32_t
 remaining_unconfirmed_ms (const struct cell *c)
 {
   const struct ownership *o = &c->ownership;
+  uint64_t until_us = c->now_us;
+  GHashTableIter it;
+  gpointer value;
+
+  if (c->now_us < o->unconfirmed_until_us
+      && fleet_has_unreached (c, EVERY_POOL))
+    until_us = o->unconfirmed_until_us;
+  g_hash_table_iter_init (&it, c->runners);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct runner *r = value;
 
-  if (c->now_us >= o->unconfirmed_until_us
-      || !fleet_has_unreached (c, EVERY_POOL))
-    return 0;
-  return (uint32_t)((o->unconfirmed_until_us - c->now_us) / US_PER_MS + 1);
+      if (r->tasks->len > 0 && runners_excess_lease_ms (c, r) > 0)
+        until_us = MAX (until_us, r->long_lease_until_us);
+    }
+  return until_us > c->now_us
+             ? (uint32_t)((until_us - c->now_us) / US_PER_MS + 1)
+             : 0;
 }
 
 static void
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -54,6 +54,7 @@
 takes_tasks (const struct cell *c, const struct runner *r, bool in_quarantine)
 {
   return r->listed && r->reached && !r->ends_incomplete
+         && runners_excess_lease_ms (c, r) == 0 && r->boot_doubted_at_us == 0
          && r->clock_read_at_us != 0 && !r->report.draining && !r->vm_emptying
          && r->miss_count == 0
          && c->ownership.confirmed_at_us >= r->boot_known_at_us
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -82,9 +82,21 @@
   return c->now_us > r->clock_read_at_us + limit_ms * US_PER_MS;
 }
 
+uint32_t
+runners_excess_lease_ms (const struct cell *c, const struct runner *r)
+{
+  uint64_t usual_us = c->now_us + LEASE_LIMIT_MS * US_PER_MS;
+
+  return r->long_lease_until_us > usual_us
+             ? (uint32_t)((r->long_lease_until_us - usual_us) / US_PER_MS + 1)
+             : 0;
+}
+
 bool
 runners_lease_expired (const struct cell *c, const struct runner *r)
 {
+  if (c->now_us < r->long_lease_until_us)
+    return false;
   /* Only starts that were meant for the boot before may be there; their leases
      are no longer than a runner grants.  */
   if (r->clock_read_at_us == 0)
@@ -112,6 +124,7 @@
   o->token = c->ownership.token;
   o->timeout_ms = x->timeout_ms = ORDER_TIMEOUT_MS;
   o->new_connection = r->miss_count > 0;
+  x->booted_at_ms = r->report.booted_at_ms;
   if (t != NULL)
     {
       task_id_get (t, &o->task);
@@ -122,11 +135,13 @@
   /* A silent runner's lease is not renewed: if the runner received orders
      while its answers are lost, the lease would never expire.  An idle runner
      may have been restarted; a lease by the clock of the boot before would
-     last for the longest that a runner grants.  */
+     last for the longest that a runner grants.  So does a runner whose boot is
+     doubted.  */
   if ((kind == ORDER_START || (kind == ORDER_POLL && r->tasks->len > 0))
-      && r->miss_count == 0)
+      && r->miss_count == 0 && r->boot_doubted_at_us == 0)
     {
       o->lease_until_ms = runners_lease_until_ms (c, r);
+      x->lease_until_ms = o->lease_until_ms;
       if (o->lease_until_ms > r->lease_until_ms)
         r->lease_until_ms = o->lease_until_ms;
     }
@@ -219,7 +234,8 @@
 send_poll (struct cell *c, struct runner *r)
 {
   bool needs_answer = hedges_need_answer (c, r);
-  bool waits = r->tasks->len > 0 && r->reached && !needs_answer;
+  bool waits = r->tasks->len > 0 && r->reached && !needs_answer
+               && r->boot_doubted_at_us == 0;
   uint32_t wait_ms = waits ? progress_poll_wait_ms (c, r, POLL_WAIT_MS) : 0;
   struct runner_order *o = send_poll_order (c, r, wait_ms);
   struct pending_order *x
@@ -382,6 +398,74 @@
   return n;
 }
 
+/* Notes the lease that another boot of R has taken from O, as its result X
+   shows: on its own clock, and for no longer than a runner grants.  A lease
+   never shortens.  While it exceeds an ordinary one, the runs on R are stopped
+   and none is started: a new owner that cannot reach R waits for an ordinary
+   lease.  */
+static void
+note_lease_of_other_boot (struct cell *c, struct runner *r,
+                          const struct pending_order *o,
+                          const struct runner_result *x)
+{
+  uint64_t lease_ms = c->settings.times.lease_max_ms;
+
+  /* A runner takes the lease before it looks at the task.  */
+  if (o->lease_until_ms <= x->clock_ms
+      || (x->outcome != ORDER_DONE && x->outcome != ORDER_STALE
+          && x->outcome != ORDER_NO_ROOM))
+    return;
+  if (x->clock_ms != 0)
+    lease_ms = MIN (lease_ms, o->lease_until_ms - x->clock_ms);
+  if (lease_ms <= LEASE_MS)
+    return;
+  r->long_lease_until_us = MAX (
+      r->long_lease_until_us,
+      c->now_us
+          + (lease_ms * 1000 / (1000 - CLOCK_SLOW_MILLI) + CLOCK_GRAIN_MS)
+                * US_PER_MS);
+  c->metrics.counters[CELL_COUNT_LONG_LEASES]++;
+  cell_log (c, "long_lease_taken", 0,
+            "\"runner\":\"%s\",\"runs\":%u,\"lease_ms\":%llu", r->report.id,
+            r->tasks->len, (unsigned long long)lease_ms);
+}
+
+/* Returns true if X, the result of O, shows an earlier time than R's clock
+   could show when O was sent: it is the clock of another boot.  */
+static bool
+clock_is_of_other_boot (const struct runner *r, const struct pending_order *o,
+                        const struct runner_result *x)
+{
+  uint64_t least_ms = r->clock_ms;
+
+  if (r->clock_read_at_us == 0 || x->clock_ms == 0)
+    return false;
+  if (o->sent_at_us >= r->clock_read_at_us)
+    least_ms += (o->sent_at_us - r->clock_read_at_us) / US_PER_MS
+                * (1000 - CLOCK_SLOW_MILLI) / 1000;
+  else
+    least_ms
+        -= MIN (least_ms, (r->clock_read_at_us - o->sent_at_us) / US_PER_MS);
+  return x->clock_ms + CLOCK_GRAIN_MS < least_ms;
+}
+
+/* Handles that X, the result of O to R about T or none, names no other boot
+   but has the clock of one.  A poll is to name that boot; a start that was
+   carried out may be there.  */
+static void
+on_other_clock (struct cell *c, struct runner *r, struct task *t,
+                const struct runner_result *x, const struct pending_order *o)
+{
+  note_lease_of_other_boot (c, r, o, x);
+  r->boot_doubted_at_us = c->now_us;
+  /* The poll in flight was meant for the boot that is gone.  */
+  r->poll_id = 0;
+  runners_schedule_poll (c, r, 0);
+  if (t != NULL && x->kind == ORDER_START)
+    task_on_start_result (
+        c, t, r, x->outcome == ORDER_DONE ? ORDER_UNKNOWN : x->outcome);
+}
+
 /* Handles that X, the result of an order to R about T or none, is of another
    boot than R's.  */
 static void
@@ -513,6 +597,9 @@
       ownership_lose (c, "order_fenced");
       return;
     }
+  if (o.booted_at_ms != 0 && x->booted_at_ms != 0
+      && x->booted_at_ms != o.booted_at_ms)
+    note_lease_of_other_boot (c, r, &o, x);
   if (x->booted_at_ms != 0 && x->booted_at_ms != r->report.booted_at_ms
       && o.sent_at_us < r->boot_read_at_us)
     return; /* Of the boot before.  */
@@ -523,6 +610,11 @@
       on_other_boot (c, r, t, x);
       return;
     }
+  if (x->kind != ORDER_POLL && clock_is_of_other_boot (r, &o, x))
+    {
+      on_other_clock (c, r, t, x, &o);
+      return;
+    }
   apply_result (c, r, t, x, &o);
 }
 
@@ -596,6 +688,29 @@
     }
 }
 
+/* Stops the runs on R, which has taken a long lease; of serving tasks as many
+   as may be away.  */
+static void
+stop_long_leased (struct cell *c, struct runner *r)
+{
+  guint i;
+
+  for (i = 0; i < r->tasks->len; i++)
+    {
+      struct task *t = g_ptr_array_index (r->tasks, i);
+
+      if (t->phase != TASK_RUNNING
+          || (t->step->spec->long_running && !serving_may_stop (c, t)))
+        continue;
+      cell_log (c, "task_evicted", task_job (t)->id,
+                "\"task\":\"%u.%u.%u\",\"runner\":\"%s\","
+                "\"long_lease\":true",
+                t->step->occurrence->number, t->step->number, t->index,
+                r->report.id);
+      task_stop (c, t);
+    }
+}
+
 static void
 tick_runner (struct cell *c, struct runner *r)
 {
@@ -607,6 +722,8 @@
   repeat_stops (c, r);
   if (r->report.draining)
     evict_from_draining (c, r);
+  if (runners_excess_lease_ms (c, r) > 0)
+    stop_long_leased (c, r);
   if (r->tasks->len == 0 && r->reached && r->next_poll_at_us == 0
       && r->stored_end_number > r->acked_end_number)
     r->next_poll_at_us = c->now_us + IDLE_ACK_DELAY_MS * US_PER_MS;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -282,6 +282,9 @@
   bool boot_named; /**< Its own answer has named report's booted_at_ms.  */
   bool took_earlier_lease; /**< Its boot has taken an order that was meant for
                               the boot before.  */
+  uint64_t long_lease_until_us; /**< A lease by the clock of another boot,
+                                   which one of its boots has taken, has
+                                   expired by then; 0: none has taken any.  */
   uint64_t previous_boot_ms; /**< booted_at_ms of the boot before; 0: none.  */
   uint64_t boot_known_at_us; /**< When we first heard of its boot.  */
   uint64_t runs_over_at_us;  /**< Newest over_at_us of the tasks that it
@@ -396,6 +399,8 @@
   struct task_id task;
   uint32_t run;
   uint64_t sent_at_us;
+  uint64_t booted_at_ms;   /**< Boot that it was meant for; 0: not known.  */
+  uint64_t lease_until_ms; /**< As in the order, on the clock of that boot.  */
   uint32_t wait_ms; /**< The runner may delay its answer by up to this.  */
   uint32_t timeout_ms;
   uint64_t link_id; /**< Link to the delegate that sends it; 0: none.  */
@@ -923,6 +928,11 @@
 void runners_read_clock (struct cell *c, struct runner *r);
 /** Returns true if the lease of R has certainly expired on its clock.  */
 bool runners_lease_expired (const struct cell *c, const struct runner *r);
+/** Returns for how long runs on R may outlast LEASE_LIMIT_MS from now on, in
+    milliseconds, as R has taken a lease by the clock of another boot; 0: they
+    do not.  */
+uint32_t runners_excess_lease_ms (const struct cell *c,
+                                  const struct runner *r);
 
 /* polls.c: what the answer to a poll tells.  */
 /** Handles the result X of O, a poll of R.  Polls without an answer count as
