Store the numbers of all failed runs of a task

Cause: a runner lists an end until it is told that it is stored, so who counts failed runs has to know which it has counted. Records held the numbers of six of them; once these were used up a new owner counted each end again.

Change: a record holds the numbers of all failed runs of a short task, as series, in a field at its end that earlier builds do not read; the first six stay where they were. Long-running tasks, which have no limit, keep the six highest. What would take half a record is left out with a line in the log.

--- a/core/cell/progress_records.c
+++ b/core/cell/progress_records.c
@@ -15,8 +15,10 @@
 #define SEGMENT_TASK_COUNT 1024
 /** Most bytes of a record's key and frame and of its fields of fixed size. */
 #define RECORD_FIXED_BYTES 128
-/** Most bytes of the row of a task, and of the name of a pool.  */
+/** Most bytes of the row of a task whose runs failed seldom, of what is added
+    to it for each failed run otherwise, and of the name of a pool.  */
 #define TASK_ROW_BYTES (1 + 2 * FAILED_RUN_COUNT)
+#define FAILED_RUN_BYTES 6
 #define POOL_NAME_BYTES (NAME_BYTES + 3)
 
 /* What is known of a segment while its job's records are made.  */
@@ -139,11 +141,40 @@
     x->first++;
 }
 
-/* Adds the tasks of segment NUMBER of J to R, a record of A.  */
+/* Copies the numbers of the failed runs of T to P, a row of R.  In a record
+   that would grow too large, the lowest FAILED_RUN_COUNT of them.  */
 static void
-add_rows (struct append *a, const struct job *j, uint64_t number,
+copy_failed_runs (struct cell *c, const struct task *t,
+                  struct task_progress *p, struct append_record *r,
+                  uint64_t *bytes)
+{
+  uint32_t n = t->failed_run_count;
+
+  if (n > FAILED_RUN_COUNT)
+    *bytes += n * FAILED_RUN_BYTES;
+  if (n > FAILED_RUN_COUNT && *bytes > c->settings.record_limit_bytes / 2)
+    {
+      cell_log (c, "failed_runs_left_out", r->job, "\"failed\":%u",
+                t->failed_count);
+      *bytes -= n * FAILED_RUN_BYTES;
+      n = FAILED_RUN_COUNT;
+    }
+  p->failed_run_count = n;
+  if (n == 0)
+    return;
+  p->failed_runs
+      = talloc_memdup (r->tasks, t->failed_runs, n * sizeof *t->failed_runs);
+  if (p->failed_runs == NULL)
+    out_of_memory ();
+}
+
+/* Adds the tasks of segment NUMBER of J to R, a record of the append.  */
+static void
+add_rows (struct cell *c, const struct job *j, uint64_t number,
           struct append_record *r)
 {
+  struct append *a = &c->append;
+  uint64_t failed_run_bytes = 0;
   uint64_t from = MAX (first_known_task (j), number * SEGMENT_TASK_COUNT);
   uint64_t end = MIN (end_of_tasks (j), (number + 1) * SEGMENT_TASK_COUNT);
   uint64_t n;
@@ -159,11 +190,11 @@
       struct task_progress *p = &r->tasks[r->task_count++];
 
       p->done = t->phase == TASK_DONE;
-      p->failed_count = (uint8_t)MIN (t->failed_count, 255);
-      memcpy (p->failed_runs, t->failed_runs, sizeof t->failed_runs);
+      p->failed_count = t->failed_count;
+      copy_failed_runs (c, t, p, r, &failed_run_bytes);
       t->progress_unstored = false;
     }
-  a->size_bytes += r->task_count * TASK_ROW_BYTES;
+  a->size_bytes += r->task_count * TASK_ROW_BYTES + failed_run_bytes;
 }
 
 /* Notes that segment NUMBER of J has a record of its own.  */
@@ -210,8 +241,9 @@
 
 /* Adds the record of J's progress, with the tasks of segment NUMBER.  */
 static void
-add_progress_record (struct append *a, struct job *j, uint64_t number)
+add_progress_record (struct cell *c, struct job *j, uint64_t number)
 {
+  struct append *a = &c->append;
   struct append_record *r = add_record (a, j);
 
   r->kind = APPEND_RECORD_PROGRESS;
@@ -219,7 +251,7 @@
   r->run_pools = j->pools;
   r->run_pool_count = j->sent_pool_count = j->pool_count;
   a->size_bytes += r->run_pool_count * POOL_NAME_BYTES;
-  add_rows (a, j, number, r);
+  add_rows (c, j, number, r);
   j->sent_segment = number;
   drop_segments (a, j, number);
 }
@@ -240,14 +272,14 @@
         struct append_record *r = add_record (a, j);
 
         r->kind = APPEND_RECORD_SEGMENT;
-        add_rows (a, j, x.base + i, r);
+        add_rows (c, j, x.base + i, r);
         note_record (j, x.base + i);
         complete = !records_append_is_full (c);
       }
   /* The record of an earlier build may hold more than the first segment, so it
      is replaced when all others are stored.  */
   if (complete)
-    add_progress_record (a, j, x.first);
+    add_progress_record (c, j, x.first);
   talloc_free (x.items);
   return complete;
 }
@@ -317,12 +349,18 @@
 restore_task (struct cell *c, struct task *t, const struct task_progress *p)
 {
   struct job *j = task_job (t);
-  uint32_t f;
 
   t->failed_count = p->failed_count;
-  memcpy (t->failed_runs, p->failed_runs, sizeof t->failed_runs);
-  for (f = 0; f < FAILED_RUN_COUNT; f++)
-    t->recorded_run = MAX (t->recorded_run, t->failed_runs[f]);
+  t->failed_run_count = p->failed_run_count;
+  if (p->failed_run_count > 0)
+    {
+      t->failed_runs
+          = talloc_memdup (t->step->occurrence, p->failed_runs,
+                           p->failed_run_count * sizeof *p->failed_runs);
+      if (t->failed_runs == NULL)
+        out_of_memory ();
+      t->recorded_run = p->failed_runs[p->failed_run_count - 1];
+    }
   if (t->failed_count > 0 || p->done)
     j->started = true;
   if (t->failed_count > 0)
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -111,14 +111,15 @@
   enum task_phase phase;
   uint32_t run;          /**< Highest run number known.  */
   uint32_t recorded_run; /**< Highest of failed_runs as read from a record.  */
-  /** The low 16 bits of the numbers of the runs that failed first; 0: none. */
-  uint16_t failed_runs[FAILED_RUN_COUNT];
-  uint32_t failed_count;
-  bool progress_unstored;   /**< It is done or has failed, and no record that
-                               was sent tells so.  */
-  struct runner *runner;    /**< Runner that it occupies, or NULL.  */
-  struct runner *failed_on; /**< Runner of its last failed run, or NULL.  */
-  uint64_t ordered_at_us;   /**< When its newest order was sent.  */
+  uint32_t failed_count; /**< Runs that have failed.  */
+  uint32_t failed_run_count; /**< Entries of failed_runs.  */
+  uint16_t *failed_runs;     /**< As in struct task_progress; a child of the
+                                occurrence.  */
+  bool progress_unstored;    /**< It is done or has failed, and no record that
+                                was sent tells so.  */
+  struct runner *runner;     /**< Runner that it occupies, or NULL.  */
+  struct runner *failed_on;  /**< Runner of its last failed run, or NULL.  */
+  uint64_t ordered_at_us;    /**< When its newest order was sent.  */
   uint64_t start_ordered_at_us; /**< When its newest start was ordered.  */
   uint64_t start_known_at_us;   /**< When that start's outcome was known.  */
   uint64_t adopted_at_us; /**< When its run, which a former owner started, was
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -306,20 +306,33 @@
 static bool
 note_failed_run (struct task *t, uint32_t run)
 {
-  /* 0 stands for none.  */
+  /* 0 stands for none in a record.  */
   uint16_t number = (uint16_t)run != 0 ? (uint16_t)run : UINT16_MAX;
-  uint32_t i;
-
-  for (i = 0; i < FAILED_RUN_COUNT; i++)
+  uint32_t n = t->failed_run_count;
+  uint32_t i = 0;
+
+  while (i < n && t->failed_runs[i] < number)
+    i++;
+  if (i < n && t->failed_runs[i] == number)
+    return false;
+  if (t->step->spec->long_running && n >= FAILED_RUN_COUNT)
     {
-      if (t->failed_runs[i] == number)
-        return false;
-      if (t->failed_runs[i] == 0)
-        {
-          t->failed_runs[i] = number;
-          return true;
-        }
+      if (i == 0)
+        return true;
+      /* The lowest one goes.  */
+      i--;
+      memmove (t->failed_runs, t->failed_runs + 1, i * sizeof *t->failed_runs);
+      t->failed_runs[i] = number;
+      return true;
     }
+  t->failed_runs
+      = talloc_realloc (t->step->occurrence, t->failed_runs, uint16_t, n + 1);
+  if (t->failed_runs == NULL)
+    out_of_memory ();
+  memmove (t->failed_runs + i + 1, t->failed_runs + i,
+           (n - i) * sizeof *t->failed_runs);
+  t->failed_runs[i] = number;
+  t->failed_run_count++;
   return true;
 }
 
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -242,17 +242,19 @@
   struct task_progress *tasks; /**< By occurrence, then step, then index.  */
 };
 
-/** Number of a task's failed runs whose run numbers are stored, so that none
-    of these is counted twice.  */
+/** A long-running task has no limit of attempts: of its failed runs so many
+    are known by number, the highest.  */
 #define FAILED_RUN_COUNT 6
 
 /** Durable progress of a task.  */
 struct task_progress
 {
   bool done;
-  uint8_t failed_count;
-  /** Numbers of the runs that failed first; 0: none.  */
-  uint16_t failed_runs[FAILED_RUN_COUNT];
+  uint32_t failed_count;     /**< Runs that have failed.  */
+  uint32_t failed_run_count; /**< Entries of failed_runs.  */
+  /** The low 16 bits of the numbers of failed runs, rising; of a short task of
+      all, so that none is counted twice.  A child of the array of tasks.  */
+  uint16_t *failed_runs;
 };
 
 /** Outcome of an append to the store.  */
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -396,6 +396,20 @@
                json_string_value (json_array_get (names, i)));
 }
 
+/* Reads the failed runs of P, a task of MEM, from its row: their count, and
+   their numbers, rising, as far as they are stored.  */
+static void
+read_failed_runs (TALLOC_CTX *mem, const json_t *row, struct task_progress *p)
+{
+  size_t i;
+
+  p->failed_count = (uint32_t)json_integer_value (json_array_get (row, 1));
+  p->failed_runs = talloc_array (mem, uint16_t, json_array_size (row) + 1);
+  for (i = 2; i < json_array_size (row); i++)
+    p->failed_runs[p->failed_run_count++]
+        = (uint16_t)json_integer_value (json_array_get (row, i));
+}
+
 static void
 read_recovered (const json_t *j, struct cell_event *e)
 {
@@ -462,10 +476,7 @@
         const json_t *t = json_array_get (tasks, k);
 
         r->tasks[k].done = json_is_true (json_array_get (t, 0));
-        r->tasks[k].failed_count
-            = (uint8_t)json_integer_value (json_array_get (t, 1));
-        r->tasks[k].failed_runs[0]
-            = (uint16_t)json_integer_value (json_array_get (t, 2));
+        read_failed_runs (r->tasks, t, &r->tasks[k]);
       }
   }
 }
@@ -751,8 +762,19 @@
       return;
     }
   for (k = 0; k < w->task_count; k++)
-    g_string_append_printf (out, " %s%u", w->tasks[k].done ? "+" : "-",
-                            w->tasks[k].failed_count);
+    {
+      const struct task_progress *t = &w->tasks[k];
+      uint32_t i;
+
+      g_string_append_printf (out, " %s%u", t->done ? "+" : "-",
+                              t->failed_count);
+      /* The numbers, if there are more than of a long-running task.  */
+      for (i = 0;
+           t->failed_run_count > FAILED_RUN_COUNT && i < t->failed_run_count;
+           i++)
+        g_string_append_printf (out, "%s%u", i == 0 ? ":" : ",",
+                                t->failed_runs[i]);
+    }
 }
 
 /* Prints which records of A are larger than the store of the first sites
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -59,8 +59,11 @@
 {
   TALLOC_CTX *mem = talloc_new (NULL);
   struct job_spec *j = make_job_spec (mem);
-  struct task_progress tasks[2]
-      = { { .done = true }, { .failed_count = 2, .failed_runs = { 1, 66 } } };
+  uint16_t failed_runs[2] = { 1, 66 };
+  struct task_progress tasks[2] = {
+    { .done = true },
+    { .failed_count = 2, .failed_run_count = 2, .failed_runs = failed_runs }
+  };
   bool done[3] = { true, false, true };
   struct pool_history pool
       = { .name = "p", .surge_began_at_ms = 5, .peak_vm_count = 9 };
@@ -157,6 +160,76 @@
   talloc_free (mem);
 }
 
+/* Packs a record of KIND with a task that failed FAILED_COUNT times, in the
+   RUN_COUNT runs of RUNS, and one that is done; returns it unpacked.  */
+static struct recovered_record
+repack_failed_task (TALLOC_CTX *mem, enum append_record_kind kind,
+                    uint32_t failed_count, uint16_t *runs, uint32_t run_count)
+{
+  struct task_progress tasks[2] = { { .failed_count = failed_count,
+                                      .failed_run_count = run_count,
+                                      .failed_runs = runs },
+                                    { .done = true } };
+  const char run_pools[1][NAME_BYTES] = { "p" };
+  struct append_record item = { .kind = kind,
+                                .job = 7,
+                                .run_pools = run_pools,
+                                .run_pool_count = 1,
+                                .task_count = 2,
+                                .tasks = tasks };
+  struct platform_records r;
+  struct recovered_record row;
+  msgpack_sbuffer out;
+
+  msgpack_sbuffer_init (&out);
+  append_records_pack (&out, &item, 1);
+  decode_stored (mem, &out, &r);
+  g_assert_true (recovered_record_unpack (
+      mem, r.items[0].key, r.items[0].value, r.items[0].value_bytes, &row));
+  g_assert_cmpuint (row.task_count, ==, 2);
+  g_assert_true (row.tasks[1].done);
+  g_assert_cmpuint (row.tasks[1].failed_run_count, ==, 0);
+  msgpack_sbuffer_destroy (&out);
+  return row;
+}
+
+/* Guards against a record that loses the numbers of failed runs, or their
+   count: a new owner would count the ends of these runs again.  */
+static void
+test_failed_runs (void)
+{
+  static const enum append_record_kind kinds[]
+      = { APPEND_RECORD_PROGRESS, APPEND_RECORD_SEGMENT };
+  uint16_t runs[] = { 1, 2, 3, 5, 321, 322, 323, 324, 65535 };
+  uint16_t many[300];
+  uint32_t i;
+  uint32_t k;
+
+  for (i = 0; i < G_N_ELEMENTS (many); i++)
+    many[i] = (uint16_t)(i + 10);
+  for (k = 0; k < G_N_ELEMENTS (kinds); k++)
+    {
+      TALLOC_CTX *mem = talloc_new (NULL);
+      struct recovered_record row
+          = repack_failed_task (mem, kinds[k], 9, runs, 9);
+
+      g_assert_cmpuint (row.tasks[0].failed_count, ==, 9);
+      g_assert_cmpmem (row.tasks[0].failed_runs,
+                       row.tasks[0].failed_run_count * sizeof *runs, runs,
+                       sizeof runs);
+      row = repack_failed_task (mem, kinds[k], 300, many, 300);
+      g_assert_cmpuint (row.tasks[0].failed_count, ==, 300);
+      g_assert_cmpmem (row.tasks[0].failed_runs,
+                       row.tasks[0].failed_run_count * sizeof *many, many,
+                       sizeof many);
+      /* A long-running task fails more often than numbers are kept.  */
+      row = repack_failed_task (mem, kinds[k], 1000, runs, 6);
+      g_assert_cmpuint (row.tasks[0].failed_count, ==, 1000);
+      g_assert_cmpuint (row.tasks[0].failed_run_count, ==, 6);
+      talloc_free (mem);
+    }
+}
+
 /* Guards against a job whose record is larger than what its size was taken
    for when it was accepted: the store would refuse it.  */
 static void
@@ -658,6 +731,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/cell_codec/records", test_records);
+  g_test_add_func ("/cell_codec/failed_runs", test_failed_runs);
   g_test_add_func ("/cell_codec/job_size", test_job_size);
   g_test_add_func ("/cell_codec/claims", test_claims);
   g_test_add_func ("/cell_codec/claim_of_earlier_version",
