Let no join prove the ownership of the cell

What callers saw (TWICE on real machines, as far as it can be told): two runs of one task at once, started by two entries. Whether this was the users' fault is not known.

Cause: a new owner waits until 10 s after the first claim that follows the former owner. That one counted its 10 s from its last join that named it as the holder, although others had claimed the cell in between.

Change: an owner gives the cell up 10 s after the last request was sent that proves that no other had taken it: an append that was stored, or a read of the claims without a newer one, which it sends each second. A new owner counts from when the records are fenced, so from later than any such proof.

--- a/adapter/site_store.c
+++ b/adapter/site_store.c
@@ -30,6 +30,9 @@
     claim bounds how long a dead connection goes unnoticed.  */
 #define CONFIG_WAIT_MS 1200
 #define CLAIM_WAIT_MS 3000
+/** The same for the owner, whose ownership rests on how long ago a read of the
+    claims was sent.  */
+#define OWNER_CLAIM_WAIT_MS 1000
 /** Delay between two reads of the registrations of runners.  */
 #define RUNNERS_POLL_INTERVAL_MS 200
 /** Expiry of the membership in the group: the shortest that the store
@@ -360,10 +363,33 @@
     talloc_free (e);
 }
 
+/* Posts an event of KIND, CELL_CONFIG_CONFIRMED or CELL_CLAIMS_CONFIRMED, if R
+   ends at the end of F's topic: no record had been appended that was not told
+   of when the request for R was sent.  */
 static void
-on_config (struct follower *f, const struct platform_records *r)
+post_confirmation (struct follower *f, const struct platform_records *r,
+                   enum cell_event_kind kind)
 {
   struct cell_event *e;
+  uint64_t sent_at_us;
+
+  if (!f->tailing || f->from_offset < r->end_offset)
+    return;
+  /* A listing is no snapshot.  One of several pages gets here only if the
+     topic has not grown since its first page, so the time of the last page's
+     request counts.  */
+  sent_at_us = f->first_page || r->more ? f->list_sent_at_us : f->sent_at_us;
+  e = cell_event_new (kind);
+  if (kind == CELL_CONFIG_CONFIRMED)
+    e->u.config_sent_at_us = sent_at_us;
+  else
+    e->u.claims_sent_at_us = sent_at_us;
+  cell_post (f->store->cell, e);
+}
+
+static void
+on_config (struct follower *f, const struct platform_records *r)
+{
   uint32_t i;
 
   for (i = 0; i < r->item_count; i++)
@@ -378,15 +404,7 @@
                == 0)
         post_wave (f, x);
     }
-  if (!f->tailing || f->from_offset < r->end_offset)
-    return;
-  e = cell_event_new (CELL_CONFIG_CONFIRMED);
-  /* A listing is no snapshot.  One of several pages gets here only if the
-     topic has not grown since its first page, so the time of the last page's
-     request counts.  */
-  e->u.config_sent_at_us
-      = f->first_page || r->more ? f->list_sent_at_us : f->sent_at_us;
-  cell_post (f->store->cell, e);
+  post_confirmation (f, r, CELL_CONFIG_CONFIRMED);
 }
 
 static void
@@ -407,6 +425,7 @@
     cell_post (f->store->cell, e);
   else
     talloc_free (e);
+  post_confirmation (f, r, CELL_CLAIMS_CONFIRMED);
 }
 
 static void
@@ -784,6 +803,8 @@
       break;
     case STORE_FOLLOW_RUNNERS:
       follower_set_active (&t->runners, x->op.following);
+      t->claims.wait_ms
+          = x->op.following ? OWNER_CLAIM_WAIT_MS : CLAIM_WAIT_MS;
       end_call (x);
       break;
     case STORE_WAVE_STATE:
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -267,6 +267,9 @@
     case CELL_CLAIM:
       ownership_on_claim (c, e);
       break;
+    case CELL_CLAIMS_CONFIRMED:
+      ownership_on_claims_confirmed (c, e->u.claims_sent_at_us);
+      break;
     case CELL_HOLDER:
       ownership_on_holder (c, e);
       break;
@@ -321,11 +324,7 @@
   c->actions = out;
   /* After a pause of the process another entry may own the cell.  Give it up
      before the event can lead to an order.  */
-  if (c->ownership.phase != OWNERSHIP_NONE
-      && c->now_us
-             > c->ownership.joined_at_us + OWNERSHIP_TIMEOUT_MS * US_PER_MS
-      && c->ownership.joined_at_us > 0)
-    ownership_lose (c, "ownership_timeout");
+  ownership_check (c);
   apply (c, e);
   if (cell_is_owner (c) && c->dispatch_due
       && c->now_us >= c->dispatched_at_us + DISPATCH_GAP_US
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -11,6 +11,14 @@
    Unless the former owner released the cell, the ownership timeout is added,
    in which that owner may still have given orders.
 
+   That timeout counts from a request to the store which proves that no other
+   entry had taken the cell when it was sent: an append under our token that
+   was stored, or a read of the claims that showed no newer one.  A new owner
+   counts from when it has fenced the records, after its claim, so from later.
+   A join that names this entry proves no such thing.  The group may have
+   assigned the cell to another entry and back, and that one may wait for us
+   since its claim.
+
    The other entries have a link to the owner.  While it is down they ask the
    store which entry holds the cell, and join when none does.  */
 
@@ -241,6 +249,7 @@
   o->claimed_at_us = o->confirmed_at_us = c->now_us;
   o->confirmation_wanted_us = 0;
   o->unconfirmed_until_us = o->no_predecessor ? c->now_us : until_us;
+  o->fence_known = false;
   set_phase (c, OWNERSHIP_RECOVERING);
   former_owners_check (c);
   cell_emit (c, CELL_DO_CONNECT);
@@ -505,6 +514,10 @@
       o->retry_at_us = c->now_us + STEP_RETRY_MS * US_PER_MS;
       return;
     }
+  if (!o->fence_known && !o->predecessor_released
+      && !former_owners_have_ended (&o->former))
+    o->unconfirmed_until_us += c->now_us - o->claimed_at_us;
+  o->fence_known = true;
   for (i = 0; i < e->u.recovered.row_count; i++)
     records_restore (c, &e->u.recovered.rows[i]);
   if (!e->u.recovered.last)
@@ -527,6 +540,29 @@
   ingress_flush (c);
 }
 
+void
+ownership_on_claims_confirmed (struct cell *c, uint64_t sent_at_us)
+{
+  c->ownership.claims_read_at_us
+      = MAX (c->ownership.claims_read_at_us, sent_at_us);
+}
+
+void
+ownership_check (struct cell *c)
+{
+  const struct ownership *o = &c->ownership;
+  uint64_t since_us
+      = c->now_us - MIN (c->now_us, OWNERSHIP_TIMEOUT_MS * US_PER_MS);
+
+  if (o->phase == OWNERSHIP_NONE)
+    return;
+  if (o->joined_at_us > 0 && o->joined_at_us < since_us)
+    ownership_lose (c, "ownership_timeout");
+  else if ((o->phase == OWNERSHIP_RECOVERING || o->phase == OWNERSHIP_OWNER)
+           && MAX (o->confirmed_at_us, o->claims_read_at_us) < since_us)
+    ownership_lose (c, "ownership_unproved");
+}
+
 /* Updates the contents of our heartbeats.  When the owner reports that it
    cannot reach the store, the others ask the store for a new holder; if none
    of them can reach the store, the owner stays.  The owner does not yield to
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -40,7 +40,9 @@
     clock measures it.  */
 #define LEASE_LIMIT_MS (LEASE_MS * 1000 / (1000 - CLOCK_SLOW_MILLI) + 1)
 /** An entry that owns the cell or is taking it over gives it up when it sent
-    its last answered join of the store's group this long ago.  */
+    its last answered join of the store's group this long ago, or its last
+    request that proved that no other entry had taken the cell (ownership.c).
+    */
 #define OWNERSHIP_TIMEOUT_MS 10000
 
 /** By the site's rules a job has value until it has taken this many times the
@@ -467,9 +469,12 @@
   uint64_t join_sent_at_us;
   uint64_t joined_at_us; /**< When the last join that was answered was sent; 0:
                             none was.  */
-  uint64_t confirmed_at_us; /**< When the newest append that was stored under
-                               our token was first sent: no newer owner had
-                               fenced the records by then.  */
+  uint64_t confirmed_at_us;   /**< When the newest append that was stored under
+                                 our token was first sent: no newer owner had
+                                 fenced the records by then.  */
+  uint64_t claims_read_at_us; /**< When the newest answered read of the claims
+                                 was sent: none was newer than those that we
+                                 know.  */
   uint64_t confirmation_wanted_us; /**< Latest time for which a decision
                                       depends on confirmed_at_us.  */
   uint64_t unreached_over_at_us;   /**< When runs on a runner that had not
@@ -480,9 +485,10 @@
   uint64_t next_find_at_us; /**< When we may ask for the holder again.  */
   bool find_sent;           /**< A request for the holder is in flight.  */
   uint64_t find_sent_at_us;
-  uint64_t claimed_at_us;        /**< When our claim became known as stored. */
-  uint64_t fenced_at_ms;         /**< When the records had been read, which are
-                                    fenced before, in Unix time.  */
+  uint64_t claimed_at_us; /**< When our claim became known as stored. */
+  bool fence_known;       /**< Our token is known to fence the records. */
+  uint64_t fenced_at_ms;  /**< When the records had been read, which are
+                             fenced before, in Unix time.  */
   uint64_t unconfirmed_until_us; /**< By then every run that a former owner
                                     started has ended, even on runners that
                                     have not answered us.  */
@@ -697,12 +703,15 @@
 
 /* ownership.c: which entry owns the cell.  */
 void ownership_on_claim (struct cell *c, const struct cell_event *e);
+void ownership_on_claims_confirmed (struct cell *c, uint64_t sent_at_us);
 void ownership_on_holder (struct cell *c, const struct cell_event *e);
 void ownership_on_joined (struct cell *c, const struct cell_event *e);
 void ownership_on_claim_result (struct cell *c, const struct cell_event *e);
 void ownership_on_recovered (struct cell *c, struct cell_event *e);
 void ownership_on_link (struct cell *c, const struct cell_event *e);
 void ownership_tick (struct cell *c);
+/** Gives the cell up if this entry may not be its owner any more.  */
+void ownership_check (struct cell *c);
 /** Handles the answer that the entry on the link does not own the cell.  */
 void ownership_on_denied (struct cell *c);
 /** Gives the cell up without a release; WHY is logged.  */
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -300,6 +300,8 @@
                             that was sent then showed that the newest version
                             is in force.  */
   CELL_CLAIM,            /**< claim: the newest claim of the cell.  */
+  CELL_CLAIMS_CONFIRMED, /**< claims_sent_at_us: a read of the claims that was
+                            sent then showed none that was not told before.  */
   CELL_HOLDER,        /**< holder: the cell's holder in the store's group.  */
   CELL_JOINED,        /**< joined: the store's answer to a join.  */
   CELL_CLAIM_RESULT,  /**< claimed: the outcome of this entry's claim.  */
@@ -356,6 +358,7 @@
     } peer;
     struct site_config *config;
     uint64_t config_sent_at_us;
+    uint64_t claims_sent_at_us;
     struct
     {
       bool none;            /**< The cell was never claimed.  */
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -1074,6 +1074,15 @@
   g_string_append_c (x->out, '\n');
 }
 
+static void
+confirm_claims (struct script *x)
+{
+  struct cell_event e = { .kind = CELL_CLAIMS_CONFIRMED };
+
+  e.u.claims_sent_at_us = x->join_us;
+  step_cell (x, &e);
+}
+
 static void run_file (struct script *x, const char *file);
 
 static void
@@ -1119,7 +1128,13 @@
         }
     }
   else if (read_event (x, j, e))
-    step_cell (x, e);
+    {
+      step_cell (x, e);
+      /* The claims can be read while joins are answered.  */
+      if (e->kind == CELL_JOINED && e->u.joined.answered
+          && !get_flag (json_object_get (j, "joined"), "claims_unread"))
+        confirm_claims (x);
+    }
   else
     g_error ("the line holds no event: %s", line);
   talloc_free (e);
--- a/tests/model.c
+++ b/tests/model.c
@@ -538,6 +538,7 @@
   e->best_cpu_milli = e->settings.cpu_milli;
   e->claims_read = false;
   e->claims_seen_offset = 0;
+  e->claims_sent_at_us = e->claims_told_at_us = 0;
   e->follows_runners = false;
   e->newest_token = 0;
   e->busy_until_us = 0;
--- a/tests/model.h
+++ b/tests/model.h
@@ -247,6 +247,8 @@
   uint64_t reported_token;
   bool reported_eligible; /**< What it told its link's other end.  */
   uint64_t claims_seen_offset;
+  uint64_t claims_sent_at_us; /**< When its read of the claims was sent.  */
+  uint64_t claims_told_at_us; /**< When the newest answer to one arrives.  */
   bool claims_read;
   bool follows_runners;
   bool runners_listed;
--- a/tests/model_store.c
+++ b/tests/model_store.c
@@ -14,6 +14,8 @@
 #define APPEND_LIMIT_BYTES 2097152
 #define CALL_TIMEOUT_US (700 * US_PER_MS)
 #define APPEND_TIMEOUT_US (1200 * US_PER_MS)
+/** Longest wait of a read of the claims.  */
+#define CLAIMS_WAIT_US (1000 * US_PER_MS)
 #define EXPIRY_US (1000 * US_PER_MS)
 #define PAGE_COUNT 500
 #define RUNNERS_POLL_US (200 * US_PER_MS)
@@ -425,6 +427,39 @@
                   arrive, x);
 }
 
+/* Posts EV, an answer to a read of the claims, which follow each other.  */
+static void
+post_claims (struct model_entry *e, struct cell_event *ev)
+{
+  struct model *m = e->model;
+  uint64_t at_us
+      = m->now_us + CALL_US + model_delay_us (m, e->late_until_us, e->late_us);
+
+  e->claims_told_at_us = MAX (e->claims_told_at_us, at_us);
+  model_post (e, e->process, e->claims_told_at_us - m->now_us, ev);
+}
+
+/* Answers the read of the claims that E has sent, if it has waited as long as
+   it may.  */
+static void
+confirm_claims (struct model_entry *e)
+{
+  struct model *m = e->model;
+  struct cell_event *ev;
+
+  if (m->now_us < e->claims_sent_at_us + CLAIMS_WAIT_US)
+    return;
+  /* The one before was lost while E did not reach the store.  */
+  if (m->now_us < e->claims_sent_at_us + 2 * CLAIMS_WAIT_US
+      && model_limits_read (m))
+    {
+      ev = model_event (CELL_CLAIMS_CONFIRMED);
+      ev->u.claims_sent_at_us = e->claims_sent_at_us;
+      post_claims (e, ev);
+    }
+  e->claims_sent_at_us = m->now_us;
+}
+
 static void
 tell_claims (struct model_entry *e)
 {
@@ -432,9 +467,13 @@
   struct cell_event *ev;
 
   if (e->claims_read && e->claims_seen_offset == claims->len)
-    return;
+    {
+      confirm_claims (e);
+      return;
+    }
   if (!model_limits_read (e->model))
     return;
+  e->claims_sent_at_us = e->model->now_us;
   e->claims_read = true;
   e->claims_seen_offset = claims->len;
   ev = model_event (CELL_CLAIM);
@@ -449,9 +488,7 @@
       text_copy (ev->u.claim.address, ADDRESS_BYTES, x->address);
       ev->u.claim.terms = x->terms;
     }
-  model_post (
-      e, e->process,
-      CALL_US + model_delay_us (e->model, e->late_until_us, e->late_us), ev);
+  post_claims (e, ev);
 }
 
 static void
--- a/tests/standin/site.c
+++ b/tests/standin/site.c
@@ -19,7 +19,9 @@
    answered), lose_appends=N (every Nth append is made, not answered) and
    island_token=T with island_runners=MASK (the runners whose bits are set in
    MASK answer calls with a token up to T only, the others calls with a higher
-   one only, as if T's owner and those runners were cut off together), and
+   one only, as if T's owner and those runners were cut off together),
+   joins_port=P (of what comes to port P only joins of the group are answered),
+   assign_port=P (a member that joins there gets the cell from any other), and
    odd_entries=1 (another writer registers what is no runner; the first of its
    entries has a key that few parsers read).  */
 
@@ -417,6 +419,12 @@
       m = find_member (name, TRUE);
       m->expires_at_ms
           = clock_ms () + json_integer_value (json_object_get (j, "TtlMs"));
+      if (fault_get ("assign_port") == x->port
+          && strcmp (partition_owner, name) != 0)
+        {
+          partition_owner[0] = '\0';
+          generation++;
+        }
       if (partition_owner[0] == '\0')
         g_strlcpy (partition_owner, name, sizeof partition_owner);
       answer_set (x, 200, "{\"Generation\":%lld,\"parts\":[%s]}",
@@ -761,7 +769,11 @@
 static void
 handle_store (struct exchange *x)
 {
-  if (fault_get ("store_busy") > 0 && g_str_has_prefix (x->url, "/api/log-"))
+  if (fault_get ("joins_port") == x->port
+      && strcmp (x->url, "/api/log-join") != 0)
+    x->drop = 1;
+  else if (fault_get ("store_busy") > 0
+           && g_str_has_prefix (x->url, "/api/log-"))
     answer_set (x, 503, "{}");
   else if (strcmp (x->url, "/api/log-append") == 0)
     append (x);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -48,6 +48,10 @@
    settle after that.  */
 #define ISLAND_MS 9000
 #define HEALED_MS 3000
+/** Time from a successor's claim until the former owner's joins fail, and
+   until the successor's wait of 13.6 s is over.  */
+#define JOINS_PASS_MS 8500
+#define WAIT_OVER_MS 16000
 
 /* The stand-in and the entries of a test.  */
 struct site
@@ -777,6 +781,73 @@
   stop_site (&s);
 }
 
+/* Waits until an entry other than OWNER owns the cell.  */
+static void
+wait_other_owner (const struct site *s, gint owner)
+{
+  gint64 began_us = g_get_monotonic_time ();
+  guint other_count = 0;
+  guint i;
+
+  while (other_count == 0)
+    {
+      g_assert_cmpint (g_get_monotonic_time () - began_us, <,
+                       START_TIMEOUT_MS * 1000);
+      g_usleep (POLL_INTERVAL_MS * 1000);
+      for (i = 0; i < ENTRY_COUNT; i++)
+        other_count += i != (guint)owner && get_metric (s, i, "owner") == 1;
+    }
+}
+
+/* As owner_cut_off_with_runners, but the owner's joins pass again after a
+   successor has claimed the cell, and the group assigns it back: the successor
+   releases it.  The owner can neither append nor read the claims, so the joins
+   must not extend its ownership beyond the wait that counts from that claim.
+   Guards against tasks of its runners that start elsewhere while it keeps
+   their leases.  */
+static void
+test_owner_whose_joins_pass (void)
+{
+  gint64 running[RUNNER_COUNT];
+  gint64 claimed_us;
+  gchar body[BODY_BYTES];
+  struct site s;
+  guint first = 0;
+  gint owner;
+
+  start_site (&s);
+  g_snprintf (body, sizeof body,
+              "{\"Spec\":\"%d\",\"Steps\":[{\"Count\":%d,\"Cpu\":1000}]}",
+              SERVING_MS, SERVING_COUNT);
+  submit_body (&s, 0, body);
+  wait_serving (&s, running);
+  while (running[first] == 0)
+    first++;
+  owner = wait_owner (&s);
+  cluster_fault (s.base_port, "island_runners", (gint64)1 << first);
+  cluster_fault (s.base_port, "island_token", get_report (&s, "token"));
+  cluster_fault (s.base_port, "down_port", store_port (&s, (guint)owner));
+  wait_other_owner (&s, owner);
+  claimed_us = g_get_monotonic_time ();
+  cluster_fault (s.base_port, "assign_port", store_port (&s, (guint)owner));
+  cluster_fault (s.base_port, "joins_port", store_port (&s, (guint)owner));
+  cluster_fault (s.base_port, "down_port", 0);
+  g_usleep (JOINS_PASS_MS * 1000);
+  cluster_fault (s.base_port, "down_port", store_port (&s, (guint)owner));
+  cluster_fault (s.base_port, "assign_port", 0);
+  wait_other_owner (&s, owner);
+  g_usleep ((gulong)MAX (
+      claimed_us + WAIT_OVER_MS * 1000 - g_get_monotonic_time (), 0));
+  g_assert_cmpint (get_report (&s, "doubled"), ==, 0);
+  cluster_fault (s.base_port, "joins_port", 0);
+  cluster_fault (s.base_port, "down_port", 0);
+  cluster_fault (s.base_port, "island_token", 0);
+  g_usleep (HEALED_MS * 1000);
+  g_assert_cmpint (get_running (&s, running), ==, SERVING_COUNT);
+  g_assert_cmpint (get_report (&s, "doubled"), ==, 0);
+  stop_site (&s);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -798,5 +869,7 @@
                    test_serving_task_behind_lost_owner);
   g_test_add_func ("/site/owner_cut_off_with_runners",
                    test_owner_cut_off_with_runners);
+  g_test_add_func ("/site/owner_whose_joins_pass",
+                   test_owner_whose_joins_pass);
   return g_test_run ();
 }
