Send an order only to the boot of its runner that it is for

Cause, from the logs and a trial that logged each order with its connection: an order names its runner by an id and an address that a restart keeps. What it says of leases and ends counts for one boot, and the next one took it: the order went out on a connection that was opened after the restart. So it granted 10 s that nobody reckoned with, and carried out starts that had been given up.

Change: an order that carries a lease or acknowledges ends names its boot, and the entry that sends it does so only on a connection on which that boot has answered; no connection outlasts the process at its other end. When none is free, a poll that carries nothing opens one. New outcome other_boot.

--- a/adapter/http_client.c
+++ b/adapter/http_client.c
@@ -2,11 +2,16 @@
 
 #include "adapter/http_client.h"
 
+#include "adapter/duty.h"
+#include "adapter/http_connections.h"
 #include "adapter/timer.h"
 #include "port/types.h"
 
 #include <curl/curl.h>
+#include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 /** Largest body of an answer; a larger one fails the call.  */
 #define ANSWER_LIMIT_BYTES (64u << 20)
@@ -20,7 +25,10 @@
   CURLM *multi;
   struct tevent_context *loop;
   struct tevent_timer *timer;
-  struct transfer *transfers;   /**< Calls in progress.  */
+  struct transfer *transfers; /**< Calls in progress.  */
+  struct http_connections *connections;
+  GHashTable *waiting_counts;   /**< Authority to the number of calls that want
+                                   a tag and have no connection yet.  */
   CURL *idle[IDLE_LIMIT_COUNT]; /**< Handles for reuse.  */
   uint32_t idle_count;
 };
@@ -38,6 +46,12 @@
   uint32_t answer_bytes; /**< Bytes of answer filled.  */
   uint32_t send_count;   /**< Times the request was about to be sent.  */
   bool send_once;
+  char authority[AUTHORITY_BYTES];
+  char tag[HTTP_TAG_BYTES]; /**< Wanted of its connection; empty: none.  */
+  bool waiting;             /**< It is counted in waiting_counts.  */
+  bool wrong_connection;
+  struct http_connection *opened; /**< That it has opened, if still open.  */
+  struct http_connection *connection; /**< That it is sent on, if open.  */
   char task_id[ID_BYTES]; /**< Empty if the answer is not checked for it.  */
   http_done_fn *on_done;
   void *state;
@@ -71,9 +85,50 @@
   c->idle[c->idle_count++] = easy;
 }
 
+static void
+stop_waiting (struct transfer *t)
+{
+  GHashTable *counts = t->client->waiting_counts;
+  guint n;
+
+  if (!t->waiting)
+    return;
+  t->waiting = false;
+  n = GPOINTER_TO_UINT (g_hash_table_lookup (counts, t->authority));
+  if (n > 1)
+    g_hash_table_insert (counts, g_strdup (t->authority),
+                         GUINT_TO_POINTER (n - 1));
+  else
+    g_hash_table_remove (counts, t->authority);
+}
+
+/* Forgets the socket that T has opened, unless it was sent on.  libcurl closes
+   one that could not be connected without a call of close_socket.  */
+static void
+forget_opened (struct transfer *t)
+{
+  if (t->opened != NULL && t->opened != t->connection)
+    http_connections_remove (t->client->connections, t->opened->fd);
+  t->opened = NULL;
+}
+
+static void
+release_connection (struct transfer *t)
+{
+  forget_opened (t);
+  if (t->connection != NULL)
+    {
+      t->connection->busy = false;
+      t->connection->used_at_us = now_us ();
+    }
+  t->connection = NULL;
+}
+
 static int
 transfer_free (struct transfer *t)
 {
+  stop_waiting (t);
+  release_connection (t);
   *t->previous = t->next;
   if (t->next != NULL)
     t->next->previous = t->previous;
@@ -88,23 +143,101 @@
 /* Called when the connection is established, before the request is sent.
    libcurl repeats a request by itself when a reused connection breaks without
    an answer; the server may have run it by then, so the second sending of a
-   send_once call is refused.  */
+   send_once call is refused.  So is one on a connection without the wanted
+   tag.  */
 static int
 before_send (void *state, char *remote, char *local, int remote_port,
              int local_port)
 {
   struct transfer *t = state;
+  struct http_connection *x
+      = t->opened != NULL
+            ? t->opened
+            : http_connections_find (t->client->connections, t->authority,
+                                     (uint16_t)local_port);
 
   (void)remote;
   (void)local;
   (void)remote_port;
-  (void)local_port;
+  stop_waiting (t);
   if (t->send_once && t->send_count > 0)
     return CURL_PREREQFUNC_ABORT;
+  if (t->tag[0] != '\0' && (x == NULL || strcmp (x->tag, t->tag) != 0))
+    {
+      t->wrong_connection = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
+  t->connection = x;
+  if (x != NULL)
+    x->busy = true;
   t->send_count++;
   return CURL_PREREQFUNC_OK;
 }
 
+/* Forgets the connection of FD, which is closed.  */
+static void
+forget_socket (struct http_client *c, curl_socket_t fd)
+{
+  struct transfer *t;
+
+  for (t = c->transfers; t != NULL; t = t->next)
+    {
+      if (t->opened != NULL && t->opened->fd == fd)
+        t->opened = NULL;
+      if (t->connection != NULL && t->connection->fd == fd)
+        t->connection = NULL;
+    }
+  http_connections_remove (c->connections, fd);
+}
+
+static curl_socket_t
+open_socket (void *state, curlsocktype purpose, struct curl_sockaddr *a)
+{
+  struct transfer *t = state;
+  curl_socket_t fd
+      = socket (a->family, a->socktype | SOCK_CLOEXEC, a->protocol);
+
+  (void)purpose;
+  forget_opened (t);
+  if (fd == CURL_SOCKET_BAD)
+    return fd;
+  forget_socket (t->client, fd);
+  t->opened = http_connections_add (t->client->connections, t->authority, fd);
+  return fd;
+}
+
+/* Called with the client, as the call that opened FD may have ended.  */
+static int
+close_socket (void *state, curl_socket_t fd)
+{
+  forget_socket (state, fd);
+  return close (fd);
+}
+
+void
+http_connection_tag (struct http_connection *x, const char *tag)
+{
+  text_copy (x->tag, sizeof x->tag, tag);
+}
+
+void
+http_client_drop_idle (struct http_client *c, const char *authority,
+                       uint64_t since_us)
+{
+  http_connections_shut_down (c->connections, authority, since_us);
+}
+
+uint32_t
+http_client_free_count (const struct http_client *c, const char *authority,
+                        const char *tag)
+{
+  uint32_t n = http_connections_count_idle (c->connections, authority, tag);
+  uint32_t waiting
+      = GPOINTER_TO_UINT (g_hash_table_lookup (c->waiting_counts, authority));
+
+  return n > waiting ? n - waiting : 0;
+}
+
 /* Returns the answer's header NAME, or NULL.  */
 static const char *
 answer_header (const struct transfer *t, const char *name)
@@ -140,6 +273,8 @@
   curl_easy_getinfo (t->easy, CURLINFO_CONTENT_TYPE, &type);
   r.answered = code == CURLE_OK;
   r.sent = t->send_count > 0;
+  r.wrong_connection = t->wrong_connection && t->send_count == 0;
+  r.connection = t->connection;
   read_headers (t, &r);
   r.status = r.answered ? (uint32_t)status : 0;
   r.elapsed_us = (uint32_t)elapsed_us;
@@ -156,6 +291,8 @@
         }
       r.body = t->answer;
     }
+  stop_waiting (t);
+  release_connection (t);
   t->on_done (t->state, &r);
   talloc_free (t);
 }
@@ -266,6 +403,7 @@
   while (c->idle_count > 0)
     curl_easy_cleanup (c->idle[--c->idle_count]);
   curl_multi_cleanup (c->multi);
+  g_hash_table_destroy (c->waiting_counts);
   return 0;
 }
 
@@ -278,6 +416,9 @@
   if (c == NULL)
     return NULL;
   c->loop = loop;
+  c->connections = http_connections_new (c);
+  c->waiting_counts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->multi = curl_multi_init ();
   curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
   curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
@@ -345,6 +486,18 @@
   curl_easy_setopt (t->easy, CURLOPT_HTTPHEADER, t->headers);
 }
 
+static void
+want_tag (struct transfer *t, const char *tag)
+{
+  GHashTable *counts = t->client->waiting_counts;
+  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (counts, t->authority));
+
+  text_copy (t->tag, sizeof t->tag, tag);
+  t->waiting = true;
+  g_hash_table_insert (counts, g_strdup (t->authority),
+                       GUINT_TO_POINTER (n + 1));
+}
+
 void *
 http_client_start (struct http_client *c, const struct http_call *call)
 {
@@ -363,6 +516,9 @@
   t->on_done = call->on_done;
   t->state = call->state;
   t->send_once = call->send_once;
+  http_authority_get (call->url, t->authority);
+  if (call->connection_tag != NULL)
+    want_tag (t, call->connection_tag);
   if (call->task_id != NULL)
     text_copy (t->task_id, sizeof t->task_id, call->task_id);
   t->next = c->transfers;
@@ -383,12 +539,15 @@
                     (long)call->connect_timeout_ms);
   curl_easy_setopt (t->easy, CURLOPT_PREREQFUNCTION, before_send);
   curl_easy_setopt (t->easy, CURLOPT_PREREQDATA, t);
+  curl_easy_setopt (t->easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+  curl_easy_setopt (t->easy, CURLOPT_OPENSOCKETDATA, t);
+  curl_easy_setopt (t->easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+  curl_easy_setopt (t->easy, CURLOPT_CLOSESOCKETDATA, c);
   if (call->fresh_connection)
-    {
-      /* Nothing may reuse it, so it would only accumulate if kept open.  */
-      curl_easy_setopt (t->easy, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt (t->easy, CURLOPT_FORBID_REUSE, 1L);
-    }
+    curl_easy_setopt (t->easy, CURLOPT_FRESH_CONNECT, 1L);
+  /* Nothing may reuse it, so it would only accumulate if kept open.  */
+  if (call->fresh_connection && !call->keep_connection)
+    curl_easy_setopt (t->easy, CURLOPT_FORBID_REUSE, 1L);
   set_request (t, call);
   curl_multi_add_handle (c->multi, t->easy);
   return t;
--- a/adapter/http_client.h
+++ b/adapter/http_client.h
@@ -6,15 +6,28 @@
 #include "port/blob.h"
 
 #include <stdbool.h>
+#include <stdint.h>
 #include <talloc.h>
 #include <tevent.h>
 
+/** Bytes of a tag with its terminating NUL.  */
+#define HTTP_TAG_BYTES 128
+
 struct http_client;
 
+/** An open connection of a client.  It ends with the process at its other end,
+    so what that process has told of itself holds for all that is sent on it.
+ */
+struct http_connection;
+
 struct http_result
 {
-  bool answered;       /**< The answer is complete.  */
-  bool sent;           /**< A byte of the request may have been delivered.  */
+  bool answered; /**< The answer is complete.  */
+  bool sent;     /**< A byte of the request may have been delivered.  */
+  bool wrong_connection; /**< It was not sent, as its connection did not have
+                            the wanted tag.  */
+  struct http_connection *connection; /**< The one that it was sent on, if that
+                                         is still open; else NULL.  */
   bool not_run;        /**< The answer has the header `Run: no`.  */
   bool wrong_task_id;  /**< The answer has another Task-Id than the call.  */
   uint32_t status;     /**< HTTP status, 0 unless answered.  */
@@ -40,6 +53,9 @@
   bool send_once;              /**< Never let libcurl repeat the request.  */
   bool fresh_connection; /**< Do not reuse a connection, which the server may
                             be closing.  */
+  bool keep_connection;  /**< A fresh connection may be reused afterwards.  */
+  const char *connection_tag; /**< Sent on a connection with this tag only;
+                                 NULL: on any.  */
   http_done_fn *on_done;
   void *state; /**< Passed to on_done.  */
 };
@@ -55,6 +71,20 @@
     out.  Never calls on_done before it returns.  */
 void *http_client_start (struct http_client *c, const struct http_call *call);
 
+/** Gives X the tag TAG, of up to HTTP_TAG_BYTES with its NUL.  */
+void http_connection_tag (struct http_connection *x, const char *tag);
+
+/** Returns how many open connections to AUTHORITY, the host and port of a URL,
+    have TAG and are free for a call that wants it, calls counted that were
+    started and have no connection yet.  */
+uint32_t http_client_free_count (const struct http_client *c,
+                                 const char *authority, const char *tag);
+
+/** Closes the idle connections to AUTHORITY on which nothing was received
+   since SINCE_US.  */
+void http_client_drop_idle (struct http_client *c, const char *authority,
+                            uint64_t since_us);
+
 /** Aborts the call ID without calling on_done.  */
 void http_client_abort (struct http_client *c, void *id);
 
--- a/adapter/order_codec.c
+++ b/adapter/order_codec.c
@@ -4,7 +4,7 @@
 
 #include <string.h>
 
-#define ORDER_FIELD_COUNT 18
+#define ORDER_FIELD_COUNT 19
 #define RESULT_FIELD_COUNT 10
 #define RUNNING_FIELD_COUNT 8
 #define ENDED_FIELD_COUNT 8
@@ -48,6 +48,7 @@
   msgpack_pack_uint64 (p, o->stored_end_number);
   msgpack_pack_uint32 (p, payload);
   pack_text (p, o->checkpoint);
+  msgpack_pack_uint64 (p, o->booted_at_ms);
 }
 
 /* Returns true if the payload of item I is another than that of the one
@@ -123,6 +124,9 @@
   o->stored_end_number = unpack_number (&u, UINT64_MAX);
   payload = (uint32_t)unpack_number (&u, UINT32_MAX);
   unpack_text (&u, o->checkpoint, CHECKPOINT_BYTES);
+  /* Entries of earlier builds do not send it.  */
+  if (u.next < u.item_count)
+    o->booted_at_ms = unpack_number (&u, UINT64_MAX);
   if (payload < payload_count)
     o->payload = blob_ref (payloads[payload]);
   /* Only a start has a payload, and it must.  */
--- a/adapter/site_order_client.c
+++ b/adapter/site_order_client.c
@@ -8,6 +8,7 @@
 #include "adapter/order_codec.h"
 #include "adapter/relay.h"
 #include "adapter/relay_codec.h"
+#include "adapter/runner_calls.h"
 #include "adapter/timer.h"
 #include "platform/cloud.h"
 #include "platform/runner.h"
@@ -34,7 +35,7 @@
 struct site_order_client
 {
   struct duty *duty;
-  struct http_client *runner_http; /**< For orders to runners.  */
+  struct runner_calls *runners;
   struct http_client *cloud_http;
   struct ring *cell;
   struct ring *relay; /**< Takes the results of delegated orders.  */
@@ -132,16 +133,11 @@
 }
 
 static void
-on_runner_answer (void *state, const struct http_result *r)
+on_runner_result (void *state, struct cell_event *e)
 {
   struct open_call *x = state;
-  const struct runner_order *o = &x->action.u.order;
-  struct cell_event *e = cell_event_new (CELL_RUNNER_RESULT);
 
-  platform_runner_order_decode (
-      e, o->kind, r->status, r->sent, r->body ? r->body->data : NULL,
-      r->body ? r->body->size_bytes : 0, &e->u.runner_result);
-  report_result (x->client, o, e);
+  report_result (x->client, &x->action.u.order, e);
   talloc_free (x);
 }
 
@@ -164,29 +160,23 @@
   return is_too_late (a) ? ORDER_BUSY : ORDER_DONE;
 }
 
+static enum order_outcome
+check_open_order (void *state)
+{
+  struct open_call *x = state;
+
+  return check_order (x->client, &x->action);
+}
+
 static void
 send_runner_order (struct open_call *x)
 {
-  const struct runner_order *o = &x->action.u.order;
-  char url[PLATFORM_RUNNER_URL_BYTES];
-  char target[HEADER_BYTES];
-  const char *lines[] = { "Content-Type: application/json", target, NULL };
-  struct http_call call = { .method = "POST",
-                            .url = url,
-                            .header_lines = lines,
-                            .timeout_ms = o->timeout_ms,
-                            .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-                            .send_once = true,
-                            .fresh_connection = o->new_connection,
-                            .on_done = on_runner_answer,
-                            .state = x };
+  struct runner_call call = { .order = &x->action.u.order,
+                              .check = check_open_order,
+                              .on_done = on_runner_result,
+                              .state = x };
 
-  platform_runner_order_url (url, o);
-  snprintf (target, sizeof target, "%s: %s", PLATFORM_TARGET_HEADER,
-            o->runner);
-  call.body = platform_runner_order_body (o);
-  http_client_start (x->client->runner_http, &call);
-  blob_unref (call.body);
+  runner_calls_send (x->client->runners, &call);
 }
 
 static void
@@ -203,17 +193,6 @@
   talloc_free (x);
 }
 
-/* Ends X, whose order is not sent.  */
-static void
-refuse_order (struct open_call *x, enum order_outcome outcome)
-{
-  struct cell_event *e = cell_event_new (CELL_RUNNER_RESULT);
-
-  e->u.runner_result.outcome = outcome;
-  report_result (x->client, &x->action.u.order, e);
-  talloc_free (x);
-}
-
 static void
 send_vm_order (struct open_call *x)
 {
@@ -301,7 +280,6 @@
   struct site_order_client *c = state;
   struct cell_action *a = item;
   struct open_call *x = talloc_zero (c, struct open_call);
-  enum order_outcome outcome;
 
   x->client = c;
   x->action = *a;
@@ -310,13 +288,7 @@
   switch (x->action.kind)
     {
     case CELL_DO_ORDER:
-      outcome = check_order (c, &x->action);
-      if (outcome == ORDER_DONE)
-        {
-          send_runner_order (x);
-          break;
-        }
-      refuse_order (x, outcome);
+      send_runner_order (x);
       break;
     case CELL_DO_ORDER_VM:
       if (is_too_late (&x->action))
@@ -348,8 +320,8 @@
       talloc_free (c);
       return NULL;
     }
-  c->runner_http
-      = http_client_new (c, c->duty->loop, RUNNER_CONNECTION_LIMIT_COUNT);
+  c->runners
+      = runner_calls_new (c, c->duty->loop, RUNNER_CONNECTION_LIMIT_COUNT);
   c->cloud_http
       = http_client_new (c, c->duty->loop, CLOUD_CONNECTION_LIMIT_COUNT);
   return c;
@@ -381,7 +353,7 @@
       talloc_free (a);
     }
   msgpack_sbuffer_destroy (&c->results);
-  TALLOC_FREE (c->runner_http);
+  TALLOC_FREE (c->runners);
   TALLOC_FREE (c->cloud_http);
   duty_free (c->duty);
   talloc_free (c);
--- a/core/cell/hedges.c
+++ b/core/cell/hedges.c
@@ -11,7 +11,10 @@
    The load this answers: orders lost at random, each with a small probability,
    while all runners are busy.  An entry that is late itself must not hedge,
    which would add to its load: the delay follows the latency of the answered
-   starts, and the number of hedged polls without an answer is bounded.  */
+   starts, and the number of hedged polls without an answer is bounded.
+
+   A hedged poll renews no lease and acknowledges no ends: such an order goes
+   to one boot only, on a connection that may be dead as well.  */
 
 #include "core/cell/state.h"
 
--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -245,7 +245,7 @@
     }
   if (is_hedge)
     return;
-  if (sent_us < r->answered_poll_sent_at_us)
+  if (x->outcome == ORDER_OTHER_BOOT || sent_us < r->answered_poll_sent_at_us)
     {
       runners_schedule_poll (c, r, 0);
       return;
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -107,6 +107,22 @@
   return least_clock_ms (c, r) > r->lease_until_ms + CLOCK_GRAIN_MS;
 }
 
+/* Adds a lease of R to O, which X notes.  A silent runner's lease is not
+   renewed: if the runner received orders while its answers are lost, the lease
+   would never expire.  Nor is that of a runner whose boot is doubted.  */
+static void
+add_lease (const struct cell *c, struct runner *r, struct runner_order *o,
+           struct pending_order *x)
+{
+  if (r->miss_count > 0 || r->boot_doubted_at_us != 0)
+    return;
+  o->lease_until_ms = x->lease_until_ms = runners_lease_until_ms (c, r);
+  if (o->lease_until_ms == 0)
+    return;
+  o->booted_at_ms = r->report.booted_at_ms;
+  r->lease_until_ms = MAX (r->lease_until_ms, o->lease_until_ms);
+}
+
 struct runner_order *
 runners_send_order (struct cell *c, struct runner *r, enum order_kind kind,
                     const struct task *t)
@@ -132,18 +148,10 @@
       x->task = o->task;
       x->run = t->run;
     }
-  /* A silent runner's lease is not renewed: if the runner received orders
-     while its answers are lost, the lease would never expire.  An idle runner
-     may have been restarted; a lease by the clock of the boot before would
-     last for the longest that a runner grants.  So does a runner whose boot is
-     doubted.  */
-  if ((kind == ORDER_START || (kind == ORDER_POLL && r->tasks->len > 0))
-      && r->miss_count == 0 && r->boot_doubted_at_us == 0)
+  if (kind == ORDER_START)
     {
-      o->lease_until_ms = runners_lease_until_ms (c, r);
-      x->lease_until_ms = o->lease_until_ms;
-      if (o->lease_until_ms > r->lease_until_ms)
-        r->lease_until_ms = o->lease_until_ms;
+      o->booted_at_ms = r->report.booted_at_ms;
+      add_lease (c, r, o, x);
     }
   c->unanswered_start_count += kind == ORDER_START;
   /* The poll of an idle runner may be far off.  */
@@ -209,9 +217,8 @@
   return r->miss_count == 0;
 }
 
-/* Sends R a poll that waits up to WAIT_MS for the end of a run.  The first one
-   carries no lease end, since R's clock is not known: runs of a former owner
-   keep the lease that they have until R has answered.  */
+/* Sends R a poll that waits up to WAIT_MS for the end of a run.  As it is, it
+   renews no lease and acknowledges no ends, so any boot may answer it.  */
 static struct runner_order *
 send_poll_order (struct cell *c, struct runner *r, uint32_t wait_ms)
 {
@@ -222,8 +229,6 @@
   o->wait_ms = x->wait_ms = wait_ms;
   o->timeout_ms += o->wait_ms;
   x->timeout_ms = o->timeout_ms;
-  if (may_acknowledge (r))
-    o->stored_end_number = r->acked_end_number = r->stored_end_number;
   c->metrics.counters[CELL_COUNT_LEASE_RENEWALS]++;
   return o;
 }
@@ -241,6 +246,16 @@
   struct pending_order *x
       = g_hash_table_lookup (c->pending_orders, &o->order_id);
 
+  /* R's clock is not known before the first one: runs of a former owner keep
+     the lease that they have until R has answered.  An idle runner may have
+     been restarted.  */
+  if (r->tasks->len > 0)
+    add_lease (c, r, o, x);
+  if (may_acknowledge (r) && r->stored_end_number > 0)
+    {
+      o->stored_end_number = r->acked_end_number = r->stored_end_number;
+      o->booted_at_ms = r->report.booted_at_ms;
+    }
   x->is_probe = needs_probe (r) && x->link_id == 0;
   c->open_probe_count += x->is_probe;
   r->poll_id = o->order_id;
@@ -473,6 +488,7 @@
                const struct runner_result *x)
 {
   bool refused = x->outcome == ORDER_WRONG_BOOT;
+  bool not_sent = x->outcome == ORDER_OTHER_BOOT;
   bool is_start = t != NULL && x->kind == ORDER_START;
 
   if (is_start && refused)
@@ -484,13 +500,13 @@
                               : x->booted_at_ms,
                       RUN_OTHER_BOOT);
   r->boot_named = !refused;
-  r->took_earlier_lease = !refused && x->kind != ORDER_STOP;
+  r->took_earlier_lease = !refused && !not_sent && x->kind != ORDER_STOP;
   if (refused)
     {
       r->next_poll_at_us += WRONG_BOOT_DELAY_MS * US_PER_MS;
       return;
     }
-  if (!is_start)
+  if (!is_start || not_sent)
     return;
   note_clock (c, r, x->clock_ms);
   task_on_start_result (c, t, r, x->outcome);
@@ -597,6 +613,12 @@
       ownership_lose (c, "order_fenced");
       return;
     }
+  /* It was not sent, so the run does not exist and never will.  */
+  if (x->outcome == ORDER_OTHER_BOOT && t != NULL && x->kind == ORDER_START)
+    {
+      task_on_start_result (c, t, r, x->outcome);
+      t = NULL;
+    }
   if (o.booted_at_ms != 0 && x->booted_at_ms != 0
       && x->booted_at_ms != o.booted_at_ms)
     note_lease_of_other_boot (c, r, &o, x);
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -497,6 +497,8 @@
     case ORDER_STALE:
       t->run += STALE_SKIP_COUNT;
       break;
+    case ORDER_OTHER_BOOT:
+      break;
     case ORDER_NO_ROOM:
       r->full_until_us = c->now_us + FULL_BACKOFF_MS * US_PER_MS;
       runners_schedule_poll (c, r, 0);
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -16,6 +16,9 @@
   char runner[NAME_BYTES];
   char address[ADDRESS_BYTES];
   uint64_t token;
+  uint64_t booted_at_ms;   /**< Boot that lease_until_ms and stored_end_number
+                              count for: no other boot of the runner gets the
+                              order; 0: any may.  */
   uint64_t lease_until_ms; /**< On the runner's clock; 0: unchanged.  */
   uint32_t timeout_ms;
   bool new_connection; /**< To be sent on a new connection, as an idle one may
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -147,6 +147,8 @@
   ORDER_UNKNOWN, /**< No answer: it may have been executed, or may yet be. */
   ORDER_UNAVAILABLE, /**< Not executed: the receiver takes no orders now, or
                         could not be reached.  */
+  ORDER_OTHER_BOOT,  /**< Not sent: the runner has answered as another boot,
+                        which the result names, than the order is for.  */
   ORDER_OUTCOME_COUNT
 };
 
--- a/port/cell_name.c
+++ b/port/cell_name.c
@@ -76,7 +76,8 @@
                                        [ORDER_BUSY] = "busy",
                                        [ORDER_REJECTED] = "rejected",
                                        [ORDER_UNKNOWN] = "unknown",
-                                       [ORDER_UNAVAILABLE] = "unavailable" };
+                                       [ORDER_UNAVAILABLE] = "unavailable",
+                                       [ORDER_OTHER_BOOT] = "other_boot" };
 
   return NAME_OF (names, o);
 }
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -34,6 +34,7 @@
   uint32_t order_kinds[ORDER_HISTORY_COUNT]; /**< By order id.  */
   bool included;       /**< The line is of an included file: print nothing.  */
   bool hold_vm_orders; /**< Lines answer the appends of VM orders.  */
+  bool shows_boots;    /**< Orders are printed with the boots they are for.  */
   char shown_event[NAME_BYTES]; /**< Log lines of this event are printed with
                                    their keys.  */
   uint64_t last_token;          /**< Of the newest append.  */
@@ -854,6 +855,9 @@
   if (o->link_id > 0)
     g_string_append_printf (x->out, " by link %llu",
                             (unsigned long long)o->link_id);
+  if (x->shows_boots && o->booted_at_ms > 0)
+    g_string_append_printf (x->out, " boot %llu",
+                            (unsigned long long)o->booted_at_ms);
   if (o->lease_until_ms > 0)
     g_string_append_printf (x->out, " until %llu",
                             (unsigned long long)o->lease_until_ms);
@@ -1110,6 +1114,8 @@
     }
   else if (json_object_get (j, "hold_vm_orders") != NULL)
     x->hold_vm_orders = json_is_true (json_object_get (j, "hold_vm_orders"));
+  else if (json_object_get (j, "show_boots") != NULL)
+    x->shows_boots = true;
   else if (json_object_get (j, "show_log") != NULL)
     get_text (j, "show_log", x->shown_event, NAME_BYTES);
   else if (json_object_get (j, "confirmation_metrics") != NULL)
--- a/tests/model_runner.c
+++ b/tests/model_runner.c
@@ -428,7 +428,14 @@
 
   if (r != NULL && r->alive
       && (!x->late || r->booted_at_us == x->booted_at_us))
-    execute (m, r, x);
+    {
+      /* No connection leads to the boot that it is for.  */
+      if (x->order.booted_at_ms != 0
+          && x->order.booted_at_ms != r->booted_at_ms)
+        answer_call (m, r, x, ORDER_OTHER_BOOT);
+      else
+        execute (m, r, x);
+    }
   release (x);
 }
 
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -621,6 +621,7 @@
                                       .lease_until_ms = 90000,
                                       .timeout_ms = 700,
                                       .new_connection = true,
+                                      .booted_at_ms = 77,
                                       .task = { .job = 5, .index = 2 },
                                       .run = 65,
                                       .checkpoint = "00000bb8" } };
--- a/tests/test_order_client.c
+++ b/tests/test_order_client.c
@@ -4,7 +4,10 @@
    the hands of a delegate, and is sent although its owner may have lost the
    cell or has given the order up; and against an order under a lower fencing
    token than one seen before.  Each is answered as not executed, and no
-   connection is made.  */
+   connection is made.
+
+   Guards against an order that is for one boot of a runner, with a lease on
+   its clock, and is carried out by the next one at the same address.  */
 
 #include "adapter/cell_post.h"
 #include "adapter/site_order_client.h"
@@ -12,6 +15,7 @@
 
 #include <arpa/inet.h>
 #include <glib.h>
+#include <microhttpd.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <string.h>
@@ -20,6 +24,11 @@
 
 #define ANSWER_TIMEOUT_MS 3000
 #define QUIET_MS 200 /**< No connection arrives for this long.  */
+#define FIRST_BOOT_MS 1700000000001
+#define SECOND_BOOT_MS 1700000000002
+/** Most connections to a runner.  */
+#define CONNECTION_LIMIT_COUNT 4
+#define START_COUNT 12
 
 /** A client, and a socket at the address of all receivers of orders.  */
 struct fixture
@@ -175,6 +184,183 @@
   close_fixture (&f);
 }
 
+/** A runner that answers what it is sent, and counts it.  Only its answers to
+    polls name its boot.  */
+struct runner
+{
+  struct MHD_Daemon *daemon;
+  uint16_t port;
+  uint64_t booted_at_ms;
+  gint poll_count;
+  gint start_count;
+};
+
+static enum MHD_Result
+on_runner_request (void *state, struct MHD_Connection *connection,
+                   const char *url, const char *method, const char *version,
+                   const char *data, size_t *size, void **call_state)
+{
+  static char mark;
+  struct runner *r = state;
+  bool is_poll = strcmp (url, "/api/hold") == 0;
+  struct MHD_Response *response;
+  enum MHD_Result done;
+  char text[200];
+
+  (void)method;
+  (void)version;
+  (void)data;
+  if (*call_state == NULL || *size > 0)
+    {
+      *call_state = &mark;
+      *size = 0;
+      return MHD_YES;
+    }
+  g_atomic_int_add (is_poll ? &r->poll_count : &r->start_count, 1);
+  if (is_poll)
+    g_snprintf (text, sizeof text,
+                "{\"ClockMs\":100,\"born\":%llu,\"Running\":[],"
+                "\"Ended\":[]}",
+                (unsigned long long)r->booted_at_ms);
+  else
+    g_snprintf (text, sizeof text, "{\"ClockMs\":101}");
+  response = MHD_create_response_from_buffer (strlen (text), text,
+                                              MHD_RESPMEM_MUST_COPY);
+  done = MHD_queue_response (connection, MHD_HTTP_OK, response);
+  MHD_destroy_response (response);
+  return done;
+}
+
+/* Starts the boot of R that begins at BOOTED_AT_MS, at the port of the one
+   before.  */
+static void
+boot_runner (struct runner *r, uint64_t booted_at_ms)
+{
+  struct sockaddr_in a
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  const union MHD_DaemonInfo *info;
+
+  a.sin_port = htons (r->port);
+  r->booted_at_ms = booted_at_ms;
+  r->poll_count = r->start_count = 0;
+  r->daemon = MHD_start_daemon (
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, r->port,
+      NULL, NULL, on_runner_request, r, MHD_OPTION_SOCK_ADDR, &a,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+  g_assert_nonnull (r->daemon);
+  info = MHD_get_daemon_info (r->daemon, MHD_DAEMON_INFO_BIND_PORT);
+  r->port = info->port;
+}
+
+/* Returns an order for the boot of R that began at BOOTED_AT_MS, to start run
+   RUN.  */
+static struct cell_action *
+make_start (const struct runner *r, uint64_t booted_at_ms, uint32_t run)
+{
+  struct cell_action *a = talloc_zero (NULL, struct cell_action);
+
+  a->kind = CELL_DO_ORDER;
+  a->u.order.kind = ORDER_START;
+  a->u.order.order_id = run;
+  a->u.order.run = run;
+  a->u.order.token = 1;
+  a->u.order.timeout_ms = 700;
+  a->u.order.lease_until_ms = 3600;
+  a->u.order.booted_at_ms = booted_at_ms;
+  a->u.order.payload = blob_copy ("x", 1);
+  text_copy (a->u.order.runner, NAME_BYTES, "r1");
+  g_snprintf (a->u.order.address, ADDRESS_BYTES, "127.0.0.1:%u", r->port);
+  return a;
+}
+
+/* The first start opens a connection with a poll; the next one uses it.  */
+static void
+test_start_for_boot (void)
+{
+  struct runner r = { 0 };
+  struct fixture f;
+
+  open_fixture (&f);
+  boot_runner (&r, FIRST_BOOT_MS);
+  push (&f, make_start (&r, FIRST_BOOT_MS, 1));
+  check_runner_outcome (&f, ORDER_DONE);
+  push (&f, make_start (&r, FIRST_BOOT_MS, 2));
+  check_runner_outcome (&f, ORDER_DONE);
+  g_assert_cmpint (r.poll_count, ==, 1);
+  g_assert_cmpint (r.start_count, ==, 2);
+  MHD_stop_daemon (r.daemon);
+  close_fixture (&f);
+}
+
+/* A runner that was restarted gets no start that is for its boot before,
+   whether a connection to that one is left or not.  */
+static void
+test_start_for_boot_before (void)
+{
+  struct runner r = { 0 };
+  struct fixture f;
+  struct cell_event *e;
+  uint32_t i;
+
+  open_fixture (&f);
+  boot_runner (&r, FIRST_BOOT_MS);
+  push (&f, make_start (&r, FIRST_BOOT_MS, 1));
+  check_runner_outcome (&f, ORDER_DONE);
+  MHD_stop_daemon (r.daemon);
+  boot_runner (&r, SECOND_BOOT_MS);
+  for (i = 0; i < 3; i++)
+    {
+      push (&f, make_start (&r, FIRST_BOOT_MS, 2 + i));
+      e = wait_event (&f, CELL_RUNNER_RESULT);
+      g_assert_cmpint (e->u.runner_result.outcome, ==, ORDER_OTHER_BOOT);
+      g_assert_cmpuint (e->u.runner_result.booted_at_ms, ==, SECOND_BOOT_MS);
+      talloc_free (e);
+    }
+  g_assert_cmpint (r.start_count, ==, 0);
+  push (&f, make_start (&r, SECOND_BOOT_MS, 9));
+  check_runner_outcome (&f, ORDER_DONE);
+  g_assert_cmpint (r.start_count, ==, 1);
+  MHD_stop_daemon (r.daemon);
+  close_fixture (&f);
+}
+
+/* A start that finds no boot to answer it has certainly not been sent.  */
+static void
+test_start_without_answer (void)
+{
+  struct runner r = { 0 };
+  struct fixture f;
+  struct cell_action *a;
+
+  open_fixture (&f);
+  a = make_start (&r, FIRST_BOOT_MS, 1);
+  text_copy (a->u.order.address, ADDRESS_BYTES, f.settings.cloud_address);
+  push (&f, a);
+  check_runner_outcome (&f, ORDER_BUSY);
+  close_fixture (&f);
+}
+
+/* Starts that come together share a few connections, each opened by one
+   poll.  */
+static void
+test_starts_at_once (void)
+{
+  struct runner r = { 0 };
+  struct fixture f;
+  uint32_t i;
+
+  open_fixture (&f);
+  boot_runner (&r, FIRST_BOOT_MS);
+  for (i = 0; i < START_COUNT; i++)
+    push (&f, make_start (&r, FIRST_BOOT_MS, 1 + i));
+  for (i = 0; i < START_COUNT; i++)
+    check_runner_outcome (&f, ORDER_DONE);
+  g_assert_cmpint (r.start_count, ==, START_COUNT);
+  g_assert_cmpint (r.poll_count, <=, CONNECTION_LIMIT_COUNT);
+  MHD_stop_daemon (r.daemon);
+  close_fixture (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -182,5 +368,11 @@
   g_test_add_func ("/order_client/late_order", test_late_order);
   g_test_add_func ("/order_client/late_vm_order", test_late_vm_order);
   g_test_add_func ("/order_client/lower_token", test_lower_token);
+  g_test_add_func ("/order_client/start_for_boot", test_start_for_boot);
+  g_test_add_func ("/order_client/start_for_boot_before",
+                   test_start_for_boot_before);
+  g_test_add_func ("/order_client/start_without_answer",
+                   test_start_without_answer);
+  g_test_add_func ("/order_client/starts_at_once", test_starts_at_once);
   return g_test_run ();
 }
