--- a/adapter/http_connections.c
+++ b/adapter/http_connections.c
@@ -89,7 +89,7 @@
 static uint16_t
 local_port (struct http_connection *x)
 {
-  struct sockaddr_in a;
+  struct sockaddr_in a = { 0 };
   socklen_t n = sizeof a;
 
   if (x->local_port == 0 && getsockname (x->fd, (struct sockaddr *)&a, &n) == 0
