--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -126,7 +126,7 @@
     {
       const struct runner *r = value;
 
-      if (r->tasks->len > 0 && runners_excess_lease_ms (c, r) > 0)
+      if (r->tasks->len > 0 && leases_excess_ms (c, r) > 0)
         until_us = MAX (until_us, r->long_lease_until_us);
     }
   return until_us > c->now_us
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -54,7 +54,7 @@
 takes_tasks (const struct cell *c, const struct runner *r, bool in_quarantine)
 {
   return r->listed && r->reached && !r->ends_incomplete
-         && runners_excess_lease_ms (c, r) == 0 && r->boot_doubted_at_us == 0
+         && leases_excess_ms (c, r) == 0 && r->boot_doubted_at_us == 0
          && r->clock_read_at_us != 0 && !r->report.draining && !r->vm_emptying
          && r->miss_count == 0
          && c->ownership.confirmed_at_us >= r->boot_known_at_us
@@ -246,7 +246,7 @@
 
       if (!can_start (c, t, r, &need, in_quarantine))
         continue;
-      if (runners_clock_is_old (c, r))
+      if (leases_clock_is_old (c, r))
         {
           if (old_count < CLOCK_READ_COUNT)
             old[old_count++] = r;
--- a/core/cell/registrations.c
+++ b/core/cell/registrations.c
@@ -64,7 +64,7 @@
   r->report = *report;
   r->next_poll_at_us = c->now_us;
   r->heard_at_us = c->now_us;
-  runners_note_boot (c, r);
+  boots_note (c, r);
   g_hash_table_insert (c->runners, r->report.id, r);
   return r;
 }
@@ -162,7 +162,7 @@
       runners_schedule_poll (c, r, 0);
       return false;
     }
-  runners_reset_boot (c, r, n->booted_at_ms, RUN_NEW_BOOT);
+  boots_reset (c, r, n->booted_at_ms, RUN_NEW_BOOT);
   return true;
 }
 
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -1,4 +1,4 @@
-/* runners.c -- leases of runners, polls and orders.
+/* runners.c -- polls of runners, and orders to them.
 
    A runner that has tasks gets one long poll after the other: a poll renews
    its lease and returns which runs it has and which have ended.  An idle
@@ -10,9 +10,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** Delay of the poll of a runner that refused an order as meant for another
-    boot: another runner may answer at its address.  */
-#define WRONG_BOOT_DELAY_MS 600
 /** A poll is put off for up to this until the ends listed so far are
     stored.  */
 #define STORE_WAIT_MS 400
@@ -33,17 +30,6 @@
     count.  More at once would all be answered too late, again and again.  */
 #define PROBE_WINDOW_MS 300
 #define PROBE_MIN_COUNT 32
-/** A runner whose clock was read longer ago gets a poll before its next start:
-    the lease of one whose clock is not slow would be too short.  */
-#define CLOCK_AGE_LIMIT_MS 60000
-/** The same while this entry has not been confirmed as the owner for
-    CONFIRMED_LIMIT_MS: it may be cut off, and not hear that the runner was
-    restarted.  A restart takes longer.  */
-#define UNCONFIRMED_CLOCK_AGE_LIMIT_MS 300
-#define CONFIRMED_LIMIT_MS 1000
-/** Margin for the resolution of the clocks, which are read in whole
-    milliseconds.  */
-#define CLOCK_GRAIN_MS 20
 /** A runner without tasks is forgotten this long after its registration was
     deleted.  */
 #define UNLISTED_LIMIT_MS 15000
@@ -51,78 +37,6 @@
     place elsewhere.  A runner drains for 2 s or longer.  */
 #define DRAIN_LIMIT_MS 1000
 
-/* Returns the least time that R's clock, which was read, may show now.  */
-static uint64_t
-least_clock_ms (const struct cell *c, const struct runner *r)
-{
-  uint64_t passed_ms = (c->now_us - r->clock_read_at_us) / US_PER_MS;
-
-  return r->clock_ms + passed_ms * (1000 - CLOCK_SLOW_MILLI) / 1000;
-}
-
-/* With any later time than the least, the lease of a runner whose clock is
-   slow would last longer, the more so the longer ago that clock was read.  A
-   new owner waits for LEASE_LIMIT_MS only.  */
-uint64_t
-runners_lease_until_ms (const struct cell *c, const struct runner *r)
-{
-  uint64_t lease_ms = MIN (LEASE_MS, c->settings.times.lease_max_ms);
-
-  return r->clock_read_at_us == 0 ? 0 : least_clock_ms (c, r) + lease_ms;
-}
-
-bool
-runners_clock_is_old (const struct cell *c, const struct runner *r)
-{
-  bool confirmed = c->now_us <= c->ownership.confirmed_at_us
-                                    + CONFIRMED_LIMIT_MS * US_PER_MS;
-  uint64_t limit_ms
-      = confirmed ? CLOCK_AGE_LIMIT_MS : UNCONFIRMED_CLOCK_AGE_LIMIT_MS;
-
-  return c->now_us > r->clock_read_at_us + limit_ms * US_PER_MS;
-}
-
-uint32_t
-runners_excess_lease_ms (const struct cell *c, const struct runner *r)
-{
-  uint64_t usual_us = c->now_us + LEASE_LIMIT_MS * US_PER_MS;
-
-  return r->long_lease_until_us > usual_us
-             ? (uint32_t)((r->long_lease_until_us - usual_us) / US_PER_MS + 1)
-             : 0;
-}
-
-bool
-runners_lease_expired (const struct cell *c, const struct runner *r)
-{
-  if (c->now_us < r->long_lease_until_us)
-    return false;
-  /* Only starts that were meant for the boot before may be there; their leases
-     are no longer than a runner grants.  */
-  if (r->clock_read_at_us == 0)
-    return r->boot_read_at_us != 0
-           && (c->now_us - r->boot_read_at_us) / US_PER_MS
-                      * (1000 - CLOCK_SLOW_MILLI) / 1000
-                  > c->settings.times.lease_max_ms + CLOCK_GRAIN_MS;
-  return least_clock_ms (c, r) > r->lease_until_ms + CLOCK_GRAIN_MS;
-}
-
-/* Adds a lease of R to O, which X notes.  A silent runner's lease is not
-   renewed: if the runner received orders while its answers are lost, the lease
-   would never expire.  Nor is that of a runner whose boot is doubted.  */
-static void
-add_lease (const struct cell *c, struct runner *r, struct runner_order *o,
-           struct pending_order *x)
-{
-  if (r->miss_count > 0 || r->boot_doubted_at_us != 0)
-    return;
-  o->lease_until_ms = x->lease_until_ms = runners_lease_until_ms (c, r);
-  if (o->lease_until_ms == 0)
-    return;
-  o->booted_at_ms = r->report.booted_at_ms;
-  r->lease_until_ms = MAX (r->lease_until_ms, o->lease_until_ms);
-}
-
 struct runner_order *
 runners_send_order (struct cell *c, struct runner *r, enum order_kind kind,
                     const struct task *t)
@@ -151,7 +65,7 @@
   if (kind == ORDER_START)
     {
       o->booted_at_ms = r->report.booted_at_ms;
-      add_lease (c, r, o, x);
+      leases_add (c, r, o, x);
     }
   c->unanswered_start_count += kind == ORDER_START;
   /* The poll of an idle runner may be far off.  */
@@ -187,15 +101,6 @@
          || c->open_probe_count < MAX (limit, PROBE_MIN_COUNT);
 }
 
-/* Returns true if the start of T may yet be carried out, by whatever boot of
-   its runner the order reaches.  */
-static bool
-start_is_open (const struct task *t)
-{
-  return t->phase == TASK_STARTING || t->phase == TASK_UNCONFIRMED
-         || (t->phase == TASK_STOPPING && !t->start_confirmed);
-}
-
 /* Returns true if a poll of R may acknowledge ends.  A new boot numbers its
    ends anew, and one that we do not know of must not forget any.  It can have
    some only if it took a start that we have no answer to.  While R's list of
@@ -210,7 +115,7 @@
     {
       const struct task *t = g_ptr_array_index (r->tasks, i);
 
-      if (start_is_open (t)
+      if (task_start_is_open (t)
           && !(r->ends_incomplete && t->stop_acked_at_us != 0))
         return false;
     }
@@ -250,7 +155,7 @@
      the lease that they have until R has answered.  An idle runner may have
      been restarted.  */
   if (r->tasks->len > 0)
-    add_lease (c, r, o, x);
+    leases_add (c, r, o, x);
   if (may_acknowledge (r) && r->stored_end_number > 0)
     {
       o->stored_end_number = r->acked_end_number = r->stored_end_number;
@@ -285,10 +190,9 @@
   r->hedged_at_us = c->now_us;
 }
 
-/* Logs that N runs on R have ended, WHY.  */
-static void
-log_lost_runs (struct cell *c, const struct runner *r, enum run_over why,
-               uint32_t n)
+void
+runners_log_lost (struct cell *c, const struct runner *r, enum run_over why,
+                  uint32_t n)
 {
   if (n == 0)
     return;
@@ -307,92 +211,11 @@
 void
 runners_release_tasks (struct cell *c, struct runner *r, enum run_over why)
 {
-  log_lost_runs (c, r, why, r->tasks->len);
+  runners_log_lost (c, r, why, r->tasks->len);
   while (r->tasks->len > 0)
     task_release (c, g_ptr_array_index (r->tasks, r->tasks->len - 1), why);
 }
 
-/* Releases the tasks of R whose runs have ended with its boot, and logs it
-   with the reason WHY.  Those whose starts are open stay, and are polled for,
-   and stopped if a poll does not list them.  */
-static void
-release_boot (struct cell *c, struct runner *r, enum run_over why)
-{
-  uint32_t lost_count = 0;
-  guint i;
-
-  for (i = 0; i < r->tasks->len; i++)
-    lost_count += !start_is_open (g_ptr_array_index (r->tasks, i));
-  log_lost_runs (c, r, why, lost_count);
-  /* Backwards, as the last task takes the place of a released one.  */
-  for (i = r->tasks->len; i > 0; i--)
-    {
-      struct task *t = g_ptr_array_index (r->tasks, i - 1);
-
-      if (!start_is_open (t))
-        {
-          task_release (c, t, why);
-          continue;
-        }
-      t->phase = TASK_UNCONFIRMED;
-      t->start_known_at_us = c->now_us;
-      t->stop_acked_at_us = 0;
-    }
-}
-
-void
-runners_note_boot (struct cell *c, struct runner *r)
-{
-  r->boot_known_at_us = c->now_us;
-  c->ownership.unreached_over_at_us = c->now_us;
-  confirmation_covers (c, c->now_us);
-}
-
-void
-runners_reset_boot (struct cell *c, struct runner *r, uint64_t booted_at_ms,
-                    enum run_over why)
-{
-  release_boot (c, r, why);
-  if (r->report.booted_at_ms != booted_at_ms)
-    r->previous_boot_ms = r->report.booted_at_ms;
-  r->report.booted_at_ms = booted_at_ms;
-  r->boot_named = false;
-  r->boot_doubted_at_us = 0;
-  r->took_earlier_lease = false;
-  r->boot_read_at_us = c->now_us;
-  runners_note_boot (c, r);
-  r->reached = false;
-  r->clock_read_at_us = 0;
-  r->clock_ms = 0;
-  r->lease_until_ms = 0;
-  r->stored_end_number = r->seen_end_number = r->acked_end_number = 0;
-  r->poll_id = 0;
-  r->poll_incomplete = false;
-  r->ends_incomplete = false;
-  r->failed_run_count = 0;
-  r->quarantined_until_us = 0;
-  r->poll_clock_ms = 0;
-  r->ended_ratio_count = 0;
-  r->on_probation = false;
-  r->refused_until_us = 0;
-  r->next_poll_at_us = c->now_us;
-}
-
-/* Notes the time CLOCK_MS on R's clock.  Leases in orders that were meant for
-   an earlier boot are on another clock: one that this boot has taken, or that
-   tasks whose starts are open may have, lasts for the longest that a runner
-   grants.  */
-static void
-note_clock (struct cell *c, struct runner *r, uint64_t clock_ms)
-{
-  if (clock_ms == 0)
-    return;
-  if (r->clock_read_at_us == 0 && (r->tasks->len > 0 || r->took_earlier_lease))
-    r->lease_until_ms = clock_ms + c->settings.times.lease_max_ms;
-  r->clock_ms = clock_ms;
-  r->clock_read_at_us = c->now_us;
-}
-
 static bool
 is_overdue (const struct cell *c, const struct pending_order *o)
 {
@@ -413,105 +236,6 @@
   return n;
 }
 
-/* Notes the lease that another boot of R has taken from O, as its result X
-   shows: on its own clock, and for no longer than a runner grants.  A lease
-   never shortens.  While it exceeds an ordinary one, the runs on R are stopped
-   and none is started: a new owner that cannot reach R waits for an ordinary
-   lease.  */
-static void
-note_lease_of_other_boot (struct cell *c, struct runner *r,
-                          const struct pending_order *o,
-                          const struct runner_result *x)
-{
-  uint64_t lease_ms = c->settings.times.lease_max_ms;
-
-  /* A runner takes the lease before it looks at the task.  */
-  if (o->lease_until_ms <= x->clock_ms
-      || (x->outcome != ORDER_DONE && x->outcome != ORDER_STALE
-          && x->outcome != ORDER_NO_ROOM))
-    return;
-  if (x->clock_ms != 0)
-    lease_ms = MIN (lease_ms, o->lease_until_ms - x->clock_ms);
-  if (lease_ms <= LEASE_MS)
-    return;
-  r->long_lease_until_us = MAX (
-      r->long_lease_until_us,
-      c->now_us
-          + (lease_ms * 1000 / (1000 - CLOCK_SLOW_MILLI) + CLOCK_GRAIN_MS)
-                * US_PER_MS);
-  c->metrics.counters[CELL_COUNT_LONG_LEASES]++;
-  cell_log (c, "long_lease_taken", 0,
-            "\"runner\":\"%s\",\"runs\":%u,\"lease_ms\":%llu", r->report.id,
-            r->tasks->len, (unsigned long long)lease_ms);
-}
-
-/* Returns true if X, the result of O, shows an earlier time than R's clock
-   could show when O was sent: it is the clock of another boot.  */
-static bool
-clock_is_of_other_boot (const struct runner *r, const struct pending_order *o,
-                        const struct runner_result *x)
-{
-  uint64_t least_ms = r->clock_ms;
-
-  if (r->clock_read_at_us == 0 || x->clock_ms == 0)
-    return false;
-  if (o->sent_at_us >= r->clock_read_at_us)
-    least_ms += (o->sent_at_us - r->clock_read_at_us) / US_PER_MS
-                * (1000 - CLOCK_SLOW_MILLI) / 1000;
-  else
-    least_ms
-        -= MIN (least_ms, (r->clock_read_at_us - o->sent_at_us) / US_PER_MS);
-  return x->clock_ms + CLOCK_GRAIN_MS < least_ms;
-}
-
-/* Handles that X, the result of O to R about T or none, names no other boot
-   but has the clock of one.  A poll is to name that boot; a start that was
-   carried out may be there.  */
-static void
-on_other_clock (struct cell *c, struct runner *r, struct task *t,
-                const struct runner_result *x, const struct pending_order *o)
-{
-  note_lease_of_other_boot (c, r, o, x);
-  r->boot_doubted_at_us = c->now_us;
-  /* The poll in flight was meant for the boot that is gone.  */
-  r->poll_id = 0;
-  runners_schedule_poll (c, r, 0);
-  if (t != NULL && x->kind == ORDER_START)
-    task_on_start_result (
-        c, t, r, x->outcome == ORDER_DONE ? ORDER_UNKNOWN : x->outcome);
-}
-
-/* Handles that X, the result of an order to R about T or none, is of another
-   boot than R's.  */
-static void
-on_other_boot (struct cell *c, struct runner *r, struct task *t,
-               const struct runner_result *x)
-{
-  bool refused = x->outcome == ORDER_WRONG_BOOT;
-  bool not_sent = x->outcome == ORDER_OTHER_BOOT;
-  bool is_start = t != NULL && x->kind == ORDER_START;
-
-  if (is_start && refused)
-    task_release (c, t, RUN_REFUSED);
-  /* A refusal may come from another runner at R's address, so the boot that it
-     names is used only if it is later.  */
-  runners_reset_boot (c, r,
-                      refused ? MAX (x->booted_at_ms, r->report.booted_at_ms)
-                              : x->booted_at_ms,
-                      RUN_OTHER_BOOT);
-  r->boot_named = !refused;
-  r->took_earlier_lease = !refused && !not_sent && x->kind != ORDER_STOP;
-  if (refused)
-    {
-      r->next_poll_at_us += WRONG_BOOT_DELAY_MS * US_PER_MS;
-      return;
-    }
-  if (!is_start || not_sent)
-    return;
-  note_clock (c, r, x->clock_ms);
-  task_on_start_result (c, t, r, x->outcome);
-}
-
 /* Counts whether X, the result of O, is late, for what it tells of this entry
    and of the delegate that sent O.  A hedged poll tells nothing: it is sent
    when its runner is doubted already.  */
@@ -558,11 +282,11 @@
   if (x->booted_at_ms != 0)
     {
       if (r->report.booted_at_ms == 0)
-        runners_note_boot (c, r);
+        boots_note (c, r);
       r->report.booted_at_ms = x->booted_at_ms;
       r->boot_named = true;
     }
-  note_clock (c, r, x->clock_ms);
+  boots_note_clock (c, r, x->clock_ms);
   switch (x->kind)
     {
     case ORDER_START:
@@ -621,7 +345,7 @@
     }
   if (o.booted_at_ms != 0 && x->booted_at_ms != 0
       && x->booted_at_ms != o.booted_at_ms)
-    note_lease_of_other_boot (c, r, &o, x);
+    leases_on_other_boot (c, r, &o, x);
   if (x->booted_at_ms != 0 && x->booted_at_ms != r->report.booted_at_ms
       && o.sent_at_us < r->boot_read_at_us)
     return; /* Of the boot before.  */
@@ -629,12 +353,12 @@
       || (x->booted_at_ms != 0 && r->report.booted_at_ms != 0
           && x->booted_at_ms != r->report.booted_at_ms))
     {
-      on_other_boot (c, r, t, x);
+      boots_on_other (c, r, t, x);
       return;
     }
-  if (x->kind != ORDER_POLL && clock_is_of_other_boot (r, &o, x))
+  if (x->kind != ORDER_POLL && boots_is_other_clock (r, &o, x))
     {
-      on_other_clock (c, r, t, x, &o);
+      boots_on_other_clock (c, r, t, x, &o);
       return;
     }
   apply_result (c, r, t, x, &o);
@@ -710,42 +434,19 @@
     }
 }
 
-/* Stops the runs on R, which has taken a long lease; of serving tasks as many
-   as may be away.  */
-static void
-stop_long_leased (struct cell *c, struct runner *r)
-{
-  guint i;
-
-  for (i = 0; i < r->tasks->len; i++)
-    {
-      struct task *t = g_ptr_array_index (r->tasks, i);
-
-      if (t->phase != TASK_RUNNING
-          || (t->step->spec->long_running && !serving_may_stop (c, t)))
-        continue;
-      cell_log (c, "task_evicted", task_job (t)->id,
-                "\"task\":\"%u.%u.%u\",\"runner\":\"%s\","
-                "\"long_lease\":true",
-                t->step->occurrence->number, t->step->number, t->index,
-                r->report.id);
-      task_stop (c, t);
-    }
-}
-
 static void
 tick_runner (struct cell *c, struct runner *r)
 {
   if (r->tasks->len > 0 && r->miss_count >= LOST_MISS_COUNT
-      && runners_lease_expired (c, r))
+      && leases_expired (c, r))
     runners_release_tasks (c, r, RUN_LEASE_EXPIRED);
   if (r->tasks->len > 0 && r->miss_count > 0 && fleet_runner_is_gone (c, r))
     runners_release_tasks (c, r, RUN_VM_DOWN);
   repeat_stops (c, r);
   if (r->report.draining)
     evict_from_draining (c, r);
-  if (runners_excess_lease_ms (c, r) > 0)
-    stop_long_leased (c, r);
+  if (leases_excess_ms (c, r) > 0)
+    leases_stop_long (c, r);
   if (r->tasks->len == 0 && r->reached && r->next_poll_at_us == 0
       && r->stored_end_number > r->acked_end_number)
     r->next_poll_at_us = c->now_us + IDLE_ACK_DELAY_MS * US_PER_MS;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -36,6 +36,9 @@
 #define STOP_RETRY_MS 500
 /** A runner's clock runs slow by at most this, in thousandths.  */
 #define CLOCK_SLOW_MILLI 20
+/** Margin for the resolution of the clocks, which are read in whole
+    milliseconds.  */
+#define CLOCK_GRAIN_MS 20
 /** Longest time for which a lease that an owner ordered lasts, as this entry's
     clock measures it.  */
 #define LEASE_LIMIT_MS (LEASE_MS * 1000 / (1000 - CLOCK_SLOW_MILLI) + 1)
@@ -869,6 +872,9 @@
 void task_start (struct cell *c, struct task *t, struct runner *r);
 /** Orders T's runner to stop it, if it has one.  */
 void task_stop (struct cell *c, struct task *t);
+/** Returns true if the start of T may yet be carried out, by whatever boot of
+    its runner the order reaches.  */
+bool task_start_is_open (const struct task *t);
 /** Returns the name of WHY in log lines.  */
 const char *run_over_name (enum run_over why);
 /** Frees T's room on its runner, as its run is over by WHY; T waits again
@@ -899,19 +905,14 @@
     queue is not configured.  */
 const GPtrArray *runners_for_task (const struct cell *c, const struct task *t);
 
-/* runners.c: leases of runners, polls and orders.  */
+/* runners.c: polls of runners, and orders to them.  */
 /** Releases the tasks of R, whose runs are certainly over by WHY, and logs
     it.  */
 void runners_release_tasks (struct cell *c, struct runner *r,
                             enum run_over why);
-/** Handles that R was restarted, as WHY tells: it has none of our runs, which
-    are released, and another clock.  Its boot started at BOOTED_AT_MS, in Unix
-    time; 0: not known.  */
-void runners_reset_boot (struct cell *c, struct runner *r,
-                         uint64_t booted_at_ms, enum run_over why);
-/** Notes that R's boot has just become known.  It gets no starts before an
-    append that is sent from now on is stored.  */
-void runners_note_boot (struct cell *c, struct runner *r);
+/** Logs that N runs on R have ended, WHY.  */
+void runners_log_lost (struct cell *c, const struct runner *r,
+                       enum run_over why, uint32_t n);
 void runners_on_result (struct cell *c, struct runner_result *x);
 void runners_tick (struct cell *c);
 void runners_clear (struct cell *c);
@@ -927,22 +928,59 @@
                                          const struct task *t);
 /** Returns the number of orders whose answers are overdue.  */
 uint32_t runners_overdue_count (const struct cell *c);
+/** Sends R a poll, whose answer tells R's clock, unless one is in flight.  */
+void runners_read_clock (struct cell *c, struct runner *r);
+
+/* boots.c: restarts of runners.  */
+/** Handles that R was restarted, as WHY tells: it has none of our runs, which
+    are released, and another clock.  Its boot started at BOOTED_AT_MS, in Unix
+    time; 0: not known.  */
+void boots_reset (struct cell *c, struct runner *r, uint64_t booted_at_ms,
+                  enum run_over why);
+/** Notes that R's boot has just become known.  It gets no starts before an
+    append that is sent from now on is stored.  */
+void boots_note (struct cell *c, struct runner *r);
+/** Notes the time CLOCK_MS on the clock of R's boot; 0: not told.  */
+void boots_note_clock (struct cell *c, struct runner *r, uint64_t clock_ms);
+/** Handles that X, the result of an order to R about T or none, is of another
+    boot than R's.  */
+void boots_on_other (struct cell *c, struct runner *r, struct task *t,
+                     const struct runner_result *x);
+/** Returns true if X, the result of O, has the clock of another boot of R.  */
+bool boots_is_other_clock (const struct runner *r,
+                           const struct pending_order *o,
+                           const struct runner_result *x);
+/** Handles that X, the result of O to R about T or none, names no other boot
+    but has the clock of one.  */
+void boots_on_other_clock (struct cell *c, struct runner *r, struct task *t,
+                           const struct runner_result *x,
+                           const struct pending_order *o);
+
+/* leases.c: leases of runners.  */
 /** Returns the lease end, on R's clock, for an order sent now; 0: its clock
     is not known.  The lease lasts for LEASE_LIMIT_MS at most, however long ago
     the clock was read.  */
-uint64_t runners_lease_until_ms (const struct cell *c, const struct runner *r);
+uint64_t leases_until_ms (const struct cell *c, const struct runner *r);
+/** Adds a lease of R to O, which X notes, unless R must not get one now.  */
+void leases_add (const struct cell *c, struct runner *r,
+                 struct runner_order *o, struct pending_order *x);
 /** Returns true if R's clock was read so long ago that no run is to be started
     before it has been read again.  */
-bool runners_clock_is_old (const struct cell *c, const struct runner *r);
-/** Sends R a poll, whose answer tells R's clock, unless one is in flight.  */
-void runners_read_clock (struct cell *c, struct runner *r);
+bool leases_clock_is_old (const struct cell *c, const struct runner *r);
 /** Returns true if the lease of R has certainly expired on its clock.  */
-bool runners_lease_expired (const struct cell *c, const struct runner *r);
+bool leases_expired (const struct cell *c, const struct runner *r);
+/** Notes the lease that another boot of R has taken from O, as its result X
+    shows.  */
+void leases_on_other_boot (struct cell *c, struct runner *r,
+                           const struct pending_order *o,
+                           const struct runner_result *x);
 /** Returns for how long runs on R may outlast LEASE_LIMIT_MS from now on, in
     milliseconds, as R has taken a lease by the clock of another boot; 0: they
     do not.  */
-uint32_t runners_excess_lease_ms (const struct cell *c,
-                                  const struct runner *r);
+uint32_t leases_excess_ms (const struct cell *c, const struct runner *r);
+/** Stops the runs on R, which has taken a long lease; of serving tasks as many
+    as may be away.  */
+void leases_stop_long (struct cell *c, struct runner *r);
 
 /* polls.c: what the answer to a poll tells.  */
 /** Handles the result X of O, a poll of R.  Polls without an answer count as
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -64,6 +64,13 @@
   id->index = t->index;
 }
 
+bool
+task_start_is_open (const struct task *t)
+{
+  return t->phase == TASK_STARTING || t->phase == TASK_UNCONFIRMED
+         || (t->phase == TASK_STOPPING && !t->start_confirmed);
+}
+
 static struct resources *
 usage_of (struct cell *c, const char *tenant)
 {
--- a/tests/models/islands.pml
+++ b/tests/models/islands.pml
@@ -21,7 +21,7 @@
 
    Code: core/cell/confirmation.c, needs_confirmation (tasks.c), takes_tasks
    (place.c), find_unreached_in and is_confirmed (dispatch.c), is_unreached
-   (fleet.c), runners_clock_is_old (runners.c).
+   (fleet.c), leases_clock_is_old (leases.c).
 
    Each mechanism can be taken out by a macro, and then a property breaks
    (check.sh):
