Release no cell between the claim and the fence of the records

An entry that is stopped between its claim and the fence told in its release what was left of the wait, counted from its claim.

Change: it makes no release then, as one whose claim was not stored; the next owner waits anew. ownership_lost has why not_fenced. Connections by IPv6 are found by their ports, too, in http_connections.

--- a/adapter/http_connections.c
+++ b/adapter/http_connections.c
@@ -89,12 +89,20 @@
 static uint16_t
 local_port (struct http_connection *x)
 {
-  struct sockaddr_in a = { 0 };
+  union
+  {
+    struct sockaddr any;
+    struct sockaddr_in v4;
+    struct sockaddr_in6 v6;
+  } a = { 0 };
   socklen_t n = sizeof a;
 
-  if (x->local_port == 0 && getsockname (x->fd, (struct sockaddr *)&a, &n) == 0
-      && a.sin_family == AF_INET)
-    x->local_port = ntohs (a.sin_port);
+  if (x->local_port != 0 || getsockname (x->fd, &a.any, &n) != 0)
+    return x->local_port;
+  if (a.any.sa_family == AF_INET)
+    x->local_port = ntohs (a.v4.sin_port);
+  else if (a.any.sa_family == AF_INET6)
+    x->local_port = ntohs (a.v6.sin6_port);
   return x->local_port;
 }
 
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -215,16 +215,23 @@
 /* Gives the cell up.  No order may follow.  The claim that is marked as
    released tells that this owner did so of its own accord.  An entry whose own
    claim has not been stored makes none: it would hide how the former owner
-   ended.  */
+   ended.  Nor does one that has not fenced the records: the former owner may
+   have appended since our claim, and the next one has to wait anew.  */
 static void
 release (struct cell *c)
 {
-  if (c->ownership.phase == OWNERSHIP_JOINING
-      || c->ownership.phase == OWNERSHIP_CLAIMING)
+  enum ownership_phase p = c->ownership.phase;
+
+  if (p == OWNERSHIP_JOINING || p == OWNERSHIP_CLAIMING)
     {
       ownership_lose (c, "not_claimed");
       return;
     }
+  if (p == OWNERSHIP_RECOVERING && !c->ownership.fence_known)
+    {
+      ownership_lose (c, "not_fenced");
+      return;
+    }
   cell_log (c, "ownership_released", 0, "\"token\":%llu",
             (unsigned long long)c->ownership.token);
   send_claim (c, true);
