Append for a proof of ownership when the claims cannot be read

An owner whose joins are answered, but whose reads of the claims are not, has its appends as the other proof. In a cell without jobs it makes none, and would give the cell up after 10 s although the records can be written.

Change: when a join is answered 4 s after the newest proof, an append is requested, as for a task that waits for one.

--- a/core/cell/confirmation.c
+++ b/core/cell/confirmation.c
@@ -15,6 +15,10 @@
 
 #include "core/cell/state.h"
 
+/** An append is requested when joins are answered this long after the newest
+    proof of the ownership: the claims, which are read more often, cannot be
+    read.  */
+#define PROOF_AGE_MS 4000
 /** Tasks that wait are logged once one has waited this long, and then at this
     interval.  */
 #define LOG_MS 1000
@@ -99,6 +103,9 @@
 
   if (c->now_us >= until_us)
     confirmation_covers (c, until_us);
+  if (c->ownership.joined_at_us
+      >= ownership_proved_us (c) + PROOF_AGE_MS * US_PER_MS)
+    confirmation_covers (c, c->ownership.joined_at_us);
 }
 
 bool
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -554,6 +554,12 @@
       = MAX (c->ownership.claims_read_at_us, sent_at_us);
 }
 
+uint64_t
+ownership_proved_us (const struct cell *c)
+{
+  return MAX (c->ownership.confirmed_at_us, c->ownership.claims_read_at_us);
+}
+
 void
 ownership_check (struct cell *c)
 {
@@ -566,7 +572,7 @@
   if (o->joined_at_us > 0 && o->joined_at_us < since_us)
     ownership_lose (c, "ownership_timeout");
   else if ((o->phase == OWNERSHIP_RECOVERING || o->phase == OWNERSHIP_OWNER)
-           && MAX (o->confirmed_at_us, o->claims_read_at_us) < since_us)
+           && ownership_proved_us (c) < since_us)
     ownership_lose (c, "ownership_unproved");
 }
 
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -713,6 +713,9 @@
 void ownership_on_recovered (struct cell *c, struct cell_event *e);
 void ownership_on_link (struct cell *c, const struct cell_event *e);
 void ownership_tick (struct cell *c);
+/** Returns when the newest request was sent that proves that no other entry
+   had taken the cell.  */
+uint64_t ownership_proved_us (const struct cell *c);
 /** Gives the cell up if this entry may not be its owner any more.  */
 void ownership_check (struct cell *c);
 /** Handles the answer that the entry on the link does not own the cell.  */
@@ -733,7 +736,8 @@
     not answered us: the time for that has passed, and this entry was the owner
     then.  */
 bool confirmation_wait_is_over (const struct cell *c);
-/** Requests an append when that time has passed.  */
+/** Requests an append when that time has passed, or when the newest proof of
+    the ownership is old.  */
 void confirmation_tick (struct cell *c);
 /** Returns true if an append has to be sent for that.  */
 bool confirmation_is_due (const struct cell *c);
