Match results of orders for VMs to their orders

Change: orders have numbers and results name them. That of the newest order decides, and of the earlier ones of the same operation one that was carried out or fenced. A repeat of an order without an outcome keeps in mind that the first may have been carried out. New line vm_answer_overtaken.

--- a/adapter/site_order_client.c
+++ b/adapter/site_order_client.c
@@ -185,6 +185,7 @@
   struct open_call *x = state;
   struct cell_event *e = cell_event_new (CELL_VM_RESULT);
 
+  e->u.vm_result.order_id = x->action.u.vm_order.order_id;
   text_copy (e->u.vm_result.vm, NAME_BYTES, x->action.u.vm_order.vm);
   e->u.vm_result.outcome = platform_vm_order_decode (
       r->status, r->sent, r->body ? r->body->data : NULL,
@@ -230,6 +231,7 @@
 {
   struct cell_event *e = cell_event_new (CELL_VM_RESULT);
 
+  e->u.vm_result.order_id = x->action.u.vm_order.order_id;
   text_copy (e->u.vm_result.vm, NAME_BYTES, x->action.u.vm_order.vm);
   e->u.vm_result.outcome = ORDER_UNAVAILABLE;
   line_log_write (x->client->log, "vm_order_too_late", 0, "");
--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -622,6 +622,7 @@
   struct vm *v = find_vm (sim, a->u.vm_order.vm);
   struct cell_event *e = schedule (sim, RUNNER_CALL_US, CELL_VM_RESULT);
 
+  e->u.vm_result.order_id = a->u.vm_order.order_id;
   text_copy (e->u.vm_result.vm, NAME_BYTES, a->u.vm_order.vm);
   if (v == NULL || !v->up)
     {
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -54,6 +54,8 @@
   bool may_be_executed;         /**< An order without an answer may have been
                                    carried out, or may yet be.  */
   bool order_pending;           /**< An order has no outcome yet.  */
+  uint64_t first_order_id;      /**< Of its operation.  */
+  uint64_t last_order_id;       /**< Of its operation.  */
   enum vm_naming naming;
   uint64_t emptying_at_us;       /**< When VM_EMPTYING last began.  */
   uint64_t skipped_until_us;     /**< Waves leave it out until then; moves do
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -614,12 +614,13 @@
   GHashTable *pools;            /**< Name to GPtrArray of struct runner.  */
   bool runners_known;           /**< This owner has read a complete list.  */
   GHashTable *pending_orders;   /**< id to struct pending_order.  */
-  GHashTable *run_times;    /**< "QUEUE/IMAGE" to struct image_run_time.  */
-  GHashTable *rate_buckets; /**< Tenant to struct rate_bucket.  */
-  GHashTable *refused_jobs; /**< id to struct refused_job.  */
-  GQueue *refused_ids;      /**< The same, oldest first; not owned.  */
-  GHashTable *usage;        /**< Tenant to struct resources in use.  */
-  uint64_t last_order_id;   /**< Id of the newest order; 0: none yet.  */
+  GHashTable *run_times;     /**< "QUEUE/IMAGE" to struct image_run_time.  */
+  GHashTable *rate_buckets;  /**< Tenant to struct rate_bucket.  */
+  GHashTable *refused_jobs;  /**< id to struct refused_job.  */
+  GQueue *refused_ids;       /**< The same, oldest first; not owned.  */
+  GHashTable *usage;         /**< Tenant to struct resources in use.  */
+  uint64_t last_order_id;    /**< Id of the newest order; 0: none yet.  */
+  uint64_t last_vm_order_id; /**< Id of the newest order for a VM; 0: none.  */
   uint32_t unanswered_start_count; /**< Start orders without an answer.  */
   uint32_t open_probe_count; /**< Polls without an answer that this entry sent
                                 to runners that are not reached or silent.  */
--- a/core/cell/vm_orders.c
+++ b/core/cell/vm_orders.c
@@ -129,6 +129,7 @@
   struct cell_action *a = cell_emit (c, CELL_DO_ORDER_VM);
   struct order_window *w = &c->fleet->window;
 
+  a->u.vm_order.order_id = ++c->last_vm_order_id;
   a->u.vm_order.is_move = v->moving;
   text_copy (a->u.vm_order.vm, NAME_BYTES, v->row.vm);
   text_copy (a->u.vm_order.pool, NAME_BYTES, v->target_pool);
@@ -136,9 +137,13 @@
   a->u.vm_order.token = c->ownership.token;
   if (v->phase != VM_ORDERED)
     {
+      v->first_order_id = c->last_vm_order_id;
       v->may_be_executed = false;
       text_copy (v->previous_runner, NAME_BYTES, v->row.runner);
     }
+  v->last_order_id = c->last_vm_order_id;
+  /* What became of the one before is not known.  */
+  v->may_be_executed |= v->order_pending;
   w->open_count += !v->order_pending;
   w->budget_milli -= MIN (w->budget_milli, 1000);
   v->phase = VM_ORDERED;
@@ -270,13 +275,34 @@
     }
 }
 
+/* Returns true if the result E tells what becomes of V's operation: it is of
+   its newest order, or of an earlier one of the same operation that was
+   carried out or fenced.  */
+static bool
+decides (struct cell *c, const struct vm *v, const struct cell_event *e)
+{
+  uint64_t id = e->u.vm_result.order_id;
+  enum order_outcome outcome = e->u.vm_result.outcome;
+
+  if (id == v->last_order_id
+      || (id >= v->first_order_id
+          && (outcome == ORDER_DONE || outcome == ORDER_FENCED)))
+    return true;
+  cell_log (c, "vm_answer_overtaken", 0,
+            "\"vm\":\"%s\",\"outcome\":\"%s\",\"same_operation\":%s",
+            v->row.vm, order_outcome_name (outcome),
+            id >= v->first_order_id ? "true" : "false");
+  return false;
+}
+
 void
 vm_orders_on_result (struct cell *c, const struct cell_event *e)
 {
   struct vm *v = fleet_find (c->fleet, e->u.vm_result.vm);
   enum order_outcome outcome = e->u.vm_result.outcome;
 
-  if (v == NULL || v->phase != VM_ORDERED || !cell_is_owner (c))
+  if (v == NULL || v->phase != VM_ORDERED || !cell_is_owner (c)
+      || !decides (c, v, e))
     return;
   if (v->order_pending && c->fleet->window.open_count > 0)
     c->fleet->window.open_count--;
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -159,6 +159,7 @@
     struct runner_order order;
     struct
     {
+      uint64_t order_id;
       bool is_move; /**< The order is a move; otherwise maintenance.  */
       char vm[NAME_BYTES];
       char pool[NAME_BYTES]; /**< Pool that a move is to.  */
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -416,6 +416,7 @@
     } vms;
     struct
     {
+      uint64_t order_id; /**< Of the order that it is the result of.  */
       char vm[NAME_BYTES];
       enum order_outcome outcome;
     } vm_result;
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -34,7 +34,8 @@
   uint32_t order_kinds[ORDER_HISTORY_COUNT]; /**< By order id.  */
   bool included;       /**< The line is of an included file: print nothing.  */
   bool hold_vm_orders; /**< Lines answer the appends of VM orders.  */
-  bool shows_boots;    /**< Orders are printed with the boots they are for.  */
+  GHashTable *vm_orders; /**< VM to the id of its newest order.  */
+  bool shows_boots; /**< Orders are printed with the boots they are for.  */
   char shown_event[NAME_BYTES]; /**< Log lines of this event are printed with
                                    their keys.  */
   uint64_t last_token;          /**< Of the newest append.  */
@@ -563,6 +564,12 @@
              json_is_string (j) ? json_string_value (j) : "");
 }
 
+static uint64_t
+last_vm_order (const struct script *x, const char *vm)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (x->vm_orders, vm));
+}
+
 /* Reads the event of the line J; returns false if it holds none.  */
 static bool
 read_event (struct script *x, const json_t *j, struct cell_event *e)
@@ -627,6 +634,8 @@
     {
       e->kind = CELL_VM_RESULT;
       get_text (v, "vm", e->u.vm_result.vm, NAME_BYTES);
+      e->u.vm_result.order_id
+          = get_number (v, "order", last_vm_order (x, e->u.vm_result.vm));
       e->u.vm_result.outcome
           = ENUM_OF (json_string_value (json_object_get (v, "outcome")),
                      order_outcome_name, ORDER_OUTCOME_COUNT);
@@ -962,6 +971,8 @@
       g_string_append (out, "list_vms");
       break;
     case CELL_DO_ORDER_VM:
+      g_hash_table_insert (x->vm_orders, g_strdup (a->u.vm_order.vm),
+                           GUINT_TO_POINTER ((guint)a->u.vm_order.order_id));
       g_string_append_printf (out, "%s %s to \"%s\" wave %llu token %llu",
                               a->u.vm_order.is_move ? "move" : "maintenance",
                               a->u.vm_order.vm, a->u.vm_order.pool,
@@ -1190,11 +1201,13 @@
   GString *out = g_string_new ("");
 
   x.mem = talloc_new (NULL);
+  x.vm_orders = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   x.out = out;
   x.directory = g_path_get_dirname (file);
   x.cell = cell_new (x.mem, &s);
   run_file (&x, file);
   g_free (x.directory);
+  g_hash_table_destroy (x.vm_orders);
   talloc_free (x.actions.items);
   talloc_free (x.mem);
   return out;
--- a/tests/model_cloud.c
+++ b/tests/model_cloud.c
@@ -54,6 +54,7 @@
   uint32_t vm = (uint32_t)atoi (a->u.vm_order.vm + 1);
   struct model_vm *v = &m->vms[vm];
 
+  ev->u.vm_result.order_id = a->u.vm_order.order_id;
   text_copy (ev->u.vm_result.vm, NAME_BYTES, a->u.vm_order.vm);
   if (!model_entry_reaches_cloud (e) || m->now_us < m->cloud_down_until_us)
     {
