--- a/adapter/runner_calls.c
+++ b/adapter/runner_calls.c
@@ -16,7 +16,7 @@
 
 #define CONNECT_TIMEOUT_MS 400
 /** Timeout of a poll that opens a connection.  */
-#define GREETING_TIMEOUT_MS 700
+#define HANDSHAKE_TIMEOUT_MS 700
 #define HEADER_BYTES 120
 /** A connection that breaks just when an order is to be sent on it is replaced
     this often.  */
@@ -35,7 +35,7 @@
 {
   char address[ADDRESS_BYTES];
   GQueue waiting;        /**< struct call.  */
-  uint32_t active_count; /**< Calls and greetings that use a connection.  */
+  uint32_t active_count; /**< Calls and handshakes that use a connection.  */
 };
 
 /* An order that is not answered; a child of the calls.  */
@@ -48,13 +48,13 @@
   uint64_t made_at_us;
   uint64_t sent_at_us;
   uint64_t deadline_us;
-  struct tevent_timer *timer; /**< At the deadline, while it waits.  */
-  struct greeting *greeting;  /**< That opens a connection for it, or NULL.  */
+  struct tevent_timer *timer;  /**< At the deadline, while it waits.  */
+  struct handshake *handshake; /**< That opens a connection for it, or NULL. */
   uint32_t try_count;
 };
 
 /* A poll that opens a connection; a child of the calls.  */
-struct greeting
+struct handshake
 {
   struct runner_calls *calls;
   struct host *host;
@@ -80,8 +80,8 @@
 {
   struct runner_call o = x->order_call;
 
-  if (x->greeting != NULL)
-    x->greeting->call = NULL;
+  if (x->handshake != NULL)
+    x->handshake->call = NULL;
   talloc_free (x);
   o.on_done (o.state, e);
 }
@@ -206,9 +206,9 @@
       finish_unsent (x, outcome, 0);
       return;
     }
-  if (x->greeting != NULL)
-    x->greeting->call = NULL;
-  x->greeting = NULL;
+  if (x->handshake != NULL)
+    x->handshake->call = NULL;
+  x->handshake = NULL;
   call.timeout_ms = (uint32_t)((x->deadline_us - now) / US_PER_MS + 1);
   if (x->host != NULL)
     {
@@ -223,7 +223,7 @@
 /* Ends the calls that waited at H when G was sent and are for another boot
    than BOOTED_AT_MS, which has answered it.  */
 static void
-refuse_other_boots (struct host *h, const struct greeting *g,
+refuse_other_boots (struct host *h, const struct handshake *g,
                     uint64_t booted_at_ms)
 {
   GList *at = h->waiting.head;
@@ -246,7 +246,7 @@
 }
 
 /* Returns the outcome of an order for which a connection could not be opened,
-   as the greeting had OUTCOME.  */
+   as the handshake had OUTCOME.  */
 static enum order_outcome
 outcome_without_connection (enum order_outcome outcome)
 {
@@ -255,9 +255,9 @@
 }
 
 static void
-on_greeted (void *state, const struct http_result *r)
+on_handshake_done (void *state, const struct http_result *r)
 {
-  struct greeting *g = state;
+  struct handshake *g = state;
   struct runner_calls *c = g->calls;
   struct host *h = g->host;
   struct call *x = g->call;
@@ -266,7 +266,7 @@
 
   h->active_count--;
   if (x != NULL)
-    x->greeting = NULL;
+    x->handshake = NULL;
   if (result->outcome == ORDER_DONE && result->booted_at_ms != 0)
     refuse_other_boots (h, g, result->booted_at_ms);
   else if (x != NULL)
@@ -282,14 +282,14 @@
 
 /* Opens a connection for X with a poll that carries nothing of a boot.  */
 static void
-greet (struct call *x)
+start_handshake (struct call *x)
 {
   struct runner_calls *c = x->calls;
   const struct runner_order *o = x->order_call.order;
-  struct greeting *g = talloc_zero (c, struct greeting);
+  struct handshake *g = talloc_zero (c, struct handshake);
   struct http_call call = { .fresh_connection = true,
                             .keep_connection = true,
-                            .on_done = on_greeted,
+                            .on_done = on_handshake_done,
                             .state = g };
 
   g->calls = c;
@@ -300,9 +300,9 @@
   g->order.token = o->token;
   text_copy (g->order.runner, NAME_BYTES, o->runner);
   text_copy (g->order.address, ADDRESS_BYTES, o->address);
-  x->greeting = g;
+  x->handshake = g;
   x->host->active_count++;
-  call.timeout_ms = GREETING_TIMEOUT_MS;
+  call.timeout_ms = HANDSHAKE_TIMEOUT_MS;
   start_http (c, &g->order, &call);
 }
 
@@ -323,9 +323,9 @@
           g_queue_delete_link (&h->waiting, at);
           send_call (x);
         }
-      else if (x->greeting == NULL
+      else if (x->handshake == NULL
                && h->active_count < c->connection_limit_count)
-        greet (x);
+        start_handshake (x);
       at = next;
     }
   drop_host_if_unused (c, h);
