--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -55,9 +55,6 @@
 /** An entry that finds no holder waits for a random time up to this before it
     joins, so that two entries rarely join at the same time.  */
 #define JOIN_JITTER_MS 250
-/** An entry is weak if the largest CPU share known is at least this many times
-    its own: as owner it would slow the whole cell.  */
-#define WEAK_FACTOR 2
 /** A weak entry delays its join by this.  */
 #define WEAK_JOIN_DELAY_MS 900
 /** An entry that has not started later than an owner that is stopped delays
@@ -66,22 +63,6 @@
    Start times that are closer than START_MARGIN_MS are the same.  */
 #define OLD_JOIN_DELAY_MS 400
 #define START_MARGIN_MS 1000
-/** Least time between two yields of an entry, between two yields of the cell
-    by owners on slow VMs, and between a claim and a yield, so that the owner
-    has settled first.  */
-#define YIELD_INTERVAL_MS 10000
-#define YIELD_MIN_OWNED_MS 1000
-/** Length of the periods by which the latency of orders is judged, and the
-    least number of orders in one that allows a judgement.  */
-#define LATENCY_PERIOD_MS 700
-#define LATENCY_MIN_COUNT 20
-/** An owner whose orders took at least one in this many parts of its CPU share
-    is not on a slow VM but loaded: a successor would inherit the load.  */
-#define LOADED_PART 3
-/** An owner that yielded for being slow counts as weak for this long: a VM
-    stays slow for seconds.  */
-#define SLOW_MS 8000
-
 /* Names of the phases in log lines.  */
 static const char *const phase_names[]
     = { [OWNERSHIP_NONE] = "none",
@@ -212,13 +193,13 @@
   end_ownership (c);
 }
 
-/* Gives the cell up.  No order may follow.  The claim that is marked as
-   released tells that this owner did so of its own accord.  An entry whose own
-   claim has not been stored makes none: it would hide how the former owner
-   ended.  Nor does one that has not fenced the records: the former owner may
-   have appended since our claim, and the next one has to wait anew.  */
-static void
-release (struct cell *c)
+/* The claim that is marked as released tells that this owner did so of its own
+   accord.  An entry whose own claim has not been stored makes none: it would
+   hide how the former owner ended.  Nor does one that has not fenced the
+   records: the former owner may have appended since our claim, and the next
+   one has to wait anew.  */
+void
+ownership_release (struct cell *c)
 {
   enum ownership_phase p = c->ownership.phase;
 
@@ -447,7 +428,7 @@
     }
   o->unassigned_join_count++;
   if (o->unassigned_join_count >= UNASSIGNED_LIMIT_COUNT)
-    release (c);
+    ownership_release (c);
 }
 
 void
@@ -611,88 +592,6 @@
               (unsigned long long)((c->now_us - o->joined_at_us) / US_PER_MS));
 }
 
-/* Returns true if ORDER_COUNT orders took a large part of this entry's CPU
-   share for PERIOD_US.  */
-static bool
-is_loaded (const struct cell *c, uint32_t order_count, uint64_t period_us)
-{
-  return (uint64_t)order_count * ORDER_CPU_US * LOADED_PART
-         >= period_us * c->settings.cpu_milli / 1000;
-}
-
-/* Decides at the end of a period whether its orders were answered late though
-   they were few.  */
-static void
-update_order_latency (struct cell *c)
-{
-  struct order_latency *p = &c->order_latency;
-  uint32_t overdue;
-
-  if (c->now_us < p->began_at_us + LATENCY_PERIOD_MS * US_PER_MS)
-    return;
-  /* Orders without an answer tell of their runners as long as others are
-     answered.  If none is, this entry may be too slow to read any.  */
-  overdue = runners_overdue_count (c);
-  p->slow = p->order_count + overdue >= LATENCY_MIN_COUNT
-            && p->slow_count >= p->on_time_count
-            && !is_loaded (c, p->order_count, c->now_us - p->began_at_us);
-  p->began_at_us = c->now_us;
-  p->order_count = p->slow_count = p->on_time_count = 0;
-}
-
-/* Returns true if an owner on a slow VM may release the cell: the last such
-   release is long ago, or the wall clock was set back.  The claims hand its
-   time on, so that the cell does not go from entry to entry.  */
-static bool
-may_yield_slow (const struct cell *c)
-{
-  uint64_t last_ms = c->ownership.slow_yield_at_ms;
-
-  return c->wall_ms < last_ms || c->wall_ms >= last_ms + YIELD_INTERVAL_MS;
-}
-
-/* Releases the cell if this entry is slow or weak and a peer has as much CPU
-   or more: under a slow owner leases expire and jobs pile up.  */
-static void
-check_yield (struct cell *c)
-{
-  struct ownership *o = &c->ownership;
-  uint32_t best_milli;
-  bool slow;
-
-  if (o->phase != OWNERSHIP_OWNER)
-    return;
-  best_milli = peers_best_cpu_milli (c);
-  update_order_latency (c);
-  slow = c->order_latency.slow && may_yield_slow (c)
-         && peers_best_other_cpu_milli (c) >= c->settings.cpu_milli;
-  /* A degraded owner does not yield, except a slow one: its joins are late
-     because it is slow, and its eligible peers reach the store.  */
-  o->yielding
-      = (slow
-         || (best_milli >= WEAK_FACTOR * c->settings.cpu_milli
-             && !o->degraded_advertised))
-        && c->now_us >= o->claimed_at_us + YIELD_MIN_OWNED_MS * US_PER_MS
-        && c->now_us >= o->next_yield_at_us;
-  if (!o->yielding || c->append.in_flight)
-    return;
-  o->yielding = false;
-  o->next_yield_at_us = c->now_us + YIELD_INTERVAL_MS * US_PER_MS;
-  o->best_cpu_milli = MAX (o->best_cpu_milli, best_milli);
-  c->order_latency.slow = false;
-  if (slow)
-    {
-      o->slow_until_us = c->now_us + SLOW_MS * US_PER_MS;
-      o->slow_yield_at_ms = c->wall_ms;
-    }
-  cell_log (c, "ownership_yielded", 0,
-            "\"why\":\"%s\",\"cpu_milli\":%u,\"best_cpu_milli\":%u,"
-            "\"unanswered_starts\":%u",
-            slow ? "slow" : "weak", c->settings.cpu_milli, best_milli,
-            c->unanswered_start_count);
-  release (c);
-}
-
 /* Sends the joins of an entry that holds the cell or is taking it over, and
    repeats the failed steps of a takeover.  */
 static void
@@ -731,13 +630,13 @@
   struct ownership *o = &c->ownership;
 
   update_heartbeat (c);
-  check_yield (c);
+  yields_check (c);
   if (c->now_us >= o->denied_at_us + DENIED_MS * US_PER_MS)
     o->owner_denied = false;
   if (c->stopping && o->phase != OWNERSHIP_NONE)
     {
       if (o->phase != OWNERSHIP_OWNER || !c->append.in_flight)
-        release (c);
+        ownership_release (c);
       return;
     }
   if (o->phase != OWNERSHIP_NONE)
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -48,6 +48,10 @@
     */
 #define OWNERSHIP_TIMEOUT_MS 10000
 
+/** An entry is weak if the largest CPU share known is at least this many times
+    its own: as owner it would slow the whole cell.  */
+#define WEAK_FACTOR 2
+
 /** By the site's rules a job has value until it has taken this many times the
     time of its objective.  */
 #define LATE_FACTOR 3
@@ -723,6 +727,13 @@
 void ownership_on_denied (struct cell *c);
 /** Gives the cell up without a release; WHY is logged.  */
 void ownership_lose (struct cell *c, const char *why);
+/** Gives the cell up.  No order may follow.  */
+void ownership_release (struct cell *c);
+
+/* yields.c: an owner that is slow or weak.  */
+/** Releases the cell if this entry is slow or weak and a peer has as much CPU
+    or more: under a slow owner leases expire and jobs pile up.  */
+void yields_check (struct cell *c);
 
 /* confirmation.c: proof that this entry has still been the owner.  */
 /** Returns true if no newer owner had begun to act at AT_US.  If that is not
