test_order_client: guard the fields that the runner's threads share

Nothing that TSan sees orders the two, since libmicrohttpd and GLib are built without it. The counts and the time of the boot now belong to a pthread mutex.

--- a/tests/test_order_client.c
+++ b/tests/test_order_client.c
@@ -18,6 +18,7 @@
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -184,17 +185,54 @@
   close_fixture (&f);
 }
 
+/** What a runner has been sent.  */
+struct received
+{
+  uint32_t poll_count;
+  uint32_t start_count;
+};
+
 /** A runner that answers what it is sent, and counts it.  Only its answers to
     polls name its boot.  */
 struct runner
 {
   struct MHD_Daemon *daemon;
   uint16_t port;
-  uint64_t booted_at_ms;
-  gint poll_count;
-  gint start_count;
+  uint64_t booted_at_ms;    /**< Of runner_mutex, as the next one is.  */
+  struct received received; /**< By this boot.  */
 };
 
+/* Not one of GLib's, which TSan does not see.  */
+static pthread_mutex_t runner_mutex = PTHREAD_MUTEX_INITIALIZER;
+
+/* Counts a request to R, which is a poll if IS_POLL.  Returns when the boot of
+   R began.  */
+static uint64_t
+count_request (struct runner *r, bool is_poll)
+{
+  uint64_t booted_at_ms;
+
+  pthread_mutex_lock (&runner_mutex);
+  if (is_poll)
+    r->received.poll_count++;
+  else
+    r->received.start_count++;
+  booted_at_ms = r->booted_at_ms;
+  pthread_mutex_unlock (&runner_mutex);
+  return booted_at_ms;
+}
+
+static struct received
+get_received (const struct runner *r)
+{
+  struct received received;
+
+  pthread_mutex_lock (&runner_mutex);
+  received = r->received;
+  pthread_mutex_unlock (&runner_mutex);
+  return received;
+}
+
 static enum MHD_Result
 on_runner_request (void *state, struct MHD_Connection *connection,
                    const char *url, const char *method, const char *version,
@@ -205,6 +243,7 @@
   bool is_poll = strcmp (url, "/api/hold") == 0;
   struct MHD_Response *response;
   enum MHD_Result done;
+  uint64_t booted_at_ms;
   char text[200];
 
   (void)method;
@@ -216,12 +255,12 @@
       *size = 0;
       return MHD_YES;
     }
-  g_atomic_int_add (is_poll ? &r->poll_count : &r->start_count, 1);
+  booted_at_ms = count_request (r, is_poll);
   if (is_poll)
     g_snprintf (text, sizeof text,
                 "{\"ClockMs\":100,\"born\":%llu,\"Running\":[],"
                 "\"Ended\":[]}",
-                (unsigned long long)r->booted_at_ms);
+                (unsigned long long)booted_at_ms);
   else
     g_snprintf (text, sizeof text, "{\"ClockMs\":101}");
   response = MHD_create_response_from_buffer (strlen (text), text,
@@ -241,8 +280,10 @@
   const union MHD_DaemonInfo *info;
 
   a.sin_port = htons (r->port);
+  pthread_mutex_lock (&runner_mutex);
   r->booted_at_ms = booted_at_ms;
-  r->poll_count = r->start_count = 0;
+  r->received = (struct received){ 0 };
+  pthread_mutex_unlock (&runner_mutex);
   r->daemon = MHD_start_daemon (
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, r->port,
       NULL, NULL, on_runner_request, r, MHD_OPTION_SOCK_ADDR, &a,
@@ -286,8 +327,8 @@
   check_runner_outcome (&f, ORDER_DONE);
   push (&f, make_start (&r, FIRST_BOOT_MS, 2));
   check_runner_outcome (&f, ORDER_DONE);
-  g_assert_cmpint (r.poll_count, ==, 1);
-  g_assert_cmpint (r.start_count, ==, 2);
+  g_assert_cmpint (get_received (&r).poll_count, ==, 1);
+  g_assert_cmpint (get_received (&r).start_count, ==, 2);
   MHD_stop_daemon (r.daemon);
   close_fixture (&f);
 }
@@ -316,10 +357,10 @@
       g_assert_cmpuint (e->u.runner_result.booted_at_ms, ==, SECOND_BOOT_MS);
       talloc_free (e);
     }
-  g_assert_cmpint (r.start_count, ==, 0);
+  g_assert_cmpint (get_received (&r).start_count, ==, 0);
   push (&f, make_start (&r, SECOND_BOOT_MS, 9));
   check_runner_outcome (&f, ORDER_DONE);
-  g_assert_cmpint (r.start_count, ==, 1);
+  g_assert_cmpint (get_received (&r).start_count, ==, 1);
   MHD_stop_daemon (r.daemon);
   close_fixture (&f);
 }
@@ -355,8 +396,8 @@
     push (&f, make_start (&r, FIRST_BOOT_MS, 1 + i));
   for (i = 0; i < START_COUNT; i++)
     check_runner_outcome (&f, ORDER_DONE);
-  g_assert_cmpint (r.start_count, ==, START_COUNT);
-  g_assert_cmpint (r.poll_count, <=, CONNECTION_LIMIT_COUNT);
+  g_assert_cmpint (get_received (&r).start_count, ==, START_COUNT);
+  g_assert_cmpint (get_received (&r).poll_count, <=, CONNECTION_LIMIT_COUNT);
   MHD_stop_daemon (r.daemon);
   close_fixture (&f);
 }
