Size pools by an unbiased estimate of arrivals and by earlier peaks

The estimate counted the newest bucket of arrivals as no time and took the largest of seven spans, so a pool grew to up to twice its need: 198 VMs where 95 were needed. The rate now comes from the shortest span with enough jobs, a job's work from the mean of earlier jobs, and a rising rate counts for more, as VMs take two to three seconds. The first surge of a pool is expected to be like those of other pools; 40 percent of the first VMs are kept, not 60, and idle ones are switched off after 0.8 s.

--- a/Makefile
+++ b/Makefile
@@ -134,6 +134,7 @@
 	FTK_WRITE_EXPECTED=1 $(B)/test_findings -q
 	FTK_WRITE_EXPECTED=1 $(B)/test_ctl -q
 	FTK_WRITE_EXPECTED=1 $(B)/test_cell -q
+	FTK_WRITE_EXPECTED=1 $(B)/test_load -q
 
 # Records both users' example runs anew and writes their expected outcomes.
 # Needed when the core's decisions change.
--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -17,7 +17,7 @@
 /** Number of VMs that a pool keeps beyond its need.  */
 #define RESERVE_COUNT 1
 /** A pool keeps this part of its initial VMs until its first surge.  */
-#define INITIAL_KEEP_PERCENT 60
+#define INITIAL_KEEP_PERCENT 40
 /** No surge is predicted when no job has arrived for this long: while the site
     is in use, some pool always has a surge.  */
 #define DEMAND_END_MS 1500
@@ -28,14 +28,6 @@
 /** A VM that is wanted for emptying another is needed for this long.  */
 #define VM_WANTED_MS 1000
 
-/** Time that a bucket of arrivals covers.  */
-#define ARRIVAL_BUCKET_MS 100
-/** Arrivals count as demand if they are at least this many jobs in all
-    buckets: a single large job is no surge.  */
-#define ARRIVAL_MIN_COUNT 4
-/** The same for the newest buckets, if they are fewer than all: a short span
-    must show more jobs.  */
-#define ARRIVAL_SHORT_MIN_COUNT 12
 /** Jobs that arrive within this after a change of owner are no measure of
     demand: calls that were held meanwhile come all at once.  */
 #define HELD_CALLS_MS 500
@@ -427,22 +419,6 @@
     m->vm_wanted_until_us = c->now_us + VM_WANTED_MS * US_PER_MS;
 }
 
-/* Makes the bucket of the current time the newest; clears those between.  */
-static void
-advance_buckets (const struct cell *c, struct pool_demand *m)
-{
-  uint64_t now = c->now_us / (ARRIVAL_BUCKET_MS * US_PER_MS);
-
-  if (now > m->newest_bucket + ARRIVAL_BUCKET_COUNT)
-    m->newest_bucket = now - ARRIVAL_BUCKET_COUNT;
-  while (m->newest_bucket < now)
-    {
-      m->newest_bucket++;
-      m->arrived_us[m->newest_bucket % ARRIVAL_BUCKET_COUNT] = 0;
-      m->arrived_count[m->newest_bucket % ARRIVAL_BUCKET_COUNT] = 0;
-    }
-}
-
 /* Returns true if calls that were held while the cell had no owner may still
    arrive.  */
 static bool
@@ -475,39 +451,17 @@
   m->owed_in_time += work_us * 1000;
   if (held_calls_arrive (c))
     return;
-  advance_buckets (c, m);
   /* Work that the job does only after PREPARE_MS is left out: by then more VMs
      can be moved to the pool.  */
   if (serial_us > PREPARE_MS * US_PER_MS)
     work_us = work_us * (PREPARE_MS * US_PER_MS / 1000) / (serial_us / 1000);
-  m->arrived_count[m->newest_bucket % ARRIVAL_BUCKET_COUNT]++;
-  m->arrived_us[m->newest_bucket % ARRIVAL_BUCKET_COUNT] += work_us;
+  arrivals_note (&m->arrivals, c->now_us, work_us);
 }
 
-/* Arrivals show the full need of a surge before its tasks have queued up.  */
 uint64_t
 demand_arriving_milli (const struct cell *c, struct pool_demand *m)
 {
-  uint64_t most_milli = 0;
-  uint64_t sum_us = 0;
-  uint32_t count = 0;
-  uint32_t i;
-
-  advance_buckets (c, m);
-  for (i = 0; i < ARRIVAL_BUCKET_COUNT && i <= m->newest_bucket; i++)
-    {
-      uint32_t k = (uint32_t)((m->newest_bucket - i) % ARRIVAL_BUCKET_COUNT);
-
-      sum_us += m->arrived_us[k];
-      count += m->arrived_count[k];
-      /* The time of the newest bucket is not over.  So it is not used alone,
-         and with the I buckets before it, it counts as the time of I.  */
-      if (i == ARRIVAL_BUCKET_COUNT - 1
-              ? count >= ARRIVAL_MIN_COUNT
-              : i > 0 && count >= ARRIVAL_SHORT_MIN_COUNT)
-        most_milli = MAX (most_milli, sum_us / (i * ARRIVAL_BUCKET_MS));
-    }
-  return most_milli;
+  return arrivals_cores_milli (&m->arrivals, c->now_us);
 }
 
 /* Clears the results of the last update of M.  */
@@ -535,13 +489,26 @@
   m->serving_waiting_count = 0;
 }
 
+/* Returns the cores that arriving jobs of M keep busy, but no more than the
+   surges so far make likely: the estimate errs, and work beyond it shows in
+   the tasks that run and wait.  */
+static uint64_t
+limit_lead (const struct cell *c, struct pool_demand *m)
+{
+  uint64_t milli = demand_arriving_milli (c, m);
+  uint64_t likely_milli
+      = surges_likely_peak (c, m) * m->vm_cpu_milli * FILL_PERCENT / 100;
+
+  return likely_milli > 0 ? MIN (milli, likely_milli) : milli;
+}
+
 /* Computes how many VMs M needs for what it has to hold now.  */
 static void
 compute_need (struct cell *c, struct pool_demand *m)
 {
   uint32_t more = m->unplaced_vm_count;
-  uint64_t short_milli = MAX (m->short_task_milli + m->waiting_milli,
-                              demand_arriving_milli (c, m));
+  uint64_t short_milli
+      = MAX (m->short_task_milli + m->waiting_milli, limit_lead (c, m));
 
   if (c->now_us < m->vm_wanted_until_us)
     more = MAX (more, 1);
--- a/core/cell/demand.h
+++ b/core/cell/demand.h
@@ -4,14 +4,14 @@
 #define FTK_CORE_CELL_DEMAND_H
 
 #include "core/cell/state.h"
+#include "core/load/arrivals.h"
+#include "core/load/peaks.h"
 
 /** Most pools whose demand is followed; the others keep their VMs.  */
 #define POOL_LIMIT_COUNT 64
 /** A VM has to be ordered this long before it is needed: as long as a move and
     the start of its runner take.  */
 #define PREPARE_MS 2600
-/** Number of buckets that count recent arrivals; each covers 100 ms.  */
-#define ARRIVAL_BUCKET_COUNT 8
 
 /** Demand on a pool.  Counts of cores are in thousandths of a core.  */
 struct pool_demand
@@ -24,17 +24,14 @@
   uint64_t previous_surge_at_us; /**< When the surge before began; 0: none.  */
   uint64_t high_at_us;           /**< When need was last that of a surge.  */
   uint32_t peak_vm_count;        /**< Most VMs that the last surge needed.  */
-  uint32_t expected_vm_count;    /**< Most VMs that the surge before needed, if
-                                    the last one was expected; else 0.  */
-  bool expecting;      /**< A surge was expected in the last update.  */
-  uint64_t full_at_us; /**< When it last needed all its VMs.  */
-  uint64_t busy_at_us; /**< When it last had to keep all its VMs.  */
-  uint64_t arrived_us[ARRIVAL_BUCKET_COUNT]; /**< Core time that arrived jobs
-                                                need.  */
-  uint32_t arrived_count[ARRIVAL_BUCKET_COUNT]; /**< Jobs that arrived.  */
-  uint64_t next_return_us; /**< When the next caller that is refused may come
-                              back.  */
-  uint64_t newest_bucket;  /**< Number of the newest bucket.  */
+  uint32_t expected_vm_count;    /**< VMs that its last surge was expected to
+                                    need when it began; 0: not known.  */
+  bool expecting;           /**< A surge was expected in the last update.  */
+  uint64_t full_at_us;      /**< When it last needed all its VMs.  */
+  uint64_t busy_at_us;      /**< When it last had to keep all its VMs.  */
+  struct arrivals arrivals; /**< Short jobs that arrived lately.  */
+  uint64_t next_return_us;  /**< When the next caller that is refused may come
+                               back.  */
   uint64_t vm_wanted_until_us; /**< Until then one more VM is needed, so that
                                   another can be emptied.  */
   bool spare;                  /**< It is the spare pool.  */
@@ -110,6 +107,10 @@
 /** Returns the time from one surge of a pool to its next, or 0 if it is not
     known.  */
 uint64_t surges_cycle_us (const struct fleet_demand *p);
+/** Returns the VMs that a surge of M needs if it is like those of all pools so
+    far; 0: there was none.  */
+uint32_t surges_likely_peak (const struct cell *c,
+                             const struct pool_demand *m);
 /** Updates the mean need of M, and detects and records its surges.  */
 void surges_detect (struct cell *c, struct pool_demand *m);
 /** Raises the need of M if all other pools have had their first surge: at
--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -15,9 +15,9 @@
 /** Interval between log lines on the state of each pool.  */
 #define LOG_INTERVAL_MS 1000
 /** Idle VMs of a pool are switched off when it has not had to keep all of its
-    VMs for this long.  A VM's move to the spare pool and back costs
-    somewhat less VM time than idling for this long.  */
-#define IDLE_MS 1500
+    VMs for this long.  Demand falls for seconds after a surge, so a VM that
+    was not needed for this long is seldom needed before the next one.  */
+#define IDLE_MS 800
 /** A pool gives a VM to another when it has not needed all of its VMs for this
     long.  */
 #define DONOR_DELAY_MS 300
--- a/core/cell/surges.c
+++ b/core/cell/surges.c
@@ -66,6 +66,22 @@
                                   : 0;
 }
 
+uint32_t
+surges_likely_peak (const struct cell *c, const struct pool_demand *m)
+{
+  const struct fleet_demand *p = c->fleet->demand;
+  struct peaks seen = { 0 };
+  uint32_t i;
+
+  /* The peak of the first surge of M, which may go on, is not known yet.  */
+  for (i = 0; i < p->pool_count; i++)
+    if (!p->pools[i].spare
+        && (&p->pools[i] != m || m->previous_surge_at_us != 0))
+      peaks_add (&seen, p->pools[i].initial_vm_count,
+                 p->pools[i].peak_vm_count);
+  return peaks_expect (&seen, m->initial_vm_count);
+}
+
 /* Raises the peak of M's surge to the VMs that it needs now.  */
 static void
 record_peak (struct cell *c, struct pool_demand *m)
@@ -123,7 +139,8 @@
       && c->now_us > m->high_at_us + SURGE_END_MS * US_PER_MS
       && may_begin_surge (c, m))
     {
-      m->expected_vm_count = m->expecting ? m->peak_vm_count : 0;
+      m->expected_vm_count
+          = m->expecting ? m->peak_vm_count : surges_likely_peak (c, m);
       m->previous_surge_at_us = m->surge_began_at_us;
       m->surge_began_at_us = c->now_us;
       cell_log (c, "surge_begun", 0,
