Add VMs in a surge when most runners of the pool were asked

A new owner added no VMs to a pool until each of its registered runners had answered a poll or missed three. Now a quarter of the runners may be unasked; that only bears on how well demand is known.

--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -263,6 +263,17 @@
          || fleet_count_unreached (c, pool, 1, &first) > 0;
 }
 
+/* Returns true if R is registered and has neither answered a poll nor missed
+   as many as make it silent.  */
+static bool
+is_unasked (const struct cell *c, const struct runner *r)
+{
+  return r->listed && !r->reached
+         && (r->answered_at_us == 0 || r->ends_incomplete)
+         && r->miss_count < LOST_MISS_COUNT && !fleet_runner_is_gone (c, r)
+         && !came_after_fence (c, r);
+}
+
 /* Returns true if one of RUNNERS has not been asked.  */
 static bool
 is_one_unasked (const struct cell *c, const GPtrArray *runners)
@@ -270,18 +281,23 @@
   guint i;
 
   for (i = 0; runners != NULL && i < runners->len; i++)
-    {
-      const struct runner *r = g_ptr_array_index (runners, i);
-
-      if (r->listed && !r->reached
-          && (r->answered_at_us == 0 || r->ends_incomplete)
-          && r->miss_count < LOST_MISS_COUNT && !fleet_runner_is_gone (c, r)
-          && !came_after_fence (c, r))
-        return true;
-    }
+    if (is_unasked (c, g_ptr_array_index (runners, i)))
+      return true;
   return false;
 }
 
+bool
+fleet_most_are_asked (const struct cell *c, const char *pool)
+{
+  const GPtrArray *runners = runners_of_pool (c, pool);
+  uint32_t unasked = 0;
+  guint i;
+
+  for (i = 0; runners != NULL && i < runners->len; i++)
+    unasked += is_unasked (c, g_ptr_array_index (runners, i));
+  return unasked == 0 || unasked * MOST_PART <= runners->len;
+}
+
 bool
 fleet_has_unasked (const struct cell *c, const char *pool)
 {
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -13,6 +13,9 @@
 /** Name that stands for all pools, also those that no configuration has.  */
 #define EVERY_POOL ""
 
+/** When at most one in this many of a pool's runners has not been asked, its
+    demand is known well enough to add VMs.  */
+#define MOST_PART 4
 /** An order for a VM is sent up to this long after the newest confirmation. */
 #define VM_ORDER_CONFIRMED_MS 600
 /** It reaches the cloud within this, or never: the time that it may be delayed
@@ -129,6 +132,9 @@
 /** Returns true if such a runner is registered and has neither answered a poll
     nor missed as many as make it silent.  */
 bool fleet_has_unasked (const struct cell *c, const char *pool);
+/** Returns true if at most one in MOST_PART runners of POOL, which is not
+    EVERY_POOL, is such a runner: it is about known what runs in POOL.  */
+bool fleet_most_are_asked (const struct cell *c, const char *pool);
 /** Returns true if it is known what runs on V.  */
 bool fleet_runs_are_known (const struct cell *c, const struct vm *v);
 /** Returns true if V, on which no operation is under way, is no longer listed.
--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -148,8 +148,9 @@
 static void
 add_vms (struct cell *c, struct pool_demand *m)
 {
-  /* Until all its runners were asked, it is not known what M holds.  */
-  if (!handover_is_over (c) && fleet_has_unasked (c, m->name))
+  /* Until most of its runners were asked, it is not known what M holds.  A
+     few that are cut off must not hold it up in a surge.  */
+  if (!handover_is_over (c) && !fleet_most_are_asked (c, m->name))
     return;
   while (!m->spare && m->vm_count < m->need_count)
     {
