Evacuate zones that the operators' records name

Cause: no source file read the record evacuate/ZONE, so tasks went on starting in a zone that the operators had asked to evacuate.

Change: the follower of the operators' topic keeps the set of evacuated zones and posts it as CELL_EVACUATIONS when it has changed. Of a listing it is posted after the last page and before that listing's configuration and waves (adapter/operator_records.c). A runner of the zone takes no new tasks and gets no planned or reserved place; its runs, polls and leases continue. Its VM is no capacity of its pool, moves only into the spare pool, and does so when it is idle and no pool lacks VMs. The set itself is in core/load/zones.c. New lines zone_evacuated, zone_returned, evacuation_zone_unknown and evacuation_malformed, new gauge fulmartack_zones_evacuated.

That the runs of a zone are no need of its pool is not covered by a script: without it all pass. Not run: test_site, sanitizer builds.

--- a/adapter/site_front.c
+++ b/adapter/site_front.c
@@ -149,12 +149,12 @@
            "fulmartack_records_malformed_total %llu\n"
            "fulmartack_owner %u\nfulmartack_jobs_active %u\n"
            "fulmartack_runners_listed %u\nfulmartack_calls_open %u\n"
-           "fulmartack_ready %u\n",
+           "fulmartack_ready %u\nfulmartack_zones_evacuated %u\n",
            (unsigned long long)line_log_dropped_count (f->log),
            (unsigned long long)cell_post_dropped_count (),
            (unsigned long long)site_store_malformed_count (), f->metrics.owner,
            f->metrics.jobs_active, f->metrics.runners_listed, f->open_count,
-           f->ready);
+           f->ready, f->metrics.zones_evacuated);
   print_histogram (out, "reply", f->metrics.reply_ms);
   print_histogram (out, "finish", f->metrics.finish_ms);
   print_histogram (out, "confirmation", f->metrics.confirmation_ms);
--- a/adapter/site_store.c
+++ b/adapter/site_store.c
@@ -6,6 +6,7 @@
 #include "adapter/claim_codec.h"
 #include "adapter/http_client.h"
 #include "adapter/job_codec.h"
+#include "adapter/operator_records.h"
 #include "adapter/timer.h"
 #include "platform/config.h"
 #include "platform/runner.h"
@@ -68,6 +69,7 @@
   bool active;
   bool tailing; /**< The listing is complete; appended records are read.  */
   bool first_page;
+  bool of_listing; /**< The answer being handled is a page of a listing.  */
   char after_key[KEY_BYTES]; /**< Last key listed.  */
   uint64_t from_offset;      /**< Offset of the next read.  */
   uint64_t list_end_offset;  /**< End of the topic at the first page.  */
@@ -91,6 +93,7 @@
   char relay_address[ADDRESS_BYTES];
   uint64_t generation; /**< Of the group, from the last answer to a join.  */
   struct follower config;
+  struct operator_records *records;
   struct follower claims;
   struct follower runners;
   uint64_t recover_token; /**< Token of the newest recovery; others end. */
@@ -257,6 +260,7 @@
   const void *body = r->body != NULL ? r->body->data : NULL;
   uint32_t n = r->body != NULL ? r->body->size_bytes : 0;
 
+  f->of_listing = !f->tailing;
   if (f->tailing)
     {
       if (!platform_read_decode (mem, r->status, f->from_offset, body, n, &x))
@@ -337,28 +341,30 @@
     follower_request_later (f, RETRY_DELAY_MS);
 }
 
+/* Adds the wave of X to the events that are held, unless it is malformed.  */
 static void
-post_wave (struct follower *f, const struct platform_record *x)
+hold_wave (struct follower *f, const struct platform_record *x)
 {
   struct cell_event *e = cell_event_new (CELL_WAVE);
   bool valid = platform_wave_decode (e, x->value, x->value_bytes, &e->u.wave);
 
   note_record (f, "wave_malformed", x, !valid);
   if (valid)
-    cell_post (f->store->cell, e);
+    operator_records_hold (f->store->records, e);
   else
     talloc_free (e);
 }
 
+/* The same for the configuration of X.  */
 static void
-post_config (struct follower *f, const struct platform_record *x)
+hold_config (struct follower *f, const struct platform_record *x)
 {
   struct cell_event *e = cell_event_new (CELL_CONFIG);
 
   e->u.config = platform_config_decode (e, x->value, x->value_bytes);
   note_record (f, "config_malformed", x, e->u.config == NULL);
   if (e->u.config != NULL)
-    cell_post (f->store->cell, e);
+    operator_records_hold (f->store->records, e);
   else
     talloc_free (e);
 }
@@ -387,23 +393,49 @@
   cell_post (f->store->cell, e);
 }
 
+/* Applies X, a record of the request to evacuate a zone.  */
+static void
+apply_evacuation (struct follower *f, const struct platform_record *x)
+{
+  char zone[NAME_BYTES];
+  bool valid = platform_evacuation_decode (x->key, zone);
+
+  note_record (f, "evacuation_malformed", x, !valid);
+  if (valid)
+    operator_records_set_zone (f->store->records, zone, x->value_bytes > 0,
+                               f->of_listing);
+}
+
+/* Handles records of the operators.  The zones of a listing are known when its
+   last page was read; until they are posted, its configuration is held, so
+   that an entry which has the configuration knows the zones, too.  */
 static void
 on_config (struct follower *f, const struct platform_records *r)
 {
+  struct operator_records *s = f->store->records;
   uint32_t i;
 
+  if (f->of_listing && f->first_page)
+    operator_records_begin_listing (s);
   for (i = 0; i < r->item_count; i++)
     {
       const struct platform_record *x = &r->items[i];
 
-      if (x->value_bytes == 0)
+      if (g_str_has_prefix (x->key, PLATFORM_KEY_EVACUATE))
+        apply_evacuation (f, x);
+      else if (x->value_bytes == 0)
         continue;
-      if (strcmp (x->key, PLATFORM_KEY_CONFIG) == 0)
-        post_config (f, x);
-      else if (strncmp (x->key, PLATFORM_KEY_WAVE, strlen (PLATFORM_KEY_WAVE))
-               == 0)
-        post_wave (f, x);
+      else if (strcmp (x->key, PLATFORM_KEY_CONFIG) == 0)
+        hold_config (f, x);
+      else if (g_str_has_prefix (x->key, PLATFORM_KEY_WAVE))
+        hold_wave (f, x);
     }
+  if (!f->tailing)
+    return;
+  if (f->of_listing)
+    operator_records_end_listing (s);
+  if (!operator_records_post (s))
+    return;
   post_confirmation (f, r, CELL_CONFIG_CONFIRMED);
 }
 
@@ -844,6 +876,7 @@
       return NULL;
     }
   t->http = http_client_new (t, t->duty->loop, HOST_CONNECTION_LIMIT_COUNT);
+  t->records = operator_records_new (t, cell);
   follower_init (t, &t->config, PLATFORM_TOPIC_OPERATORS, CONFIG_WAIT_MS, 0,
                  on_config);
   follower_init (t, &t->claims, PLATFORM_TOPIC_CLAIMS, CLAIM_WAIT_MS, 0,
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -93,6 +93,7 @@
   m->owner = cell_is_owner (c);
   m->jobs_active = c->active->len;
   m->runners_listed = g_hash_table_size (c->runners);
+  m->zones_evacuated = c->evacuated.count;
 }
 
 static int
@@ -291,6 +292,9 @@
     case CELL_WAVE:
       waves_on_request (c, &e->u.wave);
       break;
+    case CELL_EVACUATIONS:
+      evacuation_on_zones (c, e);
+      break;
     case CELL_RUNNER_RESULT:
       runners_on_result (c, &e->u.runner_result);
       break;
--- a/core/cell/cell.h
+++ b/core/cell/cell.h
@@ -93,6 +93,7 @@
   uint32_t owner;       /**< 1 if it owns the cell.  */
   uint32_t jobs_active; /**< Jobs that are not final.  */
   uint32_t runners_listed;
+  uint32_t zones_evacuated; /**< Also those without runners.  */
 };
 
 /** Returns the name of K on the metrics page.  */
--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -182,7 +182,7 @@
 
 /* Returns true if V serves the pool that it counts for, or soon will.  One
    that is out of use until its maintenance begins does not, nor one that is
-   about to leave.  */
+   about to leave, nor one in an evacuated zone.  */
 static bool
 is_capacity (const struct cell *c, const struct vm *v)
 {
@@ -190,6 +190,8 @@
 
   if (r != NULL && r->report.draining && v->phase != VM_AWAY)
     return false;
+  if (fleet_is_evacuated (c, v))
+    return false;
   if (!v->moving && (v->phase == VM_EMPTYING || v->phase == VM_ORDERED))
     return false;
   return v->row.up || v->phase == VM_AWAY;
@@ -274,6 +276,9 @@
       count_runner (c, m, r);
       m->vm_cpu_milli = MAX (m->vm_cpu_milli, r->report.capacity.cpu_milli);
       m->vm_memory_mib = MAX (m->vm_memory_mib, r->report.capacity.memory_mib);
+      /* Its VM is no capacity, and holds these tasks until they end.  */
+      if (r->zone_evacuated)
+        continue;
       for (i = 0; i < r->tasks->len; i++)
         {
           const struct task *t = g_ptr_array_index (r->tasks, i);
--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -33,6 +33,14 @@
              : NULL;
 }
 
+bool
+fleet_is_evacuated (const struct cell *c, const struct vm *v)
+{
+  const struct runner *r = fleet_runner (c, v);
+
+  return zones_contain (&c->evacuated, r != NULL ? r->report.zone : v->zone);
+}
+
 bool
 fleet_is_empty (const struct cell *c, const struct vm *v)
 {
@@ -166,6 +174,7 @@
       if (r != NULL)
         {
           text_copy (r->vm, NAME_BYTES, v->row.vm);
+          text_copy (v->zone, NAME_BYTES, r->report.zone);
           r->vm_up = row->up;
         }
       if (v->phase == VM_AWAY && row->up && c->now_us >= v->away_until_us
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -64,6 +64,8 @@
                                     former owner may have ordered it.  */
   uint64_t away_until_us;        /**< Expected end of VM_AWAY.  */
   uint64_t returned_at_us;       /**< When VM_AWAY last ended; 0: never.  */
+  char zone[NAME_BYTES];         /**< Zone of the last runner on it; empty: it
+                                    had none.  */
   char first_runner[NAME_BYTES]; /**< Its runner when first listed.  */
   char previous_runner[NAME_BYTES]; /**< Its runner when the first order of
                                        its operation was sent.  */
@@ -129,6 +131,10 @@
 /** Returns true if such a runner is registered and has neither answered a poll
     nor missed as many as make it silent.  */
 bool fleet_has_unasked (const struct cell *c, const char *pool);
+/** Returns true if V is known to be in an evacuated zone.  The platform's list
+    names no zones: that of a VM is known once a runner was registered on
+    it.  */
+bool fleet_is_evacuated (const struct cell *c, const struct vm *v);
 /** Returns true if it is known what runs on V.  */
 bool fleet_runs_are_known (const struct cell *c, const struct vm *v);
 /** Returns true if V, on which no operation is under way, is no longer listed.
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -56,7 +56,7 @@
   return r->listed && r->reached && !r->ends_incomplete
          && leases_excess_ms (c, r) == 0 && r->boot_doubted_at_us == 0
          && r->clock_read_at_us != 0 && !r->report.draining && !r->vm_emptying
-         && r->miss_count == 0
+         && !r->zone_evacuated && r->miss_count == 0
          && c->ownership.confirmed_at_us >= r->boot_known_at_us
          && handover_admits_starts (c, r)
          && (in_quarantine || c->now_us >= r->quarantined_until_us)
--- a/core/cell/pools.c
+++ b/core/cell/pools.c
@@ -66,10 +66,11 @@
          && (r->tasks->len == 0 || (!empty && !has_long_running (r)));
 }
 
-/* Returns the VM of pool M that costs least to move, or NULL; if EMPTY, one
-   without tasks.  */
+/* Returns the VM of pool M, in an evacuated zone or not as EVACUATED tells,
+   that costs least to move, or NULL; if EMPTY, one without tasks.  */
 static struct vm *
-find_movable_vm (struct cell *c, const struct pool_demand *m, bool empty)
+find_vm (struct cell *c, const struct pool_demand *m, bool empty,
+         bool evacuated)
 {
   struct vm *best = NULL;
   GHashTableIter it;
@@ -80,13 +81,22 @@
     {
       struct vm *v = value;
 
-      if (strcmp (v->row.pool, m->name) == 0 && is_movable (c, m, v, empty)
+      if (strcmp (v->row.pool, m->name) == 0
+          && fleet_is_evacuated (c, v) == evacuated
+          && is_movable (c, m, v, empty)
           && (best == NULL || move_cost (c, v) < move_cost (c, best)))
         best = v;
     }
   return best;
 }
 
+/* The same for a VM that can serve another pool.  */
+static struct vm *
+find_movable_vm (struct cell *c, const struct pool_demand *m, bool empty)
+{
+  return find_vm (c, m, empty, false);
+}
+
 /* Begins the move of V between two pools.  */
 static void
 move_vm (struct cell *c, struct vm *v, struct pool_demand *from,
@@ -94,8 +104,9 @@
 {
   v->moving = true;
   text_copy (v->target_pool, NAME_BYTES, to->name);
-  from->vm_count--;
-  to->vm_count++;
+  /* One in an evacuated zone is counted in no pool.  */
+  from->vm_count -= !fleet_is_evacuated (c, v);
+  to->vm_count += !fleet_is_evacuated (c, v);
   cell_log (c, "vm_move_begun", 0,
             "\"vm\":\"%s\",\"from\":\"%s\",\"has\":%u,\"needs\":%u,"
             "\"to\":\"%s\",\"to_has\":%u,\"to_needs\":%u",
@@ -178,6 +189,33 @@
     }
 }
 
+/* Returns true if no pool lacks VMs: the cloud's order rate is free for other
+   moves.  */
+static bool
+needs_are_met (const struct fleet_demand *p)
+{
+  uint32_t i;
+
+  for (i = 0; i < p->pool_count; i++)
+    if (!p->pools[i].spare && p->pools[i].vm_count < p->pools[i].need_count)
+      return false;
+  return true;
+}
+
+/* Moves the idle VMs of M that are in evacuated zones into SPARE.  */
+static void
+switch_off_evacuated (struct cell *c, struct pool_demand *m,
+                      struct pool_demand *spare)
+{
+  struct vm *v = NULL;
+
+  if (m->spare || c->evacuated.count == 0 || !handover_is_over (c)
+      || !needs_are_met (c->fleet->demand))
+    return;
+  while ((v = find_vm (c, m, true, true)) != NULL && admits_move (c, v))
+    move_vm (c, v, m, spare);
+}
+
 /* Returns the VM that is being emptied and on whose runner T could start, or
    NULL.  */
 static struct vm *
@@ -197,7 +235,7 @@
           || strcmp (v->row.pool, q->pool) != 0)
         continue;
       r = fleet_runner (c, v);
-      if (r != NULL && place_fits (c, t, r))
+      if (r != NULL && !r->zone_evacuated && place_fits (c, t, r))
         return v;
     }
   return NULL;
@@ -277,5 +315,8 @@
   if (spare == NULL)
     return;
   for (i = 0; i < p->pool_count; i++)
-    switch_off_idle (c, &p->pools[i], spare);
+    {
+      switch_off_idle (c, &p->pools[i], spare);
+      switch_off_evacuated (c, &p->pools[i], spare);
+    }
 }
--- a/core/cell/registrations.c
+++ b/core/cell/registrations.c
@@ -231,4 +231,6 @@
     }
   for (i = 0; i < e->u.runners.row_count; i++)
     apply_report (c, &e->u.runners.rows[i], e->u.runners.whole);
+  if (c->evacuated.count > 0)
+    evacuation_update_runners (c);
 }
--- a/core/cell/runners.c
+++ b/core/cell/runners.c
@@ -509,4 +509,5 @@
   g_hash_table_remove_all (c->pools);
   g_hash_table_remove_all (c->usage);
   c->runners_known = false;
+  zones_clear_notices (&c->evacuated);
 }
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -7,6 +7,7 @@
 #define FTK_CORE_CELL_STATE_H
 
 #include "core/cell/cell.h"
+#include "core/load/zones.h"
 #include "port/cell_name.h"
 
 #include <glib.h>
@@ -278,6 +279,7 @@
   struct runner_report report;
   GPtrArray *pool_runners; /**< All runners of its pool.  */
   char rack[LABEL_BYTES];
+  bool zone_evacuated;     /**< Its zone is evacuated: it gets no new tasks. */
   uint64_t draining_at_us; /**< When it was last seen to begin to drain; 0:
                               never.  */
   bool listed;             /**< It is registered in the store.  */
@@ -617,6 +619,7 @@
   GHashTable *runners;          /**< id to struct runner.  */
   GHashTable *pools;            /**< Name to GPtrArray of struct runner.  */
   bool runners_known;           /**< This owner has read a complete list.  */
+  struct zones evacuated;       /**< As last read, by every entry.  */
   GHashTable *pending_orders;   /**< id to struct pending_order.  */
   GHashTable *run_times;     /**< "QUEUE/IMAGE" to struct image_run_time.  */
   GHashTable *rate_buckets;  /**< Tenant to struct rate_bucket.  */
@@ -921,6 +924,13 @@
     queue is not configured.  */
 const GPtrArray *runners_for_task (const struct cell *c, const struct task *t);
 
+/* evacuation.c: evacuated zones.  */
+/** Handles E, a new set of evacuated zones.  */
+void evacuation_on_zones (struct cell *c, const struct cell_event *e);
+/** Applies the set to all runners, and logs zones that were not known
+    before.  */
+void evacuation_update_runners (struct cell *c);
+
 /* runners.c: polls of runners, and orders to them.  */
 /** Releases the tasks of R, whose runs are certainly over by WHY, and logs
     it.  */
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -311,6 +311,7 @@
   CELL_RECOVERED,     /**< recovered: a page of records.  */
   CELL_RUNNERS,       /**< runners: changed registrations.  */
   CELL_WAVE,          /**< wave: a maintenance wave was requested.  */
+  CELL_EVACUATIONS,   /**< evacuations: the set of evacuated zones.  */
   CELL_RUNNER_RESULT, /**< runner_result: of an order to a runner.  */
   CELL_VMS,           /**< vms: the platform's list of VMs.  */
   CELL_VM_RESULT,     /**< vm_result: of an order to the cloud.  */
@@ -407,6 +408,11 @@
       struct runner_report *rows;
     } runners;
     struct site_wave wave;
+    struct
+    {
+      uint32_t zone_count;
+      char (*zones)[NAME_BYTES]; /**< All evacuated zones.  */
+    } evacuations;
     struct runner_result runner_result;
     struct
     {
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -500,6 +500,19 @@
                json_string_value (json_array_get (vms, i)));
 }
 
+static void
+read_evacuations (const json_t *j, struct cell_event *e)
+{
+  size_t i;
+
+  e->kind = CELL_EVACUATIONS;
+  e->u.evacuations.zones = talloc_zero_size (
+      e, (json_array_size (j) + 1) * sizeof *e->u.evacuations.zones);
+  for (i = 0; i < json_array_size (j); i++)
+    text_copy (e->u.evacuations.zones[e->u.evacuations.zone_count++],
+               NAME_BYTES, json_string_value (json_array_get (j, i)));
+}
+
 static void
 read_vms (const json_t *j, struct cell_event *e)
 {
@@ -628,6 +641,8 @@
     read_result (x, v, e);
   else if ((v = json_object_get (j, "wave")) != NULL)
     read_wave (v, e);
+  else if ((v = json_object_get (j, "evacuations")) != NULL)
+    read_evacuations (v, e);
   else if ((v = json_object_get (j, "vms")) != NULL)
     read_vms (v, e);
   else if ((v = json_object_get (j, "vm_result")) != NULL)
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -5,6 +5,7 @@
 
 #include "adapter/claim_codec.h"
 #include "adapter/job_codec.h"
+#include "adapter/operator_records.h"
 #include "adapter/order_codec.h"
 #include "adapter/relay_codec.h"
 #include "platform/client.h"
@@ -474,6 +475,95 @@
   g_assert_true (r.removed);
 }
 
+/* A request to evacuate a zone whose key has no name of a zone, or one that
+   cannot be written to a log line, is refused: as the empty zone it would
+   name all runners without one.  */
+static void
+test_evacuations (void)
+{
+  char zone[NAME_BYTES];
+
+  g_assert_true (
+      platform_evacuation_decode (PLATFORM_KEY_EVACUATE "eu-1/b", zone));
+  g_assert_cmpstr (zone, ==, "eu-1/b");
+  g_assert_false (platform_evacuation_decode (PLATFORM_KEY_EVACUATE, zone));
+  g_assert_false (
+      platform_evacuation_decode (PLATFORM_KEY_EVACUATE "a\"b", zone));
+  g_assert_false (platform_evacuation_decode (
+      PLATFORM_KEY_EVACUATE
+      "a-name-that-is-longer-than-the-names-of-all-zones-may-be",
+      zone));
+}
+
+/* Pops an event from R and checks its kind; the caller frees it.  */
+static struct cell_event *
+pop_event (struct ring *r, enum cell_event_kind kind)
+{
+  struct cell_event *e = NULL;
+
+  g_assert_cmpuint (ring_pop (r, (void **)&e, 1), ==, 1);
+  g_assert_cmpint (e->kind, ==, kind);
+  return e;
+}
+
+/* A listing has the configuration on its first page and an evacuated zone on
+   its last.  Were the configuration posted first, tasks could start in the
+   zone.  A later listing that lacks the zone ends its evacuation.  */
+static void
+test_operator_records (void)
+{
+  struct ring *r = ring_open (8);
+  struct operator_records *s = operator_records_new (NULL, r);
+  struct cell_event *e = NULL;
+
+  operator_records_begin_listing (s);
+  operator_records_hold (s, cell_event_new (CELL_CONFIG));
+  operator_records_set_zone (s, "z1", true, true);
+  operator_records_end_listing (s);
+  g_assert_true (operator_records_post (s));
+  e = pop_event (r, CELL_EVACUATIONS);
+  g_assert_cmpuint (e->u.evacuations.zone_count, ==, 1);
+  g_assert_cmpstr (e->u.evacuations.zones[0], ==, "z1");
+  talloc_free (e);
+  talloc_free (pop_event (r, CELL_CONFIG));
+  operator_records_set_zone (s, "z1", true, false);
+  g_assert_true (operator_records_post (s));
+  g_assert_cmpuint (ring_pop (r, (void **)&e, 1), ==, 0);
+  operator_records_begin_listing (s);
+  operator_records_end_listing (s);
+  g_assert_true (operator_records_post (s));
+  e = pop_event (r, CELL_EVACUATIONS);
+  g_assert_cmpuint (e->u.evacuations.zone_count, ==, 0);
+  talloc_free (e);
+  talloc_free (s);
+  ring_close (r);
+}
+
+/* The ring is full when a zone is evacuated.  The set must be posted later,
+   and no configuration before it.  */
+static void
+test_operator_records_ring_full (void)
+{
+  struct ring *r = ring_open (2);
+  struct operator_records *s = operator_records_new (NULL, r);
+  struct cell_event *e = NULL;
+  uint32_t n = 0;
+
+  while (cell_post (r, cell_event_new (CELL_TICK)))
+    n++;
+  operator_records_set_zone (s, "z1", true, false);
+  operator_records_hold (s, cell_event_new (CELL_CONFIG));
+  g_assert_false (operator_records_post (s));
+  while (n-- > 0)
+    talloc_free (pop_event (r, CELL_TICK));
+  g_assert_cmpuint (ring_pop (r, (void **)&e, 1), ==, 0);
+  g_assert_true (operator_records_post (s));
+  talloc_free (pop_event (r, CELL_EVACUATIONS));
+  talloc_free (pop_event (r, CELL_CONFIG));
+  talloc_free (s);
+  ring_close (r);
+}
+
 /* Decodes a submission with BODY; returns NULL, or the fault reported.  */
 static const char *
 decode_submission (TALLOC_CTX *mem, const char *body, struct client_call *c)
@@ -742,6 +832,10 @@
   g_test_add_func ("/cell_codec/reports", test_reports);
   g_test_add_func ("/cell_codec/calls", test_calls);
   g_test_add_func ("/cell_codec/outcomes", test_outcomes);
+  g_test_add_func ("/cell_codec/evacuations", test_evacuations);
+  g_test_add_func ("/cell_codec/operator_records", test_operator_records);
+  g_test_add_func ("/cell_codec/operator_records_ring_full",
+                   test_operator_records_ring_full);
   g_test_add_func ("/cell_codec/polls", test_polls);
   g_test_add_func ("/cell_codec/order_batch", test_order_batch);
   g_test_add_func ("/cell_codec/order_results", test_order_results);
