--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -79,9 +79,9 @@
       "{\"vm\":\"entry-%u\",\"zone\":\"a%u\",\"listen\":\"127.0.0.1:%u\","
       "\"peer_listen\":\"127.0.0.1:%u\",\"log\":\"127.0.0.1:%u\","
       "\"fleet\":\"127.0.0.1:%u\",\"cluster_secret\":\"test secret of 24 "
-      "bytes\"}",
+      "bytes\"%s}",
       i, i % 3, cluster_entry_port (c, i), c->first_port + 30 + i,
-      c->log_port + i, c->fleet_port);
+      c->log_port + i, c->fleet_port, c->settings);
 
   g_file_set_contents (file, text, -1, NULL);
   c->entries[i] = spawn ("fulmartackd", file, NULL, log);
@@ -118,6 +118,13 @@
 
 struct cluster *
 cluster_start (guint entry_count, guint worker_count)
+{
+  return cluster_start_with (entry_count, worker_count, "");
+}
+
+struct cluster *
+cluster_start_with (guint entry_count, guint worker_count,
+                    const gchar *settings)
 {
   struct cluster *c = g_new0 (struct cluster, 1);
   const gchar *first_port_text;
@@ -132,6 +139,7 @@
   c->worker_port = (guint16)(c->first_port + 50);
   c->worker_count = worker_count;
   c->entry_count = entry_count;
+  c->settings = settings;
   c->directory = g_dir_make_tmp ("fulmartack-XXXXXX", NULL);
   c->log = spawn_standin (c, "standin_log", c->log_port,
                           (guint16)(c->log_port + CLUSTER_ENTRY_LIMIT - 1));
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -27,7 +27,9 @@
   pid_t fleet;
   pid_t worker; /**< Serves all workers.  */
   pid_t entries[CLUSTER_ENTRY_LIMIT];
-  gchar *directory; /**< Settings and logs of the entries.  */
+  gchar *directory;      /**< Settings and logs of the entries.  */
+  const gchar *settings; /**< More settings of the entries, as members of a
+                            JSON object that begin with a comma.  */
 };
 
 /** Initializes the libraries of a test program that starts processes; exits if
@@ -38,6 +40,10 @@
     and waits until the entries answer.  */
 struct cluster *cluster_start (guint entry_count, guint worker_count);
 
+/** Like cluster_start, with more settings for the entries.  */
+struct cluster *cluster_start_with (guint entry_count, guint worker_count,
+                                    const gchar *settings);
+
 /** Starts entry I again after its end.  */
 void cluster_start_entry (struct cluster *c, guint i);
 
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -8,8 +8,7 @@
    stopped, answers of the store and the runners that are lost, and starts that
    arrive late.  */
 
-#include "tests/cluster.h"
-#include "tests/ports.h"
+#include "tests/site_cluster.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -19,13 +18,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define ENTRY_COUNT 3
-#define RUNNER_COUNT 4
 #define JOB_COUNT 40
 #define TASK_MS 150
-#define PORT_LOW 23000
-#define PORT_STEP 60
-#define PORT_RANGE_COUNT 20
 #define START_TIMEOUT_MS 15000
 #define JOB_TIMEOUT_MS 60000
 #define POLL_INTERVAL_MS 50
@@ -53,190 +47,10 @@
 #define JOINS_PASS_MS 8500
 #define WAIT_OVER_MS 16000
 
-/* The stand-in and the entries of a test.  */
-struct site
-{
-  guint16 base_port; /* First of the stand-in; entries from + 20 on.  */
-  pid_t platform;
-  pid_t entries[ENTRY_COUNT];
-  gchar *directory;
-  const gchar *settings; /* More settings of the entries, as members of a JSON
-                            object that begin with a comma; NULL: none.  */
-};
-
 /* Settings of entries so small that any load makes the owner have others send
    its orders.  */
 #define DELEGATING ",\"zone\":\"z\",\"cpu_share\":0.01"
 
-static guint16
-api_port (const struct site *s, guint i)
-{
-  return (guint16)(s->base_port + 20 + i);
-}
-
-static guint16
-metrics_port (const struct site *s, guint i)
-{
-  return (guint16)(s->base_port + 50 + i);
-}
-
-/* The port at which entry I reaches the store and the cloud.  */
-static guint16
-store_port (const struct site *s, guint i)
-{
-  return (guint16)(s->base_port + 1 + RUNNER_COUNT + i);
-}
-
-/* Starts program NAME of the build with up to three arguments, output to file
-   LOG.  */
-static pid_t
-spawn (const gchar *name, const gchar *first, const gchar *second,
-       const gchar *third, const gchar *log)
-{
-  const gchar *directory = g_getenv ("FTK_BUILD");
-  gchar *path = g_build_filename (directory ? directory : "build", name, NULL);
-  pid_t pid = fork ();
-
-  if (pid == 0)
-    {
-      prctl (PR_SET_PDEATHSIG, SIGKILL);
-      if (freopen (log, "a", stdout) == NULL
-          || freopen (log, "a", stderr) == NULL)
-        _exit (126);
-      execl (path, path, first, second, third, NULL);
-      _exit (127);
-    }
-  g_assert_cmpint (pid, >, 0);
-  g_free (path);
-  return pid;
-}
-
-static void
-start_entry (struct site *s, guint i)
-{
-  gchar *name = g_strdup_printf ("entry-%u.json", i);
-  gchar *file = g_build_filename (s->directory, name, NULL);
-  gchar *log = g_strconcat (file, ".log", NULL);
-  gchar *text = g_strdup_printf (
-      "{\"vm\":\"entry-%u\",\"listen\":\"127.0.0.1:%u\",\"ready_listen\":"
-      "\"127.0.0.1:%u\",\"relay_listen\":\"127.0.0.1:%u\",\"metrics_listen\":"
-      "\"127.0.0.1:%u\",\"store\":\"127.0.0.1:%u\",\"cloud\":\"127.0.0.1:%u\","
-      "\"relay_secret\":\"a secret of the test\"%s}",
-      i, api_port (s, i), s->base_port + 30 + i, s->base_port + 40 + i,
-      metrics_port (s, i), store_port (s, i), store_port (s, i),
-      s->settings != NULL ? s->settings : "");
-
-  g_assert_true (g_file_set_contents (file, text, -1, NULL));
-  s->entries[i] = spawn ("fulmartackd", file, NULL, NULL, log);
-  g_free (text);
-  g_free (log);
-  g_free (file);
-  g_free (name);
-}
-
-/* Calls entry I and returns the status; copies the body to ANSWER, unless
-   NULL.  */
-static guint
-call (const struct site *s, guint i, const gchar *method, const gchar *path,
-      const gchar *body, gchar *answer, gsize answer_bytes)
-{
-  gchar *url
-      = g_strdup_printf ("http://127.0.0.1:%u%s", api_port (s, i), path);
-  const char *lines[] = { "Host: site", "Authorization: Bearer key-of-t",
-                          "X-Fulmartack-Deadline-Ms: 3000", NULL };
-  struct http_call c = { .method = method,
-                         .url = url,
-                         .header_lines = lines,
-                         .timeout_ms = 4000,
-                         .connect_timeout_ms = 1000 };
-  struct http_result r = { 0 };
-
-  if (body != NULL)
-    c.body = blob_copy (body, (uint32_t)strlen (body));
-  http_client_perform (NULL, &c, &r);
-  if (answer != NULL)
-    g_snprintf (answer, answer_bytes, "%.*s",
-                r.body ? (int)r.body->size_bytes : 0,
-                r.body ? (const char *)r.body->data : "");
-  blob_unref (r.body);
-  blob_unref (c.body);
-  g_free (url);
-  return r.status;
-}
-
-static void
-wait_ready (const struct site *s)
-{
-  guint waited_ms = 0;
-  guint i;
-
-  for (i = 0; i < ENTRY_COUNT; i++)
-    while (call (s, i, "GET", "/q/", NULL, NULL, 0) != 200)
-      {
-        g_assert_cmpuint (waited_ms, <, START_TIMEOUT_MS);
-        g_usleep (POLL_INTERVAL_MS * 1000);
-        waited_ms += POLL_INTERVAL_MS;
-      }
-}
-
-static void
-start_site_with (struct site *s, const gchar *settings)
-{
-  gchar *first;
-  gchar *last;
-  gchar *count;
-  gchar *log;
-  guint i;
-
-  memset (s, 0, sizeof *s);
-  s->settings = settings;
-  s->base_port = ports_take (PORT_LOW, PORT_STEP, PORT_RANGE_COUNT);
-  s->directory = g_dir_make_tmp ("site-XXXXXX", NULL);
-  first = g_strdup_printf ("%u", s->base_port);
-  last = g_strdup_printf ("%d", s->base_port + RUNNER_COUNT);
-  count = g_strdup_printf ("%d", ENTRY_COUNT);
-  log = g_build_filename (s->directory, "platform.log", NULL);
-  s->platform = spawn ("standin_site", first, last, count, log);
-  for (i = 0; i < ENTRY_COUNT; i++)
-    start_entry (s, i);
-  wait_ready (s);
-  g_free (log);
-  g_free (count);
-  g_free (last);
-  g_free (first);
-}
-
-static void
-start_site (struct site *s)
-{
-  start_site_with (s, NULL);
-}
-
-/* Sends SIGNAL_NUMBER, waits for the end and returns the wait status.  */
-static int
-stop_process (pid_t pid, int signal_number)
-{
-  int status = 0;
-
-  kill (pid, signal_number);
-  waitpid (pid, &status, 0);
-  return status;
-}
-
-static void
-stop_site (struct site *s)
-{
-  gchar *remove = g_strdup_printf ("rm -r '%s'", s->directory);
-  guint i;
-
-  for (i = 0; i < ENTRY_COUNT; i++)
-    stop_process (s->entries[i], SIGKILL);
-  stop_process (s->platform, SIGKILL);
-  g_assert_cmpint (system (remove), ==, 0);
-  g_free (remove);
-  g_free (s->directory);
-}
-
 /* Returns the count NAME of the runners' own record.  */
 static gint64
 get_report (const struct site *s, const gchar *name)
@@ -254,8 +68,8 @@
 static guint64
 get_metric (const struct site *s, guint i, const gchar *name)
 {
-  gchar *url
-      = g_strdup_printf ("http://127.0.0.1:%u/metrics", metrics_port (s, i));
+  gchar *url = g_strdup_printf ("http://127.0.0.1:%u/metrics",
+                                site_metrics_port (s, i));
   gchar *start = g_strdup_printf ("\nfulmartack_%s ", name);
   struct http_call c = {
     .method = "GET", .url = url, .timeout_ms = 1000, .connect_timeout_ms = 1000
@@ -281,7 +95,7 @@
 {
   guint i;
 
-  for (i = 0; i < ENTRY_COUNT; i++)
+  for (i = 0; i < SITE_ENTRY_COUNT; i++)
     if (get_metric (s, i, "owner") == 1)
       return (gint)i;
   return -1;
@@ -299,7 +113,7 @@
   for (waited_ms = 0; sum == 0 && waited_ms < START_TIMEOUT_MS;
        waited_ms += POLL_INTERVAL_MS)
     {
-      for (i = 0; i < ENTRY_COUNT; i++)
+      for (i = 0; i < SITE_ENTRY_COUNT; i++)
         sum += get_metric (s, i, "orders_delegated_total");
       g_usleep (POLL_INTERVAL_MS * 1000);
     }
@@ -336,7 +150,8 @@
   g_snprintf (path, sizeof path, "/q/%016x", n + 1);
   for (tries = 0; tries < 100; tries++)
     {
-      if (call (s, (n + tries) % ENTRY_COUNT, "POST", path, body, NULL, 0)
+      if (site_call (s, (n + tries) % SITE_ENTRY_COUNT, "POST", path, body,
+                     NULL, 0)
           == 200)
         return;
       g_usleep (POLL_INTERVAL_MS * 1000);
@@ -367,8 +182,8 @@
   for (waited_ms = 0; waited_ms < JOB_TIMEOUT_MS;
        waited_ms += POLL_INTERVAL_MS)
     {
-      guint status = call (s, n % ENTRY_COUNT, "GET", path, NULL, answer,
-                           sizeof answer);
+      guint status = site_call (s, n % SITE_ENTRY_COUNT, "GET", path, NULL,
+                                answer, sizeof answer);
 
       /* 410 would say that the accepted job is unknown.  */
       g_assert_cmpuint (status, !=, 410);
@@ -399,18 +214,19 @@
   struct site s;
   guint n;
 
-  start_site (&s);
+  site_start (&s);
   for (n = 0; n < JOB_COUNT; n++)
     submit (&s, n);
   /* A job submitted again with its id is not run again.  */
   submit (&s, 0);
   check_jobs (&s);
   g_assert_cmpint (get_report (&s, "started"), ==, 5 * JOB_COUNT);
-  g_assert_cmpuint (call (&s, 1, "GET", "/q/00000000000000ff", NULL, NULL, 0),
-                    ==, 410);
   g_assert_cmpuint (
-      call (&s, 1, "DELETE", "/q/0000000000000001", NULL, NULL, 0), ==, 200);
-  stop_site (&s);
+      site_call (&s, 1, "GET", "/q/00000000000000ff", NULL, NULL, 0), ==, 410);
+  g_assert_cmpuint (
+      site_call (&s, 1, "DELETE", "/q/0000000000000001", NULL, NULL, 0), ==,
+      200);
+  site_stop (&s);
 }
 
 static void
@@ -420,16 +236,16 @@
   gint owner;
   guint n;
 
-  start_site (&s);
+  site_start (&s);
   for (n = 0; n < JOB_COUNT / 2; n++)
     submit (&s, n);
   owner = wait_owner (&s);
-  stop_process (s.entries[owner], SIGKILL);
+  site_stop_process (s.entries[owner], SIGKILL);
   for (; n < JOB_COUNT; n++)
     submit (&s, n);
-  start_entry (&s, (guint)owner);
+  site_start_entry (&s, (guint)owner);
   check_jobs (&s);
-  stop_site (&s);
+  site_stop (&s);
 }
 
 /* An owner that was paused while another took over sends orders with an old
@@ -441,7 +257,7 @@
   gint owner;
   guint n;
 
-  start_site (&s);
+  site_start (&s);
   for (n = 0; n < JOB_COUNT / 2; n++)
     submit (&s, n);
   owner = wait_owner (&s);
@@ -453,7 +269,7 @@
   for (; n < JOB_COUNT; n++)
     submit (&s, n);
   check_jobs (&s);
-  stop_site (&s);
+  site_stop (&s);
 }
 
 static void
@@ -463,16 +279,16 @@
   guint n;
   guint i;
 
-  start_site (&s);
+  site_start (&s);
   for (n = 0; n < JOB_COUNT; n++)
     submit (&s, n);
-  for (i = 0; i < ENTRY_COUNT; i++)
-    stop_process (s.entries[i], SIGKILL);
-  for (i = 0; i < ENTRY_COUNT; i++)
-    start_entry (&s, i);
-  wait_ready (&s);
+  for (i = 0; i < SITE_ENTRY_COUNT; i++)
+    site_stop_process (s.entries[i], SIGKILL);
+  for (i = 0; i < SITE_ENTRY_COUNT; i++)
+    site_start_entry (&s, i);
+  site_wait_ready (&s);
   check_jobs (&s);
-  stop_site (&s);
+  site_stop (&s);
 }
 
 /* Runners start tasks without answering, or answer too late, and the store
@@ -483,14 +299,14 @@
   struct site s;
   guint n;
 
-  start_site (&s);
+  site_start (&s);
   cluster_fault (s.base_port, "lose_starts", 7);
   cluster_fault (s.base_port, "late_starts", 13);
   cluster_fault (s.base_port, "lose_appends", 5);
   for (n = 0; n < JOB_COUNT; n++)
     submit (&s, n);
   check_jobs (&s);
-  stop_site (&s);
+  site_stop (&s);
 }
 
 /* The store refuses for so long that all entries stop accepting calls.  When
@@ -502,15 +318,15 @@
   gint64 back_us;
   struct site s;
 
-  start_site (&s);
+  site_start (&s);
   submit (&s, 0);
   cluster_fault (s.base_port, "store_busy", 1);
   g_usleep (STORE_BUSY_S * G_USEC_PER_SEC);
-  g_assert_cmpuint (call (&s, 1, "GET", "/q/0000000000000001", NULL, NULL, 0),
-                    ==, 503);
+  g_assert_cmpuint (
+      site_call (&s, 1, "GET", "/q/0000000000000001", NULL, NULL, 0), ==, 503);
   cluster_fault (s.base_port, "store_busy", 0);
   back_us = g_get_monotonic_time ();
-  while (call (&s, 1, "GET", "/q/0000000000000001", NULL, NULL, 0) == 503)
+  while (site_call (&s, 1, "GET", "/q/0000000000000001", NULL, NULL, 0) == 503)
     {
       g_assert_cmpint (g_get_monotonic_time () - back_us, <,
                        STORE_BACK_LIMIT_US);
@@ -519,7 +335,7 @@
   g_test_message ("accepts calls %" G_GINT64_FORMAT " ms after the store",
                   (g_get_monotonic_time () - back_us) / 1000);
   wait_completed (&s, 0);
-  stop_site (&s);
+  site_stop (&s);
 }
 
 /* The owner is stopped by SIGTERM and another entry reloads its settings while
@@ -532,19 +348,19 @@
   int status;
   guint n;
 
-  start_site (&s);
+  site_start (&s);
   for (n = 0; n < JOB_COUNT / 2; n++)
     submit (&s, n);
   owner = wait_owner (&s);
-  kill (s.entries[(owner + 1) % ENTRY_COUNT], SIGHUP);
-  status = stop_process (s.entries[owner], SIGTERM);
+  kill (s.entries[(owner + 1) % SITE_ENTRY_COUNT], SIGHUP);
+  status = site_stop_process (s.entries[owner], SIGTERM);
   g_assert_true (WIFEXITED (status));
   g_assert_cmpint (WEXITSTATUS (status), ==, 0);
-  start_entry (&s, (guint)owner);
+  site_start_entry (&s, (guint)owner);
   for (; n < JOB_COUNT; n++)
     submit (&s, n);
   check_jobs (&s);
-  stop_site (&s);
+  site_stop (&s);
 }
 
 /* Another writer's entries among those of the runners end no process, and no
@@ -557,19 +373,19 @@
   guint n;
   guint i;
 
-  start_site (&s);
+  site_start (&s);
   owner = wait_owner (&s);
   cluster_fault (s.base_port, "odd_entries", 1);
   for (n = 0; n < JOB_COUNT / 2; n++)
     submit (&s, n);
-  stop_process (s.entries[owner], SIGKILL);
-  start_entry (&s, (guint)owner);
+  site_stop_process (s.entries[owner], SIGKILL);
+  site_start_entry (&s, (guint)owner);
   for (; n < JOB_COUNT; n++)
     submit (&s, n);
   check_jobs (&s);
-  for (i = 0; i < ENTRY_COUNT; i++)
+  for (i = 0; i < SITE_ENTRY_COUNT; i++)
     g_assert_cmpint (waitpid (s.entries[i], NULL, WNOHANG), ==, 0);
-  stop_site (&s);
+  site_stop (&s);
 }
 
 /* Delegates send the orders of a loaded owner.  */
@@ -579,13 +395,13 @@
   struct site s;
   guint n;
 
-  start_site_with (&s, DELEGATING);
+  site_start_with (&s, DELEGATING);
   for (n = 0; n < JOB_COUNT; n++)
     submit (&s, n);
   check_jobs (&s);
   wait_delegated (&s);
   g_assert_cmpint (get_report (&s, "started"), ==, 5 * JOB_COUNT);
-  stop_site (&s);
+  site_stop (&s);
 }
 
 /* All entries but the owner are killed while they send its orders, and then
@@ -598,25 +414,25 @@
   guint n;
   guint i;
 
-  start_site_with (&s, DELEGATING);
+  site_start_with (&s, DELEGATING);
   for (n = 0; n < JOB_COUNT / 2; n++)
     submit (&s, n);
   wait_delegated (&s);
   owner = wait_owner (&s);
-  for (i = 0; i < ENTRY_COUNT; i++)
+  for (i = 0; i < SITE_ENTRY_COUNT; i++)
     if ((gint)i != owner)
       {
-        stop_process (s.entries[i], SIGKILL);
-        start_entry (&s, i);
+        site_stop_process (s.entries[i], SIGKILL);
+        site_start_entry (&s, i);
       }
   for (; n < JOB_COUNT * 3 / 4; n++)
     submit (&s, n);
-  stop_process (s.entries[owner], SIGKILL);
-  start_entry (&s, (guint)owner);
+  site_stop_process (s.entries[owner], SIGKILL);
+  site_start_entry (&s, (guint)owner);
   for (; n < JOB_COUNT; n++)
     submit (&s, n);
   check_jobs (&s);
-  stop_site (&s);
+  site_stop (&s);
 }
 
 /* A delegate is paused with orders in its hands.  When it goes on they are too
@@ -629,21 +445,21 @@
   guint n;
   guint i;
 
-  start_site_with (&s, DELEGATING);
+  site_start_with (&s, DELEGATING);
   for (n = 0; n < JOB_COUNT / 2; n++)
     submit (&s, n);
   wait_delegated (&s);
   owner = wait_owner (&s);
-  for (i = 0; i < ENTRY_COUNT; i++)
+  for (i = 0; i < SITE_ENTRY_COUNT; i++)
     if ((gint)i != owner)
       kill (s.entries[i], SIGSTOP);
   g_usleep (2500 * 1000);
-  for (i = 0; i < ENTRY_COUNT; i++)
+  for (i = 0; i < SITE_ENTRY_COUNT; i++)
     kill (s.entries[i], SIGCONT);
   for (; n < JOB_COUNT; n++)
     submit (&s, n);
   check_jobs (&s);
-  stop_site (&s);
+  site_stop (&s);
 }
 
 /* Runners start tasks without answering their delegates, or answer too late.
@@ -654,27 +470,27 @@
   struct site s;
   guint n;
 
-  start_site_with (&s, DELEGATING);
+  site_start_with (&s, DELEGATING);
   cluster_fault (s.base_port, "lose_starts", 7);
   cluster_fault (s.base_port, "late_starts", 13);
   for (n = 0; n < JOB_COUNT; n++)
     submit (&s, n);
   check_jobs (&s);
   wait_delegated (&s);
-  stop_site (&s);
+  site_stop (&s);
 }
 
 /* Copies to RUNNING how many tasks run on each runner that answers, and
    returns the sum.  */
 static gint64
-get_running (const struct site *s, gint64 running[RUNNER_COUNT])
+get_running (const struct site *s, gint64 running[SITE_RUNNER_COUNT])
 {
   json_t *j = cluster_get (s->base_port, "/report");
   gint64 sum = 0;
   size_t i;
 
   g_assert_nonnull (j);
-  for (i = 0; i < RUNNER_COUNT; i++)
+  for (i = 0; i < SITE_RUNNER_COUNT; i++)
     {
       running[i] = json_integer_value (
           json_array_get (json_object_get (j, "running"), i));
@@ -687,7 +503,7 @@
 /* Waits until all tasks of the job that does not end run on runners that
    answer.  */
 static void
-wait_serving (const struct site *s, gint64 running[RUNNER_COUNT])
+wait_serving (const struct site *s, gint64 running[SITE_RUNNER_COUNT])
 {
   gint64 began_us = g_get_monotonic_time ();
 
@@ -707,7 +523,7 @@
 static void
 test_serving_task_behind_lost_owner (void)
 {
-  gint64 running[RUNNER_COUNT];
+  gint64 running[SITE_RUNNER_COUNT];
   gint64 back_us;
   gint64 age_ms;
   gint64 waited_count;
@@ -716,20 +532,20 @@
   struct site s;
   gint owner;
 
-  start_site (&s);
+  site_start (&s);
   g_snprintf (body, sizeof body,
               "{\"Spec\":\"%d\",\"Steps\":[{\"Count\":%d,\"Cpu\":1000}]}",
               SERVING_MS, SERVING_COUNT);
   submit_body (&s, 0, body);
   wait_serving (&s, running);
-  while (lost < RUNNER_COUNT - 1 && running[lost] == 0)
+  while (lost < SITE_RUNNER_COUNT - 1 && running[lost] == 0)
     lost++;
   waited_count = running[lost];
   owner = wait_owner (&s);
   cluster_fault (s.base_port, "down_port", s.base_port + 1 + lost);
-  stop_process (s.entries[owner], SIGKILL);
+  site_stop_process (s.entries[owner], SIGKILL);
   g_assert_cmpint (wait_owner (&s), !=, owner);
-  start_entry (&s, (guint)owner);
+  site_start_entry (&s, (guint)owner);
   back_us = g_get_monotonic_time ();
   wait_serving (&s, running);
   age_ms = (g_get_monotonic_time () - back_us) / 1000;
@@ -738,7 +554,7 @@
                   waited_count, age_ms);
   g_assert_cmpint (age_ms, <=, ELSEWHERE_LIMIT_MS + ENTRY_START_MS);
   g_assert_cmpint (get_report (&s, "doubled"), ==, 0);
-  stop_site (&s);
+  site_stop (&s);
 }
 
 /* The owner is cut off from the store, together with the runners that have no
@@ -747,7 +563,7 @@
 static void
 test_owner_cut_off_with_runners (void)
 {
-  gint64 running[RUNNER_COUNT];
+  gint64 running[SITE_RUNNER_COUNT];
   gint64 island = 0;
   gchar body[BODY_BYTES];
   struct site s;
@@ -755,21 +571,21 @@
   guint other_count = 0;
   guint i;
 
-  start_site (&s);
+  site_start (&s);
   g_snprintf (body, sizeof body,
               "{\"Spec\":\"%d\",\"Steps\":[{\"Count\":%d,\"Cpu\":1000}]}",
               SERVING_MS, SERVING_COUNT);
   submit_body (&s, 0, body);
   wait_serving (&s, running);
-  for (i = 0; i < RUNNER_COUNT; i++)
+  for (i = 0; i < SITE_RUNNER_COUNT; i++)
     island |= (gint64)(running[i] == 0) << i;
   g_assert_cmpint (island, !=, 0);
   owner = wait_owner (&s);
   cluster_fault (s.base_port, "island_runners", island);
   cluster_fault (s.base_port, "island_token", get_report (&s, "token"));
-  cluster_fault (s.base_port, "down_port", store_port (&s, (guint)owner));
+  cluster_fault (s.base_port, "down_port", site_store_port (&s, (guint)owner));
   g_usleep (ISLAND_MS * 1000);
-  for (i = 0; i < ENTRY_COUNT; i++)
+  for (i = 0; i < SITE_ENTRY_COUNT; i++)
     other_count += i != (guint)owner && get_metric (&s, i, "owner") == 1;
   g_assert_cmpuint (other_count, ==, 1);
   g_assert_cmpint (get_report (&s, "doubled"), ==, 0);
@@ -778,7 +594,7 @@
   g_usleep (HEALED_MS * 1000);
   g_assert_cmpint (get_running (&s, running), ==, SERVING_COUNT);
   g_assert_cmpint (get_report (&s, "doubled"), ==, 0);
-  stop_site (&s);
+  site_stop (&s);
 }
 
 /* Waits until an entry other than OWNER owns the cell.  */
@@ -794,7 +610,7 @@
       g_assert_cmpint (g_get_monotonic_time () - began_us, <,
                        START_TIMEOUT_MS * 1000);
       g_usleep (POLL_INTERVAL_MS * 1000);
-      for (i = 0; i < ENTRY_COUNT; i++)
+      for (i = 0; i < SITE_ENTRY_COUNT; i++)
         other_count += i != (guint)owner && get_metric (s, i, "owner") == 1;
     }
 }
@@ -808,14 +624,14 @@
 static void
 test_owner_whose_joins_pass (void)
 {
-  gint64 running[RUNNER_COUNT];
+  gint64 running[SITE_RUNNER_COUNT];
   gint64 claimed_us;
   gchar body[BODY_BYTES];
   struct site s;
   guint first = 0;
   gint owner;
 
-  start_site (&s);
+  site_start (&s);
   g_snprintf (body, sizeof body,
               "{\"Spec\":\"%d\",\"Steps\":[{\"Count\":%d,\"Cpu\":1000}]}",
               SERVING_MS, SERVING_COUNT);
@@ -826,14 +642,16 @@
   owner = wait_owner (&s);
   cluster_fault (s.base_port, "island_runners", (gint64)1 << first);
   cluster_fault (s.base_port, "island_token", get_report (&s, "token"));
-  cluster_fault (s.base_port, "down_port", store_port (&s, (guint)owner));
+  cluster_fault (s.base_port, "down_port", site_store_port (&s, (guint)owner));
   wait_other_owner (&s, owner);
   claimed_us = g_get_monotonic_time ();
-  cluster_fault (s.base_port, "assign_port", store_port (&s, (guint)owner));
-  cluster_fault (s.base_port, "joins_port", store_port (&s, (guint)owner));
+  cluster_fault (s.base_port, "assign_port",
+                 site_store_port (&s, (guint)owner));
+  cluster_fault (s.base_port, "joins_port",
+                 site_store_port (&s, (guint)owner));
   cluster_fault (s.base_port, "down_port", 0);
   g_usleep (JOINS_PASS_MS * 1000);
-  cluster_fault (s.base_port, "down_port", store_port (&s, (guint)owner));
+  cluster_fault (s.base_port, "down_port", site_store_port (&s, (guint)owner));
   cluster_fault (s.base_port, "assign_port", 0);
   wait_other_owner (&s, owner);
   g_usleep ((gulong)MAX (
@@ -845,7 +663,7 @@
   g_usleep (HEALED_MS * 1000);
   g_assert_cmpint (get_running (&s, running), ==, SERVING_COUNT);
   g_assert_cmpint (get_report (&s, "doubled"), ==, 0);
-  stop_site (&s);
+  site_stop (&s);
 }
 
 int
