Bound the bodies and connections of uncontrolled clients

Cause: each connection buffered its body up to the largest size, at twice what had arrived, with no bound over all connections. A body over the limit was read to its end while its first part stayed in memory. Clients that stayed connected used up the connections, after which libmicrohttpd accepts none.

Change: adapter/body_budget.c decides without I/O, adapter/client_guard.c applies it to libmicrohttpd for both front ends. Bodies share "body_memory_bytes" beyond 6 KiB of each; a body for which there is no space gets 503 with Retry-After (site) or the answer of a full queue, after stalled bodies have been closed for it. A body may take "body_receive_ms". An address has "address_percent" of the connections. Near the limit of connections the least recently active one that does not wait for an answer is closed. A body announced as too large is refused at the headers; one that grows too large has its connection closed. Counters for each. Settings of both formats with findings. The site front end no longer keeps bodies sent to its readiness and metrics listeners.

--- /dev/null
+++ b/adapter/body_budget.c
@@ -0,0 +1,309 @@
+/* body_budget.c -- decides which clients' connections and request bodies are
+   admitted and which are closed.  */
+
+#include "adapter/body_budget.h"
+
+#include "port/types.h"
+
+/** A body without progress for this long is closed when another needs its
+    space.  Ordinary clients send a body of 262,144 bytes without pauses.  */
+#define STALLED_US (1 * US_PER_S)
+/** One connection of this many is kept free for new clients, as libmicrohttpd
+    accepts none at its limit and thus would report none to evict for.  */
+#define RESERVE_DIVISOR 16
+
+struct body_budget
+{
+  struct body_limits limits;
+  GQueue clients;
+  GQueue receiving;       /**< In the order in which they began.  */
+  GHashTable *by_address; /**< Address to count of connections.  */
+  uint64_t charged_bytes; /**< Held beyond BODY_FREE_BYTES of each.  */
+  uint32_t closing_count;
+  struct body_counts counts;
+};
+
+static int
+budget_free (struct body_budget *b)
+{
+  g_hash_table_destroy (b->by_address);
+  return 0;
+}
+
+struct body_budget *
+body_budget_new (TALLOC_CTX *mem, const struct body_limits *l)
+{
+  struct body_budget *b = talloc_zero (mem, struct body_budget);
+
+  if (b == NULL)
+    return NULL;
+  b->limits = *l;
+  b->by_address = g_hash_table_new (NULL, NULL);
+  talloc_set_destructor (b, budget_free);
+  return b;
+}
+
+static uint32_t
+address_count (const struct body_budget *b, uint32_t address)
+{
+  return GPOINTER_TO_UINT (
+      g_hash_table_lookup (b->by_address, GUINT_TO_POINTER (address)));
+}
+
+static void
+add_to_address (struct body_budget *b, uint32_t address, int change)
+{
+  uint32_t n = address_count (b, address) + (uint32_t)change;
+
+  if (n == 0)
+    g_hash_table_remove (b->by_address, GUINT_TO_POINTER (address));
+  else
+    g_hash_table_insert (b->by_address, GUINT_TO_POINTER (address),
+                         GUINT_TO_POINTER (n));
+}
+
+static uint32_t
+charge (uint32_t held_bytes)
+{
+  return held_bytes > BODY_FREE_BYTES ? held_bytes - BODY_FREE_BYTES : 0;
+}
+
+static void
+set_held (struct body_budget *b, struct budget_client *c, uint32_t held_bytes)
+{
+  b->charged_bytes += charge (held_bytes);
+  b->charged_bytes -= charge (c->held_bytes);
+  b->counts.held_bytes += held_bytes;
+  b->counts.held_bytes -= c->held_bytes;
+  c->held_bytes = held_bytes;
+}
+
+static void
+leave_receiving (struct body_budget *b, struct budget_client *c)
+{
+  if (c->phase == CLIENT_RECEIVING)
+    g_queue_unlink (&b->receiving, &c->receiving_link);
+}
+
+/* A client that is to be closed no longer counts.  */
+static void
+mark_closing (struct body_budget *b, struct budget_client *c)
+{
+  leave_receiving (b, c);
+  c->phase = CLIENT_IDLE;
+  c->closing = true;
+  b->closing_count++;
+  add_to_address (b, c->address, -1);
+  set_held (b, c, 0);
+}
+
+/* Returns the client, other than NEW_CLIENT, without progress for longest that
+   does not wait for an answer; if SAME_ADDRESS, of the same address only.  */
+static struct budget_client *
+find_least_active (struct body_budget *b,
+                   const struct budget_client *new_client, bool same_address)
+{
+  struct budget_client *found = NULL;
+  GList *at;
+
+  for (at = b->clients.head; at != NULL; at = at->next)
+    {
+      struct budget_client *c = at->data;
+
+      if (c != new_client && !c->closing && c->phase != CLIENT_WAITING
+          && (!same_address || c->address == new_client->address)
+          && (found == NULL || c->active_at_us < found->active_at_us))
+        found = c;
+    }
+  return found;
+}
+
+static struct budget_client *
+evict (struct body_budget *b, struct budget_client *c)
+{
+  if (c == NULL)
+    return NULL;
+  mark_closing (b, c);
+  b->counts.evicted++;
+  return c;
+}
+
+struct budget_client *
+body_budget_connect (struct body_budget *b, struct budget_client *c,
+                     uint32_t address, uint64_t now_us)
+{
+  uint32_t limit = b->limits.connection_limit_count;
+  uint64_t share = (uint64_t)limit * b->limits.address_percent / 100;
+  struct budget_client *victim = NULL;
+
+  c->link.data = c;
+  c->receiving_link.data = c;
+  c->address = address;
+  c->active_at_us = now_us;
+  g_queue_push_tail_link (&b->clients, &c->link);
+  add_to_address (b, address, 1);
+  if (address_count (b, address) > MAX (share, 1))
+    {
+      victim = find_least_active (b, c, true);
+      if (victim != NULL)
+        return evict (b, victim);
+      mark_closing (b, c);
+      b->counts.address_refused++;
+      return c;
+    }
+  if (b->clients.length - b->closing_count > limit - limit / RESERVE_DIVISOR)
+    victim = find_least_active (b, c, false);
+  return evict (b, victim);
+}
+
+void
+body_budget_disconnect (struct body_budget *b, struct budget_client *c)
+{
+  leave_receiving (b, c);
+  set_held (b, c, 0);
+  g_queue_unlink (&b->clients, &c->link);
+  if (c->closing)
+    b->closing_count--;
+  else
+    add_to_address (b, c->address, -1);
+}
+
+bool
+body_budget_begin (struct body_budget *b, struct budget_client *c,
+                   uint64_t announced_bytes, uint64_t now_us)
+{
+  if (announced_bytes > b->limits.body_bytes)
+    {
+      b->counts.too_large++;
+      return false;
+    }
+  if (c->closing)
+    return true;
+  leave_receiving (b, c);
+  c->phase = CLIENT_RECEIVING;
+  c->began_at_us = now_us;
+  c->active_at_us = now_us;
+  g_queue_push_tail_link (&b->receiving, &c->receiving_link);
+  return true;
+}
+
+uint32_t
+body_budget_size (struct body_budget *b, uint64_t needed_bytes,
+                  uint64_t announced_bytes)
+{
+  uint64_t size = 2 * needed_bytes;
+
+  if (needed_bytes > b->limits.body_bytes)
+    {
+      b->counts.too_large++;
+      return 0;
+    }
+  /* Doubling alone must not charge a body that fits its free part.  */
+  if (needed_bytes <= BODY_FREE_BYTES)
+    size = MIN (size, BODY_FREE_BYTES);
+  if (announced_bytes >= needed_bytes && announced_bytes < size)
+    size = announced_bytes;
+  return (uint32_t)MIN (size, b->limits.body_bytes);
+}
+
+/* Returns the body without progress for longest that holds more than the free
+   part, if it has stalled.  */
+static struct budget_client *
+find_stalled (struct body_budget *b, const struct budget_client *for_client,
+              uint64_t now_us)
+{
+  struct budget_client *found = NULL;
+  GList *at;
+
+  for (at = b->receiving.head; at != NULL; at = at->next)
+    {
+      struct budget_client *c = at->data;
+
+      if (c != for_client && charge (c->held_bytes) > 0
+          && c->active_at_us + STALLED_US <= now_us
+          && (found == NULL || c->active_at_us < found->active_at_us))
+        found = c;
+    }
+  return found;
+}
+
+bool
+body_budget_reserve (struct body_budget *b, struct budget_client *c,
+                     uint32_t size_bytes, uint64_t now_us,
+                     struct budget_client **victim)
+{
+  *victim = NULL;
+  if (c->closing)
+    return false;
+  if (b->charged_bytes - charge (c->held_bytes) + charge (size_bytes)
+      <= b->limits.total_bytes)
+    {
+      set_held (b, c, size_bytes);
+      return true;
+    }
+  *victim = find_stalled (b, c, now_us);
+  if (*victim != NULL)
+    {
+      mark_closing (b, *victim);
+      b->counts.stalled++;
+      return false;
+    }
+  set_held (b, c, 0);
+  b->counts.refused++;
+  return false;
+}
+
+void
+body_budget_progress (struct budget_client *c, uint64_t now_us)
+{
+  c->active_at_us = now_us;
+}
+
+void
+body_budget_complete (struct body_budget *b, struct budget_client *c)
+{
+  if (c->closing)
+    return;
+  leave_receiving (b, c);
+  c->phase = CLIENT_WAITING;
+}
+
+void
+body_budget_end (struct body_budget *b, struct budget_client *c,
+                 uint64_t now_us)
+{
+  leave_receiving (b, c);
+  c->phase = CLIENT_IDLE;
+  c->active_at_us = now_us;
+  set_held (b, c, 0);
+}
+
+struct budget_client *
+body_budget_expire (struct body_budget *b, uint64_t now_us)
+{
+  struct budget_client *c;
+
+  if (body_budget_deadline_us (b) > now_us)
+    return NULL;
+  c = b->receiving.head->data;
+  mark_closing (b, c);
+  b->counts.timed_out++;
+  return c;
+}
+
+uint64_t
+body_budget_deadline_us (const struct body_budget *b)
+{
+  const struct budget_client *c
+      = b->receiving.head != NULL ? b->receiving.head->data : NULL;
+
+  return c != NULL
+             ? c->began_at_us + b->limits.receive_ms * (uint64_t)US_PER_MS
+             : UINT64_MAX;
+}
+
+const struct body_counts *
+body_budget_counts (const struct body_budget *b)
+{
+  return &b->counts;
+}
--- a/adapter/front.c
+++ b/adapter/front.c
@@ -8,6 +8,7 @@
 #include "adapter/front.h"
 
 #include "adapter/address.h"
+#include "adapter/client_guard.h"
 #include "adapter/timer.h"
 #include "port/action.h"
 
@@ -21,7 +22,6 @@
 
 #define RING_CAPACITY_COUNT 32768
 #define IDLE_TIMEOUT_S 120
-#define MIN_BODY_BUFFER_BYTES 4096
 #define DISCONNECT_BATCH_COUNT 64
 #define QUEUES_PATH "/v1/queues/"
 #define BEARER_PREFIX "Bearer "
@@ -45,10 +45,12 @@
   uint64_t request_id;
   enum call_kind kind;
   char queue[NAME_BYTES];
-  struct blob *body;     /**< Buffer for the request's body, or NULL.  */
-  uint32_t body_bytes;   /**< Bytes received into body.  */
-  bool too_large;        /**< The body exceeds max_body_bytes.  */
-  bool suspended;        /**< Waits for its answer in front.calls.  */
+  struct blob *body;   /**< Buffer for the request's body, or NULL.  */
+  uint32_t body_bytes; /**< Bytes received into body.  */
+  struct guarded_client *client;
+  bool too_large; /**< The body is announced as larger than the limit. */
+  bool no_space;  /**< No memory for the body, which was dropped.  */
+  bool suspended; /**< Waits for its answer in front.calls.  */
   struct action *answer; /**< The core's answer; NULL until it arrives.  */
 };
 
@@ -62,7 +64,7 @@
   GHashTable *calls; /**< request_id to struct call, suspended calls.  */
   int disconnect_fd; /**< epoll set, see watch_disconnect.  */
   uint64_t next_request_id;
-  uint32_t max_body_bytes;
+  struct client_guard *guard;
   uint32_t open_count;    /**< Calls not yet completed.  */
   bool closing;           /**< ACTION_EXIT arrived; no new connections.  */
   struct ring *exit_ring; /**< Pushed to once, then NULL.  */
@@ -207,6 +209,7 @@
            s->running_count);
   fprintf (out, "# TYPE fulmartack_waiting gauge\nfulmartack_waiting %u\n",
            s->waiting_count);
+  client_guard_print (f->guard, out);
   fprintf (out, "# TYPE fulmartack_team_running gauge\n");
   for (i = 0; i < s->team_count; i++)
     fprintf (out, "fulmartack_team_running{team=\"%s\"} %u\n",
@@ -383,8 +386,8 @@
   switch (c->kind)
     {
     case CALL_QUEUE:
-      if (c->too_large)
-        return respond_refusal (c, ANSWER_TOO_LARGE, 0);
+      if (c->no_space)
+        return respond_refusal (c, ANSWER_QUEUE_FULL, MS_PER_S);
       return suspend_for_decision (c, make_request_event (c));
     case CALL_HEALTH:
     case CALL_STATUS:
@@ -398,32 +401,44 @@
   return respond_refusal (c, ANSWER_NO_QUEUE, 0);
 }
 
-/* Appends to the body.  The buffer is sized by Content-Length if it is sent,
-   and by doubling otherwise.  */
+/* Drops the body of a call that is closed or for which there is no space.  */
 static void
+drop_body (void *state)
+{
+  struct call *c = state;
+
+  blob_unref (c->body);
+  c->body = NULL;
+  c->body_bytes = 0;
+  c->no_space = true;
+}
+
+/* Appends to the body; the body of a call that needs none is dropped.  Returns
+   false if the body is above the limit, to have its connection closed.  */
+static bool
 append_body (struct call *c, const char *data, size_t size)
 {
+  struct client_guard *g = c->front->guard;
   uint64_t needed_bytes = (uint64_t)c->body_bytes + size;
   struct blob *b = c->body;
 
-  if (c->too_large || needed_bytes > c->front->max_body_bytes)
-    {
-      c->too_large = true;
-      return;
-    }
+  client_guard_progress (c->client);
+  if (c->no_space || c->kind != CALL_QUEUE)
+    return true;
   if (b == NULL || needed_bytes > b->size_bytes)
     {
-      const char *length = MHD_lookup_connection_value (
-          c->connection, MHD_HEADER_KIND, "Content-Length");
-      uint64_t capacity_bytes = length ? strtoull (length, NULL, 10) : 0;
-
-      if (capacity_bytes < needed_bytes)
-        capacity_bytes = needed_bytes * 2 > MIN_BODY_BUFFER_BYTES
-                             ? needed_bytes * 2
-                             : MIN_BODY_BUFFER_BYTES;
-      if (capacity_bytes > c->front->max_body_bytes)
-        capacity_bytes = c->front->max_body_bytes;
-      b = blob_new ((uint32_t)capacity_bytes);
+      uint32_t capacity_bytes = client_guard_size (g, c->client, needed_bytes);
+
+      if (capacity_bytes == 0)
+        return false;
+      if (!client_guard_reserve (g, c->client, capacity_bytes))
+        {
+          drop_body (c);
+          return true;
+        }
+      b = blob_new (capacity_bytes);
+      if (b == NULL)
+        out_of_memory ();
       if (c->body != NULL)
         memcpy (b->data, c->body->data, c->body_bytes);
       blob_unref (c->body);
@@ -431,6 +446,7 @@
     }
   memcpy (b->data + c->body_bytes, data, size);
   c->body_bytes = (uint32_t)needed_bytes;
+  return true;
 }
 
 static enum call_kind
@@ -471,18 +487,24 @@
       c->connection = connection;
       c->request_id = ++f->next_request_id;
       c->kind = parse_path (c, url, method);
+      c->client = client_guard_begin (f->guard, connection, c, &c->too_large);
       *call_state = c;
       f->open_count++;
-      return MHD_YES;
+      /* A response before the body closes the connection.  */
+      return c->too_large && c->kind == CALL_QUEUE
+                 ? respond_refusal (c, ANSWER_TOO_LARGE, 0)
+                 : MHD_YES;
     }
   if (*size > 0)
     {
-      append_body (c, data, *size);
+      bool kept = append_body (c, data, *size);
+
       *size = 0;
-      return MHD_YES;
+      return kept ? MHD_YES : MHD_NO;
     }
   if (c->answer != NULL)
     return respond_answer (c);
+  client_guard_complete (f->guard, c->client);
   return dispatch_call (c);
 }
 
@@ -499,6 +521,7 @@
     return;
   if (c->suspended)
     g_hash_table_remove (f->calls, &c->request_id);
+  client_guard_end (f->guard, c->client);
   blob_unref (c->body);
   free_action (c->answer);
   talloc_free (c);
@@ -583,10 +606,15 @@
 run_http (struct front *f)
 {
   MHD_UNSIGNED_LONG_LONG ms;
+  uint64_t wait_ms;
 
   MHD_run (f->http);
   TALLOC_FREE (f->timer);
-  if (MHD_get_timeout (f->http, &ms) == MHD_YES)
+  wait_ms = client_guard_expire (f->guard);
+  if (MHD_get_timeout (f->http, &ms) != MHD_YES)
+    ms = UINT64_MAX;
+  ms = MIN (ms, wait_ms);
+  if (ms != UINT64_MAX)
     f->timer = timer_add (f->duty->loop, f->duty->loop, ms * US_PER_MS,
                           on_http_timer, f);
   signal_if_closed (f);
@@ -605,7 +633,8 @@
       MHD_OPTION_SOCK_ADDR, &a, MHD_OPTION_NOTIFY_COMPLETED, on_completed, f,
       MHD_OPTION_CONNECTION_LIMIT, (unsigned)s->connection_limit_count,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
-      MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u, MHD_OPTION_END);
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u, MHD_OPTION_NOTIFY_CONNECTION,
+      client_guard_on_connection, f->guard, MHD_OPTION_END);
   if (f->http == NULL)
     return false;
   tevent_add_fd (f->duty->loop, f->duty->loop, f->disconnect_fd,
@@ -626,7 +655,7 @@
   f->exit_ring = exit_ring;
   f->decide = decide;
   f->timeline = timeline;
-  f->max_body_bytes = s->max_body_bytes;
+  f->guard = client_guard_new (f, &s->bodies, drop_body);
   f->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   f->disconnect_fd = epoll_create1 (EPOLL_CLOEXEC);
   f->duty = duty_new ("front", RING_CAPACITY_COUNT, on_action, f);
--- a/adapter/settings.c
+++ b/adapter/settings.c
@@ -2,6 +2,7 @@
 
 #include "adapter/settings.h"
 
+#include "adapter/body_settings.h"
 #include "adapter/json_document.h"
 #include "adapter/json_field.h"
 
@@ -12,15 +13,28 @@
 #define DEFAULT_LOG_AGE_LIMIT_MS 5000
 #define DEFAULT_STOP_LIMIT_MS 30000
 #define DEFAULT_CONNECTION_COUNT 12000
+/** Eight bodies of the default largest size.  */
+#define DEFAULT_BODY_MEMORY_BYTES (64u << 20)
 #define MIN_SECRET_BYTES 16
 
 static void
 read_fields (struct json_reader *p, struct settings *s)
 {
-  static const char *const known[]
-      = { "vm",    "zone",           "listen",         "peer_listen",
-          "log",   "cluster_secret", "max_body_bytes", "fresh_limit_ms",
-          "fleet", "stop_limit_ms",  "connections",    NULL };
+  static const char *const known[] = { "vm",
+                                       "zone",
+                                       "listen",
+                                       "peer_listen",
+                                       "log",
+                                       "cluster_secret",
+                                       "max_body_bytes",
+                                       "fresh_limit_ms",
+                                       "fleet",
+                                       "stop_limit_ms",
+                                       "connections",
+                                       "body_memory_bytes",
+                                       "body_receive_ms",
+                                       "address_percent",
+                                       NULL };
 
   json_reject_unknown_keys (p, known);
   json_get_text (p, "vm", true, s->vm, NAME_BYTES);
@@ -41,6 +55,8 @@
                                                 DEFAULT_STOP_LIMIT_MS);
   s->connection_limit_count = (uint32_t)json_get_number (
       p, "connections", 1, 60000, DEFAULT_CONNECTION_COUNT);
+  body_settings_read (p, DEFAULT_BODY_MEMORY_BYTES, s->max_body_bytes,
+                      s->connection_limit_count, &s->bodies);
 }
 
 struct settings *
--- a/adapter/settings.h
+++ b/adapter/settings.h
@@ -3,6 +3,7 @@
 #ifndef FTK_ADAPTER_SETTINGS_H
 #define FTK_ADAPTER_SETTINGS_H
 
+#include "adapter/body_budget.h"
 #include "adapter/finding.h"
 
 struct settings
@@ -17,6 +18,7 @@
   char cluster_secret[TEXT_BYTES]; /**< Proves membership on peer links; the
                                       same on all members.  */
   uint32_t max_body_bytes;
+  struct body_limits bodies; /**< Of clients' bodies and connections.  */
   uint32_t log_age_limit_ms; /**< Above this log age no new work is taken.  */
   uint32_t stop_limit_ms;    /**< Longest time that a planned stop waits for
                                 requests.  */
--- a/adapter/site_front.c
+++ b/adapter/site_front.c
@@ -8,6 +8,7 @@
 
 #include "adapter/address.h"
 #include "adapter/cell_post.h"
+#include "adapter/client_guard.h"
 #include "adapter/site_store.h"
 #include "adapter/timer.h"
 #include "platform/client.h"
@@ -22,7 +23,6 @@
 #define RING_CAPACITY_COUNT 16384
 #define IDLE_TIMEOUT_S 60
 #define BACKLOG_COUNT 512u
-#define FIRST_BODY_BYTES 2048
 #define REPLY_BYTES 256
 /** Most connections to each of the listeners for the readiness check and the
     metrics, which have few callers.  */
@@ -56,8 +56,10 @@
   char *method;
   uint8_t *body;
   uint32_t body_bytes;
-  uint32_t capacity_bytes; /**< Allocated for body.  */
-  bool too_large;
+  uint32_t capacity_bytes;       /**< Allocated for body.  */
+  struct guarded_client *client; /**< NULL unless it is a client's call.  */
+  bool too_large; /**< The body is announced as larger than the limit.  */
+  bool no_space;  /**< No memory for the body, which was dropped.  */
   bool suspended; /**< Waits for its reply and is in the calls of front.  */
   bool answered;  /**< The cell has replied: reply is set.  */
   struct reply reply;
@@ -71,8 +73,8 @@
   struct listener listeners[LISTEN_COUNT];
   GHashTable *calls; /**< Suspended calls by id.  */
   uint64_t next_id;
-  uint32_t max_body_bytes;
-  uint32_t open_count; /**< Requests in progress.  */
+  struct client_guard *guard; /**< Of the listener for clients.  */
+  uint32_t open_count;        /**< Requests in progress.  */
   bool ready;
   bool closing;           /**< No new connection is accepted.  */
   struct ring *exit_ring; /**< Gets an item when closed; then NULL.  */
@@ -155,6 +157,7 @@
            (unsigned long long)site_store_malformed_count (), f->metrics.owner,
            f->metrics.jobs_active, f->metrics.runners_listed, f->open_count,
            f->ready);
+  client_guard_print (f->guard, out);
   print_histogram (out, "reply", f->metrics.reply_ms);
   print_histogram (out, "finish", f->metrics.finish_ms);
   print_histogram (out, "confirmation", f->metrics.confirmation_ms);
@@ -196,6 +199,8 @@
                                 .body_bytes = c->body_bytes };
 
   platform_client_decode (e, &r, &e->u.call);
+  /* The decoded job may hold as much, so the body counts until the reply.  */
+  TALLOC_FREE (c->body);
   e->u.call.call_id = c->id;
   if (!cell_post (f->cell, e))
     {
@@ -225,34 +230,77 @@
     default:
       break;
     }
-  if (c->too_large)
+  if (c->no_space)
     {
-      c->reply.code = REPLY_MALFORMED;
+      c->reply.code = REPLY_UNAVAILABLE;
+      c->reply.retry_after_ms = MS_PER_S;
       return respond_reply (c);
     }
   return submit_call (c);
 }
 
-/* Appends a part of the request body; a body above the limit is dropped.  */
+/* Drops the body of a call that is closed or for which there is no space.  */
 static void
+drop_body (void *state)
+{
+  struct call *c = state;
+
+  TALLOC_FREE (c->body);
+  c->body_bytes = 0;
+  c->capacity_bytes = 0;
+  c->no_space = true;
+}
+
+/* Appends a part of the request body.  Returns false if the body is above the
+   limit, to have its connection closed.  */
+static bool
 append_body (struct call *c, const char *data, size_t size)
 {
+  struct client_guard *g = c->front->guard;
   uint64_t need = (uint64_t)c->body_bytes + size;
 
-  if (c->too_large || need > c->front->max_body_bytes)
-    {
-      c->too_large = true;
-      return;
-    }
+  client_guard_progress (c->client);
+  if (c->no_space)
+    return true;
   if (need > c->capacity_bytes)
     {
-      c->capacity_bytes = (uint32_t)MAX (2 * need, FIRST_BODY_BYTES);
+      uint32_t capacity_bytes = client_guard_size (g, c->client, need);
+
+      if (capacity_bytes == 0)
+        return false;
+      if (!client_guard_reserve (g, c->client, capacity_bytes))
+        {
+          drop_body (c);
+          return true;
+        }
+      c->capacity_bytes = capacity_bytes;
       c->body = talloc_realloc (c, c->body, uint8_t, c->capacity_bytes);
       if (c->body == NULL)
         out_of_memory ();
     }
   memcpy (c->body + c->body_bytes, data, size);
   c->body_bytes = (uint32_t)need;
+  return true;
+}
+
+static struct call *
+call_new (struct listener *l, struct MHD_Connection *connection,
+          const char *url, const char *method)
+{
+  struct call *c = talloc_zero (l->front, struct call);
+
+  c->front = l->front;
+  c->listener = l;
+  c->connection = connection;
+  c->id = ++l->front->next_id;
+  c->received_at_us = now_us ();
+  c->url = talloc_strdup (c, url);
+  c->method = talloc_strdup (c, method);
+  if (l->kind == LISTEN_CLIENTS)
+    c->client
+        = client_guard_begin (l->front->guard, connection, c, &c->too_large);
+  l->front->open_count++;
+  return c;
 }
 
 /* libmicrohttpd calls this with the headers, then with each part of the body,
@@ -269,25 +317,26 @@
   (void)version;
   if (c == NULL)
     {
-      c = talloc_zero (l->front, struct call);
-      c->front = l->front;
-      c->listener = l;
-      c->connection = connection;
-      c->id = ++l->front->next_id;
-      c->received_at_us = now_us ();
-      c->url = talloc_strdup (c, url);
-      c->method = talloc_strdup (c, method);
+      c = call_new (l, connection, url, method);
       *call_state = c;
-      l->front->open_count++;
-      return MHD_YES;
+      if (!c->too_large)
+        return MHD_YES;
+      /* A response before the body closes the connection.  */
+      c->reply.code = REPLY_MALFORMED;
+      return respond_reply (c);
     }
   if (*size > 0)
     {
-      append_body (c, data, *size);
+      bool kept = c->client == NULL || append_body (c, data, *size);
+
       *size = 0;
-      return MHD_YES;
+      return kept ? MHD_YES : MHD_NO;
     }
-  return c->answered ? respond_reply (c) : dispatch_call (c);
+  if (c->answered)
+    return respond_reply (c);
+  if (c->client != NULL)
+    client_guard_complete (l->front->guard, c->client);
+  return dispatch_call (c);
 }
 
 static void
@@ -303,6 +352,8 @@
     return;
   if (c->suspended)
     g_hash_table_remove (c->front->calls, &c->id);
+  if (c->client != NULL)
+    client_guard_end (c->front->guard, c->client);
   c->front->open_count--;
   talloc_free (c);
   *call_state = NULL;
@@ -410,11 +461,17 @@
 run_http (struct listener *l)
 {
   struct tevent_context *loop = l->front->duty->loop;
+  uint64_t wait_ms = UINT64_MAX;
   MHD_UNSIGNED_LONG_LONG ms;
 
   MHD_run (l->http);
   TALLOC_FREE (l->timer);
-  if (MHD_get_timeout (l->http, &ms) == MHD_YES)
+  if (l->kind == LISTEN_CLIENTS)
+    wait_ms = client_guard_expire (l->front->guard);
+  if (MHD_get_timeout (l->http, &ms) != MHD_YES)
+    ms = UINT64_MAX;
+  ms = MIN (ms, wait_ms);
+  if (ms != UINT64_MAX)
     l->timer = timer_add (loop, loop, ms * US_PER_MS, on_http_timer, l);
   report_closed (l->front);
 }
@@ -438,7 +495,9 @@
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)16384,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-      BACKLOG_COUNT, MHD_OPTION_END);
+      BACKLOG_COUNT,
+      kind == LISTEN_CLIENTS ? MHD_OPTION_NOTIFY_CONNECTION : MHD_OPTION_END,
+      client_guard_on_connection, f->guard, MHD_OPTION_END);
   if (l->http == NULL)
     return false;
   info = MHD_get_daemon_info (l->http, MHD_DAEMON_INFO_EPOLL_FD);
@@ -459,7 +518,7 @@
   f->cell = cell;
   f->log = log;
   f->exit_ring = exit_ring;
-  f->max_body_bytes = s->max_body_bytes;
+  f->guard = client_guard_new (f, &s->bodies, drop_body);
   f->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   f->duty = duty_new ("front", RING_CAPACITY_COUNT, on_command, f);
   opened
--- a/adapter/site_settings.c
+++ b/adapter/site_settings.c
@@ -3,6 +3,7 @@
 
 #include "adapter/site_settings.h"
 
+#include "adapter/body_settings.h"
 #include "adapter/json_document.h"
 #include "adapter/json_field.h"
 
@@ -14,6 +15,9 @@
 /** Most clients' connections: the file descriptors of a small VM minus those
     needed for files, runners and other entries.  */
 #define DEFAULT_CONNECTION_LIMIT_COUNT 3000
+/** A fifth of the 160 MB of the smallest entry; 128 bodies of 262,144 bytes,
+    the limit of ordinary clients.  */
+#define DEFAULT_BODY_MEMORY_BYTES (32u << 20)
 #define DEFAULT_LOG_CAPACITY_COUNT 4096
 /** Defaults of times that the settings leave out: the values of the first
     sites of the platform.  */
@@ -85,6 +89,9 @@
                                        "metrics_listen",
                                        "connections",
                                        "max_body_bytes",
+                                       "body_memory_bytes",
+                                       "body_receive_ms",
+                                       "address_percent",
                                        "log_lines",
                                        "revoke_ms",
                                        "lease_max_ms",
@@ -127,6 +134,8 @@
                                                  DEFAULT_BODY_LIMIT_BYTES);
   s->connection_limit_count = (uint32_t)json_get_number (
       p, "connections", 1, 60000, DEFAULT_CONNECTION_LIMIT_COUNT);
+  body_settings_read (p, DEFAULT_BODY_MEMORY_BYTES, s->max_body_bytes,
+                      s->connection_limit_count, &s->bodies);
   s->log_capacity_count = (uint32_t)json_get_number (
       p, "log_lines", 16, 1000000, DEFAULT_LOG_CAPACITY_COUNT);
   read_times (p, &s->cell.times);
--- a/adapter/site_settings.h
+++ b/adapter/site_settings.h
@@ -4,6 +4,7 @@
 #ifndef FTK_ADAPTER_SITE_SETTINGS_H
 #define FTK_ADAPTER_SITE_SETTINGS_H
 
+#include "adapter/body_budget.h"
 #include "adapter/finding.h"
 #include "core/cell/cell.h"
 
@@ -22,6 +23,7 @@
   char relay_secret[TEXT_BYTES];     /**< Authenticates entries to each other;
                                         the same for all.  */
   uint32_t max_body_bytes;
+  struct body_limits bodies;       /**< Of clients' bodies and connections.  */
   uint32_t connection_limit_count; /**< Most connections of clients at once. */
   uint32_t log_capacity_count; /**< Most log lines that wait to be written.  */
 };
--- a/tests/test_clients.c
+++ b/tests/test_clients.c
@@ -50,7 +50,9 @@
 #define ORDINARY_LIMIT_US (10 * G_USEC_PER_SEC)
 #define RETRY_INTERVAL_US 200000
 
-#define SETTINGS ",\"connections\":192,\"max_body_bytes\":262144"
+#define SETTINGS                                                              \
+  ",\"connections\":192,\"max_body_bytes\":262144,\"body_memory_bytes\":"     \
+  "8388608"
 
 /* What the clients of a crowd send.  */
 struct pattern
