Take the zone of a VM from the platform's list

The list names the zone of each VM; only the registration of the runner was read, so a spare VM of an evacuated zone that had had no runner could be moved into a pool, where it takes no tasks. zone_evacuated_spare_vm_stays now relies on the list alone and fails without this change.

--- a/core/cell/fleet.c
+++ b/core/cell/fleet.c
@@ -38,7 +38,8 @@
 {
   const struct runner *r = fleet_runner (c, v);
 
-  return zones_contain (&c->evacuated, r != NULL ? r->report.zone : v->zone);
+  return zones_contain (&c->evacuated, v->row.zone)
+         || (r != NULL && zones_contain (&c->evacuated, r->report.zone));
 }
 
 bool
@@ -166,6 +167,7 @@
       if ((v->row.up && !row->up) || strcmp (row->runner, v->row.runner) != 0)
         c->ownership.unreached_over_at_us = c->now_us;
       text_copy (v->row.pool, NAME_BYTES, row->pool);
+      text_copy (v->row.zone, NAME_BYTES, row->zone);
       text_copy (v->row.runner, NAME_BYTES, row->runner);
       v->row.up = row->up;
       v->list_number = f->list_number;
@@ -174,7 +176,6 @@
       if (r != NULL)
         {
           text_copy (r->vm, NAME_BYTES, v->row.vm);
-          text_copy (v->zone, NAME_BYTES, r->report.zone);
           r->vm_up = row->up;
         }
       if (v->phase == VM_AWAY && row->up && c->now_us >= v->away_until_us
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -67,8 +67,6 @@
                                     former owner may have ordered it.  */
   uint64_t away_until_us;        /**< Expected end of VM_AWAY.  */
   uint64_t returned_at_us;       /**< When VM_AWAY last ended; 0: never.  */
-  char zone[NAME_BYTES];         /**< Zone of the last runner on it; empty: it
-                                    had none.  */
   char first_runner[NAME_BYTES]; /**< Its runner when first listed.  */
   char previous_runner[NAME_BYTES]; /**< Its runner when the first order of
                                        its operation was sent.  */
@@ -137,9 +135,8 @@
 /** Returns true if at most one in MOST_PART runners of POOL, which is not
     EVERY_POOL, is such a runner: it is about known what runs in POOL.  */
 bool fleet_most_are_asked (const struct cell *c, const char *pool);
-/** Returns true if V is known to be in an evacuated zone.  The platform's list
-    names no zones: that of a VM is known once a runner was registered on
-    it.  */
+/** Returns true if V is in an evacuated zone, by the platform's list or by the
+    registration of its runner.  */
 bool fleet_is_evacuated (const struct cell *c, const struct vm *v);
 /** Returns true if it is known what runs on V.  */
 bool fleet_runs_are_known (const struct cell *c, const struct vm *v);
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -186,6 +186,7 @@
   char vm[NAME_BYTES];
   char pool[NAME_BYTES];
   char runner[NAME_BYTES]; /**< Empty if none.  */
+  char zone[NAME_BYTES];   /**< Empty if not given.  */
   bool up;                 /**< It is not moving, in maintenance or down.  */
 };
 
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -531,6 +531,7 @@
     get_text (row, "vm", v->vm, NAME_BYTES);
     get_text (row, "pool", v->pool, NAME_BYTES);
     get_text (row, "runner", v->runner, NAME_BYTES);
+    get_text (row, "zone", v->zone, NAME_BYTES);
     v->up = !get_flag (row, "down");
   }
 }
