Evacuate zones by commands of the product's own interface

Cause: operators who run the entries by the log had no way to keep work off a zone but to drain each VM, which the pools' budgets forbid.

Change: records zone_evacuate and zone_return, applied by core/vm_control.c for core/control.c, are part of the checkpoint and its digest; the digest is unchanged while no zone is evacuated. VMs of the zone take no work (core_vm_takes_work). fulmartackctl zone evacuate NAME and zone return NAME, with an error for a zone that no VM has; pool status shows such VMs as evacuated. Notes zone_evacuated and zone_returned.

Not run: test_site, test_mutation, test_replay, sanitizer builds.

--- a/adapter/record_json.c
+++ b/adapter/record_json.c
@@ -30,6 +30,8 @@
   [RECORD_VM_FOUND] = "vm_found",
   [RECORD_MOVE] = "move",
   [RECORD_SETTLE] = "settle",
+  [RECORD_ZONE_EVACUATE] = "zone_evacuate",
+  [RECORD_ZONE_RETURN] = "zone_return",
 };
 
 /** Largest record that is relayed to members, as JSON text.  */
@@ -214,6 +216,10 @@
     case RECORD_SETTLE:
       read_settle (p, r, &r->u.settle);
       break;
+    case RECORD_ZONE_EVACUATE:
+    case RECORD_ZONE_RETURN:
+      json_get_text (p, "zone", true, r->u.zone.zone, NAME_BYTES);
+      break;
     }
 }
 
@@ -356,6 +362,10 @@
           j, "gone", json_integer ((json_int_t)r->u.settle.gone_incarnation));
       json_object_set_new (j, "items", settle_items_to_json (&r->u.settle));
       break;
+    case RECORD_ZONE_EVACUATE:
+    case RECORD_ZONE_RETURN:
+      set_name (j, "zone", r->u.zone.zone);
+      break;
     }
   return j;
 }
--- a/adapter/vm_control_json.c
+++ b/adapter/vm_control_json.c
@@ -159,6 +159,25 @@
   }
 }
 
+/* Reads the evacuated zones, which are left out if there are none.  */
+static void
+read_zones (struct vm_control *c, struct json_reader *p)
+{
+  const json_t *list = json_get_array (p, "zones_evacuated", false);
+  json_t *text;
+  size_t i;
+
+  c->evacuated.count = (uint32_t)json_array_size (list);
+  c->evacuated.items = talloc_zero_array (c, struct zone, c->evacuated.count);
+  json_array_foreach (list, i, text)
+  {
+    if (!json_is_string (text)
+        || !text_copy (c->evacuated.items[i].name, NAME_BYTES,
+                       json_string_value (text)))
+      json_add_finding (p, "zones_evacuated", "expected names of zones");
+  }
+}
+
 /* Sets every VM of the tables F to serve in its pool there.  */
 static void
 set_default_state (struct vm_control *c, const struct config *f)
@@ -195,6 +214,7 @@
   }
   c->config_version = json_get_number (p, "vm_tables", 0, INT64_MAX, 0);
   read_waves (c, p);
+  read_zones (c, p);
   read_applied_ids (c, p);
   return c;
 }
@@ -245,6 +265,17 @@
   return list;
 }
 
+static json_t *
+zones_to_json (const struct zones *z)
+{
+  json_t *list = json_array ();
+  uint32_t i;
+
+  for (i = 0; i < z->count; i++)
+    json_array_append_new (list, json_string (z->items[i].name));
+  return list;
+}
+
 void
 vm_control_to_json (const struct vm_control *v, const struct config *f,
                     json_t *j)
@@ -260,6 +291,8 @@
     json_array_append_new (waves, wave_to_json (v->waves[i]));
   json_object_set_new (j, "vms", vms);
   json_object_set_new (j, "waves", waves);
+  if (v->evacuated.count > 0)
+    json_object_set_new (j, "zones_evacuated", zones_to_json (&v->evacuated));
   json_object_set_new (j, "vm_tables",
                        json_integer ((json_int_t)v->config_version));
   json_object_set_new (j, "vm_commands", applied_ids_to_json (v));
--- a/core/control.c
+++ b/core/control.c
@@ -240,6 +240,8 @@
     case RECORD_VM_LOST:
     case RECORD_VM_FOUND:
     case RECORD_MOVE:
+    case RECORD_ZONE_EVACUATE:
+    case RECORD_ZONE_RETURN:
       if (vm_control_apply (c, offset, r))
         v = APPLY_OK;
       break;
--- a/core/maintenance.c
+++ b/core/maintenance.c
@@ -128,7 +128,8 @@
   const struct vm_lifecycle *x = &c->control->vm_control->vms[vm_index];
   const struct maintenance *m = c->maintenance;
 
-  if (vm_control_is_out (c->control, vm_index))
+  if (vm_control_is_out (c->control, vm_index)
+      || vm_control_is_evacuated (c->control, vm_index))
     return false;
   if (m->away_count == 0 || m->half_away)
     return true;
@@ -605,7 +606,7 @@
 }
 
 static void
-note_wave_record (struct core *c, const struct record *r, uint64_t offset)
+note_applied_record (struct core *c, const struct record *r, uint64_t offset)
 {
   switch (r->kind)
     {
@@ -624,11 +625,33 @@
     case RECORD_MOVE:
       core_note (c, NOTE_VM_MOVED, r->u.move.vm, offset);
       break;
+    case RECORD_ZONE_EVACUATE:
+      core_note (c, NOTE_ZONE_EVACUATED, r->u.zone.zone, offset);
+      break;
+    case RECORD_ZONE_RETURN:
+      core_note (c, NOTE_ZONE_RETURNED, r->u.zone.zone, offset);
+      break;
     default:
       break;
     }
 }
 
+/* Returns what R, a record of a wave, a move or a zone, is about.  */
+static const char *
+subject_of (const struct record *r)
+{
+  switch (r->kind)
+    {
+    case RECORD_MOVE:
+      return r->u.move.vm;
+    case RECORD_ZONE_EVACUATE:
+    case RECORD_ZONE_RETURN:
+      return r->u.zone.zone;
+    default:
+      return r->u.wave.wave;
+    }
+}
+
 void
 core_maintenance_on_record (struct core *c, const struct record *r,
                             enum apply_result v, uint64_t offset,
@@ -652,12 +675,12 @@
     case RECORD_WAVE_RESUME:
     case RECORD_WAVE_ABORT:
     case RECORD_MOVE:
+    case RECORD_ZONE_EVACUATE:
+    case RECORD_ZONE_RETURN:
       if (v == APPLY_OK)
-        note_wave_record (c, r, offset);
+        note_applied_record (c, r, offset);
       if (v == APPLY_REJECTED)
-        core_note (c, NOTE_COMMAND_REJECTED,
-                   r->kind == RECORD_MOVE ? r->u.move.vm : r->u.wave.wave,
-                   offset);
+        core_note (c, NOTE_COMMAND_REJECTED, subject_of (r), offset);
       break;
     default:
       break;
--- a/core/state.h
+++ b/core/state.h
@@ -418,7 +418,8 @@
 
 /* maintenance, maintenance.c */
 
-/** Returns false while VM_INDEX is draining, in maintenance, lost or away.  */
+/** Returns false while VM_INDEX is draining, in maintenance, lost, away or in
+    an evacuated zone.  */
 bool core_vm_takes_work (const struct core *c, uint32_t vm_index);
 /** Returns this entry's rank among the members for KEY, by rendezvous hash;
     0 is the first.  */
--- a/core/vm_checkpoint.c
+++ b/core/vm_checkpoint.c
@@ -45,6 +45,20 @@
     }
 }
 
+/* Adds nothing if no zone is evacuated, so that the digest is that of builds
+   that know of no zones.  */
+static void
+hash_zones (crypto_generichash_state *h, const struct zones *z)
+{
+  uint32_t i;
+
+  if (z->count == 0)
+    return;
+  digest_add_number (h, z->count);
+  for (i = 0; i < z->count; i++)
+    digest_add_text (h, z->items[i].name);
+}
+
 void
 vm_control_digest (const struct vm_control *v, uint8_t *digest)
 {
@@ -62,6 +76,7 @@
   for (i = 0; i < APPLIED_ID_COUNT; i++)
     digest_add_text (&h, v->applied_ids[i]);
   digest_add_number (&h, v->config_version);
+  hash_zones (&h, &v->evacuated);
   crypto_generichash_final (&h, digest, DIGEST_BYTES);
 }
 
@@ -90,5 +105,7 @@
     out_of_memory ();
   for (i = 0; i < v->wave_count; i++)
     x->waves[i] = copy_wave (x, v->waves[i]);
+  x->evacuated.items = rows_copy (x, v->evacuated.items, v->evacuated.count,
+                                  sizeof *v->evacuated.items);
   return x;
 }
--- a/core/vm_control.c
+++ b/core/vm_control.c
@@ -76,6 +76,24 @@
   return v->phase != VM_SERVING || v->lost;
 }
 
+bool
+vm_control_is_evacuated (const struct control *c, uint32_t vm_index)
+{
+  return zones_contain (&c->vm_control->evacuated,
+                        c->config->vms[vm_index].zone);
+}
+
+bool
+vm_control_has_zone (const struct control *c, const char *zone)
+{
+  uint32_t i;
+
+  for (i = 0; c->config != NULL && i < c->config->vm_count; i++)
+    if (zone[0] != '\0' && strcmp (c->config->vms[i].zone, zone) == 0)
+      return true;
+  return false;
+}
+
 static int32_t
 find_pool (const struct config *f, const char *name)
 {
@@ -477,6 +495,37 @@
   return true;
 }
 
+/* Rejects a zone that no VM has, which would be a wrong name.  */
+static bool
+apply_zone_evacuate (struct control *c, const char *zone)
+{
+  struct vm_control *v = c->vm_control;
+  struct zones *z = &v->evacuated;
+
+  if (!vm_control_has_zone (c, zone) || zones_contain (z, zone))
+    return false;
+  z->items = talloc_realloc (v, z->items, struct zone, z->count + 1);
+  if (z->items == NULL)
+    out_of_memory ();
+  memset (&z->items[z->count], 0, sizeof *z->items);
+  text_copy (z->items[z->count++].name, NAME_BYTES, zone);
+  return true;
+}
+
+/* Also returns a zone whose VMs have left the tables since.  */
+static bool
+apply_zone_return (struct control *c, const char *zone)
+{
+  struct zones *z = &c->vm_control->evacuated;
+  struct zone *x = zones_find (z, zone);
+
+  if (x == NULL)
+    return false;
+  z->count--;
+  memmove (x, x + 1, (size_t)(z->items + z->count - x) * sizeof *x);
+  return true;
+}
+
 static bool
 apply_kind (struct control *c, uint64_t offset, const struct record *r)
 {
@@ -501,6 +550,10 @@
       return apply_lost (c, &r->u.vm, r->kind == RECORD_VM_LOST);
     case RECORD_MOVE:
       return apply_move (c, offset, &r->u.move);
+    case RECORD_ZONE_EVACUATE:
+      return apply_zone_evacuate (c, r->u.zone.zone);
+    case RECORD_ZONE_RETURN:
+      return apply_zone_return (c, r->u.zone.zone);
     default:
       return false;
     }
--- a/core/vm_control.h
+++ b/core/vm_control.h
@@ -1,4 +1,5 @@
-/* vm_control.h -- the control state of VMs: drains, moves and waves.
+/* vm_control.h -- the control state of VMs: drains, moves, waves and evacuated
+   zones.
 
    Part of the replicated control state.  Whether a command is valid is decided
    when it is applied, against the availability budget of the VM's pool, which
@@ -10,6 +11,7 @@
 #ifndef FTK_CORE_VM_CONTROL_H
 #define FTK_CORE_VM_CONTROL_H
 
+#include "core/load/zones.h"
 #include "port/record.h"
 
 #include <talloc.h>
@@ -81,6 +83,7 @@
   uint32_t vm_count;
   struct wave **waves; /**< In order of start.  */
   uint32_t wave_count;
+  struct zones evacuated; /**< In order of their records.  */
   char applied_ids[APPLIED_ID_COUNT][ID_BYTES]; /**< Newest ones, in a ring. */
   uint32_t applied_next;   /**< Next index of applied_ids to fill.  */
   uint64_t config_version; /**< Version of the tables that vms follows.  */
@@ -113,6 +116,14 @@
 /** Returns true if VM_INDEX does not serve or is lost.  */
 bool vm_control_is_out (const struct control *c, uint32_t vm_index);
 
+/** Returns true if VM_INDEX is in an evacuated zone and takes no new work.  It
+    is not out: it does not count against its pool's budgets, so that it can
+    be drained.  */
+bool vm_control_is_evacuated (const struct control *c, uint32_t vm_index);
+
+/** Returns true if a VM of the tables is in ZONE.  */
+bool vm_control_has_zone (const struct control *c, const char *zone);
+
 /** Returns the number of VMs that do not serve because of wave NAME.  */
 uint32_t vm_control_wave_out_count (const struct control *c, const char *name);
 
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -117,5 +117,6 @@
 int ctl_wave (struct ctl *c);
 int ctl_vm (struct ctl *c);
 int ctl_pool (struct ctl *c);
+int ctl_zone (struct ctl *c);
 
 #endif
--- a/ctl/fulmartackctl.c
+++ b/ctl/fulmartackctl.c
@@ -76,7 +76,7 @@
   { "status", ctl_status }, { "timeline", ctl_timeline },
   { "submit", ctl_submit }, { "replay", ctl_replay },
   { "wave", ctl_wave },     { "vm", ctl_vm },
-  { "pool", ctl_pool },
+  { "pool", ctl_pool },     { "zone", ctl_zone },
 };
 
 int
@@ -95,6 +95,7 @@
     "    [step_ms=MS]\n"
     "  wave pause|resume|abort NAME, wave status\n"
     "  vm drain|return VM, vm move VM FROM TO, pool status [POOL]\n"
+    "  zone evacuate|return NAME\n"
     "Without --entry, the members listed in the log are asked.\n"
     "Exit codes: 0 success, 1 rejected or different, 2 invalid document,\n"
     "3 no answer, 4 not yet confirmed by every member, 64 usage.",
--- a/ctl/wave.c
+++ b/ctl/wave.c
@@ -228,10 +228,11 @@
 
       if (s->config->vms[i].pool_index != p)
         continue;
-      printf ("  %s %s%s rack=%s%s%s%s%s\n", v->name, vm_phase_name (v->phase),
-              v->lost ? " lost" : "", s->config->vms[i].rack,
-              v->wave[0] ? " wave=" : "", v->wave, v->move_to[0] ? " to=" : "",
-              v->move_to);
+      printf ("  %s %s%s%s rack=%s%s%s%s%s\n", v->name,
+              vm_phase_name (v->phase), v->lost ? " lost" : "",
+              vm_control_is_evacuated (s, i) ? " evacuated" : "",
+              s->config->vms[i].rack, v->wave[0] ? " wave=" : "", v->wave,
+              v->move_to[0] ? " to=" : "", v->move_to);
     }
 }
 
--- a/port/action.c
+++ b/port/action.c
@@ -120,6 +120,8 @@
     [NOTE_VM_LOST] = "vm_lost",
     [NOTE_VM_FOUND] = "vm_found",
     [NOTE_VM_MOVED] = "vm_moved",
+    [NOTE_ZONE_EVACUATED] = "zone_evacuated",
+    [NOTE_ZONE_RETURNED] = "zone_returned",
     [NOTE_COMMAND_REJECTED] = "command_rejected",
     [NOTE_OPERATION_REFUSED] = "operation_refused",
     [NOTE_WORKER_QUARANTINED] = "set_aside",
--- a/port/action.h
+++ b/port/action.h
@@ -84,7 +84,10 @@
   NOTE_VM_LOST,            /**< See RECORD_VM_LOST.  */
   NOTE_VM_FOUND,           /**< A lost VM is live again.  */
   NOTE_VM_MOVED,           /**< A move of a VM was accepted.  */
-  NOTE_COMMAND_REJECTED,   /**< A drain, move or wave command was rejected.  */
+  NOTE_ZONE_EVACUATED,     /**< VMs of a zone take no new work.  */
+  NOTE_ZONE_RETURNED,      /**< They take work again.  */
+  NOTE_COMMAND_REJECTED,   /**< A drain, move, wave or zone command was
+                              rejected.  */
   NOTE_OPERATION_REFUSED,  /**< The platform refused an operation.  */
   NOTE_WORKER_QUARANTINED, /**< A failing worker was quarantined.  */
   NOTE_WORKER_RECOVERED,   /**< A quarantined worker takes full load again.  */
--- a/port/record.h
+++ b/port/record.h
@@ -12,27 +12,29 @@
 
 enum record_kind
 {
-  RECORD_CONFIG,       /**< Replaces the tables.  */
-  RECORD_KEY_GRANT,    /**< Authorizes a key to act for a team.  */
-  RECORD_KEY_WITHDRAW, /**< Revokes a key.  */
-  RECORD_JOIN,         /**< An entry became a member.  */
-  RECORD_LEAVE,        /**< A member stopped as planned.  */
-  RECORD_GONE,         /**< A member was lost, on evidence only: its VM is
-                            gone from the fleet list.  */
-  RECORD_CHECKPOINT,   /**< The whole control state at an offset.  */
-  RECORD_WAVE_START,   /**< Starts a maintenance wave.  */
-  RECORD_WAVE_PAUSE,   /**< Stops a wave from starting drains.  */
-  RECORD_WAVE_RESUME,  /**< Continues a paused wave.  */
-  RECORD_WAVE_ABORT,   /**< Ends a wave; VMs still draining serve again.  */
-  RECORD_DRAIN,        /**< Drains a VM, within its pool's budget.  */
-  RECORD_VM_DRAINED,   /**< No request of one member runs on the VM.  */
-  RECORD_REBOOTED,     /**< The platform rebooted the VM.  */
-  RECORD_RETURN,       /**< The VM serves again.  */
-  RECORD_VM_LOST,      /**< The VM is gone from the fleet list, or its
-                            maintenance is overdue.  */
-  RECORD_VM_FOUND,     /**< The fleet list shows a lost VM as live.  */
-  RECORD_MOVE,         /**< Moves a VM to another pool.  */
-  RECORD_SETTLE        /**< A member settled tokens with one that is gone. */
+  RECORD_CONFIG,        /**< Replaces the tables.  */
+  RECORD_KEY_GRANT,     /**< Authorizes a key to act for a team.  */
+  RECORD_KEY_WITHDRAW,  /**< Revokes a key.  */
+  RECORD_JOIN,          /**< An entry became a member.  */
+  RECORD_LEAVE,         /**< A member stopped as planned.  */
+  RECORD_GONE,          /**< A member was lost, on evidence only: its VM is
+                             gone from the fleet list.  */
+  RECORD_CHECKPOINT,    /**< The whole control state at an offset.  */
+  RECORD_WAVE_START,    /**< Starts a maintenance wave.  */
+  RECORD_WAVE_PAUSE,    /**< Stops a wave from starting drains.  */
+  RECORD_WAVE_RESUME,   /**< Continues a paused wave.  */
+  RECORD_WAVE_ABORT,    /**< Ends a wave; VMs still draining serve again.  */
+  RECORD_DRAIN,         /**< Drains a VM, within its pool's budget.  */
+  RECORD_VM_DRAINED,    /**< No request of one member runs on the VM.  */
+  RECORD_REBOOTED,      /**< The platform rebooted the VM.  */
+  RECORD_RETURN,        /**< The VM serves again.  */
+  RECORD_VM_LOST,       /**< The VM is gone from the fleet list, or its
+                             maintenance is overdue.  */
+  RECORD_VM_FOUND,      /**< The fleet list shows a lost VM as live.  */
+  RECORD_MOVE,          /**< Moves a VM to another pool.  */
+  RECORD_SETTLE,        /**< A member settled tokens with one that is gone. */
+  RECORD_ZONE_EVACUATE, /**< VMs of a zone take no new work.  */
+  RECORD_ZONE_RETURN    /**< They take work again.  */
 };
 
 struct record_key
@@ -162,6 +164,11 @@
   char to[NAME_BYTES];   /**< Destination pool.  */
 };
 
+struct record_zone
+{
+  char zone[NAME_BYTES];
+};
+
 struct settle_item
 {
   struct limit_ref limit;
@@ -191,6 +198,7 @@
     struct record_vm vm;           /**< RECORD_DRAIN to RECORD_VM_FOUND.  */
     struct record_move move;       /**< RECORD_MOVE.  */
     struct record_settle settle;   /**< RECORD_SETTLE.  */
+    struct record_zone zone;       /**< RECORD_ZONE_*.  */
   } u;
 };
 
--- a/tests/test_checkpoint.c
+++ b/tests/test_checkpoint.c
@@ -50,6 +50,26 @@
   "{\"id\":\"v2\",\"kind\":\"vm_lost\",\"vm\":\"w3\"}",
 };
 
+/* Two zones are evacuated, and the first returns.  */
+static const char *const zone_records[] = {
+  "{\"id\":\"c1\",\"kind\":\"config\",\"tables\":{\"base_version\":0,"
+  "\"teams\":[],\"pools\":[{\"name\":\"p\",\"vms\":["
+  "{\"name\":\"w1\",\"address\":\"127.0.0.1:1\",\"zone\":\"za\"},"
+  "{\"name\":\"w2\",\"address\":\"127.0.0.1:2\",\"zone\":\"zb\"},"
+  "{\"name\":\"w3\",\"address\":\"127.0.0.1:3\"}]}],\"routes\":[]}}",
+  "{\"id\":\"z1\",\"kind\":\"zone_evacuate\",\"zone\":\"za\"}",
+  "{\"id\":\"z2\",\"kind\":\"zone_evacuate\",\"zone\":\"zb\"}",
+  "{\"id\":\"z3\",\"kind\":\"zone_return\",\"zone\":\"za\"}",
+};
+
+/* Rejected after the records above: no VM has the zone, it is evacuated
+   already, or it is not evacuated.  */
+static const char *const rejected_zone_records[] = {
+  "{\"id\":\"z4\",\"kind\":\"zone_evacuate\",\"zone\":\"zc\"}",
+  "{\"id\":\"z5\",\"kind\":\"zone_evacuate\",\"zone\":\"zb\"}",
+  "{\"id\":\"z6\",\"kind\":\"zone_return\",\"zone\":\"za\"}",
+};
+
 /* Applies the records in JSON_TEXTS at the next offsets of C.  */
 static void
 apply_records (struct control *c, const char *const *json_texts, guint count)
@@ -130,6 +150,37 @@
   talloc_free (empty);
 }
 
+/* An entry that is restored from a checkpoint knows the evacuated zones, and a
+   VM without a zone is in none of them.  */
+static void
+test_zones (void)
+{
+  struct control *c = control_new (NULL);
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (zone_records); i++)
+    {
+      apply_records (c, &zone_records[i], 1);
+      check_round_trip (c);
+    }
+  for (i = 0; i < G_N_ELEMENTS (rejected_zone_records); i++)
+    {
+      json_t *j = json_loads (rejected_zone_records[i], 0, NULL);
+      struct record *r = record_from_json (NULL, j);
+
+      g_assert_nonnull (r);
+      g_assert_cmpint (control_apply (c, c->next_offset, r), ==,
+                       APPLY_REJECTED);
+      talloc_free (r);
+      json_decref (j);
+    }
+  check_round_trip (c);
+  g_assert_false (vm_control_is_evacuated (c, 0));
+  g_assert_true (vm_control_is_evacuated (c, 1));
+  g_assert_false (vm_control_is_evacuated (c, 2));
+  talloc_free (c);
+}
+
 /* A command whose id is known only from the checkpoint is not applied again.
  */
 static void
@@ -176,6 +227,7 @@
   if (sodium_init () < 0)
     return 1;
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/checkpoint/zones", test_zones);
   g_test_add_func ("/checkpoint/round_trip", test_round_trip);
   g_test_add_func ("/checkpoint/repeated_command", test_repeated_command);
   g_test_add_func ("/checkpoint/id_limit", test_id_limit);
