Learn which images slow each other down, and place them apart

Some images slow each other down on one VM, and placement had one fixed rule for that: serving tasks and fillers avoid each other.

core/interference/pairs.c keeps for each ordered pair of images the run times with and without the other one, decayed, and finds a pair when the difference is large, significant and seen on two runners. core/cell/image_samples.c takes the samples: of short tasks when they are done, of serving tasks when a poll is answered. The learned slowdown outweighs best fit in place.c and no other penalty. The setting learn_interference, false by default, turns it on.

Scripts of tests/load: a pair is found after 10 samples together and forgotten in 6.6 s when it no longer holds, or in 46 s when it is not seen any more.

--- a/adapter/site_settings.c
+++ b/adapter/site_settings.c
@@ -85,6 +85,7 @@
                                        "metrics_listen",
                                        "connections",
                                        "max_body_bytes",
+                                       "learn_interference",
                                        "log_lines",
                                        "revoke_ms",
                                        "lease_max_ms",
@@ -129,6 +130,7 @@
       p, "connections", 1, 60000, DEFAULT_CONNECTION_LIMIT_COUNT);
   s->log_capacity_count = (uint32_t)json_get_number (
       p, "log_lines", 16, 1000000, DEFAULT_LOG_CAPACITY_COUNT);
+  s->cell.learn_interference = json_get_bool (p, "learn_interference", false);
   read_times (p, &s->cell.times);
 }
 
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -73,6 +73,7 @@
     [CELL_COUNT_ENDS] = "task_ends",
     [CELL_COUNT_LOST_RUNS] = "task_runs_lost",
     [CELL_COUNT_SLOW_RUNNERS] = "slow_runners",
+    [CELL_COUNT_INTERFERENCE_PLACEMENTS] = "interference_placements",
     [CELL_COUNT_LEASE_RENEWALS] = "lease_renewals",
     [CELL_COUNT_LONG_LEASES] = "long_leases",
     [CELL_COUNT_APPENDS] = "store_appends",
@@ -176,6 +177,8 @@
   c->append.watermarks
       = g_array_new (FALSE, FALSE, sizeof (struct end_watermark));
   c->fleet = cell_fleet_new (c);
+  if (s->learn_interference)
+    c->interference = talloc_zero (c, struct interference);
   talloc_set_destructor (c, cell_free);
   return c;
 }
@@ -224,6 +227,7 @@
       delegates_tick (c);
       places_plan (c);
       runners_tick (c);
+      image_samples_tick (c);
       waves_tick (c);
       c->dispatch_due = true;
     }
--- a/core/cell/cell.h
+++ b/core/cell/cell.h
@@ -30,6 +30,8 @@
                                    DEFAULT_RECORD_LIMIT_BYTES.  */
   uint32_t append_limit_bytes;  /**< Most bytes of the records of an append; 0:
                                    DEFAULT_APPEND_LIMIT_BYTES.  */
+  bool learn_interference; /**< Images that slow each other down are learned
+                              and placed apart.  */
 };
 
 /** Limits of the store where the settings name none: those of the first
@@ -64,6 +66,8 @@
   CELL_COUNT_ENDS,
   CELL_COUNT_LOST_RUNS,
   CELL_COUNT_SLOW_RUNNERS,
+  CELL_COUNT_INTERFERENCE_PLACEMENTS, /**< Starts on another runner than
+                                         without learned interference.  */
   CELL_COUNT_LEASE_RENEWALS,
   CELL_COUNT_LONG_LEASES, /**< Taken by the clock of another boot.  */
   CELL_COUNT_APPENDS,
--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -336,6 +336,7 @@
       reserve_runner (c, t, p);
       return false;
     }
+  c->metrics.counters[CELL_COUNT_INTERFERENCE_PLACEMENTS] += c->place_changed;
   task_start (c, t, r);
   return true;
 }
@@ -346,6 +347,7 @@
 {
   bool covered = true;
   uint32_t run = 0;
+  uint32_t changed_count = 0;
   uint32_t i;
 
   if (s->waiting_count < s->spec->task_count
@@ -366,6 +368,7 @@
 
       if (r == NULL)
         break;
+      changed_count += c->place_changed;
       task_assign (c, &s->tasks[i], r);
       run = MAX (run, MAX (s->tasks[i].run, s->tasks[i].ended_run));
     }
@@ -375,6 +378,7 @@
         task_release (c, &s->tasks[i], RUN_NEVER);
       return;
     }
+  c->metrics.counters[CELL_COUNT_INTERFERENCE_PLACEMENTS] += changed_count;
   for (i = 0; i < s->spec->task_count; i++)
     {
       struct runner *r = s->tasks[i].runner;
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -31,6 +31,14 @@
 /** Penalty for a VM whose maintenance is still due, if the task is
     long-running: it would have to move again.  */
 #define MAINTENANCE_PENALTY 1000
+/** Most that the learned slowdowns on a runner count together, in
+    thousandths.  */
+#define SLOWDOWN_LIMIT_MILLI 4000
+/** Factor by which a thousandth of slowdown outweighs the free part.  */
+#define SLOWDOWN_FACTOR 1001
+/** Factor by which the least penalty, 1000, outweighs the largest slowdown and
+    the free part.  */
+#define PENALTY_FACTOR 4100
 
 /* Returns true if R has the label that S asks for, or S asks for none.  */
 static bool
@@ -190,15 +198,13 @@
   return meets_constraints (c, t, r, true) && has_room (c, r, &need, true);
 }
 
-/* Returns the score of R for T, which occupies NEED; the lowest is best.  */
+/* Returns the penalties of R for T.  */
 static uint64_t
-score (const struct task *t, const struct runner *r,
-       const struct resources *need)
+penalties (const struct task *t, const struct runner *r)
 {
   const struct job_step *s = t->step->spec;
-  uint64_t n = free_part_milli (r, need);
+  uint64_t n = (uint64_t)count_interfering (r, s) * INTERFERENCE_PENALTY;
 
-  n += (uint64_t)count_interfering (r, s) * INTERFERENCE_PENALTY;
   if (s->data_rack[0] != '\0' && strcmp (s->data_rack, r->rack) != 0)
     n += RACK_PENALTY;
   if (s->same_rack && !is_on_step_rack (t->step, r->rack))
@@ -210,6 +216,48 @@
   return n;
 }
 
+/* The best runner so far.  */
+struct choice
+{
+  struct runner *runner;
+  uint64_t score;
+};
+
+/* Makes R the choice of X if N, its score, is lower.  */
+static void
+consider (struct choice *x, struct runner *r, uint64_t n)
+{
+  if (x->runner != NULL
+      && (n > x->score
+          || (n == x->score
+              && strcmp (r->report.id, x->runner->report.id) >= 0)))
+    return;
+  x->runner = r;
+  x->score = n;
+}
+
+/* Considers R, which can start T, for the choice PLAIN by the score alone, and
+   for LEARNED unless P, the images to stay away from, is NULL.  There the
+   slowdown outweighs the free part, and every penalty outweighs both.  */
+static void
+consider_runner (const struct task *t, struct runner *r,
+                 const struct resources *need,
+                 const struct interference_partners *p, struct choice *plain,
+                 struct choice *learned)
+{
+  uint64_t free_milli = free_part_milli (r, need);
+  uint64_t sum = penalties (t, r);
+  uint64_t slowdown_milli;
+
+  consider (plain, r, sum + free_milli);
+  if (p == NULL)
+    return;
+  slowdown_milli = MIN (image_samples_penalty (r, p), SLOWDOWN_LIMIT_MILLI);
+  consider (learned, r,
+            sum * PENALTY_FACTOR + slowdown_milli * SLOWDOWN_FACTOR
+                + free_milli);
+}
+
 /* Returns true if R can start a task of T's step that occupies NEED, now or
    when its clock has been read.  */
 static bool
@@ -233,16 +281,18 @@
 {
   struct resources need = place_occupied_by (t->step->spec);
   const GPtrArray *pool = runners_for_task (c, t);
-  struct runner *best = NULL;
+  struct interference_partners partners;
+  const struct interference_partners *p
+      = image_samples_find_partners (c, t->step, &partners) ? &partners : NULL;
+  struct choice plain = { 0 };
+  struct choice learned = { 0 };
   struct runner *old[CLOCK_READ_COUNT];
   uint32_t old_count = 0;
-  uint64_t best_score = 0;
   guint i;
 
   for (i = 0; pool != NULL && i < pool->len; i++)
     {
       struct runner *r = g_ptr_array_index (pool, i);
-      uint64_t n;
 
       if (!can_start (c, t, r, &need, in_quarantine))
         continue;
@@ -252,17 +302,12 @@
             old[old_count++] = r;
           continue;
         }
-      n = score (t, r, &need);
-      if (best == NULL || n < best_score
-          || (n == best_score && strcmp (r->report.id, best->report.id) < 0))
-        {
-          best = r;
-          best_score = n;
-        }
+      consider_runner (t, r, &need, p, &plain, &learned);
     }
-  for (i = 0; best == NULL && i < old_count; i++)
+  for (i = 0; plain.runner == NULL && i < old_count; i++)
     runners_read_clock (c, old[i]);
-  return best;
+  c->place_changed = p != NULL && learned.runner != plain.runner;
+  return p != NULL ? learned.runner : plain.runner;
 }
 
 /* A long-running task may start on a runner in quarantine when no other has
@@ -427,6 +472,7 @@
   if (x == NULL)
     {
       x = g_new0 (struct image_run_time, 1);
+      x->number = g_hash_table_size (c->run_times) + 1;
       g_hash_table_insert (c->run_times, g_strdup (key), x);
     }
   return x;
@@ -461,6 +507,28 @@
   return expected_run_us (w->run_time, w->spec);
 }
 
+uint32_t
+place_image_number (struct cell *c, struct work_step *w)
+{
+  if (w->run_time == NULL)
+    w->run_time = find_run_time (c, w->occurrence->job, w->spec);
+  return w->run_time->number;
+}
+
+const char *
+place_image_name (const struct cell *c, uint32_t number)
+{
+  GHashTableIter it;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, c->run_times);
+  while (g_hash_table_iter_next (&it, &key, &value))
+    if (((struct image_run_time *)value)->number == number)
+      return key;
+  return "";
+}
+
 void
 place_record_run_time (struct cell *c, const struct task *t)
 {
--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -207,6 +207,7 @@
     check_unreported (c, r, x, sent_us);
   serving_pace_fillers (c, r);
   slow_runners_judge (c, r);
+  image_samples_on_answer (c, r);
   /* The poll in flight should have listed the new end before: its answer is
      lost, and another poll is sent.  */
   if (is_hedge && has_new_end)
--- a/core/cell/slow_runners.c
+++ b/core/cell/slow_runners.c
@@ -103,6 +103,7 @@
   r->ended_ratio_milli
       = (r->ended_ratio_milli * (r->ended_ratio_count - 1) + ratio)
         / r->ended_ratio_count;
+  image_samples_on_done (c, r, t, ratio);
   check_sound (c, r, t, ratio);
 }
 
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -7,6 +7,7 @@
 #define FTK_CORE_CELL_STATE_H
 
 #include "core/cell/cell.h"
+#include "core/interference/pairs.h"
 #include "port/cell_name.h"
 
 #include <glib.h>
@@ -157,6 +158,9 @@
   uint32_t restart_count;         /**< Stops because its runner was slow.  */
   bool slow_run;                  /**< run_total_us was on a slow runner.  */
   uint32_t metric;                /**< Serving: tail latency, ms.  */
+  uint64_t metric_mean_us;        /**< Its moving mean in this run, in us; 0:
+                                     none yet.  */
+  uint64_t metric_sampled_at_us;  /**< When it was last sampled; 0: never.  */
   uint32_t ordered_pace_percent;  /**< Speed last ordered; 100 at a start.  */
   /** When a serving task exceeded its latency target.  Only ever set to 0:
       the cell does not enforce over_target_limit_ms.  */
@@ -323,10 +327,12 @@
   uint32_t miss_count;            /**< Polls in a row without an answer.  */
   struct resources used;          /**< What its tasks occupy.  */
   GPtrArray *tasks;               /**< struct task that occupies it.  */
-  uint64_t plan_number;           /**< Plan that planned belongs to.  */
-  struct resources planned_sum;   /**< What those tasks occupy.  */
-  GPtrArray *planned;             /**< struct task that a place on it is
-                                     planned for.  */
+  struct runner_images *images; /**< Which images it had when; NULL: none yet,
+                                   or not recorded.  */
+  uint64_t plan_number;         /**< Plan that planned belongs to.  */
+  struct resources planned_sum; /**< What those tasks occupy.  */
+  GPtrArray *planned;           /**< struct task that a place on it is
+                                   planned for.  */
   uint32_t failed_run_count; /**< Failed runs in a row, of different jobs.  */
   uint64_t failed_job;       /**< Job of the last failed run.  */
   uint64_t quarantined_until_us; /**< Gets no new tasks until then.  */
@@ -561,6 +567,7 @@
 {
   uint64_t mean_us; /**< Moving average.  */
   uint32_t count;   /**< Runs observed.  */
+  uint32_t number;  /**< Number of the image, from 1 on.  */
 };
 
 /** A job that was refused because it would end too late.  */
@@ -618,7 +625,11 @@
   GHashTable *pools;            /**< Name to GPtrArray of struct runner.  */
   bool runners_known;           /**< This owner has read a complete list.  */
   GHashTable *pending_orders;   /**< id to struct pending_order.  */
-  GHashTable *run_times;     /**< "QUEUE/IMAGE" to struct image_run_time.  */
+  GHashTable *run_times; /**< "QUEUE/IMAGE" to struct image_run_time.  */
+  struct interference *interference;  /**< NULL: it is not learned.  */
+  uint64_t interference_judged_at_us; /**< When its pairs were last judged. */
+  bool place_changed; /**< The last place_find gave another runner than it
+                         would without learned interference.  */
   GHashTable *rate_buckets;  /**< Tenant to struct rate_bucket.  */
   GHashTable *refused_jobs;  /**< id to struct refused_job.  */
   GQueue *refused_ids;       /**< The same, oldest first; not owned.  */
@@ -1047,6 +1058,31 @@
 /** Returns true if R may get another task of S, as far as its speed goes.  */
 bool slow_runners_admit (const struct runner *r, const struct job_step *s);
 
+/* image_samples.c: learned interference between images.  All do nothing unless
+   the setting learn_interference is on.  */
+/** Notes that T is about to be added to the tasks of R.  */
+void image_samples_on_assign (struct cell *c, struct runner *r,
+                              struct task *t);
+/** Notes that T is about to leave its runner.  */
+void image_samples_on_release (struct cell *c, struct task *t);
+/** Takes a sample of T, a run of which is done on R and took RATIO thousandths
+    of the time elsewhere.  */
+void image_samples_on_done (struct cell *c, struct runner *r, struct task *t,
+                            uint32_t ratio);
+/** Takes samples of the serving tasks of R, which has answered a poll.  */
+void image_samples_on_answer (struct cell *c, struct runner *r);
+/** Judges the pairs of images, and logs which have changed.  */
+void image_samples_tick (struct cell *c);
+/** Forgets all that was learned.  */
+void image_samples_clear (struct cell *c);
+/** Sets P to the images that a task of W should stay away from; returns false
+    if there are none.  */
+bool image_samples_find_partners (struct cell *c, struct work_step *w,
+                                  struct interference_partners *p);
+/** Returns the sum over the tasks of R of their penalties by P.  */
+uint32_t image_samples_penalty (const struct runner *r,
+                                const struct interference_partners *p);
+
 /* dispatch.c and place.c: which task starts next, and on which runner.  */
 /** Starts the waiting tasks that can start.  */
 void dispatch_run (struct cell *c);
@@ -1055,6 +1091,10 @@
 struct resources place_occupied_by (const struct job_step *s);
 /** Returns true if R takes new tasks now, apart from its room.  */
 bool place_is_usable (const struct cell *c, const struct runner *r);
+/** Returns the number of the image of W's tasks; not 0.  */
+uint32_t place_image_number (struct cell *c, struct work_step *w);
+/** Returns queue and image of the image NUMBER, with a slash between them.  */
+const char *place_image_name (const struct cell *c, uint32_t number);
 /** Returns the best runner for T that has room, or NULL.  */
 struct runner *place_find (struct cell *c, const struct task *t);
 /** Returns true if R has room for T, beside its tasks and those that the plan
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -95,9 +95,12 @@
   t->working_at_us = 0;
   t->over_target_at_us = 0;
   t->metric = 0;
+  t->metric_mean_us = 0;
+  t->metric_sampled_at_us = 0;
   t->work_percent = 0;
   progress_reset (t);
   t->ordered_pace_percent = 100;
+  image_samples_on_assign (c, r, t);
   g_ptr_array_add (r->tasks, t);
   resources_add (&r->used, &room);
   resources_add (usage_of (c, task_job (t)->tenant), &t->step->spec->need);
@@ -158,6 +161,7 @@
       t->runner->runs_over_at_us
           = MAX (t->runner->runs_over_at_us, t->over_at_us);
     }
+  image_samples_on_release (c, t);
   g_ptr_array_remove_fast (t->runner->tasks, t);
   resources_subtract (&t->runner->used, &room);
   resources_subtract (usage_of (c, task_job (t)->tenant),
