--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -25,6 +25,7 @@
 struct script
 {
   TALLOC_CTX *mem;
+  struct cell_settings settings;
   struct cell *cell;
   struct cell_actions actions;
   GString *out;
@@ -138,6 +139,7 @@
     t->per_runner_limit_count
         = (uint32_t)get_number (row, "per_runner_limit", 0);
     get_text (row, "label", t->label, LABEL_BYTES);
+    get_text (row, "image", t->image, LABEL_BYTES);
     t->after_count = (uint32_t)json_array_size (after);
     t->after = talloc_zero_array (s, uint32_t, t->after_count + 1);
     for (k = 0; k < t->after_count; k++)
@@ -1089,6 +1091,28 @@
   g_string_append_c (x->out, '\n');
 }
 
+/* Begins again with a cell that learns which images interfere.  */
+static void
+learn_interference (struct script *x)
+{
+  x->settings.learn_interference = true;
+  talloc_free (x->cell);
+  x->cell = cell_new (x->mem, &x->settings);
+}
+
+static void
+print_counter (struct script *x, const json_t *name)
+{
+  int i = ENUM_OF (json_string_value (name), cell_counter_name,
+                   CELL_COUNTER_COUNT);
+  struct cell_metrics m;
+
+  cell_metrics_get (x->cell, &m);
+  g_string_append_printf (
+      x->out, "  %llu %s %llu\n", (unsigned long long)(x->at_ms - START_MS),
+      cell_counter_name (i), (unsigned long long)m.counters[i]);
+}
+
 static void
 confirm_claims (struct script *x)
 {
@@ -1129,6 +1153,10 @@
     x->shows_boots = true;
   else if (json_object_get (j, "show_log") != NULL)
     get_text (j, "show_log", x->shown_event, NAME_BYTES);
+  else if (json_object_get (j, "learn_interference") != NULL)
+    learn_interference (x);
+  else if (json_object_get (j, "counter") != NULL)
+    print_counter (x, json_object_get (j, "counter"));
   else if (json_object_get (j, "confirmation_metrics") != NULL)
     print_confirmation_metrics (x);
   else if (json_object_get (j, "starts_done") != NULL)
@@ -1182,29 +1210,29 @@
 GString *
 cell_script_run (const char *file)
 {
-  struct cell_settings s = { .member = "entry-1",
-                             .relay_address = "127.0.0.1:7000",
-                             .cpu_milli = 250,
-                             .vm_order_rate_milli = 64000,
-                             .times = { .revoke_ms = 5000,
-                                        .lease_max_ms = 10000,
-                                        .task_stop_ms = 400,
-                                        .handover_gap_ms = 3000,
-                                        .status_retention_s = 120,
-                                        .away_notice_ms = 4500,
-                                        .over_target_limit_ms = 4000,
-                                        .stop_grace_ms = 6000,
-                                        .early_start_ms = 250,
-                                        .move_ms = 1500,
-                                        .maintenance_ms = 2000 } };
-  struct script x = { .at_ms = START_MS };
+  struct script x = { .at_ms = START_MS,
+                      .settings = { .member = "entry-1",
+                                    .relay_address = "127.0.0.1:7000",
+                                    .cpu_milli = 250,
+                                    .vm_order_rate_milli = 64000,
+                                    .times = { .revoke_ms = 5000,
+                                               .lease_max_ms = 10000,
+                                               .task_stop_ms = 400,
+                                               .handover_gap_ms = 3000,
+                                               .status_retention_s = 120,
+                                               .away_notice_ms = 4500,
+                                               .over_target_limit_ms = 4000,
+                                               .stop_grace_ms = 6000,
+                                               .early_start_ms = 250,
+                                               .move_ms = 1500,
+                                               .maintenance_ms = 2000 } } };
   GString *out = g_string_new ("");
 
   x.mem = talloc_new (NULL);
   x.vm_orders = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   x.out = out;
   x.directory = g_path_get_dirname (file);
-  x.cell = cell_new (x.mem, &s);
+  x.cell = cell_new (x.mem, &x.settings);
   run_file (&x, file);
   g_free (x.directory);
   g_hash_table_destroy (x.vm_orders);
