--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -62,6 +62,10 @@
   /* These many runners of the pool, in percent, work SLOW_FACTOR times slower
      from SLOW_BEGIN_S on for SLOW_S.  */
   uint32_t slow_percent;
+  /* Jobs have two images by turns, and a task takes this many percent longer
+     if a task of the other one is on its VM when it starts; 0: one image.  */
+  uint32_t slowed_percent;
+  bool learns; /* The setting learn_interference.  */
 };
 
 /* Spreads of varied jobs, as the users state them.  */
@@ -157,6 +161,19 @@
     .wave_vm_count = 170,
     .seed_count = 3,
     .varied = true },
+  { .name = "large-learning",
+    .pool_vm_counts = { 65, 74, 82, 90, 60 },
+    .rack_vm_count = 8,
+    .jobs_per_s = { 20.6, 3.99, 25.7, 4.87 },
+    .step_task_count = { 8, 8, 8, 8 },
+    .step_limit_count = { 2, 3, 2, 3 },
+    .cpu_milli = { 9100, 20000, 9100, 20000 },
+    .task_ms = { 640, 1300, 640, 1300 },
+    .long_running_task_count = 24,
+    .wave_vm_count = 170,
+    .seed_count = 3,
+    .varied = true,
+    .learns = true },
   { .name = "large-lost",
     .pool_vm_counts = { 65, 74, 82, 90, 60 },
     .rack_vm_count = 8,
@@ -195,6 +212,31 @@
     .wave_vm_count = 170,
     .seed_count = 1,
     .varied = true },
+  { .name = "interference",
+    .pool_vm_counts = { 9, 9, 11, 12, 8 },
+    .rack_vm_count = 4,
+    .jobs_per_s = { 8.89, 1.03, 11.1, 1.26 },
+    .step_task_count = { 6, 8, 6, 8 },
+    .step_limit_count = { 2, 3, 2, 3 },
+    .cpu_milli = { 3500, 7700, 3500, 7700 },
+    .task_ms = { 640, 1700, 640, 1700 },
+    .long_running_task_count = 5,
+    .wave_vm_count = 24,
+    .seed_count = 24,
+    .slowed_percent = 60 },
+  { .name = "interference-learning",
+    .pool_vm_counts = { 9, 9, 11, 12, 8 },
+    .rack_vm_count = 4,
+    .jobs_per_s = { 8.89, 1.03, 11.1, 1.26 },
+    .step_task_count = { 6, 8, 6, 8 },
+    .step_limit_count = { 2, 3, 2, 3 },
+    .cpu_milli = { 3500, 7700, 3500, 7700 },
+    .task_ms = { 640, 1700, 640, 1700 },
+    .long_running_task_count = 5,
+    .wave_vm_count = 24,
+    .seed_count = 24,
+    .slowed_percent = 60,
+    .learns = true },
 };
 
 struct run_slot
@@ -511,6 +553,20 @@
                 < sim->deployment->lost_permille;
 }
 
+/* Returns true if V runs a short task of the other image than that of ID: jobs
+   have their images by turns.  */
+static bool
+has_other_image (const struct vm *v, const struct task_id *id)
+{
+  uint32_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (v->runs); i++)
+    if (v->runs[i].end_us != 0 && !v->runs[i].long_running
+        && (v->runs[i].task.job & 1) != (id->job & 1))
+      return true;
+  return false;
+}
+
 /* Returns the run time of a task of ID on V.  */
 static uint64_t
 run_us (struct simulation *sim, const struct vm *v, const struct task_id *id)
@@ -526,6 +582,8 @@
   else
     us = mean_us * 85 / 100
          + next_random (&sim->other_random, mean_us * 3 / 10);
+  if (sim->deployment->slowed_percent > 0 && has_other_image (v, id))
+    us += us * sim->deployment->slowed_percent / 100;
   return is_slow (sim, v) ? us * SLOW_FACTOR : us;
 }
 
@@ -887,6 +945,8 @@
       if (s->varied && !long_running)
         vary_step (sim, pool, t, &n->step_ms[i]);
       chain_ms += n->step_ms[i];
+      if (s->slowed_percent > 0 && !long_running)
+        text_copy (t->image, LABEL_BYTES, spec->id & 1 ? "a" : "b");
       t->long_running = long_running;
       t->per_runner_limit_count = long_running ? 1 : 0;
       t->unavailable_limit_count
@@ -975,6 +1035,7 @@
                                     .relay_address = "127.0.0.1:7000",
                                     .cpu_milli = 500,
                                     .vm_order_rate_milli = 215000,
+                                    .learn_interference = s->learns,
                                     .times = { .revoke_ms = 5000,
                                                .lease_max_ms = 10000,
                                                .task_stop_ms = 400,
