--- a/adapter/site_settings.c
+++ b/adapter/site_settings.c
@@ -92,6 +92,7 @@
                                        "body_memory_bytes",
                                        "body_receive_ms",
                                        "address_percent",
+                                       "learn_interference",
                                        "log_lines",
                                        "revoke_ms",
                                        "lease_max_ms",
@@ -138,6 +139,7 @@
                       s->connection_limit_count, &s->bodies);
   s->log_capacity_count = (uint32_t)json_get_number (
       p, "log_lines", 16, 1000000, DEFAULT_LOG_CAPACITY_COUNT);
+  s->cell.learn_interference = json_get_bool (p, "learn_interference", false);
   read_times (p, &s->cell.times);
 }
 
