Prefer warm runners

Cause: ColdRemainingMs of a registration was not read, so tasks started on runners that are slow after their start though warm ones had room.

Change: the runner is cold until its start time plus ColdRemainingMs. In placement a cold runner has the penalty of another rack. A start time in the future does not count as cold. The limit ColdPerS is not built.

--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -26,6 +26,8 @@
 /** Penalty for another rack than that of the data, and for another than that
     of the step's other tasks.  */
 #define RACK_PENALTY 4000
+/** Penalty for a runner that is slow as it was started a short while ago.  */
+#define COLD_PENALTY RACK_PENALTY
 /** Penalty for the runner where the task failed last.  */
 #define FAILED_PENALTY 8000
 /** Penalty for a VM whose maintenance is still due, if the task is
@@ -198,9 +200,19 @@
   return meets_constraints (c, t, r, true) && has_room (c, r, &need, true);
 }
 
+/* Returns true if R is slow as it was started a short while ago.  One whose
+   start time is in the future is not: its clock is wrong, and it would stay
+   cold for as long.  */
+static bool
+is_cold (const struct cell *c, const struct runner *r)
+{
+  return c->wall_ms < r->cold_until_ms
+         && r->report.booted_at_ms <= c->wall_ms + CLOCK_DIFFERENCE_MS;
+}
+
 /* Returns the penalties of R for T.  */
 static uint64_t
-penalties (const struct task *t, const struct runner *r)
+penalties (const struct cell *c, const struct task *t, const struct runner *r)
 {
   const struct job_step *s = t->step->spec;
   uint64_t n = (uint64_t)count_interfering (r, s) * INTERFERENCE_PENALTY;
@@ -209,6 +221,8 @@
     n += RACK_PENALTY;
   if (s->same_rack && !is_on_step_rack (t->step, r->rack))
     n += RACK_PENALTY;
+  if (is_cold (c, r))
+    n += COLD_PENALTY;
   if (t->failed_on == r)
     n += FAILED_PENALTY;
   if (s->long_running && r->maintenance_due)
@@ -240,13 +254,13 @@
    for LEARNED unless P, the images to stay away from, is NULL.  There the
    slowdown outweighs the free part, and every penalty outweighs both.  */
 static void
-consider_runner (const struct task *t, struct runner *r,
+consider_runner (const struct cell *c, const struct task *t, struct runner *r,
                  const struct resources *need,
                  const struct interference_partners *p, struct choice *plain,
                  struct choice *learned)
 {
   uint64_t free_milli = free_part_milli (r, need);
-  uint64_t sum = penalties (t, r);
+  uint64_t sum = penalties (c, t, r);
   uint64_t slowdown_milli;
 
   consider (plain, r, sum + free_milli);
@@ -302,7 +316,7 @@
             old[old_count++] = r;
           continue;
         }
-      consider_runner (t, r, &need, p, &plain, &learned);
+      consider_runner (c, t, r, &need, p, &plain, &learned);
     }
   for (i = 0; plain.runner == NULL && i < old_count; i++)
     runners_read_clock (c, old[i]);
--- a/core/cell/registrations.c
+++ b/core/cell/registrations.c
@@ -200,6 +200,8 @@
       = n->booted_at_ms != 0 ? n->booted_at_ms : r->report.booted_at_ms;
   r->report = *n;
   r->report.booted_at_ms = booted_at_ms;
+  r->cold_until_ms
+      = booted_at_ms != 0 && n->cold_ms > 0 ? booted_at_ms + n->cold_ms : 0;
   set_pool (c, r, n->pool);
   r->listed = true;
   text_copy (r->rack, LABEL_BYTES, n->label_count > 1 ? n->labels[1] : "");
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -284,6 +284,8 @@
   GPtrArray *pool_runners; /**< All runners of its pool.  */
   char rack[LABEL_BYTES];
   bool zone_evacuated;     /**< Its zone is evacuated: it gets no new tasks. */
+  uint64_t cold_until_ms;  /**< It is slow until then, Unix time; 0: it is
+                              not.  */
   uint64_t draining_at_us; /**< When it was last seen to begin to drain; 0:
                               never.  */
   bool listed;             /**< It is registered in the store.  */
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -93,6 +93,7 @@
   char zone[NAME_BYTES];
   bool draining;
   uint64_t booted_at_ms; /**< Unix time.  */
+  uint32_t cold_ms;      /**< It is slow for this long after its start.  */
   struct resources capacity;
   uint32_t label_count;
   char labels[4][LABEL_BYTES]; /**< The kind, the rack, then others.  */
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -255,6 +255,7 @@
     r->removed = get_flag (row, "removed");
     r->draining = get_flag (row, "draining");
     r->booted_at_ms = get_number (row, "booted_at", 1);
+    r->cold_ms = (uint32_t)get_number (row, "cold", 0);
     r->capacity.cpu_milli = get_number (row, "cpu", 8000);
     r->capacity.memory_mib = get_number (row, "memory", 16000);
     r->label_count = 2;
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -455,11 +455,13 @@
   g_assert_true (
       decode_report ("{\"Service\":\"p\",\"Address\":\"10.0.0.1:1\","
                      "\"Zone\":\"z\",\"State\":\"draining\",\"born\":7,"
+                     "\"ColdRemainingMs\":900,"
                      "\"Room\":{\"Cpu\":16000,\"MemMb\":5,\"Gpu\":0},"
                      "\"Labels\":[\"a\",\"r1\"],\"New\":[1]}",
                      &r));
   g_assert_true (r.draining);
   g_assert_cmpuint (r.booted_at_ms, ==, 7);
+  g_assert_cmpuint (r.cold_ms, ==, 900);
   g_assert_cmpstr (r.labels[1], ==, "r1");
   g_assert_false (decode_report ("{\"Service\":\"p\"}", &r));
   g_assert_false (decode_report ("{\"Service\":7,\"Address\":\"10.0.0.1:1\","
