Admit jobs by a forecast of the cores that a pool offers over time

The prediction counted the cores of all VMs that a pool has or can get as if they were there, although a VM takes tasks 2 to 4 s after its order: of 211 VMs, 38 were usable while work for 71 waited, and jobs were accepted that ended without value. No log line had the predicted end of an accepted job, so its error was unknown.

core/load/forecast has the cores as a step function: usable runners, VMs on their way from the time at which they are expected (the mean time from the order of a move to the runner's first usable moment is learned), VMs of other pools at the cloud's order rate. core/load/admission decides by it; core/cell/supply.c fills it in once in each demand_update. demand_reachable_milli is removed. Of the work of late jobs a quarter counts, as many lose their value before their turn. job_accepted has end_ms; the histograms end_after_predicted_ms and end_before_predicted_ms have the error of jobs that complete.

refused_while_vms_are_away: before, 8 jobs are accepted, now 1. build/test_cell and build/test_load pass.

Not begun: order of returns (core/load/returns), refusals by entries that are not the owner.

--- a/adapter/site_front.c
+++ b/adapter/site_front.c
@@ -158,6 +158,10 @@
   print_histogram (out, "reply", f->metrics.reply_ms);
   print_histogram (out, "finish", f->metrics.finish_ms);
   print_histogram (out, "confirmation", f->metrics.confirmation_ms);
+  print_histogram (out, "end_after_predicted",
+                   f->metrics.end_after_predicted_ms);
+  print_histogram (out, "end_before_predicted",
+                   f->metrics.end_before_predicted_ms);
   fclose (out);
   done = respond (c, 200, "text/plain; version=0.0.4", text, 0);
   free (text);
--- a/core/cell/admission.c
+++ b/core/cell/admission.c
@@ -1,22 +1,14 @@
-/* admission.c -- refuses a job that would end too late to have any value.
-
-   A pool owes the work of the jobs that it has accepted and that still have
-   value.  Divided by the cores that it has and can get, that is the time after
-   which a new job would be done.  Work that can be done in time goes first
-   (dispatch.c).  So a job is accepted if it would end in time after that work;
-   else it would be late, after all the work that is owed.  When that is past
-   the time at which it loses its value, it is refused at once; it has not run.
+/* admission.c -- asks core/load/admission about a new job, and remembers those
+   that were refused.
 
    Callers are told to come back when room is expected, one after the other at
    the rate at which the work is done, so that they do not all return at once
-   and are refused again.
-
-   The load this answers: a hot tenant, or a surge, asks for several times what
-   the whole fleet can do, for longer than jobs have value.  While the VMs of
-   the pool are not known, nothing is refused here.  */
+   and are refused again.  While the VMs of the pool are not known, nothing is
+   refused here.  */
 
 #include "core/cell/demand.h"
 #include "core/cell/fleet.h"
+#include "core/load/admission.h"
 
 #include <string.h>
 
@@ -40,24 +32,18 @@
   return work;
 }
 
-/* Returns the time that CORES_MILLI thousandths of a core take for OWED.  */
-static uint64_t
-wait_us (uint64_t owed, uint64_t cores_milli)
-{
-  return cores_milli > 0 ? owed / cores_milli : 0;
-}
-
 /* Returns the delay to advise for a job of WORK whose room is expected in
-   ROOM_US, and moves *NEXT_US, when the next refused caller may return, on by
-   the time that the work takes.  */
+   ROOM_US, and moves M's next_return_us, when the next refused caller may
+   return, on by the time that the work takes.  */
 static uint32_t
-take_turn (const struct cell *c, uint64_t room_us, uint64_t work,
-           uint64_t cores_milli, uint64_t *next_us)
+take_turn (const struct cell *c, struct pool_demand *m, uint64_t room_us,
+           uint64_t work)
 {
-  uint64_t at_us = MAX (c->now_us + room_us, *next_us);
+  uint64_t at_us = MAX (c->now_us + room_us, m->next_return_us);
   uint64_t delay_ms = (at_us - c->now_us) / US_PER_MS;
+  uint64_t cores_milli = forecast_cores_milli (&m->forecast, at_us);
 
-  *next_us = at_us + wait_us (work, cores_milli);
+  m->next_return_us = at_us + (cores_milli > 0 ? work / cores_milli : 0);
   return (uint32_t)CLAMP (delay_ms, RETRY_MIN_MS, RETRY_MAX_MS);
 }
 
@@ -97,43 +83,45 @@
   g_queue_clear (c->refused_ids);
 }
 
+static void
+log_refusal (struct cell *c, const struct pool_demand *m, const struct job *j,
+             const struct admission_job *a, const struct admission_verdict *v)
+{
+  cell_log (
+      c, "job_refused", j->id,
+      "\"queue\":\"%s\",\"tenant\":\"%s\",\"active\":%u,"
+      "\"why\":\"too_late\",\"end_ms\":%llu,\"value_ms\":%llu,"
+      "\"cores_milli\":%llu",
+      j->queue, j->tenant, c->active->len,
+      (unsigned long long)(v->end_us / US_PER_MS),
+      (unsigned long long)(a->value_us / US_PER_MS),
+      (unsigned long long)forecast_cores_milli (&m->forecast, c->now_us));
+}
+
 uint32_t
-admission_retry_ms (struct cell *c, const struct job *j)
+admission_retry_ms (struct cell *c, struct job *j)
 {
   const struct site_queue *q = cell_find_queue (c, j->queue);
   struct pool_demand *m = q != NULL ? demand_find (c, q->pool) : NULL;
-  uint64_t chain_us = jobs_longest_chain_us (c, j);
-  uint64_t cores_milli;
-  uint64_t span_us;
-  uint64_t value_us;
-  uint64_t age_us = c->now_us - j->arrived_at_us;
-  uint64_t work;
-  uint64_t in_time_us;
-  uint64_t end_us;
-
-  if (m == NULL || j->spec->occurrence_count > 0
+  struct admission_backlog owed;
+  struct admission_job a = { .arrived_at_us = j->arrived_at_us };
+  struct admission_verdict v;
+
+  if (m == NULL || !c->fleet->listed || j->spec->occurrence_count > 0
       || j->spec->steps[0].long_running)
     return 0;
-  cores_milli = demand_reachable_milli (c, m);
-  if (cores_milli == 0)
-    return 0;
-  work = work_of (c, j);
-  span_us
-      = chain_us * q->stretch_milli / 1000 + q->objective_slack_ms * US_PER_MS;
-  value_us = LATE_FACTOR * span_us;
-  in_time_us = age_us + wait_us (m->owed_in_time, cores_milli) + chain_us;
-  end_us = age_us + wait_us (m->owed, cores_milli) + chain_us;
-  if (in_time_us <= span_us || end_us <= value_us)
+  owed.in_time = m->owed_in_time;
+  owed.all = m->owed;
+  a.chain_us = jobs_longest_chain_us (c, j);
+  a.objective_us = a.chain_us * q->stretch_milli / 1000
+                   + q->objective_slack_ms * US_PER_MS;
+  a.value_us = LATE_FACTOR * a.objective_us;
+  a.work = work_of (c, j);
+  v = admission_decide (&m->forecast, &owed, &a, c->now_us);
+  j->predicted_end_us = v.known ? j->arrived_at_us + v.end_us : 0;
+  if (!v.refused)
     return 0;
-  cell_log (c, "job_refused", j->id,
-            "\"queue\":\"%s\",\"tenant\":\"%s\",\"active\":%u,"
-            "\"why\":\"too_late\",\"end_ms\":%llu,\"value_ms\":%llu,"
-            "\"cores_milli\":%llu",
-            j->queue, j->tenant, c->active->len,
-            (unsigned long long)(end_us / US_PER_MS),
-            (unsigned long long)(value_us / US_PER_MS),
-            (unsigned long long)cores_milli);
+  log_refusal (c, m, j, &a, &v);
   remember (c, j);
-  return take_turn (c, end_us - value_us, work, cores_milli,
-                    &m->next_return_us);
+  return take_turn (c, m, v.room_us, a.work);
 }
--- a/core/cell/cell.h
+++ b/core/cell/cell.h
@@ -90,6 +90,10 @@
   /** For how long a task that could start waited for an append to show that
       this entry was the owner when its last run was over.  */
   uint64_t confirmation_ms[CELL_BUCKET_COUNT];
+  /** Error of the predicted end of accepted jobs that completed: how much
+      later, or earlier, they ended.  */
+  uint64_t end_after_predicted_ms[CELL_BUCKET_COUNT];
+  uint64_t end_before_predicted_ms[CELL_BUCKET_COUNT];
   uint32_t owner;       /**< 1 if it owns the cell.  */
   uint32_t jobs_active; /**< Jobs that are not final.  */
   uint32_t runners_listed;
--- a/core/cell/demand.c
+++ b/core/cell/demand.c
@@ -12,8 +12,6 @@
 
 /** Waiting tasks should be finished within this time.  */
 #define CLEAR_MS 1000
-/** Tasks can fill this part of a pool's cores.  */
-#define FILL_PERCENT 90
 /** Number of VMs that a pool keeps beyond its need.  */
 #define RESERVE_COUNT 1
 /** A pool keeps this part of its initial VMs until its first surge.  */
@@ -56,23 +54,6 @@
   return NULL;
 }
 
-uint64_t
-demand_reachable_milli (const struct cell *c, const struct pool_demand *m)
-{
-  const struct fleet_demand *p = c->fleet->demand;
-  uint64_t vm_count = m->vm_count;
-  uint64_t milli;
-  uint32_t i;
-
-  if (!c->fleet->listed || p->updated_at_us == 0)
-    return 0;
-  for (i = 0; i < p->pool_count; i++)
-    if (&p->pools[i] != m && p->pools[i].vm_count > p->pools[i].need_count)
-      vm_count += p->pools[i].vm_count - p->pools[i].need_count;
-  milli = vm_count * m->vm_cpu_milli * FILL_PERCENT / 100;
-  return milli > m->long_running_milli ? milli - m->long_running_milli : 0;
-}
-
 /* Follows the demand on pool NAME.  Returns NULL if there are too many.  */
 static struct pool_demand *
 follow_pool (struct cell *c, const char *name)
@@ -82,6 +63,7 @@
   if (p->pool_count == POOL_LIMIT_COUNT)
     return NULL;
   text_copy (p->pools[p->pool_count].name, NAME_BYTES, name);
+  forecast_begin (&p->pools[p->pool_count].forecast, c->now_us, 0);
   return &p->pools[p->pool_count++];
 }
 
@@ -230,9 +212,10 @@
   g_hash_table_iter_init (&it, c->fleet->vms);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
-      const struct vm *v = value;
+      struct vm *v = value;
       struct pool_demand *m
           = find_pool (c, v->moving ? v->target_pool : v->row.pool);
+      bool arriving;
 
       if (m == NULL)
         continue;
@@ -240,7 +223,9 @@
       if (!is_capacity (c, v))
         continue;
       m->vm_count++;
-      m->arriving_count += is_arriving (c, v);
+      arriving = is_arriving (c, v);
+      m->arriving_count += arriving;
+      supply_add_vm (c, m, v, arriving);
       m->unusable_count += is_unusable (c, v);
     }
 }
@@ -540,6 +525,7 @@
       const struct site_pool *s = cell_find_pool (c, p->pools[i].name);
 
       clear_results (&p->pools[i]);
+      forecast_begin (&p->pools[i].forecast, c->now_us, 0);
       if (s != NULL)
         p->pools[i].spare = s->spare;
     }
@@ -569,4 +555,12 @@
       if (m->need_count >= m->vm_count)
         m->full_at_us = c->now_us;
     }
+  for (i = 0; i < p->pool_count; i++)
+    {
+      struct pool_demand *m = &p->pools[i];
+
+      m->forecast.held_milli = m->long_running_milli;
+      if (!m->spare)
+        supply_add_other_pools (c, m);
+    }
 }
--- a/core/cell/demand.h
+++ b/core/cell/demand.h
@@ -5,10 +5,13 @@
 
 #include "core/cell/state.h"
 #include "core/load/arrivals.h"
+#include "core/load/forecast.h"
 #include "core/load/peaks.h"
 
 /** Most pools whose demand is followed; the others keep their VMs.  */
 #define POOL_LIMIT_COUNT 64
+/** Tasks can fill this part of a pool's cores.  */
+#define FILL_PERCENT 90
 /** A VM has to be ordered this long before it is needed: as long as a move and
     the start of its runner take.  */
 #define PREPARE_MS 2600
@@ -49,10 +52,11 @@
                     short jobs that still have value.  */
   uint64_t owed_in_time;  /**< That of jobs that can meet their objective.  */
   uint64_t waiting_milli; /**< Cores to finish waiting short tasks in time.  */
-  uint64_t vm_cpu_milli;  /**< Cores of its largest VM.  */
-  uint64_t vm_memory_mib; /**< Memory of its largest VM.  */
-  uint64_t memory_mib;    /**< Memory of the tasks that long_running_milli,
-                             short_task_milli and waiting_milli count.  */
+  struct forecast forecast;   /**< Cores that it offers to short tasks.  */
+  uint64_t vm_cpu_milli;      /**< Cores of its largest VM.  */
+  uint64_t vm_memory_mib;     /**< Memory of its largest VM.  */
+  uint64_t memory_mib;        /**< Memory of the tasks that long_running_milli,
+                                 short_task_milli and waiting_milli count.  */
   uint32_t spread_vm_count;   /**< Fewest VMs that hold the tasks of any one
                                  long-running step within its limit of tasks
                                  on a runner.  */
@@ -81,6 +85,10 @@
   uint64_t updated_at_us;        /**< When demand_update last ran.  */
   uint64_t logged_at_us;         /**< When the pools were last logged.  */
   uint64_t newest_arrival_at_us; /**< When the newest job arrived.  */
+  /** From the order of a move until the VM's runner takes tasks.  */
+  struct forecast_delay arrival_delay;
+  /** From the beginning of a VM's emptying to the order of its move.  */
+  struct forecast_delay emptying_delay;
   uint32_t pool_count;
   struct pool_demand pools[POOL_LIMIT_COUNT];
 };
@@ -98,10 +106,18 @@
 
 /** Returns the demand on pool NAME, or NULL if it is not followed.  */
 struct pool_demand *demand_find (struct cell *c, const char *name);
-/** Returns the cores, in thousandths, that M has or can get from other pools
-    for short tasks; 0: not known.  */
-uint64_t demand_reachable_milli (const struct cell *c,
-                                 const struct pool_demand *m);
+
+struct vm;
+
+/* supply.c */
+/** Handles that the order of V's move is sent for the first time.  */
+void supply_on_move_ordered (struct cell *c, struct vm *v);
+/** Adds V, which is capacity of M, to M's forecast; ARRIVING: it is on its way
+    to M.  Learns from V how long moves take.  */
+void supply_add_vm (struct cell *c, struct pool_demand *m, struct vm *v,
+                    bool arriving);
+/** Adds the VMs that other pools do not need to M's forecast.  */
+void supply_add_other_pools (const struct cell *c, struct pool_demand *m);
 
 /* surges.c */
 /** Returns the time from one surge of a pool to its next, or 0 if it is not
--- a/core/cell/fleet.h
+++ b/core/cell/fleet.h
@@ -62,6 +62,9 @@
                                     not.  */
   uint64_t orders_from_us;       /**< No order for it is sent before then: a
                                     former owner may have ordered it.  */
+  uint64_t move_ordered_at_us;   /**< When the order of its last move was
+                                    first sent; 0: its runner has taken tasks
+                                    since.  */
   uint64_t away_until_us;        /**< Expected end of VM_AWAY.  */
   uint64_t returned_at_us;       /**< When VM_AWAY last ended; 0: never.  */
   char first_runner[NAME_BYTES]; /**< Its runner when first listed.  */
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -332,17 +332,22 @@
   return oldest_us;
 }
 
-/* Returns the delay to advise if CALL's job would end too late, or 0.  */
+/* Returns the delay to advise if CALL's job would end too late, or 0.  Sets
+   END_US to when it is predicted to end; 0: not known.  */
 static uint32_t
-predict_retry_ms (struct cell *c, const struct job_call *call)
+predict_retry_ms (struct cell *c, const struct job_call *call,
+                  uint64_t *end_us)
 {
+  uint32_t retry_ms;
   struct job j = { .id = call->job, .spec = call->spec };
 
   text_copy (j.queue, NAME_BYTES, call->queue);
   text_copy (j.tenant, NAME_BYTES, call->tenant);
   j.arrived_at_us = admission_first_arrival_us (
       c, call->job, c->now_us - call->age_ms * US_PER_MS);
-  return admission_retry_ms (c, &j);
+  retry_ms = admission_retry_ms (c, &j);
+  *end_us = j.predicted_end_us;
+  return retry_ms;
 }
 
 static void
@@ -351,6 +356,7 @@
   const struct site_queue *q = cell_find_queue (c, call->queue);
   bool over_rate = false;
   uint32_t task_count;
+  uint64_t predicted_end_us = 0;
   uint32_t retry_ms;
   struct job *j;
 
@@ -412,7 +418,7 @@
         }
       over_rate = true;
     }
-  retry_ms = over_rate ? 0 : predict_retry_ms (c, call);
+  retry_ms = over_rate ? 0 : predict_retry_ms (c, call, &predicted_end_us);
   if (retry_ms > 0)
     {
       c->metrics.counters[CELL_COUNT_REFUSED]++;
@@ -428,6 +434,7 @@
   j->accepted_at_us = c->now_us;
   j->arrived_at_us = admission_first_arrival_us (
       c, call->job, c->now_us - call->age_ms * US_PER_MS);
+  j->predicted_end_us = predicted_end_us;
   j->over_rate = over_rate;
   job_pools_add (j, q->pool);
   j->pools_known = true;
@@ -555,6 +562,21 @@
   return false;
 }
 
+/* Records how far the end of J, which completes now, is from the predicted
+   one.  */
+static void
+record_prediction_error (struct cell *c, const struct job *j)
+{
+  if (j->predicted_end_us == 0)
+    return;
+  if (c->now_us >= j->predicted_end_us)
+    cell_histogram_add (c->metrics.end_after_predicted_ms,
+                        (c->now_us - j->predicted_end_us) / US_PER_MS);
+  else
+    cell_histogram_add (c->metrics.end_before_predicted_ms,
+                        (j->predicted_end_us - c->now_us) / US_PER_MS);
+}
+
 void
 jobs_end (struct cell *c, struct job *j, enum job_state state)
 {
@@ -575,6 +597,8 @@
                                              : CELL_COUNT_CANCELLED]++;
   cell_histogram_add (c->metrics.finish_ms,
                       (c->now_us - j->accepted_at_us) / US_PER_MS);
+  if (state == JOB_COMPLETED)
+    record_prediction_error (c, j);
   g_ptr_array_remove (c->active, j);
   /* The tasks of a cancelled job are stopped when its end is durable.  */
   if (state == JOB_FAILED)
@@ -629,11 +653,16 @@
       cell_log (
           c, "job_accepted", j->id,
           "\"queue\":\"%s\",\"tenant\":\"%s\",\"steps\":%u,"
-          "\"sequence\":%llu,\"store_ms\":%llu,\"over_rate\":%s",
+          "\"sequence\":%llu,\"store_ms\":%llu,\"over_rate\":%s,"
+          "\"end_ms\":%llu",
           j->queue, j->tenant, j->spec->step_count,
           (unsigned long long)c->append.sequence,
           (unsigned long long)((c->now_us - c->append.sent_at_us) / US_PER_MS),
-          j->over_rate ? "true" : "false");
+          j->over_rate ? "true" : "false",
+          (unsigned long long)(j->predicted_end_us > 0
+                                   ? (j->predicted_end_us - j->arrived_at_us)
+                                         / US_PER_MS
+                                   : 0));
       jobs_add_due_occurrences (c, j);
       jobs_activate (c, j);
       demand_note_arrival (c, j);
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -201,13 +201,15 @@
   uint64_t id;
   char queue[NAME_BYTES];
   char tenant[NAME_BYTES];
-  struct queue_terms terms; /**< Of its queue when it was accepted.  */
-  bool has_terms;           /**< terms is set.  */
-  struct job_spec *spec;    /**< NULL when final and its tasks are freed.  */
-  uint64_t accepted_at_ms;  /**< Unix time.  */
-  uint64_t accepted_at_us;  /**< accepted_at_ms on this entry's clock.  */
-  uint64_t arrived_at_us;   /**< When its call arrived at an entry; after a
-                          takeover accepted_at_us.  */
+  struct queue_terms terms;  /**< Of its queue when it was accepted.  */
+  bool has_terms;            /**< terms is set.  */
+  struct job_spec *spec;     /**< NULL when final and its tasks are freed.  */
+  uint64_t accepted_at_ms;   /**< Unix time.  */
+  uint64_t accepted_at_us;   /**< accepted_at_ms on this entry's clock.  */
+  uint64_t arrived_at_us;    /**< When its call arrived at an entry; after a
+                           takeover accepted_at_us.  */
+  uint64_t predicted_end_us; /**< When it was predicted to end as it was
+                                accepted; 0: not known.  */
   uint64_t objective_deadline_us; /**< When it should be completed to have
                                      its full value.  */
   uint64_t ended_at_ms;           /**< Unix time.  */
@@ -1119,8 +1121,8 @@
 
 /* admission.c: which jobs are accepted.  */
 /** Returns 0 if J, a new job, can end while it has value, and otherwise the
-    delay to advise to its client, in ms.  */
-uint32_t admission_retry_ms (struct cell *c, const struct job *j);
+    delay to advise to its client, in ms.  Sets predicted_end_us of J.  */
+uint32_t admission_retry_ms (struct cell *c, struct job *j);
 /** Returns when the first call for job ID arrived, if this owner refused it
     before; otherwise ARRIVED_AT_US, when the present call did.  */
 uint64_t admission_first_arrival_us (const struct cell *c, uint64_t id,
--- a/core/cell/vm_orders.c
+++ b/core/cell/vm_orders.c
@@ -12,6 +12,7 @@
    a confirmation that we were the owner (confirmation.c).  A new owner leaves
    the VMs that our record names unused for longer (handover.c).  */
 
+#include "core/cell/demand.h"
 #include "core/cell/fleet.h"
 
 #include <string.h>
@@ -139,6 +140,9 @@
     {
       v->first_order_id = c->last_vm_order_id;
       v->may_be_executed = false;
+      v->move_ordered_at_us = 0;
+      if (v->moving)
+        supply_on_move_ordered (c, v);
       text_copy (v->previous_runner, NAME_BYTES, v->row.runner);
     }
   v->last_order_id = c->last_vm_order_id;
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -1068,13 +1068,23 @@
                           action_count);
 }
 
-/* Prints the metrics of confirmations: the counter, and the buckets that are
-   not empty, each by its upper bound.  */
+/* Prints those of BUCKETS that are not empty, each by its upper bound.  */
+static void
+print_buckets (struct script *x, const uint64_t *buckets)
+{
+  uint32_t i;
+
+  for (i = 0; i < CELL_BUCKET_COUNT; i++)
+    if (buckets[i] > 0)
+      g_string_append_printf (x->out, " <%u: %llu", 1u << i,
+                              (unsigned long long)buckets[i]);
+}
+
+/* Prints the metrics of confirmations: the counter, and the buckets.  */
 static void
 print_confirmation_metrics (struct script *x)
 {
   struct cell_metrics m;
-  uint32_t i;
 
   cell_metrics_get (x->cell, &m);
   g_string_append_printf (
@@ -1082,10 +1092,22 @@
       (unsigned long long)(x->at_ms - START_MS),
       cell_counter_name (CELL_COUNT_CONFIRMATION_APPENDS),
       (unsigned long long)m.counters[CELL_COUNT_CONFIRMATION_APPENDS]);
-  for (i = 0; i < CELL_BUCKET_COUNT; i++)
-    if (m.confirmation_ms[i] > 0)
-      g_string_append_printf (x->out, " <%u: %llu", 1u << i,
-                              (unsigned long long)m.confirmation_ms[i]);
+  print_buckets (x, m.confirmation_ms);
+  g_string_append_c (x->out, '\n');
+}
+
+/* Prints the metrics of the error of predicted ends.  */
+static void
+print_prediction_metrics (struct script *x)
+{
+  struct cell_metrics m;
+
+  cell_metrics_get (x->cell, &m);
+  g_string_append_printf (x->out, "  %llu ends in ms after prediction",
+                          (unsigned long long)(x->at_ms - START_MS));
+  print_buckets (x, m.end_after_predicted_ms);
+  g_string_append (x->out, "; before");
+  print_buckets (x, m.end_before_predicted_ms);
   g_string_append_c (x->out, '\n');
 }
 
@@ -1131,6 +1153,8 @@
     get_text (j, "show_log", x->shown_event, NAME_BYTES);
   else if (json_object_get (j, "confirmation_metrics") != NULL)
     print_confirmation_metrics (x);
+  else if (json_object_get (j, "prediction_metrics") != NULL)
+    print_prediction_metrics (x);
   else if (json_object_get (j, "starts_done") != NULL)
     answer_starts (x, json_object_get (j, "starts_done"));
   else if (json_object_get (j, "tick_until") != NULL)
--- a/tests/load_script.h
+++ b/tests/load_script.h
@@ -21,6 +21,7 @@
   void (*destroy) (void *state);
 };
 
+extern const struct load_module load_forecast;
 extern const struct load_module load_sizing;
 
 #endif
