--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -9,7 +9,7 @@
 #include "tests/load_script.h"
 
 static const struct load_module *const modules[]
-    = { &load_sizing, &load_interference };
+    = { &load_forecast, &load_interference, &load_sizing };
 
 static const struct load_module *
 find_module (const char *file)
