Order the new jobs of a saturated pool by their tenants' shares

New jobs that can meet their objective start newest first, so a tenant that sends most of a surge has the newest job nearly always, and the jobs of one that sends little wait until they are late.

While short tasks of a pool find no room, core/load/shares.c orders new jobs of one priority and class by start-time fair queueing, by the weights of the tenants in the configuration. Within a tenant the newest is still first. Without weights, or without saturation, the order is as before. New lines pool_saturated and pool_relieved.

small_weight_is_starved.script on the code before: both runners that come free go to the tenant of weight 100; now the second goes to the one of 50. shares_small_weight.script: tenants of weight 30 and 10 get 300 and 100 of 400 starts while the first sends ten times as much.

--- a/core/cell/admission.c
+++ b/core/cell/admission.c
@@ -27,9 +27,8 @@
 #define RETRY_MIN_MS 500
 #define RETRY_MAX_MS 10000
 
-/* Returns the core time, in thousandths of a core times us, that J needs.  */
-static uint64_t
-work_of (struct cell *c, const struct job *j)
+uint64_t
+admission_work_of (struct cell *c, const struct job *j)
 {
   uint64_t work = 0;
   uint32_t i;
@@ -117,7 +116,7 @@
   cores_milli = demand_reachable_milli (c, m);
   if (cores_milli == 0)
     return 0;
-  work = work_of (c, j);
+  work = admission_work_of (c, j);
   span_us
       = chain_us * q->stretch_milli / 1000 + q->objective_slack_ms * US_PER_MS;
   value_us = LATE_FACTOR * span_us;
--- a/core/cell/catalog.c
+++ b/core/cell/catalog.c
@@ -111,6 +111,7 @@
   uint32_t k;
 
   g_hash_table_remove_all (c->keys);
+  g_hash_table_remove_all (c->weights);
   for (i = 0; i < c->config->tenant_count; i++)
     {
       const struct site_tenant *t = &c->config->tenants[i];
@@ -118,6 +119,9 @@
 
       *limit = t->limit;
       g_hash_table_replace (c->limits, g_strdup (t->name), limit);
+      if (t->weight > 0)
+        g_hash_table_insert (c->weights, g_strdup (t->name),
+                             GUINT_TO_POINTER (t->weight));
       for (k = 0; k < t->key_count; k++)
         g_hash_table_insert (c->keys, g_strdup (t->keys[k]),
                              GUINT_TO_POINTER (i + 1));
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -1,6 +1,7 @@
 /* cell.c -- creates a cell and passes each event to its handler.  */
 
 #include "core/cell/fleet.h"
+#include "core/load/shares.h"
 
 #include <stdarg.h>
 #include <stdio.h>
@@ -122,6 +123,8 @@
   g_hash_table_destroy (c->refused_jobs);
   g_queue_free (c->refused_ids);
   g_hash_table_destroy (c->rate_buckets);
+  g_hash_table_destroy (c->shares);
+  g_hash_table_destroy (c->weights);
   g_array_free (c->dirty_job_ids, TRUE);
   g_array_free (c->append.job_ids, TRUE);
   g_array_free (c->append.watermarks, TRUE);
@@ -171,6 +174,9 @@
   c->usage = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   c->rate_buckets
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  c->shares = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                     (GDestroyNotify)shares_free);
+  c->weights = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->dirty_job_ids = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   c->append.job_ids = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   c->append.watermarks
--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -12,9 +12,13 @@
    5. new jobs that can meet it but are over their tenant's rate, newest first;
    6. late jobs that still have value, oldest first;
    7. the other late jobs, oldest first.  Like the jobs of 6 they mostly start
-      when the surge is over.  */
+      when the surge is over.
+
+   In a saturated pool the jobs of 4, and those of 5, are ordered by the shares
+   of their tenants first (core/load/shares.c), if any tenant has a weight.  */
 
 #include "core/cell/fleet.h"
+#include "core/load/shares.h"
 
 #include <string.h>
 
@@ -40,8 +44,11 @@
 struct candidate
 {
   struct job *job;
-  bool long_running; /**< Its first step is.  */
-  uint32_t priority; /**< Of its queue; 0 is highest.  */
+  bool long_running;          /**< Its first step is.  */
+  uint32_t priority;          /**< Of its queue; 0 is highest.  */
+  struct pool_shares *shares; /**< Of its pool; NULL: no order by shares.  */
+  uint64_t work_us;           /**< Its core time; set with shares.  */
+  uint64_t tag;               /**< Of shares_tag.  */
 };
 
 /* State of a pool during a round.  */
@@ -58,6 +65,7 @@
   uint32_t unreached_count; /**< Tasks that wait for that reason.  */
   bool reserved;            /**< This round has tried to reserve a runner for a
                                task that waited for RESERVE_WAIT_MS.  */
+  bool saturated;           /**< A short task found no room.  */
   uint32_t no_room_count;   /**< Entries of no_room.  */
   struct resources no_room[NO_ROOM_LIMIT_COUNT]; /**< Needs of tasks that found
                                                   no room.  */
@@ -111,6 +119,8 @@
     return x->priority < y->priority ? -1 : 1;
   if (x->job->urgency != y->job->urgency)
     return x->job->urgency < y->job->urgency ? -1 : 1;
+  if (x->tag != y->tag)
+    return x->tag < y->tag ? -1 : 1;
   if (x->job->arrived_at_us != y->job->arrived_at_us)
     return (x->job->arrived_at_us < y->job->arrived_at_us)
                    == (x->job->urgency > URGENCY_OVER_RATE
@@ -161,6 +171,47 @@
         ((long long)j->objective_deadline_us - (long long)c->now_us) / 1000);
 }
 
+static uint32_t
+weight_of (const struct cell *c, const char *tenant)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (c->weights, tenant));
+}
+
+/* Orders CANDIDATES, which are in order but for the shares, by these, too.  */
+static void
+order_by_shares (struct cell *c, GArray *candidates)
+{
+  GHashTableIter it;
+  gpointer shares;
+  bool tagged = false;
+  guint i;
+
+  if (g_hash_table_size (c->shares) == 0)
+    return;
+  g_hash_table_iter_init (&it, c->shares);
+  while (g_hash_table_iter_next (&it, NULL, &shares))
+    shares_begin_round (shares);
+  for (i = 0; i < candidates->len; i++)
+    {
+      struct candidate *x = &g_array_index (candidates, struct candidate, i);
+      const struct job *j = x->job;
+
+      if (x->long_running
+          || (j->urgency != URGENCY_NEW && j->urgency != URGENCY_OVER_RATE))
+        continue;
+      x->shares = g_hash_table_lookup (c->shares,
+                                       cell_find_queue (c, j->queue)->pool);
+      if (x->shares == NULL)
+        continue;
+      x->work_us = admission_work_of (c, j) / 1000;
+      x->tag = shares_tag (x->shares, j->tenant, weight_of (c, j->tenant),
+                           x->work_us);
+      tagged = tagged || x->tag > 0;
+    }
+  if (tagged)
+    g_array_sort (candidates, compare_candidates);
+}
+
 /* Returns the jobs with waiting tasks in the order of the round, as an array
    of struct candidate that the caller frees.  */
 static GArray *
@@ -188,6 +239,7 @@
       g_array_append_val (candidates, x);
     }
   g_array_sort (candidates, compare_candidates);
+  order_by_shares (c, candidates);
   return candidates;
 }
 
@@ -332,6 +384,9 @@
   if (r == NULL)
     {
       p->wait = WAIT_ROOM;
+      p->saturated
+          = p->saturated
+            || (!t->step->spec->long_running && !t->step->spec->filler);
       note_no_room (p, t->step->spec);
       reserve_runner (c, t, p);
       return false;
@@ -484,6 +539,64 @@
     c->unreached_logged_at_us = c->now_us;
 }
 
+/* Starts the tasks of X's job that can start.  */
+static void
+start_candidate (struct cell *c, const struct candidate *x,
+                 struct pool_round *p)
+{
+  struct job *j = x->job;
+  bool was_started = j->started;
+
+  start_job (c, j, p);
+  if (x->shares != NULL && !was_started && j->started)
+    shares_charge (x->shares, j->tenant, weight_of (c, j->tenant), x->work_us);
+}
+
+/* Adds shares for those of POOLS, the pools of the round, that have become
+   saturated.  */
+static void
+add_shares (struct cell *c, GHashTable *pools)
+{
+  GHashTableIter it;
+  gpointer name;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, pools);
+  while (g_hash_table_iter_next (&it, &name, &value))
+    if (((const struct pool_round *)value)->saturated
+        && g_hash_table_size (c->weights) > 0
+        && !g_hash_table_contains (c->shares, name))
+      {
+        g_hash_table_insert (c->shares, g_strdup (name), shares_new ());
+        cell_log (c, "pool_saturated", 0, "\"pool\":\"%s\"",
+                  (const char *)name);
+      }
+}
+
+/* Notes which of POOLS, those of the round, are saturated.  */
+static void
+end_round_of_shares (struct cell *c, GHashTable *pools)
+{
+  GHashTableIter it;
+  gpointer name;
+  gpointer value;
+
+  add_shares (c, pools);
+  g_hash_table_iter_init (&it, c->shares);
+  while (g_hash_table_iter_next (&it, &name, &value))
+    {
+      const struct pool_round *p = g_hash_table_lookup (pools, name);
+
+      if (shares_end_round (value,
+                            p != NULL && p->saturated
+                                && g_hash_table_size (c->weights) > 0,
+                            c->now_us))
+        continue;
+      cell_log (c, "pool_relieved", 0, "\"pool\":\"%s\"", (const char *)name);
+      g_hash_table_iter_remove (&it);
+    }
+}
+
 void
 dispatch_run (struct cell *c)
 {
@@ -496,7 +609,9 @@
               && c->unanswered_start_count < UNANSWERED_START_LIMIT_COUNT;
        i++)
     {
-      struct job *j = g_array_index (candidates, struct candidate, i).job;
+      const struct candidate *x
+          = &g_array_index (candidates, struct candidate, i);
+      struct job *j = x->job;
       const struct site_queue *q = cell_find_queue (c, j->queue);
       struct pool_round *p = find_pool_round (pools, q->pool);
 
@@ -505,11 +620,12 @@
       if (job_pools_allow_start (c, j, q->pool))
         {
           p->wait = WAIT_NONE;
-          start_job (c, j, p);
+          start_candidate (c, x, p);
         }
       note_wait (c, j, p->wait);
     }
   place_end_round (c);
+  end_round_of_shares (c, pools);
   log_unreached (c, pools);
   confirmation_end_round (c);
   g_hash_table_destroy (pools);
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -797,4 +797,5 @@
   c->append.resume_at_us = 0;
   c->flush_now = false;
   admission_clear (c);
+  g_hash_table_remove_all (c->shares);
 }
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -601,6 +601,8 @@
   GHashTable *limits;              /**< Tenant to struct resources, also of
                                       tenants that config lacks.  */
   GHashTable *keys;                /**< API key to tenant's index + 1.  */
+  GHashTable *weights;             /**< Tenant to its weight, as a number; has
+                                      only the tenants with one.  */
   uint64_t config_confirmed_at_us; /**< When config was last the newest; 0:
                                       never confirmed.  */
   uint64_t started_at_us;          /**< Time of the first event.  */
@@ -620,6 +622,8 @@
   GHashTable *pending_orders;   /**< id to struct pending_order.  */
   GHashTable *run_times;     /**< "QUEUE/IMAGE" to struct image_run_time.  */
   GHashTable *rate_buckets;  /**< Tenant to struct rate_bucket.  */
+  GHashTable *shares;        /**< Pool to struct pool_shares, if it is or was
+                                lately saturated.  */
   GHashTable *refused_jobs;  /**< id to struct refused_job.  */
   GQueue *refused_ids;       /**< The same, oldest first; not owned.  */
   GHashTable *usage;         /**< Tenant to struct resources in use.  */
@@ -1118,6 +1122,8 @@
 void cell_fleet_free (struct cell *c);
 
 /* admission.c: which jobs are accepted.  */
+/** Returns the core time, in thousandths of a core times us, that J needs.  */
+uint64_t admission_work_of (struct cell *c, const struct job *j);
 /** Returns 0 if J, a new job, can end while it has value, and otherwise the
     delay to advise to its client, in ms.  */
 uint32_t admission_retry_ms (struct cell *c, const struct job *j);
--- a/tests/load_script.h
+++ b/tests/load_script.h
@@ -22,5 +22,6 @@
 };
 
 extern const struct load_module load_sizing;
+extern const struct load_module load_shares;
 
 #endif
