Merge: shares of tenants in a saturated pool

Beside the merge, ColdRemainingMs is counted from when it is read: it is the time that remains, and its reference is not the start of the runner.

--- a/core/cell/admission.c
+++ b/core/cell/admission.c
@@ -19,9 +19,8 @@
 #define RETRY_MIN_MS 500
 #define RETRY_MAX_MS 10000
 
-/* Returns the core time, in thousandths of a core times us, that J needs.  */
-static uint64_t
-work_of (struct cell *c, const struct job *j)
+uint64_t
+admission_work_of (struct cell *c, const struct job *j)
 {
   uint64_t work = 0;
   uint32_t i;
@@ -116,7 +115,7 @@
   a.objective_us = a.chain_us * q->stretch_milli / 1000
                    + q->objective_slack_ms * US_PER_MS;
   a.value_us = LATE_FACTOR * a.objective_us;
-  a.work = work_of (c, j);
+  a.work = admission_work_of (c, j);
   v = admission_decide (&m->forecast, &owed, &a, c->now_us);
   j->predicted_end_us = v.known ? j->arrived_at_us + v.end_us : 0;
   if (!v.refused)
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -827,4 +827,5 @@
   c->flush_now = false;
   admission_clear (c);
   image_samples_clear (c);
+  g_hash_table_remove_all (c->shares);
 }
--- a/core/cell/place.c
+++ b/core/cell/place.c
@@ -200,16 +200,6 @@
   return meets_constraints (c, t, r, true) && has_room (c, r, &need, true);
 }
 
-/* Returns true if R is slow as it was started a short while ago.  One whose
-   start time is in the future is not: its clock is wrong, and it would stay
-   cold for as long.  */
-static bool
-is_cold (const struct cell *c, const struct runner *r)
-{
-  return c->wall_ms < r->cold_until_ms
-         && r->report.booted_at_ms <= c->wall_ms + CLOCK_DIFFERENCE_MS;
-}
-
 /* Returns the penalties of R for T.  */
 static uint64_t
 penalties (const struct cell *c, const struct task *t, const struct runner *r)
@@ -221,7 +211,7 @@
     n += RACK_PENALTY;
   if (s->same_rack && !is_on_step_rack (t->step, r->rack))
     n += RACK_PENALTY;
-  if (is_cold (c, r))
+  if (c->now_us < r->cold_until_us)
     n += COLD_PENALTY;
   if (t->failed_on == r)
     n += FAILED_PENALTY;
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -286,8 +286,7 @@
   GPtrArray *pool_runners; /**< All runners of its pool.  */
   char rack[LABEL_BYTES];
   bool zone_evacuated;     /**< Its zone is evacuated: it gets no new tasks. */
-  uint64_t cold_until_ms;  /**< It is slow until then, Unix time; 0: it is
-                              not.  */
+  uint64_t cold_until_us;  /**< It is slow until then, having started.  */
   uint64_t draining_at_us; /**< When it was last seen to begin to drain; 0:
                               never.  */
   bool listed;             /**< It is registered in the store.  */
@@ -614,6 +613,8 @@
   GHashTable *limits;              /**< Tenant to struct resources, also of
                                       tenants that config lacks.  */
   GHashTable *keys;                /**< API key to tenant's index + 1.  */
+  GHashTable *weights;             /**< Tenant to its weight, as a number; has
+                                      only the tenants with one.  */
   uint64_t config_confirmed_at_us; /**< When config was last the newest; 0:
                                       never confirmed.  */
   uint64_t started_at_us;          /**< Time of the first event.  */
@@ -638,6 +639,8 @@
   bool place_changed; /**< The last place_find gave another runner than it
                          would without learned interference.  */
   GHashTable *rate_buckets;  /**< Tenant to struct rate_bucket.  */
+  GHashTable *shares;        /**< Pool to struct pool_shares, if it is or was
+                                lately saturated.  */
   GHashTable *refused_jobs;  /**< id to struct refused_job.  */
   GQueue *refused_ids;       /**< The same, oldest first; not owned.  */
   GHashTable *usage;         /**< Tenant to struct resources in use.  */
@@ -1172,6 +1175,8 @@
 void cell_fleet_free (struct cell *c);
 
 /* admission.c: which jobs are accepted.  */
+/** Returns the core time, in thousandths of a core times us, that J needs.  */
+uint64_t admission_work_of (struct cell *c, const struct job *j);
 /** Returns 0 if J, a new job, can end while it has value, and otherwise the
     delay to advise to its client, in ms.  Sets predicted_end_us of J.  */
 uint32_t admission_retry_ms (struct cell *c, struct job *j);
--- a/tests/load_script.h
+++ b/tests/load_script.h
@@ -24,5 +24,6 @@
 extern const struct load_module load_forecast;
 extern const struct load_module load_sizing;
 extern const struct load_module load_interference;
+extern const struct load_module load_shares;
 
 #endif
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -9,7 +9,7 @@
 #include "tests/load_script.h"
 
 static const struct load_module *const modules[]
-    = { &load_forecast, &load_interference, &load_sizing };
+    = { &load_forecast, &load_interference, &load_shares, &load_sizing };
 
 static const struct load_module *
 find_module (const char *file)
