--- a/adapter/site_settings.c
+++ b/adapter/site_settings.c
@@ -94,6 +94,7 @@
                                        "body_receive_ms",
                                        "address_percent",
                                        "learn_interference",
+                                       "share_by_weight",
                                        "log_lines",
                                        "revoke_ms",
                                        "lease_max_ms",
@@ -141,6 +142,7 @@
   s->log_capacity_count = (uint32_t)json_get_number (
       p, "log_lines", 16, 1000000, DEFAULT_LOG_CAPACITY_COUNT);
   s->cell.learn_interference = json_get_bool (p, "learn_interference", false);
+  s->cell.share_by_weight = json_get_bool (p, "share_by_weight", false);
   read_times (p, &s->cell.times);
 }
 
--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -15,7 +15,8 @@
       when the surge is over.
 
    In a saturated pool the jobs of 4, and those of 5, are ordered by the shares
-   of their tenants first (core/load/shares.c), if any tenant has a weight.  */
+   of their tenants first (core/load/shares.c), if the setting share_by_weight
+   is on and any tenant has a weight.  */
 
 #include "core/cell/fleet.h"
 #include "core/load/shares.h"
@@ -556,6 +557,12 @@
     shares_charge (x->shares, j->tenant, weight_of (c, j->tenant), x->work_us);
 }
 
+static bool
+has_shares (const struct cell *c)
+{
+  return c->settings.share_by_weight && g_hash_table_size (c->weights) > 0;
+}
+
 /* Adds shares for those of POOLS, the pools of the round, that have become
    saturated.  */
 static void
@@ -568,7 +575,7 @@
   g_hash_table_iter_init (&it, pools);
   while (g_hash_table_iter_next (&it, &name, &value))
     if (((const struct pool_round *)value)->saturated
-        && g_hash_table_size (c->weights) > 0
+        && has_shares (c)
         && !g_hash_table_contains (c->shares, name))
       {
         g_hash_table_insert (c->shares, g_strdup (name), shares_new ());
@@ -593,7 +600,7 @@
 
       if (shares_end_round (value,
                             p != NULL && p->saturated
-                                && g_hash_table_size (c->weights) > 0,
+                                && has_shares (c),
                             c->now_us))
         continue;
       cell_log (c, "pool_relieved", 0, "\"pool\":\"%s\"", (const char *)name);
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -1130,11 +1130,16 @@
   g_string_append_c (x->out, '\n');
 }
 
-/* Begins again with a cell that learns which images interfere.  */
+/* Has the cell begin anew with the setting NAME on.  */
 static void
-learn_interference (struct script *x)
+turn_on (struct script *x, const char *name)
 {
-  x->settings.learn_interference = true;
+  if (strcmp (name, "learn_interference") == 0)
+    x->settings.learn_interference = true;
+  else if (strcmp (name, "share_by_weight") == 0)
+    x->settings.share_by_weight = true;
+  else
+    g_error ("unknown setting: %s", name);
   talloc_free (x->cell);
   x->cell = cell_new (x->mem, &x->settings);
 }
@@ -1192,8 +1197,8 @@
     x->shows_boots = true;
   else if (json_object_get (j, "show_log") != NULL)
     get_text (j, "show_log", x->shown_event, NAME_BYTES);
-  else if (json_object_get (j, "learn_interference") != NULL)
-    learn_interference (x);
+  else if (json_object_get (j, "turn_on") != NULL)
+    turn_on (x, json_string_value (json_object_get (j, "turn_on")));
   else if (json_object_get (j, "counter") != NULL)
     print_counter (x, json_object_get (j, "counter"));
   else if (json_object_get (j, "confirmation_metrics") != NULL)
