--- a/core/cell/cell.h
+++ b/core/cell/cell.h
@@ -30,8 +30,8 @@
                                    DEFAULT_RECORD_LIMIT_BYTES.  */
   uint32_t append_limit_bytes;  /**< Most bytes of the records of an append; 0:
                                    DEFAULT_APPEND_LIMIT_BYTES.  */
-  bool share_by_weight;    /**< In a saturated pool new jobs start by the shares
-                              of their tenants.  */
+  bool share_by_weight; /**< In a saturated pool new jobs start by the shares
+                           of their tenants.  */
   bool learn_interference; /**< Images that slow each other down are learned
                               and placed apart.  */
 };
--- a/core/cell/dispatch.c
+++ b/core/cell/dispatch.c
@@ -574,8 +574,7 @@
 
   g_hash_table_iter_init (&it, pools);
   while (g_hash_table_iter_next (&it, &name, &value))
-    if (((const struct pool_round *)value)->saturated
-        && has_shares (c)
+    if (((const struct pool_round *)value)->saturated && has_shares (c)
         && !g_hash_table_contains (c->shares, name))
       {
         g_hash_table_insert (c->shares, g_strdup (name), shares_new ());
@@ -598,9 +597,7 @@
     {
       const struct pool_round *p = g_hash_table_lookup (pools, name);
 
-      if (shares_end_round (value,
-                            p != NULL && p->saturated
-                                && has_shares (c),
+      if (shares_end_round (value, p != NULL && p->saturated && has_shares (c),
                             c->now_us))
         continue;
       cell_log (c, "pool_relieved", 0, "\"pool\":\"%s\"", (const char *)name);
