--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -54,8 +54,8 @@
   o=$(owner)
   [ -n "$o" ] || { sleep 1; o=$(owner); }
   [ -n "$o" ] || exit 2
-  note "SIGKILL to the owner, entry $o"
-  kill -KILL ${ENTRY_PID[$o]}
+  note "entry $o is the owner"
+  kill_entry $o
   sleep 1
   start_entry $o
 fi
--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -20,6 +20,7 @@
 
 finish ()
 {
+  exec 2>/dev/null
   for p in $PIDS; do kill -CONT "$p" 2>/dev/null; kill -KILL "$p" 2>/dev/null; done
   wait 2>/dev/null
   rm -rf "$TMP"
@@ -74,6 +75,13 @@
   note "entry $n started, pid $!"
 }
 
+kill_entry () # N
+{
+  note "SIGKILL to entry $1"
+  kill -KILL "${ENTRY_PID[$1]}"
+  wait "${ENTRY_PID[$1]}" 2>/dev/null
+}
+
 # Sends a call to entry N and sets STATUS and BODY.
 call () # N METHOD HOST PATH KEY [BODY]
 {
--- a/review/standin-3/platform.c
+++ b/review/standin-3/platform.c
@@ -2,8 +2,9 @@
 
    Usage: platform FIRST RUNNERS CONFIG RECORD.  Port FIRST serves the store
    and the cloud.  Each of the RUNNERS ports after it is a runner "r-PORT" with
-   64 cores on VM "m-PORT", of pool "p" or, every second one, of pool "q".  A
-   task runs for the milliseconds in its payload.  CONFIG is the file with the
+   64 cores on VM "m-PORT", of pool "p" or, every second one, of pool "q".  The
+   payload of a task is the milliseconds that it runs for and, if a script
+   wants them counted, the tenant and the thousandths of a core.  CONFIG is the file with the
    operator's configuration.  What runners are told to start and what ends is
    written to the file RECORD, a line each.
 
@@ -15,6 +16,8 @@
    this project's entries keep of the completed job X, for N more jobs with the
    ids K, K + 1, ..: what the entries would have stored for N jobs more.
    POST /config: the body is the new configuration.
+   POST /fault?cut_port=P: runner "r-P" is cut off from the entries and runs
+   on; calls to it are neither carried out nor answered.  P of 0 ends the cut.
 
    Derived from tests/standin/site.c.  */
 
@@ -70,6 +73,8 @@
   int64_t started_at_ms;
   int64_t ends_at_ms;
   int64_t stops_at_ms; /**< 0 if it was not told to stop.  */
+  char tenant[32];
+  int64_t cpu_milli;
 };
 
 /* The end of a run that no caller has acknowledged yet.  */
@@ -472,6 +477,23 @@
     }
 }
 
+/* Returns the CPU of the tasks that run on R, of TENANT or of all.  */
+static int64_t
+cpu_in_use (const struct runner *r, const char *tenant)
+{
+  int64_t sum = 0;
+  guint i;
+
+  for (i = 0; i < r->tasks->len; i++)
+    {
+      const struct task *t = g_ptr_array_index (r->tasks, i);
+
+      if (tenant == NULL || strcmp (t->tenant, tenant) == 0)
+        sum += t->cpu_milli;
+    }
+  return sum;
+}
+
 static struct task *
 find_task (struct runner *r, const char *name)
 {
@@ -484,24 +506,28 @@
   return NULL;
 }
 
-/* Counts a start of NAME on STARTER, and as doubled if it runs elsewhere.  */
+/* Records the start of T on STARTER, with the CPU that its tenant then has
+   running, and counts it as doubled if it runs elsewhere.  */
 static void
-count_start (const struct runner *starter, const char *name, int64_t run)
+count_start (const struct runner *starter, const struct task *t)
 {
+  int64_t sum = 0;
   int i;
 
-  fprintf (record, "%lld run-start %s %lld r-%u\n", (long long)clock_ms (),
-           name, (long long)run, starter->port);
-  fflush (record);
   started_count++;
-  if (g_hash_table_contains (acknowledged, name))
+  if (g_hash_table_contains (acknowledged, t->name))
     after_done_count++;
   for (i = 0; i < runner_count; i++)
     {
       end_due_tasks (&runners[i]);
-      if (&runners[i] != starter && find_task (&runners[i], name) != NULL)
+      if (&runners[i] != starter && find_task (&runners[i], t->name) != NULL)
         doubled_count++;
+      sum += cpu_in_use (&runners[i], t->tenant);
     }
+  fprintf (record, "%lld run-start %s %lld r-%u tenant %s running %lld\n",
+           (long long)clock_ms (), t->name, (long long)t->run, starter->port,
+           t->tenant, (long long)sum);
+  fflush (record);
 }
 
 /* Starts the task in J; returns NULL, or the reason why not.  */
@@ -513,6 +539,9 @@
   int64_t lease_end_ms = json_integer_value (json_object_get (j, "UntilMs"));
   const char *spec = json_string_value (json_object_get (j, "Spec"));
   struct task *t = find_task (r, name);
+  long long run_ms = 0;
+  long long cpu_milli = 0;
+  char tenant[32] = "";
 
   if (lease_end_ms < clock_ms () - r->booted_at_ms)
     return "late";
@@ -521,15 +550,19 @@
     return t->run == run ? NULL : "old";
   if (run <= GPOINTER_TO_INT (g_hash_table_lookup (r->last_runs, name)))
     return "old";
-  if (r->tasks->len >= CPU_MILLI / 1000)
+  if (spec != NULL)
+    sscanf (spec, "%lld %31s %lld", &run_ms, tenant, &cpu_milli);
+  if (cpu_in_use (r, NULL) + cpu_milli > CPU_MILLI)
     return "room";
-  count_start (r, name, run);
   t = g_new0 (struct task, 1);
   g_strlcpy (t->name, name, sizeof t->name);
+  g_strlcpy (t->tenant, tenant, sizeof t->tenant);
+  t->cpu_milli = cpu_milli;
   t->run = run;
   t->started_at_ms = clock_ms ();
-  t->ends_at_ms = t->started_at_ms + (spec ? strtoll (spec, NULL, 10) : 0);
+  t->ends_at_ms = t->started_at_ms + run_ms;
   g_ptr_array_add (r->tasks, t);
+  count_start (r, t);
   return NULL;
 }
 
@@ -592,6 +625,13 @@
     {
       wait_until (MIN (deadline_ms, clock_ms () + 20));
       end_due_tasks (r);
+      if (fault_get ("cut_port") == r->port)
+        {
+          while (fault_get ("cut_port") == r->port)
+            wait_until (clock_ms () + 20);
+          x->drop = 1;
+          break;
+        }
     }
   for (i = 0; i < r->tasks->len; i++)
     {
@@ -638,6 +678,14 @@
   json_t *j = json_loadb (x->body, x->body_bytes, 0, NULL);
   int64_t token = json_integer_value (json_object_get (j, "FencingToken"));
 
+  if (fault_get ("cut_port") == r->port)
+    {
+      while (fault_get ("cut_port") == r->port)
+        wait_until (clock_ms () + 20);
+      x->drop = 1;
+      json_decref (j);
+      return;
+    }
   end_due_tasks (r);
   if (token < r->token)
     {
