--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -30,9 +30,9 @@
 # Chooses a base port with enough free ports after it.
 BASE=0
 for try in 1 2 3 4 5 6 7 8 9 10; do
-  b=$((20000 + (RANDOM % 400) * 30))
+  b=$((20000 + (RANDOM % 300) * 40))
   free=1
-  for ((k = 0; k < 30; k++)); do
+  for ((k = 0; k < 40; k++)); do
     (exec 3<>/dev/tcp/127.0.0.1/$((b + k))) 2>/dev/null && free=0 && break
   done
   [ $free = 1 ] && BASE=$b && break
@@ -40,8 +40,9 @@
 [ $BASE -gt 0 ] || exit 2
 STORE=$BASE
 
-# Addresses of entry N: clients from BASE + 10, the others after that.
-front () { echo $((BASE + 10 + $1)); }
+# Ports of entry N, of eight at most: clients from BASE + 8, then readiness,
+# relay and metrics.
+front () { echo $((BASE + 8 + $1)); }
 
 start_platform () # CONFIG
 {
@@ -59,10 +60,10 @@
 {
   "vm": "front-kandy-$n", "zone": "kandy", "cpu_share": 0.25,
   "vm_orders_per_s": 64.0, "max_record_bytes": 262144,
-  "max_append_bytes": 2097152, "listen": "127.0.0.1:$((BASE + 10 + n))",
-  "ready_listen": "127.0.0.1:$((BASE + 14 + n))",
-  "relay_listen": "127.0.0.1:$((BASE + 18 + n))",
-  "metrics_listen": "127.0.0.1:$((BASE + 22 + n))",
+  "max_append_bytes": 2097152, "listen": "127.0.0.1:$((BASE + 8 + n))",
+  "ready_listen": "127.0.0.1:$((BASE + 16 + n))",
+  "relay_listen": "127.0.0.1:$((BASE + 24 + n))",
+  "metrics_listen": "127.0.0.1:$((BASE + 32 + n))",
   "store": "127.0.0.1:$STORE", "cloud": "127.0.0.1:$STORE",
   "relay_secret": "fulmartack-relay-of-this-site", "revoke_ms": 5000,
   "lease_max_ms": 10000, "task_stop_ms": 400, "carrier_gap_ms": 3000,
@@ -111,7 +112,7 @@
 
 metric () # N NAME
 {
-  $BIN/client $((BASE + 22 + $1)) GET x /metrics x 1000 | sed -n "s/^fulmartack_$2 //p"
+  $BIN/client $((BASE + 32 + $1)) GET x /metrics x 1000 | sed -n "s/^fulmartack_$2 //p"
 }
 
 # Prints the entry that owns the cell; metrics are up to a second old.
--- a/review/standin-3/platform.c
+++ b/review/standin-3/platform.c
@@ -18,6 +18,9 @@
    POST /config: the body is the new configuration.
    POST /fault?cut_port=P: runner "r-P" is cut off from the entries and runs
    on; calls to it are neither carried out nor answered.  P of 0 ends the cut.
+   POST /fault?lose_appends=N&lose_orders=N: of the appends to the store, or of
+   the calls to runners, N percent are carried out and not answered;
+   late_appends and late_orders: they are carried out 1 to 6 s later.
 
    Derived from tests/standin/site.c.  */
 
@@ -800,13 +803,29 @@
     handle_membership (x);
 }
 
+/* Returns true in PERCENT of the calls.  */
+static gboolean
+is_struck (int64_t percent)
+{
+  return percent > 0 && g_random_int_range (0, 100) < percent;
+}
+
 static void
 handle (struct exchange *x)
 {
+  gboolean is_store = x->port == store_port;
+  gboolean is_write = strcmp (x->url, "/api/log-append") == 0;
   int i;
 
-  if (x->port == store_port)
+  if (is_store)
     sleep_ms (ANSWER_MS);
+  if (is_struck (fault_get (is_store ? is_write ? "lose_appends" : "" : "lose_orders")))
+    x->drop = 1;
+  else if (is_struck (fault_get (is_store ? is_write ? "late_appends" : "" : "late_orders")))
+    {
+      x->drop = 1;
+      sleep_ms (g_random_int_range (1000, 6000));
+    }
   pthread_mutex_lock (&lock);
   if (x->port == store_port)
     handle_store (x);
