--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -1,4 +1,4 @@
-# lib-3.sh -- starts the stand-ins and the project's entries for review/11 to 15.
+# lib-3.sh -- starts the stand-ins and the project's entries for review/11 to 13.
 # A script sets CASE (its folder) before it reads this file.
 
 cd "$CASE/../.." || exit 2
@@ -76,13 +76,6 @@
   note "entry $n started, pid $!"
 }
 
-kill_entry () # N
-{
-  note "SIGKILL to entry $1"
-  kill -KILL "${ENTRY_PID[$1]}"
-  wait "${ENTRY_PID[$1]}" 2>/dev/null
-}
-
 # Sends a call to entry N and sets STATUS and BODY.
 call () # N METHOD HOST PATH KEY [BODY]
 {
@@ -93,11 +86,6 @@
   note "call entry=$1 $2 $3$4 key=$5 -> $out"
 }
 
-platform () # METHOD PATH [BODY]
-{
-  $BIN/client $STORE "$1" x "$2" x 60000 ${3:+"$3"} | cut -d' ' -f2-
-}
-
 # Waits up to SECONDS until each entry serves GET HOST PATH with 200.
 wait_ready () # SECONDS HOST PATH KEY
 {
@@ -110,20 +98,6 @@
   done
 }
 
-metric () # N NAME
-{
-  $BIN/client $((BASE + 32 + $1)) GET x /metrics x 1000 | sed -n "s/^fulmartack_$2 //p"
-}
-
-# Prints the entry that owns the cell; metrics are up to a second old.
-owner ()
-{
-  local n
-  for ((n = 0; n < ENTRIES; n++)); do
-    [ "$(metric $n owner)" = 1 ] && echo $n && return
-  done
-}
-
 verdict ()
 {
   if [ $FAILED = 1 ]; then echo "the rule was broken"; exit 1; fi
