--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# build-3.sh -- builds the stand-ins of review/11 to 13.
+# build-3.sh -- builds the stand-ins of review/11 to 14.
 cd "$(dirname "$0")/.." || exit 2
 mkdir -p review/standin-3/bin
 FLAGS="-std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -I."
--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -1,4 +1,4 @@
-# lib-3.sh -- starts the stand-ins and the project's entries for review/11 to 13.
+# lib-3.sh -- starts the stand-ins and the project's entries for review/11 to 14.
 # A script sets CASE (its folder) before it reads this file.
 
 cd "$CASE/../.." || exit 2
--- a/review/standin-3/platform.c
+++ b/review/standin-3/platform.c
@@ -3,8 +3,11 @@
    Usage: platform FIRST RUNNERS CONFIG RECORD.  Port FIRST serves the store
    and the cloud.  Each of the RUNNERS ports after it is a runner "r-PORT" with
    64 cores on VM "m-PORT", of pool "p" or, every second one, of pool "q".  The
-   payload of a task is the milliseconds that it runs for, its tenant and the
-   thousandths of a core that it takes.  CONFIG is the file with the operator's
+   payload of a task is the milliseconds that it runs for, its tenant, the
+   thousandths of a core that it takes and, for a member of a gang, the number of
+   members: these work from when all of a run are there, and a member that has
+   waited GANG_MS for the others ends as alone.  A call to a runner takes 2.8 ms,
+   the way to another zone and back (SYSTEM.md: 1.4 ms).  CONFIG is the file with the operator's
    configuration.  What runners are told to start and what ends is written to
    the file RECORD, a line each.
 
@@ -28,6 +31,8 @@
 #define TOPIC_COUNT 16
 #define PAGE_BYTES 1000000
 #define ANSWER_MS 4
+#define RUNNER_ROUND_TRIP_US 2800
+#define GANG_MS 3000
 #define RUNNER_COUNT 16
 #define MEMBER_COUNT 32
 #define STATUS_INTERVAL_MS 500
@@ -69,6 +74,16 @@
   int64_t stops_at_ms; /**< 0 if it was not told to stop.  */
   char tenant[32];
   int64_t cpu_milli;
+  int64_t run_ms;
+  struct gang *gang; /**< NULL unless it is a member of one.  */
+};
+
+/* The members of one run of a gang.  */
+struct gang
+{
+  int64_t size;
+  int64_t present_count;
+  int64_t whole_at_ms; /**< When all were there; 0: not yet.  */
 };
 
 /* The end of a run that no caller has acknowledged yet.  */
@@ -87,6 +102,8 @@
   int64_t token;        /**< Highest fencing token seen.  */
   int64_t lease_end_ms; /**< Of all its tasks, since booted_at_ms.  */
   GPtrArray *tasks;     /**< struct task.  */
+  GHashTable *by_name;  /**< The same by their names.  */
+  int64_t cpu_milli;    /**< That they take.  */
   GPtrArray *ended;     /**< struct ended_task.  */
   int64_t last_end_number;
   GHashTable *last_runs; /**< Task name to highest run stopped or ended.  */
@@ -103,6 +120,7 @@
 static int64_t doubled_count;    /**< Starts while another runner runs it.  */
 static int64_t after_done_count; /**< Starts of acknowledged tasks.  */
 static int64_t fenced_count;     /**< Calls with an old fencing token.  */
+static GHashTable *gangs;        /**< "ID.K.STEP/RUN" to struct gang.  */
 /** Names of the tasks whose end "done" a caller has seen.  */
 static GHashTable *acknowledged;
 static FILE *record;
@@ -445,7 +463,9 @@
   g_ptr_array_add (r->ended, e);
   g_hash_table_insert (r->last_runs, g_strdup (t->name),
                        GINT_TO_POINTER ((int)t->run));
-  g_ptr_array_remove (r->tasks, t);
+  g_hash_table_remove (r->by_name, t->name);
+  r->cpu_milli -= t->cpu_milli;
+  g_ptr_array_remove_fast (r->tasks, t);
   g_free (t);
 }
 
@@ -462,7 +482,13 @@
 
       if (t->stops_at_ms > 0 && now >= t->stops_at_ms)
         end_task (r, t, "stopped");
-      else if (now >= t->ends_at_ms)
+      else if (t->gang != NULL && t->gang->whole_at_ms == 0
+               && now - t->started_at_ms >= GANG_MS)
+        end_task (r, t, "alone");
+      else if (t->gang == NULL
+                   ? now >= t->ends_at_ms
+                   : t->gang->whole_at_ms != 0
+                         && now >= t->gang->whole_at_ms + t->run_ms)
         end_task (r, t, "done");
       else if (now - r->booted_at_ms > r->lease_end_ms)
         end_task (r, t, "lapsed");
@@ -471,41 +497,38 @@
     }
 }
 
-/* Returns the CPU of the tasks that run on R, of TENANT or of all.  */
-static int64_t
-cpu_in_use (const struct runner *r, const char *tenant)
+static struct task *
+find_task (const struct runner *r, const char *name)
 {
-  int64_t sum = 0;
-  guint i;
-
-  for (i = 0; i < r->tasks->len; i++)
-    {
-      const struct task *t = g_ptr_array_index (r->tasks, i);
-
-      if (tenant == NULL || strcmp (t->tenant, tenant) == 0)
-        sum += t->cpu_milli;
-    }
-  return sum;
+  return g_hash_table_lookup (r->by_name, name);
 }
 
-static struct task *
-find_task (struct runner *r, const char *name)
+/* Makes T, with RUN and the name ID.K.STEP.INDEX, a member of its gang of
+   SIZE.  */
+static void
+join_gang (struct task *t, int64_t size)
 {
-  guint i;
+  const char *index = strrchr (t->name, '.');
+  gchar *key = g_strdup_printf ("%.*s/%lld", (int)(index - t->name), t->name,
+                                (long long)t->run);
 
-  for (i = 0; i < r->tasks->len; i++)
-    if (strcmp (((struct task *)g_ptr_array_index (r->tasks, i))->name, name)
-        == 0)
-      return g_ptr_array_index (r->tasks, i);
-  return NULL;
+  t->gang = g_hash_table_lookup (gangs, key);
+  if (t->gang == NULL)
+    {
+      t->gang = g_new0 (struct gang, 1);
+      t->gang->size = size;
+      g_hash_table_insert (gangs, g_strdup (key), t->gang);
+    }
+  if (++t->gang->present_count == size)
+    t->gang->whole_at_ms = clock_ms ();
+  g_free (key);
 }
 
-/* Records the start of T on STARTER, with the CPU that its tenant then has
-   running, and counts it as doubled if it runs elsewhere.  */
+/* Records the start of T on STARTER, and counts it as doubled if it runs
+   elsewhere.  */
 static void
 count_start (const struct runner *starter, const struct task *t)
 {
-  int64_t sum = 0;
   int i;
 
   started_count++;
@@ -516,11 +539,10 @@
       end_due_tasks (&runners[i]);
       if (&runners[i] != starter && find_task (&runners[i], t->name) != NULL)
         doubled_count++;
-      sum += cpu_in_use (&runners[i], t->tenant);
     }
-  fprintf (record, "%lld run-start %s %lld r-%u tenant %s running %lld\n",
+  fprintf (record, "%lld run-start %s %lld r-%u tenant %s \n",
            (long long)clock_ms (), t->name, (long long)t->run, starter->port,
-           t->tenant, (long long)sum);
+           t->tenant);
   fflush (record);
 }
 
@@ -535,6 +557,7 @@
   struct task *t = find_task (r, name);
   long long run_ms = 0;
   long long cpu_milli = 0;
+  long long gang_size = 0;
   char tenant[32] = "";
 
   if (lease_end_ms < clock_ms () - r->booted_at_ms)
@@ -545,8 +568,9 @@
   if (run <= GPOINTER_TO_INT (g_hash_table_lookup (r->last_runs, name)))
     return "old";
   if (spec != NULL)
-    sscanf (spec, "%lld %31s %lld", &run_ms, tenant, &cpu_milli);
-  if (cpu_in_use (r, NULL) + cpu_milli > CPU_MILLI)
+    sscanf (spec, "%lld %31s %lld %lld", &run_ms, tenant, &cpu_milli,
+            &gang_size);
+  if (r->cpu_milli + cpu_milli > CPU_MILLI)
     return "room";
   t = g_new0 (struct task, 1);
   g_strlcpy (t->name, name, sizeof t->name);
@@ -554,7 +578,12 @@
   t->cpu_milli = cpu_milli;
   t->run = run;
   t->started_at_ms = clock_ms ();
+  t->run_ms = run_ms;
   t->ends_at_ms = t->started_at_ms + run_ms;
+  if (gang_size > 0)
+    join_gang (t, gang_size);
+  r->cpu_milli += cpu_milli;
+  g_hash_table_insert (r->by_name, t->name, t);
   g_ptr_array_add (r->tasks, t);
   count_start (r, t);
   return NULL;
@@ -628,7 +657,7 @@
                                                  (json_int_t)t->run, "",
                                                  progress_percent (t), 0));
     }
-  for (i = 0; i < r->ended->len; i++)
+  for (i = 0; i < r->ended->len && i < PAGE_COUNT; i++)
     {
       const struct ended_task *e = g_ptr_array_index (r->ended, i);
 
@@ -704,7 +733,7 @@
           running, json_integer (runners[i].tasks->len));
     }
   j = json_pack (
-      "{s:I,s:I,s:I,s:I,s:I,s:i,s:o}", "started", (json_int_t)started_count,
+      "{s:I,s:I,s:I,s:I,s:I,s:I,s:i,s:o}", "started", (json_int_t)started_count,
       "doubled", (json_int_t)doubled_count, "after_done",
       (json_int_t)after_done_count, "fenced", (json_int_t)fenced_count,
       "token", (json_int_t)token, "work_keys",
@@ -741,6 +770,8 @@
 
   if (x->port == store_port)
     sleep_ms (ANSWER_MS);
+  else
+    g_usleep (RUNNER_ROUND_TRIP_US);
   pthread_mutex_lock (&lock);
   if (x->port == store_port)
     handle_store (x);
@@ -800,6 +831,7 @@
   store_port = (uint16_t)atoi (argv[1]);
   runner_count = MIN (atoi (argv[2]), RUNNER_COUNT);
   acknowledged = g_hash_table_new (g_str_hash, g_str_equal);
+  gangs = g_hash_table_new (g_str_hash, g_str_equal);
   for (i = 0; i < runner_count; i++)
     {
       struct runner *r = &runners[i];
@@ -807,6 +839,7 @@
       r->port = (uint16_t)(store_port + 1 + i);
       r->booted_at_ms = clock_ms ();
       r->tasks = g_ptr_array_new ();
+      r->by_name = g_hash_table_new (g_str_hash, g_str_equal);
       r->ended = g_ptr_array_new ();
       r->last_runs = g_hash_table_new (g_str_hash, g_str_equal);
     }
