A client that sends its body slowly no longer keeps a stopping entry until it is killed

What callers saw: one client with a half-sent body, or one that reads no answer, turned a planned stop into a kill after the grace time; requests of others in the last seconds were cut. Cause: both HTTP servers reported "closed" at a moment without any open request, from its headers on, and nothing bounded the wait but body_receive_ms (60 s) and libmicrohttpd's time-out (60 s); the main thread waited for that report alone. Change: the front knows each connection's phase. Closing, it closes idle connections at once, gives bodies and answers 1 s, and waits for calls that wait for their answer only. The main thread ends the process before the grace time whatever the duties do. All times follow from the grace time (port/stop_times.h). Lines front_closing and stopped tell what was open.

--- a/adapter/body_budget.c
+++ b/adapter/body_budget.c
@@ -6,7 +6,8 @@
 #include "port/types.h"
 
 /** A body without progress for this long is closed when another needs its
-    space.  Ordinary clients send a body of 262,144 bytes without pauses.  */
+    space, and a planned stop waits for no body or reader that takes longer.
+    Ordinary clients send a body of 262,144 bytes without pauses.  */
 #define STALLED_US (1 * US_PER_S)
 /** One connection of this many is kept free for new clients, as libmicrohttpd
     accepts none at its limit and thus would report none to evict for.  */
@@ -20,6 +21,7 @@
   GHashTable *by_address; /**< Address to count of connections.  */
   uint64_t charged_bytes; /**< Held beyond BODY_FREE_BYTES of each.  */
   uint32_t closing_count;
+  uint32_t phase_counts[CLIENT_PHASE_COUNT]; /**< Of clients not closing.  */
   struct body_counts counts;
 };
 
@@ -78,19 +80,26 @@
   c->held_bytes = held_bytes;
 }
 
+/* Moves C, which is not closing, to PHASE.  */
 static void
-leave_receiving (struct body_budget *b, struct budget_client *c)
+set_phase (struct body_budget *b, struct budget_client *c,
+           enum client_phase phase)
 {
   if (c->phase == CLIENT_RECEIVING)
     g_queue_unlink (&b->receiving, &c->receiving_link);
+  if (phase == CLIENT_RECEIVING)
+    g_queue_push_tail_link (&b->receiving, &c->receiving_link);
+  b->phase_counts[c->phase]--;
+  b->phase_counts[phase]++;
+  c->phase = phase;
 }
 
 /* A client that is to be closed no longer counts.  */
 static void
 mark_closing (struct body_budget *b, struct budget_client *c)
 {
-  leave_receiving (b, c);
-  c->phase = CLIENT_IDLE;
+  set_phase (b, c, CLIENT_IDLE);
+  b->phase_counts[CLIENT_IDLE]--;
   c->closing = true;
   b->closing_count++;
   add_to_address (b, c->address, -1);
@@ -129,6 +138,7 @@
       struct budget_client *c = at->data;
 
       if (c != new_client && !c->closing && c->phase != CLIENT_WAITING
+          && c->phase != CLIENT_ANSWERED
           && (!same_address || c->address == new_client->address)
           && (found == NULL || is_closed_before (c, found, new_client)))
         found = c;
@@ -159,6 +169,7 @@
   c->address = address;
   c->active_at_us = now_us;
   g_queue_push_tail_link (&b->clients, &c->link);
+  b->phase_counts[CLIENT_IDLE]++;
   add_to_address (b, address, 1);
   if (address_count (b, address) > MAX (share, 1))
     {
@@ -177,13 +188,16 @@
 void
 body_budget_disconnect (struct body_budget *b, struct budget_client *c)
 {
-  leave_receiving (b, c);
   set_held (b, c, 0);
   g_queue_unlink (&b->clients, &c->link);
   if (c->closing)
-    b->closing_count--;
-  else
-    add_to_address (b, c->address, -1);
+    {
+      b->closing_count--;
+      return;
+    }
+  set_phase (b, c, CLIENT_IDLE);
+  b->phase_counts[CLIENT_IDLE]--;
+  add_to_address (b, c->address, -1);
 }
 
 bool
@@ -197,11 +211,9 @@
     }
   if (c->closing)
     return true;
-  leave_receiving (b, c);
-  c->phase = CLIENT_RECEIVING;
   c->began_at_us = now_us;
   c->active_at_us = now_us;
-  g_queue_push_tail_link (&b->receiving, &c->receiving_link);
+  set_phase (b, c, CLIENT_RECEIVING);
   return true;
 }
 
@@ -279,21 +291,29 @@
 
 void
 body_budget_complete (struct body_budget *b, struct budget_client *c)
+{
+  if (!c->closing)
+    set_phase (b, c, CLIENT_WAITING);
+}
+
+void
+body_budget_answer (struct body_budget *b, struct budget_client *c,
+                    uint64_t now_us)
 {
   if (c->closing)
     return;
-  leave_receiving (b, c);
-  c->phase = CLIENT_WAITING;
+  c->active_at_us = now_us;
+  set_phase (b, c, CLIENT_ANSWERED);
 }
 
 void
 body_budget_end (struct body_budget *b, struct budget_client *c,
                  uint64_t now_us)
 {
-  leave_receiving (b, c);
-  c->phase = CLIENT_IDLE;
   c->active_at_us = now_us;
   set_held (b, c, 0);
+  if (!c->closing)
+    set_phase (b, c, CLIENT_IDLE);
 }
 
 struct budget_client *
@@ -320,8 +340,71 @@
              : UINT64_MAX;
 }
 
+/* Returns until when a planned stop waits for C.  */
+static uint64_t
+drain_until_us (const struct budget_client *c)
+{
+  switch (c->phase)
+    {
+    case CLIENT_RECEIVING:
+      return c->began_at_us + STALLED_US;
+    case CLIENT_ANSWERED:
+      return c->active_at_us + STALLED_US;
+    case CLIENT_WAITING:
+      return UINT64_MAX;
+    case CLIENT_IDLE:
+    case CLIENT_PHASE_COUNT:
+      break;
+    }
+  return 0;
+}
+
+uint64_t
+body_budget_drain (struct body_budget *b, uint64_t now_us,
+                   budget_close_fn *close, void *state)
+{
+  uint64_t next_us = UINT64_MAX;
+  GList *at;
+
+  for (at = b->clients.head; at != NULL; at = at->next)
+    {
+      struct budget_client *c = at->data;
+      uint64_t until_us = drain_until_us (c);
+
+      if (c->closing)
+        continue;
+      if (until_us > now_us)
+        {
+          next_us = MIN (next_us, until_us);
+          continue;
+        }
+      mark_closing (b, c);
+      b->counts.drained++;
+      close (state, c);
+    }
+  return next_us;
+}
+
 const struct body_counts *
 body_budget_counts (const struct body_budget *b)
 {
   return &b->counts;
 }
+
+uint32_t
+body_budget_phase_count (const struct body_budget *b, enum client_phase phase)
+{
+  return b->phase_counts[phase];
+}
+
+const char *
+client_phase_name (enum client_phase phase)
+{
+  static const char *const names[CLIENT_PHASE_COUNT]
+      = { [CLIENT_IDLE] = "idle",
+          [CLIENT_RECEIVING] = "receiving",
+          [CLIENT_WAITING] = "waiting",
+          [CLIENT_ANSWERED] = "answered" };
+
+  return phase < CLIENT_PHASE_COUNT ? names[phase] : "unknown";
+}
--- a/adapter/body_budget.h
+++ b/adapter/body_budget.h
@@ -29,7 +29,9 @@
 {
   CLIENT_IDLE,      /**< Between requests, or sends headers.  */
   CLIENT_RECEIVING, /**< Sends a body.  */
-  CLIENT_WAITING    /**< Has sent its request.  */
+  CLIENT_WAITING,   /**< Has sent its request.  */
+  CLIENT_ANSWERED,  /**< Its answer is being sent.  */
+  CLIENT_PHASE_COUNT
 };
 
 /** A connection.  The caller owns it and changes no field.  */
@@ -53,6 +55,7 @@
   uint64_t stalled;         /**< Stalled bodies closed for the space.  */
   uint64_t evicted;         /**< Connections closed for a new one.  */
   uint64_t address_refused; /**< Connections over the share of an address.  */
+  uint64_t drained;         /**< Connections closed by a planned stop.  */
   uint64_t held_bytes;      /**< Of bodies now, BODY_FREE_BYTES included.  */
 };
 
@@ -87,6 +90,9 @@
 void body_budget_progress (struct budget_client *c, uint64_t now_us);
 /** C has sent its request and waits for the answer.  */
 void body_budget_complete (struct body_budget *b, struct budget_client *c);
+/** The answer to C is known and being sent.  */
+void body_budget_answer (struct body_budget *b, struct budget_client *c,
+                         uint64_t now_us);
 /** The request of C is over.  */
 void body_budget_end (struct body_budget *b, struct budget_client *c,
                       uint64_t now_us);
@@ -98,6 +104,20 @@
 /** Returns when the next body takes too long, or UINT64_MAX.  */
 uint64_t body_budget_deadline_us (const struct body_budget *b);
 
+/** Closes C, which no longer counts.  */
+typedef void budget_close_fn (void *state, struct budget_client *c);
+
+/** During a planned stop: calls CLOSE for each client that is idle, and for
+    each that has taken longer than ordinary clients do to send its body or to
+    read its answer.  Returns when the next one will have, or UINT64_MAX.  */
+uint64_t body_budget_drain (struct body_budget *b, uint64_t now_us,
+                            budget_close_fn *close, void *state);
+
 const struct body_counts *body_budget_counts (const struct body_budget *b);
+/** Returns how many clients that are not to be closed are in PHASE.  */
+uint32_t body_budget_phase_count (const struct body_budget *b,
+                                  enum client_phase phase);
+/** Returns the name of PHASE in metrics.  */
+const char *client_phase_name (enum client_phase phase);
 
 #endif
--- a/adapter/client_guard.c
+++ b/adapter/client_guard.c
@@ -17,6 +17,7 @@
 {
   struct body_budget *budget;
   client_drop_fn *drop;
+  bool draining; /**< A planned stop has begun.  */
 };
 
 struct guarded_client
@@ -43,8 +44,9 @@
 }
 
 static void
-close_client (struct client_guard *g, struct budget_client *b)
+close_client (void *guard, struct budget_client *b)
 {
+  struct client_guard *g = guard;
   struct guarded_client *c = (struct guarded_client *)b;
   const union MHD_ConnectionInfo *info;
 
@@ -152,6 +154,12 @@
   body_budget_complete (g->budget, &c->budget);
 }
 
+void
+client_guard_answer (struct client_guard *g, struct guarded_client *c)
+{
+  body_budget_answer (g->budget, &c->budget, now_us ());
+}
+
 void
 client_guard_end (struct client_guard *g, struct guarded_client *c)
 {
@@ -168,16 +176,51 @@
 
   while ((c = body_budget_expire (g->budget, at_us)) != NULL)
     close_client (g, c);
-  deadline_us = body_budget_deadline_us (g->budget);
+  deadline_us = g->draining
+                    ? body_budget_drain (g->budget, at_us, close_client, g)
+                    : body_budget_deadline_us (g->budget);
   return deadline_us == UINT64_MAX ? UINT64_MAX
                                    : (deadline_us - at_us) / US_PER_MS + 1;
 }
 
+void
+client_guard_drain (struct client_guard *g)
+{
+  g->draining = true;
+}
+
+bool
+client_guard_is_busy (const struct client_guard *g)
+{
+  return body_budget_phase_count (g->budget, CLIENT_RECEIVING) > 0
+         || body_budget_phase_count (g->budget, CLIENT_WAITING) > 0
+         || body_budget_phase_count (g->budget, CLIENT_ANSWERED) > 0;
+}
+
+void
+client_guard_describe (const struct client_guard *g, char *text,
+                       size_t size_bytes)
+{
+  size_t n = 0;
+  int i;
+
+  for (i = 0; i < CLIENT_PHASE_COUNT && n < size_bytes; i++)
+    n += (size_t)snprintf (
+        text + n, size_bytes - n, "%s\"%s\":%u", i > 0 ? "," : "",
+        client_phase_name ((enum client_phase)i),
+        body_budget_phase_count (g->budget, (enum client_phase)i));
+}
+
 void
 client_guard_print (const struct client_guard *g, FILE *out)
 {
   const struct body_counts *n = body_budget_counts (g->budget);
+  int i;
 
+  for (i = 0; i < CLIENT_PHASE_COUNT; i++)
+    fprintf (out, "fulmartack_connections{phase=\"%s\"} %u\n",
+             client_phase_name ((enum client_phase)i),
+             body_budget_phase_count (g->budget, (enum client_phase)i));
   fprintf (out,
            "fulmartack_bodies_refused_total %llu\n"
            "fulmartack_bodies_too_large_total %llu\n"
@@ -185,10 +228,11 @@
            "fulmartack_bodies_stalled_total %llu\n"
            "fulmartack_connections_evicted_total %llu\n"
            "fulmartack_connections_refused_total %llu\n"
+           "fulmartack_connections_drained_total %llu\n"
            "fulmartack_body_memory_bytes %llu\n",
            (unsigned long long)n->refused, (unsigned long long)n->too_large,
            (unsigned long long)n->timed_out, (unsigned long long)n->stalled,
            (unsigned long long)n->evicted,
            (unsigned long long)n->address_refused,
-           (unsigned long long)n->held_bytes);
+           (unsigned long long)n->drained, (unsigned long long)n->held_bytes);
 }
--- a/adapter/client_guard.h
+++ b/adapter/client_guard.h
@@ -44,12 +44,23 @@
                            uint32_t size_bytes);
 void client_guard_progress (struct guarded_client *c);
 void client_guard_complete (struct client_guard *g, struct guarded_client *c);
+void client_guard_answer (struct client_guard *g, struct guarded_client *c);
 void client_guard_end (struct client_guard *g, struct guarded_client *c);
 
 /** Closes the clients whose bodies take too long; returns the milliseconds
     until the next one does, or UINT64_MAX.  */
 uint64_t client_guard_expire (struct client_guard *g);
 
+/** Begins a planned stop: from now on client_guard_expire also closes the
+    clients that the stop does not wait for.  */
+void client_guard_drain (struct client_guard *g);
+/** Returns true if a request is being received, decided or answered.  */
+bool client_guard_is_busy (const struct client_guard *g);
+/** Writes the counts of clients by phase to TEXT, as members of a JSON
+    object.  */
+void client_guard_describe (const struct client_guard *g, char *text,
+                            size_t size_bytes);
+
 /** Writes the metrics of the guard.  */
 void client_guard_print (const struct client_guard *g, FILE *out);
 
--- a/adapter/entry.c
+++ b/adapter/entry.c
@@ -11,18 +11,18 @@
 #include "adapter/peer_mesh.h"
 #include "adapter/settings.h"
 #include "adapter/site_entry.h"
+#include "adapter/stop_wait.h"
 #include "adapter/timeline.h"
 #include "adapter/worker_client.h"
+#include "port/stop_times.h"
 
 #include <curl/curl.h>
 #include <errno.h>
-#include <poll.h>
 #include <sodium.h>
 #include <string.h>
 
 /** Longest wait, after a planned stop, for appends still pending.  */
 #define FLUSH_LIMIT_MS 3000
-#define EXIT_RING_CAPACITY_COUNT 8
 
 struct ftk_entry
 {
@@ -38,9 +38,9 @@
   struct front *front;
   struct recorder *recorder; /**< NULL unless the run is recorded.  */
   char *settings_file;
-  /** The front duty pushes here when every response is sent, then the log duty
-      when no append is pending.  */
-  struct ring *exit_ring;
+  /** The front duty reports to it when every response is sent, then the log
+      duty when no append is pending.  */
+  struct stop_wait *stop;
   char message[TEXT_BYTES];
 };
 
@@ -149,8 +149,8 @@
   e->peer_mesh = peer_mesh_new (e->settings, decide, e->message);
   if (e->peer_mesh == NULL)
     return FTK_CANNOT_LISTEN;
-  e->front
-      = front_new (e->settings, decide, e->timeline, e->exit_ring, e->message);
+  e->front = front_new (e->settings, decide, e->timeline,
+                        stop_wait_ring (e->stop), e->message);
   if (e->front == NULL)
     return FTK_CANNOT_LISTEN;
   if (e->settings->fleet_address[0] != '\0')
@@ -236,8 +236,8 @@
   findings_print (f, report);
   if (e->settings == NULL)
     return reject_settings (e, f);
-  e->exit_ring = ring_open (EXIT_RING_CAPACITY_COUNT);
-  if (e->exit_ring == NULL)
+  e->stop = stop_wait_new (e);
+  if (e->stop == NULL)
     return FTK_NO_MEMORY;
   s = make_duties (e, trace);
   if (s == FTK_OK)
@@ -271,39 +271,44 @@
 ftk_entry_stop (ftk_entry *e)
 {
   if (e->site != NULL)
-    site_entry_stop (e->site);
-  else
-    decide_stop (e->decide);
+    {
+      site_entry_stop (e->site);
+      return;
+    }
+  stop_wait_begin (e->stop, stop_end_us (e->settings->stop_limit_ms));
+  decide_stop (e->decide);
 }
 
-/* Waits until a duty pushes to the exit ring, at most LIMIT_MS (-1: no
-   limit).  */
+/* Notes how many requests are cut because the time of the stop is over.  */
 static void
-wait_exit_ring (ftk_entry *e, int limit_ms)
+note_cut (ftk_entry *e)
 {
-  struct pollfd p = { .fd = ring_fd (e->exit_ring), .events = POLLIN };
-  void *item;
+  struct action_note n = { .kind = NOTE_REQUESTS_CUT };
 
-  while (ring_pop (e->exit_ring, &item, 1) == 0)
-    if (poll (&p, 1, limit_ms) == 0)
-      return;
+  text_copy (n.subject, NAME_BYTES, e->settings->vm);
+  n.value = front_open_count (e->front);
+  timeline_add (e->timeline, &n);
 }
 
 ftk_status
 ftk_entry_run (ftk_entry *e)
 {
   struct log_request *x;
+  bool complete;
 
   if (e->site != NULL)
     {
       site_entry_run (e->site);
       return FTK_OK;
     }
-  wait_exit_ring (e, -1);
+  complete = stop_wait_run (e->stop);
+  duty_stop (front_duty (e->front));
+  if (!complete)
+    note_cut (e);
   x = talloc_zero (NULL, struct log_request);
-  x->flushed_ring = e->exit_ring;
+  x->flushed_ring = stop_wait_ring (e->stop);
   if (ring_push (log_client_duty (e->log)->inbound, x))
-    wait_exit_ring (e, FLUSH_LIMIT_MS);
+    stop_wait_run_for (e->stop, FLUSH_LIMIT_MS);
   else
     talloc_free (x);
   return FTK_OK;
@@ -345,6 +350,5 @@
   decide_free (e->decide);
   timeline_free (e->timeline);
   recorder_close (e->recorder);
-  ring_close (e->exit_ring);
   talloc_free (e);
 }
--- a/adapter/front.c
+++ b/adapter/front.c
@@ -90,19 +90,32 @@
   blob_unref (state);
 }
 
+/* Sends R, which it releases.  The connection takes no further request if LAST
+   is set or the server is closing.  */
 static enum MHD_Result
-respond_text (struct call *c, uint32_t status, const char *type, char *text)
+queue_response (struct call *c, uint32_t status, struct MHD_Response *r,
+                bool last)
 {
-  struct MHD_Response *r = MHD_create_response_from_buffer_with_free_callback (
-      strlen (text), text, free);
   enum MHD_Result done;
 
-  MHD_add_response_header (r, "Content-Type", type);
+  if (last || c->front->closing)
+    MHD_add_response_header (r, "Connection", "close");
+  client_guard_answer (c->front->guard, c->client);
   done = MHD_queue_response (c->connection, status, r);
   MHD_destroy_response (r);
   return done;
 }
 
+static enum MHD_Result
+respond_text (struct call *c, uint32_t status, const char *type, char *text)
+{
+  struct MHD_Response *r = MHD_create_response_from_buffer_with_free_callback (
+      strlen (text), text, free);
+
+  MHD_add_response_header (r, "Content-Type", type);
+  return queue_response (c, status, r, false);
+}
+
 static enum MHD_Result
 respond_json (struct call *c, uint32_t status, json_t *j)
 {
@@ -125,7 +138,6 @@
   struct MHD_Response *r = MHD_create_response_from_buffer_with_free_callback (
       strlen (text), text, free);
   char seconds[16];
-  enum MHD_Result done;
 
   json_decref (j);
   MHD_add_response_header (r, "Content-Type", "application/json");
@@ -135,12 +147,8 @@
                 (unsigned)((retry_after_ms + MS_PER_S - 1) / MS_PER_S));
       MHD_add_response_header (r, "Retry-After", seconds);
     }
-  /* The server is closing, so the connection cannot take another request.  */
-  if (code == ANSWER_STOPPING)
-    MHD_add_response_header (r, "Connection", "close");
-  done = MHD_queue_response (c->connection, answer_code_http_status (code), r);
-  MHD_destroy_response (r);
-  return done;
+  return queue_response (c, answer_code_http_status (code), r,
+                         code == ANSWER_STOPPING);
 }
 
 static enum MHD_Result
@@ -150,14 +158,11 @@
   struct MHD_Response *r
       = MHD_create_response_from_buffer_with_free_callback_cls (
           b->size_bytes, b->data, free_blob, b);
-  enum MHD_Result done;
 
   a->body = NULL;
   if (b->content_type[0] != '\0')
     MHD_add_response_header (r, "Content-Type", b->content_type);
-  done = MHD_queue_response (c->connection, a->http_status, r);
-  MHD_destroy_response (r);
-  return done;
+  return queue_response (c, a->http_status, r, false);
 }
 
 static json_t *
@@ -534,20 +539,28 @@
 static void
 signal_if_closed (struct front *f)
 {
-  if (!f->closing || f->open_count > 0 || f->exit_ring == NULL)
+  if (!f->closing || client_guard_is_busy (f->guard) || f->exit_ring == NULL)
     return;
   ring_push (f->exit_ring, f);
   f->exit_ring = NULL;
 }
 
+/* Closes the listening socket and the connections that the stop does not wait
+   for; requests in progress are still answered.  */
 static void
 start_closing (struct front *f)
 {
-  MHD_socket fd = MHD_quiesce_daemon (f->http);
+  MHD_socket fd;
 
+  if (f->closing)
+    return;
+  /* Reads the requests that have arrived.  */
+  MHD_run (f->http);
+  fd = MHD_quiesce_daemon (f->http);
   if (fd != MHD_INVALID_SOCKET)
     close (fd);
   f->closing = true;
+  client_guard_drain (f->guard);
 }
 
 static void
@@ -675,6 +688,12 @@
   return f->duty;
 }
 
+uint32_t
+front_open_count (const struct front *f)
+{
+  return f->open_count;
+}
+
 /* MHD_stop_daemon requires that no connection is suspended.  */
 static void
 resume_unanswered (gpointer key, gpointer value, gpointer state)
--- a/adapter/front.h
+++ b/adapter/front.h
@@ -10,8 +10,9 @@
 struct front;
 
 /** Returns a front duty that listens as S says and passes requests to DECIDE,
-    or NULL with a reason in TEXT (TEXT_BYTES).  After ACTION_EXIT it pushes
-    one element to EXIT_RING as soon as every response is sent.  */
+    or NULL with a reason in TEXT (TEXT_BYTES).  After ACTION_EXIT it closes
+    the connections without a request and pushes one element to EXIT_RING as
+    soon as every response is sent.  */
 struct front *front_new (const struct settings *s, struct ring *decide,
                          struct timeline *timeline, struct ring *exit_ring,
                          char *text);
@@ -20,6 +21,10 @@
     kind ACTION_ANSWER, ACTION_STATUS and ACTION_EXIT.  */
 struct duty *front_duty (struct front *f);
 
+/** Returns the number of requests that are not answered.  The duty must have
+    been stopped.  */
+uint32_t front_open_count (const struct front *f);
+
 /** Frees the stopped duty and closes its connections; NULL is allowed.  */
 void front_free (struct front *f);
 
--- a/adapter/site_entry.c
+++ b/adapter/site_entry.c
@@ -9,12 +9,12 @@
 #include "adapter/site_decide.h"
 #include "adapter/site_front.h"
 #include "adapter/site_store.h"
+#include "adapter/stop_wait.h"
+#include "port/stop_times.h"
 
-#include <poll.h>
+#include <stdatomic.h>
 #include <stdio.h>
 
-#define EXIT_RING_CAPACITY_COUNT 8
-
 struct site_entry
 {
   struct line_log *log;
@@ -23,7 +23,8 @@
   struct site_order_client *order_client;
   struct relay *relay;
   struct site_front *front;
-  struct ring *exit_ring; /**< Gets an item when a planned stop is complete. */
+  struct stop_wait *stop;         /**< The front reports to it.  */
+  _Atomic uint32_t stop_grace_ms; /**< As in struct cell_times.  */
 };
 
 static bool
@@ -34,10 +35,11 @@
 
   snprintf (text, TEXT_BYTES,
             "cannot start: out of memory, threads or file descriptors");
-  e->exit_ring = ring_open (EXIT_RING_CAPACITY_COUNT);
+  e->stop = stop_wait_new (e);
+  atomic_store (&e->stop_grace_ms, s->cell.times.stop_grace_ms);
   e->log = line_log_new (s->cell.member, s->log_capacity_count);
   e->decide = site_decide_new (&s->cell);
-  if (e->exit_ring == NULL || e->log == NULL || e->decide == NULL)
+  if (e->stop == NULL || e->log == NULL || e->decide == NULL)
     return false;
   cell = site_decide_duty (e->decide)->inbound;
   e->store = site_store_new (s, cell, e->log);
@@ -52,7 +54,7 @@
                     site_order_client_duty (e->order_client)->inbound);
   site_order_client_set_relay (e->order_client,
                                relay_duty (e->relay)->inbound);
-  e->front = site_front_new (s, cell, e->log, e->exit_ring, text);
+  e->front = site_front_new (s, cell, e->log, stop_wait_ring (e->stop), text);
   *listen_failed = e->front == NULL;
   return e->front != NULL;
 }
@@ -102,24 +104,38 @@
 site_entry_reload (struct site_entry *e, const struct site_settings *s)
 {
   line_log_write (e->log, "reloaded", 0, "");
+  atomic_store (&e->stop_grace_ms, s->cell.times.stop_grace_ms);
   site_decide_reload (e->decide, &s->cell);
 }
 
 void
 site_entry_stop (struct site_entry *e)
 {
+  stop_wait_begin (e->stop, stop_end_us (atomic_load (&e->stop_grace_ms)));
   site_decide_stop (e->decide);
 }
 
+/* Logs the end of a planned stop and the connections that were open then.  */
+static void
+log_stopped (struct site_entry *e, bool complete)
+{
+  char clients[120];
+  char fields[200];
+
+  site_front_describe (e->front, clients, sizeof clients);
+  snprintf (fields, sizeof fields, "\"complete\":%s,\"took_ms\":%llu,%s",
+            complete ? "true" : "false",
+            (unsigned long long)stop_wait_age_ms (e->stop), clients);
+  line_log_write (e->log, "stopped", 0, fields);
+}
+
 void
 site_entry_run (struct site_entry *e)
 {
-  struct pollfd p = { .fd = ring_fd (e->exit_ring), .events = POLLIN };
-  void *item;
+  bool complete = stop_wait_run (e->stop);
 
-  while (ring_pop (e->exit_ring, &item, 1) == 0)
-    poll (&p, 1, -1);
-  line_log_write (e->log, "stopped", 0, "");
+  duty_stop (site_front_duty (e->front));
+  log_stopped (e, complete);
 }
 
 void
@@ -145,6 +161,5 @@
   site_store_free (e->store);
   site_decide_free (e->decide);
   line_log_free (e->log);
-  ring_close (e->exit_ring);
   talloc_free (e);
 }
--- a/adapter/site_entry.h
+++ b/adapter/site_entry.h
@@ -18,7 +18,8 @@
 void site_entry_reload (struct site_entry *e, const struct site_settings *s);
 /** Starts a planned stop; callable from any thread.  */
 void site_entry_stop (struct site_entry *e);
-/** Waits until the planned stop is complete.  */
+/** Waits until the planned stop is complete or its time is over
+    (port/stop_times.h); then no more requests are served.  */
 void site_entry_run (struct site_entry *e);
 /** Stops the duties and frees E; NULL is allowed.  */
 void site_entry_close (struct site_entry *e);
--- a/adapter/site_front.c
+++ b/adapter/site_front.c
@@ -79,7 +79,7 @@
   GHashTable *calls; /**< Suspended calls by id.  */
   uint64_t next_id;
   struct client_guard *guard; /**< Of the listener for clients.  */
-  uint32_t open_count;        /**< Requests in progress.  */
+  uint32_t open_count;        /**< Requests in progress, to any listener.  */
   bool ready;
   bool closing;           /**< No new connection is accepted.  */
   struct ring *exit_ring; /**< Gets an item when closed; then NULL.  */
@@ -106,6 +106,8 @@
     }
   if (c->front->closing)
     MHD_add_response_header (r, "Connection", "close");
+  if (c->client != NULL)
+    client_guard_answer (c->front->guard, c->client);
   done = MHD_queue_response (c->connection, status, r);
   MHD_destroy_response (r);
   return done;
@@ -368,22 +370,38 @@
   *call_state = NULL;
 }
 
-/* Reports once, during a planned stop, that no request is in progress.  */
+/* Reports once, during a planned stop, that no client's request is in
+   progress.  Readiness checks and scrapes of the metrics are not waited for.
+ */
 static void
 report_closed (struct site_front *f)
 {
-  if (!f->closing || f->open_count > 0 || f->exit_ring == NULL)
+  if (!f->closing || client_guard_is_busy (f->guard) || f->exit_ring == NULL)
     return;
   ring_push (f->exit_ring, f);
   f->exit_ring = NULL;
 }
 
-/* Closes the listening sockets; requests in progress are still answered.  */
+static void
+log_clients (struct site_front *f, const char *what)
+{
+  char fields[120];
+
+  client_guard_describe (f->guard, fields, sizeof fields);
+  line_log_write (f->log, what, 0, fields);
+}
+
+/* Closes the listening sockets and the connections that the stop does not wait
+   for; requests in progress are still answered.  */
 static void
 start_closing (struct site_front *f)
 {
   int i;
 
+  if (f->closing)
+    return;
+  /* Reads the requests that have arrived.  */
+  MHD_run (f->listeners[LISTEN_CLIENTS].http);
   f->closing = true;
   for (i = 0; i < LISTEN_COUNT; i++)
     if (f->listeners[i].http != NULL)
@@ -393,6 +411,8 @@
         if (fd != MHD_INVALID_SOCKET)
           close (fd);
       }
+  log_clients (f, "front_closing");
+  client_guard_drain (f->guard);
 }
 
 static void
@@ -560,6 +580,12 @@
   return f->duty;
 }
 
+void
+site_front_describe (const struct site_front *f, char *text, size_t size_bytes)
+{
+  client_guard_describe (f->guard, text, size_bytes);
+}
+
 static void
 resume_call (gpointer key, gpointer value, gpointer state)
 {
--- a/adapter/site_front.h
+++ b/adapter/site_front.h
@@ -17,8 +17,8 @@
     FRONT_SEND_REPLY,  /**< Send reply to its call.  */
     FRONT_SET_READY,   /**< Answer the readiness check as ready says.  */
     FRONT_SET_METRICS, /**< Show metrics on the metrics page.  */
-    FRONT_CLOSE /**< Accept no more connections; report when every request is
-                   answered.  */
+    FRONT_CLOSE /**< Accept no more connections, close those without a request;
+                   report when every request is answered.  */
   } kind;
   struct reply reply;
   bool ready;
@@ -29,14 +29,18 @@
 
 /** Returns a server that posts clients' calls to CELL, its listeners open and
     its duty not yet started; or NULL with a message in TEXT of TEXT_BYTES.
-    After FRONT_CLOSE it pushes one item to EXIT_RING when the last request is
-    answered.  */
+    After FRONT_CLOSE it pushes one item to EXIT_RING when the last request of
+    a client is answered or its connection is closed.  */
 struct site_front *site_front_new (const struct site_settings *s,
                                    struct ring *cell, struct line_log *log,
                                    struct ring *exit_ring, char *text);
 /** Returns the duty, to start and stop it.  Its ring takes struct
     front_command.  */
 struct duty *site_front_duty (struct site_front *f);
+/** Writes the counts of clients' connections by phase to TEXT, as members of a
+    JSON object.  The duty must have been stopped.  */
+void site_front_describe (const struct site_front *f, char *text,
+                          size_t size_bytes);
 void site_front_free (struct site_front *f);
 
 #endif
--- a/core/membership.c
+++ b/core/membership.c
@@ -3,6 +3,8 @@
 
 #include "core/state.h"
 
+#include "port/stop_times.h"
+
 #include <stdio.h>
 #include <string.h>
 
@@ -266,7 +268,7 @@
   if (c->stopping)
     return;
   c->stopping = true;
-  c->stop_deadline_us = c->now_us + c->settings.stop_limit_ms * US_PER_MS;
+  c->stop_deadline_us = c->now_us + stop_answer_us (c->settings.stop_limit_ms);
   core_note (c, NOTE_STOPPING, c->settings.vm, c->running_count);
 }
 
--- a/include/fulmartack.h
+++ b/include/fulmartack.h
@@ -65,8 +65,10 @@
                                       FILE *report, ftk_entry **e);
 
   /** Waits until the entry has stopped.  After ftk_entry_stop it takes no new
-      requests, answers those in flight within the setting "stop_limit_ms"
-      (milliseconds), and leaves the members.  */
+      requests, answers those in flight and leaves the members.  Returns before
+      the setting "stop_limit_ms" (milliseconds) has passed since then, also if
+      clients have not sent the rest of their requests or read their
+      answers.  */
   ftk_status ftk_entry_run (ftk_entry *e);
 
   /** Reads the settings file again and applies the durations in it; no other
--- a/port/action.c
+++ b/port/action.c
@@ -99,6 +99,7 @@
     [NOTE_BAD_RECORD] = "bad_record",
     [NOTE_STOPPING] = "stopping",
     [NOTE_STOPPED] = "stopped",
+    [NOTE_REQUESTS_CUT] = "requests_cut",
     [NOTE_PEER_REFUSED] = "peer_refused",
     [NOTE_MEMBER_GONE] = "member_gone",
     [NOTE_REMOVED] = "removed",
--- a/port/action.h
+++ b/port/action.h
@@ -62,6 +62,8 @@
   NOTE_STOPPING,       /**< A planned stop began.  */
   NOTE_STOPPED,        /**< A planned stop ended; every request is
                              answered.  */
+  NOTE_REQUESTS_CUT,   /**< The time of a planned stop was over before every
+                             request was answered.  */
   NOTE_PEER_REFUSED,   /**< A peer connection failed the handshake or sent
                              malformed frames.  */
   NOTE_MEMBER_GONE,    /**< A member's VM is gone from the fleet list.  */
--- a/tests/site_cluster.c
+++ b/tests/site_cluster.c
@@ -121,7 +121,7 @@
   guint waited_ms = 0;
   guint i;
 
-  for (i = 0; i < SITE_ENTRY_COUNT; i++)
+  for (i = 0; i < s->entry_count; i++)
     while (site_call (s, i, "GET", "/q/", NULL, NULL, 0) != 200)
       {
         g_assert_cmpuint (waited_ms, <, START_TIMEOUT_MS);
@@ -131,32 +131,40 @@
 }
 
 void
-site_start_with (struct site *s, const gchar *settings)
+site_start_platform (struct site *s, guint entry_count)
 {
   gchar *first;
   gchar *last;
   gchar *count;
   gchar *log;
-  guint i;
 
-  memset (s, 0, sizeof *s);
-  s->settings = settings;
+  s->entry_count = entry_count;
   s->base_port = ports_take (PORT_LOW, PORT_STEP, PORT_RANGE_COUNT);
   s->directory = g_dir_make_tmp ("site-XXXXXX", NULL);
   first = g_strdup_printf ("%u", s->base_port);
   last = g_strdup_printf ("%d", s->base_port + SITE_RUNNER_COUNT);
-  count = g_strdup_printf ("%d", SITE_ENTRY_COUNT);
+  count = g_strdup_printf ("%u", s->proxied ? 0 : entry_count);
   log = g_build_filename (s->directory, "platform.log", NULL);
   s->platform = spawn ("standin_site", first, last, count, log);
-  for (i = 0; i < SITE_ENTRY_COUNT; i++)
-    site_start_entry (s, i);
-  site_wait_ready (s);
   g_free (log);
   g_free (count);
   g_free (last);
   g_free (first);
 }
 
+void
+site_start_with (struct site *s, const gchar *settings)
+{
+  guint i;
+
+  memset (s, 0, sizeof *s);
+  s->settings = settings;
+  site_start_platform (s, SITE_ENTRY_COUNT);
+  for (i = 0; i < s->entry_count; i++)
+    site_start_entry (s, i);
+  site_wait_ready (s);
+}
+
 void
 site_start (struct site *s)
 {
@@ -180,7 +188,7 @@
   gchar *remove = g_strdup_printf ("rm -r '%s'", s->directory);
   guint i;
 
-  for (i = 0; i < SITE_ENTRY_COUNT; i++)
+  for (i = 0; i < s->entry_count; i++)
     site_stop_process (s->entries[i], SIGKILL);
   site_stop_process (s->platform, SIGKILL);
   g_assert_cmpint (system (remove), ==, 0);
--- a/tests/site_cluster.h
+++ b/tests/site_cluster.h
@@ -7,6 +7,7 @@
 #include "tests/cluster.h"
 
 #define SITE_ENTRY_COUNT 3
+#define SITE_ENTRY_LIMIT 10
 #define SITE_RUNNER_COUNT 4
 
 /* The stand-in and the entries of a test.  */
@@ -14,7 +15,10 @@
 {
   guint16 base_port; /* First of the stand-in; entries from + 20 on.  */
   pid_t platform;
-  pid_t entries[SITE_ENTRY_COUNT];
+  guint entry_count;
+  pid_t entries[SITE_ENTRY_LIMIT];
+  gboolean proxied; /* The caller serves the ports of site_store_port, by
+                       passing on to base_port.  */
   gchar *directory;
   const gchar *settings; /* More settings of the entries, as members of a JSON
                             object that begin with a comma; NULL: none.  */
@@ -30,6 +34,9 @@
     is kept in S.  */
 void site_start_with (struct site *s, const gchar *settings);
 void site_start (struct site *s);
+/** Takes ports and starts the stand-in alone, for up to ENTRY_COUNT entries.
+ */
+void site_start_platform (struct site *s, guint entry_count);
 /** Starts entry I, which does not run.  */
 void site_start_entry (struct site *s, guint i);
 /** Waits until all entries answer calls.  */
--- a/tests/standin/site.c
+++ b/tests/standin/site.c
@@ -7,7 +7,8 @@
    for the milliseconds in its payload.  GET /report on the first port shows
    the runners' record: tasks started, those started while they ran on another
    runner ("doubled") or after their end was acknowledged
-   ("after_done"), calls refused for an old fencing token ("fenced"), the
+   ("after_done"), calls refused for an old fencing token ("fenced"), runs that
+   ended with their lease ("lapsed"), the
    highest token that a runner has seen ("token"), and how many tasks run now
    on each runner that answers ("running").
 
@@ -111,6 +112,7 @@
 static int64_t doubled_count;    /**< Starts while another runner runs it.  */
 static int64_t after_done_count; /**< Starts of acknowledged tasks.  */
 static int64_t fenced_count;     /**< Calls with an old fencing token.  */
+static int64_t lapsed_count;     /**< Runs ended by the lease's end.  */
 /** Names of the tasks whose end "done" a caller has seen.  */
 static GHashTable *acknowledged;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -476,6 +478,7 @@
 {
   struct ended_task *e = g_new0 (struct ended_task, 1);
 
+  lapsed_count += strcmp (outcome, "lapsed") == 0;
   e->number = ++r->last_end_number;
   g_strlcpy (e->name, t->name, sizeof e->name);
   e->run = t->run;
@@ -755,11 +758,12 @@
       json_array_append_new (
           running, json_integer (answers ? runners[i].tasks->len : 0));
     }
-  j = json_pack (
-      "{s:I,s:I,s:I,s:I,s:I,s:o}", "started", (json_int_t)started_count,
-      "doubled", (json_int_t)doubled_count, "after_done",
-      (json_int_t)after_done_count, "fenced", (json_int_t)fenced_count,
-      "token", (json_int_t)token, "running", running);
+  j = json_pack ("{s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "started",
+                 (json_int_t)started_count, "doubled",
+                 (json_int_t)doubled_count, "after_done",
+                 (json_int_t)after_done_count, "fenced",
+                 (json_int_t)fenced_count, "lapsed", (json_int_t)lapsed_count,
+                 "token", (json_int_t)token, "running", running);
   x->answer = json_dumps (j, JSON_COMPACT);
   x->answer_bytes = (uint32_t)strlen (x->answer);
   x->status = 200;
--- a/tests/test_body_budget.c
+++ b/tests/test_body_budget.c
@@ -170,6 +170,39 @@
   talloc_free (budget);
 }
 
+static void
+count_closed (void *state, struct budget_client *c)
+{
+  (void)c;
+  (*(guint *)state)++;
+}
+
+/* A planned stop closes idle connections at once and slow ones after 1 s; it
+   waits for those that wait for their answers.  */
+static void
+test_drain (void)
+{
+  guint closed = 0;
+  guint i;
+
+  set_up (4, 1);
+  for (i = 1; i < 4; i++)
+    g_assert_true (body_budget_begin (budget, &clients[i], 0, START_US));
+  body_budget_complete (budget, &clients[2]);
+  body_budget_complete (budget, &clients[3]);
+  body_budget_answer (budget, &clients[3], START_US + 10);
+  g_assert_cmpuint (
+      body_budget_drain (budget, START_US + 20, count_closed, &closed), ==,
+      START_US + US_PER_S);
+  g_assert_cmpuint (closed, ==, 1);
+  body_budget_drain (budget, START_US + 2 * US_PER_S, count_closed, &closed);
+  g_assert_cmpuint (closed, ==, 3);
+  g_assert_cmpuint (body_budget_phase_count (budget, CLIENT_WAITING), ==, 1);
+  for (i = 0; i < 4; i++)
+    body_budget_disconnect (budget, &clients[i]);
+  talloc_free (budget);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -183,5 +216,6 @@
   g_test_add_func ("/body_budget/connections_near_limit",
                    test_connections_near_limit);
   g_test_add_func ("/body_budget/share_of_address", test_share_of_address);
+  g_test_add_func ("/body_budget/drain", test_drain);
   return g_test_run ();
 }
--- /dev/null
+++ b/tests/test_stop.c
@@ -0,0 +1,93 @@
+/* test_stop.c -- the planned stop of an entry with the product's own
+   interface.
+
+   Guards against clients that keep a stopping entry until it is killed: they
+   send bodies or headers slowly, read no answer, or only hold a connection.
+   tests/soak has the same for entries on the users' platform.  */
+
+#include "tests/cluster.h"
+#include "tests/soak_client.h"
+
+#include <signal.h>
+#include <sys/wait.h>
+
+#define STOP_LIMIT_MS 6000
+#define SETTINGS ",\"stop_limit_ms\":6000"
+#define CLIENT_COUNT 3
+/** The clients are connected and their requests under way after this.  */
+#define CONNECT_MS 1000
+#define POLL_MS 10
+
+static const gchar *const heads[SOAK_KIND_COUNT]
+    = { [SOAK_SLOW_BODY] = "POST /v1/queues/open HTTP/1.1\r\nHost: a\r\n",
+        [SOAK_SLOW_HEADERS] = "POST /v1/queues/open HTTP/1.1\r\nHost: a\r\n",
+        [SOAK_UNREAD] = "GET /v1/timeline HTTP/1.1\r\nHost: a\r\n",
+        [SOAK_IDLE] = "" };
+
+/* Returns the wait status of PID, or -1 if it has not ended by then.  */
+static int
+wait_end (pid_t pid, gint64 limit_ms)
+{
+  gint64 end_us = g_get_monotonic_time () + limit_ms * 1000;
+  int status = -1;
+
+  while (waitpid (pid, &status, WNOHANG) != pid)
+    {
+      if (g_get_monotonic_time () >= end_us)
+        return -1;
+      g_usleep (POLL_MS * 1000);
+    }
+  return status;
+}
+
+static void
+test_stop (gconstpointer kind)
+{
+  struct cluster *c = cluster_start_with (1, 2, SETTINGS);
+  struct soak_client clients[CLIENT_COUNT] = { 0 };
+  int status;
+  guint i;
+
+  cluster_publish (c, 100);
+  cluster_wait_version (c, 1);
+  for (i = 0; i < CLIENT_COUNT; i++)
+    {
+      clients[i].kind = (enum soak_kind)GPOINTER_TO_INT (kind);
+      clients[i].head = heads[clients[i].kind];
+      clients[i].ports[0] = cluster_entry_port (c, 0);
+      clients[i].port_count = 1;
+      soak_client_start (&clients[i]);
+    }
+  g_usleep (CONNECT_MS * 1000);
+  kill (c->entries[0], SIGTERM);
+  status = wait_end (c->entries[0], STOP_LIMIT_MS);
+  for (i = 0; i < CLIENT_COUNT; i++)
+    soak_client_join (&clients[i]);
+  if (status == -1)
+    {
+      g_test_fail_printf ("the entry has not ended within its stop limit");
+      cluster_signal_entry (c, 0, SIGKILL);
+    }
+  else if (!WIFEXITED (status) || WEXITSTATUS (status) != 0)
+    g_test_fail_printf ("the entry ended with wait status %d", status);
+  cluster_start_entry (c, 0);
+  cluster_wait_version (c, 1);
+  cluster_stop (c);
+}
+
+int
+main (int argc, char **argv)
+{
+  guint i;
+
+  cluster_init (&argc, &argv);
+  for (i = SOAK_SLOW_BODY; i < SOAK_KIND_COUNT; i++)
+    {
+      gchar *path
+          = g_strdup_printf ("/stop/%s", soak_kind_name ((enum soak_kind)i));
+
+      g_test_add_data_func (path, GUINT_TO_POINTER (i), test_stop);
+      g_free (path);
+    }
+  return g_test_run ();
+}
