A stopping entry answers all calls before it is killed

Requests on open connections of an entry that was stopped as planned got no answer; they were cut by SIGKILL after up to 2.4 s. Cause: without an owner the entry held reads for 2.5 s, whatever time the stop had left, and ended at a moment without an open call, which new calls on open connections kept from coming.

--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -2,6 +2,7 @@
 
 #include "core/cell/fleet.h"
 #include "core/load/shares.h"
+#include "port/stop_times.h"
 
 #include <stdarg.h>
 #include <stdio.h>
@@ -191,8 +192,8 @@
 }
 
 /* Begins a planned stop: the cell is released as soon as no append is in
-   flight (ownership_tick), and the entry exits when its open calls are
-   answered (check_exit).  */
+   flight (ownership_tick), and the entry closes its connections when the load
+   balancer sends no more (check_exit).  */
 static void
 begin_stop (struct cell *c)
 {
@@ -204,19 +205,26 @@
             cell_is_owner (c) ? "true" : "false");
 }
 
-/* Exits if a planned stop has nothing left to do, or has taken two thirds of
-   the time that it may take.  */
+bool
+cell_stop_is_past (const struct cell *c, uint64_t after_us)
+{
+  return c->stopping && c->now_us >= c->stop_began_at_us + after_us;
+}
+
+/* Has the connections closed once this entry holds no cell and gets no more
+   connections, or at the latest time for that.  Calls that wait are still
+   answered.  */
 static void
 check_exit (struct cell *c)
 {
-  uint64_t limit_us
-      = (uint64_t)c->settings.times.stop_grace_ms * US_PER_MS * 2 / 3;
-  bool idle = g_hash_table_size (c->forwarded_calls) == 0
-              && c->ownership.phase == OWNERSHIP_NONE
-              && c->now_us >= c->stop_began_at_us + LINGER_MS * US_PER_MS;
+  bool idle = c->ownership.phase == OWNERSHIP_NONE
+              && !c->ownership.release_sent
+              && cell_stop_is_past (c, LINGER_MS * US_PER_MS);
 
-  if (!c->stopping || c->exited
-      || (!idle && c->now_us < c->stop_began_at_us + limit_us))
+  if (c->exited
+      || (!idle
+          && !cell_stop_is_past (
+              c, stop_close_us (c->settings.times.stop_grace_ms))))
     return;
   c->exited = true;
   cell_log (c, "stop_done", 0, "\"open_calls\":%u",
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -216,6 +216,7 @@
   cell_log (c, "ownership_released", 0, "\"token\":%llu",
             (unsigned long long)c->ownership.token);
   send_claim (c, true);
+  c->ownership.release_sent = true;
   cell_emit (c, CELL_DO_LEAVE);
   end_ownership (c);
 }
@@ -284,6 +285,7 @@
         = c->now_us + e->u.claim.terms.unconfirmed_ms * US_PER_MS;
   o->newest_former = e->u.claim.terms.former;
   o->newest_seen_at_us = c->now_us;
+  o->release_sent = false;
   note_stopped_owner (c, &e->u.claim.terms);
   o->former_vm_orders_recorded = o->newest_vm_orders_recorded;
   o->newest_vm_orders_recorded = e->u.claim.terms.vm_orders_recorded;
@@ -460,6 +462,7 @@
 {
   struct ownership *o = &c->ownership;
 
+  o->release_sent = false;
   if (o->phase != OWNERSHIP_CLAIMING)
     return;
   if (e->u.claimed.outcome != APPEND_STORED)
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -481,6 +481,7 @@
   uint64_t slow_until_us;    /**< Until then we count as weak, having been slow
                                 as owner.  */
   bool yielding;             /**< We yield when no append is in flight.  */
+  bool release_sent;         /**< Our release of the cell has no answer yet. */
   uint64_t link_down_at_us;  /**< When the link went down.  Set, but not
                                 used.  */
   bool join_sent;            /**< A join is in flight.  */
@@ -693,6 +694,8 @@
 void cell_log (struct cell *c, const char *event, uint64_t job,
                const char *format, ...)
     __attribute__ ((format (printf, 4, 5)));
+/** Returns true if a planned stop began AFTER_US ago or longer.  */
+bool cell_stop_is_past (const struct cell *c, uint64_t after_us);
 /** Counts a latency of MS in a histogram of CELL_BUCKET_COUNT buckets.  */
 void cell_histogram_add (uint64_t *buckets, uint64_t ms);
 bool cell_is_owner (const struct cell *c);
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -20,10 +20,10 @@
 #define JOBS_PER_CLIENT 0x10000
 #define ASKED_JOB 1
 #define STATE_BYTES 200
-/* A job whose tasks run as long as the play.  */
+/* A job whose tasks last.  */
 #define LONG_JOB                                                              \
   "{\"Spec\":\"300000\",\"Steps\":[{\"Count\":4,\"Cpu\":1000,"                \
-  "\"EstimateMs\":300000}]}"
+  "\"EstimateMs\":300000,\"LongRunning\":true}]}"
 
 enum process_state
 {
--- a/tests/soak_client.c
+++ b/tests/soak_client.c
@@ -17,8 +17,8 @@
 #define UNREAD_BUFFER_BYTES 4096
 #define SLOW_BODY_BYTES 600
 #define JOB                                                                   \
-  "{\"Spec\":\"500\",\"Steps\":[{\"Count\":1,\"Cpu\":1000,\"EstimateMs\":"    \
-  "500}]}"
+  "{\"Spec\":\"500\",\"Steps\":[{\"Count\":1,\"Cpu\":1000,"                   \
+  "\"EstimateMs\":500,\"Image\":\"short\"}]}"
 
 static const gchar *const kind_names[SOAK_KIND_COUNT]
     = { [SOAK_ASKS] = "asks",           [SOAK_SUBMITS] = "submits",
