An owner that is stopped stays the owner until another entry can follow

While all entries were stopping, calls waited for an owner in vain (503 after 0.4 to 2.5 s), and leases lapsed under tasks that ran well. Cause: a stop meant "give the cell up now" and "stopping" meant "never take it", also when no other entry was left. Change: the owner hands over when an entry is linked that reaches the store and is not stopping, by a heartbeat newer than the stop, and once it has polled all runners itself. Until then it takes calls, renews leases and starts tasks. It releases the cell in any case when its calls have to be answered, also with an append that has no answer. A stopping entry takes a cell that no other does, if it has at least 1 s left. Claims tell whether their maker knew of a successor. The model has restarts that overlap, and the rule that no run lapses while they are all that happens.

--- a/adapter/claim_codec.c
+++ b/adapter/claim_codec.c
@@ -3,7 +3,8 @@
    A claim is [member, relay address, released, largest CPU share, time of the
    last release by an owner on a slow VM, time for which runs of former owners
    may go on, whether VM orders are recorded, age of an entry that is stopped,
-   whether all former owners that may act are known, [name of each...]].
+   whether all former owners that may act are known, [name of each...],
+   whether no other entry could take the cell].
    Earlier versions did not write all of them.  */
 
 #include "adapter/claim_codec.h"
@@ -11,7 +12,7 @@
 #include "adapter/job_codec.h"
 #include "adapter/pack.h"
 
-#define FIELD_COUNT 10
+#define FIELD_COUNT 11
 
 struct blob *
 claim_encode (const char *member, const char *relay_address,
@@ -39,6 +40,7 @@
   msgpack_pack_array (&p, t->former.count);
   for (i = 0; i < t->former.count; i++)
     pack_text (&p, t->former.names[i]);
+  pack_bool (&p, t->no_successor);
   keyed_record_pack (&out, "0", value.data, (uint32_t)value.size);
   b = blob_copy (out.data, (uint32_t)out.size);
   msgpack_sbuffer_destroy (&value);
@@ -46,7 +48,7 @@
   return b;
 }
 
-/* Decodes the last two fields of U.  Without them, or with more names than a
+/* Decodes the next two fields of U.  Without them, or with more names than a
    claim has, F is not known.  */
 static void
 unpack_former (struct unpack *u, struct former_owners *f)
@@ -82,6 +84,7 @@
   t->vm_orders_recorded = unpack_bool (&u);
   t->stopped_age_ms = unpack_number (&u, UINT64_MAX / US_PER_S);
   unpack_former (&u, &t->former);
+  t->no_successor = unpack_bool (&u);
   msgpack_unpacked_destroy (&m);
   return valid;
 }
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -191,8 +191,8 @@
   return c;
 }
 
-/* Begins a planned stop: the cell is released as soon as no append is in
-   flight (ownership_tick), and the entry closes its connections when the load
+/* Begins a planned stop: the cell is released when another entry can take it
+   (ownership_tick), and the entry closes its connections when the load
    balancer sends no more (check_exit).  */
 static void
 begin_stop (struct cell *c)
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -499,7 +499,7 @@
   struct reply r = { .code = REPLY_OK };
   struct job *j;
 
-  if (!cell_is_owner (c) || c->stopping)
+  if (!cell_is_owner (c) || c->ownership.releasing)
     {
       send_reply_code (c, &w, REPLY_REDIRECT, 0);
       return;
@@ -770,7 +770,8 @@
         records_send (c);
       return;
     }
-  if (c->ownership.yielding || c->now_us < a->resume_at_us)
+  if (c->ownership.yielding || c->ownership.releasing
+      || c->now_us < a->resume_at_us)
     return;
   if (c->flush_now || waves_are_dirty (c) || confirmation_is_due (c)
       || (c->dirty_job_ids->len > 0
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -20,9 +20,16 @@
    since its claim.
 
    The other entries have a link to the owner.  While it is down they ask the
-   store which entry holds the cell, and join when none does.  */
+   store which entry holds the cell, and join when none does.
+
+   An owner that is stopped releases the cell when another entry can take it:
+   one that is linked, reaches the store and is not stopping.  As long as there
+   is none, it goes on as owner until its calls have to be answered.  Then, or
+   if an owner is lost, an entry that is stopping, too, takes the cell if no
+   other does and it has time left.  */
 
 #include "core/cell/fleet.h"
+#include "port/stop_times.h"
 
 #include <string.h>
 
@@ -63,6 +70,19 @@
    Start times that are closer than START_MARGIN_MS are the same.  */
 #define OLD_JOIN_DELAY_MS 400
 #define START_MARGIN_MS 1000
+/** An entry that was stopping already when the owner was lost delays its join
+    by this, which is longer than any other may, unless the release tells that
+    there is no other.  It joins only if it can own the cell for
+    STOPPING_OWN_MIN_MS.  */
+#define STOPPING_JOIN_DELAY_MS 1800
+#define STOPPING_OWN_MIN_MS 1000
+/** An owner that is stopped hands the cell over no sooner than this: by then
+   the heartbeats of entries that are stopped at the same time have told so. */
+#define STOP_NOTICE_MS 400
+/** A stopping entry that has claimed the cell polls all runners before it
+   hands it over, for up to this time.  If owners in a row did not, the leases
+   of runs would expire.  */
+#define SETTLE_MS 1000
 /* Names of the phases in log lines.  */
 static const char *const phase_names[]
     = { [OWNERSHIP_NONE] = "none",
@@ -132,6 +152,7 @@
       /* Then no order of theirs has an effect any more.  */
       if (a->u.claim.terms.unconfirmed_ms == 0)
         c->ownership.former = (struct former_owners){ .known = true };
+      a->u.claim.terms.no_successor = peers_best_other_cpu_milli (c) == 0;
       if (c->stopping)
         a->u.claim.terms.stopped_age_ms
             = (c->now_us - c->started_at_us) / US_PER_MS + 1;
@@ -289,6 +310,7 @@
   note_stopped_owner (c, &e->u.claim.terms);
   o->former_vm_orders_recorded = o->newest_vm_orders_recorded;
   o->newest_vm_orders_recorded = e->u.claim.terms.vm_orders_recorded;
+  o->newest_no_successor = e->u.claim.terms.no_successor;
   o->owner_denied = false;
   if (e->u.claim.terms.best_cpu_milli > 0)
     o->best_cpu_milli = e->u.claim.terms.best_cpu_milli;
@@ -375,6 +397,78 @@
   return at_us > 0 && c->started_at_us <= at_us + START_MARGIN_MS * US_PER_MS;
 }
 
+/* Returns true if a planned stop of this entry leaves AFTER_US from now until
+   its calls have to be answered.  */
+static bool
+has_stop_time (const struct cell *c, uint64_t after_us)
+{
+  uint64_t limit_us = stop_answer_us (c->settings.times.stop_grace_ms);
+
+  return after_us < limit_us && !cell_stop_is_past (c, limit_us - after_us);
+}
+
+/* Returns true if a registered runner has not been polled by this owner, or
+   has runs whose lease it has not renewed.  */
+static bool
+has_unrenewed (const struct cell *c)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  if (!c->runners_known || fleet_has_unasked (c, EVERY_POOL))
+    return true;
+  g_hash_table_iter_init (&it, c->runners);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct runner *r = value;
+
+      if (r->reached && r->tasks->len > 0 && r->lease_until_ms == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Returns true if this entry has not claimed the cell yet, or has renewed the
+   leases of all runs that it can reach, or had the time to.  */
+static bool
+is_settled (const struct cell *c)
+{
+  const struct ownership *o = &c->ownership;
+
+  return o->phase == OWNERSHIP_JOINING || o->phase == OWNERSHIP_CLAIMING
+         || c->now_us >= o->claimed_at_us + SETTLE_MS * US_PER_MS
+         || (o->phase == OWNERSHIP_OWNER && !has_unrenewed (c));
+}
+
+/* Returns true if a planned stop has this entry give the cell up.  */
+static bool
+must_release (const struct cell *c)
+{
+  return c->stopping
+         && (!has_stop_time (c, 0)
+             || (peers_best_other_cpu_milli (c) > 0 && is_settled (c)
+                 && cell_stop_is_past (c, STOP_NOTICE_MS * US_PER_MS)));
+}
+
+/* Returns by how much longer than JOIN_JITTER_MS this entry delays its join,
+   so that the cell goes to the entry that will serve it best.  */
+static uint64_t
+join_delay_ms (const struct cell *c)
+{
+  uint64_t delay_ms = 0;
+
+  if (is_weak (c))
+    delay_ms += WEAK_JOIN_DELAY_MS;
+  if (may_be_stopped_next (c))
+    delay_ms += OLD_JOIN_DELAY_MS;
+  /* An owner that released the cell may have counted on us until we were
+     stopped.  */
+  if (c->stopping && !c->ownership.newest_no_successor
+      && c->stop_began_at_us < c->ownership.link_down_at_us)
+    delay_ms += STOPPING_JOIN_DELAY_MS;
+  return delay_ms;
+}
+
 void
 ownership_on_holder (struct cell *c, const struct cell_event *e)
 {
@@ -387,7 +481,7 @@
                               ? FIND_LINKED_INTERVAL_MS
                               : FIND_INTERVAL_MS)
                              * US_PER_MS;
-  if (o->phase != OWNERSHIP_NONE || !e->u.holder.known || c->stopping)
+  if (o->phase != OWNERSHIP_NONE || !e->u.holder.known || c->exited)
     return;
   /* A holder that was killed and restarted may find itself named; then it
      joins and claims the cell again.  */
@@ -398,12 +492,14 @@
         connect_owner (c);
       return;
     }
+  /* While it stops, it is named only until the store has taken its leave.  */
+  if (c->stopping
+      && (m[0] != '\0' || !has_stop_time (c, STOPPING_OWN_MIN_MS * US_PER_MS)))
+    return;
   if (m[0] == '\0' && o->retry_at_us == 0)
     {
       /* Ask again after a random delay, and join if there is still none.  */
-      uint64_t wait_ms = c->random % JOIN_JITTER_MS
-                         + (is_weak (c) ? WEAK_JOIN_DELAY_MS : 0)
-                         + (may_be_stopped_next (c) ? OLD_JOIN_DELAY_MS : 0);
+      uint64_t wait_ms = c->random % JOIN_JITTER_MS + join_delay_ms (c);
 
       o->retry_at_us = c->now_us + wait_ms * US_PER_MS + 1;
       o->next_find_at_us = o->retry_at_us;
@@ -636,18 +732,19 @@
   yields_check (c);
   if (c->now_us >= o->denied_at_us + DENIED_MS * US_PER_MS)
     o->owner_denied = false;
-  if (c->stopping && o->phase != OWNERSHIP_NONE)
-    {
-      if (o->phase != OWNERSHIP_OWNER || !c->append.in_flight)
-        ownership_release (c);
-      return;
-    }
+  o->releasing = must_release (c);
   if (o->phase != OWNERSHIP_NONE)
     {
-      holder_tick (c);
+      /* Calls wait for the outcome of an append.  */
+      if (o->releasing
+          && (o->phase != OWNERSHIP_OWNER || !c->append.in_flight
+              || !has_stop_time (c, 0)))
+        ownership_release (c);
+      else
+        holder_tick (c);
       return;
     }
-  if (c->stopping || !o->claims_known || c->now_us < o->next_find_at_us)
+  if (c->exited || !o->claims_known || c->now_us < o->next_find_at_us)
     return;
   if (o->find_sent
       && c->now_us < o->find_sent_at_us + STORE_TIMEOUT_MS * US_PER_MS)
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -461,6 +461,7 @@
   uint64_t stopped_started_at_us; /**< When the owner that was stopped last had
                                      started; 0: not known, or the newest claim
                                      is no such release.  */
+  bool newest_no_successor;       /**< no_successor of the newest claim.  */
   bool newest_vm_orders_recorded; /**< vm_orders_recorded of the newest
                                      claim.  */
   bool former_vm_orders_recorded; /**< The same of the claim before ours.  */
@@ -481,10 +482,12 @@
   uint64_t slow_until_us;    /**< Until then we count as weak, having been slow
                                 as owner.  */
   bool yielding;             /**< We yield when no append is in flight.  */
-  bool release_sent;         /**< Our release of the cell has no answer yet. */
-  uint64_t link_down_at_us;  /**< When the link went down.  Set, but not
-                                used.  */
-  bool join_sent;            /**< A join is in flight.  */
+  bool releasing; /**< A planned stop has us give the cell up: no new appends
+                     and calls.  */
+  bool release_sent;        /**< Our release of the cell has no answer yet. */
+  uint64_t link_down_at_us; /**< When the link went down, or our ownership
+                               ended.  */
+  bool join_sent;           /**< A join is in flight.  */
   uint64_t join_sent_at_us;
   uint64_t joined_at_us; /**< When the last join that was answered was sent; 0:
                             none was.  */
--- a/port/claim.h
+++ b/port/claim.h
@@ -34,6 +34,8 @@
                                 on that an owner before its maker started, on
                                 runners that have not answered its maker.  */
   struct former_owners former; /**< Owners before its maker that may act.  */
+  bool no_successor; /**< In a release: its maker knew no other entry that
+                        could take the cell.  */
 };
 
 #endif
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -567,6 +567,7 @@
       = (uint32_t)get_number (j, "unconfirmed_ms", 0);
   e->u.claim.terms.stopped_age_ms = get_number (j, "stopped_age", 0);
   e->u.claim.terms.vm_orders_recorded = get_flag (j, "vm_orders_recorded");
+  e->u.claim.terms.no_successor = get_flag (j, "no_successor");
   read_former (j, &e->u.claim.terms.former);
   get_text (j, "member", e->u.claim.member, NAME_BYTES);
   get_text (j, "address", e->u.claim.address, ADDRESS_BYTES);
@@ -911,6 +912,8 @@
     g_string_append (x->out, " released");
   if (!t->vm_orders_recorded)
     g_string_append (x->out, " vm_orders_unknown");
+  if (t->no_successor)
+    g_string_append (x->out, " no_successor");
   if (t->stopped_age_ms > 0)
     g_string_append_printf (x->out, " stopped_age %llu",
                             (unsigned long long)t->stopped_age_ms);
--- a/tests/model.h
+++ b/tests/model.h
@@ -76,6 +76,8 @@
   MODEL_UNASSIGNED_AND_ISLANDED, /**< A join tells it that it is not it.  */
   MODEL_SHARED_CRASH, /**< Runners that both sides reach crash after a claim.
                        */
+  MODEL_RESTARTS_OVERLAP, /**< As planned: all entries in turn, the next ones
+                             before the first is back.  */
   MODEL_FAULT_COUNT
 };
 
--- a/tests/model_faults.c
+++ b/tests/model_faults.c
@@ -32,6 +32,11 @@
 #define TIMED_TASK_MS 500
 #define CALL_TIMEOUT_US (3000 * US_PER_MS)
 #define RETRY_US (300 * US_PER_MS)
+/** Planned stops: the grace time, the interval at which the process is looked
+    at, and the time that a new one takes to start.  */
+#define GRACE_US (6000 * US_PER_MS)
+#define WATCH_US (50 * US_PER_MS)
+#define PROCESS_START_US (500 * US_PER_MS)
 
 static const char *const names[MODEL_FAULT_COUNT] = {
   [MODEL_OWNER_KILLED] = "owner_killed",
@@ -72,6 +77,7 @@
   [MODEL_ISLAND_ENDS_AFTER_CLAIM] = "island_ends_after_claim",
   [MODEL_SHARED_CRASH] = "shared_crash",
   [MODEL_UNASSIGNED_AND_ISLANDED] = "unassigned_and_islanded",
+  [MODEL_RESTARTS_OVERLAP] = "restarts_overlap",
 };
 
 struct planned_fault
@@ -161,6 +167,63 @@
   model_disturb (m, m->now_us + m->entry_count * gap_us + 6200 * US_PER_MS);
 }
 
+/* A stop that the platform watches.  */
+struct watched_stop
+{
+  uint32_t entry;
+  uint32_t process;
+  uint64_t kill_at_us;
+};
+
+/* Starts the entry anew when its process has ended, or kills that after the
+   grace time.  */
+static void
+watch_stop (struct model *m, void *argument)
+{
+  struct watched_stop *x = argument;
+  struct model_entry *e = &m->entries[x->entry];
+  bool ended = e->cell == NULL || e->process != x->process;
+
+  model_disturb (m, m->now_us);
+  if (!ended && m->now_us < x->kill_at_us)
+    {
+      model_schedule (m, WATCH_US, watch_stop, x);
+      return;
+    }
+  model_entry_kill (e);
+  schedule_entry (m, PROCESS_START_US, start_entry, x->entry);
+  talloc_free (x);
+}
+
+static void
+stop_watched (struct model *m, void *argument)
+{
+  uint32_t *index = argument;
+  struct model_entry *e = &m->entries[*index];
+  struct watched_stop *x = talloc (m->arena, struct watched_stop);
+
+  x->entry = *index;
+  x->process = e->process;
+  x->kill_at_us = m->now_us + GRACE_US;
+  if (e->cell != NULL)
+    {
+      model_post (e, e->process, 0, model_event (CELL_STOP));
+      watch_stop (m, x);
+    }
+  talloc_free (index);
+}
+
+static void
+restart_overlapping (struct model *m)
+{
+  uint64_t gap_us = m->options.restart_gap_ms * US_PER_MS;
+  uint32_t first = model_random (m, m->entry_count);
+  uint32_t i;
+
+  for (i = 0; i < m->entry_count; i++)
+    schedule_entry (m, i * gap_us, stop_watched, (first + i) % m->entry_count);
+}
+
 /* Returns a random VM with a runner that is up and not draining.  */
 static uint32_t
 choose_vm (struct model *m)
@@ -473,6 +536,9 @@
     case MODEL_ENTRIES_RESTARTED:
       restart_in_turn (m);
       break;
+    case MODEL_RESTARTS_OVERLAP:
+      restart_overlapping (m);
+      break;
     case MODEL_RUNNER_CRASHED:
     case MODEL_RUNNER_LOST:
     case MODEL_VM_LOST:
--- a/tests/model_rules.c
+++ b/tests/model_rules.c
@@ -24,7 +24,8 @@
           token, or one under a lower token after one under a higher token.
    AVAIL  No order ends a serving task while as many others of its step are
           away as may be.
-   WORK   No order for a VM ends a run, unless the run is being stopped.  */
+   WORK   No order for a VM ends a run, unless the run is being stopped.
+   LAPSED While restarts are all that happens, no run ends with its lease.  */
 
 #include "tests/model.h"
 
@@ -250,6 +251,15 @@
                           .at_us = m->now_us,
                           .run = x->run };
 
+  if (kind == END_LEASE_EXPIRED && m->options.fault_kind_count == 1
+      && m->options.fault_kinds[0] == MODEL_RESTARTS_OVERLAP)
+    {
+      char key[64];
+
+      model_task_print (&x->task, key, sizeof key);
+      model_broken (m, "LAPSED: %s run %u on %s ends with its lease", key,
+                    x->run, r->id);
+    }
   t->running_count--;
   t->last_at_us = m->now_us;
   t->stopped_by_order = x->stops_at_us != 0;
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -300,6 +300,7 @@
           .slow_yield_at_ms = 9,
           .vm_orders_recorded = true,
           .stopped_age_ms = 60000,
+          .no_successor = true,
           .unconfirmed_ms = 12000,
           .former
           = { .known = true, .count = 2, .names = { "entry-2", "entry-3" } } };
@@ -314,6 +315,7 @@
   g_assert_cmpuint (e->u.claim.terms.slow_yield_at_ms, ==, 9);
   g_assert_true (e->u.claim.terms.vm_orders_recorded);
   g_assert_cmpuint (e->u.claim.terms.stopped_age_ms, ==, 60000);
+  g_assert_true (e->u.claim.terms.no_successor);
   g_assert_cmpuint (e->u.claim.terms.unconfirmed_ms, ==, 12000);
   g_assert_true (e->u.claim.terms.former.known);
   g_assert_cmpuint (e->u.claim.terms.former.count, ==, 2);
