Read the claims at once when a claim of the cell was refused

Cause: a refused claim was repeated unchanged until the waiting read of the claims told of the release, which takes its whole wait (3 s) or time-out if it was sent while the release was being appended, or its answer is lost. An owner that is stopped now hands over just as a restarted entry is linked, which is when that one begins to read. Change: a claim that is not stored aborts that read and sends a new one; a claim that is seen has the refused one repeated at once.

--- a/adapter/site_store.c
+++ b/adapter/site_store.c
@@ -341,6 +341,17 @@
     follower_request_later (f, RETRY_DELAY_MS);
 }
 
+/* Reads F's topic at once, without waiting for the answer to the open call. */
+static void
+follower_read_now (struct follower *f)
+{
+  if (f->call == NULL)
+    return;
+  http_client_abort (f->store->http, f->call);
+  f->call = NULL;
+  follower_request (f);
+}
+
 /* Adds the wave of X to the events that are held, unless it is malformed.  */
 static void
 hold_wave (struct follower *f, const struct platform_record *x)
@@ -566,6 +577,9 @@
   e->u.claimed.outcome = a.outcome;
   e->u.claimed.token = a.offset + 1;
   cell_post (x->store->cell, e);
+  /* The topic has grown, and the read that would tell how is not answered. */
+  if (a.outcome != APPEND_STORED)
+    follower_read_now (&x->store->claims);
   end_call (x);
 }
 
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -325,6 +325,8 @@
   if ((o->phase == OWNERSHIP_OWNER || o->phase == OWNERSHIP_RECOVERING)
       && o->newest_token > o->token)
     ownership_lose (c, "newer_claim");
+  if (o->phase == OWNERSHIP_CLAIMING && o->retry_at_us != 0)
+    o->retry_at_us = c->now_us;
   if (o->phase == OWNERSHIP_CLAIMING && mine && !o->newest_released)
     {
       /* The answer to our claim was lost, but it was stored.  */
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -16,6 +16,8 @@
 #define LOSS_SLACK_MS 200
 #define CONTACT_MS 3000
 #define JOBS_END_MS 20000
+/* A lease of 3.5 s that was renewed 1 s ago.  */
+#define OWNERLESS_MS 2500
 #define FIRST_JOB 0x1000
 #define JOBS_PER_CLIENT 0x10000
 #define ASKED_JOB 1
@@ -38,7 +40,7 @@
   gint64 stopped_at_us; /* When it got SIGTERM.  */
   gint64 start_at_us;   /* When it is started again.  */
   gint64 paused_until_us;
-  gint64 back_us;
+  gint64 back_ms;
   gboolean was_paused;   /* Since SIGTERM.  */
   gint64 store_until_us; /* When its proxy passes again; 0: it does.  */
 };
@@ -167,10 +169,18 @@
   x->state = PROCESS_STOPS;
   x->stopped_at_us = now ();
   x->was_paused = x->paused_until_us != 0;
-  x->back_us = back_ms * 1000;
+  x->back_ms = back_ms;
   kill (p->site.entries[i], SIGTERM);
 }
 
+/* Returns when a process that ends now and is away for BACK_MS starts again;
+   -1: when a line says so.  */
+static gint64
+back_time (gint64 back_ms)
+{
+  return back_ms < 0 ? G_MAXINT64 : now () + back_ms * 1000;
+}
+
 static void
 kill_entry (struct play *p, guint i, gint64 back_ms)
 {
@@ -181,8 +191,8 @@
   site_stop_process (p->site.entries[i], SIGKILL);
   x->state = PROCESS_ENDED;
   x->paused_until_us = 0;
-  x->start_at_us = now () + back_ms * 1000;
-  note_unplanned (p, x->start_at_us);
+  x->start_at_us = back_time (back_ms);
+  note_unplanned (p, now ());
 }
 
 static void
@@ -214,7 +224,8 @@
 take_step (struct play *p, const json_t *line)
 {
   static const gchar *const kinds[]
-      = { "entries", "client", "stop", "kill", "pause", "reload", "store" };
+      = { "entries", "client", "fault", "stop", "kill",
+          "pause",   "reload", "store", "start" };
   guint kind = 0;
   guint i;
 
@@ -222,7 +233,7 @@
          && json_object_get (line, kinds[kind]) == NULL)
     kind++;
   g_assert_cmpuint (kind, <, G_N_ELEMENTS (kinds));
-  i = kind >= 2 ? (guint)get_ms (line, kinds[kind]) : 0;
+  i = kind >= 3 ? (guint)get_ms (line, kinds[kind]) : 0;
   switch (kind)
     {
     case 0:
@@ -232,21 +243,29 @@
       add_clients (p, line);
       break;
     case 2:
-      stop_entry (p, i, get_ms (line, "back"));
+      cluster_fault (p->site.base_port,
+                     json_string_value (json_object_get (line, "fault")),
+                     get_ms (line, "number"));
       break;
     case 3:
-      kill_entry (p, i, get_ms (line, "back"));
+      stop_entry (p, i, get_ms (line, "back"));
       break;
     case 4:
-      pause_entry (p, i, get_ms (line, "for"));
+      kill_entry (p, i, get_ms (line, "back"));
       break;
     case 5:
+      pause_entry (p, i, get_ms (line, "for"));
+      break;
+    case 6:
       if (p->processes[i].state == PROCESS_RUNS)
         kill (p->site.entries[i], SIGHUP);
       break;
-    case 6:
+    case 7:
       disturb_store (p, i, line);
       break;
+    case 8:
+      p->processes[i].start_at_us = now ();
+      break;
     }
 }
 
@@ -325,7 +344,7 @@
     }
   x->state = PROCESS_ENDED;
   x->paused_until_us = 0;
-  x->start_at_us = now () + x->back_us;
+  x->start_at_us = back_time (x->back_ms);
 }
 
 static void
@@ -509,10 +528,14 @@
         free_since_ms = x / 2;
       else if (free_since_ms != 0)
         {
-          p->result->ownerless_ms += x / 2 - free_since_ms;
+          p->result->ownerless_ms
+              = MAX (p->result->ownerless_ms, x / 2 - free_since_ms);
           free_since_ms = 0;
         }
     }
+  if (p->result->ownerless_ms > OWNERLESS_MS && p->unplanned->len == 0)
+    broken (p, "OWNER: the cell had no owner for %" G_GINT64_FORMAT " ms",
+            p->result->ownerless_ms);
   g_array_free (list, TRUE);
 }
 
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -14,6 +14,10 @@
    {"at":T,"store":E,"mode":MODE,"delay":MS,"for":MS}
                                  what passes between E and the store
                                  (soak_proxy.h)
+   {"at":T,"start":E}            starts E, which was stopped or killed for good
+                                 ("back" of -1)
+   {"at":T,"fault":NAME,"number":N}
+                                 sets a fault of the stand-in (tests/standin)
    {"at":T,"end":true}           the end; accepted jobs then have JOBS_END_MS
 
    What must hold is judged from what clients saw, from the runners' record and
@@ -26,7 +30,9 @@
               came in the 3 s before it or meanwhile.
    FORGOTTEN  Each job that was accepted is completed at the end.
    TWICE      No task runs twice at once, or after its end was acknowledged.
-   LAPSED     Without unplanned faults no run ends with its lease.  */
+   LAPSED     Without unplanned faults no run ends with its lease.
+   OWNER      Without unplanned faults the cell has no owner for OWNERLESS_MS
+   at most, the time that is left of a lease at least.  */
 
 #ifndef TESTS_SOAK_H
 #define TESTS_SOAK_H
@@ -42,8 +48,7 @@
   guint accepted_count;
   guint stop_count;       /* Stops that were judged.  */
   gint64 longest_stop_ms; /* Of these.  */
-  gint64 ownerless_ms;    /* Time in which no entry owned the cell, from the
-                             first one that did to the end.  */
+  gint64 ownerless_ms;    /* Longest time in which no entry owned the cell.  */
 };
 
 /* Plays SCRIPT.  The caller frees the report.  */
--- a/tests/standin/site.c
+++ b/tests/standin/site.c
@@ -22,9 +22,10 @@
    MASK answer calls with a token up to T only, the others calls with a higher
    one only, as if T's owner and those runners were cut off together),
    joins_port=P (of what comes to port P only joins of the group are answered),
-   assign_port=P (a member that joins there gets the cell from any other), and
-   odd_entries=1 (another writer registers what is no runner; the first of its
-   entries has a key that few parsers read).  */
+   assign_port=P (a member that joins there gets the cell from any other),
+   lose_claim_reads=1 (a read of the claims that has to wait gets no answer)
+   and odd_entries=1 (another writer registers what is no runner; the first of
+   its entries has a key that few parsers read).  */
 
 #include "tests/standin/server.h"
 
@@ -44,6 +45,8 @@
 #define LATE_START_MS 1000
 #define CPU_MILLI 8000
 #define PAGE_COUNT 500
+#define CLAIMS "keyed.claims"
+#define LOST_READ_MS 10000
 /** Nesting of an odd entry: beyond any parser's depth.  */
 #define ODD_DEPTH_COUNT 20000
 
@@ -261,7 +264,13 @@
   GByteArray *a = g_byte_array_new ();
   int64_t i;
 
-  while (t->end <= from && clock_ms () < deadline_ms)
+  if (t->end <= from && strcmp (t->name, CLAIMS) == 0
+      && fault_get ("lose_claim_reads") != 0)
+    {
+      x->drop = 1;
+      deadline_ms = clock_ms () + LOST_READ_MS;
+    }
+  while ((x->drop || t->end <= from) && clock_ms () < deadline_ms)
     wait_until (deadline_ms);
   append_number (a, (uint64_t)t->end, 8);
   append_number (a, 0, 8);
