A stopped entry ends though its output is blocked

What callers saw: nothing; a planned stop became a kill and its successor waited longer. Cause: the main thread joins the duties one after the other, and the log thread may wait in write for ever when nobody reads the pipe. Change: the thread that handles signals ends the process 0.5 s before the grace time is over, with status 6, if it is still there. ftk_entry_stop returns that time.

--- a/adapter/entry.c
+++ b/adapter/entry.c
@@ -67,6 +67,8 @@
       return "cannot listen";
     case FTK_CANNOT_RECORD:
       return "cannot record";
+    case FTK_STOP_OVERDUE:
+      return "stop took too long";
     }
   return "unknown status";
 }
@@ -267,16 +269,17 @@
   return s != NULL ? FTK_OK : FTK_BAD_SETTINGS;
 }
 
-void
+uint32_t
 ftk_entry_stop (ftk_entry *e)
 {
+  uint32_t limit_ms;
+
   if (e->site != NULL)
-    {
-      site_entry_stop (e->site);
-      return;
-    }
-  stop_wait_begin (e->stop, stop_end_us (e->settings->stop_limit_ms));
+    return stop_exit_ms (site_entry_stop (e->site));
+  limit_ms = e->settings->stop_limit_ms;
+  stop_wait_begin (e->stop, stop_end_us (limit_ms));
   decide_stop (e->decide);
+  return stop_exit_ms (limit_ms);
 }
 
 /* Notes how many requests are cut because the time of the stop is over.  */
--- a/adapter/site_entry.c
+++ b/adapter/site_entry.c
@@ -108,11 +108,14 @@
   site_decide_reload (e->decide, &s->cell);
 }
 
-void
+uint32_t
 site_entry_stop (struct site_entry *e)
 {
-  stop_wait_begin (e->stop, stop_end_us (atomic_load (&e->stop_grace_ms)));
+  uint32_t grace_ms = atomic_load (&e->stop_grace_ms);
+
+  stop_wait_begin (e->stop, stop_end_us (grace_ms));
   site_decide_stop (e->decide);
+  return grace_ms;
 }
 
 /* Logs the end of a planned stop and the connections that were open then.  */
--- a/adapter/site_entry.h
+++ b/adapter/site_entry.h
@@ -16,8 +16,9 @@
 /** Replaces the times in the settings of the cell by those of S; callable from
     any thread.  */
 void site_entry_reload (struct site_entry *e, const struct site_settings *s);
-/** Starts a planned stop; callable from any thread.  */
-void site_entry_stop (struct site_entry *e);
+/** Starts a planned stop and returns its grace time in ms; callable from any
+    thread.  */
+uint32_t site_entry_stop (struct site_entry *e);
 /** Waits until the planned stop is complete or its time is over
     (port/stop_times.h); then no more requests are served.  */
 void site_entry_run (struct site_entry *e);
--- a/daemon/fulmartackd.c
+++ b/daemon/fulmartackd.c
@@ -5,9 +5,12 @@
 #include "platform/config.h"
 
 #include <argp.h>
+#include <poll.h>
 #include <pthread.h>
+#include <semaphore.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 const char *argp_program_version = "fulmartackd " FTK_VERSION;
 
@@ -53,6 +56,10 @@
     }
 }
 
+/** Posted when a planned stop has been started; the entry is in use by the
+    thread that handles signals until then.  */
+static sem_t stop_started;
+
 static void
 fill_signals (sigset_t *set)
 {
@@ -63,18 +70,22 @@
 }
 
 /* Thread that handles signals: SIGHUP reloads the settings, SIGTERM and SIGINT
-   start a planned stop.  */
+   start a planned stop.  It ends the process if that takes too long.  */
 static void *
 wait_signal (void *state)
 {
   sigset_t set;
   int number = 0;
+  uint32_t limit_ms;
 
   fill_signals (&set);
   while (sigwait (&set, &number) == 0 && number == SIGHUP)
     ftk_entry_reload (state, stderr);
-  ftk_entry_stop (state);
-  return NULL;
+  limit_ms = ftk_entry_stop (state);
+  sem_post (&stop_started);
+  poll (NULL, 0, (int)limit_ms);
+  /* No message: standard error may be what blocks.  */
+  _exit (FTK_STOP_OVERDUE);
 }
 
 static void
@@ -102,14 +113,18 @@
   if (a.check)
     return ftk_settings_check (a.file, stderr);
   block_signals ();
+  sem_init (&stop_started, 0, 0);
   s = ftk_entry_open_recorded (a.file, a.trace, stderr, &e);
   if (s == FTK_OK && pthread_create (&t, NULL, wait_signal, e) == 0)
     {
       s = ftk_entry_run (e);
+      sem_wait (&stop_started);
+      ftk_entry_close (e);
       pthread_cancel (t);
       pthread_join (t, NULL);
+      return s;
     }
-  else if (e != NULL)
+  if (e != NULL)
     fprintf (stderr, "fulmartackd: %s: %s\n", ftk_status_text (s),
              ftk_entry_message (e));
   ftk_entry_close (e);
--- a/include/fulmartack.h
+++ b/include/fulmartack.h
@@ -31,7 +31,8 @@
     FTK_BAD_SETTINGS = 2,  /**< Invalid settings; see the findings.  */
     FTK_BAD_TABLES = 3,    /**< Invalid tables; see the findings.  */
     FTK_CANNOT_LISTEN = 4, /**< An address is in use or not this VM's.  */
-    FTK_CANNOT_RECORD = 5  /**< The trace file cannot be written.  */
+    FTK_CANNOT_RECORD = 5, /**< The trace file cannot be written.  */
+    FTK_STOP_OVERDUE = 6   /**< A planned stop took too long.  */
   } ftk_status;
 
   /** An entry: accepts callers' requests and dispatches them to workers.  */
@@ -80,8 +81,10 @@
   ftk_status ftk_entry_reload (ftk_entry *e, FILE *report);
 
   /** Starts a planned stop.  May be called from any thread, not from a signal
-      handler.  */
-  void ftk_entry_stop (ftk_entry *e);
+      handler.  Returns the time in ms after which the process should end if
+      ftk_entry_close has not returned by then, as when its standard output
+      blocks; every request has its answer or is cut by then.  */
+  uint32_t ftk_entry_stop (ftk_entry *e);
 
   /** Returns the message of E's last error, never NULL.  E owns it.  */
   const char *ftk_entry_message (const ftk_entry *e);
--- a/port/stop_times.h
+++ b/port/stop_times.h
@@ -9,11 +9,12 @@
 
 #include "port/types.h"
 
-/** Least time before SIGKILL, unless it is more than a third, a quarter or a
-    sixth of the grace time.  */
+/** Least time before SIGKILL, unless it is more than a third, a quarter, a
+    sixth or a twelfth of the grace time.  */
 #define STOP_ANSWER_MARGIN_MS 2000u
 #define STOP_CLOSE_MARGIN_MS 1500u
 #define STOP_END_MARGIN_MS 1000u
+#define STOP_EXIT_MARGIN_MS 500u
 
 /** Returns GRACE_MS less MARGIN_MS or one PART of it, whichever is more, in
     us.  */
@@ -43,11 +44,20 @@
 }
 
 /** Returns the time after SIGTERM at which connections that are still open are
-    cut and the process ends, in us.  */
+    cut and the entry is closed, in us.  */
 static inline uint64_t
 stop_end_us (uint32_t grace_ms)
 {
   return stop_time_us (grace_ms, STOP_END_MARGIN_MS, 6);
 }
 
+/** Returns the time after SIGTERM at which the process ends though the entry
+   is not closed, in ms.  */
+static inline uint32_t
+stop_exit_ms (uint32_t grace_ms)
+{
+  return (uint32_t)(stop_time_us (grace_ms, STOP_EXIT_MARGIN_MS, 12)
+                    / US_PER_MS);
+}
+
 #endif
--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -1,15 +1,19 @@
-/* test_stop.c -- the planned stop of an entry with the product's own
-   interface.
+/* test_stop.c -- planned stops of an entry.
 
-   Guards against clients that keep a stopping entry until it is killed: they
-   send bodies or headers slowly, read no answer, or only hold a connection.
-   tests/soak has the same for entries on the users' platform.  */
+   Guards against what keeps a stopping entry until it is killed.  The first:
+   clients of the product's own interface that send bodies or headers slowly,
+   read no answer, or only hold a connection; tests/soak has the same for
+   entries on the users' platform.  The second: an output for log lines that
+   nobody reads.  */
 
-#include "tests/cluster.h"
+#include "tests/site_cluster.h"
 #include "tests/soak_client.h"
 
+#include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #define STOP_LIMIT_MS 6000
 #define SETTINGS ",\"stop_limit_ms\":6000"
@@ -75,6 +79,56 @@
   cluster_stop (c);
 }
 
+/* Starts entry 0 of S, which does not run, with a full pipe as its standard
+   output and error.  */
+static void
+start_with_full_output (struct site *s)
+{
+  gchar *program = g_build_filename (
+      g_getenv ("FTK_BUILD") != NULL ? g_getenv ("FTK_BUILD") : "build",
+      "fulmartackd", NULL);
+  gchar *file = g_build_filename (s->directory, "entry-0.json", NULL);
+  int fds[2];
+
+  g_assert_cmpint (pipe (fds), ==, 0);
+  g_assert_cmpint (fcntl (fds[1], F_SETFL, O_NONBLOCK), ==, 0);
+  while (write (fds[1], "x", 1) == 1)
+    continue;
+  g_assert_cmpint (fcntl (fds[1], F_SETFL, 0), ==, 0);
+  s->entries[0] = fork ();
+  if (s->entries[0] == 0)
+    {
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
+      dup2 (fds[1], STDOUT_FILENO);
+      dup2 (fds[1], STDERR_FILENO);
+      execl (program, program, file, NULL);
+      _exit (127);
+    }
+  g_assert_cmpint (s->entries[0], >, 0);
+  close (fds[1]);
+  g_free (file);
+  g_free (program);
+}
+
+static void
+test_full_output (void)
+{
+  struct site s;
+
+  site_start_with (&s, NULL);
+  site_stop_process (s.entries[0], SIGKILL);
+  start_with_full_output (&s);
+  site_wait_ready (&s);
+  kill (s.entries[0], SIGTERM);
+  if (wait_end (s.entries[0], STOP_LIMIT_MS) == -1)
+    {
+      g_test_fail_printf ("the entry has not ended within its stop limit");
+      site_stop_process (s.entries[0], SIGKILL);
+    }
+  site_start_entry (&s, 0);
+  site_stop (&s);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -89,5 +143,6 @@
       g_test_add_data_func (path, GUINT_TO_POINTER (i), test_stop);
       g_free (path);
     }
+  g_test_add_func ("/stop/full_output", test_full_output);
   return g_test_run ();
 }
