A stop is not lost when the cell's ring is full

What callers saw: an entry that falls behind ignored SIGTERM and was killed with all its calls. Cause: the stop was posted as an event, and events are dropped when the ring is full. Change: such a stop sets a flag that the decide thread reads at its next tick.

--- a/adapter/site_decide.c
+++ b/adapter/site_decide.c
@@ -50,6 +50,8 @@
                                since then.  */
   bool longest_is_tick;     /**< That event was a tick.  */
   GRand *random; /**< Spreads retries; no secret is derived from it.  */
+  atomic_bool stop_requested; /**< A stop for which the ring had no space; read
+                                 at a tick.  */
 };
 
 /* Pushes ITEM to R.  If R is full, the item is dropped and the drop is logged
@@ -401,9 +403,12 @@
 {
   struct site_decide *d = state;
   struct cell_event e = { .kind = CELL_TICK };
+  struct cell_event stop = { .kind = CELL_STOP };
 
   (void)te;
   (void)at;
+  if (atomic_exchange (&d->stop_requested, false))
+    step (d, &stop);
   step (d, &e);
   send_batches (d);
   send_metrics (d, e.now_us);
@@ -453,7 +458,8 @@
 void
 site_decide_stop (struct site_decide *d)
 {
-  cell_post (d->duty->inbound, cell_event_new (CELL_STOP));
+  if (!cell_post (d->duty->inbound, cell_event_new (CELL_STOP)))
+    atomic_store (&d->stop_requested, true);
 }
 
 static void
--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -4,8 +4,12 @@
    clients of the product's own interface that send bodies or headers slowly,
    read no answer, or only hold a connection; tests/soak has the same for
    entries on the users' platform.  The second: an output for log lines that
-   nobody reads.  */
+   nobody reads.  The third: a stop that is lost, as the ring of the cell is
+   full.  */
 
+#include "adapter/cell_post.h"
+#include "adapter/site_decide.h"
+#include "adapter/site_front.h"
 #include "tests/site_cluster.h"
 #include "tests/soak_client.h"
 
@@ -129,6 +133,63 @@
   site_stop (&s);
 }
 
+/* Returns whether R gets FRONT_CLOSE within STOP_LIMIT_MS.  */
+static bool
+gets_close (struct ring *r)
+{
+  gint64 end_us = g_get_monotonic_time () + STOP_LIMIT_MS * 1000;
+  bool found = false;
+  void *item;
+
+  while (!found && g_get_monotonic_time () < end_us)
+    if (ring_pop (r, &item, 1) == 0)
+      g_usleep (POLL_MS * 1000);
+    else
+      {
+        found = ((struct front_command *)item)->kind == FRONT_CLOSE;
+        talloc_free (item);
+      }
+  return found;
+}
+
+static void
+test_full_ring (void)
+{
+  struct cell_settings settings
+      = { .member = "entry-1",
+          .times = { .revoke_ms = 5000, .stop_grace_ms = 60 } };
+  struct site_decide *d = site_decide_new (&settings);
+  struct ring *rings[4];
+  struct site_outputs o;
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (rings); i++)
+    rings[i] = ring_open (1024);
+  o = (struct site_outputs){ .front = rings[0],
+                             .relay = rings[1],
+                             .store = rings[2],
+                             .order_client = rings[3],
+                             .log = line_log_new ("entry-1", 64) };
+  site_decide_set_outputs (d, &o);
+  while (cell_post (site_decide_duty (d)->inbound,
+                    cell_event_new (CELL_CLAIMS_CONFIRMED)))
+    continue;
+  site_decide_stop (d);
+  g_assert_true (duty_start (site_decide_duty (d)));
+  g_assert_true (gets_close (rings[0]));
+  duty_stop (site_decide_duty (d));
+  site_decide_free (d);
+  line_log_free (o.log);
+  for (i = 0; i < G_N_ELEMENTS (rings); i++)
+    {
+      void *item;
+
+      while (ring_pop (rings[i], &item, 1) > 0)
+        talloc_free (item);
+      ring_close (rings[i]);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -144,5 +205,6 @@
       g_free (path);
     }
   g_test_add_func ("/stop/full_output", test_full_output);
+  g_test_add_func ("/stop/full_ring", test_full_ring);
   return g_test_run ();
 }
