make soak SEEDS=n: overlapping restarts, faults and uncontrolled clients

Cause: no prover of ours let all entries be stopping at once while clients go on using open connections, with real processes. Change: make soak plays seeds, 3 in make check: rolls in series that overlap, clients that ask until the process is gone, submit, send or read slowly; for two seeds in three kills, pauses, reloads, and a proxy to the store that delays, silences, cuts one way and resets. Judged by what clients saw, the runners' record and how processes ended. Each seed prints its script when it fails and plays again alone (FTK_SOAK_FIRST, or FTK_SOAK with the script).

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 STANDINS = $(STANDIN_SRC:tests/standin/%.c=$(B)/standin_%)
 PROGRAMS = $(B)/fulmartackd $(B)/fulmartackctl
 
-.PHONY: proof all deps demo check test model lint format format-check bench clean \
+.PHONY: proof all deps demo check test soak model lint format format-check bench clean \
   install check-install update-expected record-traces sanitized
 .SECONDARY:
 
@@ -85,6 +85,7 @@
 	$(MAKE) -j8 all
 	$(MAKE) lint
 	$(MAKE) test
+	$(MAKE) soak
 	$(MAKE) model
 	$(MAKE) check-install
 	$(MAKE) sanitized
@@ -116,6 +117,11 @@
 test: all
 	@tests/run.sh $(B)
 
+# Plays SEEDS seeds of stops and faults with real processes.
+SEEDS = 3
+soak: all
+	@tests/soak.sh $(B) $(SEEDS)
+
 # Checks the model of ownership, whole and without each of its mechanisms.
 model:
 	@tests/models/check.sh $(B)/models
--- a/adapter/site_settings.c
+++ b/adapter/site_settings.c
@@ -66,9 +66,9 @@
   c->away_notice_ms = get_time (p, "away_notice_ms", DEFAULT_AWAY_NOTICE_MS);
   c->over_target_limit_ms
       = get_time (p, "harm_ms", DEFAULT_OVER_TARGET_LIMIT_MS);
-  c->stop_grace_ms = json_get_milli (
-      p, "stop_limit_s", 1, TIME_LIMIT_MS,
-      get_time (p, "stop_limit_ms", DEFAULT_STOP_GRACE_MS));
+  c->stop_grace_ms
+      = json_get_milli (p, "stop_limit_s", 1, TIME_LIMIT_MS,
+                        get_time (p, "stop_limit_ms", DEFAULT_STOP_GRACE_MS));
   c->early_start_ms = get_time (p, "early_ms", DEFAULT_EARLY_START_MS);
   c->move_ms = get_time (p, "move_ms", DEFAULT_MOVE_MS);
   c->maintenance_ms = get_time (p, "upkeep_ms", DEFAULT_MAINTENANCE_MS);
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -18,6 +18,7 @@
 #define JOBS_END_MS 20000
 /* A lease of 3.5 s that was renewed 1 s ago.  */
 #define OWNERLESS_MS 2500
+#define START_MS 1000
 #define FIRST_JOB 0x1000
 #define JOBS_PER_CLIENT 0x10000
 #define ASKED_JOB 1
@@ -37,6 +38,7 @@
 struct process
 {
   enum process_state state;
+  gint64 started_at_us;
   gint64 stopped_at_us; /* When it got SIGTERM.  */
   gint64 start_at_us;   /* When it is started again.  */
   gint64 paused_until_us;
@@ -280,7 +282,11 @@
   gint64 took_ms = (s.until_us - s.from_us) / 1000;
 
   g_array_append_val (p->stops, s);
-  if (x->was_paused)
+  /* SIGTERM ends a process that does not handle signals yet: it has not begun
+     to serve.  */
+  if (x->was_paused
+      || (WIFSIGNALED (status) && WTERMSIG (status) == SIGTERM
+          && s.from_us < x->started_at_us + START_MS * 1000))
     return;
   p->result->stop_count++;
   p->result->longest_stop_ms = MAX (p->result->longest_stop_ms, took_ms);
@@ -339,6 +345,7 @@
       if (now () < x->start_at_us)
         return;
       site_start_entry (&p->site, i);
+      x->started_at_us = now ();
       x->state = PROCESS_RUNS;
       return;
     }
