Close connections whose answers are not read for new clients

What callers saw: 240 clients that read no answer kept ordinary callers of their address out for 10 s and longer. Cause: a connection counted as waiting for its answer until that was sent, and those are never closed for a new one; libmicrohttpd closes it after 60 s. Change: an answer that is not read for 1 s does not keep its connection when another client needs it. test_clients has crowds that read no answers, whose headers nearly fill libmicrohttpd's memory, and with 300 header lines.

--- a/adapter/body_budget.c
+++ b/adapter/body_budget.c
@@ -6,7 +6,8 @@
 #include "port/types.h"
 
 /** A body without progress for this long is closed when another needs its
-    space, and a planned stop waits for no body or reader that takes longer.
+    space, one that takes longer, or an answer that is read for longer, when a
+    new client needs the connection or in a planned stop.
     Ordinary clients send a body of 262,144 bytes without pauses.  */
 #define STALLED_US (1 * US_PER_S)
 /** One connection of this many is kept free for new clients, as libmicrohttpd
@@ -106,26 +107,37 @@
   set_held (b, c, 0);
 }
 
-/* Returns true if C is to be closed for NEW_CLIENT rather than OTHER: a body
-   that has taken longer than an ordinary one first, then the one without
-   progress for longest.  */
+/* Returns true if C sends its body, or reads its answer, for longer than an
+   ordinary client has at AT_US.  */
 static bool
-is_closed_before (const struct budget_client *c,
-                  const struct budget_client *other,
-                  const struct budget_client *new_client)
+is_slow (const struct budget_client *c, uint64_t at_us)
 {
-  uint64_t since_us = new_client->active_at_us - STALLED_US;
-  bool is_slow = c->phase == CLIENT_RECEIVING && c->began_at_us <= since_us;
-  bool is_other_slow
-      = other->phase == CLIENT_RECEIVING && other->began_at_us <= since_us;
+  return (c->phase == CLIENT_RECEIVING && c->began_at_us + STALLED_US <= at_us)
+         || (c->phase == CLIENT_ANSWERED
+             && c->active_at_us + STALLED_US <= at_us);
+}
 
-  if (is_slow != is_other_slow)
-    return is_slow;
+/* Returns true if C waits for its answer, or has had no time to read it.  */
+static bool
+is_owed_answer (const struct budget_client *c, uint64_t at_us)
+{
+  return c->phase == CLIENT_WAITING
+         || (c->phase == CLIENT_ANSWERED && !is_slow (c, at_us));
+}
+
+/* Returns true if C is to be closed at AT_US rather than OTHER: a slow one
+   first, then the one without progress for longest.  */
+static bool
+is_closed_before (const struct budget_client *c,
+                  const struct budget_client *other, uint64_t at_us)
+{
+  if (is_slow (c, at_us) != is_slow (other, at_us))
+    return is_slow (c, at_us);
   return c->active_at_us < other->active_at_us;
 }
 
-/* Returns the client to close for NEW_CLIENT, none that waits for an answer;
-   if SAME_ADDRESS, of the same address only.  */
+/* Returns the client to close for NEW_CLIENT, none that is owed an answer; if
+   SAME_ADDRESS, of the same address only.  */
 static struct budget_client *
 find_evictable (struct body_budget *b, const struct budget_client *new_client,
                 bool same_address)
@@ -137,10 +149,11 @@
     {
       struct budget_client *c = at->data;
 
-      if (c != new_client && !c->closing && c->phase != CLIENT_WAITING
-          && c->phase != CLIENT_ANSWERED
+      if (c != new_client && !c->closing
+          && !is_owed_answer (c, new_client->active_at_us)
           && (!same_address || c->address == new_client->address)
-          && (found == NULL || is_closed_before (c, found, new_client)))
+          && (found == NULL
+              || is_closed_before (c, found, new_client->active_at_us)))
         found = c;
     }
   return found;
--- a/tests/test_clients.c
+++ b/tests/test_clients.c
@@ -12,6 +12,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdio.h>
@@ -49,6 +50,17 @@
 #define SEND_LIMIT_US (20 * G_USEC_PER_SEC)
 #define QUIET_US (1 * G_USEC_PER_SEC)
 #define PIECE_BYTES 1000
+/** Most bytes of requests that are sent without reading an answer, and the
+    buffer for answers of such a client.  */
+#define UNREAD_BYTES 262144
+#define UNREAD_BUFFER_BYTES 4096
+#define SEGMENT_BYTES 1400
+/** Headers that nearly fill the 32 KiB that libmicrohttpd has for them by
+    default, and the largest of ordinary clients.  */
+#define FULL_HEADER_BYTES 31000
+#define LEGAL_HEADER_BYTES 16384
+/** Of these, the request line and the headers that each request has.  */
+#define PADDED_HEAD_BYTES 200
 #define LARGE_CHUNK_BYTES 65536
 #define SMALL_CHUNK_BYTES 16
 /** Bytes before the end at which most clients stop.  */
@@ -69,23 +81,35 @@
   gsize body_bytes;
   gsize announced_bytes; /* Content-Length; 0: chunked.  */
   gsize chunk_bytes;
-  gsize piece_bytes; /* Most bytes in one send.  */
-  bool whole;        /* No client stops before the end.  */
+  gsize piece_bytes;  /* Most bytes in one send.  */
+  bool whole;         /* No client stops before the end.  */
+  gsize header_bytes; /* Of the request line and headers; 0: no padding.  */
+  guint line_count;   /* Lines that the padding is spread over.  */
+  bool unread; /* Sends requests without a body, one after the other, and
+                  reads no answer.  */
 };
 
 static const struct pattern patterns[] = {
   { "whole_bodies", BODY_LIMIT_BYTES, BODY_LIMIT_BYTES, 0, BODY_LIMIT_BYTES,
-    true },
+    .whole = true },
   { "bodies_in_pieces", BODY_LIMIT_BYTES, BODY_LIMIT_BYTES, 0, PIECE_BYTES,
-    false },
+    .whole = false },
   { "large_chunks", BODY_LIMIT_BYTES, 0, LARGE_CHUNK_BYTES, BODY_LIMIT_BYTES,
-    false },
+    .whole = false },
   { "small_chunks", BODY_LIMIT_BYTES, 0, SMALL_CHUNK_BYTES, BODY_LIMIT_BYTES,
-    false },
+    .whole = false },
   { "over_limit_announced", 4 * BODY_LIMIT_BYTES, 256 * BODY_LIMIT_BYTES, 0,
-    BODY_LIMIT_BYTES, false },
+    BODY_LIMIT_BYTES, .whole = false },
   { "over_limit_sent", 4 * BODY_LIMIT_BYTES, 0, LARGE_CHUNK_BYTES,
-    BODY_LIMIT_BYTES, false },
+    BODY_LIMIT_BYTES, .whole = false },
+  { "unread_answers", UNREAD_BYTES, 0, 0, BODY_LIMIT_BYTES, .whole = true,
+    .unread = true },
+  { "headers_fill_pool", BODY_LIMIT_BYTES, BODY_LIMIT_BYTES, 0,
+    BODY_LIMIT_BYTES, .whole = false, .header_bytes = FULL_HEADER_BYTES,
+    .line_count = 4 },
+  { "many_header_lines", BODY_LIMIT_BYTES, BODY_LIMIT_BYTES, 0,
+    BODY_LIMIT_BYTES, .whole = false, .header_bytes = LEGAL_HEADER_BYTES,
+    .line_count = 300 },
 };
 
 struct client
@@ -155,6 +179,21 @@
   return s;
 }
 
+/* Returns SIZE bytes of requests that have no body.  */
+static GString *
+make_requests (const struct target *t, gsize size)
+{
+  GString *s = g_string_new (NULL);
+
+  while (s->len < size)
+    g_string_append_printf (s,
+                            "GET %s HTTP/1.1\r\nHost: site\r\n"
+                            "Authorization: Bearer key-of-t\r\n\r\n",
+                            t->site != NULL ? "/q/0000000000000001"
+                                            : "/v1/timeline");
+  return s;
+}
+
 static GString *
 encode_chunks (GString *body, gsize chunk_bytes)
 {
@@ -178,12 +217,25 @@
 make_head (const struct target *t, const struct pattern *p, guint i)
 {
   GString *s = g_string_new (NULL);
+  gsize n;
+  guint k;
 
+  if (p->unread)
+    return s;
   if (t->site != NULL)
     g_string_printf (s, "POST /q/%016x HTTP/1.1\r\n", 0x1000 + i);
   else
     g_string_append (s, "POST /v1/queues/open HTTP/1.1\r\n");
   g_string_append (s, "Host: site\r\nAuthorization: Bearer key-of-t\r\n");
+  for (k = 0; k < p->line_count; k++)
+    {
+      gsize bytes = (p->header_bytes - PADDED_HEAD_BYTES) / p->line_count;
+
+      g_string_append_printf (s, "X-%03u: ", k);
+      for (n = strlen ("X-000: \r\n"); n < bytes; n++)
+        g_string_append_c (s, 'x');
+      g_string_append (s, "\r\n");
+    }
   if (p->announced_bytes > 0)
     g_string_append_printf (s, "Content-Length: %zu\r\n\r\n",
                             p->announced_bytes);
@@ -193,14 +245,24 @@
 }
 
 static int
-connect_to (guint16 port)
+connect_to (guint16 port, bool unread)
 {
+  int small = UNREAD_BUFFER_BYTES;
+  int segment = SEGMENT_BYTES;
+
   struct sockaddr_in a = { .sin_family = AF_INET,
                            .sin_port = htons (port),
                            .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
   g_assert_cmpint (fd, >=, 0);
+  if (unread)
+    {
+      /* On loopback the segments, and with them the entry's buffers, are much
+         larger than on a network.  */
+      setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+      setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    }
   if (connect (fd, (struct sockaddr *)&a, sizeof a) != 0)
     g_assert_cmpint (errno, ==, EINPROGRESS);
   return fd;
@@ -290,19 +352,20 @@
 run_crowd (const struct target *t, const struct pattern *p)
 {
   struct client crowd[CROWD_COUNT];
-  GString *body = make_body (t, p->body_bytes);
+  GString *body = p->unread ? make_requests (t, p->body_bytes)
+                            : make_body (t, p->body_bytes);
   struct usage before;
   struct usage after;
   guint status;
   guint i;
 
-  if (p->announced_bytes == 0)
+  if (p->announced_bytes == 0 && !p->unread)
     body = encode_chunks (body, p->chunk_bytes);
   g_assert_cmpuint (try_ordinary (t), ==, 200);
   before = read_usage (t->pid);
   for (i = 0; i < CROWD_COUNT; i++)
     {
-      crowd[i].fd = connect_to (t->port);
+      crowd[i].fd = connect_to (t->port, p->unread);
       crowd[i].head = make_head (t, p, i);
       crowd[i].sent_bytes = 0;
       crowd[i].stop_bytes = crowd[i].head->len + body->len
