--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -2,7 +2,6 @@
 
 #include "core/cell/fleet.h"
 #include "core/load/shares.h"
-#include "port/stop_times.h"
 
 #include <stdarg.h>
 #include <stdio.h>
@@ -13,9 +12,6 @@
 #define IDLE_TICK_MS 100
 /** Interval of the ticks of all other entries.  */
 #define ACTIVE_TICK_MS 20
-/** A stopping entry keeps serving for this long, in which the load balancer
-    sees two readiness checks fail; it checks once a second.  */
-#define LINGER_MS 2300
 /** Least time between two rounds of dispatch, so that tasks that end together
     are handled in one.  */
 #define DISPATCH_GAP_US (4 * US_PER_MS)
@@ -191,47 +187,6 @@
   return c;
 }
 
-/* Begins a planned stop: the cell is released when another entry can take it
-   (ownership_tick), and the entry closes its connections when the load
-   balancer sends no more (check_exit).  */
-static void
-begin_stop (struct cell *c)
-{
-  if (c->stopping)
-    return;
-  c->stopping = true;
-  c->stop_began_at_us = c->now_us;
-  cell_log (c, "stop_begun", 0, "\"owner\":%s",
-            cell_is_owner (c) ? "true" : "false");
-}
-
-bool
-cell_stop_is_past (const struct cell *c, uint64_t after_us)
-{
-  return c->stopping && c->now_us >= c->stop_began_at_us + after_us;
-}
-
-/* Has the connections closed once this entry holds no cell and gets no more
-   connections, or at the latest time for that.  Calls that wait are still
-   answered.  */
-static void
-check_exit (struct cell *c)
-{
-  bool idle = c->ownership.phase == OWNERSHIP_NONE
-              && !c->ownership.release_sent
-              && cell_stop_is_past (c, LINGER_MS * US_PER_MS);
-
-  if (c->exited
-      || (!idle
-          && !cell_stop_is_past (
-              c, stop_close_us (c->settings.times.stop_grace_ms))))
-    return;
-  c->exited = true;
-  cell_log (c, "stop_done", 0, "\"open_calls\":%u",
-            g_hash_table_size (c->forwarded_calls));
-  cell_emit (c, CELL_DO_EXIT);
-}
-
 static void
 tick (struct cell *c)
 {
@@ -247,7 +202,7 @@
       c->dispatch_due = true;
     }
   ingress_tick (c);
-  check_exit (c);
+  stop_tick (c);
 }
 
 static void
@@ -328,7 +283,7 @@
                 e->u.times.revoke_ms);
       break;
     case CELL_STOP:
-      begin_stop (c);
+      stop_begin (c);
       break;
     case CELL_EVENT_KIND_COUNT:
       break;
--- a/core/cell/ingress.c
+++ b/core/cell/ingress.c
@@ -7,8 +7,6 @@
 
 #include "core/cell/state.h"
 
-#include "port/stop_times.h"
-
 #include <string.h>
 
 /** Subtracted from revoke_ms: the time that may pass between the check of a
@@ -207,15 +205,6 @@
           code == REPLY_UNAVAILABLE ? random_retry_ms (c) : 0);
 }
 
-/* Returns true if a planned stop leaves no more time for calls: those that
-   wait are answered now, and new ones are refused at once.  */
-static bool
-must_answer (const struct cell *c)
-{
-  return cell_stop_is_past (c,
-                            stop_answer_us (c->settings.times.stop_grace_ms));
-}
-
 void
 ingress_on_call (struct cell *c, struct cell_event *e)
 {
@@ -225,7 +214,7 @@
   uint32_t wait_ms = call->wait_ms > 0 ? call->wait_ms : CALL_WAIT_MS;
   struct forwarded_call *f;
 
-  if (code == REPLY_OK && must_answer (c))
+  if (code == REPLY_OK && stop_must_answer (c))
     code = REPLY_UNAVAILABLE;
   if (code != REPLY_OK)
     {
@@ -317,7 +306,7 @@
   if (!f->on_current_link && !f->sent && owner_is_lost (c))
     return REPLY_UNAVAILABLE;
 
-  if (c->now_us >= f->deadline_us || must_answer (c))
+  if (c->now_us >= f->deadline_us || stop_must_answer (c))
     return f->sent ? REPLY_UNKNOWN : REPLY_UNAVAILABLE;
   if (!f->on_current_link
       && c->now_us >= f->arrived_at_us + wait_ms * US_PER_MS)
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -22,14 +22,11 @@
    The other entries have a link to the owner.  While it is down they ask the
    store which entry holds the cell, and join when none does.
 
-   An owner that is stopped releases the cell when another entry can take it:
-   one that is linked, reaches the store and is not stopping.  As long as there
-   is none, it goes on as owner until its calls have to be answered.  Then, or
-   if an owner is lost, an entry that is stopping, too, takes the cell if no
-   other does and it has time left.  */
+   An owner that is stopped releases the cell when another entry can take it
+   (stop.c).  If none can, or an owner is lost, an entry that is stopping takes
+   the cell if no other does and it has time left.  */
 
 #include "core/cell/fleet.h"
-#include "port/stop_times.h"
 
 #include <string.h>
 
@@ -76,13 +73,6 @@
     STOPPING_OWN_MIN_MS.  */
 #define STOPPING_JOIN_DELAY_MS 1800
 #define STOPPING_OWN_MIN_MS 1000
-/** An owner that is stopped hands the cell over no sooner than this: by then
-   the heartbeats of entries that are stopped at the same time have told so. */
-#define STOP_NOTICE_MS 400
-/** A stopping entry that has claimed the cell polls all runners before it
-   hands it over, for up to this time.  If owners in a row did not, the leases
-   of runs would expire.  */
-#define SETTLE_MS 1000
 /* Names of the phases in log lines.  */
 static const char *const phase_names[]
     = { [OWNERSHIP_NONE] = "none",
@@ -399,59 +389,6 @@
   return at_us > 0 && c->started_at_us <= at_us + START_MARGIN_MS * US_PER_MS;
 }
 
-/* Returns true if a planned stop of this entry leaves AFTER_US from now until
-   its calls have to be answered.  */
-static bool
-has_stop_time (const struct cell *c, uint64_t after_us)
-{
-  uint64_t limit_us = stop_answer_us (c->settings.times.stop_grace_ms);
-
-  return after_us < limit_us && !cell_stop_is_past (c, limit_us - after_us);
-}
-
-/* Returns true if a registered runner has not been polled by this owner, or
-   has runs whose lease it has not renewed.  */
-static bool
-has_unrenewed (const struct cell *c)
-{
-  GHashTableIter it;
-  gpointer value;
-
-  if (!c->runners_known || fleet_has_unasked (c, EVERY_POOL))
-    return true;
-  g_hash_table_iter_init (&it, c->runners);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      const struct runner *r = value;
-
-      if (r->reached && r->tasks->len > 0 && r->lease_until_ms == 0)
-        return true;
-    }
-  return false;
-}
-
-/* Returns true if this entry has not claimed the cell yet, or has renewed the
-   leases of all runs that it can reach, or had the time to.  */
-static bool
-is_settled (const struct cell *c)
-{
-  const struct ownership *o = &c->ownership;
-
-  return o->phase == OWNERSHIP_JOINING || o->phase == OWNERSHIP_CLAIMING
-         || c->now_us >= o->claimed_at_us + SETTLE_MS * US_PER_MS
-         || (o->phase == OWNERSHIP_OWNER && !has_unrenewed (c));
-}
-
-/* Returns true if a planned stop has this entry give the cell up.  */
-static bool
-must_release (const struct cell *c)
-{
-  return c->stopping
-         && (!has_stop_time (c, 0)
-             || (peers_best_other_cpu_milli (c) > 0 && is_settled (c)
-                 && cell_stop_is_past (c, STOP_NOTICE_MS * US_PER_MS)));
-}
-
 /* Returns by how much longer than JOIN_JITTER_MS this entry delays its join,
    so that the cell goes to the entry that will serve it best.  */
 static uint64_t
@@ -496,7 +433,7 @@
     }
   /* While it stops, it is named only until the store has taken its leave.  */
   if (c->stopping
-      && (m[0] != '\0' || !has_stop_time (c, STOPPING_OWN_MIN_MS * US_PER_MS)))
+      && (m[0] != '\0' || !stop_has_time (c, STOPPING_OWN_MIN_MS * US_PER_MS)))
     return;
   if (m[0] == '\0' && o->retry_at_us == 0)
     {
@@ -734,13 +671,13 @@
   yields_check (c);
   if (c->now_us >= o->denied_at_us + DENIED_MS * US_PER_MS)
     o->owner_denied = false;
-  o->releasing = must_release (c);
+  o->releasing = stop_must_release (c);
   if (o->phase != OWNERSHIP_NONE)
     {
       /* Calls wait for the outcome of an append.  */
       if (o->releasing
           && (o->phase != OWNERSHIP_OWNER || !c->append.in_flight
-              || !has_stop_time (c, 0)))
+              || !stop_has_time (c, 0)))
         ownership_release (c);
       else
         holder_tick (c);
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -697,8 +697,6 @@
 void cell_log (struct cell *c, const char *event, uint64_t job,
                const char *format, ...)
     __attribute__ ((format (printf, 4, 5)));
-/** Returns true if a planned stop began AFTER_US ago or longer.  */
-bool cell_stop_is_past (const struct cell *c, uint64_t after_us);
 /** Counts a latency of MS in a histogram of CELL_BUCKET_COUNT buckets.  */
 void cell_histogram_add (uint64_t *buckets, uint64_t ms);
 bool cell_is_owner (const struct cell *c);
@@ -736,6 +734,21 @@
 /** Sends the calls that wait for an owner, if one can be reached.  */
 void ingress_flush (struct cell *c);
 
+/* stop.c: what a planned stop of this entry still allows.  */
+/** Begins a planned stop.  */
+void stop_begin (struct cell *c);
+/** Has the connections closed when nothing is left to do, or at the latest
+   time for that.  Calls that wait are still answered.  */
+void stop_tick (struct cell *c);
+/** Returns false if a planned stop leaves less than SPAN_US until all calls
+    have to be answered.  */
+bool stop_has_time (const struct cell *c, uint64_t span_us);
+/** Returns true if a planned stop leaves no more time for calls: those that
+    wait are answered, and new ones are refused at once.  */
+bool stop_must_answer (const struct cell *c);
+/** Returns true if a planned stop has this entry give the cell up.  */
+bool stop_must_release (const struct cell *c);
+
 /* ownership.c: which entry owns the cell.  */
 void ownership_on_claim (struct cell *c, const struct cell_event *e);
 void ownership_on_claims_confirmed (struct cell *c, uint64_t sent_at_us);
