A stopping entry that the owner counted on takes the cell at once

Cause: the owner released the cell to an entry that had been stopped 42 ms before, of which no heartbeat had told yet; that one waited 1.8 s for others and closed. Change: an entry delays its join for its own stop only if the owner can have known of that. The model passes on what heartbeats tell at their interval, no longer at once.

--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -67,8 +67,8 @@
    Start times that are closer than START_MARGIN_MS are the same.  */
 #define OLD_JOIN_DELAY_MS 400
 #define START_MARGIN_MS 1000
-/** An entry that was stopping already when the owner was lost delays its join
-    by this, which is longer than any other may, unless the release tells that
+/** An entry of whose stop the owner knew when it was lost delays its join by
+    this, which is longer than any other may, unless the release tells that
     there is no other.  It joins only if it can own the cell for
     STOPPING_OWN_MIN_MS.  */
 #define STOPPING_JOIN_DELAY_MS 1800
@@ -400,10 +400,9 @@
     delay_ms += WEAK_JOIN_DELAY_MS;
   if (may_be_stopped_next (c))
     delay_ms += OLD_JOIN_DELAY_MS;
-  /* An owner that released the cell may have counted on us until we were
-     stopped.  */
-  if (c->stopping && !c->ownership.newest_no_successor
-      && c->stop_began_at_us < c->ownership.link_down_at_us)
+  /* An owner that did not know of our stop may have counted on us.  */
+  if (!c->ownership.newest_no_successor
+      && stop_was_told (c, c->ownership.link_down_at_us))
     delay_ms += STOPPING_JOIN_DELAY_MS;
   return delay_ms;
 }
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -743,6 +743,9 @@
 /** Returns false if a planned stop leaves less than SPAN_US until all calls
     have to be answered.  */
 bool stop_has_time (const struct cell *c, uint64_t span_us);
+/** Returns true if the other entries knew at AT_US that this one is
+    stopping.  */
+bool stop_was_told (const struct cell *c, uint64_t at_us);
 /** Returns true if a planned stop leaves no more time for calls: those that
     wait are answered, and new ones are refused at once.  */
 bool stop_must_answer (const struct cell *c);
--- a/core/cell/stop.c
+++ b/core/cell/stop.c
@@ -46,6 +46,13 @@
   return span_us < limit_us && !is_past (c, limit_us - span_us);
 }
 
+bool
+stop_was_told (const struct cell *c, uint64_t at_us)
+{
+  return c->stopping
+         && c->stop_began_at_us + STOP_NOTICE_MS * US_PER_MS < at_us;
+}
+
 bool
 stop_must_answer (const struct cell *c)
 {
--- a/tests/model.c
+++ b/tests/model.c
@@ -10,6 +10,8 @@
 /** A link is closed after this long without a message.  */
 #define LINK_SILENCE_US (1000 * US_PER_MS)
 #define LINK_RETRY_US (200 * US_PER_MS)
+/** What an entry tells of itself arrives with its next heartbeat.  */
+#define HEARTBEAT_INTERVAL_US (250 * US_PER_MS)
 #define CONFIG_INTERVAL_US (400 * US_PER_MS)
 /** Ages after which an order is not sent any more: the owner's own, and one
     that a delegate has.  */
@@ -213,6 +215,7 @@
       e->linked_process = o->process;
       e->link_id = ++m->last_link_id;
       e->link_heard_at_us = m->now_us;
+      e->heartbeat_at_us = m->now_us + HEARTBEAT_INTERVAL_US;
       report_owner (e);
       report_peer (e);
       return;
@@ -247,6 +250,9 @@
     }
   else
     return;
+  if (m->now_us < e->heartbeat_at_us)
+    return;
+  e->heartbeat_at_us = m->now_us + HEARTBEAT_INTERVAL_US;
   if (e->reported_degraded != o->degraded
       || e->reported_cpu_milli != o->best_cpu_milli)
     report_owner (e);
--- a/tests/model.h
+++ b/tests/model.h
@@ -241,7 +241,8 @@
   uint64_t link_id;
   uint64_t link_tried_at_us;
   uint64_t link_heard_at_us;
-  bool degraded; /**< Contents of its heartbeats.  */
+  uint64_t heartbeat_at_us; /**< When the next ones are exchanged on it.  */
+  bool degraded;            /**< Contents of its heartbeats.  */
   uint32_t best_cpu_milli;
   bool reported_degraded; /**< What its link's other end told it.  */
   uint32_t reported_cpu_milli;
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -7,6 +7,7 @@
 #include "tests/soak_proxy.h"
 
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
 
@@ -546,6 +547,22 @@
   g_array_free (list, TRUE);
 }
 
+/* Copies the entries' logs of a play with a broken promise to the folder that
+   FTK_SOAK_LOGS names.  */
+static void
+keep_logs (const struct play *p)
+{
+  const gchar *to = g_getenv ("FTK_SOAK_LOGS");
+  gchar *command;
+
+  if (to == NULL || p->result->broken_count == 0)
+    return;
+  command = g_strdup_printf ("mkdir -p '%s' && cp '%s'/*.log '%s'", to,
+                             p->site.directory, to);
+  g_assert_cmpint (system (command), ==, 0);
+  g_free (command);
+}
+
 static void
 finish (struct play *p)
 {
@@ -571,6 +588,7 @@
   judge_requests (p);
   judge_runners (p);
   measure_ownership (p);
+  keep_logs (p);
   site_stop (&p->site);
   for (i = 0; i < p->site.entry_count; i++)
     soak_proxy_stop (p->proxies[i]);
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -14,7 +14,7 @@
 for ((seed = first; seed < first + seeds; seed++)); do
   log=$build/soak-$seed.log
   # The braces keep the shell's message on an abort out of the output.
-  { FTK_BUILD=$build FTK_SOAK_SEEDS=1 FTK_SOAK_FIRST=$seed timeout 300 \
+  { FTK_SOAK_LOGS=$build/soak-$seed.logs FTK_BUILD=$build FTK_SOAK_SEEDS=1 FTK_SOAK_FIRST=$seed timeout 300 \
     "${FTK_SOAK_PLAYER:-$build}/test_soak" --tap > "$log" 2>&1; } 2> /dev/null
   code=$?
   grep '^# seed' "$log"
