Tests of planned stops hold under TSan

test_soak: the log of the clients was guarded by a GMutex. GLib locks it without pthread and is built without TSan, which therefore reported each use as a race. The lock is a pthread mutex now, which TSan follows.

The entry of this test gets atexit_sleep_ms=0; the limit of 6 s stays.

--- a/tests/soak.c
+++ b/tests/soak.c
@@ -603,7 +603,7 @@
 
   memset (r, 0, sizeof *r);
   r->report = g_string_new (NULL);
-  g_mutex_init (&p.log.lock);
+  pthread_mutex_init (&p.log.lock, NULL);
   p.log.records = g_array_new (FALSE, FALSE, sizeof (struct request_record));
   p.clients = g_ptr_array_new ();
   p.stops = g_array_new (FALSE, FALSE, sizeof (struct span));
@@ -628,6 +628,6 @@
   g_array_free (p.stops, TRUE);
   g_array_free (p.unplanned, TRUE);
   g_ptr_array_free (p.clients, TRUE);
-  g_mutex_clear (&p.log.lock);
+  pthread_mutex_destroy (&p.log.lock);
   g_free (p.settings);
 }
--- a/tests/soak_client.c
+++ b/tests/soak_client.c
@@ -161,9 +161,9 @@
   /* A request that the end of the play cut short tells nothing.  */
   if (is_stopped (c))
     return;
-  g_mutex_lock (&c->log->lock);
+  pthread_mutex_lock (&c->log->lock);
   g_array_append_val (c->log->records, *r);
-  g_mutex_unlock (&c->log->lock);
+  pthread_mutex_unlock (&c->log->lock);
 }
 
 static gchar *
--- a/tests/soak_client.h
+++ b/tests/soak_client.h
@@ -5,6 +5,7 @@
 #define TESTS_SOAK_CLIENT_H
 
 #include <glib.h>
+#include <pthread.h>
 
 enum soak_kind
 {
@@ -42,8 +43,8 @@
 /* What clients do and saw.  Several clients share it.  */
 struct client_log
 {
-  GMutex lock;
-  GArray *records; /* struct request_record.  */
+  pthread_mutex_t lock; /* TSan does not follow those of GLib.  */
+  GArray *records;      /* struct request_record.  */
 };
 
 struct soak_client
--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -83,6 +83,21 @@
   cluster_stop (c);
 }
 
+/* Returns the environment for an entry.  TSan would sleep 1 s at the end of
+   the process, which would count as time of the entry.  */
+static gchar **
+make_environment (void)
+{
+  const gchar *options = g_getenv ("TSAN_OPTIONS");
+  gchar *text = g_strdup_printf ("%s atexit_sleep_ms=0",
+                                 options != NULL ? options : "");
+  gchar **list
+      = g_environ_setenv (g_get_environ (), "TSAN_OPTIONS", text, TRUE);
+
+  g_free (text);
+  return list;
+}
+
 /* Starts entry 0 of S, which does not run, with a full pipe as its standard
    output and error.  */
 static void
@@ -92,6 +107,7 @@
       g_getenv ("FTK_BUILD") != NULL ? g_getenv ("FTK_BUILD") : "build",
       "fulmartackd", NULL);
   gchar *file = g_build_filename (s->directory, "entry-0.json", NULL);
+  gchar **environment = make_environment ();
   int fds[2];
 
   g_assert_cmpint (pipe (fds), ==, 0);
@@ -105,11 +121,12 @@
       prctl (PR_SET_PDEATHSIG, SIGKILL);
       dup2 (fds[1], STDOUT_FILENO);
       dup2 (fds[1], STDERR_FILENO);
-      execl (program, program, file, NULL);
+      execle (program, program, file, NULL, environment);
       _exit (127);
     }
   g_assert_cmpint (s->entries[0], >, 0);
   close (fds[1]);
+  g_strfreev (environment);
   g_free (file);
   g_free (program);
 }
