An answer that is still being read is not cut

A client had 1 s to read an answer before a planned stop, or a new client that needed the connection, could close it. A large answer of the product's own interface (the timeline) to a slow reader takes longer, so an ordinary client would have got half of it.

The time now counts from the last progress: client_guard asks the kernel how much of the answer the client has acknowledged (TCP_INFO, tcpi_bytes_acked), and body_budget counts the second anew if it has grown. A client that takes nothing still loses its connection after 1 s, and the end of the stop still cuts all.

--- a/adapter/body_budget.c
+++ b/adapter/body_budget.c
@@ -6,9 +6,10 @@
 #include "port/types.h"
 
 /** A body without progress for this long is closed when another needs its
-    space, one that takes longer, or an answer that is read for longer, when a
-    new client needs the connection or in a planned stop.
-    Ordinary clients send a body of 262,144 bytes without pauses.  */
+    space.  One that takes longer, and an answer of which nothing is taken for
+    this long, are closed when a new client needs the connection, and in a
+    planned stop.  Ordinary clients send a body of 262,144 bytes without
+    pauses.  */
 #define STALLED_US (1 * US_PER_S)
 /** One connection of this many is kept free for new clients, as libmicrohttpd
     accepts none at its limit and thus would report none to evict for.  */
@@ -17,6 +18,7 @@
 struct body_budget
 {
   struct body_limits limits;
+  budget_reads_fn *reads;
   GQueue clients;
   GQueue receiving;       /**< In the order in which they began.  */
   GHashTable *by_address; /**< Address to count of connections.  */
@@ -34,13 +36,15 @@
 }
 
 struct body_budget *
-body_budget_new (TALLOC_CTX *mem, const struct body_limits *l)
+body_budget_new (TALLOC_CTX *mem, const struct body_limits *l,
+                 budget_reads_fn *reads)
 {
   struct body_budget *b = talloc_zero (mem, struct body_budget);
 
   if (b == NULL)
     return NULL;
   b->limits = *l;
+  b->reads = reads;
   b->by_address = g_hash_table_new (NULL, NULL);
   talloc_set_destructor (b, budget_free);
   return b;
@@ -107,8 +111,19 @@
   set_held (b, c, 0);
 }
 
-/* Returns true if C sends its body, or reads its answer, for longer than an
-   ordinary client has at AT_US.  */
+/* Notes that C has taken a part of its answer, if it seems to have stalled and
+   has not.  */
+static void
+refresh_reader (const struct body_budget *b, struct budget_client *c,
+                uint64_t at_us)
+{
+  if (c->phase == CLIENT_ANSWERED && c->active_at_us + STALLED_US <= at_us
+      && b->reads != NULL && b->reads (c))
+    c->active_at_us = at_us;
+}
+
+/* Returns true if C sends its body for longer than an ordinary client has at
+   AT_US, or has not taken any of its answer for as long.  */
 static bool
 is_slow (const struct budget_client *c, uint64_t at_us)
 {
@@ -149,6 +164,7 @@
     {
       struct budget_client *c = at->data;
 
+      refresh_reader (b, c, new_client->active_at_us);
       if (c != new_client && !c->closing
           && !is_owed_answer (c, new_client->active_at_us)
           && (!same_address || c->address == new_client->address)
@@ -382,10 +398,12 @@
   for (at = b->clients.head; at != NULL; at = at->next)
     {
       struct budget_client *c = at->data;
-      uint64_t until_us = drain_until_us (c);
+      uint64_t until_us;
 
       if (c->closing)
         continue;
+      refresh_reader (b, c, now_us);
+      until_us = drain_until_us (c);
       if (until_us > now_us)
         {
           next_us = MIN (next_us, until_us);
--- a/adapter/body_budget.h
+++ b/adapter/body_budget.h
@@ -61,9 +61,15 @@
 
 struct body_budget;
 
-/** Returns a budget as a child of MEM, or NULL when memory is out.  */
+/** Returns true if C has taken a part of its answer since it was last
+    asked.  */
+typedef bool budget_reads_fn (struct budget_client *c);
+
+/** Returns a budget as a child of MEM, or NULL when memory is out.  READS is
+    asked about answers that are sent for long; NULL: none is taken.  */
 struct body_budget *body_budget_new (TALLOC_CTX *mem,
-                                     const struct body_limits *l);
+                                     const struct body_limits *l,
+                                     budget_reads_fn *reads);
 
 /** Adds C.  Returns the client to close for it, which may be C, or NULL.  */
 struct budget_client *body_budget_connect (struct body_budget *b,
@@ -107,9 +113,10 @@
 /** Closes C, which no longer counts.  */
 typedef void budget_close_fn (void *state, struct budget_client *c);
 
-/** During a planned stop: calls CLOSE for each client that is idle, and for
-    each that has taken longer than ordinary clients do to send its body or to
-    read its answer.  Returns when the next one will have, or UINT64_MAX.  */
+/** During a planned stop: calls CLOSE for each client that is idle, that has
+    taken longer than ordinary clients do to send its body, or that has not
+    taken any of its answer for as long.  Returns when the next one will have,
+   or UINT64_MAX.  */
 uint64_t body_budget_drain (struct body_budget *b, uint64_t now_us,
                             budget_close_fn *close, void *state);
 
--- a/adapter/client_guard.c
+++ b/adapter/client_guard.c
@@ -9,7 +9,9 @@
 #include "adapter/duty.h"
 #include "port/types.h"
 
+#include <linux/tcp.h>
 #include <netinet/in.h>
+#include <stddef.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 
@@ -26,8 +28,29 @@
   struct MHD_Connection *connection;
   void *call; /**< NULL between requests.  */
   uint64_t announced_bytes;
+  uint64_t acked_bytes; /**< Sent to it and acknowledged, when last asked.  */
 };
 
+/* The kernel of the client acknowledges more while the client reads.  */
+static bool
+reads_answer (struct budget_client *b)
+{
+  struct guarded_client *c = (struct guarded_client *)b;
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      c->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  struct tcp_info tcp = { 0 };
+  socklen_t size = sizeof tcp;
+  bool more;
+
+  if (info == NULL
+      || getsockopt (info->connect_fd, IPPROTO_TCP, TCP_INFO, &tcp, &size) != 0
+      || size < offsetof (struct tcp_info, tcpi_bytes_received))
+    return false;
+  more = tcp.tcpi_bytes_acked > c->acked_bytes;
+  c->acked_bytes = tcp.tcpi_bytes_acked;
+  return more;
+}
+
 struct client_guard *
 client_guard_new (TALLOC_CTX *mem, const struct body_limits *l,
                   client_drop_fn *drop)
@@ -37,7 +60,7 @@
   if (g == NULL)
     out_of_memory ();
   g->drop = drop;
-  g->budget = body_budget_new (g, l);
+  g->budget = body_budget_new (g, l, reads_answer);
   if (g->budget == NULL)
     out_of_memory ();
   return g;
--- a/tests/test_body_budget.c
+++ b/tests/test_body_budget.c
@@ -20,6 +20,14 @@
                                            .address_percent = 50 };
 
 static struct body_budget *budget;
+static bool is_reading;
+
+static bool
+reads (struct budget_client *c)
+{
+  (void)c;
+  return is_reading;
+}
 static struct budget_client clients[40];
 
 static void
@@ -27,7 +35,7 @@
 {
   guint i;
 
-  budget = body_budget_new (NULL, &limits);
+  budget = body_budget_new (NULL, &limits, reads);
   memset (clients, 0, sizeof clients);
   for (i = 0; i < count; i++)
     g_assert_null (body_budget_connect (budget, &clients[i], first_address + i,
@@ -195,7 +203,12 @@
       body_budget_drain (budget, START_US + 20, count_closed, &closed), ==,
       START_US + US_PER_S);
   g_assert_cmpuint (closed, ==, 1);
+  /* A large answer that is still being taken is not cut.  */
+  is_reading = true;
   body_budget_drain (budget, START_US + 2 * US_PER_S, count_closed, &closed);
+  g_assert_cmpuint (closed, ==, 2);
+  is_reading = false;
+  body_budget_drain (budget, START_US + 4 * US_PER_S, count_closed, &closed);
   g_assert_cmpuint (closed, ==, 3);
   g_assert_cmpuint (body_budget_phase_count (budget, CLIENT_WAITING), ==, 1);
   for (i = 0; i < 4; i++)
