--- a/adapter/body_budget.h
+++ b/adapter/body_budget.h
@@ -116,7 +116,7 @@
 /** During a planned stop: calls CLOSE for each client that is idle, that has
     taken longer than ordinary clients do to send its body, or that has not
     taken any of its answer for as long.  Returns when the next one will have,
-   or UINT64_MAX.  */
+    or UINT64_MAX.  */
 uint64_t body_budget_drain (struct body_budget *b, uint64_t now_us,
                             budget_close_fn *close, void *state);
 
