--- a/tests/site_cluster.c
+++ b/tests/site_cluster.c
@@ -13,7 +13,10 @@
 #include <unistd.h>
 
 #define PORT_LOW 23000
-#define PORT_STEP 60
+/** The entries' metrics come last.  */
+#define METRICS_OFFSET 50
+/** The last port of a range marks it as taken.  */
+#define PORT_STEP (METRICS_OFFSET + SITE_ENTRY_LIMIT + 1)
 #define PORT_RANGE_COUNT 20
 #define START_TIMEOUT_MS 15000
 #define POLL_INTERVAL_MS 50
@@ -27,7 +30,7 @@
 guint16
 site_metrics_port (const struct site *s, guint i)
 {
-  return (guint16)(s->base_port + 50 + i);
+  return (guint16)(s->base_port + METRICS_OFFSET + i);
 }
 
 /* The port at which entry I reaches the store and the cloud.  */
