Log when a client is first told a job's end; count state calls

Cause: the log tells when a job ends and which calls are refused, but not whether a client has heard of the end, nor how many questions about jobs were answered.

Change: the owner writes end_told once for each job. The counters states_told and states_untold count the answers of each entry.

--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -61,6 +61,8 @@
   static const char *const names[CELL_COUNTER_COUNT] = {
     [CELL_COUNT_ACCEPTED] = "jobs_accepted",
     [CELL_COUNT_REFUSED] = "calls_refused",
+    [CELL_COUNT_STATES_TOLD] = "states_told",
+    [CELL_COUNT_STATES_UNTOLD] = "states_untold",
     [CELL_COUNT_COMPLETED] = "jobs_completed",
     [CELL_COUNT_FAILED] = "jobs_failed",
     [CELL_COUNT_CANCELLED] = "jobs_cancelled",
--- a/core/cell/ingress.c
+++ b/core/cell/ingress.c
@@ -31,16 +31,26 @@
 /** Clients are told to retry after this plus a random time up to the same.  */
 #define RETRY_MS 1000
 
+/* Sends R to its client.  */
+static void
+send_reply (struct cell *c, const struct reply *r)
+{
+  if (r->kind == CALL_STATE)
+    c->metrics.counters[r->code == REPLY_OK ? CELL_COUNT_STATES_TOLD
+                                            : CELL_COUNT_STATES_UNTOLD]++;
+  cell_emit (c, CELL_DO_REPLY)->u.reply = *r;
+}
+
 static void
 answer (struct cell *c, uint64_t call_id, enum call_kind kind,
         enum reply_code code, uint32_t retry_after_ms)
 {
-  struct reply *r = &cell_emit (c, CELL_DO_REPLY)->u.reply;
+  struct reply r = { .call_id = call_id,
+                     .kind = kind,
+                     .code = code,
+                     .retry_after_ms = retry_after_ms };
 
-  r->call_id = call_id;
-  r->kind = kind;
-  r->code = code;
-  r->retry_after_ms = retry_after_ms;
+  send_reply (c, &r);
 }
 
 static uint32_t
@@ -256,7 +266,7 @@
         ownership_on_denied (c);
       return;
     }
-  cell_emit (c, CELL_DO_REPLY)->u.reply = *r;
+  send_reply (c, r);
   cell_histogram_add (c->metrics.reply_ms,
                       (c->now_us - f->arrived_at_us) / US_PER_MS);
   g_hash_table_remove (c->forwarded_calls, &r->call_id);
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -472,6 +472,24 @@
   return j->started ? JOB_RUNNING : JOB_QUEUED;
 }
 
+/* Answers the call W for the state of J, or for J's acceptance.  */
+static void
+reply_state (struct cell *c, struct job *j, const struct waiter *w)
+{
+  struct reply r = { .code = REPLY_OK, .state = state_of (j) };
+
+  if (w->kind == CALL_STATE && j->end_stored && !j->end_told)
+    {
+      j->end_told = true;
+      cell_log (c, "end_told", j->id, "\"state\":\"%s\",\"ended_ms\":%llu",
+                job_state_name (j->state),
+                (unsigned long long)(c->wall_ms > j->ended_at_ms
+                                         ? c->wall_ms - j->ended_at_ms
+                                         : 0));
+    }
+  send_reply (c, w, &r);
+}
+
 static uint32_t
 pending_count (const struct cell *c, const char *queue)
 {
@@ -520,10 +538,7 @@
   else if (!j->stored)
     g_array_append_val (j->waiters, w);
   else
-    {
-      r.state = state_of (j);
-      send_reply (c, &w, &r);
-    }
+    reply_state (c, j, &w);
 }
 
 static void
@@ -615,7 +630,6 @@
   while (i < j->waiters->len)
     {
       struct waiter w = g_array_index (j->waiters, struct waiter, i);
-      struct reply r = { .code = REPLY_OK, .state = state_of (j) };
 
       if (w.kind == CALL_CANCEL && !(j->final && j->end_stored))
         {
@@ -623,7 +637,7 @@
           continue;
         }
       g_array_remove_index (j->waiters, i);
-      send_reply (c, &w, &r);
+      reply_state (c, j, &w);
     }
 }
 
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -230,6 +230,7 @@
   uint64_t reached_at_us; /**< The owner's unreached_over_at_us when reached
                              became true.  */
   bool end_stored;        /**< Its final state is durable.  */
+  bool end_told;          /**< A client was told its final state.  */
   bool objective_known;   /**< objective_deadline_us is set by its queue.  */
   bool failures_unjudged; /**< A run failed while its queue was not known, or
                              under a former owner: whether it was one too many
