Test: states of jobs are untold while the store is away

It needs a setting, a field of calls and a counter that have no effect yet: for how long a configuration that nobody can confirm admits calls for the state of a job, that a call was admitted so, and how many such calls were answered.

--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -63,6 +63,7 @@
     [CELL_COUNT_REFUSED] = "calls_refused",
     [CELL_COUNT_STATES_TOLD] = "states_told",
     [CELL_COUNT_STATES_UNTOLD] = "states_untold",
+    [CELL_COUNT_STATES_UNCONFIRMED] = "states_told_unconfirmed",
     [CELL_COUNT_COMPLETED] = "jobs_completed",
     [CELL_COUNT_FAILED] = "jobs_failed",
     [CELL_COUNT_CANCELLED] = "jobs_cancelled",
--- a/core/cell/cell.h
+++ b/core/cell/cell.h
@@ -60,7 +60,9 @@
   CELL_COUNT_REFUSED,
   CELL_COUNT_STATES_TOLD, /**< Clients' calls for the state of a job that this
                              entry has answered with it.  */
-  CELL_COUNT_STATES_UNTOLD, /**< Those that it has answered otherwise.  */
+  CELL_COUNT_STATES_UNTOLD,      /**< Those that it has answered otherwise.  */
+  CELL_COUNT_STATES_UNCONFIRMED, /**< Those of CELL_COUNT_STATES_TOLD whose
+                                    keys could not be checked any more.  */
   CELL_COUNT_COMPLETED,
   CELL_COUNT_FAILED,
   CELL_COUNT_CANCELLED,
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -48,6 +48,8 @@
   uint64_t job;
   uint32_t age_ms;       /**< Time since the client's call arrived.  */
   struct job_spec *spec; /**< Of CALL_SUBMIT.  */
+  bool unconfirmed; /**< Of CALL_STATE: the configuration that admitted it is
+                       too old to know of withdrawn keys.  */
 };
 
 /** Outcome of a call.  */
@@ -280,8 +282,12 @@
   uint32_t lease_max_ms;    /**< Longest lease that a runner grants.  */
   uint32_t task_stop_ms;    /**< Longest time that a task takes to stop.  */
   uint32_t handover_gap_ms; /**< Least time between VM orders of two owners. */
-  uint32_t status_retention_s; /**< How long clients can ask for an ended
-                                    job's state.  */
+  uint32_t status_retention_s;  /**< How long clients can ask for an ended
+                                     job's state.  */
+  uint32_t unconfirmed_state_s; /**< For so long a configuration that the store
+                                   does not confirm admits calls for the state
+                                   of a job, if no entry reaches the store; 0:
+                                   for revoke_ms, as other calls.  */
   uint32_t away_notice_ms; /**< A task idle this long counts as unavailable. */
   uint32_t over_target_limit_ms; /**< Longest time over a latency target.  */
   uint32_t stop_grace_ms;        /**< Longest planned stop of an entry.  */
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -228,6 +228,7 @@
   get_text (j, "queue", c->queue, NAME_BYTES);
   get_text (j, "tenant", c->tenant, NAME_BYTES);
   c->age_ms = (uint32_t)get_number (j, "age", 0);
+  c->unconfirmed = get_flag (j, "unconfirmed");
   if (c->kind != CALL_PENDING)
     c->job = job_id (json_string_value (json_object_get (j, "job")));
   if (c->kind == CALL_SUBMIT)
@@ -1141,6 +1142,8 @@
     x->settings.learn_interference = true;
   else if (strcmp (name, "share_by_weight") == 0)
     x->settings.share_by_weight = true;
+  else if (strcmp (name, "unconfirmed_states") == 0)
+    x->settings.times.unconfirmed_state_s = 60;
   else
     g_error ("unknown setting: %s", name);
   talloc_free (x->cell);
