Tell the states of jobs while the store is away

Cause: a call that only reads went through the same gate as one that executes something. Entries refused it because they could not confirm their configuration, and the owner dropped what it knew when it lost the cell, so that nobody could have answered with a fresh one either. Class: knowledge that cannot go out of date is withheld, or thrown away, with what can.

Change: the entry that owned the cell last keeps the states that it knew, and tells them (core/cell/state_calls.c). While no entry reaches the store, a call for a state is admitted by the last configuration read, for the time of the setting unconfirmed_state_s (0 by default, status_s on the users' platform). Only the last owner answers it, if it is linked to most entries and none of them reaches the store; otherwise the client is sent elsewhere at once. Calls that execute something, or count, are refused as before.

--- a/adapter/relay_codec.c
+++ b/adapter/relay_codec.c
@@ -21,6 +21,7 @@
     job_pack (p, c->spec);
   else
     msgpack_pack_array (p, 0);
+  pack_bool (p, c->unconfirmed);
 }
 
 static void
@@ -38,7 +39,7 @@
 relay_encode (const struct relay_message *m)
 {
   static const uint32_t field_counts[] = { [RELAY_HEARTBEAT] = 7,
-                                           [RELAY_CALL] = 8,
+                                           [RELAY_CALL] = 9,
                                            [RELAY_REPLY] = 7,
                                            [RELAY_ORDERS] = 3 };
   msgpack_sbuffer out;
@@ -93,14 +94,20 @@
 static void
 unpack_call (TALLOC_CTX *mem, struct unpack *u, struct job_call *c)
 {
+  struct unpack no_spec;
+
   c->call_id = unpack_number (u, UINT64_MAX);
   c->kind = (enum call_kind)unpack_number (u, CALL_PENDING);
   unpack_text (u, c->queue, NAME_BYTES);
   unpack_text (u, c->tenant, NAME_BYTES);
   c->job = unpack_number (u, UINT64_MAX);
   c->age_ms = (uint32_t)unpack_number (u, UINT32_MAX);
-  if (c->kind == CALL_SUBMIT && !u->failed)
+  if (c->kind != CALL_SUBMIT)
+    unpack_array (u, &no_spec);
+  else if (!u->failed)
     c->spec = job_unpack (mem, u);
+  if (u->next < u->item_count)
+    c->unconfirmed = unpack_bool (u);
 }
 
 static void
--- a/adapter/site_settings.c
+++ b/adapter/site_settings.c
@@ -63,6 +63,7 @@
   c->task_stop_ms = get_time (p, "task_stop_ms", DEFAULT_TASK_STOP_MS);
   c->handover_gap_ms = get_time (p, "carrier_gap_ms", DEFAULT_HANDOVER_GAP_MS);
   c->status_retention_s = get_time (p, "status_s", DEFAULT_STATUS_RETENTION_S);
+  c->unconfirmed_state_s = get_time (p, "unconfirmed_state_s", 0);
   c->away_notice_ms = get_time (p, "away_notice_ms", DEFAULT_AWAY_NOTICE_MS);
   c->over_target_limit_ms
       = get_time (p, "harm_ms", DEFAULT_OVER_TARGET_LIMIT_MS);
@@ -102,6 +103,7 @@
                                        "lease_max_ms",
                                        "task_stop_ms",
                                        "status_s",
+                                       "unconfirmed_state_s",
                                        "carrier_gap_ms",
                                        "harm_ms",
                                        "away_notice_ms",
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -116,6 +116,7 @@
   g_hash_table_destroy (c->peers);
   g_hash_table_destroy (c->forwarded_calls);
   g_hash_table_destroy (c->jobs);
+  g_hash_table_destroy (c->known_states);
   g_ptr_array_free (c->active, TRUE);
   g_hash_table_destroy (c->runners);
   g_hash_table_destroy (c->pools);
@@ -162,6 +163,7 @@
   c->forwarded_calls = g_hash_table_new_full (g_int64_hash, g_int64_equal,
                                               NULL, talloc_free_value);
   c->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
+  state_calls_init (c);
   c->active = g_ptr_array_new ();
   c->runners = g_hash_table_new (g_str_hash, g_str_equal);
   c->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -205,6 +207,7 @@
       c->dispatch_due = true;
     }
   ingress_tick (c);
+  state_calls_tick (c);
   stop_tick (c);
 }
 
@@ -240,6 +243,8 @@
     case CELL_CONFIG_CONFIRMED:
       if (e->u.config_sent_at_us > c->config_confirmed_at_us)
         c->config_confirmed_at_us = e->u.config_sent_at_us;
+      if (cell_is_owner (c))
+        c->owned_peer_count = g_hash_table_size (c->peers);
       break;
     case CELL_CLAIM:
       ownership_on_claim (c, e);
--- a/core/cell/ingress.c
+++ b/core/cell/ingress.c
@@ -101,18 +101,16 @@
   return best;
 }
 
-/* Checks CALL and sets JOB to the call for the owner.  Returns REPLY_OK, or
-   the code to refuse CALL with.  */
+/* Checks CALL by the last configuration and sets JOB to the call for the
+   owner.  Returns REPLY_OK, or the code to refuse CALL with.  */
 static enum reply_code
-check_call (struct cell *c, const struct client_call *call,
-            struct job_call *job)
+check_by_config (struct cell *c, const struct client_call *call,
+                 struct job_call *job)
 {
   const struct site_queue *q;
   const char *rest;
   gpointer tenant = NULL;
 
-  if (!is_fresh (c))
-    return REPLY_UNAVAILABLE;
   q = find_queue (c, call->host, call->path);
   if (q == NULL)
     return REPLY_NO_QUEUE;
@@ -135,14 +133,30 @@
   return REPLY_OK;
 }
 
-/* Sends F to the owner, which may be this entry.  */
+/* The same; a configuration that is too old admits only calls for the state of
+   a job, and is no reason to tell that anything does not exist.  */
+static enum reply_code
+check_call (struct cell *c, const struct client_call *call,
+            struct job_call *job)
+{
+  if (is_fresh (c))
+    return check_by_config (c, call, job);
+  if (call->kind != CALL_STATE || !state_calls_admit_unconfirmed (c)
+      || check_by_config (c, call, job) != REPLY_OK || job->kind != CALL_STATE)
+    return REPLY_UNAVAILABLE;
+  job->unconfirmed = true;
+  return REPLY_OK;
+}
+
+/* Sends F to the owner, which may be this entry; without an owner, this entry
+   may have been the last one.  */
 static void
 send_forward (struct cell *c, struct forwarded_call *f)
 {
   f->sent_before = f->sent;
   f->sent = true;
   f->call.age_ms = (uint32_t)((c->now_us - f->arrived_at_us) / US_PER_MS);
-  if (cell_is_owner (c))
+  if (cell_is_owner (c) || !c->ownership.link_up)
     {
       struct job_call mine = f->call;
 
@@ -245,10 +259,25 @@
                                           : wait_ms)
               * US_PER_MS;
   g_hash_table_insert (c->forwarded_calls, &f->call.call_id, f);
-  if (owner_is_reachable (c))
+  /* An entry that has lost the cell may tell states.  */
+  if (owner_is_reachable (c) || f->call.kind == CALL_STATE)
     send_forward (c, f);
 }
 
+/* Answers F, whose reply this entry will not get, with CODE.  */
+static void
+give_up (struct cell *c, const struct forwarded_call *f, enum reply_code code)
+{
+  cell_log (c, "call_given_up", f->call.job,
+            "\"call\":%llu,\"code\":\"%s\",\"kind\":\"%s\",\"sent\":%s,"
+            "\"age_ms\":%llu,\"owner\":\"%s\"",
+            (unsigned long long)f->call.call_id, reply_code_name (code),
+            call_kind_name (f->call.kind), f->sent ? "true" : "false",
+            (unsigned long long)((c->now_us - f->arrived_at_us) / US_PER_MS),
+            c->ownership.newest_member);
+  answer (c, f->call.call_id, f->call.kind, code, random_retry_ms (c));
+}
+
 void
 ingress_on_reply (struct cell *c, const struct reply *r)
 {
@@ -257,6 +286,12 @@
 
   if (f == NULL)
     return;
+  if (f->call.unconfirmed && r->code != REPLY_OK)
+    {
+      give_up (c, f, REPLY_UNAVAILABLE);
+      g_hash_table_remove (c->forwarded_calls, &r->call_id);
+      return;
+    }
   if (r->code == REPLY_OWNERSHIP_LOST || r->code == REPLY_REDIRECT)
     {
       f->on_current_link = false;
@@ -267,6 +302,8 @@
       return;
     }
   send_reply (c, r);
+  if (f->call.unconfirmed)
+    c->metrics.counters[CELL_COUNT_STATES_UNCONFIRMED]++;
   cell_histogram_add (c->metrics.reply_ms,
                       (c->now_us - f->arrived_at_us) / US_PER_MS);
   g_hash_table_remove (c->forwarded_calls, &r->call_id);
@@ -356,15 +393,7 @@
 
       if (code == REPLY_OK)
         continue;
-      cell_log (
-          c, "call_given_up", f->call.job,
-          "\"call\":%llu,\"code\":\"%s\",\"kind\":\"%s\",\"sent\":%s,"
-          "\"age_ms\":%llu,\"owner\":\"%s\"",
-          (unsigned long long)f->call.call_id, reply_code_name (code),
-          call_kind_name (f->call.kind), f->sent ? "true" : "false",
-          (unsigned long long)((c->now_us - f->arrived_at_us) / US_PER_MS),
-          c->ownership.newest_member);
-      answer (c, f->call.call_id, f->call.kind, code, random_retry_ms (c));
+      give_up (c, f, code);
       g_hash_table_iter_remove (&it);
     }
   if (c->ownership.owner_denied && c->now_us >= c->ownership.resend_at_us)
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -463,8 +463,8 @@
   c->flush_now = true;
 }
 
-static enum job_state
-state_of (const struct job *j)
+enum job_state
+jobs_state (const struct job *j)
 {
   if (j->final)
     /* Clients see the end only when it is durable.  */
@@ -476,7 +476,7 @@
 static void
 reply_state (struct cell *c, struct job *j, const struct waiter *w)
 {
-  struct reply r = { .code = REPLY_OK, .state = state_of (j) };
+  struct reply r = { .code = REPLY_OK, .state = jobs_state (j) };
 
   if (w->kind == CALL_STATE && j->end_stored && !j->end_told)
     {
@@ -517,11 +517,20 @@
   struct reply r = { .code = REPLY_OK };
   struct job *j;
 
-  if (!cell_is_owner (c) || c->ownership.releasing)
+  if (!state_calls_may_answer (c, call))
     {
       send_reply_code (c, &w, REPLY_REDIRECT, 0);
       return;
     }
+  if (!cell_is_owner (c) || c->ownership.releasing)
+    {
+      if (call->kind == CALL_STATE
+          && state_calls_find (c, call->job, &r.state))
+        send_reply (c, &w, &r);
+      else
+        send_reply_code (c, &w, REPLY_REDIRECT, 0);
+      return;
+    }
   if (call->kind == CALL_PENDING)
     {
       r.pending_count = pending_count (c, call->queue);
@@ -531,6 +540,9 @@
   j = jobs_find (c, call->job);
   if (call->kind == CALL_SUBMIT && j == NULL)
     submit (c, &w, call);
+  /* Another entry may know it.  */
+  else if (call->unconfirmed && (j == NULL || !j->stored))
+    send_reply_code (c, &w, REPLY_REDIRECT, 0);
   else if (j == NULL)
     send_reply_code (c, &w, REPLY_NO_JOB, 0);
   else if (call->kind == CALL_CANCEL)
@@ -741,8 +753,15 @@
   j->occurrence_count = 0;
 }
 
-/* Frees the tasks of ended jobs, and later the jobs.  These are kept for twice
-   the time in which clients can ask for their state.  */
+bool
+jobs_is_forgotten (const struct cell *c, uint64_t ended_at_ms)
+{
+  return c->wall_ms > ended_at_ms
+                          + 2 * c->settings.times.status_retention_s * MS_PER_S
+         && c->wall_ms < ended_at_ms + DAY_MS;
+}
+
+/* Frees the tasks of ended jobs, and later the jobs.  */
 static void
 free_ended_jobs (struct cell *c)
 {
@@ -761,11 +780,7 @@
           free_occurrences (c, j);
           TALLOC_FREE (j->spec);
         }
-      if (j->spec == NULL
-          && c->wall_ms
-                 > j->ended_at_ms
-                       + 2 * c->settings.times.status_retention_s * MS_PER_S
-          && c->wall_ms < j->ended_at_ms + DAY_MS)
+      if (j->spec == NULL && jobs_is_forgotten (c, j->ended_at_ms))
         {
           g_hash_table_iter_remove (&it);
           talloc_free (j);
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -180,6 +180,8 @@
   c->ownership.link_down_at_us = c->now_us;
   cell_emit (c, CELL_DO_FOLLOW_RUNNERS)->u.follow_runners = false;
   runners_clear (c);
+  if (owned)
+    state_calls_keep (c);
   jobs_clear (c);
   cell_fleet_clear (c);
   if (owned)
@@ -551,6 +553,7 @@
   o->fenced_at_ms = c->wall_ms;
   handover_on_recovered (c);
   records_finish_recovery (c);
+  state_calls_forget (c);
   jobs_on_config (c);
   c->metrics.counters[CELL_COUNT_TAKEOVERS]++;
   cell_emit (c, CELL_DO_FOLLOW_RUNNERS)->u.follow_runners = true;
--- a/core/cell/peers.c
+++ b/core/cell/peers.c
@@ -69,6 +69,19 @@
   return c->best_peer_cpu_milli;
 }
 
+uint64_t
+peers_newest_followed_token (const struct cell *c)
+{
+  GHashTableIter it;
+  gpointer value;
+  uint64_t newest = 0;
+
+  g_hash_table_iter_init (&it, c->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    newest = MAX (newest, ((const struct peer *)value)->followed_token);
+  return newest;
+}
+
 uint32_t
 peers_best_cpu_milli (const struct cell *c)
 {
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -631,14 +631,22 @@
                                    own the cell; 0: there are none.  */
   GHashTable *forwarded_calls;  /**< call_id to struct forwarded_call.  */
   GHashTable *jobs;             /**< id to struct job.  */
-  uint32_t task_count;          /**< Tasks of all jobs in memory.  */
-  GPtrArray *active;            /**< struct job that is not final.  */
-  GHashTable *runners;          /**< id to struct runner.  */
-  GHashTable *pools;            /**< Name to GPtrArray of struct runner.  */
-  bool runners_known;           /**< This owner has read a complete list.  */
-  struct zones evacuated;       /**< As last read, by every entry.  */
-  GHashTable *pending_orders;   /**< id to struct pending_order.  */
-  GHashTable *run_times; /**< "QUEUE/IMAGE" to struct image_run_time.  */
+  GHashTable *known_states; /**< The states that this entry knew when it lost
+                               the cell: id to struct known_state.  */
+  uint64_t known_states_token;         /**< Its token then.  */
+  uint64_t known_states_checked_at_us; /**< When they were last checked for
+                                          their age.  */
+  uint32_t owned_peer_count;  /**< Entries that were linked to this one when
+                                 the configuration was last confirmed while it
+                                 owned the cell.  */
+  uint32_t task_count;        /**< Tasks of all jobs in memory.  */
+  GPtrArray *active;          /**< struct job that is not final.  */
+  GHashTable *runners;        /**< id to struct runner.  */
+  GHashTable *pools;          /**< Name to GPtrArray of struct runner.  */
+  bool runners_known;         /**< This owner has read a complete list.  */
+  struct zones evacuated;     /**< As last read, by every entry.  */
+  GHashTable *pending_orders; /**< id to struct pending_order.  */
+  GHashTable *run_times;      /**< "QUEUE/IMAGE" to struct image_run_time.  */
   struct interference *interference;  /**< NULL: it is not learned.  */
   uint64_t interference_judged_at_us; /**< When its pairs were last judged. */
   bool place_changed; /**< The last place_find gave another runner than it
@@ -735,6 +743,27 @@
 /** Sends the calls that wait for an owner, if one can be reached.  */
 void ingress_flush (struct cell *c);
 
+/* state_calls.c: calls for the state of a job while nobody owns the cell, or
+   nobody can confirm the configuration.  */
+void state_calls_init (struct cell *c);
+/** Keeps the states of the jobs that this entry has owned.  */
+void state_calls_keep (struct cell *c);
+/** Forgets them: this entry owns the jobs again.  */
+void state_calls_forget (struct cell *c);
+/** Returns true if the configuration, which cannot be confirmed, still admits
+    calls for the state of a job.  */
+bool state_calls_admit_unconfirmed (const struct cell *c);
+/** Returns true unless CALL was admitted by such a configuration and another
+    entry may have a newer one.  */
+bool state_calls_may_answer (const struct cell *c,
+                             const struct job_call *call);
+/** Sets STATE to the state of JOB, which this entry has owned; returns false
+    if it is not known or may have changed.  */
+bool state_calls_find (const struct cell *c, uint64_t job,
+                       enum job_state *state);
+/** Forgets the states that are not told any more.  */
+void state_calls_tick (struct cell *c);
+
 /* stop.c: what a planned stop of this entry still allows.  */
 /** Begins a planned stop.  */
 void stop_begin (struct cell *c);
@@ -816,6 +845,8 @@
 uint32_t peers_best_cpu_milli (const struct cell *c);
 /** Returns the largest CPU share of those peers alone; 0: there are none.  */
 uint32_t peers_best_other_cpu_milli (const struct cell *c);
+/** Returns the token of the newest claim that a peer has seen; 0: none.  */
+uint64_t peers_newest_followed_token (const struct cell *c);
 
 /* delegates.c: which entry sends the orders to a runner.  */
 /** Returns the link to the delegate that would send an order to R now; 0: this
@@ -860,6 +891,12 @@
 struct job *jobs_find (const struct cell *c, uint64_t id);
 struct task *jobs_find_task (const struct cell *c, const struct task_id *id);
 
+/** Returns the state of J to tell clients.  */
+enum job_state jobs_state (const struct job *j);
+/** Returns true if clients cannot ask any more for the state of a job that
+    ended at ENDED_AT_MS: it is kept for twice the time in which they may.  */
+bool jobs_is_forgotten (const struct cell *c, uint64_t ended_at_ms);
+
 /** Adds an empty job ID to C and returns it.  */
 struct job *jobs_new (struct cell *c, uint64_t id);
 /** Creates the tasks of J's next occurrence.  */
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -420,9 +420,11 @@
   m.u.call.tenant[0] = '\0';
   m.u.call.kind = CALL_STATE;
   m.u.call.spec = NULL;
+  m.u.call.unconfirmed = true;
   b = relay_encode (&m);
   g_assert_true (relay_decode (mem, b->data, b->size_bytes, &decoded));
   g_assert_cmpstr (decoded.u.call.tenant, ==, "");
+  g_assert_true (decoded.u.call.unconfirmed);
   blob_unref (b);
   m = (struct relay_message){ .kind = RELAY_HEARTBEAT,
                               .u.heartbeat = { .degraded = true,
