An owner that hands the cell over still tells the states of jobs

Callers saw: an owner that is stopped while its append has no answer denied all calls for up to 4 s, also those for the states of jobs, which it knew; entries that could not reach the store refused them (503).

Change: such an owner answers calls for states; it denies all others, which are for the next one.

Measured: tests/cells/states_untold_while_releasing.script fails without the change (the first question is answered "redirect") and passes with it.

--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -522,7 +522,7 @@
       send_reply_code (c, &w, REPLY_REDIRECT, 0);
       return;
     }
-  if (!cell_is_owner (c) || c->ownership.releasing)
+  if (!cell_is_owner (c))
     {
       if (call->kind == CALL_STATE
           && state_calls_find (c, call->job, &r.state))
@@ -531,6 +531,11 @@
         send_reply_code (c, &w, REPLY_REDIRECT, 0);
       return;
     }
+  if (c->ownership.releasing && call->kind != CALL_STATE)
+    {
+      send_reply_code (c, &w, REPLY_REDIRECT, 0);
+      return;
+    }
   if (call->kind == CALL_PENDING)
     {
       r.pending_count = pending_count (c, call->queue);
