Entries know the states of jobs when their owner is lost in an outage

Change: with unconfirmed_state_s the owner tells the linked entries which states have changed (core/cell/state_reports.c); an entry that no owner answers tells them itself. Its heartbeats say that the store is away for all, so that an entry that has lost the link goes on as the owner had. An entry alone concludes nothing: it may be cut off. Earlier builds are not sent the new message.

--- a/adapter/relay.c
+++ b/adapter/relay.c
@@ -42,6 +42,7 @@
   bool reported; /**< The cell was told that this accepted link is up.  */
   bool reported_eligible;  /**< Last heartbeat reported was not degraded.  */
   uint64_t reported_token; /**< followed_token of that heartbeat.  */
+  bool gets_states;        /**< It was sent states of jobs.  */
   uint64_t heard_at_us;    /**< When the last message arrived.  */
   uint64_t clock_us; /**< The other end's clock in its last heartbeat.  */
 };
@@ -64,6 +65,7 @@
   /** Contents of the owner's heartbeat that was last reported to the cell.  */
   bool reported_degraded;
   uint32_t reported_cpu_milli;
+  enum store_view reported_view;
   struct relay_message heartbeat; /**< Sent on every link.  */
 };
 
@@ -78,6 +80,7 @@
   r->reported_up = up;
   r->reported_degraded = false;
   r->reported_cpu_milli = 0;
+  r->reported_view = STORE_VIEW_NONE;
   e = cell_event_new (CELL_OWNER_LINK);
   e->u.owner_link.up = up;
   cell_post (r->cell, e);
@@ -102,6 +105,7 @@
       text_copy (e->u.peer.member, NAME_BYTES, m->u.heartbeat.member);
       l->reported_token = m->u.heartbeat.followed_token;
       e->u.peer.followed_token = l->reported_token;
+      e->u.peer.takes_states = m->u.heartbeat.takes_states;
     }
   cell_post (l->relay->cell, e);
 }
@@ -221,20 +225,34 @@
     cell_post (l->relay->cell, talloc_steal (NULL, m->u.results.items[i]));
 }
 
+static void
+post_states (struct link *l, struct cell_event *e,
+             const struct relay_message *m)
+{
+  e->kind = CELL_STATES;
+  e->u.states.token = m->u.states.token;
+  e->u.states.item_count = m->u.states.item_count;
+  e->u.states.items = m->u.states.items;
+  cell_post (l->relay->cell, e);
+}
+
 static void
 apply_owner_heartbeat (struct relay *r, const struct relay_message *m)
 {
   struct cell_event *e;
 
   if (m->u.heartbeat.degraded == r->reported_degraded
-      && m->u.heartbeat.cpu_milli == r->reported_cpu_milli)
+      && m->u.heartbeat.cpu_milli == r->reported_cpu_milli
+      && m->u.heartbeat.view == r->reported_view)
     return;
   r->reported_degraded = m->u.heartbeat.degraded;
   r->reported_cpu_milli = m->u.heartbeat.cpu_milli;
+  r->reported_view = m->u.heartbeat.view;
   e = cell_event_new (CELL_OWNER_LINK);
   e->u.owner_link.up = true;
   e->u.owner_link.degraded = m->u.heartbeat.degraded;
   e->u.owner_link.best_cpu_milli = m->u.heartbeat.cpu_milli;
+  e->u.owner_link.view = m->u.heartbeat.view;
   cell_post (r->cell, e);
 }
 
@@ -300,6 +318,13 @@
       post_results (l, &m);
       talloc_free (e);
       break;
+    case RELAY_STATES:
+      valid = l == l->relay->owner;
+      if (valid)
+        post_states (l, e, &m);
+      else
+        talloc_free (e);
+      break;
     }
   if (!valid)
     log_link (l, "relay_malformed");
@@ -429,6 +454,19 @@
   blob_unref (b);
 }
 
+static void
+send_states (struct relay *r, const struct relay_command *o)
+{
+  struct link *l;
+
+  for (l = r->accepted_links; l != NULL; l = l->next)
+    if (l->id == o->link_id || (o->link_id == 0 && l->gets_states))
+      {
+        l->gets_states = true;
+        send_body (l, o->body);
+      }
+}
+
 static void
 on_command (void *state, void *item)
 {
@@ -446,10 +484,14 @@
     case RELAY_SEND_ORDERS:
       send_orders (r, o);
       break;
+    case RELAY_SEND_STATES:
+      send_states (r, o);
+      break;
     case RELAY_SET_HEARTBEAT:
       r->heartbeat.u.heartbeat.degraded = o->degraded;
       r->heartbeat.u.heartbeat.cpu_milli = o->cpu_milli;
       r->heartbeat.u.heartbeat.followed_token = o->followed_token;
+      r->heartbeat.u.heartbeat.view = o->view;
       break;
     case RELAY_SET_OWNER:
       set_owner (r, o->address);
@@ -530,6 +572,7 @@
   r->listen_fd = -1;
   r->heartbeat.kind = RELAY_HEARTBEAT;
   r->heartbeat.u.heartbeat.cpu_milli = s->cell.cpu_milli;
+  r->heartbeat.u.heartbeat.takes_states = true;
   text_copy (r->heartbeat.u.heartbeat.zone, NAME_BYTES, s->zone);
   text_copy (r->heartbeat.u.heartbeat.member, NAME_BYTES, s->cell.member);
   crypto_generichash (r->secret, sizeof r->secret,
--- a/adapter/relay_codec.c
+++ b/adapter/relay_codec.c
@@ -35,13 +35,29 @@
   msgpack_pack_uint32 (p, r->retry_after_ms);
 }
 
+/* Packs the jobs and their states in turn, in one array.  */
+static void
+pack_states (msgpack_packer *p, const struct relay_message *m)
+{
+  uint32_t i;
+
+  msgpack_pack_uint64 (p, m->u.states.token);
+  msgpack_pack_array (p, 2 * m->u.states.item_count);
+  for (i = 0; i < m->u.states.item_count; i++)
+    {
+      msgpack_pack_uint64 (p, m->u.states.items[i].job);
+      msgpack_pack_uint8 (p, (uint8_t)m->u.states.items[i].state);
+    }
+}
+
 struct blob *
 relay_encode (const struct relay_message *m)
 {
-  static const uint32_t field_counts[] = { [RELAY_HEARTBEAT] = 7,
+  static const uint32_t field_counts[] = { [RELAY_HEARTBEAT] = 9,
                                            [RELAY_CALL] = 9,
                                            [RELAY_REPLY] = 7,
-                                           [RELAY_ORDERS] = 3 };
+                                           [RELAY_ORDERS] = 3,
+                                           [RELAY_STATES] = 3 };
   msgpack_sbuffer out;
   msgpack_packer p;
   struct blob *b;
@@ -58,6 +74,8 @@
       msgpack_pack_uint64 (&p, m->u.heartbeat.clock_us);
       pack_text (&p, m->u.heartbeat.member);
       msgpack_pack_uint64 (&p, m->u.heartbeat.followed_token);
+      msgpack_pack_uint8 (&p, (uint8_t)m->u.heartbeat.view);
+      pack_bool (&p, m->u.heartbeat.takes_states);
     }
   else if (m->kind == RELAY_CALL)
     pack_call (&p, &m->u.call);
@@ -68,6 +86,8 @@
       msgpack_pack_uint64 (&p, m->u.orders.clock_us);
       pack_bytes (&p, m->u.orders.batch->data, m->u.orders.batch->size_bytes);
     }
+  else if (m->kind == RELAY_STATES)
+    pack_states (&p, m);
   b = blob_copy (out.data, (uint32_t)out.size);
   msgpack_sbuffer_destroy (&out);
   return b;
@@ -134,6 +154,11 @@
     return;
   unpack_text (u, m->u.heartbeat.member, NAME_BYTES);
   m->u.heartbeat.followed_token = unpack_number (u, UINT64_MAX);
+  if (u->next == u->item_count)
+    return;
+  m->u.heartbeat.view
+      = (enum store_view)unpack_number (u, STORE_VIEW_COUNT - 1);
+  m->u.heartbeat.takes_states = unpack_bool (u);
 }
 
 static void
@@ -167,6 +192,27 @@
   u->failed |= list.failed;
 }
 
+static void
+unpack_states (TALLOC_CTX *mem, struct unpack *u, struct relay_message *m)
+{
+  struct unpack list;
+  struct job_report *items;
+  uint32_t i;
+
+  m->u.states.token = unpack_number (u, UINT64_MAX);
+  unpack_array (u, &list);
+  m->u.states.item_count = list.item_count / 2;
+  m->u.states.items = items
+      = talloc_zero_array (mem, struct job_report, list.item_count / 2 + 1);
+  for (i = 0; i < m->u.states.item_count && !list.failed; i++)
+    {
+      items[i].job = unpack_number (&list, UINT64_MAX);
+      items[i].state
+          = (enum job_state)unpack_number (&list, JOB_STATE_COUNT - 1);
+    }
+  u->failed |= list.failed;
+}
+
 bool
 relay_decode (TALLOC_CTX *mem, const uint8_t *data, uint32_t size_bytes,
               struct relay_message *m)
@@ -179,7 +225,7 @@
     unpack_open (&u, &x.data);
   else
     unpack_open (&u, NULL);
-  m->kind = (enum relay_message_kind)unpack_number (&u, RELAY_RESULTS);
+  m->kind = (enum relay_message_kind)unpack_number (&u, RELAY_STATES);
   switch (m->kind)
     {
     case RELAY_HEARTBEAT:
@@ -197,6 +243,9 @@
     case RELAY_RESULTS:
       unpack_results (mem, &u, m);
       break;
+    case RELAY_STATES:
+      unpack_states (mem, &u, m);
+      break;
     }
   msgpack_unpacked_destroy (&x);
   return !u.failed;
--- a/adapter/relay_codec.h
+++ b/adapter/relay_codec.h
@@ -15,7 +15,8 @@
   RELAY_CALL,      /**< To the owner.  */
   RELAY_REPLY,     /**< From the owner, to a forwarded call.  */
   RELAY_ORDERS,    /**< From the owner: orders to send for it.  */
-  RELAY_RESULTS    /**< To the owner: results of such orders.  */
+  RELAY_RESULTS,   /**< To the owner: results of such orders.  */
+  RELAY_STATES     /**< From the owner: states of jobs.  */
 };
 
 struct relay_message
@@ -36,6 +37,8 @@
       uint64_t clock_us;     /**< The sender's clock.  */
       char member[NAME_BYTES]; /**< The sender.  */
       uint64_t followed_token; /**< As in CELL_PEER.  */
+      enum store_view view;    /**< As in CELL_OWNER_LINK.  */
+      bool takes_states;       /**< As in CELL_PEER.  */
     } heartbeat;
     struct job_call call; /**< Decoded: its spec is a child of MEM.  */
     struct reply reply;
@@ -52,6 +55,12 @@
       struct cell_event **items; /**< Decoded: children of MEM, of kind
                                     CELL_RUNNER_RESULT.  */
     } results;
+    struct
+    {
+      uint64_t token; /**< Of the owner.  */
+      uint32_t item_count;
+      const struct job_report *items; /**< Decoded: a child of MEM.  */
+    } states;
   } u;
 };
 
--- a/adapter/site_decide.c
+++ b/adapter/site_decide.c
@@ -117,6 +117,28 @@
   push_item (d, d->outputs.relay, o, "relay");
 }
 
+/* Sends states of jobs to linked entries.  */
+static void
+send_states (struct site_decide *d, const struct cell_action *a)
+{
+  struct relay_command *o = talloc_zero (NULL, struct relay_command);
+  struct relay_message m
+      = { .kind = RELAY_STATES,
+          .u.states = { .token = a->u.states.token,
+                        .item_count = a->u.states.item_count,
+                        .items = a->u.states.items } };
+  struct blob *body;
+
+  o->kind = RELAY_SEND_STATES;
+  o->link_id = a->u.states.link_id;
+  o->body = body = relay_encode (&m);
+  if (ring_push (d->outputs.relay, o))
+    return;
+  blob_unref (body);
+  talloc_free (o);
+  line_log_write (d->outputs.log, "ring_full", 0, "\"ring\":\"relay\"");
+}
+
 static struct front_command *
 front_command_new (int kind)
 {
@@ -250,12 +272,16 @@
       text_copy (r->address, ADDRESS_BYTES, a->u.connect);
       push_item (d, d->outputs.relay, r, "relay");
       break;
+    case CELL_DO_TELL_STATES:
+      send_states (d, a);
+      break;
     case CELL_DO_SET_HEARTBEAT:
       r = talloc_zero (NULL, struct relay_command);
       r->kind = RELAY_SET_HEARTBEAT;
       r->degraded = a->u.heartbeat.degraded;
       r->cpu_milli = a->u.heartbeat.best_cpu_milli;
       r->followed_token = a->u.heartbeat.followed_token;
+      r->view = a->u.heartbeat.view;
       push_item (d, d->outputs.relay, r, "relay");
       break;
     case CELL_DO_JOIN:
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -1,6 +1,7 @@
 /* cell.c -- creates a cell and passes each event to its handler.  */
 
 #include "core/cell/fleet.h"
+#include "core/cell/state_calls.h"
 #include "core/load/shares.h"
 
 #include <stdarg.h>
@@ -116,7 +117,7 @@
   g_hash_table_destroy (c->peers);
   g_hash_table_destroy (c->forwarded_calls);
   g_hash_table_destroy (c->jobs);
-  g_hash_table_destroy (c->known_states);
+  state_reports_free (c);
   g_ptr_array_free (c->active, TRUE);
   g_hash_table_destroy (c->runners);
   g_hash_table_destroy (c->pools);
@@ -163,7 +164,7 @@
   c->forwarded_calls = g_hash_table_new_full (g_int64_hash, g_int64_equal,
                                               NULL, talloc_free_value);
   c->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
-  state_calls_init (c);
+  state_reports_init (c);
   c->active = g_ptr_array_new ();
   c->runners = g_hash_table_new (g_str_hash, g_str_equal);
   c->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -207,7 +208,7 @@
       c->dispatch_due = true;
     }
   ingress_tick (c);
-  state_calls_tick (c);
+  state_reports_tick (c);
   stop_tick (c);
 }
 
@@ -244,7 +245,7 @@
       if (e->u.config_sent_at_us > c->config_confirmed_at_us)
         c->config_confirmed_at_us = e->u.config_sent_at_us;
       if (cell_is_owner (c))
-        c->owned_peer_count = g_hash_table_size (c->peers);
+        c->known_states.owned_peer_count = g_hash_table_size (c->peers);
       break;
     case CELL_CLAIM:
       ownership_on_claim (c, e);
@@ -276,6 +277,9 @@
     case CELL_EVACUATIONS:
       evacuation_on_zones (c, e);
       break;
+    case CELL_STATES:
+      state_reports_on_states (c, e);
+      break;
     case CELL_RUNNER_RESULT:
       runners_on_result (c, &e->u.runner_result);
       break;
--- a/core/cell/ingress.c
+++ b/core/cell/ingress.c
@@ -5,7 +5,7 @@
    only while the configuration is fresh: the last read that confirmed it was
    sent less than revoke_ms ago, minus a margin.  */
 
-#include "core/cell/state.h"
+#include "core/cell/state_calls.h"
 
 #include <string.h>
 
@@ -148,15 +148,14 @@
   return REPLY_OK;
 }
 
-/* Sends F to the owner, which may be this entry; without an owner, this entry
-   may have been the last one.  */
+/* Sends F to the owner, which may be this entry.  */
 static void
 send_forward (struct cell *c, struct forwarded_call *f)
 {
   f->sent_before = f->sent;
   f->sent = true;
   f->call.age_ms = (uint32_t)((c->now_us - f->arrived_at_us) / US_PER_MS);
-  if (cell_is_owner (c) || !c->ownership.link_up)
+  if (cell_is_owner (c))
     {
       struct job_call mine = f->call;
 
@@ -229,6 +228,50 @@
           code == REPLY_UNAVAILABLE ? random_retry_ms (c) : 0);
 }
 
+/* Answers F, whose reply this entry will not get, with CODE.  */
+static void
+give_up (struct cell *c, const struct forwarded_call *f, enum reply_code code)
+{
+  cell_log (c, "call_given_up", f->call.job,
+            "\"call\":%llu,\"code\":\"%s\",\"kind\":\"%s\",\"sent\":%s,"
+            "\"age_ms\":%llu,\"owner\":\"%s\"",
+            (unsigned long long)f->call.call_id, reply_code_name (code),
+            call_kind_name (f->call.kind), f->sent ? "true" : "false",
+            (unsigned long long)((c->now_us - f->arrived_at_us) / US_PER_MS),
+            c->ownership.newest_member);
+  answer (c, f->call.call_id, f->call.kind, code, random_retry_ms (c));
+}
+
+/* Passes R, the reply to F, on to its client.  */
+static void
+finish (struct cell *c, const struct forwarded_call *f, const struct reply *r)
+{
+  send_reply (c, r);
+  if (f->call.unconfirmed)
+    c->metrics.counters[CELL_COUNT_STATES_UNCONFIRMED]++;
+  cell_histogram_add (c->metrics.reply_ms,
+                      (c->now_us - f->arrived_at_us) / US_PER_MS);
+}
+
+/* Answers F, which no owner answers now, if this entry knows the state that it
+   asks for, or if it is no use to wait for an owner.  Returns false if F waits
+   for one.  */
+static bool
+is_answered_here (struct cell *c, const struct forwarded_call *f)
+{
+  struct reply r
+      = { .call_id = f->call.call_id, .kind = CALL_STATE, .code = REPLY_OK };
+
+  if (f->call.kind == CALL_STATE && state_calls_may_answer (c, &f->call)
+      && state_calls_find (c, f->call.job, &r.state))
+    finish (c, f, &r);
+  else if (f->call.unconfirmed)
+    give_up (c, f, REPLY_UNAVAILABLE);
+  else
+    return false;
+  return true;
+}
+
 void
 ingress_on_call (struct cell *c, struct cell_event *e)
 {
@@ -260,22 +303,11 @@
               * US_PER_MS;
   g_hash_table_insert (c->forwarded_calls, &f->call.call_id, f);
   /* An entry that has lost the cell may tell states.  */
-  if (owner_is_reachable (c) || f->call.kind == CALL_STATE)
+  if (owner_is_reachable (c)
+      || (job.kind == CALL_STATE && c->ownership.link_up))
     send_forward (c, f);
-}
-
-/* Answers F, whose reply this entry will not get, with CODE.  */
-static void
-give_up (struct cell *c, const struct forwarded_call *f, enum reply_code code)
-{
-  cell_log (c, "call_given_up", f->call.job,
-            "\"call\":%llu,\"code\":\"%s\",\"kind\":\"%s\",\"sent\":%s,"
-            "\"age_ms\":%llu,\"owner\":\"%s\"",
-            (unsigned long long)f->call.call_id, reply_code_name (code),
-            call_kind_name (f->call.kind), f->sent ? "true" : "false",
-            (unsigned long long)((c->now_us - f->arrived_at_us) / US_PER_MS),
-            c->ownership.newest_member);
-  answer (c, f->call.call_id, f->call.kind, code, random_retry_ms (c));
+  else if (is_answered_here (c, f))
+    g_hash_table_remove (c->forwarded_calls, &job.call_id);
 }
 
 void
@@ -286,13 +318,9 @@
 
   if (f == NULL)
     return;
-  if (f->call.unconfirmed && r->code != REPLY_OK)
-    {
-      give_up (c, f, REPLY_UNAVAILABLE);
-      g_hash_table_remove (c->forwarded_calls, &r->call_id);
-      return;
-    }
-  if (r->code == REPLY_OWNERSHIP_LOST || r->code == REPLY_REDIRECT)
+  if (r->code != REPLY_OWNERSHIP_LOST && r->code != REPLY_REDIRECT)
+    finish (c, f, r);
+  else if (!is_answered_here (c, f))
     {
       f->on_current_link = false;
       if (r->code == REPLY_REDIRECT)
@@ -301,11 +329,6 @@
         ownership_on_denied (c);
       return;
     }
-  send_reply (c, r);
-  if (f->call.unconfirmed)
-    c->metrics.counters[CELL_COUNT_STATES_UNCONFIRMED]++;
-  cell_histogram_add (c->metrics.reply_ms,
-                      (c->now_us - f->arrived_at_us) / US_PER_MS);
   g_hash_table_remove (c->forwarded_calls, &r->call_id);
 }
 
@@ -322,7 +345,13 @@
     }
   g_hash_table_iter_init (&it, c->forwarded_calls);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    ((struct forwarded_call *)value)->on_current_link = false;
+    {
+      struct forwarded_call *f = value;
+
+      f->on_current_link = false;
+      if (is_answered_here (c, f))
+        g_hash_table_iter_remove (&it);
+    }
 }
 
 void
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -4,7 +4,7 @@
    before.  A submission under the id of a known job adds no job; its reply is
    that job's state.  */
 
-#include "core/cell/state.h"
+#include "core/cell/state_calls.h"
 
 #include <string.h>
 
@@ -472,6 +472,15 @@
   return j->started ? JOB_RUNNING : JOB_QUEUED;
 }
 
+void
+jobs_note_started (struct cell *c, struct job *j)
+{
+  if (j->started)
+    return;
+  j->started = true;
+  state_reports_note (c, j);
+}
+
 /* Answers the call W for the state of J, or for J's acceptance.  */
 static void
 reply_state (struct cell *c, struct job *j, const struct waiter *w)
@@ -704,6 +713,7 @@
       if (j->state == JOB_CANCELLED && j->spec != NULL)
         stop_tasks (c, j);
     }
+  state_reports_note (c, j);
   answer_waiters (c, j);
   if (accepted && !j->final && has_cancel_waiter (j))
     jobs_end (c, j, JOB_CANCELLED);
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -27,6 +27,7 @@
    the cell if no other does and it has time left.  */
 
 #include "core/cell/fleet.h"
+#include "core/cell/state_calls.h"
 
 #include <string.h>
 
@@ -180,8 +181,6 @@
   c->ownership.link_down_at_us = c->now_us;
   cell_emit (c, CELL_DO_FOLLOW_RUNNERS)->u.follow_runners = false;
   runners_clear (c);
-  if (owned)
-    state_calls_keep (c);
   jobs_clear (c);
   cell_fleet_clear (c);
   if (owned)
@@ -343,6 +342,7 @@
 
   if (e->u.owner_link.best_cpu_milli > 0)
     c->ownership.best_cpu_milli = e->u.owner_link.best_cpu_milli;
+  state_calls_on_owner_view (c, e->u.owner_link.view);
   c->ownership.owner_degraded = up && degraded;
   if (up && degraded)
     c->ownership.next_find_at_us = c->now_us;
@@ -553,7 +553,7 @@
   o->fenced_at_ms = c->wall_ms;
   handover_on_recovered (c);
   records_finish_recovery (c);
-  state_calls_forget (c);
+  state_reports_begin (c);
   jobs_on_config (c);
   c->metrics.counters[CELL_COUNT_TAKEOVERS]++;
   cell_emit (c, CELL_DO_FOLLOW_RUNNERS)->u.follow_runners = true;
@@ -611,16 +611,19 @@
                             && (!ingress_store_answers (c) || c->stopping);
   uint32_t best_milli = peers_best_cpu_milli (c);
   uint64_t followed_token = o->phase == OWNERSHIP_NONE ? o->newest_token : 0;
+  enum store_view view = state_calls_view_store (c);
   struct cell_action *a;
 
   if (degraded == o->degraded_advertised
       && best_milli == o->best_advertised_milli
-      && followed_token == o->followed_advertised_token)
+      && followed_token == o->followed_advertised_token
+      && view == o->view_advertised)
     return;
   a = cell_emit (c, CELL_DO_SET_HEARTBEAT);
   a->u.heartbeat.degraded = degraded;
   a->u.heartbeat.best_cpu_milli = best_milli;
   a->u.heartbeat.followed_token = followed_token;
+  a->u.heartbeat.view = o->view_advertised = view;
   o->followed_advertised_token = followed_token;
   o->best_advertised_milli = best_milli;
   if (degraded == o->degraded_advertised)
--- a/core/cell/peers.c
+++ b/core/cell/peers.c
@@ -4,7 +4,7 @@
    the largest CPU share of all of them, so that weak entries leave the cell to
    stronger ones.  */
 
-#include "core/cell/state.h"
+#include "core/cell/state_calls.h"
 
 #include <string.h>
 
@@ -32,6 +32,7 @@
   uint64_t id = e->u.peer.link_id;
   struct peer *p;
   bool changed;
+  bool is_new;
 
   if (!e->u.peer.up)
     {
@@ -41,7 +42,8 @@
       return;
     }
   p = g_hash_table_lookup (c->peers, &id);
-  changed = p == NULL || p->eligible != e->u.peer.eligible
+  is_new = p == NULL;
+  changed = is_new || p->eligible != e->u.peer.eligible
             || p->cpu_milli != e->u.peer.cpu_milli
             || strcmp (p->zone, e->u.peer.zone) != 0;
   if (p == NULL)
@@ -60,6 +62,9 @@
       update_best_cpu (c);
       delegates_on_change (c);
     }
+  if (is_new && cell_is_owner (c) && e->u.peer.takes_states
+      && state_reports_are_on (c))
+    state_reports_tell_all (c, id);
   former_owners_check (c);
 }
 
--- a/core/cell/polls.c
+++ b/core/cell/polls.c
@@ -31,7 +31,7 @@
   t->reconciled = true;
   t->start_ordered_at_us = t->ordered_at_us = t->start_known_at_us
       = t->adopted_at_us = c->now_us;
-  task_job (t)->started = true;
+  jobs_note_started (c, task_job (t));
 }
 
 /* Stops the run ROW on R.  It is an orphan: the current run of no task.  */
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -476,6 +476,7 @@
   bool degraded_advertised; /**< Our heartbeats say that we are degraded.  */
   uint32_t best_advertised_milli; /**< Largest CPU share in our heartbeats.  */
   uint64_t followed_advertised_token; /**< followed_token in them.  */
+  enum store_view view_advertised;    /**< view in them.  */
   uint32_t best_cpu_milli;   /**< Largest CPU share reported by an owner.  */
   uint64_t next_yield_at_us; /**< We may yield the cell from then on.  */
   uint64_t slow_yield_at_ms; /**< When an owner on a slow VM last yielded the
@@ -521,6 +522,22 @@
   uint64_t retry_at_us;
 };
 
+/** What this entry knows of the states of jobs.  */
+struct known_states
+{
+  GHashTable *jobs; /**< id to struct known_state.  */
+  uint64_t token;   /**< Of the owner that told them last, maybe this one.  */
+  GArray *untold;   /**< struct job_report that the owner is to tell.  */
+  GArray *sending;  /**< The same, of the actions of this step.  */
+  uint64_t told_at_us;        /**< When the owner told the last batch.  */
+  uint64_t checked_at_us;     /**< When old ones were last forgotten.  */
+  uint32_t owned_peer_count;  /**< Entries that were linked to this one when
+                                 the configuration was last confirmed while
+                                 it owned the cell.  */
+  enum store_view owner_view; /**< What the last owner told of the store.  */
+  uint64_t owner_view_token;  /**< The newest claim known then.  */
+};
+
 /** Tasks that wait in this round of dispatch until an append shows that this
     entry was the owner when their last runs were over.  */
 struct unconfirmed_tasks
@@ -631,14 +648,7 @@
                                    own the cell; 0: there are none.  */
   GHashTable *forwarded_calls;  /**< call_id to struct forwarded_call.  */
   GHashTable *jobs;             /**< id to struct job.  */
-  GHashTable *known_states; /**< The states that this entry knew when it lost
-                               the cell: id to struct known_state.  */
-  uint64_t known_states_token;         /**< Its token then.  */
-  uint64_t known_states_checked_at_us; /**< When they were last checked for
-                                          their age.  */
-  uint32_t owned_peer_count;  /**< Entries that were linked to this one when
-                                 the configuration was last confirmed while it
-                                 owned the cell.  */
+  struct known_states known_states;
   uint32_t task_count;        /**< Tasks of all jobs in memory.  */
   GPtrArray *active;          /**< struct job that is not final.  */
   GHashTable *runners;        /**< id to struct runner.  */
@@ -743,27 +753,6 @@
 /** Sends the calls that wait for an owner, if one can be reached.  */
 void ingress_flush (struct cell *c);
 
-/* state_calls.c: calls for the state of a job while nobody owns the cell, or
-   nobody can confirm the configuration.  */
-void state_calls_init (struct cell *c);
-/** Keeps the states of the jobs that this entry has owned.  */
-void state_calls_keep (struct cell *c);
-/** Forgets them: this entry owns the jobs again.  */
-void state_calls_forget (struct cell *c);
-/** Returns true if the configuration, which cannot be confirmed, still admits
-    calls for the state of a job.  */
-bool state_calls_admit_unconfirmed (const struct cell *c);
-/** Returns true unless CALL was admitted by such a configuration and another
-    entry may have a newer one.  */
-bool state_calls_may_answer (const struct cell *c,
-                             const struct job_call *call);
-/** Sets STATE to the state of JOB, which this entry has owned; returns false
-    if it is not known or may have changed.  */
-bool state_calls_find (const struct cell *c, uint64_t job,
-                       enum job_state *state);
-/** Forgets the states that are not told any more.  */
-void state_calls_tick (struct cell *c);
-
 /* stop.c: what a planned stop of this entry still allows.  */
 /** Begins a planned stop.  */
 void stop_begin (struct cell *c);
@@ -891,6 +880,8 @@
 struct job *jobs_find (const struct cell *c, uint64_t id);
 struct task *jobs_find_task (const struct cell *c, const struct task_id *id);
 
+/** Handles that a task of J was started, or is found to run.  */
+void jobs_note_started (struct cell *c, struct job *j);
 /** Returns the state of J to tell clients.  */
 enum job_state jobs_state (const struct job *j);
 /** Returns true if clients cannot ask any more for the state of a job that
--- a/core/cell/state_calls.c
+++ b/core/cell/state_calls.c
@@ -2,9 +2,11 @@
    cell, or nobody can confirm the configuration.
 
    Such a call executes nothing, and the state of a job does not change any
-   more once its end is stored.  So the entry that owned the cell last still
-   tells the states that it knew: those of ended jobs as long as an owner
-   would, the others as long as no entry is known to have claimed the cell.
+   more once its end is stored.  So every entry knows the states of jobs: the
+   owner tells them to the entries that are linked to it (state_reports.c).  An
+   entry that gets no answer from an owner tells those of ended jobs as long as
+   an owner would, the others as long as it knows of no newer claim of the
+   cell.
 
    Each call has a key, which a newer configuration may have withdrawn.  While
    the store answers no entry, none can know.  The state of a job is told all
@@ -12,70 +14,56 @@
    setting unconfirmed_state_s says; no other call is executed.  If an entry
    reaches the store, clients get their answer there.  */
 
-#include "core/cell/state.h"
+#include "core/cell/state_calls.h"
 
-/** Interval at which states are looked for that are not told any more.  */
-#define EXPIRY_CHECK_MS 5000
-
-/** State of a job that this entry owned.  */
-struct known_state
+/* Returns true if this entry owns the cell, or owned it last as far as it and
+   the entries that are linked to it know.  These are most of those that were
+   linked when it was the owner and the configuration was confirmed.  */
+static bool
+is_last_owner (const struct cell *c)
 {
-  uint64_t job;
-  enum job_state state;
-  bool final;
-  uint64_t ended_at_ms; /**< Of a final one: Unix time.  */
-};
+  const struct ownership *o = &c->ownership;
 
-void
-state_calls_init (struct cell *c)
-{
-  c->known_states
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  return o->token != 0 && o->token == o->newest_token
+         && o->token == c->known_states.token
+         && peers_newest_followed_token (c) <= o->token
+         && 2 * (g_hash_table_size (c->peers) + 1)
+                > c->known_states.owned_peer_count + 1;
 }
 
-void
-state_calls_keep (struct cell *c)
+enum store_view
+state_calls_view_store (const struct cell *c)
 {
-  GHashTableIter it;
-  gpointer value;
-
-  g_hash_table_remove_all (c->known_states);
-  c->known_states_token = c->ownership.token;
-  g_hash_table_iter_init (&it, c->jobs);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      const struct job *j = value;
-      struct known_state *s;
-
-      if (!j->stored)
-        continue;
-      s = g_new0 (struct known_state, 1);
-      s->job = j->id;
-      s->state = jobs_state (j);
-      s->final = j->end_stored;
-      s->ended_at_ms = j->ended_at_ms;
-      g_hash_table_insert (c->known_states, &s->job, s);
-    }
+  if (!state_reports_are_on (c) || !is_last_owner (c))
+    return STORE_VIEW_NONE;
+  return ingress_store_answers (c) || peers_best_other_cpu_milli (c) > 0
+             ? STORE_VIEW_REACHED
+             : STORE_VIEW_AWAY;
 }
 
 void
-state_calls_forget (struct cell *c)
+state_calls_on_owner_view (struct cell *c, enum store_view view)
 {
-  g_hash_table_remove_all (c->known_states);
+  if (view != STORE_VIEW_NONE)
+    {
+      c->known_states.owner_view = view;
+      c->known_states.owner_view_token = c->ownership.newest_token;
+    }
 }
 
-/* Returns true if this entry owns the cell, or owned it last as far as it and
-   the entries that are linked to it know.  These are most of those that were
-   linked when it was the owner and the configuration was confirmed.  */
+/* Returns true if the store answers neither this entry nor, as far as is
+   known, any other.  An entry that has lost the link to its owner goes by what
+   that had told.  */
 static bool
-is_last_owner (const struct cell *c)
+store_is_away (const struct cell *c)
 {
-  uint64_t token
-      = cell_is_owner (c) ? c->ownership.token : c->known_states_token;
+  const struct known_states *s = &c->known_states;
 
-  return token != 0 && c->ownership.newest_token == token
-         && peers_newest_followed_token (c) <= token
-         && 2 * (g_hash_table_size (c->peers) + 1) > c->owned_peer_count + 1;
+  return !ingress_store_answers (c)
+         && (state_calls_view_store (c) == STORE_VIEW_AWAY
+             || (s->owner_view == STORE_VIEW_AWAY
+                 && s->owner_view_token == c->ownership.newest_token
+                 && s->token == c->ownership.newest_token));
 }
 
 bool
@@ -92,37 +80,19 @@
 state_calls_may_answer (const struct cell *c, const struct job_call *call)
 {
   return !call->unconfirmed
-         || (!ingress_store_answers (c) && peers_best_other_cpu_milli (c) == 0
-             && is_last_owner (c) && state_calls_admit_unconfirmed (c));
+         || (store_is_away (c) && state_calls_admit_unconfirmed (c));
 }
 
 bool
 state_calls_find (const struct cell *c, uint64_t job, enum job_state *state)
 {
-  const struct known_state *s = g_hash_table_lookup (c->known_states, &job);
+  const struct known_state *s
+      = g_hash_table_lookup (c->known_states.jobs, &job);
 
-  if (s == NULL || (!s->final && !is_last_owner (c)))
+  if (s == NULL
+      || (!job_state_is_final (s->state) && !is_last_owner (c)
+          && !store_is_away (c)))
     return false;
   *state = s->state;
   return true;
 }
-
-void
-state_calls_tick (struct cell *c)
-{
-  GHashTableIter it;
-  gpointer value;
-
-  if (c->now_us < c->known_states_checked_at_us + EXPIRY_CHECK_MS * US_PER_MS)
-    return;
-  c->known_states_checked_at_us = c->now_us;
-  g_hash_table_iter_init (&it, c->known_states);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      const struct known_state *s = value;
-
-      if (s->final ? jobs_is_forgotten (c, s->ended_at_ms)
-                   : c->ownership.newest_token != c->known_states_token)
-        g_hash_table_iter_remove (&it);
-    }
-}
--- /dev/null
+++ b/core/cell/state_calls.h
@@ -0,0 +1,57 @@
+/* state_calls.h -- calls for the state of a job that an owner does not answer,
+   and what entries know of the states of jobs for them.  */
+
+#ifndef FTK_CORE_CELL_STATE_CALLS_H
+#define FTK_CORE_CELL_STATE_CALLS_H
+
+#include "core/cell/state.h"
+
+/** State of a job as this entry knows it.  */
+struct known_state
+{
+  uint64_t job;
+  enum job_state state;
+  uint64_t ended_at_ms; /**< Of a final state: Unix time, at the latest.  */
+  uint64_t
+      changed_token; /**< Token of the owner under whom it changed last.  */
+};
+
+/* state_calls.c */
+/** Returns what the owner, or the entry that owned the cell last, knows of
+    the store; STORE_VIEW_NONE if this entry is neither.  */
+enum store_view state_calls_view_store (const struct cell *c);
+/** Handles that the entry on the link to the owner has told VIEW.  */
+void state_calls_on_owner_view (struct cell *c, enum store_view view);
+/** Returns true if the configuration, which cannot be confirmed, still admits
+    calls for the state of a job.  */
+bool state_calls_admit_unconfirmed (const struct cell *c);
+/** Returns true unless CALL was admitted by such a configuration and another
+    entry may have a newer one.  */
+bool state_calls_may_answer (const struct cell *c,
+                             const struct job_call *call);
+/** Sets STATE to the state of JOB; returns false if it is not known or may
+   have changed.  */
+bool state_calls_find (const struct cell *c, uint64_t job,
+                       enum job_state *state);
+
+/* state_reports.c */
+/** Returns true if the settings have entries tell each other the states of
+    jobs.  */
+bool state_reports_are_on (const struct cell *c);
+void state_reports_init (struct cell *c);
+void state_reports_free (struct cell *c);
+/** Handles that this entry has become the owner: what other entries may not
+    know of its jobs is told.  */
+void state_reports_begin (struct cell *c);
+/** Notes that the state of J, a job of this owner, may have changed.  */
+void state_reports_note (struct cell *c, const struct job *j);
+/** Tells the entry on LINK_ID, which has just been linked, all states that
+   have changed under this owner.  */
+void state_reports_tell_all (struct cell *c, uint64_t link_id);
+/** Handles E, states that the owner tells.  */
+void state_reports_on_states (struct cell *c, const struct cell_event *e);
+/** Tells the linked entries what has changed, and forgets states that are not
+    told to clients any more.  */
+void state_reports_tick (struct cell *c);
+
+#endif
--- a/core/cell/tasks.c
+++ b/core/cell/tasks.c
@@ -191,7 +191,7 @@
   t->slow_run = false;
   t->ordered_at_us = t->start_ordered_at_us = c->now_us;
   t->adopted_at_us = 0;
-  j->started = true;
+  jobs_note_started (c, j);
   c->metrics.counters[CELL_COUNT_STARTS]++;
   o = runners_send_order (c, r, ORDER_START, t);
   o->payload = blob_ref (j->spec->payload);
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -94,6 +94,7 @@
   CELL_DO_FORWARD,    /**< forward: a call, to the owner.  */
   CELL_DO_CONNECT, /**< connect: address of the relay to link to; empty: drop
                     the link.  */
+  CELL_DO_TELL_STATES,   /**< states: to linked entries.  */
   CELL_DO_SET_HEARTBEAT, /**< heartbeat: contents of the relay's heartbeats. */
   CELL_DO_JOIN,          /**< Join the store's group, or renew membership.  */
   CELL_DO_LEAVE,         /**< Leave the store's group.  */
@@ -140,7 +141,15 @@
       uint32_t best_cpu_milli; /**< Largest CPU share of this entry and its
                                   peers.  */
       uint64_t followed_token; /**< As in CELL_PEER.  */
+      enum store_view view;    /**< As in CELL_OWNER_LINK.  */
     } heartbeat;
+    struct
+    {
+      uint64_t link_id; /**< 0: each link on which states were sent before. */
+      uint64_t token;   /**< Of this owner.  */
+      uint32_t item_count;
+      const struct job_report *items; /**< The cell owns them.  */
+    } states;
     char connect[ADDRESS_BYTES];
     struct
     {
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -296,6 +296,25 @@
   uint32_t maintenance_ms;       /**< Downtime of a VM in maintenance.  */
 };
 
+/** State of a job, as the owner tells it to other entries.  A final one is
+    stored.  */
+struct job_report
+{
+  uint64_t job;
+  enum job_state state;
+};
+
+/** What the owner, or the entry that owned the cell last, knows of the store.
+ */
+enum store_view
+{
+  STORE_VIEW_NONE,    /**< The entry is neither, or does not tell.  */
+  STORE_VIEW_REACHED, /**< It or an entry that is linked to it reaches the
+                         store.  */
+  STORE_VIEW_AWAY,    /**< None of them does, and they are most entries.  */
+  STORE_VIEW_COUNT
+};
+
 /** Kinds of events; the comment names the member of u.  */
 enum cell_event_kind
 {
@@ -320,6 +339,7 @@
   CELL_RUNNERS,       /**< runners: changed registrations.  */
   CELL_WAVE,          /**< wave: a maintenance wave was requested.  */
   CELL_EVACUATIONS,   /**< evacuations: the set of evacuated zones.  */
+  CELL_STATES,        /**< states: told by the owner.  */
   CELL_RUNNER_RESULT, /**< runner_result: of an order to a runner.  */
   CELL_VMS,           /**< vms: the platform's list of VMs.  */
   CELL_VM_RESULT,     /**< vm_result: of an order to the cloud.  */
@@ -353,6 +373,7 @@
       bool degraded;           /**< The owner cannot reach the store.  */
       uint32_t best_cpu_milli; /**< Largest CPU share of the owner and its
                                     peers; 0: not known.  */
+      enum store_view view;
     } owner_link;
     struct
     {
@@ -366,6 +387,7 @@
       uint64_t followed_token; /**< Token of the newest claim that it has seen,
                                   if it neither owns the cell nor is about
                                   to; else 0.  */
+      bool takes_states;       /**< It takes the states of jobs.  */
     } peer;
     struct site_config *config;
     uint64_t config_sent_at_us;
@@ -421,6 +443,12 @@
       uint32_t zone_count;
       char (*zones)[NAME_BYTES]; /**< All evacuated zones.  */
     } evacuations;
+    struct
+    {
+      uint64_t token; /**< Of the owner.  */
+      uint32_t item_count;
+      const struct job_report *items;
+    } states;
     struct runner_result runner_result;
     struct
     {
--- a/port/job.h
+++ b/port/job.h
@@ -91,6 +91,13 @@
   JOB_STATE_COUNT
 };
 
+/** Returns true if a job in state S has ended.  */
+static inline bool
+job_state_is_final (enum job_state s)
+{
+  return s >= JOB_COMPLETED;
+}
+
 /** Returns the name of S in logs and records.  */
 const char *job_state_name (enum job_state s);
 
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -589,11 +589,31 @@
   return GPOINTER_TO_UINT (g_hash_table_lookup (x->vm_orders, vm));
 }
 
+/* Reads the states in ROWS, an object of them by job.  */
+static void
+read_states (const json_t *j, json_t *rows, struct cell_event *e)
+{
+  struct job_report *items
+      = talloc_zero_array (e, struct job_report, json_object_size (rows) + 1);
+  const char *id;
+  json_t *state;
+
+  e->kind = CELL_STATES;
+  e->u.states.token = get_number (j, "token", 0);
+  e->u.states.items = items;
+  json_object_foreach (rows, id, state)
+  {
+    items[e->u.states.item_count].job = job_id (id);
+    items[e->u.states.item_count++].state
+        = ENUM_OF (json_string_value (state), job_state_name, JOB_STATE_COUNT);
+  }
+}
+
 /* Reads the event of the line J; returns false if it holds none.  */
 static bool
 read_event (struct script *x, const json_t *j, struct cell_event *e)
 {
-  const json_t *v;
+  json_t *v;
 
   if ((v = json_object_get (j, "tick")) != NULL)
     e->kind = CELL_TICK;
@@ -675,6 +695,10 @@
       e->u.owner_link.up = json_is_true (v);
       e->u.owner_link.degraded = get_flag (j, "degraded");
       e->u.owner_link.best_cpu_milli = (uint32_t)get_number (j, "best_cpu", 0);
+      if (get_flag (j, "store_away"))
+        e->u.owner_link.view = STORE_VIEW_AWAY;
+      if (get_flag (j, "store_reached"))
+        e->u.owner_link.view = STORE_VIEW_REACHED;
     }
   else if ((v = json_object_get (j, "peer")) != NULL)
     {
@@ -686,7 +710,10 @@
       get_text (v, "zone", e->u.peer.zone, NAME_BYTES);
       get_text (v, "member", e->u.peer.member, NAME_BYTES);
       e->u.peer.followed_token = get_number (v, "follows", 0);
+      e->u.peer.takes_states = get_flag (v, "takes_states");
     }
+  else if ((v = json_object_get (j, "states")) != NULL)
+    read_states (j, v, e);
   else
     return false;
   return true;
@@ -714,6 +741,35 @@
     g_string_append_printf (out, " with Retry-After %u ms", r->retry_after_ms);
 }
 
+static int
+compare_reports (const void *a, const void *b)
+{
+  uint64_t x = ((const struct job_report *)a)->job;
+  uint64_t y = ((const struct job_report *)b)->job;
+
+  return x < y ? -1 : x > y;
+}
+
+/* Prints the states that A tells, sorted by job.  */
+static void
+print_states (GString *out, const struct cell_action *a)
+{
+  struct job_report *rows = g_new0 (struct job_report, a->u.states.item_count);
+  uint32_t i;
+
+  for (i = 0; i < a->u.states.item_count; i++)
+    rows[i] = a->u.states.items[i];
+  qsort (rows, a->u.states.item_count, sizeof *rows, compare_reports);
+  g_string_append_printf (out, "tell_states link %llu token %llu",
+                          (unsigned long long)a->u.states.link_id,
+                          (unsigned long long)a->u.states.token);
+  for (i = 0; i < a->u.states.item_count; i++)
+    g_string_append_printf (out, " %016llx=%s",
+                            (unsigned long long)rows[i].job,
+                            job_state_name (rows[i].state));
+  g_free (rows);
+}
+
 static int
 compare_notes (const void *a, const void *b)
 {
@@ -961,6 +1017,13 @@
         g_string_append_printf (
             out, " follows %llu",
             (unsigned long long)a->u.heartbeat.followed_token);
+      if (a->u.heartbeat.view == STORE_VIEW_REACHED)
+        g_string_append (out, " store reached");
+      if (a->u.heartbeat.view == STORE_VIEW_AWAY)
+        g_string_append (out, " store away");
+      break;
+    case CELL_DO_TELL_STATES:
+      print_states (out, a);
       break;
     case CELL_DO_JOIN:
       x->join_us = x->at_ms * US_PER_MS;
--- a/tests/model.c
+++ b/tests/model.c
@@ -362,6 +362,7 @@
       model_entry_kill (e);
       break;
     case CELL_DO_WAVE_STATE:
+    case CELL_DO_TELL_STATES:
     case CELL_DO_READY:
     case CELL_ACTION_KIND_COUNT:
       break;
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -402,6 +402,9 @@
 test_relay (void)
 {
   TALLOC_CTX *mem = talloc_new (NULL);
+  static const struct job_report reports[]
+      = { { .job = 1, .state = JOB_QUEUED },
+          { .job = UINT64_MAX, .state = JOB_CANCELLED } };
   struct relay_message m = { .kind = RELAY_CALL };
   struct relay_message decoded;
   struct blob *b;
@@ -430,13 +433,30 @@
                               .u.heartbeat = { .degraded = true,
                                                .cpu_milli = 250,
                                                .member = "entry-2",
-                                               .followed_token = 7 } };
+                                               .followed_token = 7,
+                                               .view = STORE_VIEW_AWAY,
+                                               .takes_states = true } };
   b = relay_encode (&m);
   g_assert_true (relay_decode (mem, b->data, b->size_bytes, &decoded));
   g_assert_true (decoded.u.heartbeat.degraded);
   g_assert_cmpuint (decoded.u.heartbeat.cpu_milli, ==, 250);
   g_assert_cmpstr (decoded.u.heartbeat.member, ==, "entry-2");
   g_assert_cmpuint (decoded.u.heartbeat.followed_token, ==, 7);
+  g_assert_cmpint (decoded.u.heartbeat.view, ==, STORE_VIEW_AWAY);
+  g_assert_true (decoded.u.heartbeat.takes_states);
+  blob_unref (b);
+  m = (struct relay_message){
+    .kind = RELAY_STATES,
+    .u.states
+    = { .token = 7, .item_count = G_N_ELEMENTS (reports), .items = reports }
+  };
+  b = relay_encode (&m);
+  g_assert_true (relay_decode (mem, b->data, b->size_bytes, &decoded));
+  g_assert_cmpuint (decoded.u.states.token, ==, 7);
+  g_assert_cmpuint (decoded.u.states.item_count, ==, 2);
+  g_assert_cmpuint (decoded.u.states.items[1].job, ==, UINT64_MAX);
+  g_assert_cmpint (decoded.u.states.items[1].state, ==, JOB_CANCELLED);
+  g_assert_false (relay_decode (mem, b->data, b->size_bytes - 1, &decoded));
   blob_unref (b);
   talloc_free (mem);
 }
