Test: states are told by whole processes while the store is away

Three entries; the store refuses all calls for so long that the owner loses the cell, then the owner's process is killed and started again without any knowledge. Each entry but the new process tells the states of an ended job and of one that goes on, and refuses a new job.

--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -28,6 +28,10 @@
 /** Longer than an entry accepts calls by a configuration that it could not
     confirm.  */
 #define STORE_BUSY_S 7
+/** After that an owner has lost the cell; and the time until another entry
+    knows that the owner's process has ended.  */
+#define OWNER_LOST_S 5
+#define LINK_LOST_S 2
 /** A failed read is repeated after 0.25 s.  */
 #define STORE_BACK_LIMIT_US (1 * G_USEC_PER_SEC)
 
@@ -516,6 +520,71 @@
     }
 }
 
+/* Checks that each entry but WITHOUT tells the states of job 0, which has
+   completed, and of job 1, which goes on.  */
+static void
+check_states (const struct site *s, gint without)
+{
+  gchar answer[100];
+  guint i;
+
+  for (i = 0; i < SITE_ENTRY_COUNT; i++)
+    {
+      if ((gint)i == without)
+        continue;
+      g_assert_cmpuint (site_call (s, i, "GET", "/q/0000000000000001", NULL,
+                                   answer, sizeof answer),
+                        ==, 200);
+      g_assert_nonnull (strstr (answer, "completed"));
+      g_assert_cmpuint (site_call (s, i, "GET", "/q/0000000000000002", NULL,
+                                   answer, sizeof answer),
+                        ==, 200);
+      g_assert_nonnull (strstr (answer, "running"));
+    }
+}
+
+/* The store refuses for so long that the owner loses the cell, and its process
+   is killed then.  Clients are told the states of their jobs all the while. */
+static void
+test_states_untold_while_store_is_away (void)
+{
+  gint64 running[SITE_RUNNER_COUNT];
+  gchar body[BODY_BYTES];
+  struct site s;
+  gint owner;
+
+  site_start_with (&s, ",\"unconfirmed_state_s\":60");
+  submit (&s, 0);
+  wait_completed (&s, 0);
+  g_snprintf (body, sizeof body,
+              "{\"Spec\":\"%d\",\"Steps\":[{\"Count\":%d,\"Cpu\":1000}]}",
+              SERVING_MS, SERVING_COUNT);
+  submit_body (&s, 1, body);
+  wait_serving (&s, running);
+  owner = wait_owner (&s);
+  cluster_fault (s.base_port, "store_busy", 1);
+  g_usleep (STORE_BUSY_S * G_USEC_PER_SEC);
+  check_states (&s, -1);
+  g_usleep (OWNER_LOST_S * G_USEC_PER_SEC);
+  g_assert_cmpuint (get_metric (&s, (guint)owner, "owner"), ==, 0);
+  check_states (&s, -1);
+  site_stop_process (s.entries[owner], SIGKILL);
+  g_usleep (LINK_LOST_S * G_USEC_PER_SEC);
+  check_states (&s, owner);
+  g_assert_cmpuint (site_call (&s, (guint)(owner + 1) % SITE_ENTRY_COUNT,
+                               "POST", "/q/0000000000000003", body, NULL, 0),
+                    ==, 503);
+  site_start_entry (&s, (guint)owner);
+  g_usleep (LINK_LOST_S * G_USEC_PER_SEC);
+  check_states (&s, owner);
+  cluster_fault (s.base_port, "store_busy", 0);
+  site_wait_ready (&s);
+  wait_completed (&s, 0);
+  g_assert_cmpuint (
+      site_call (&s, 0, "GET", "/q/0000000000000002", NULL, NULL, 0), ==, 200);
+  site_stop (&s);
+}
+
 /* The owner is killed and a runner with tasks stops answering for good, while
    its VM stays up.  The entry of the owner is started again when another one
    owns the cell.  The runner's tasks wait for the former owner's leases only,
@@ -676,6 +745,8 @@
   g_test_add_func ("/site/all_killed", test_all_killed);
   g_test_add_func ("/site/lost_answers", test_lost_answers);
   g_test_add_func ("/site/store_back", test_store_back);
+  g_test_add_func ("/site/states_untold_while_store_is_away",
+                   test_states_untold_while_store_is_away);
   g_test_add_func ("/site/planned_stop", test_planned_stop);
   g_test_add_func ("/site/odd_entries", test_odd_entries);
   g_test_add_func ("/site/delegates", test_delegates);
