Tell states to entries that link to a new owner while it reads the records

An entry that linked to a new owner before it had read the records was never told any states, and could not tell them to clients when that owner was lost. And an owner that had handed the cell over, or was fenced, went on telling the states of jobs that had not ended until it read of the next claim, up to a second later: clients could see a job go back from completed to running.

Cause: what to tell was decided when a link came up, if this entry was the owner by then; and every former owner counted as the last one.

Change: a new owner tells all entries that are linked already. Only an entry that gave the cell up for want of proof goes on to tell such states.

--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -180,6 +180,7 @@
   c->ownership.next_find_at_us = c->now_us + FIND_INTERVAL_MS * US_PER_MS;
   c->ownership.link_down_at_us = c->now_us;
   cell_emit (c, CELL_DO_FOLLOW_RUNNERS)->u.follow_runners = false;
+  c->known_states.is_last_owner = false;
   runners_clear (c);
   jobs_clear (c);
   cell_fleet_clear (c);
@@ -587,14 +588,21 @@
   const struct ownership *o = &c->ownership;
   uint64_t since_us
       = c->now_us - MIN (c->now_us, OWNERSHIP_TIMEOUT_MS * US_PER_MS);
+  const char *why = NULL;
+  bool owned = cell_is_owner (c);
 
   if (o->phase == OWNERSHIP_NONE)
     return;
   if (o->joined_at_us > 0 && o->joined_at_us < since_us)
-    ownership_lose (c, "ownership_timeout");
+    why = "ownership_timeout";
   else if ((o->phase == OWNERSHIP_RECOVERING || o->phase == OWNERSHIP_OWNER)
            && ownership_proved_us (c) < since_us)
-    ownership_lose (c, "ownership_unproved");
+    why = "ownership_unproved";
+  if (why == NULL)
+    return;
+  ownership_lose (c, why);
+  /* No other owner is known.  */
+  c->known_states.is_last_owner = owned;
 }
 
 /* Updates the contents of our heartbeats.  When the owner reports that it
--- a/core/cell/peers.c
+++ b/core/cell/peers.c
@@ -62,9 +62,9 @@
       update_best_cpu (c);
       delegates_on_change (c);
     }
-  if (is_new && cell_is_owner (c) && e->u.peer.takes_states
-      && state_reports_are_on (c))
-    state_reports_tell_all (c, id);
+  p->takes_states = e->u.peer.takes_states;
+  if (is_new)
+    state_reports_on_linked (c, p);
   former_owners_check (c);
 }
 
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -380,6 +380,7 @@
   char zone[NAME_BYTES];     /**< Empty: it takes no delegated orders.  */
   char member[NAME_BYTES];   /**< Empty: not known.  */
   uint64_t followed_token;   /**< As in CELL_PEER.  */
+  bool takes_states;         /**< As in CELL_PEER.  */
   uint64_t avoided_until_us; /**< As a delegate it is not used until then.  */
   uint32_t order_count;      /**< Orders that it answered in this period.  */
   uint32_t late_count;       /**< Those of them that it answered late.  */
@@ -529,11 +530,13 @@
   uint64_t token;   /**< Of the owner that told them last, maybe this one.  */
   GArray *untold;   /**< struct job_report that the owner is to tell.  */
   GArray *sending;  /**< The same, of the actions of this step.  */
-  uint64_t told_at_us;        /**< When the owner told the last batch.  */
-  uint64_t checked_at_us;     /**< When old ones were last forgotten.  */
-  uint32_t owned_peer_count;  /**< Entries that were linked to this one when
-                                 the configuration was last confirmed while
-                                 it owned the cell.  */
+  uint64_t told_at_us;       /**< When the owner told the last batch.  */
+  uint64_t checked_at_us;    /**< When old ones were last forgotten.  */
+  uint32_t owned_peer_count; /**< Entries that were linked to this one when
+                                the configuration was last confirmed while
+                                it owned the cell.  */
+  bool is_last_owner; /**< This entry owns the cell, or gave it up only as it
+                         could not prove any more that it does.  */
   enum store_view owner_view; /**< What the last owner told of the store.  */
   uint64_t owner_view_token;  /**< The newest claim known then.  */
 };
--- a/core/cell/state_calls.c
+++ b/core/cell/state_calls.c
@@ -22,13 +22,11 @@
 static bool
 is_last_owner (const struct cell *c)
 {
-  const struct ownership *o = &c->ownership;
+  const struct known_states *s = &c->known_states;
 
-  return o->token != 0 && o->token == o->newest_token
-         && o->token == c->known_states.token
-         && peers_newest_followed_token (c) <= o->token
-         && 2 * (g_hash_table_size (c->peers) + 1)
-                > c->known_states.owned_peer_count + 1;
+  return s->is_last_owner && s->token == c->ownership.newest_token
+         && peers_newest_followed_token (c) <= s->token
+         && 2 * (g_hash_table_size (c->peers) + 1) > s->owned_peer_count + 1;
 }
 
 enum store_view
--- a/core/cell/state_calls.h
+++ b/core/cell/state_calls.h
@@ -45,9 +45,9 @@
 void state_reports_begin (struct cell *c);
 /** Notes that the state of J, a job of this owner, may have changed.  */
 void state_reports_note (struct cell *c, const struct job *j);
-/** Tells the entry on LINK_ID, which has just been linked, all states that
-   have changed under this owner.  */
-void state_reports_tell_all (struct cell *c, uint64_t link_id);
+/** Handles that P has just been linked: this owner tells it all states that
+    have changed under it.  */
+void state_reports_on_linked (struct cell *c, const struct peer *p);
 /** Handles E, states that the owner tells.  */
 void state_reports_on_states (struct cell *c, const struct cell_event *e);
 /** Tells the linked entries what has changed, and forgets states that are not
--- a/core/cell/state_reports.c
+++ b/core/cell/state_reports.c
@@ -15,6 +15,9 @@
 #define BATCH_LIMIT_COUNT 4096
 /** Interval at which states are looked for that are not told any more.  */
 #define EXPIRY_CHECK_MS 5000
+/** An owner that tells states has told this entry so by this long after its
+    claim was seen.  */
+#define TOLD_LIMIT_MS 10000
 
 void
 state_reports_init (struct cell *c)
@@ -73,19 +76,6 @@
     g_array_append_val (c->known_states.untold, r);
 }
 
-void
-state_reports_begin (struct cell *c)
-{
-  GHashTableIter it;
-  gpointer value;
-
-  c->known_states.token = c->ownership.token;
-  g_array_set_size (c->known_states.untold, 0);
-  g_hash_table_iter_init (&it, c->jobs);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    state_reports_note (c, value);
-}
-
 /* Tells the states in SENDING on LINK_ID, or on all links that have been told
    any if that is 0.  */
 static void
@@ -108,8 +98,9 @@
   while (first < all->len);
 }
 
-void
-state_reports_tell_all (struct cell *c, uint64_t link_id)
+/* Sets SENDING to the states that have changed under this owner.  */
+static void
+collect_changed (struct cell *c)
 {
   GArray *items = c->known_states.sending;
   GHashTableIter it;
@@ -125,7 +116,34 @@
       if (s->changed_token == c->known_states.token)
         g_array_append_val (items, r);
     }
-  tell (c, link_id);
+}
+
+void
+state_reports_on_linked (struct cell *c, const struct peer *p)
+{
+  if (!cell_is_owner (c) || !state_reports_are_on (c) || !p->takes_states)
+    return;
+  collect_changed (c);
+  tell (c, p->link_id);
+}
+
+void
+state_reports_begin (struct cell *c)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  c->known_states.token = c->ownership.token;
+  c->known_states.is_last_owner = true;
+  g_array_set_size (c->known_states.untold, 0);
+  g_hash_table_iter_init (&it, c->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    state_reports_note (c, value);
+  g_array_set_size (c->known_states.untold, 0);
+  /* Entries that link to a new owner while it still reads the records.  */
+  g_hash_table_iter_init (&it, c->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    state_reports_on_linked (c, value);
 }
 
 void
@@ -174,8 +192,11 @@
     {
       const struct known_state *s = value;
 
-      if (job_state_is_final (s->state) ? jobs_is_forgotten (c, s->ended_at_ms)
-                                        : c->ownership.newest_token > k->token)
+      if (job_state_is_final (s->state)
+              ? jobs_is_forgotten (c, s->ended_at_ms)
+              : c->ownership.newest_token > k->token
+                    && c->now_us > c->ownership.newest_seen_at_us
+                                       + TOLD_LIMIT_MS * US_PER_MS)
         g_hash_table_iter_remove (&it);
     }
 }
