The owner checks the key of a state call that another entry cannot check

Callers saw: an entry that the store turns away refused the question for the state of a job (503), though it was linked to an owner that reaches the store. If that is most entries of a zone, clients find none that answers (LOST).

Change: a call that was admitted by a configuration which could not be confirmed carries its key; an owner that can confirm its own checks key and queue and answers as to any other call.

--- a/adapter/relay_codec.c
+++ b/adapter/relay_codec.c
@@ -22,6 +22,7 @@
   else
     msgpack_pack_array (p, 0);
   pack_bool (p, c->unconfirmed);
+  pack_text (p, c->key);
 }
 
 static void
@@ -54,7 +55,7 @@
 relay_encode (const struct relay_message *m)
 {
   static const uint32_t field_counts[] = { [RELAY_HEARTBEAT] = 9,
-                                           [RELAY_CALL] = 9,
+                                           [RELAY_CALL] = 10,
                                            [RELAY_REPLY] = 7,
                                            [RELAY_ORDERS] = 3,
                                            [RELAY_STATES] = 3 };
@@ -126,8 +127,10 @@
     unpack_array (u, &no_spec);
   else if (!u->failed)
     c->spec = job_unpack (mem, u);
-  if (u->next < u->item_count)
-    c->unconfirmed = unpack_bool (u);
+  if (u->next == u->item_count)
+    return;
+  c->unconfirmed = unpack_bool (u);
+  unpack_text (u, c->key, API_KEY_BYTES);
 }
 
 static void
--- a/core/cell/cell.h
+++ b/core/cell/cell.h
@@ -62,7 +62,7 @@
                              entry has answered with it.  */
   CELL_COUNT_STATES_UNTOLD,      /**< Those that it has answered otherwise.  */
   CELL_COUNT_STATES_UNCONFIRMED, /**< Those of CELL_COUNT_STATES_TOLD whose
-                                    keys could not be checked any more.  */
+                                    keys this entry could not check.  */
   CELL_COUNT_COMPLETED,
   CELL_COUNT_FAILED,
   CELL_COUNT_CANCELLED,
--- a/core/cell/ingress.c
+++ b/core/cell/ingress.c
@@ -78,6 +78,15 @@
   return strlen (wanted) == n && g_ascii_strncasecmp (host, wanted, n) == 0;
 }
 
+bool
+ingress_admits (const struct cell *c, const struct job_call *call)
+{
+  const struct site_queue *q = cell_find_queue (c, call->queue);
+
+  return is_fresh (c) && q != NULL && cell_queue_is_configured (c, call->queue)
+         && (q->is_public || g_hash_table_lookup (c->keys, call->key) != NULL);
+}
+
 /* Returns the queue of HOST with the longest prefix of PATH, or NULL.  */
 static const struct site_queue *
 find_queue (const struct cell *c, const char *host, const char *path)
@@ -145,6 +154,7 @@
       || check_by_config (c, call, job) != REPLY_OK || job->kind != CALL_STATE)
     return REPLY_UNAVAILABLE;
   job->unconfirmed = true;
+  text_copy (job->key, API_KEY_BYTES, call->key);
   return REPLY_OK;
 }
 
--- a/core/cell/jobs.c
+++ b/core/cell/jobs.c
@@ -526,6 +526,8 @@
   struct reply r = { .code = REPLY_OK };
   struct job *j;
 
+  if (call->unconfirmed && ingress_admits (c, call))
+    call->unconfirmed = false;
   if (!state_calls_may_answer (c, call))
     {
       send_reply_code (c, &w, REPLY_REDIRECT, 0);
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -753,6 +753,9 @@
 void ingress_tick (struct cell *c);
 /** Returns true if the store answered this entry's reads recently.  */
 bool ingress_store_answers (const struct cell *c);
+/** Returns true if the configuration, which is confirmed, admits CALL by its
+   key and its queue.  */
+bool ingress_admits (const struct cell *c, const struct job_call *call);
 /** Sends the calls that wait for an owner, if one can be reached.  */
 void ingress_flush (struct cell *c);
 
--- a/core/cell/state_calls.c
+++ b/core/cell/state_calls.c
@@ -12,7 +12,8 @@
    the store answers no entry, none can know.  The state of a job is told all
    the same if the last configuration admits the call, for as long as the
    setting unconfirmed_state_s says; no other call is executed.  If an entry
-   reaches the store, clients get their answer there.  */
+   reaches the store, clients get their answer there, or the owner checks the
+   key of a call that another entry could not check.  */
 
 #include "core/cell/state_calls.h"
 
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -50,6 +50,8 @@
   struct job_spec *spec; /**< Of CALL_SUBMIT.  */
   bool unconfirmed; /**< Of CALL_STATE: the configuration that admitted it is
                        too old to know of withdrawn keys.  */
+  char key[API_KEY_BYTES]; /**< Of such a call: its key, empty if none was
+                              sent.  */
 };
 
 /** Outcome of a call.  */
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -229,6 +229,7 @@
   get_text (j, "tenant", c->tenant, NAME_BYTES);
   c->age_ms = (uint32_t)get_number (j, "age", 0);
   c->unconfirmed = get_flag (j, "unconfirmed");
+  get_text (j, "key", c->key, API_KEY_BYTES);
   if (c->kind != CALL_PENDING)
     c->job = job_id (json_string_value (json_object_get (j, "job")));
   if (c->kind == CALL_SUBMIT)
--- a/tests/test_cell_codec.c
+++ b/tests/test_cell_codec.c
@@ -424,10 +424,12 @@
   m.u.call.kind = CALL_STATE;
   m.u.call.spec = NULL;
   m.u.call.unconfirmed = true;
+  text_copy (m.u.call.key, API_KEY_BYTES, "k");
   b = relay_encode (&m);
   g_assert_true (relay_decode (mem, b->data, b->size_bytes, &decoded));
   g_assert_cmpstr (decoded.u.call.tenant, ==, "");
   g_assert_true (decoded.u.call.unconfirmed);
+  g_assert_cmpstr (decoded.u.call.key, ==, "k");
   blob_unref (b);
   m = (struct relay_message){ .kind = RELAY_HEARTBEAT,
                               .u.heartbeat = { .degraded = true,
