Tell a known end when the owner has not answered in time

Callers would see: "unknown" after their whole time-out to the question for a job that has ended, from an entry that was told so, while the owner's link is up and the owner does not answer. Found by review.

Cause: an entry looks up what it knows only when there is no link to an owner, or the owner denies the call; a call that waits on a link was given up.

Measured: states_held_by_silent_owner fails without the change ("unknown").

--- a/core/cell/ingress.c
+++ b/core/cell/ingress.c
@@ -422,7 +422,8 @@
 
       if (code == REPLY_OK)
         continue;
-      give_up (c, f, code);
+      if (!is_answered_here (c, f))
+        give_up (c, f, code);
       g_hash_table_iter_remove (&it);
     }
   if (c->ownership.owner_denied && c->now_us >= c->ownership.resend_at_us)
