A join without an answer leaves the last owner what it is

Callers would see: 503 from every entry to questions for states if the store answers for a moment in an outage, so that the last owner begins to join.

Cause: giving up a takeover marked the entry as not the last owner, though no claim had been sent.

Measured: states_untold_after_stalled_takeover fails without the change ("unavailable" at 20700).

--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -174,13 +174,15 @@
 {
   bool owned = cell_is_owner (c);
 
+  /* Nobody has claimed the cell by a join.  */
+  if (c->ownership.phase != OWNERSHIP_JOINING)
+    c->known_states.is_last_owner = false;
   set_phase (c, OWNERSHIP_NONE);
   c->ownership.join_sent = false;
   c->ownership.joined_at_us = 0;
   c->ownership.next_find_at_us = c->now_us + FIND_INTERVAL_MS * US_PER_MS;
   c->ownership.link_down_at_us = c->now_us;
   cell_emit (c, CELL_DO_FOLLOW_RUNNERS)->u.follow_runners = false;
-  c->known_states.is_last_owner = false;
   runners_clear (c);
   jobs_clear (c);
   cell_fleet_clear (c);
@@ -602,7 +604,7 @@
     return;
   ownership_lose (c, why);
   /* No other owner is known.  */
-  c->known_states.is_last_owner = owned;
+  c->known_states.is_last_owner |= owned;
 }
 
 /* Updates the contents of our heartbeats.  When the owner reports that it
