An entry that is told states is not the last owner

Found by review: an entry that had given the cell up for want of proof counted as the last owner again as soon as a newer owner told it states, as its token was the newest then. When that owner was lost it told the states of jobs that had not ended, though the store answered, and told others its view of the store.

Measured: states_told_by_former_owner_of_newer_one fails without the change ("running" at 13010, "store reached" at 12100).

--- a/core/cell/state_reports.c
+++ b/core/cell/state_reports.c
@@ -156,6 +156,7 @@
   if (cell_is_owner (c) || e->u.states.token < k->token)
     return;
   k->token = e->u.states.token;
+  k->is_last_owner = false;
   for (i = 0; i < e->u.states.item_count; i++)
     set_state (c, e->u.states.items[i].job, e->u.states.items[i].state,
                c->wall_ms);
