Tell the state of a job that goes on only if the newest owner told it

Found by review: an entry that missed the last batch of a lost owner, or lost its link to it earlier, went on to know of a running job for ever, as the next owner told only what was new to itself. In an outage it told "running" of jobs that had ended, also after others had told the end; such entries were never forgotten.

Change: a new owner tells all jobs that have not ended; others tell such a state only if it was told under the newest token, and forget it otherwise.

--- a/core/cell/state_calls.c
+++ b/core/cell/state_calls.c
@@ -88,8 +88,9 @@
       = g_hash_table_lookup (c->known_states.jobs, &job);
 
   if (s == NULL
-      || (!job_state_is_final (s->state) && !is_last_owner (c)
-          && !store_is_away (c)))
+      || (!job_state_is_final (s->state)
+          && (s->changed_token != c->known_states.token
+              || (!is_last_owner (c) && !store_is_away (c)))))
     return false;
   *state = s->state;
   return true;
--- a/core/cell/state_reports.c
+++ b/core/cell/state_reports.c
@@ -52,8 +52,13 @@
 {
   struct known_state *s = g_hash_table_lookup (c->known_states.jobs, &job);
 
-  if (s != NULL && (s->state == state || job_state_is_final (s->state)))
+  if (s != NULL && job_state_is_final (s->state))
     return false;
+  if (s != NULL && s->state == state)
+    {
+      s->changed_token = c->known_states.token;
+      return false;
+    }
   if (s == NULL)
     {
       s = g_new0 (struct known_state, 1);
@@ -196,7 +201,7 @@
 
       if (job_state_is_final (s->state)
               ? jobs_is_forgotten (c, s->ended_at_ms)
-              : c->ownership.newest_token > k->token
+              : c->ownership.newest_token > s->changed_token
                     && c->now_us > c->ownership.newest_seen_at_us
                                        + TOLD_LIMIT_MS * US_PER_MS)
         g_hash_table_iter_remove (&it);
