--- a/core/cell/state_reports.c
+++ b/core/cell/state_reports.c
@@ -52,8 +52,13 @@
 {
   struct known_state *s = g_hash_table_lookup (c->known_states.jobs, &job);
 
-  if (s != NULL && (s->state == state || job_state_is_final (s->state)))
+  if (s != NULL && job_state_is_final (s->state))
     return false;
+  if (s != NULL && s->state == state)
+    {
+      s->changed_token = c->known_states.token;
+      return false;
+    }
   if (s == NULL)
     {
       s = g_new0 (struct known_state, 1);
@@ -135,6 +140,7 @@
 
   c->known_states.token = c->ownership.token;
   c->known_states.is_last_owner = true;
+  c->known_states.owned_peer_count = g_hash_table_size (c->peers);
   g_array_set_size (c->known_states.untold, 0);
   g_hash_table_iter_init (&it, c->jobs);
   while (g_hash_table_iter_next (&it, NULL, &value))
@@ -155,6 +161,7 @@
   if (cell_is_owner (c) || e->u.states.token < k->token)
     return;
   k->token = e->u.states.token;
+  k->is_last_owner = false;
   for (i = 0; i < e->u.states.item_count; i++)
     set_state (c, e->u.states.items[i].job, e->u.states.items[i].state,
                c->wall_ms);
@@ -194,7 +201,7 @@
 
       if (job_state_is_final (s->state)
               ? jobs_is_forgotten (c, s->ended_at_ms)
-              : c->ownership.newest_token > k->token
+              : c->ownership.newest_token > s->changed_token
                     && c->now_us > c->ownership.newest_seen_at_us
                                        + TOLD_LIMIT_MS * US_PER_MS)
         g_hash_table_iter_remove (&it);
