Entries judge by their number whether the store is away for all

Cause: only an owner could tell that the store is away, and only after its peers had told it so. A process that is back at its address, to which the other entries are linked, or an entry that takes the cell over, could not.

Change: owners count the entries, and heartbeats tell their number. Any entry that is linked to most of them tells whether one reaches the store. An owner takes fewer entries for their number only after 10 s, so a new one that is cut off is not "most entries". With the setting off, no state is told but by the owner.

--- a/adapter/relay.c
+++ b/adapter/relay.c
@@ -66,6 +66,7 @@
   bool reported_degraded;
   uint32_t reported_cpu_milli;
   enum store_view reported_view;
+  uint32_t reported_entry_count;
   struct relay_message heartbeat; /**< Sent on every link.  */
 };
 
@@ -81,6 +82,7 @@
   r->reported_degraded = false;
   r->reported_cpu_milli = 0;
   r->reported_view = STORE_VIEW_NONE;
+  r->reported_entry_count = 0;
   e = cell_event_new (CELL_OWNER_LINK);
   e->u.owner_link.up = up;
   cell_post (r->cell, e);
@@ -106,6 +108,7 @@
       l->reported_token = m->u.heartbeat.followed_token;
       e->u.peer.followed_token = l->reported_token;
       e->u.peer.takes_states = m->u.heartbeat.takes_states;
+      e->u.peer.entry_count = m->u.heartbeat.entry_count;
     }
   cell_post (l->relay->cell, e);
 }
@@ -243,16 +246,19 @@
 
   if (m->u.heartbeat.degraded == r->reported_degraded
       && m->u.heartbeat.cpu_milli == r->reported_cpu_milli
-      && m->u.heartbeat.view == r->reported_view)
+      && m->u.heartbeat.view == r->reported_view
+      && m->u.heartbeat.entry_count == r->reported_entry_count)
     return;
   r->reported_degraded = m->u.heartbeat.degraded;
   r->reported_cpu_milli = m->u.heartbeat.cpu_milli;
   r->reported_view = m->u.heartbeat.view;
+  r->reported_entry_count = m->u.heartbeat.entry_count;
   e = cell_event_new (CELL_OWNER_LINK);
   e->u.owner_link.up = true;
   e->u.owner_link.degraded = m->u.heartbeat.degraded;
   e->u.owner_link.best_cpu_milli = m->u.heartbeat.cpu_milli;
   e->u.owner_link.view = m->u.heartbeat.view;
+  e->u.owner_link.entry_count = m->u.heartbeat.entry_count;
   cell_post (r->cell, e);
 }
 
@@ -492,6 +498,7 @@
       r->heartbeat.u.heartbeat.cpu_milli = o->cpu_milli;
       r->heartbeat.u.heartbeat.followed_token = o->followed_token;
       r->heartbeat.u.heartbeat.view = o->view;
+      r->heartbeat.u.heartbeat.entry_count = o->entry_count;
       break;
     case RELAY_SET_OWNER:
       set_owner (r, o->address);
--- a/adapter/relay.h
+++ b/adapter/relay.h
@@ -25,8 +25,8 @@
     RELAY_SEND_STATES,  /**< body: states of jobs, for the entry linked by
                            link_id, or, if that is 0, for those that were sent
                            any before.  */
-    RELAY_SET_HEARTBEAT, /**< degraded, cpu_milli, followed_token, view: sent
-                            from now on.  */
+    RELAY_SET_HEARTBEAT, /**< degraded, cpu_milli, followed_token, view,
+                            entry_count: sent from now on.  */
     RELAY_SET_OWNER      /**< address: the owner's relay; empty: no owner.  */
   } kind;
   uint64_t link_id;
@@ -34,6 +34,7 @@
   bool degraded;
   uint64_t followed_token;
   enum store_view view;
+  uint32_t entry_count;
   uint32_t cpu_milli;
   struct blob *body; /**< An encoded message; a reference.  */
   char address[ADDRESS_BYTES];
--- a/adapter/relay_codec.c
+++ b/adapter/relay_codec.c
@@ -54,7 +54,7 @@
 struct blob *
 relay_encode (const struct relay_message *m)
 {
-  static const uint32_t field_counts[] = { [RELAY_HEARTBEAT] = 9,
+  static const uint32_t field_counts[] = { [RELAY_HEARTBEAT] = 10,
                                            [RELAY_CALL] = 10,
                                            [RELAY_REPLY] = 7,
                                            [RELAY_ORDERS] = 3,
@@ -77,6 +77,7 @@
       msgpack_pack_uint64 (&p, m->u.heartbeat.followed_token);
       msgpack_pack_uint8 (&p, (uint8_t)m->u.heartbeat.view);
       pack_bool (&p, m->u.heartbeat.takes_states);
+      msgpack_pack_uint32 (&p, m->u.heartbeat.entry_count);
     }
   else if (m->kind == RELAY_CALL)
     pack_call (&p, &m->u.call);
@@ -162,6 +163,7 @@
   m->u.heartbeat.view
       = (enum store_view)unpack_number (u, STORE_VIEW_COUNT - 1);
   m->u.heartbeat.takes_states = unpack_bool (u);
+  m->u.heartbeat.entry_count = (uint32_t)unpack_number (u, UINT32_MAX);
 }
 
 static void
--- a/adapter/relay_codec.h
+++ b/adapter/relay_codec.h
@@ -39,6 +39,7 @@
       uint64_t followed_token; /**< As in CELL_PEER.  */
       enum store_view view;    /**< As in CELL_OWNER_LINK.  */
       bool takes_states;       /**< As in CELL_PEER.  */
+      uint32_t entry_count;    /**< As in CELL_OWNER_LINK.  */
     } heartbeat;
     struct job_call call; /**< Decoded: its spec is a child of MEM.  */
     struct reply reply;
--- a/adapter/site_decide.c
+++ b/adapter/site_decide.c
@@ -282,6 +282,7 @@
       r->cpu_milli = a->u.heartbeat.best_cpu_milli;
       r->followed_token = a->u.heartbeat.followed_token;
       r->view = a->u.heartbeat.view;
+      r->entry_count = a->u.heartbeat.entry_count;
       push_item (d, d->outputs.relay, r, "relay");
       break;
     case CELL_DO_JOIN:
--- a/core/cell/cell.c
+++ b/core/cell/cell.c
@@ -244,8 +244,7 @@
     case CELL_CONFIG_CONFIRMED:
       if (e->u.config_sent_at_us > c->config_confirmed_at_us)
         c->config_confirmed_at_us = e->u.config_sent_at_us;
-      if (cell_is_owner (c))
-        c->known_states.owned_peer_count = g_hash_table_size (c->peers);
+      state_calls_count_entries (c);
       break;
     case CELL_CLAIM:
       ownership_on_claim (c, e);
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -345,7 +345,8 @@
 
   if (e->u.owner_link.best_cpu_milli > 0)
     c->ownership.best_cpu_milli = e->u.owner_link.best_cpu_milli;
-  state_calls_on_owner_view (c, e->u.owner_link.view);
+  state_calls_on_owner_link (c, e->u.owner_link.view,
+                             e->u.owner_link.entry_count);
   c->ownership.owner_degraded = up && degraded;
   if (up && degraded)
     c->ownership.next_find_at_us = c->now_us;
@@ -622,18 +623,22 @@
   uint32_t best_milli = peers_best_cpu_milli (c);
   uint64_t followed_token = o->phase == OWNERSHIP_NONE ? o->newest_token : 0;
   enum store_view view = state_calls_view_store (c);
+  uint32_t entry_count
+      = state_reports_are_on (c) ? c->known_states.entry_count : 0;
   struct cell_action *a;
 
   if (degraded == o->degraded_advertised
       && best_milli == o->best_advertised_milli
       && followed_token == o->followed_advertised_token
-      && view == o->view_advertised)
+      && view == o->view_advertised
+      && entry_count == o->entry_count_advertised)
     return;
   a = cell_emit (c, CELL_DO_SET_HEARTBEAT);
   a->u.heartbeat.degraded = degraded;
   a->u.heartbeat.best_cpu_milli = best_milli;
   a->u.heartbeat.followed_token = followed_token;
   a->u.heartbeat.view = o->view_advertised = view;
+  a->u.heartbeat.entry_count = o->entry_count_advertised = entry_count;
   o->followed_advertised_token = followed_token;
   o->best_advertised_milli = best_milli;
   if (degraded == o->degraded_advertised)
--- a/core/cell/peers.c
+++ b/core/cell/peers.c
@@ -63,9 +63,12 @@
       delegates_on_change (c);
     }
   p->takes_states = e->u.peer.takes_states;
-  if (is_new && cell_is_owner (c) && ingress_store_answers (c))
-    c->known_states.owned_peer_count
-        = MAX (c->known_states.owned_peer_count, g_hash_table_size (c->peers));
+  if (is_new)
+    {
+      state_calls_count_entries (c);
+      if (c->known_states.entry_count == 0)
+        c->known_states.entry_count = e->u.peer.entry_count;
+    }
   if (is_new)
     state_reports_on_linked (c, p);
   former_owners_check (c);
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -478,6 +478,7 @@
   uint32_t best_advertised_milli; /**< Largest CPU share in our heartbeats.  */
   uint64_t followed_advertised_token; /**< followed_token in them.  */
   enum store_view view_advertised;    /**< view in them.  */
+  uint32_t entry_count_advertised;    /**< entry_count in them.  */
   uint32_t best_cpu_milli;   /**< Largest CPU share reported by an owner.  */
   uint64_t next_yield_at_us; /**< We may yield the cell from then on.  */
   uint64_t slow_yield_at_ms; /**< When an owner on a slow VM last yielded the
@@ -530,11 +531,12 @@
   uint64_t token;   /**< Of the owner that told them last, maybe this one.  */
   GArray *untold;   /**< struct job_report that the owner is to tell.  */
   GArray *sending;  /**< The same, of the actions of this step.  */
-  uint64_t told_at_us;       /**< When the owner told the last batch.  */
-  uint64_t checked_at_us;    /**< When old ones were last forgotten.  */
-  uint32_t owned_peer_count; /**< Entries that were linked to this one when
-                                the configuration was last confirmed while
-                                it owned the cell.  */
+  uint64_t told_at_us;    /**< When the owner told the last batch.  */
+  uint64_t checked_at_us; /**< When old ones were last forgotten.  */
+  uint32_t entry_count; /**< Entries, with this one, that the owner counts; 0:
+                           not known.  */
+  uint64_t counted_at_us; /**< When this owner last counted fewer, or when it
+                             became the owner.  */
   bool is_last_owner; /**< This entry owns the cell, or gave it up only as it
                          could not prove any more that it does.  */
   enum store_view owner_view; /**< What the last owner told of the store.  */
--- a/core/cell/state_calls.c
+++ b/core/cell/state_calls.c
@@ -17,23 +17,62 @@
 
 #include "core/cell/state_calls.h"
 
+/** An owner counts the entries that are linked to it.  It takes fewer than
+    before for their number only after this long, in which all others link to a
+    new one.  */
+#define COUNT_INTERVAL_MS 10000
+
+void
+state_calls_count_entries (struct cell *c)
+{
+  struct known_states *s = &c->known_states;
+  uint32_t n = g_hash_table_size (c->peers) + 1;
+
+  if (!cell_is_owner (c) || !ingress_store_answers (c))
+    return;
+  if (n < s->entry_count
+      && c->now_us < s->counted_at_us + COUNT_INTERVAL_MS * US_PER_MS)
+    return;
+  if (n < s->entry_count)
+    s->counted_at_us = c->now_us;
+  s->entry_count = n;
+}
+
+/* Returns true if this entry and those that are linked to it are most
+   entries.  */
+static bool
+is_linked_to_most (const struct cell *c)
+{
+  return c->known_states.entry_count > 0
+         && 2 * (g_hash_table_size (c->peers) + 1)
+                > c->known_states.entry_count;
+}
+
+/* Returns the token of the newest claim that this entry, or one that is linked
+   to it, has seen.  */
+static uint64_t
+newest_claim (const struct cell *c)
+{
+  return MAX (c->ownership.newest_token, peers_newest_followed_token (c));
+}
+
 /* Returns true if this entry owns the cell, or owned it last as far as it and
-   the entries that are linked to it know.  These are most of those that were
-   linked when it was the owner and the configuration was confirmed.  */
+   the entries that are linked to it know, which are most entries.  */
 static bool
 is_last_owner (const struct cell *c)
 {
   const struct known_states *s = &c->known_states;
 
-  return s->is_last_owner && s->token == c->ownership.newest_token
-         && peers_newest_followed_token (c) <= s->token
-         && 2 * (g_hash_table_size (c->peers) + 1) > s->owned_peer_count + 1;
+  return s->is_last_owner && s->token == newest_claim (c)
+         && is_linked_to_most (c);
 }
 
 enum store_view
 state_calls_view_store (const struct cell *c)
 {
-  if (!state_reports_are_on (c) || !is_last_owner (c))
+  if (!state_reports_are_on (c) || !is_linked_to_most (c)
+      || (c->ownership.claims_known
+          && newest_claim (c) > c->ownership.newest_token))
     return STORE_VIEW_NONE;
   return ingress_store_answers (c) || peers_best_other_cpu_milli (c) > 0
              ? STORE_VIEW_REACHED
@@ -41,18 +80,22 @@
 }
 
 void
-state_calls_on_owner_view (struct cell *c, enum store_view view)
+state_calls_on_owner_link (struct cell *c, enum store_view view,
+                           uint32_t entry_count)
 {
-  if (view != STORE_VIEW_NONE)
-    {
-      c->known_states.owner_view = view;
-      c->known_states.owner_view_token = c->ownership.newest_token;
-    }
+  struct known_states *s = &c->known_states;
+
+  if (entry_count > 0)
+    s->entry_count = entry_count;
+  if (view == STORE_VIEW_NONE)
+    return;
+  s->owner_view = view;
+  s->owner_view_token = c->ownership.newest_token;
 }
 
 /* Returns true if the store answers neither this entry nor, as far as is
-   known, any other.  An entry that has lost the link to its owner goes by what
-   that had told.  */
+   known, any other.  An entry to which few are linked goes by what the one had
+   told that it was linked to last, the owner or a process at its address.  */
 static bool
 store_is_away (const struct cell *c)
 {
@@ -61,8 +104,7 @@
   return !ingress_store_answers (c)
          && (state_calls_view_store (c) == STORE_VIEW_AWAY
              || (s->owner_view == STORE_VIEW_AWAY
-                 && s->owner_view_token == c->ownership.newest_token
-                 && s->token == c->ownership.newest_token));
+                 && s->owner_view_token == c->ownership.newest_token));
 }
 
 bool
@@ -88,9 +130,9 @@
   const struct known_state *s
       = g_hash_table_lookup (c->known_states.jobs, &job);
 
-  if (s == NULL
+  if (s == NULL || !state_reports_are_on (c)
       || (!job_state_is_final (s->state)
-          && (s->changed_token != c->known_states.token
+          && (s->changed_token != newest_claim (c)
               || (!is_last_owner (c) && !store_is_away (c)))))
     return false;
   *state = s->state;
--- a/core/cell/state_calls.h
+++ b/core/cell/state_calls.h
@@ -17,11 +17,16 @@
 };
 
 /* state_calls.c */
-/** Returns what the owner, or the entry that owned the cell last, knows of
-    the store; STORE_VIEW_NONE if this entry is neither.  */
+/** Counts the entries that are linked to this one, if it is the owner and the
+    store answers.  */
+void state_calls_count_entries (struct cell *c);
+/** Returns what this entry and those that are linked to it know of the store;
+    STORE_VIEW_NONE if they are not most entries.  */
 enum store_view state_calls_view_store (const struct cell *c);
-/** Handles that the entry on the link to the owner has told VIEW.  */
-void state_calls_on_owner_view (struct cell *c, enum store_view view);
+/** Handles that the entry at the address of the owner, to which this one is
+    linked, has told VIEW and ENTRY_COUNT.  */
+void state_calls_on_owner_link (struct cell *c, enum store_view view,
+                                uint32_t entry_count);
 /** Returns true if the configuration, which cannot be confirmed, still admits
     calls for the state of a job.  */
 bool state_calls_admit_unconfirmed (const struct cell *c);
--- a/core/cell/state_reports.c
+++ b/core/cell/state_reports.c
@@ -140,7 +140,7 @@
 
   c->known_states.token = c->ownership.token;
   c->known_states.is_last_owner = true;
-  c->known_states.owned_peer_count = g_hash_table_size (c->peers);
+  c->known_states.counted_at_us = c->now_us;
   g_array_set_size (c->known_states.untold, 0);
   g_hash_table_iter_init (&it, c->jobs);
   while (g_hash_table_iter_next (&it, NULL, &value))
--- a/port/cell_action.h
+++ b/port/cell_action.h
@@ -142,6 +142,7 @@
                                   peers.  */
       uint64_t followed_token; /**< As in CELL_PEER.  */
       enum store_view view;    /**< As in CELL_OWNER_LINK.  */
+      uint32_t entry_count;    /**< As in CELL_OWNER_LINK.  */
     } heartbeat;
     struct
     {
--- a/port/cell_event.h
+++ b/port/cell_event.h
@@ -306,14 +306,12 @@
   enum job_state state;
 };
 
-/** What the owner, or the entry that owned the cell last, knows of the store.
- */
+/** What an entry and those that are linked to it know of the store.  */
 enum store_view
 {
-  STORE_VIEW_NONE,    /**< The entry is neither, or does not tell.  */
-  STORE_VIEW_REACHED, /**< It or an entry that is linked to it reaches the
-                         store.  */
-  STORE_VIEW_AWAY,    /**< None of them does, and they are most entries.  */
+  STORE_VIEW_NONE,    /**< They are not most entries, or it does not tell.  */
+  STORE_VIEW_REACHED, /**< One of them reaches the store.  */
+  STORE_VIEW_AWAY,    /**< None of them does.  */
   STORE_VIEW_COUNT
 };
 
@@ -376,6 +374,8 @@
       uint32_t best_cpu_milli; /**< Largest CPU share of the owner and its
                                     peers; 0: not known.  */
       enum store_view view;
+      uint32_t
+          entry_count; /**< Entries that the owner counts; 0: not known. */
     } owner_link;
     struct
     {
@@ -390,6 +390,8 @@
                                   if it neither owns the cell nor is about
                                   to; else 0.  */
       bool takes_states;       /**< It takes the states of jobs.  */
+      uint32_t
+          entry_count; /**< Entries that the owner counts; 0: not known. */
     } peer;
     struct site_config *config;
     uint64_t config_sent_at_us;
--- a/tests/cell_script.c
+++ b/tests/cell_script.c
@@ -696,6 +696,7 @@
       e->u.owner_link.up = json_is_true (v);
       e->u.owner_link.degraded = get_flag (j, "degraded");
       e->u.owner_link.best_cpu_milli = (uint32_t)get_number (j, "best_cpu", 0);
+      e->u.owner_link.entry_count = (uint32_t)get_number (j, "entries", 0);
       if (get_flag (j, "store_away"))
         e->u.owner_link.view = STORE_VIEW_AWAY;
       if (get_flag (j, "store_reached"))
@@ -712,6 +713,7 @@
       get_text (v, "member", e->u.peer.member, NAME_BYTES);
       e->u.peer.followed_token = get_number (v, "follows", 0);
       e->u.peer.takes_states = get_flag (v, "takes_states");
+      e->u.peer.entry_count = (uint32_t)get_number (v, "entries", 0);
     }
   else if ((v = json_object_get (j, "states")) != NULL)
     read_states (j, v, e);
@@ -1018,6 +1020,9 @@
         g_string_append_printf (
             out, " follows %llu",
             (unsigned long long)a->u.heartbeat.followed_token);
+      if (a->u.heartbeat.entry_count != 0)
+        g_string_append_printf (out, " of %u entries",
+                                a->u.heartbeat.entry_count);
       if (a->u.heartbeat.view == STORE_VIEW_REACHED)
         g_string_append (out, " store reached");
       if (a->u.heartbeat.view == STORE_VIEW_AWAY)
