An entry that the store serves tells its claim before it leaves the owner

Cause: the entries that the store serves leave the former owner when they have read the claim of the next one. Those that stay are most entries, and none of them reaches the store, so the former owner told that the store is away for all. Besides, sound entries seem not to reach the store for a moment, all at once, as their reads are in step; and what a former owner had told stayed in force when it knew better.

Change: an entry that has read a claim sends a last heartbeat, with its token, before it closes its link; who hears of a claim that it does not follow tells that the store is reached. So does an entry that was fenced. The store counts as away for an entry only when its configuration is too old, and for the others a second after the last of them reached it.

--- a/adapter/relay.c
+++ b/adapter/relay.c
@@ -407,6 +407,25 @@
   r->owner = link_new (r, fd, PEER_LINK_CONNECTOR);
 }
 
+static void
+send_body (struct link *l, const struct blob *b)
+{
+  if (l != NULL && l->ready && b != NULL)
+    peer_link_send (l->peer, b->data, b->size_bytes);
+}
+
+/* Sends a heartbeat on L, with what the cell has set last.  */
+static void
+send_heartbeat (struct link *l)
+{
+  struct blob *b;
+
+  l->relay->heartbeat.u.heartbeat.clock_us = now_us ();
+  b = relay_encode (&l->relay->heartbeat);
+  send_body (l, b);
+  blob_unref (b);
+}
+
 /* Replaces the link to the owner unless it already goes to ADDRESS.  */
 static void
 set_owner (struct relay *r, const char *address)
@@ -415,7 +434,10 @@
     return;
   text_copy (r->address, ADDRESS_BYTES, address);
   if (r->owner != NULL)
-    drop_link (r->owner);
+    {
+      send_heartbeat (r->owner);
+      drop_link (r->owner);
+    }
   r->connect_at_us = 0;
   if (address[0] != '\0')
     connect_owner (r);
@@ -431,13 +453,6 @@
   return l;
 }
 
-static void
-send_body (struct link *l, const struct blob *b)
-{
-  if (l != NULL && l->ready && b != NULL)
-    peer_link_send (l->peer, b->data, b->size_bytes);
-}
-
 /* Sends the batch in O unless the link is gone or the batch too old.  */
 static void
 send_orders (struct relay *r, const struct relay_command *o)
--- a/core/cell/ingress.c
+++ b/core/cell/ingress.c
@@ -59,8 +59,8 @@
   return RETRY_MS + (uint32_t)(c->random % RETRY_MS);
 }
 
-static bool
-is_fresh (const struct cell *c)
+bool
+ingress_is_fresh (const struct cell *c)
 {
   uint32_t limit_ms = c->settings.times.revoke_ms > 2 * REVOKE_MARGIN_MS
                           ? c->settings.times.revoke_ms - REVOKE_MARGIN_MS
@@ -83,7 +83,8 @@
 {
   const struct site_queue *q = cell_find_queue (c, call->queue);
 
-  return is_fresh (c) && q != NULL && cell_queue_is_configured (c, call->queue)
+  return ingress_is_fresh (c) && q != NULL
+         && cell_queue_is_configured (c, call->queue)
          && (q->is_public || g_hash_table_lookup (c->keys, call->key) != NULL);
 }
 
@@ -148,7 +149,7 @@
 check_call (struct cell *c, const struct client_call *call,
             struct job_call *job)
 {
-  if (is_fresh (c))
+  if (ingress_is_fresh (c))
     return check_by_config (c, call, job);
   if (call->kind != CALL_STATE || !state_calls_admit_unconfirmed (c)
       || check_by_config (c, call, job) != REPLY_OK || job->kind != CALL_STATE)
@@ -403,7 +404,7 @@
 static void
 report_ready (struct cell *c)
 {
-  bool ready = is_fresh (c) && !c->stopping && owner_is_reachable (c);
+  bool ready = ingress_is_fresh (c) && !c->stopping && owner_is_reachable (c);
 
   if (c->ready_reported && ready == c->ready)
     return;
--- a/core/cell/ownership.c
+++ b/core/cell/ownership.c
@@ -169,14 +169,19 @@
     text_copy (a->u.connect, ADDRESS_BYTES, o->owner_address);
 }
 
+/* Ends the ownership, or the attempt to take the cell.  SUPERSEDED: another
+   entry has taken the cell, or is to take it.  */
 static void
-end_ownership (struct cell *c)
+end_ownership (struct cell *c, bool superseded)
 {
   bool owned = cell_is_owner (c);
 
   /* Nobody has claimed the cell by a join.  */
   if (c->ownership.phase != OWNERSHIP_JOINING)
-    c->known_states.is_last_owner = false;
+    c->known_states.is_last_owner = owned && !superseded;
+  if (owned && superseded)
+    c->known_states.heard_token
+        = MAX (c->known_states.heard_token, c->ownership.token + 1);
   set_phase (c, OWNERSHIP_NONE);
   c->ownership.join_sent = false;
   c->ownership.joined_at_us = 0;
@@ -191,8 +196,9 @@
   connect_owner (c);
 }
 
-void
-ownership_lose (struct cell *c, const char *why)
+/* Gives the cell up; see end_ownership.  WHY is logged.  */
+static void
+lose (struct cell *c, const char *why, bool superseded)
 {
   if (c->ownership.phase == OWNERSHIP_NONE)
     return;
@@ -205,7 +211,13 @@
                                  / US_PER_MS));
   /* After a leave the store assigns the cell to another member at once.  */
   cell_emit (c, CELL_DO_LEAVE);
-  end_ownership (c);
+  end_ownership (c, superseded);
+}
+
+void
+ownership_lose (struct cell *c, const char *why)
+{
+  lose (c, why, true);
 }
 
 /* The claim that is marked as released tells that this owner did so of its own
@@ -233,7 +245,7 @@
   send_claim (c, true);
   c->ownership.release_sent = true;
   cell_emit (c, CELL_DO_LEAVE);
-  end_ownership (c);
+  end_ownership (c, true);
 }
 
 /* Handles that our claim is the newest: fences the records and reads them.  */
@@ -280,6 +292,48 @@
          && strcmp (c->ownership.newest_member, c->settings.member) == 0;
 }
 
+/* Updates the contents of our heartbeats.  When the owner reports that it
+   cannot reach the store, the others ask the store for a new holder; if none
+   of them can reach the store, the owner stays.  The owner does not yield to
+   an entry that cannot reach the store.  */
+static void
+update_heartbeat (struct cell *c)
+{
+  struct ownership *o = &c->ownership;
+  bool degraded = o->phase == OWNERSHIP_OWNER
+                      ? c->now_us > o->joined_at_us + DEGRADED_MS * US_PER_MS
+                      : o->phase == OWNERSHIP_NONE
+                            && (!ingress_store_answers (c) || c->stopping);
+  uint32_t best_milli = peers_best_cpu_milli (c);
+  uint64_t followed_token = o->phase == OWNERSHIP_NONE ? o->newest_token : 0;
+  enum store_view view = state_calls_view_store (c);
+  uint32_t entry_count
+      = state_reports_are_on (c) ? c->known_states.entry_count : 0;
+  struct cell_action *a;
+
+  if (degraded == o->degraded_advertised
+      && best_milli == o->best_advertised_milli
+      && followed_token == o->followed_advertised_token
+      && view == o->view_advertised
+      && entry_count == o->entry_count_advertised)
+    return;
+  a = cell_emit (c, CELL_DO_SET_HEARTBEAT);
+  a->u.heartbeat.degraded = degraded;
+  a->u.heartbeat.best_cpu_milli = best_milli;
+  a->u.heartbeat.followed_token = followed_token;
+  a->u.heartbeat.view = o->view_advertised = view;
+  a->u.heartbeat.entry_count = o->entry_count_advertised = entry_count;
+  o->followed_advertised_token = followed_token;
+  o->best_advertised_milli = best_milli;
+  if (degraded == o->degraded_advertised)
+    return;
+  o->degraded_advertised = degraded;
+  if (o->phase == OWNERSHIP_OWNER)
+    cell_log (c, degraded ? "store_unreachable" : "store_reachable", 0,
+              "\"join_age_ms\":%llu",
+              (unsigned long long)((c->now_us - o->joined_at_us) / US_PER_MS));
+}
+
 void
 ownership_on_claim (struct cell *c, const struct cell_event *e)
 {
@@ -332,6 +386,10 @@
       o->retry_at_us = 0;
       if (o->newest_released)
         o->next_find_at_us = c->now_us;
+      /* The entry that this one is linked to is told of the claim before the
+         link is closed, as it may not reach the store.  */
+      if (state_reports_are_on (c))
+        update_heartbeat (c);
       if (!mine || o->newest_released)
         connect_owner (c);
     }
@@ -591,63 +649,14 @@
   const struct ownership *o = &c->ownership;
   uint64_t since_us
       = c->now_us - MIN (c->now_us, OWNERSHIP_TIMEOUT_MS * US_PER_MS);
-  const char *why = NULL;
-  bool owned = cell_is_owner (c);
 
   if (o->phase == OWNERSHIP_NONE)
     return;
   if (o->joined_at_us > 0 && o->joined_at_us < since_us)
-    why = "ownership_timeout";
+    lose (c, "ownership_timeout", false);
   else if ((o->phase == OWNERSHIP_RECOVERING || o->phase == OWNERSHIP_OWNER)
            && ownership_proved_us (c) < since_us)
-    why = "ownership_unproved";
-  if (why == NULL)
-    return;
-  ownership_lose (c, why);
-  /* No other owner is known.  */
-  c->known_states.is_last_owner |= owned;
-}
-
-/* Updates the contents of our heartbeats.  When the owner reports that it
-   cannot reach the store, the others ask the store for a new holder; if none
-   of them can reach the store, the owner stays.  The owner does not yield to
-   an entry that cannot reach the store.  */
-static void
-update_heartbeat (struct cell *c)
-{
-  struct ownership *o = &c->ownership;
-  bool degraded = o->phase == OWNERSHIP_OWNER
-                      ? c->now_us > o->joined_at_us + DEGRADED_MS * US_PER_MS
-                      : o->phase == OWNERSHIP_NONE
-                            && (!ingress_store_answers (c) || c->stopping);
-  uint32_t best_milli = peers_best_cpu_milli (c);
-  uint64_t followed_token = o->phase == OWNERSHIP_NONE ? o->newest_token : 0;
-  enum store_view view = state_calls_view_store (c);
-  uint32_t entry_count
-      = state_reports_are_on (c) ? c->known_states.entry_count : 0;
-  struct cell_action *a;
-
-  if (degraded == o->degraded_advertised
-      && best_milli == o->best_advertised_milli
-      && followed_token == o->followed_advertised_token
-      && view == o->view_advertised
-      && entry_count == o->entry_count_advertised)
-    return;
-  a = cell_emit (c, CELL_DO_SET_HEARTBEAT);
-  a->u.heartbeat.degraded = degraded;
-  a->u.heartbeat.best_cpu_milli = best_milli;
-  a->u.heartbeat.followed_token = followed_token;
-  a->u.heartbeat.view = o->view_advertised = view;
-  a->u.heartbeat.entry_count = o->entry_count_advertised = entry_count;
-  o->followed_advertised_token = followed_token;
-  o->best_advertised_milli = best_milli;
-  if (degraded == o->degraded_advertised)
-    return;
-  o->degraded_advertised = degraded;
-  if (o->phase == OWNERSHIP_OWNER)
-    cell_log (c, degraded ? "store_unreachable" : "store_reachable", 0,
-              "\"join_age_ms\":%llu",
-              (unsigned long long)((c->now_us - o->joined_at_us) / US_PER_MS));
+    lose (c, "ownership_unproved", false);
 }
 
 /* Sends the joins of an entry that holds the cell or is taking it over, and
--- a/core/cell/peers.c
+++ b/core/cell/peers.c
@@ -36,6 +36,7 @@
 
   if (!e->u.peer.up)
     {
+      state_calls_on_peers (c);
       g_hash_table_remove (c->peers, &id);
       update_best_cpu (c);
       delegates_on_lost (c, id);
@@ -63,6 +64,7 @@
       delegates_on_change (c);
     }
   p->takes_states = e->u.peer.takes_states;
+  state_calls_on_peers (c);
   if (is_new)
     {
       state_calls_count_entries (c);
--- a/core/cell/state.h
+++ b/core/cell/state.h
@@ -533,6 +533,9 @@
   GArray *sending;  /**< The same, of the actions of this step.  */
   uint64_t told_at_us;    /**< When the owner told the last batch.  */
   uint64_t checked_at_us; /**< When old ones were last forgotten.  */
+  uint64_t heard_token;   /**< Of the newest claim that a linked entry has
+                             seen.  */
+  uint64_t reached_at_us; /**< When a linked entry last reached the store.  */
   uint32_t entry_count; /**< Entries, with this one, that the owner counts; 0:
                            not known.  */
   uint64_t counted_at_us; /**< When this owner last counted fewer, or when it
@@ -755,6 +758,9 @@
 void ingress_tick (struct cell *c);
 /** Returns true if the store answered this entry's reads recently.  */
 bool ingress_store_answers (const struct cell *c);
+/** Returns true if the configuration is confirmed: it knows of all keys that
+    were withdrawn over revoke_ms ago.  */
+bool ingress_is_fresh (const struct cell *c);
 /** Returns true if the configuration, which is confirmed, admits CALL by its
    key and its queue.  */
 bool ingress_admits (const struct cell *c, const struct job_call *call);
--- a/core/cell/state_calls.c
+++ b/core/cell/state_calls.c
@@ -17,6 +17,9 @@
 
 #include "core/cell/state_calls.h"
 
+/** Entries read the configuration in long-polling reads, and may seem not to
+    reach the store for a moment, all at once.  */
+#define REACHED_MS 1000
 /** An owner counts the entries that are linked to it.  It takes fewer than
     before for their number only after this long, in which all others link to a
     new one.  */
@@ -48,12 +51,25 @@
                 > c->known_states.entry_count;
 }
 
-/* Returns the token of the newest claim that this entry, or one that is linked
-   to it, has seen.  */
+/* Returns the token of the newest claim that this entry, or one that was
+   linked to it, has seen.  */
 static uint64_t
 newest_claim (const struct cell *c)
 {
-  return MAX (c->ownership.newest_token, peers_newest_followed_token (c));
+  return MAX (c->ownership.newest_token, c->known_states.heard_token);
+}
+
+/* Returns true if there is a claim that neither this entry nor, where this one
+   has read none, the entries that are linked to it follow.  Its maker had
+   reached the store.  */
+static bool
+has_newer_claim (const struct cell *c)
+{
+  const struct ownership *o = &c->ownership;
+  uint64_t known
+      = o->claims_known ? o->newest_token : peers_newest_followed_token (c);
+
+  return newest_claim (c) > known;
 }
 
 /* Returns true if this entry owns the cell, or owned it last as far as it and
@@ -67,16 +83,32 @@
          && is_linked_to_most (c);
 }
 
+/* Returns true if the store has answered this entry, or an entry that is
+   linked to it, so lately that it may still answer the others.  */
+static bool
+is_store_reached (const struct cell *c)
+{
+  return ingress_is_fresh (c) || peers_best_other_cpu_milli (c) > 0
+         || c->now_us < c->known_states.reached_at_us + REACHED_MS * US_PER_MS;
+}
+
 enum store_view
 state_calls_view_store (const struct cell *c)
 {
-  if (!state_reports_are_on (c) || !is_linked_to_most (c)
-      || (c->ownership.claims_known
-          && newest_claim (c) > c->ownership.newest_token))
+  if (!state_reports_are_on (c) || !is_linked_to_most (c))
     return STORE_VIEW_NONE;
-  return ingress_store_answers (c) || peers_best_other_cpu_milli (c) > 0
-             ? STORE_VIEW_REACHED
-             : STORE_VIEW_AWAY;
+  return has_newer_claim (c) || is_store_reached (c) ? STORE_VIEW_REACHED
+                                                     : STORE_VIEW_AWAY;
+}
+
+void
+state_calls_on_peers (struct cell *c)
+{
+  struct known_states *s = &c->known_states;
+
+  s->heard_token = MAX (s->heard_token, peers_newest_followed_token (c));
+  if (peers_best_other_cpu_milli (c) > 0)
+    s->reached_at_us = c->now_us;
 }
 
 void
@@ -101,7 +133,7 @@
 {
   const struct known_states *s = &c->known_states;
 
-  return !ingress_store_answers (c)
+  return !ingress_is_fresh (c)
          && (state_calls_view_store (c) == STORE_VIEW_AWAY
              || (s->owner_view == STORE_VIEW_AWAY
                  && s->owner_view_token == c->ownership.newest_token));
--- a/core/cell/state_calls.h
+++ b/core/cell/state_calls.h
@@ -23,6 +23,8 @@
 /** Returns what this entry and those that are linked to it know of the store;
     STORE_VIEW_NONE if they are not most entries.  */
 enum store_view state_calls_view_store (const struct cell *c);
+/** Handles that entries that are linked to this one have changed.  */
+void state_calls_on_peers (struct cell *c);
 /** Handles that the entry at the address of the owner, to which this one is
     linked, has told VIEW and ENTRY_COUNT.  */
 void state_calls_on_owner_link (struct cell *c, enum store_view view,
