Model: states of jobs while the store is away

Its entries got no states from the owner, its heartbeats told no view of the store, outages lasted at most 6 s, and a client asked one entry once and nobody judged the answer.

Change: the model passes CELL_DO_TELL_STATES on as the relay does, and view and takes_states in heartbeats. Options: unconfirmed_state (the setting) and insist (who asks for a state goes on at the next entry, 600 ms each, for so long); 0 for both by default. Fault store_away_long: the store is silent for 20 s, and in half of the cases the owner's process is killed 4 to 16 s after its beginning. Rules UNTOLD (with insist) and BACK (always: a job shown as ended is not shown otherwise to who asks later).

Not covered: the store returning to some entries first, and handovers during an outage.

--- a/tests/model.c
+++ b/tests/model.c
@@ -177,6 +177,7 @@
   x->u.peer.cpu_milli = e->settings.cpu_milli;
   e->reported_token = e->followed_token;
   x->u.peer.followed_token = e->followed_token;
+  x->u.peer.takes_states = true;
   text_copy (x->u.peer.member, NAME_BYTES, e->name);
   snprintf (x->u.peer.zone, NAME_BYTES, "z%u", e->index % 3);
   model_post (e->linked, e->linked_process, LINK_US, x);
@@ -189,9 +190,11 @@
 
   e->reported_degraded = e->linked->degraded;
   e->reported_cpu_milli = e->linked->best_cpu_milli;
+  e->reported_view = e->linked->view;
   x->u.owner_link.up = true;
   x->u.owner_link.degraded = e->reported_degraded;
   x->u.owner_link.best_cpu_milli = e->reported_cpu_milli;
+  x->u.owner_link.view = e->reported_view;
   model_post (e, e->process, LINK_US, x);
 }
 
@@ -214,6 +217,7 @@
       e->linked = o;
       e->linked_process = o->process;
       e->link_id = ++m->last_link_id;
+      e->gets_states = false;
       e->link_heard_at_us = m->now_us;
       e->heartbeat_at_us = m->now_us + HEARTBEAT_INTERVAL_US;
       report_owner (e);
@@ -254,7 +258,8 @@
     return;
   e->heartbeat_at_us = m->now_us + HEARTBEAT_INTERVAL_US;
   if (e->reported_degraded != o->degraded
-      || e->reported_cpu_milli != o->best_cpu_milli)
+      || e->reported_cpu_milli != o->best_cpu_milli
+      || e->reported_view != o->view)
     report_owner (e);
   if (e->reported_eligible == e->degraded
       || e->reported_token != e->followed_token)
@@ -315,6 +320,40 @@
     }
 }
 
+/* Passes the states in A on, as the relay does: those for all links (0) only
+   to entries that got some on the same link before.  */
+static void
+tell_states (struct model_entry *e, const struct cell_action *a)
+{
+  struct model *m = e->model;
+  uint32_t i;
+
+  for (i = 0; i < m->entry_count; i++)
+    {
+      struct model_entry *o = &m->entries[i];
+      struct cell_event *x;
+
+      if (o->linked != e
+          || (a->u.states.link_id == 0 ? !o->gets_states
+                                       : o->link_id != a->u.states.link_id))
+        continue;
+      o->gets_states = true;
+      /* The stream of a link has no gaps.  */
+      if (!link_carries (o))
+        {
+          close_link (o);
+          continue;
+        }
+      x = model_event (CELL_STATES);
+      x->u.states.token = a->u.states.token;
+      x->u.states.item_count = a->u.states.item_count;
+      x->u.states.items
+          = talloc_memdup (x, a->u.states.items,
+                           a->u.states.item_count * sizeof *x->u.states.items);
+      model_post (o, o->process, LINK_US, x);
+    }
+}
+
 static void
 carry_out (struct model_entry *e, struct cell_action *a)
 {
@@ -337,6 +376,7 @@
       e->degraded = a->u.heartbeat.degraded;
       e->best_cpu_milli = a->u.heartbeat.best_cpu_milli;
       e->followed_token = a->u.heartbeat.followed_token;
+      e->view = a->u.heartbeat.view;
       break;
     case CELL_DO_JOIN:
     case CELL_DO_LEAVE:
@@ -361,8 +401,10 @@
     case CELL_DO_EXIT:
       model_entry_kill (e);
       break;
-    case CELL_DO_WAVE_STATE:
     case CELL_DO_TELL_STATES:
+      tell_states (e, a);
+      break;
+    case CELL_DO_WAVE_STATE:
     case CELL_DO_READY:
     case CELL_ACTION_KIND_COUNT:
       break;
@@ -542,6 +584,7 @@
   e->wanted_address[0] = '\0';
   e->degraded = false;
   e->followed_token = 0;
+  e->view = STORE_VIEW_NONE;
   e->best_cpu_milli = e->settings.cpu_milli;
   e->claims_read = false;
   e->claims_seen_offset = 0;
@@ -619,6 +662,7 @@
                                                .stop_grace_ms = 6000,
                                                .move_ms = 1500,
                                                .maintenance_ms = 2000 } };
+      e->settings.times.unconfirmed_state_s = m->options.unconfirmed_state_s;
       if (m->options.weak_cpu_milli > 0 && i % 3 != 0)
         e->settings.cpu_milli = m->options.weak_cpu_milli;
       text_copy (e->settings.member, NAME_BYTES, e->name);
--- a/tests/model.h
+++ b/tests/model.h
@@ -78,6 +78,8 @@
                        */
   MODEL_RESTARTS_OVERLAP, /**< As planned: all entries in turn, the next ones
                              before the first is back.  */
+  MODEL_STORE_AWAY_LONG, /**< Silent for 20 s; in half of the cases the owner's
+                            process is killed meanwhile.  */
   MODEL_FAULT_COUNT
 };
 
@@ -131,7 +133,10 @@
   uint32_t cancel_percent; /**< Short jobs whose clients cancel them.  */
   uint32_t resend_percent; /**< Short jobs that are submitted once more.  */
   uint32_t ask_ms;         /**< Mean time between questions; 0: none.  */
-  uint32_t mixed_percent;  /**< Short jobs whose second step lasts.  */
+  uint32_t insist_ms; /**< For so long who asks for a state goes on at other
+                         entries until it is told; 0: it asks once.  */
+  uint32_t unconfirmed_state_s; /**< As in struct cell_times.  */
+  uint32_t mixed_percent;       /**< Short jobs whose second step lasts.  */
   uint32_t placed_percent; /**< Short jobs with a label or a limit of tasks
                               on a runner.  */
   uint32_t serving_fail_percent; /**< Long-running runs that fail.  */
@@ -248,7 +253,10 @@
   uint32_t reported_cpu_milli;
   uint64_t followed_token;
   uint64_t reported_token;
-  bool reported_eligible; /**< What it told its link's other end.  */
+  bool reported_eligible;        /**< What it told its link's other end.  */
+  enum store_view view;          /**< Contents of its heartbeats.  */
+  enum store_view reported_view; /**< What its link's other end told it.  */
+  bool gets_states;              /**< It was sent states on its link.  */
   uint64_t claims_seen_offset;
   uint64_t claims_sent_at_us; /**< When its read of the claims was sent.  */
   uint64_t claims_told_at_us; /**< When the newest answer to one arrives.  */
@@ -341,6 +349,17 @@
   uint64_t cancel_sent_at_us; /**< 0: it was not cancelled.  */
   uint64_t cancelled_at_us;   /**< When that was answered; 0: it was not. */
   bool known_final;           /**< Its state was shown as final.  */
+  enum job_state final_state; /**< That state.  */
+  uint64_t final_at_us;       /**< When it was shown first.  */
+};
+
+/** A client's questions for the state of a job, until it is told.  */
+struct model_inquiry
+{
+  struct model_job *job;
+  uint64_t began_at_us;
+  uint32_t next_entry;
+  bool over;
 };
 
 /** A client's call about a job that it has submitted.  */
@@ -352,6 +371,7 @@
   uint32_t entry;
   uint32_t process;
   uint64_t sent_at_us;
+  struct model_inquiry *inquiry; /**< It belongs to this; or NULL.  */
 };
 
 struct model
@@ -381,6 +401,8 @@
   uint64_t orders_lost_until_us;
   uint64_t orders_late_until_us;
   uint64_t disturbed_until_us; /**< End of the newest fault so far.  */
+  uint64_t away_at_us; /**< When the store was last lost to all entries.  */
+  bool only_away; /**< There was an owner then, and no other fault since.  */
   uint64_t end_us;
   uint32_t broken_count;
   GString *report; /**< The first broken rules.  */
@@ -499,6 +521,9 @@
 void model_rules_on_state (struct model *m, struct model_job *j,
                            uint64_t sent_at_us, enum call_kind kind,
                            const struct reply *r);
+/** A client that has asked for the state of J since BEGAN_AT_US gives up.  */
+void model_rules_on_untold (struct model *m, const struct model_job *j,
+                            uint64_t began_at_us);
 void model_rules_tick (struct model *m);
 void model_rules_finish (struct model *m);
 void model_task_print (const struct task_id *id, char *text,
--- a/tests/model_clients.c
+++ b/tests/model_clients.c
@@ -11,6 +11,10 @@
 #define LAST_QUESTIONS_US (2000 * US_PER_MS)
 #define CANCEL_WITHIN_MS 4000
 #define RESEND_WITHIN_MS 9000
+/** Clients that insist ask each entry for this long, and the next one after
+    this.  */
+#define INSIST_TIMEOUT_US (600 * US_PER_MS)
+#define INSIST_RETRY_US (100 * US_PER_MS)
 
 struct planned_call
 {
@@ -36,6 +40,8 @@
 static void call_later (struct model *m, struct model_job *j,
                         enum call_kind kind, uint64_t delay_us);
 
+static void ask_next (struct model *m, void *argument);
+
 /* Cancels are sent again until they are answered.  */
 static void
 on_timeout (struct model *m, void *argument)
@@ -47,25 +53,23 @@
     {
       if (q->kind == CALL_CANCEL)
         call_later (m, q->job, CALL_CANCEL, 0);
+      if (q->inquiry != NULL)
+        model_schedule (m, 0, ask_next, q->inquiry);
       g_hash_table_remove (m->questions, id);
     }
   talloc_free (id);
 }
 
+/* Sends E, which can be reached, a call; X, or NULL, is what it belongs to. */
 static void
-send (struct model *m, struct model_job *j, enum call_kind kind)
+send_to (struct model_entry *e, struct model_job *j, enum call_kind kind,
+         struct model_inquiry *x)
 {
-  struct model_entry *e = &m->entries[model_random (m, m->entry_count)];
+  struct model *m = e->model;
   struct model_question *q;
   struct cell_event *ev;
   uint64_t *id;
 
-  if (!model_entry_reaches (e))
-    {
-      if (kind == CALL_CANCEL)
-        call_later (m, j, kind, RETRY_US);
-      return;
-    }
   if (kind == CALL_CANCEL && j->cancel_sent_at_us == 0)
     j->cancel_sent_at_us = m->now_us;
   ev = model_call (m, j, kind);
@@ -78,13 +82,64 @@
   q->entry = e->index;
   q->process = e->process;
   q->sent_at_us = m->now_us;
+  q->inquiry = x;
   g_hash_table_insert (m->questions, &q->call_id, q);
   id = talloc (m->arena, uint64_t);
   *id = q->call_id;
-  model_schedule (m, CALL_TIMEOUT_US, on_timeout, id);
+  model_schedule (m, x != NULL ? INSIST_TIMEOUT_US : CALL_TIMEOUT_US,
+                  on_timeout, id);
   model_post (e, e->process, 1000, ev);
 }
 
+static void
+send (struct model *m, struct model_job *j, enum call_kind kind)
+{
+  struct model_entry *e = &m->entries[model_random (m, m->entry_count)];
+
+  if (model_entry_reaches (e))
+    send_to (e, j, kind, NULL);
+  else if (kind == CALL_CANCEL)
+    call_later (m, j, kind, RETRY_US);
+}
+
+/* Asks the next entry.  The inquiry is freed with the arena.  */
+static void
+ask_next (struct model *m, void *argument)
+{
+  struct model_inquiry *x = argument;
+  struct model_entry *e = &m->entries[x->next_entry % m->entry_count];
+
+  if (x->over)
+    return;
+  x->next_entry++;
+  if (model_entry_reaches (e))
+    send_to (e, x->job, CALL_STATE, x);
+  else
+    model_schedule (m, INSIST_RETRY_US, ask_next, x);
+}
+
+static void
+end_inquiry (struct model *m, void *argument)
+{
+  struct model_inquiry *x = argument;
+
+  if (!x->over)
+    model_rules_on_untold (m, x->job, x->began_at_us);
+  x->over = true;
+}
+
+static void
+insist (struct model *m, struct model_job *j)
+{
+  struct model_inquiry *x = talloc_zero (m->arena, struct model_inquiry);
+
+  x->job = j;
+  x->began_at_us = m->now_us;
+  x->next_entry = model_random (m, m->entry_count);
+  model_schedule (m, m->options.insist_ms * US_PER_MS, end_inquiry, x);
+  ask_next (m, x);
+}
+
 static void
 make_call (struct model *m, void *argument)
 {
@@ -128,7 +183,9 @@
   if (m->jobs->len > 0)
     {
       j = g_ptr_array_index (m->jobs, model_random (m, m->jobs->len));
-      if (j->accepted)
+      if (j->accepted && m->options.insist_ms > 0)
+        insist (m, j);
+      else if (j->accepted)
         send (m, j, CALL_STATE);
     }
   model_schedule (m, (1 + model_random (m, 2 * m->options.ask_ms)) * US_PER_MS,
@@ -172,6 +229,10 @@
     return;
   j = q->job;
   model_rules_on_state (m, j, q->sent_at_us, q->kind, r);
+  if (q->inquiry != NULL && r->code == REPLY_OK)
+    q->inquiry->over = true;
+  else if (q->inquiry != NULL)
+    model_schedule (m, INSIST_RETRY_US, ask_next, q->inquiry);
   if (q->kind == CALL_CANCEL)
     {
       if (r->code != REPLY_OK && r->code != REPLY_NO_JOB)
--- a/tests/model_faults.c
+++ b/tests/model_faults.c
@@ -37,6 +37,13 @@
 #define GRACE_US (6000 * US_PER_MS)
 #define WATCH_US (50 * US_PER_MS)
 #define PROCESS_START_US (500 * US_PER_MS)
+/** The store is away for long, and when its owner's process is killed then.
+    By that time its heartbeats have told of it.  */
+#define AWAY_LONG_US (20 * US_PER_S)
+#define AWAY_KILL_FROM_MS 4001
+#define AWAY_KILL_TO_MS 16000
+/** For so long nothing was at fault when the store is lost.  */
+#define AWAY_CALM_US (7000 * US_PER_MS)
 
 static const char *const names[MODEL_FAULT_COUNT] = {
   [MODEL_OWNER_KILLED] = "owner_killed",
@@ -78,6 +85,7 @@
   [MODEL_SHARED_CRASH] = "shared_crash",
   [MODEL_UNASSIGNED_AND_ISLANDED] = "unassigned_and_islanded",
   [MODEL_RESTARTS_OVERLAP] = "restarts_overlap",
+  [MODEL_STORE_AWAY_LONG] = "store_away_long",
 };
 
 struct planned_fault
@@ -135,6 +143,17 @@
   schedule_entry (m, back_us, start_entry, e->index);
 }
 
+static void
+kill_planned (struct model *m, void *argument)
+{
+  uint32_t *index = argument;
+
+  if (m->options.verbose)
+    printf ("%7.3f kills entry-%u\n", (double)m->now_us / 1e6 - 100, *index);
+  kill_entry (m, &m->entries[*index]);
+  talloc_free (index);
+}
+
 /* Kills a process that was stopped and has not ended, and starts it anew.  */
 static void
 finish_stop (struct model *m, void *argument)
@@ -483,6 +502,17 @@
       m->store.down_until_us = until_us;
       m->store.silent = kind == MODEL_STORE_SILENT;
       break;
+    case MODEL_STORE_AWAY_LONG:
+      until_us = m->now_us + AWAY_LONG_US;
+      m->store.down_until_us = until_us;
+      m->store.silent = true;
+      e = model_owner (m);
+      if (model_random (m, 2) == 0 && e != NULL)
+        schedule_entry (m,
+                        model_between (m, AWAY_KILL_FROM_MS, AWAY_KILL_TO_MS)
+                            * US_PER_MS,
+                        kill_planned, e->index);
+      break;
     case MODEL_APPENDS_LOST:
       m->store.appends_lost_until_us = until_us;
       break;
@@ -507,6 +537,22 @@
   model_disturb (m, until_us);
 }
 
+/* Notes since when the store is lost to all entries and nothing else is at
+   fault, when a fault of KIND begins.  */
+static void
+note_away (struct model *m, enum model_fault kind)
+{
+  if (kind != MODEL_STORE_DOWN && kind != MODEL_STORE_SILENT
+      && kind != MODEL_STORE_AWAY_LONG)
+    m->only_away = false;
+  else if (m->now_us >= m->store.down_until_us)
+    {
+      m->away_at_us = m->now_us;
+      m->only_away = m->now_us >= m->disturbed_until_us + AWAY_CALM_US
+                     && model_owner (m) != NULL;
+    }
+}
+
 static void
 apply_fault (struct model *m, void *argument)
 {
@@ -515,6 +561,7 @@
 
   if (m->options.verbose)
     printf ("%7.3f fault %s\n", (double)m->now_us / 1e6 - 100, names[x->kind]);
+  note_away (m, x->kind);
   model_disturb (m, m->now_us);
   switch (x->kind)
     {
--- a/tests/model_rules.c
+++ b/tests/model_rules.c
@@ -20,6 +20,12 @@
    UNASKED No task of a cancelled job starts over 3 s after the cancel was
           answered, or runs on after 3.4 s more without faults.
    MIXED  A job is shown as completed only when all its tasks are done.
+   BACK   A job that was shown as ended is not shown in another state to who
+          asks after that.
+   UNTOLD While the store is lost to all entries, there was an owner and 7 s of
+          calm before, and nothing else but its process has failed, a client
+          that asks all entries in turn is told the state of a job that was
+          accepted over 3 s before.
    ONE    No two owners' orders for one VM are taken within 3 s, or under one
           token, or one under a lower token after one under a higher token.
    AVAIL  No order ends a serving task while as many others of its step are
@@ -554,11 +560,37 @@
                   (double)j->accepted_at_us / 1e6 - 100);
   if (r->code != REPLY_OK || kind != CALL_STATE)
     return;
-  if (r->state >= JOB_COMPLETED)
-    j->known_final = true;
+  if (j->known_final && sent_at_us > j->final_at_us
+      && r->state != j->final_state)
+    model_broken (
+        m, "BACK: job %016llx is shown as %s, and was as %s at %.3f s",
+        (unsigned long long)j->id, job_state_name (r->state),
+        job_state_name (j->final_state), (double)j->final_at_us / 1e6 - 100);
+  if (r->state >= JOB_COMPLETED && !j->known_final)
+    {
+      j->known_final = true;
+      j->final_state = r->state;
+      j->final_at_us = m->now_us;
+    }
   check_state (m, j, r->state);
 }
 
+void
+model_rules_on_untold (struct model *m, const struct model_job *j,
+                       uint64_t began_at_us)
+{
+  if (!m->only_away || began_at_us < m->away_at_us
+      || m->now_us >= m->store.down_until_us
+      || began_at_us <= j->accepted_at_us + VISIBLE_US)
+    return;
+  model_broken (
+      m,
+      "UNTOLD: the state of job %016llx, accepted at %.3f s, is "
+      "asked for since %.3f s; the store is away since %.3f s",
+      (unsigned long long)j->id, (double)j->accepted_at_us / 1e6 - 100,
+      (double)began_at_us / 1e6 - 100, (double)m->away_at_us / 1e6 - 100);
+}
+
 void
 model_rules_tick (struct model *m)
 {
--- a/tests/promise_script.c
+++ b/tests/promise_script.c
@@ -60,6 +60,8 @@
   o.cancel_percent = read_number (j, "cancel", 0);
   o.resend_percent = read_number (j, "resend", 0);
   o.ask_ms = read_number (j, "ask", 0);
+  o.insist_ms = read_number (j, "insist", 0);
+  o.unconfirmed_state_s = read_number (j, "unconfirmed_state", 0);
   o.mixed_percent = read_number (j, "mixed", 0);
   o.placed_percent = read_number (j, "placed", 0);
   o.serving_fail_percent = read_number (j, "serving_fails", 0);
